--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Measurements of the decision code in virtual time.
+
+fn main() {}
--- /dev/null
+++ b/crates/chart/src/chart.rs
@@ -0,0 +1,103 @@
+use super::*;
+
+/// Result of one step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Step<State, Action> {
+    /// Actions in order.
+    pub actions: Vec<Action>,
+    /// Next state.
+    pub state: State,
+}
+
+/// A chart whose names are checked against the code's enums.
+#[derive(Clone, Debug)]
+pub struct Chart<State, Event, Action> {
+    initial: State,
+    name: String,
+    steps: BTreeMap<(State, Event), Step<State, Action>>,
+}
+
+impl<State, Event, Action> Chart<State, Event, Action>
+where
+    Action: Clone + DeserializeOwned,
+    Event: Copy + Debug + DeserializeOwned + Ord,
+    State: Copy + Debug + DeserializeOwned + Ord,
+{
+    /// Reads a chart and checks every name in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the text is not a chart, names something that the enums lack, or
+    /// leads to a state that it does not describe.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let source = ChartSource::parse(text)?;
+        let initial = known(&source.name, "state", &source.initial)?;
+        let mut steps = BTreeMap::new();
+        for (from, state) in &source.states {
+            let from = known(&source.name, "state", from)?;
+            for (event, transition) in &state.on {
+                let event = known(&source.name, "event", event)?;
+                steps.insert((from, event), read_step(&source, transition)?);
+            }
+        }
+        Ok(Self {
+            initial,
+            name: source.name,
+            steps,
+        })
+    }
+
+    /// First state.
+    #[must_use]
+    pub fn initial(&self) -> State {
+        self.initial
+    }
+
+    /// All pairs of a state and an event that the chart takes.
+    pub fn pairs(&self) -> impl Iterator<Item = (State, Event)> {
+        self.steps.keys().copied()
+    }
+
+    /// Step from `state` on `event`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Unexpected` when the chart lists no such step. The state stays as it is.
+    pub fn step(&self, state: State, event: Event) -> Result<&Step<State, Action>, Error> {
+        self.steps
+            .get(&(state, event))
+            .ok_or_else(|| Error::Unexpected {
+                chart: self.name.clone(),
+                event: format!("{event:?}"),
+                state: format!("{state:?}"),
+            })
+    }
+}
+
+fn known<T: DeserializeOwned>(chart: &str, what: &'static str, name: &str) -> Result<T, Error> {
+    serde_json::from_value(serde_json::Value::String(name.into())).map_err(|_| Error::Name {
+        chart: chart.into(),
+        name: name.into(),
+        what,
+    })
+}
+
+fn read_step<State: DeserializeOwned, Action: DeserializeOwned>(
+    source: &ChartSource,
+    transition: &TransitionSource,
+) -> Result<Step<State, Action>, Error> {
+    if !source.states.contains_key(&transition.to) {
+        return Err(Error::Missing {
+            chart: source.name.clone(),
+            state: transition.to.clone(),
+        });
+    }
+    let mut actions = Vec::new();
+    for action in &transition.actions {
+        actions.push(known(&source.name, "action", action)?);
+    }
+    Ok(Step {
+        actions,
+        state: known(&source.name, "state", &transition.to)?,
+    })
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,36 @@
+//! Every decision of the router as deterministic code: events and the time go in, commands come
+//! out. There are no sockets, no clock and no `async` here, so that tests, measurements and model
+//! checkers drive exactly the code that ships.
+
+use {
+    rand_chacha::ChaCha8Rng,
+    serde::{Deserialize, Serialize},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
+    types::{
+        AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
+        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
+        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Listing, ListingRole, Lists,
+        LoadReport, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId, Route,
+        StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+    },
+};
+
+mod command;
+mod context;
+mod decision;
+mod event;
+mod identity;
+mod target;
+
+pub use {
+    command::Command,
+    context::Context,
+    decision::{Candidate, Decision},
+    event::{Event, OwnerStatus},
+    identity::Identity,
+    target::Target,
+};
--- /dev/null
+++ b/crates/control/src/target.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+/// A back end, as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Belief about it.
+    pub health: TargetHealth,
+    /// Target.
+    pub id: TargetId,
+    /// Start number of its process. Reports of an earlier process are dropped.
+    pub incarnation: Incarnation,
+    /// Part of its full share that it may get now. Invariant: greater than 0 and at most 1.
+    pub ramp_fraction: f64,
+    /// Region.
+    pub region: RegionId,
+    /// Newest report.
+    pub report: LoadReport,
+    /// When the newest report was true, in time since this process started.
+    pub reported_at: Duration,
+    /// What it does. Never `ListingRole::Entry`.
+    pub role: ListingRole,
+}
+
+impl Target {
+    /// Whether it may get new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        matches!(self.health, TargetHealth::Live | TargetHealth::Suspect)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/bin/ctl.rs
@@ -0,0 +1,3 @@
+//! Operator's command-line client.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator's command-line client.
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! The router and its stand-ins in one process on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load program for a running deployment.
+
+fn main() {}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry instances over tarpc.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's table, object store and instance list.
--- /dev/null
+++ b/crates/standin/src/bin/standin-platform.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the platform, engines and services, for tests and the demo.
+
+fn main() {}
--- /dev/null
+++ b/crates/suite/src/lib.rs
@@ -0,0 +1,1 @@
+//! End-to-end and failure tests over real processes.
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines and plain services.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,57 @@
+//! Types shared by every crate of the router: ids, the two operator lists, submissions, routes,
+//! load reports, store requests and the messages between instances.
+//!
+//! Everything here is plain data. Decisions on it are made in `control`.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
+    thiserror::Error,
+};
+
+mod change;
+mod error;
+mod generate;
+mod heartbeat;
+mod id;
+mod journal;
+mod key;
+mod list;
+mod listing;
+mod load;
+mod order;
+mod outcome;
+mod route;
+mod store;
+mod submission;
+mod token;
+
+pub use {
+    change::{Change, ChangeRecord, EditAnswer},
+    error::Error,
+    generate::GenerateRequest,
+    heartbeat::{CrashReport, Demand, Heartbeat, TargetDigest, TargetHealth},
+    id::{
+        AcceleratorKind, AccountId, Attempt, ConfigVersion, FailureDomain, Fence, Fingerprint,
+        Incarnation, InstanceId, ModelId, Nonce, OperationId, PlanId, RegionId, RequestId,
+        RowVersion, ServiceId, StoreTicket, TargetId, TokenIndex,
+    },
+    journal::{Journal, ResumePoint},
+    key::{KeyHash, hash_key},
+    list::{Account, Lists, Plan},
+    listing::{Listing, ListingRole, ServiceOperation},
+    load::{CacheEvent, LoadReport, LoadedModel},
+    order::{EngineRole, Order, WantedState},
+    outcome::{CallOutcome, CallReply, Refusal, RefusalKind},
+    route::{LayerRange, Route, Stage},
+    store::{Condition, Row, StoreFailure, StoreReply, StoreRequest, Write},
+    submission::{CallSubmission, GenerateSubmission, OperationKind, Priority},
+    token::{AttemptFailure, FailureKind, FinishReason, StreamRecord, TokenRecord},
+};
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,153 @@
+use super::*;
+
+/// Time to make a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// One request to send.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Body.
+    pub body: Bytes,
+    /// Headers, besides `Host` and `Content-Length`.
+    pub headers: Vec<(String, String)>,
+    /// Time to make a connection.
+    pub connect_limit: Duration,
+    /// Longest wait for the head of the reply, and then for each piece of its body.
+    pub limit: Duration,
+    /// Longest body of a reply that is read whole, in bytes.
+    pub limit_bytes: usize,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+}
+
+impl Default for Call {
+    fn default() -> Self {
+        Self {
+            body: Bytes::new(),
+            connect_limit: CONNECT_LIMIT,
+            headers: Vec::new(),
+            limit: Duration::from_secs(15),
+            limit_bytes: 16 * 1024 * 1024,
+            method: Method::GET,
+            path: "/".into(),
+        }
+    }
+}
+
+impl Call {
+    /// Call without a body.
+    #[must_use]
+    pub fn get(path: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Call with a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Json` when the value cannot be written as JSON.
+    pub fn post<T: Serialize>(path: impl Into<String>, value: &T) -> Result<Self, Error> {
+        Self::with_json(Method::POST, path, value)
+    }
+
+    /// Call with a JSON body and any method.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Json` when the value cannot be written as JSON.
+    pub fn with_json<T: Serialize>(
+        method: Method,
+        path: impl Into<String>,
+        value: &T,
+    ) -> Result<Self, Error> {
+        let body = serde_json::to_vec(value).map_err(|error| Error::Json {
+            message: error.to_string(),
+        })?;
+        let call = Self {
+            body: body.into(),
+            method,
+            path: path.into(),
+            ..Self::default()
+        };
+        Ok(call.header("content-type", "application/json"))
+    }
+
+    pub(crate) fn request(
+        &self,
+        address: SocketAddr,
+    ) -> Result<hyper::Request<Full<Bytes>>, Error> {
+        let fault = |message: String| Error::Request { message };
+        let mut builder = hyper::Request::builder()
+            .method(self.method.clone())
+            .uri(&self.path)
+            .header(HOST, address.to_string())
+            .header(CONTENT_LENGTH, self.body.len());
+        for (name, value) in &self.headers {
+            let name = HeaderName::try_from(name).map_err(|error| fault(error.to_string()))?;
+            let value = HeaderValue::try_from(value).map_err(|error| fault(error.to_string()))?;
+            builder = builder.header(name, value);
+        }
+        builder
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| fault(error.to_string()))
+    }
+}
+
+/// Reply read whole.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Body.
+    pub body: Bytes,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Status.
+    pub status: StatusCode,
+}
+
+impl Reply {
+    /// Value of a header, if it is present and is text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Json` when the body is not JSON of this type.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        serde_json::from_slice(&self.body).map_err(|error| Error::Json {
+            message: error.to_string(),
+        })
+    }
+}
+
+/// Sends one request over a new connection and reads the whole reply.
+///
+/// # Errors
+///
+/// Returns an error for which `Error::is_not_sent` holds only when the other side cannot have seen
+/// any part of the request.
+pub async fn call(address: SocketAddr, call: &Call) -> Result<Reply, Error> {
+    let mut connection = Connection::open(address, call.connect_limit).await?;
+    let mut reply = connection.send(call).await?;
+    let body = reply.read(call.limit, call.limit_bytes).await?;
+    Ok(Reply {
+        body,
+        headers: reply.headers,
+        status: reply.status,
+    })
+}
--- /dev/null
+++ b/crates/wire/src/fault.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+/// Refusal of a request, as the caller sees it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// Stable name of the kind of fault, in snake case.
+    pub kind: String,
+    /// What is wrong and what to do.
+    pub message: String,
+    /// Time after which the request may be sent again, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// HTTP status.
+    #[serde(skip)]
+    pub status: u16,
+}
+
+/// JSON body that carries a fault.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FaultBody {
+    /// The fault.
+    pub error: Fault,
+}
+
+impl Fault {
+    /// Creates a fault.
+    #[must_use]
+    pub fn new(status: StatusCode, kind: &str, message: impl Into<String>) -> Self {
+        Self {
+            kind: kind.into(),
+            message: message.into(),
+            retry_after_ms: None,
+            status: status.as_u16(),
+        }
+    }
+
+    /// Adds the time after which the request may be sent again.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after_ms = Some(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        self
+    }
+
+    /// Turns the fault into a response with a JSON body and, if known, `Retry-After`.
+    #[must_use]
+    pub fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let retry_after_ms = self.retry_after_ms;
+        let mut response = json(status, &FaultBody { error: self });
+        if let Some(after_ms) = retry_after_ms {
+            let after_s = after_ms.div_ceil(1_000);
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(after_s));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,57 @@
+//! HTTP/1.1 server and client helpers over hyper, with limits on size and time, and server-sent
+//! events.
+//!
+//! The client opens one connection per exchange and never resends by itself, so that a caller
+//! always learns whether bytes of its request may have reached the other side.
+
+use {
+    bytes::{Bytes, BytesMut},
+    futures::future::BoxFuture,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody},
+    hyper::{
+        HeaderMap, Method, StatusCode,
+        body::{Frame, Incoming},
+        client::conn::http1::SendRequest,
+        header::{
+            CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+        },
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{
+        convert::Infallible, error::Error as StdError, net::SocketAddr, pin::pin, sync::Arc,
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{Semaphore, mpsc, watch},
+        task::{AbortHandle, JoinSet},
+        time::timeout,
+    },
+};
+
+mod call;
+mod connection;
+mod error;
+mod fault;
+mod limits;
+mod request;
+mod response;
+mod server;
+mod sse;
+
+pub use {
+    bytes,
+    call::{Call, Reply, call},
+    connection::{Connection, LineReader, ReplyStream},
+    error::Error,
+    fault::{Fault, FaultBody},
+    hyper,
+    limits::Limits,
+    request::Request,
+    response::{Body, BodySender, Response, empty, json, stream, text},
+    server::{Handler, serve},
+    sse::{ServerEvent, ServerEventReader},
+};
--- /dev/null
+++ b/crates/wire/src/limits.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+/// Limits on what a server accepts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+    /// Connections open at once.
+    pub connection_count: usize,
+    /// Longest request head, in bytes. Invariant: at least 8,192, the least that hyper takes.
+    pub head_bytes: usize,
+    /// Longest pause while a request arrives, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1024 * 1024,
+            connection_count: 4_096,
+            head_bytes: 16 * 1024,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+impl Limits {
+    pub(crate) fn idle(&self) -> Duration {
+        Duration::from_millis(self.idle_ms)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/response.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+/// Body of a response.
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Response of a server.
+pub type Response = hyper::Response<Body>;
+
+/// Frames that wait for a slow reader before the writer has to wait.
+const STREAM_FRAME_COUNT: usize = 32;
+
+/// Writing end of a streamed body. Dropping it ends the body.
+#[derive(Clone, Debug)]
+pub struct BodySender {
+    sender: mpsc::Sender<Bytes>,
+}
+
+impl BodySender {
+    /// Completes when the reader has gone.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Sends bytes; returns false when the reader has gone.
+    pub async fn send(&self, bytes: impl Into<Bytes>) -> bool {
+        self.sender.send(bytes.into()).await.is_ok()
+    }
+}
+
+/// Response without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Response {
+    with_body(status, None, Full::new(Bytes::new()).boxed())
+}
+
+/// Response with a JSON body.
+#[must_use]
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    match serde_json::to_vec(value) {
+        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+        Ok(bytes) => with_body(
+            status,
+            Some("application/json"),
+            Full::new(Bytes::from(bytes)).boxed(),
+        ),
+    }
+}
+
+/// Response whose body is written piece by piece.
+#[must_use]
+pub fn stream(status: StatusCode, content_type: &'static str) -> (BodySender, Response) {
+    let (sender, receiver) = mpsc::channel(STREAM_FRAME_COUNT);
+    let frames = futures::stream::unfold(receiver, |mut receiver| async move {
+        let bytes = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(bytes)), receiver))
+    });
+    let mut response = with_body(
+        status,
+        Some(content_type),
+        BodyExt::boxed(StreamBody::new(frames)),
+    );
+    response
+        .headers_mut()
+        .insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    (BodySender { sender }, response)
+}
+
+/// Response with a plain text body.
+#[must_use]
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response {
+    with_body(
+        status,
+        Some("text/plain; charset=utf-8"),
+        Full::new(body.into()).boxed(),
+    )
+}
+
+fn with_body(status: StatusCode, content_type: Option<&'static str>, body: Body) -> Response {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    if let Some(content_type) = content_type {
+        response
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    }
+    response
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,148 @@
+use super::*;
+
+/// Serves requests that arrived whole and within the limits.
+pub trait Handler: Send + Sync + 'static {
+    /// Serves one request.
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response>;
+}
+
+/// Accepts connections until `shutdown` turns true, then finishes the open ones.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    mut shutdown: watch::Receiver<bool>,
+) {
+    let connections = Arc::new(Semaphore::new(limits.connection_count));
+    let mut tasks = JoinSet::new();
+    while !*shutdown.borrow() {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &connections) => accepted,
+            changed = shutdown.changed() => match changed {
+                Err(_) => break,
+                Ok(()) => continue,
+            },
+        };
+        let Some((stream, peer, permit)) = accepted else {
+            continue;
+        };
+        while tasks.try_join_next().is_some() {}
+        let (handler, shutdown) = (handler.clone(), shutdown.clone());
+        tasks.spawn(async move {
+            serve_connection(stream, peer, handler, limits, shutdown).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn accept(
+    listener: &TcpListener,
+    connections: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = connections.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Err(error) => {
+            // Out of file descriptors or memory: give open connections time to end.
+            tracing::warn!(%error, "no connection accepted");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            None
+        }
+        Ok((stream, peer)) => {
+            let _ = stream.set_nodelay(true);
+            Some((stream, peer, permit))
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    mut shutdown: watch::Receiver<bool>,
+) {
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(respond(request, peer, handler, limits).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .header_read_timeout(limits.idle())
+        .max_buf_size(limits.head_bytes)
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => {
+            if let Err(error) = result {
+                tracing::debug!(%peer, %error, "connection ended early");
+            }
+            return;
+        }
+        _ = shutdown.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn respond(
+    request: hyper::Request<Incoming>,
+    peer: SocketAddr,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+) -> Response {
+    let (head, body) = request.into_parts();
+    let body = match read_body(body, limits).await {
+        Err(fault) => return fault.into_response(),
+        Ok(body) => body,
+    };
+    let request = Request {
+        body,
+        headers: head.headers,
+        method: head.method,
+        path: head.uri.path().into(),
+        peer,
+        query: head.uri.query().unwrap_or_default().into(),
+    };
+    handler.handle(request).await
+}
+
+async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Fault> {
+    let mut body = Limited::new(body, limits.body_bytes);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = match timeout(limits.idle(), body.frame()).await {
+            Err(_) => return Err(slow_body(limits)),
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(error))) => return Err(unreadable_body(error.as_ref(), limits)),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
+fn slow_body(limits: Limits) -> Fault {
+    let message = format!(
+        "no byte of the body came for {} ms; send it faster",
+        limits.idle_ms
+    );
+    Fault::new(StatusCode::REQUEST_TIMEOUT, "body_too_slow", message)
+}
+
+fn unreadable_body(error: &(dyn StdError + 'static), limits: Limits) -> Fault {
+    if error.is::<LengthLimitError>() {
+        let error = Error::BodyTooLong {
+            limit_bytes: limits.body_bytes,
+        };
+        return Fault::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_long",
+            error.to_string(),
+        );
+    }
+    let message = format!("the body cannot be read: {error}; send it again");
+    Fault::new(StatusCode::BAD_REQUEST, "body_unreadable", message)
+}
--- /dev/null
+++ b/justfile
@@ -0,0 +1,23 @@
+# Lists the commands.
+default:
+    @just --list
+
+# Runs everything that CI runs.
+ci:
+    .ci/run
+
+# Runs the router and its stand-ins on loopback.
+demo:
+    cargo run
+
+# Formats the sources.
+format:
+    cargo fmt --all
+
+# Runs the linter.
+lint:
+    cargo clippy --workspace --all-targets -- -D warnings
+
+# Runs all tests.
+test:
+    cargo test --workspace --no-fail-fast
