Add the settings crate

Cause: each binary needs settings, a command line and a log with the same rules. Change: load and parse report all faults at once; Program, LogSettings and announce are shared.

--- /dev/null
+++ b/crates/settings/src/fault.rs
@@ -0,0 +1,124 @@
+use super::*;
+
+/// One value that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Path of the field, for example `limits.body_bytes`.
+    pub path: String,
+    /// What is wrong with the value.
+    pub problem: String,
+    /// What to do.
+    pub remedy: String,
+    /// The value, as JSON or text.
+    pub value: String,
+}
+
+/// All faults of one settings file.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Faults {
+    file: String,
+    list: Vec<Fault>,
+    prefix: String,
+}
+
+impl Faults {
+    /// Creates an empty list for a file.
+    #[must_use]
+    pub fn new(file: &str) -> Self {
+        Self {
+            file: file.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a fault. A field that already has one gets no second, because values are checked
+    /// against the default where the one given cannot be used.
+    pub fn add(&mut self, path: &str, value: impl Display, problem: &str, remedy: &str) {
+        let path = self.full_path(path);
+        if self.list.iter().any(|fault| fault.path == path) {
+            return;
+        }
+        self.list.push(Fault {
+            path,
+            problem: problem.into(),
+            remedy: remedy.into(),
+            value: value.to_string(),
+        });
+    }
+
+    /// Checks settings that are part of others, at `path`.
+    pub fn inside(&mut self, path: &str, part: &impl Check) {
+        let inner = self.full_path(path);
+        let outer = std::mem::replace(&mut self.prefix, inner);
+        part.check(self);
+        self.prefix = outer;
+    }
+
+    /// Whether there are no faults.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// The faults, in the order in which they were found.
+    #[must_use]
+    pub fn list(&self) -> &[Fault] {
+        &self.list
+    }
+
+    /// Adds a fault when `value` is outside `range`.
+    pub fn range<T: Copy + Display + PartialOrd>(
+        &mut self,
+        path: &str,
+        value: T,
+        range: RangeInclusive<T>,
+        remedy: &str,
+    ) {
+        if !range.contains(&value) {
+            let problem = format!("is not within {} to {}", range.start(), range.end());
+            self.add(path, value, &problem, remedy);
+        }
+    }
+
+    /// Adds a fault when `holds` is false.
+    pub fn require(
+        &mut self,
+        holds: bool,
+        path: &str,
+        value: impl Display,
+        problem: &str,
+        remedy: &str,
+    ) {
+        if !holds {
+            self.add(path, value, problem, remedy);
+        }
+    }
+
+    /// Adds a fault when `text` is empty.
+    pub fn text(&mut self, path: &str, text: &str, remedy: &str) {
+        if text.is_empty() {
+            self.add(path, "\"\"", "is empty", remedy);
+        }
+    }
+
+    fn full_path(&self, path: &str) -> String {
+        match self.prefix.as_str() {
+            "" => path.into(),
+            prefix => format!("{prefix}.{path}"),
+        }
+    }
+}
+
+impl Display for Faults {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        for (index, fault) in self.list.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            let (path, value) = (&fault.path, &fault.value);
+            write!(formatter, "{}: {path} = {value}: ", self.file)?;
+            write!(formatter, "{}; {}", fault.problem, fault.remedy)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,42 @@
-//! Reads and checks JSON settings and reports all faults at once.
+//! Reads and checks JSON settings and reports all faults at once. Also the parts that every binary
+//! shares: the command line and the set-up of the log.
+
+use {
+    pico_args::Arguments,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::{Map, Value},
+    std::{
+        collections::BTreeMap,
+        ffi::OsString,
+        fmt::{self, Display, Formatter},
+        fs,
+        io::{self, Write},
+        net::SocketAddr,
+        ops::RangeInclusive,
+        path::Path,
+    },
+    thiserror::Error,
+    tracing_subscriber::EnvFilter,
+};
+
+mod announce;
+mod check;
+mod document;
+mod error;
+mod fault;
+mod load;
+mod log;
+mod nearest;
+mod program;
+
+use {document::Document, nearest::nearest};
+
+pub use {
+    announce::{Announcement, announce},
+    check::Check,
+    error::Error,
+    fault::{Fault, Faults},
+    load::{load, parse},
+    log::{LogFormat, LogSettings, start_log},
+    program::Program,
+};
--- /dev/null
+++ b/crates/settings/src/log.rs
@@ -0,0 +1,59 @@
+use super::*;
+
+/// What is logged, and how. The log goes to standard error.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Levels by module, for example `info` or `info,control=debug`.
+    pub filter: String,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object, for programs.
+    Json,
+    /// Text, for people.
+    #[default]
+    Text,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            filter: "info".into(),
+            format: LogFormat::default(),
+        }
+    }
+}
+
+impl Check for LogSettings {
+    fn check(&self, faults: &mut Faults) {
+        if let Err(error) = EnvFilter::try_new(&self.filter) {
+            let value = format!("{:?}", self.filter);
+            let remedy = "write a level such as `info`, or `module=level` pairs with commas";
+            faults.add("filter", value, &error.to_string(), remedy);
+        }
+    }
+}
+
+/// Sets up the log of the process.
+///
+/// # Errors
+///
+/// Returns `Error::Log` when the filter cannot be read or a log is already set up.
+pub fn start_log(log: &LogSettings) -> Result<(), Error> {
+    let fault = |message: String| Error::Log { message };
+    let filter = EnvFilter::try_new(&log.filter).map_err(|error| fault(error.to_string()))?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(io::stderr);
+    let result = match log.format {
+        LogFormat::Json => builder.json().try_init(),
+        LogFormat::Text => builder.with_ansi(false).try_init(),
+    };
+    result.map_err(|error| fault(error.to_string()))
+}
