Add the operator's client

Cause: operators edit the two lists only through the administration interface. Change: ctl lists, shows, puts and deletes entries with one operation id over all retries, makes keys, prints the status and waits until an edit is in force.

--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,189 @@
+use super::*;
+
+/// First pause after all addresses failed; it doubles up to `LONGEST_PAUSE`.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between rounds over the addresses.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest wait for one address; the next one is tried after that. Longer than the 2 s that an
+/// instance takes at most to resolve a lost reply of the store.
+const REPLY_LIMIT: Duration = Duration::from_secs(5);
+
+/// One edit of a list.
+#[derive(Clone, Debug)]
+pub struct Edit {
+    /// New entry; none removes it.
+    pub entry: Option<Value>,
+    /// Version that must be current.
+    pub if_match: Option<ConfigVersion>,
+    /// Operation id.
+    pub operation: String,
+    /// Path of the entry.
+    pub path: String,
+}
+
+/// Client of the administration interface at several entry addresses.
+#[derive(Clone, Debug)]
+pub struct Client {
+    /// Addresses, in the order in which they are tried.
+    pub entries: Vec<SocketAddr>,
+    /// Operator key.
+    pub key: String,
+    /// Time for one request, over all addresses.
+    pub limit: Duration,
+}
+
+/// What became of one request at one address.
+enum Attempt {
+    Final(Reply),
+    /// Nothing was done; another address or a later time may do better.
+    NotDone(String),
+    /// It may have been done.
+    Unsure(String),
+}
+
+impl Client {
+    /// Reads a path of the interface.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Unavailable` when no address replied in time, and the errors of refusals.
+    pub async fn get(&self, path: &str) -> Result<Value, Error> {
+        let call = self.authorized(Call::get(path));
+        match self.send(&call).await {
+            Err((message, _)) => Err(Error::Unavailable { message }),
+            Ok(reply) => body(&reply),
+        }
+    }
+
+    /// Sends an edit until its result is known or the time is over, and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Conflict` when another edit came first, `Error::Unavailable` when the edit
+    /// was certainly not made, and `Error::Unknown` when that is not certain.
+    pub async fn edit(&self, edit: &Edit) -> Result<ConfigVersion, Error> {
+        let call = match &edit.entry {
+            None => Call {
+                method: Method::DELETE,
+                ..Call::get(&edit.path)
+            },
+            Some(entry) => Call::with_json(Method::PUT, &edit.path, entry)?,
+        };
+        let mut call = self
+            .authorized(call)
+            .header("operation-id", &edit.operation);
+        if let Some(version) = edit.if_match {
+            call = call.header("if-match", version.to_string());
+        }
+        match self.send(&call).await {
+            Err((message, false)) => Err(Error::Unavailable { message }),
+            Err((message, true)) => Err(Error::Unknown {
+                if_match: match edit.if_match {
+                    None => String::new(),
+                    Some(version) => format!(" --if-match {version}"),
+                },
+                message,
+                operation: edit.operation.clone(),
+            }),
+            Ok(reply) => version(&body(&reply)?),
+        }
+    }
+
+    fn authorized(&self, call: Call) -> Call {
+        let call = Call {
+            limit: REPLY_LIMIT.min(self.limit),
+            ..call
+        };
+        call.header("authorization", format!("Bearer {}", self.key))
+    }
+
+    /// Tries the addresses in turn until one gives a final reply. The error says whether an
+    /// instance may have carried the request out.
+    async fn send(&self, request: &Call) -> Result<Reply, (String, bool)> {
+        let end = Instant::now() + self.limit;
+        let mut pause = FIRST_PAUSE;
+        let mut may_be_done = false;
+        let mut last = "no entry address is given".to_owned();
+        loop {
+            for address in &self.entries {
+                match attempt(*address, request).await {
+                    Attempt::Final(reply) => return Ok(reply),
+                    Attempt::NotDone(message) => last = message,
+                    Attempt::Unsure(message) => {
+                        last = message;
+                        may_be_done = true;
+                    }
+                }
+                if Instant::now() >= end {
+                    return Err((last, may_be_done));
+                }
+            }
+            if self.entries.is_empty() || Instant::now() + pause >= end {
+                return Err((last, may_be_done));
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+}
+
+async fn attempt(address: SocketAddr, request: &Call) -> Attempt {
+    let reply = match call(address, request).await {
+        Err(error) if error.is_not_sent() => return Attempt::NotDone(error.to_string()),
+        Err(error) => return Attempt::Unsure(error.to_string()),
+        Ok(reply) => reply,
+    };
+    if !reply.status.is_server_error() {
+        return Attempt::Final(reply);
+    }
+    let fault = fault(&reply);
+    let message = format!("{address}: {}", fault.message);
+    // Only 503 with another kind than `unknown` says that nothing was changed.
+    if reply.status.as_u16() == 503 && fault.kind != "unknown" {
+        return Attempt::NotDone(message);
+    }
+    Attempt::Unsure(message)
+}
+
+fn body(reply: &Reply) -> Result<Value, Error> {
+    if reply.status.is_success() {
+        return Ok(reply.json()?);
+    }
+    let fault = fault(reply);
+    match reply.status.as_u16() {
+        409 | 412 => Err(Error::Conflict {
+            current: current(reply),
+            message: fault.message,
+        }),
+        status => Err(Error::Refused {
+            message: fault.message,
+            status,
+        }),
+    }
+}
+
+/// Version that a conflict names, in its body or as `ETag`.
+fn current(reply: &Reply) -> String {
+    let body: Value = reply.json().unwrap_or_default();
+    let fields = [&body["current"], &body["error"]["current"]];
+    if let Some(version) = fields.iter().find_map(|field| field.as_u64()) {
+        return version.to_string();
+    }
+    let tag = reply.header("etag").unwrap_or("not known");
+    tag.trim_matches('"').into()
+}
+
+fn fault(reply: &Reply) -> Fault {
+    match reply.json::<FaultBody>() {
+        Err(_) => Fault::new(reply.status, "", format!("status {}", reply.status)),
+        Ok(body) => body.error,
+    }
+}
+
+pub(crate) fn version(reply: &Value) -> Result<ConfigVersion, Error> {
+    reply["version"].as_u64().ok_or_else(|| Error::Reply {
+        message: format!("no `version` in {reply}"),
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/entry.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// Reads an entry of a list from a file, or from standard input.
+///
+/// # Errors
+///
+/// Returns `Error::Entry` when it cannot be read or is not an entry.
+pub fn read_entry(list: List, file: Option<&Path>) -> Result<Value, Error> {
+    let (name, text) = match file {
+        None => {
+            let mut text = String::new();
+            let result = io::stdin().read_to_string(&mut text);
+            ("(standard input)".into(), result.map(|_| text))
+        }
+        Some(file) => (file.display().to_string(), fs::read_to_string(file)),
+    };
+    let text = text.map_err(|error| Error::Entry {
+        file: name.clone(),
+        message: error.to_string(),
+    })?;
+    parse_entry(list, &name, &text)
+}
+
+/// Reads an entry of a list from text; `name` stands for the file in messages.
+///
+/// # Errors
+///
+/// Returns `Error::Entry` when the text is not an entry of the list.
+pub fn parse_entry(list: List, name: &str, text: &str) -> Result<Value, Error> {
+    match list {
+        List::Accounts => parse::<Account>(name, text),
+        List::Plans => parse::<Plan>(name, text),
+    }
+}
+
+fn parse<T: DeserializeOwned + Serialize>(name: &str, text: &str) -> Result<Value, Error> {
+    let entry: T = serde_json::from_str(text).map_err(|error| Error::Entry {
+        file: format!("{name}:{}:{}", error.line(), error.column()),
+        message: error.to_string(),
+    })?;
+    serde_json::to_value(entry).map_err(|error| Error::Entry {
+        file: name.into(),
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/key.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// Environment variable that holds the operator key.
+const VARIABLE: &str = "SYCAMOREGAUGE_OPERATOR_KEY";
+
+/// Random bytes of a secret key; enough that a fast hash protects it.
+const SECRET_BYTES: usize = 32;
+
+/// Random bytes of an operation id; enough that no two edits share one.
+const OPERATION_BYTES: usize = 16;
+
+/// Makes a secret key from the system's random numbers.
+///
+/// # Errors
+///
+/// Returns `Error::Key` when the system gives no random numbers.
+pub fn new_secret() -> Result<String, Error> {
+    random_hex::<SECRET_BYTES>()
+}
+
+pub(crate) fn new_operation() -> Result<String, Error> {
+    random_hex::<OPERATION_BYTES>()
+}
+
+/// Reads the operator key. It is never an argument, because other users of a machine can read
+/// the arguments of a process.
+///
+/// # Errors
+///
+/// Returns `Error::Key` when there is none.
+pub fn operator_key(file: Option<&Path>) -> Result<String, Error> {
+    let fault = |message: String| Error::Key { message };
+    let text = match file {
+        None => std::env::var(VARIABLE).map_err(|error| fault(format!("{VARIABLE}: {error}")))?,
+        Some(file) => fs::read_to_string(file)
+            .map_err(|error| fault(format!("{}: {error}", file.display())))?,
+    };
+    match text.trim() {
+        "" => Err(fault("it is empty".into())),
+        key => Ok(key.into()),
+    }
+}
+
+fn random_hex<const COUNT: usize>() -> Result<String, Error> {
+    let mut bytes = [0; COUNT];
+    OsRng
+        .try_fill_bytes(&mut bytes)
+        .map_err(|error| Error::Key {
+            message: format!("the system gives no random numbers: {error}"),
+        })?;
+    Ok(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,46 @@
-//! Operator's command-line client.
+//! Operator's command-line client of the administration interface.
+//!
+//! An edit keeps one operation id over all of its retries and over all entry addresses, so that a
+//! reply that was lost on the way is resolved by the next attempt instead of editing twice.
+
+use {
+    pico_args::Arguments,
+    rand::{TryRngCore, rngs::OsRng},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        ffi::OsString,
+        fs,
+        io::{self, Read},
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::time::{Instant, sleep},
+    types::{Account, ConfigVersion, Plan, hash_key},
+    wire::{Call, Fault, FaultBody, Reply, call, hyper::Method},
+};
+
+mod client;
+mod command;
+mod entry;
+mod error;
+mod key;
+mod options;
+mod run;
+mod status;
+mod table;
+
+pub use {
+    client::{Client, Edit},
+    command::{Command, List},
+    entry::{parse_entry, read_entry},
+    error::Error,
+    key::{new_secret, operator_key},
+    options::{HELP, Options},
+    run::run,
+    status::{InstanceStatus, Status},
+    table::table,
+};
--- /dev/null
+++ b/crates/ctl/src/options.rs
@@ -0,0 +1,124 @@
+use super::*;
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+Operator's client of sycamoregauge
+
+Usage: ctl [OPTIONS] COMMAND
+
+Commands:
+  accounts list | show ID | put ID [FILE] | delete ID
+  plans    list | show ID | put ID [FILE] | delete ID
+  status                 version, and on how many instances it is in force
+  key new                makes a secret key; prints it once, with its hash
+
+`put` reads the entry as JSON from FILE, or from standard input.
+
+Options:
+  --entry ADDRESS        entry instance; may be repeated, and is tried in this order
+                         (default: SYCAMOREGAUGE_ENTRIES, with commas)
+  --if-match VERSION     makes an edit only if this version is current
+                         (default: the version read just before the edit)
+  --json                 prints JSON instead of tables
+  --key-file FILE        file with the operator key
+                         (default: SYCAMOREGAUGE_OPERATOR_KEY holds the key)
+  --limit-s SECONDS      time for one command, and for --wait (default 30)
+  --operation-id ID      id of an earlier edit whose reply was lost
+  --wait                 waits until the edit is in force on every instance
+  --help, --version
+
+Exit codes:
+  0 done             3 conflict with another edit      6 edit may have taken effect
+  1 unusable reply   4 refused by the instance         7 accepted, not yet in force
+  2 wrong input      5 unavailable, nothing changed      everywhere
+";
+
+/// Time for one command, unless the operator gives another.
+const LIMIT_S: u64 = 30;
+
+/// The command line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// Command.
+    pub command: Command,
+    /// Entry addresses, in the order in which they are tried.
+    pub entries: Vec<SocketAddr>,
+    /// Version that an edit requires.
+    pub if_match: Option<ConfigVersion>,
+    /// Whether output is JSON.
+    pub is_json: bool,
+    /// File with the operator key.
+    pub key_file: Option<PathBuf>,
+    /// Time for the command.
+    pub limit: Duration,
+    /// Operation id of an earlier edit.
+    pub operation: Option<String>,
+    /// Whether to wait until an edit is in force.
+    pub wait: bool,
+}
+
+impl Options {
+    /// Reads the command line; `environment` holds the entry addresses to use without `--entry`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Arguments` for unknown arguments and values.
+    pub fn parse(arguments: Vec<OsString>, environment: Option<&str>) -> Result<Self, Error> {
+        let mut arguments = Arguments::from_vec(arguments);
+        let mut named: Vec<String> = arguments
+            .values_from_str("--entry")
+            .map_err(|error| fault(&error))?;
+        if named.is_empty() {
+            let listed = environment.unwrap_or_default().split(',');
+            named = listed.map(|text| text.trim().to_owned()).collect();
+            named.retain(|text| !text.is_empty());
+        }
+        let limit_s: Option<u64> = arguments
+            .opt_value_from_str("--limit-s")
+            .map_err(|error| fault(&error))?;
+        let mut options = Self {
+            command: Command::Status,
+            entries: addresses(&named)?,
+            if_match: arguments
+                .opt_value_from_str("--if-match")
+                .map_err(|error| fault(&error))?,
+            is_json: arguments.contains("--json"),
+            key_file: arguments
+                .opt_value_from_str("--key-file")
+                .map_err(|error| fault(&error))?,
+            limit: Duration::from_secs(limit_s.unwrap_or(LIMIT_S)),
+            operation: arguments
+                .opt_value_from_str("--operation-id")
+                .map_err(|error| fault(&error))?,
+            wait: arguments.contains("--wait"),
+        };
+        let mut words = Vec::new();
+        for word in arguments.finish() {
+            let word = word.to_string_lossy().into_owned();
+            if word.starts_with("--") {
+                let message = format!("unknown argument `{word}`");
+                return Err(Error::Arguments { message });
+            }
+            words.push(word);
+        }
+        options.command = Command::parse(&words)?;
+        Ok(options)
+    }
+}
+
+fn addresses(named: &[String]) -> Result<Vec<SocketAddr>, Error> {
+    let mut entries = Vec::new();
+    for text in named {
+        let address = text.parse().map_err(|_| Error::Arguments {
+            message: format!("`{text}` is not an entry address such as 127.0.0.1:7101"),
+        })?;
+        entries.push(address);
+    }
+    Ok(entries)
+}
+
+fn fault(error: &pico_args::Error) -> Error {
+    Error::Arguments {
+        message: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,203 @@
+use super::*;
+
+/// Pause between two looks at the status with `--wait`.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Carries out a command and returns the text for standard output.
+///
+/// # Errors
+///
+/// Returns the errors of the client, of the entry and of the key.
+pub async fn run(options: &Options) -> Result<String, Error> {
+    if options.command == Command::KeyNew {
+        return new_key(options);
+    }
+    if options.entries.is_empty() {
+        return Err(Error::Arguments {
+            message: "no entry address; use `--entry` or SYCAMOREGAUGE_ENTRIES".into(),
+        });
+    }
+    let client = Client {
+        entries: options.entries.clone(),
+        key: operator_key(options.key_file.as_deref())?,
+        limit: options.limit,
+    };
+    match &options.command {
+        Command::Delete { id, list } => edit(options, &client, *list, id, None).await,
+        Command::KeyNew => new_key(options),
+        Command::List(list) => show_list(options, &client, *list).await,
+        Command::Put { file, id, list } => {
+            let entry = read_entry(*list, file.as_deref())?;
+            edit(options, &client, *list, id, Some(entry)).await
+        }
+        Command::Show { id, list } => {
+            let reply = client.get(&format!("{}/{id}", list.path())).await?;
+            Ok(if options.is_json {
+                line(&reply)
+            } else {
+                pretty(&reply["entry"])
+            })
+        }
+        Command::Status => {
+            let status = read_status(&client).await?;
+            Ok(show_status(options, &status))
+        }
+    }
+}
+
+async fn edit(
+    options: &Options,
+    client: &Client,
+    list: List,
+    id: &str,
+    entry: Option<Value>,
+) -> Result<String, Error> {
+    let if_match = match (options.if_match, &options.operation) {
+        // Reading a newer version would turn the repeat of an earlier edit into a new one.
+        (given, Some(_)) => given,
+        (None, None) => Some(client::version(&client.get(list.path()).await?)?),
+        (given, None) => given,
+    };
+    let operation = match &options.operation {
+        None => key::new_operation()?,
+        Some(operation) => operation.clone(),
+    };
+    let version = client
+        .edit(&Edit {
+            entry,
+            if_match,
+            operation: operation.clone(),
+            path: format!("{}/{id}", list.path()),
+        })
+        .await?;
+    if options.wait {
+        wait(options, client, version).await?;
+    }
+    if options.is_json {
+        let is_in_force = options.wait;
+        return Ok(line(
+            &json!({"in_force": is_in_force, "operation_id": operation, "version": version}),
+        ));
+    }
+    Ok(match options.wait {
+        false => format!("accepted as version {version}\n"),
+        true => format!("version {version} is in force on every instance\n"),
+    })
+}
+
+async fn wait(options: &Options, client: &Client, version: ConfigVersion) -> Result<(), Error> {
+    let end = Instant::now() + options.limit;
+    loop {
+        let status = read_status(client).await?;
+        let (in_force, total) = (status.in_force_count(version), status.instances.len());
+        if total > 0 && in_force == total {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(Error::Wait {
+                in_force,
+                limit: options.limit,
+                total,
+                version,
+            });
+        }
+        sleep(WAIT_PAUSE).await;
+    }
+}
+
+async fn read_status(client: &Client) -> Result<Status, Error> {
+    let reply = client.get("/admin/status").await?;
+    serde_json::from_value(reply).map_err(|error| Error::Reply {
+        message: error.to_string(),
+    })
+}
+
+async fn show_list(options: &Options, client: &Client, list: List) -> Result<String, Error> {
+    let reply = client.get(list.path()).await?;
+    if options.is_json {
+        return Ok(line(&reply));
+    }
+    let version = client::version(&reply)?;
+    let fault = |error: serde_json::Error| Error::Reply {
+        message: error.to_string(),
+    };
+    let rows = match list {
+        List::Accounts => {
+            account_rows(&serde_json::from_value(reply["accounts"].clone()).map_err(fault)?)
+        }
+        List::Plans => plan_rows(&serde_json::from_value(reply["plans"].clone()).map_err(fault)?),
+    };
+    Ok(format!("version {version}\n{}", table(&rows)))
+}
+
+fn account_rows(accounts: &BTreeMap<String, Account>) -> Vec<Vec<String>> {
+    let mut rows = vec![row(&[&"ACCOUNT", &"PLAN", &"KEYS"])];
+    for (id, account) in accounts {
+        rows.push(row(&[id, &account.plan, &account.key_hashes.len()]));
+    }
+    rows
+}
+
+fn plan_rows(plans: &BTreeMap<String, Plan>) -> Vec<Vec<String>> {
+    let mut rows = vec![row(&[
+        &"PLAN",
+        &"WEIGHT",
+        &"CONCURRENT",
+        &"QUEUED",
+        &"MODELS",
+        &"SERVICES",
+    ])];
+    for (id, plan) in plans {
+        let models: Vec<&str> = plan.models.iter().map(AsRef::as_ref).collect();
+        let services: Vec<&str> = plan.services.iter().map(AsRef::as_ref).collect();
+        rows.push(row(&[
+            id,
+            &plan.share_weight,
+            &plan.max_concurrent_count,
+            &plan.max_queued_count,
+            &models.join(","),
+            &services.join(","),
+        ]));
+    }
+    rows
+}
+
+fn row(cells: &[&dyn std::fmt::Display]) -> Vec<String> {
+    cells.iter().map(ToString::to_string).collect()
+}
+
+fn show_status(options: &Options, status: &Status) -> String {
+    let (newest, total) = (status.newest(), status.instances.len());
+    let in_force = status.in_force_count(newest);
+    if options.is_json {
+        let instances = &status.instances;
+        return line(
+            &json!({"in_force_count": in_force, "instance_count": total, "instances": instances, "version": newest}),
+        );
+    }
+    let mut rows = vec![row(&[&"INSTANCE", &"VERSION"])];
+    for instance in &status.instances {
+        rows.push(row(&[&instance.instance, &instance.version]));
+    }
+    let summary = format!("version {newest} is in force on {in_force} of {total} instances\n");
+    summary + &table(&rows)
+}
+
+fn new_key(options: &Options) -> Result<String, Error> {
+    let secret = new_secret()?;
+    let hash = hash_key(&secret);
+    if options.is_json {
+        return Ok(line(&json!({"hash": hash, "key": secret})));
+    }
+    Ok(format!(
+        "key   {secret}\nhash  {hash}\nThe key is shown only now; put the hash into `key_hashes`.\n"
+    ))
+}
+
+fn line(value: &Value) -> String {
+    format!("{value}\n")
+}
+
+fn pretty(value: &Value) -> String {
+    format!("{value:#}\n")
+}
--- /dev/null
+++ b/crates/ctl/src/table.rs
@@ -0,0 +1,21 @@
+/// Lays rows out in columns; the first row is the heading.
+#[must_use]
+pub fn table(rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = Vec::new();
+    for row in rows {
+        widths.resize(widths.len().max(row.len()), 0);
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.chars().count().max(*width);
+        }
+    }
+    let mut text = String::new();
+    for row in rows {
+        let mut line = String::new();
+        for (width, cell) in widths.iter().zip(row) {
+            line.push_str(&format!("{cell:width$}  "));
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl.rs
@@ -0,0 +1,242 @@
+//! Edits must be made once, whatever becomes of replies, and each result must have its own
+//! message and exit code.
+
+use {
+    ctl::{Command, Error, List, Options, parse_entry, run},
+    futures::future::BoxFuture,
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    },
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        path::PathBuf,
+        sync::{Arc, Mutex},
+    },
+    tokio::{net::TcpListener, sync::watch},
+    wire::{Fault, Handler, Limits, Request, Response, hyper::StatusCode},
+    yare::parameterized,
+};
+
+/// How an entry instance treats edits.
+#[derive(Clone, Copy, PartialEq)]
+enum Edits {
+    Accept,
+    Conflict,
+    LoseReply,
+    RefuseAll,
+}
+
+/// Stand-in of one entry instance that records edits.
+struct Instance {
+    edits: Edits,
+    log: Mutex<Vec<(String, String)>>,
+    status_reads: Mutex<u64>,
+}
+
+impl Handler for Instance {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        Box::pin(async move {
+            if request.header("authorization") != Some("Bearer secret") {
+                let fault = Fault::new(StatusCode::UNAUTHORIZED, "unauthorized", "wrong key");
+                return fault.into_response();
+            }
+            if request.method == "PUT" {
+                return self.edit(&request);
+            }
+            let reply = match request.path.as_str() {
+                "/admin/status" => self.status(),
+                _ => json!({"version": 7, "accounts": {"a": {"plan": "p", "key_hashes": ["h"]}}}),
+            };
+            wire::json(StatusCode::OK, &reply)
+        })
+    }
+}
+
+impl Instance {
+    fn edit(&self, request: &Request) -> Response {
+        let header = |name| request.header(name).unwrap_or("none").to_owned();
+        let mut log = self.log.lock().expect("no panic");
+        log.push((header("operation-id"), header("if-match")));
+        match self.edits {
+            Edits::Accept => wire::json(StatusCode::OK, &json!({"version": 8})),
+            Edits::Conflict => {
+                let error = json!({"kind": "conflict", "message": "changed", "current": 9});
+                wire::json(StatusCode::CONFLICT, &json!({"error": error}))
+            }
+            Edits::LoseReply => wire::empty(StatusCode::GATEWAY_TIMEOUT),
+            Edits::RefuseAll => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Fault::new(status, "store_unavailable", "the store is down").into_response()
+            }
+        }
+    }
+
+    /// The second instance reaches version 8 at the third look.
+    fn status(&self) -> serde_json::Value {
+        let mut reads = self.status_reads.lock().expect("no panic");
+        *reads += 1;
+        let late = if *reads < 3 { 7 } else { 8 };
+        json!({"version": 8, "instances": [
+            {"instance": "a", "version": 8}, {"instance": "b", "version": late}]})
+    }
+}
+
+async fn start(edits: Edits) -> (SocketAddr, Arc<Instance>, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let instance = Arc::new(Instance {
+        edits,
+        log: Mutex::default(),
+        status_reads: Mutex::default(),
+    });
+    let (stop, shutdown) = watch::channel(false);
+    let serve = wire::serve(listener, instance.clone(), Limits::default(), shutdown);
+    tokio::spawn(serve);
+    (address, instance, stop)
+}
+
+/// Files for the operator key and for an entry, removed at the end.
+struct Files(PathBuf);
+
+impl Files {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("ctl-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("key"), "secret\n").expect("a file");
+        std::fs::write(folder.join("a.json"), r#"{"plan": "p"}"#).expect("a file");
+        Self(folder)
+    }
+
+    fn options(&self, entries: &[SocketAddr], words: &str) -> Options {
+        let mut arguments = format!("--key-file {}/key", self.0.display());
+        for entry in entries {
+            arguments.push_str(&format!(" --entry {entry}"));
+        }
+        let words = words.replace("FILE", &format!("{}/a.json", self.0.display()));
+        arguments.push_str(&format!(" {words}"));
+        let arguments = arguments.split_whitespace().map(Into::into).collect();
+        Options::parse(arguments, None).expect("the arguments are right")
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Guards against a second edit when the reply to the first one was lost.
+#[tokio::test]
+async fn lost_reply_is_resolved_with_the_same_operation_id() {
+    let (files, lost, good) = (
+        Files::new("lost"),
+        start(Edits::LoseReply).await,
+        start(Edits::Accept).await,
+    );
+    let options = files.options(&[lost.0, good.0], "accounts put a FILE");
+    assert_eq!(run(&options).await.unwrap(), "accepted as version 8\n");
+    let (first, second) = (lost.1.log.lock().unwrap(), good.1.log.lock().unwrap());
+    assert_eq!(first.len(), 1);
+    assert_eq!(*first, *second);
+    assert_eq!(first[0].1, "7", "the version read before the edit is sent");
+}
+
+/// Guards against overwriting a concurrent edit, and against retrying a conflict.
+#[tokio::test]
+async fn conflict_names_the_current_version() {
+    let (files, instance) = (Files::new("conflict"), start(Edits::Conflict).await);
+    let options = files.options(&[instance.0], "--if-match 5 accounts put a FILE");
+    let error = run(&options).await.unwrap_err();
+    assert_eq!(error.exit_code(), 3);
+    assert!(error.to_string().contains("--if-match 9"), "{error}");
+    let log = instance.1.log.lock().unwrap();
+    assert_eq!(log.len(), 1);
+    assert_eq!(log[0].1, "5");
+}
+
+/// Guards against reporting "nothing was changed" when that is not certain, and the reverse.
+#[tokio::test]
+async fn uncertain_edit_is_told_from_one_not_made() {
+    for (edits, code) in [(Edits::RefuseAll, 5), (Edits::LoseReply, 6)] {
+        let (files, instance) = (Files::new(&format!("code{code}")), start(edits).await);
+        let options = files.options(
+            &[instance.0],
+            "--limit-s 0 --if-match 7 accounts put a FILE",
+        );
+        let error = run(&options).await.unwrap_err();
+        assert_eq!(error.exit_code(), code, "{error}");
+        if let Error::Unknown { operation, .. } = error {
+            assert_eq!(instance.1.log.lock().unwrap()[0].0, operation);
+        }
+    }
+}
+
+/// Guards against `--wait` returning while an instance still serves the version before.
+#[tokio::test]
+async fn wait_ends_when_all_instances_have_the_version() {
+    let (files, instance) = (Files::new("wait"), start(Edits::Accept).await);
+    let options = files.options(&[instance.0], "--wait accounts put a FILE");
+    let text = run(&options).await.unwrap();
+    assert_eq!(text, "version 8 is in force on every instance\n");
+    assert_eq!(*instance.1.status_reads.lock().unwrap(), 3);
+}
+
+/// Guards against columns that do not line up and against a wrong count of instances.
+#[tokio::test]
+async fn lists_and_status_are_tables() {
+    let (files, instance) = (Files::new("table"), start(Edits::Accept).await);
+    let text = run(&files.options(&[instance.0], "accounts list")).await;
+    assert_eq!(
+        text.unwrap(),
+        "version 7\nACCOUNT  PLAN  KEYS\na        p     1\n"
+    );
+    let text = run(&files.options(&[instance.0], "status")).await.unwrap();
+    assert!(text.starts_with("version 8 is in force on 1 of 2 instances\n"));
+}
+
+#[parameterized(
+    address = { "--entry here status", "not an entry address" },
+    command = { "acounts list", "unknown command `acounts list`" },
+    id = { "plans delete ../accounts", "is not an id" },
+    key = { "--key secret status", "unknown argument `--key`" },
+    none = { "", "no command given" },
+)]
+fn wrong_arguments_are_refused(text: &str, expected: &str) {
+    let arguments = text.split_whitespace().map(Into::into).collect();
+    let error = Options::parse(arguments, None).unwrap_err();
+    assert!(error.to_string().contains(expected), "{error}");
+    assert_eq!(error.exit_code(), 2);
+}
+
+#[test]
+fn addresses_come_from_the_environment_without_the_argument() {
+    let options = Options::parse(vec!["status".into()], Some("127.0.0.1:1, 127.0.0.1:2")).unwrap();
+    assert_eq!(options.entries.len(), 2);
+    assert_eq!(options.command, Command::Status);
+}
+
+/// Guards against a panic on any entry that an operator may write.
+#[test]
+fn no_entry_makes_the_parser_panic() {
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let pair = r#""(plan|key_hashes|share_weight|models)": ?(-?[0-9]{1,25}|"[a-z]{0,4}"|\["[a-z]?"\]|\[|null)"#;
+    let object = proptest::collection::vec(pair, 0..4);
+    let object = object.prop_map(|pairs| format!("{{{}}}", pairs.join(",")));
+    TestRunner::new_with_rng(config, random)
+        .run(&prop_oneof![".{0,80}", object], |text| {
+            for list in [List::Accounts, List::Plans] {
+                if let Err(error) = parse_entry(list, "e.json", &text) {
+                    prop_assert!(error.to_string().starts_with("e.json:"), "{}", error);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
