Give each entry address its full time to reply

Change: the limit bounds when a new round over the addresses starts; the status has the fields that `control` reports.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -30,7 +30,8 @@
     pub entries: Vec<SocketAddr>,
     /// Operator key.
     pub key: String,
-    /// Time for one request, over all addresses.
+    /// Time after which no further round over the addresses starts. A round in progress is
+    /// completed, so that even a limit of 0 gives each address the time to reply once.
     pub limit: Duration,
 }
 
@@ -93,7 +94,7 @@
 
     fn authorized(&self, call: Call) -> Call {
         let call = Call {
-            limit: REPLY_LIMIT.min(self.limit),
+            limit: REPLY_LIMIT,
             ..call
         };
         call.header("authorization", format!("Bearer {}", self.key))
@@ -116,9 +117,6 @@
                         may_be_done = true;
                     }
                 }
-                if Instant::now() >= end {
-                    return Err((last, may_be_done));
-                }
             }
             if self.entries.is_empty() || Instant::now() + pause >= end {
                 return Err((last, may_be_done));
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -89,7 +89,7 @@
     let end = Instant::now() + options.limit;
     loop {
         let status = read_status(client).await?;
-        let (in_force, total) = (status.in_force_count(version), status.instances.len());
+        let (in_force, total) = (status.in_force_count(version), status.instance_count);
         if total > 0 && in_force == total {
             return Ok(());
         }
@@ -167,19 +167,21 @@
 }
 
 fn show_status(options: &Options, status: &Status) -> String {
-    let (newest, total) = (status.newest(), status.instances.len());
-    let in_force = status.in_force_count(newest);
     if options.is_json {
-        let instances = &status.instances;
-        return line(
-            &json!({"in_force_count": in_force, "instance_count": total, "instances": instances, "version": newest}),
-        );
+        return line(&json!(status));
     }
-    let mut rows = vec![row(&[&"INSTANCE", &"VERSION"])];
+    let mut rows = vec![row(&[&"INSTANCE", &"DOMAIN", &"HEALTH", &"VERSION"])];
     for instance in &status.instances {
-        rows.push(row(&[&instance.instance, &instance.version]));
+        rows.push(row(&[
+            &instance.id,
+            &instance.failure_domain,
+            &instance.health,
+            &instance.config_version,
+        ]));
     }
-    let summary = format!("version {newest} is in force on {in_force} of {total} instances\n");
+    let (version, in_force) = (status.config_version, status.in_force_count);
+    let total = status.instance_count;
+    let summary = format!("version {version} is in force on {in_force} of {total} instances\n");
     summary + &table(&rows)
 }
 
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,38 +1,39 @@
 use super::*;
 
-/// Reply to `GET /admin/status`.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// Reply to `GET /admin/status`, as far as this client uses it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Status {
-    /// Instances that the replying instance knows, itself included.
+    /// Version in force at the replying instance.
+    pub config_version: ConfigVersion,
+    /// Instances, the replying one included, that use `config_version` or a later one.
+    pub in_force_count: usize,
+    /// Instances that are not down, the replying one included.
+    pub instance_count: usize,
+    /// Entry instances that the replying one knows.
     #[serde(default)]
     pub instances: Vec<InstanceStatus>,
-    /// Version in force at the replying instance.
-    pub version: ConfigVersion,
 }
 
-/// Version in force at one instance.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// One entry instance in a `Status`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceStatus {
-    /// Instance.
-    pub instance: String,
     /// Version that it last reported.
-    pub version: ConfigVersion,
+    pub config_version: ConfigVersion,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Belief about it.
+    pub health: String,
+    /// Instance.
+    pub id: String,
 }
 
 impl Status {
-    /// Newest version that any instance has reported.
-    #[must_use]
-    pub fn newest(&self) -> ConfigVersion {
-        let versions = self.instances.iter().map(|instance| instance.version);
-        versions.fold(self.version, ConfigVersion::max)
-    }
-
-    /// Number of instances where `version` or a later one is in force.
+    /// Number of instances where `version` is in force, as far as the replying instance knows.
     #[must_use]
     pub fn in_force_count(&self, version: ConfigVersion) -> usize {
-        let instances = self.instances.iter();
-        instances
-            .filter(|instance| instance.version >= version)
-            .count()
+        if self.config_version < version {
+            return 0;
+        }
+        self.in_force_count
     }
 }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -78,8 +78,9 @@
         let mut reads = self.status_reads.lock().expect("no panic");
         *reads += 1;
         let late = if *reads < 3 { 7 } else { 8 };
-        json!({"version": 8, "instances": [
-            {"instance": "a", "version": 8}, {"instance": "b", "version": late}]})
+        let instance = |id, version| json!({"id": id, "config_version": version, "failure_domain": "d", "health": "live"});
+        json!({"config_version": 8, "in_force_count": late - 6, "instance_count": 2,
+            "instances": [instance("a", 8), instance("b", late)]})
     }
 }
 
