Add the clients of the platform and of targets

Cause: the entry instance needs to know after each exchange whether the other side may have acted. Change: traits Table, Objects, Listings, Engines and Services with clients over wire; messages for cancel, priority and KV caches in types; wire tells invalid HTTP from a broken connection.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,38 @@
 //! Clients of the platform's table, object store and instance list.
+//!
+//! A client never sends a write twice: a write goes to another address only when no byte of it was
+//! sent, so that the caller always learns whether the write may have taken effect.
+
+use {
+    bytes::Bytes,
+    futures::future::BoxFuture,
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt::Debug,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::time::timeout,
+    types::{Listing, StoreFailure, StoreReply, StoreRequest},
+    wire::{
+        Call, Connection, Reply,
+        hyper::{Method, StatusCode},
+    },
+};
+
+mod client;
+mod error;
+mod listings;
+mod objects;
+mod platform_settings;
+mod table;
+
+pub use {
+    client::PlatformClient, error::Error, listings::Listings, objects::Objects,
+    platform_settings::PlatformSettings, table::Table,
+};
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -1,1 +1,38 @@
 //! Clients of model engines and plain services.
+//!
+//! Each exchange has a connection of its own and nothing is sent again by itself, so that every
+//! failure says whether the target may have run the work.
+
+use {
+    bytes::Bytes,
+    futures::{
+        future::BoxFuture,
+        stream::{self, BoxStream, StreamExt},
+    },
+    serde::{Deserialize, Serialize},
+    std::{fmt::Debug, net::SocketAddr, sync::Arc, time::Duration},
+    types::{
+        AttemptFailure, CacheEvent, CallReply, CancelRequest, FailureKind, GenerateRequest,
+        KvCache, KvRequest, LoadReport, Order, PriorityRequest, StreamRecord, TargetId,
+    },
+    wire::{
+        Call, Connection, LineReader, Reply,
+        hyper::{Method, StatusCode},
+    },
+};
+
+mod classify;
+mod engine_client;
+mod engines;
+mod record_reader;
+mod service_client;
+mod services;
+mod target_settings;
+
+pub use {
+    engine_client::EngineClient,
+    engines::{Engines, RecordStream},
+    service_client::ServiceClient,
+    services::Services,
+    target_settings::TargetSettings,
+};
--- /dev/null
+++ b/crates/target/src/record_reader.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+enum State {
+    Ended,
+    Reading(LineReader),
+    Sending(Box<GenerateRequest>),
+}
+
+/// Reads the records that the engine at `address` sends for `request`.
+pub(crate) fn read(
+    settings: TargetSettings,
+    address: SocketAddr,
+    request: GenerateRequest,
+) -> RecordStream {
+    let attempt = request.attempt;
+    let target: TargetId = match request.route.stages.first() {
+        None => "".into(),
+        Some(stage) => stage.target.clone(),
+    };
+    let state = State::Sending(Box::new(request));
+    stream::unfold(state, move |state| {
+        let target = target.clone();
+        async move {
+            let (result, state) = step(settings, address, state).await?;
+            let result = result.map_err(|kind| AttemptFailure {
+                attempt,
+                kind,
+                target,
+            });
+            Some((result, state))
+        }
+    })
+    .boxed()
+}
+
+async fn step(
+    settings: TargetSettings,
+    address: SocketAddr,
+    state: State,
+) -> Option<(Result<StreamRecord, FailureKind>, State)> {
+    let lines = match state {
+        State::Ended => return None,
+        State::Reading(lines) => Ok(lines),
+        State::Sending(request) => send(settings, address, &request).await,
+    };
+    let mut lines = match lines {
+        Err(kind) => return Some((Err(kind), State::Ended)),
+        Ok(lines) => lines,
+    };
+    match next(settings, &mut lines).await {
+        Err(kind) => Some((Err(kind), State::Ended)),
+        Ok(record @ StreamRecord::Token(_)) => Some((Ok(record), State::Reading(lines))),
+        Ok(record) => Some((Ok(record), State::Ended)),
+    }
+}
+
+async fn send(
+    settings: TargetSettings,
+    address: SocketAddr,
+    request: &GenerateRequest,
+) -> Result<LineReader, FailureKind> {
+    let failure = |error: wire::Error| classify::failure(&error);
+    // Nothing was sent when the request has no JSON form.
+    let mut call = Call::post("/v1/generate", request).map_err(|_| FailureKind::Unreachable)?;
+    call.limit = Duration::from_millis(settings.idle_limit_ms);
+    let limit = Duration::from_millis(settings.connect_limit_ms);
+    let mut connection = Connection::open(address, limit).await.map_err(failure)?;
+    let reply = connection.send(&call).await.map_err(failure)?;
+    match reply.status {
+        StatusCode::OK => Ok(reply.lines()),
+        status if classify::is_refusal(status) => Err(FailureKind::Refused),
+        _ => Err(FailureKind::Protocol),
+    }
+}
+
+async fn next(
+    settings: TargetSettings,
+    lines: &mut LineReader,
+) -> Result<StreamRecord, FailureKind> {
+    let limit = Duration::from_millis(settings.idle_limit_ms);
+    match lines.line(limit).await {
+        Err(error) => Err(classify::failure(&error)),
+        Ok(None) => Err(FailureKind::Broken),
+        Ok(Some(line)) => serde_json::from_slice(&line).map_err(|_| FailureKind::Protocol),
+    }
+}
--- /dev/null
+++ b/crates/target/src/service_client.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// Header by which a service says what became of a call.
+const OUTCOME_HEADER: &str = "x-outcome";
+
+/// Client of services over HTTP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceClient {
+    settings: TargetSettings,
+}
+
+impl ServiceClient {
+    /// Creates a client.
+    #[must_use]
+    pub fn new(settings: TargetSettings) -> Self {
+        Self { settings }
+    }
+}
+
+impl Services for ServiceClient {
+    fn call(
+        &self,
+        address: SocketAddr,
+        operation: Arc<str>,
+        key: Option<Arc<str>>,
+        body: Bytes,
+    ) -> BoxFuture<'static, Result<CallReply, FailureKind>> {
+        let settings = self.settings;
+        Box::pin(async move {
+            let mut call = Call {
+                body,
+                connect_limit: Duration::from_millis(settings.connect_limit_ms),
+                limit: Duration::from_millis(settings.service_limit_ms),
+                limit_bytes: settings.reply_bytes,
+                method: Method::POST,
+                ..Call::get(format!("/v1/operations/{operation}"))
+            };
+            if let Some(key) = key {
+                call = call.header("idempotency-key", &*key);
+            }
+            let reply = wire::call(address, &call)
+                .await
+                .map_err(|error| classify::failure(&error))?;
+            if reply.header(OUTCOME_HEADER) == Some("not-run") {
+                return Err(FailureKind::Refused);
+            }
+            // Without the header any status is the service's own answer: a plain 503 does not
+            // prove that the operation did not run.
+            let body = std::str::from_utf8(&reply.body).map_err(|_| FailureKind::Protocol)?;
+            Ok(CallReply {
+                body: body.into(),
+                status: reply.status.as_u16(),
+            })
+        })
+    }
+
+    fn load(&self, address: SocketAddr) -> BoxFuture<'static, Result<LoadReport, FailureKind>> {
+        let settings = self.settings;
+        Box::pin(async move {
+            let reply = classify::exchange(settings, address, Call::get("/v1/load")).await?;
+            reply.json().map_err(|_| FailureKind::Protocol)
+        })
+    }
+}
--- /dev/null
+++ b/crates/target/src/target_settings.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+/// Limits of exchanges with targets.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetSettings {
+    /// Time to make a connection, in milliseconds.
+    pub connect_limit_ms: u64,
+    /// Longest pause in a stream of records, in milliseconds. Also bounds the wait for the first.
+    pub idle_limit_ms: u64,
+    /// Time for the reply to a control request or a load poll, in milliseconds.
+    pub poll_limit_ms: u64,
+    /// Longest reply, in bytes.
+    pub reply_bytes: usize,
+    /// Time for the reply of a service, in milliseconds. Longer than every deadline, because a
+    /// reply after the deadline still settles the record of the call.
+    pub service_limit_ms: u64,
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            connect_limit_ms: 300,
+            idle_limit_ms: 15_000,
+            poll_limit_ms: 1_000,
+            reply_bytes: 16 * 1024 * 1024,
+            service_limit_ms: 120_000,
+        }
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,7 @@
 };
 
 mod change;
+mod engine;
 mod error;
 mod generate;
 mod heartbeat;
@@ -35,6 +36,7 @@
 
 pub use {
     change::{Change, ChangeRecord, EditAnswer},
+    engine::{CancelRequest, KvCache, KvRequest, PriorityRequest},
     error::Error,
     generate::GenerateRequest,
     heartbeat::{CrashReport, Demand, Heartbeat, TargetDigest, TargetHealth},
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -59,10 +59,6 @@
     pub async fn send(&mut self, call: &Call) -> Result<ReplyStream, Error> {
         let address = self.address;
         let request = call.request(address)?;
-        let broken = |error: hyper::Error| Error::Broken {
-            address,
-            message: error.to_string(),
-        };
         let exchange = async {
             self.sender.ready().await?;
             self.sender.send_request(request).await
@@ -74,7 +70,7 @@
                     limit: call.limit,
                 });
             }
-            Ok(result) => result.map_err(broken)?,
+            Ok(result) => result.map_err(|error| exchange_error(address, &error))?,
         };
         let (head, body) = response.into_parts();
         Ok(ReplyStream {
@@ -113,12 +109,7 @@
             let frame = match timeout(limit, self.body.frame()).await {
                 Err(_) => return Err(Error::Silent { address, limit }),
                 Ok(None) => return Ok(None),
-                Ok(Some(Err(error))) => {
-                    return Err(Error::Broken {
-                        address,
-                        message: error.to_string(),
-                    });
-                }
+                Ok(Some(Err(error))) => return Err(exchange_error(address, &error)),
                 Ok(Some(Ok(frame))) => frame,
             };
             if let Ok(data) = frame.into_data() {
@@ -192,3 +183,11 @@
         }
     }
 }
+
+fn exchange_error(address: SocketAddr, error: &hyper::Error) -> Error {
+    let message = error.to_string();
+    if error.is_parse() {
+        return Error::Malformed { address, message };
+    }
+    Error::Broken { address, message }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -31,6 +31,14 @@
         /// Cause.
         message: String,
     },
+    /// The other side sent something that is not HTTP/1.1.
+    #[error("{address} sent no valid HTTP: {message}; check that the address is of a target")]
+    Malformed {
+        /// Other side.
+        address: SocketAddr,
+        /// Cause.
+        message: String,
+    },
     /// A request could not be formed, so nothing was sent.
     #[error("the request cannot be sent: {message}; correct its path and headers")]
     Request {
