Add the platform and service stand-ins and test the platform client

Cause: ambiguous writes, outages and refusals can only be tested against a back end that causes them on request. Change: stand-ins with fault injection at /faults, metrics and execution records; wire can close a connection without a reply.

--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,243 @@
+//! Guards against a write that is sent twice, or reported as not carried out when it may have been.
+
+#![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
+
+use {
+    platform::{Listings, Objects, PlatformClient, PlatformSettings, Table},
+    standin::{Outage, Platform, PlatformFaults, Standin},
+    std::{net::SocketAddr, sync::Arc},
+    types::{Condition, Listing, ListingRole, StoreFailure, StoreReply, StoreRequest, Write},
+    wire::{Call, hyper::Method},
+    yare::parameterized,
+};
+
+async fn start(faults: PlatformFaults) -> Standin {
+    let settings = standin::PlatformSettings {
+        faults,
+        list_lag_ms: 0,
+        ..standin::PlatformSettings::default()
+    };
+    Platform::start(settings).await.unwrap()
+}
+
+fn client(addresses: &[SocketAddr]) -> PlatformClient {
+    let settings = PlatformSettings {
+        addresses: addresses.to_vec(),
+        reply_limit_ms: 300,
+        ..PlatformSettings::default()
+    };
+    PlatformClient::new(settings).unwrap()
+}
+
+async fn set(platform: &Standin, faults: &PlatformFaults) {
+    let call = Call::with_json(Method::PUT, "/faults", faults).unwrap();
+    let reply = wire::call(platform.address(), &call).await.unwrap();
+    assert!(reply.status.is_success());
+}
+
+fn write(key: &str, version: u64, value: Option<&str>) -> StoreRequest {
+    StoreRequest::Transact {
+        conditions: vec![Condition {
+            key: key.into(),
+            version,
+        }],
+        writes: vec![
+            Write {
+                key: key.into(),
+                value: value.map(Into::into),
+            },
+            Write {
+                key: format!("{key}/index").into(),
+                value: value.map(Into::into),
+            },
+        ],
+    }
+}
+
+async fn keys(client: &PlatformClient, from: &str, to: &str, limit_count: u32) -> Vec<Arc<str>> {
+    let request = StoreRequest::Scan {
+        from: from.into(),
+        limit_count,
+        to: to.into(),
+    };
+    match client.execute(request).await {
+        Ok(StoreReply::Rows { rows }) => rows.into_iter().map(|row| row.key).collect(),
+        other => panic!("expected rows, got {other:?}"),
+    }
+}
+
+/// An address that refuses connections: its listener is gone.
+async fn dead_address() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Guards against a transaction that is applied in part, or against a stale condition.
+#[tokio::test]
+async fn transactions_apply_all_or_nothing() {
+    let platform = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address()]);
+    let first = client.execute(write("a", 0, Some("1"))).await;
+    assert_eq!(first, Ok(StoreReply::Committed { version: 1 }));
+    let Ok(StoreReply::Conflict { rows }) = client.execute(write("a", 0, Some("2"))).await else {
+        panic!("a stale condition was accepted");
+    };
+    assert_eq!((&*rows[0].value, rows[0].version), ("1", 1));
+    assert_eq!(
+        keys(&client, "a", "b", 10).await,
+        ["a".into(), "a/index".into()]
+    );
+    let deleted = client.execute(write("a", 1, None)).await;
+    assert_eq!(deleted, Ok(StoreReply::Committed { version: 2 }));
+    assert!(keys(&client, "a", "b", 10).await.is_empty());
+}
+
+/// Guards against scans that ignore their bounds or their limit.
+#[tokio::test]
+async fn scans_keep_bounds_and_limit() {
+    let platform = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address()]);
+    for key in ["a", "b", "c"] {
+        client.execute(write(key, 0, Some("x"))).await.unwrap();
+    }
+    assert_eq!(
+        keys(&client, "a/", "c", 10).await,
+        ["a/index".into(), "b".into(), "b/index".into()]
+    );
+    assert_eq!(keys(&client, "a", "c", 1).await, ["a".into()]);
+    assert!(keys(&client, "c", "a", 10).await.is_empty());
+}
+
+/// Guards against a lost reply that is reported as "not carried out", or a write that is resent.
+#[tokio::test]
+async fn lost_reply_is_ambiguous_and_applied_once() {
+    let faults = PlatformFaults {
+        lost_reply_count: 1,
+        ..PlatformFaults::default()
+    };
+    let platform = start(faults).await;
+    let other = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address(), other.address()]);
+    let result = client.execute(write("a", 0, Some("1"))).await;
+    assert_eq!(result, Err(StoreFailure::Ambiguous));
+    assert_eq!(keys(&client, "a", "b", 1).await, ["a".into()]);
+    let elsewhere = self::client(&[other.address()]);
+    assert!(keys(&elsewhere, "a", "b", 1).await.is_empty());
+}
+
+/// Guards against taking a write that applies late for one that never applies.
+#[tokio::test]
+async fn late_write_is_ambiguous_and_applies_later() {
+    let faults = PlatformFaults {
+        late_ms: 50,
+        late_write_count: 1,
+        ..PlatformFaults::default()
+    };
+    let platform = start(faults).await;
+    let client = client(&[platform.address()]);
+    let result = client.execute(write("a", 0, Some("1"))).await;
+    assert_eq!(result, Err(StoreFailure::Ambiguous));
+    while keys(&client, "a", "b", 1).await.is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against confusing the ways in which a platform is down.
+#[parameterized(
+    disconnect = { Outage::Disconnect, StoreFailure::Ambiguous },
+    refuse = { Outage::Refuse, StoreFailure::Unavailable },
+    silent = { Outage::Silent, StoreFailure::Ambiguous },
+)]
+#[test_macro(tokio::test)]
+async fn outage_of_a_write(outage: Outage, expected: StoreFailure) {
+    let faults = PlatformFaults {
+        down: Some(outage),
+        ..PlatformFaults::default()
+    };
+    let (down, up) = (start(faults).await, start(PlatformFaults::default()).await);
+    let client = client(&[down.address(), up.address()]);
+    assert_eq!(
+        client.execute(write("a", 0, Some("1"))).await,
+        Err(expected)
+    );
+    // A read may be repeated, so the other address serves it.
+    assert!(keys(&client, "a", "b", 1).await.is_empty());
+    set(&down, &PlatformFaults::default()).await;
+    let only = self::client(&[down.address()]);
+    assert!(keys(&only, "a", "b", 1).await.is_empty());
+}
+
+/// Guards against giving up while another address is reachable and nothing was sent.
+#[tokio::test]
+async fn unreachable_address_is_passed_over() {
+    let platform = start(PlatformFaults::default()).await;
+    let dead = dead_address().await;
+    let result = client(&[dead, platform.address()])
+        .execute(write("a", 0, Some("1")))
+        .await;
+    assert_eq!(result, Ok(StoreReply::Committed { version: 1 }));
+    let result = client(&[dead]).execute(write("a", 0, Some("1"))).await;
+    assert_eq!(result, Err(StoreFailure::Unavailable));
+}
+
+/// Guards against objects that differ from what was written.
+#[tokio::test]
+async fn objects_are_kept_and_deleted() {
+    let platform = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address()]);
+    assert_eq!(client.get("x".into()).await, Ok(None));
+    client
+        .put("x".into(), wire::bytes::Bytes::from_static(b"\0\xff"))
+        .await
+        .unwrap();
+    assert_eq!(
+        client.get("x".into()).await.unwrap().unwrap(),
+        b"\0\xff"[..]
+    );
+    client.delete("x".into()).await.unwrap();
+    assert_eq!(client.get("x".into()).await, Ok(None));
+}
+
+fn listing(incarnation: u64, leaving: bool) -> Listing {
+    Listing {
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: "a".into(),
+        id: "engine-1".into(),
+        incarnation,
+        leaving,
+        region: "local".into(),
+        role: ListingRole::Entry {
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 2)),
+        },
+    }
+}
+
+/// Guards against a leaving process that turns live again, and against its successor being taken
+/// for it.
+#[tokio::test]
+async fn leaving_is_final_for_an_incarnation() {
+    let platform = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address()]);
+    client.register(listing(1, true)).await.unwrap();
+    client.register(listing(1, false)).await.unwrap();
+    assert_eq!(client.read().await.unwrap(), [listing(1, true)]);
+    client.register(listing(2, false)).await.unwrap();
+    assert_eq!(client.read().await.unwrap(), [listing(2, false)]);
+    assert!(client.register(listing(1, false)).await.is_err());
+}
+
+/// Guards against a list that shows changes at once, which would hide faults that its lag causes.
+#[tokio::test]
+async fn list_lags() {
+    let platform = start(PlatformFaults::default()).await;
+    let client = client(&[platform.address()]);
+    let faults = PlatformFaults {
+        list_lag_ms: Some(3_600_000),
+        ..PlatformFaults::default()
+    };
+    set(&platform, &faults).await;
+    client.register(listing(1, false)).await.unwrap();
+    assert!(client.read().await.unwrap().is_empty());
+    set(&platform, &PlatformFaults::default()).await;
+    assert_eq!(client.read().await.unwrap(), [listing(1, false)]);
+}
--- /dev/null
+++ b/crates/standin/src/place.rs
@@ -0,0 +1,113 @@
+use super::*;
+
+/// Where a stand-in runs, and how it appears in the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Place {
+    /// Address to listen on; port 0 takes any free port.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Id in the list.
+    pub id: Arc<str>,
+    /// Start number of the process; 0 takes the wall clock in milliseconds.
+    pub incarnation: Incarnation,
+    /// Time for which a leaving stand-in still takes work that was sent before others learned
+    /// that it leaves, in milliseconds.
+    pub leave_grace_ms: u64,
+    /// Addresses of the platform; empty for no registration.
+    pub platforms: Vec<SocketAddr>,
+    /// Time between refreshes of the row in the list, in milliseconds.
+    pub refresh_ms: u64,
+    /// Region.
+    pub region: RegionId,
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            failure_domain: "a".into(),
+            id: "target-1".into(),
+            incarnation: 0,
+            leave_grace_ms: 3_000,
+            platforms: Vec::new(),
+            refresh_ms: 1_000,
+            region: "local".into(),
+        }
+    }
+}
+
+impl Place {
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        if self.incarnation > 0 {
+            return self.incarnation;
+        }
+        match SystemTime::now().duration_since(UNIX_EPOCH) {
+            Err(_) => 1,
+            Ok(elapsed) => u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// Keeps the row of one stand-in in the platform's list.
+#[derive(Debug)]
+pub(crate) struct Registration {
+    pub(crate) listing: Listing,
+    pub(crate) platforms: Vec<SocketAddr>,
+    pub(crate) refresh: Duration,
+}
+
+impl Registration {
+    pub(crate) fn new(
+        place: &Place,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        role: ListingRole,
+    ) -> Self {
+        Self {
+            listing: Listing {
+                address,
+                failure_domain: place.failure_domain.clone(),
+                id: place.id.clone(),
+                incarnation,
+                leaving: false,
+                region: place.region.clone(),
+                role,
+            },
+            platforms: place.platforms.clone(),
+            refresh: Duration::from_millis(place.refresh_ms),
+        }
+    }
+
+    pub(crate) async fn run(mut self, lifecycle: &Lifecycle) {
+        loop {
+            self.listing.leaving = lifecycle.is_leaving();
+            self.put().await;
+            if self.listing.leaving {
+                sleep(self.refresh).await;
+                continue;
+            }
+            tokio::select! {
+                () = lifecycle.left() => {}
+                () = sleep(self.refresh) => {}
+            }
+        }
+    }
+
+    async fn put(&self) {
+        let path = format!("/v1/instances/{}", self.listing.id);
+        let Ok(mut call) = Call::with_json(Method::PUT, path, &self.listing) else {
+            return;
+        };
+        call.connect_limit = self.refresh;
+        call.limit = self.refresh;
+        for platform in &self.platforms {
+            match wire::call(*platform, &call).await {
+                Ok(reply) if reply.status.is_success() => return,
+                Ok(reply) => tracing::warn!(%platform, status = %reply.status, "not registered"),
+                Err(error) => tracing::warn!(%platform, %error, "not registered"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rate.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+/// Time over which a rate is taken.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Counts events, and their rate over the last second.
+#[derive(Debug, Default)]
+pub(crate) struct Rate {
+    recent: VecDeque<Instant>,
+    total: u64,
+}
+
+impl Rate {
+    pub(crate) fn count(&mut self, now: Instant) {
+        self.total += 1;
+        self.recent.push_back(now);
+        self.forget(now);
+    }
+
+    pub(crate) fn per_second(&mut self, now: Instant) -> f64 {
+        self.forget(now);
+        let count = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
+        f64::from(count) / WINDOW.as_secs_f64()
+    }
+
+    pub(crate) fn total(&self) -> u64 {
+        self.total
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while let Some(first) = self.recent.front() {
+            if now.duration_since(*first) <= WINDOW {
+                return;
+            }
+            self.recent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,211 @@
+use super::*;
+
+/// One run of an operation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Execution {
+    /// Body of the call.
+    pub body: String,
+    /// Idempotency key of the call.
+    pub key: Option<String>,
+    /// Time since the service started to leave, in milliseconds.
+    pub left_since_ms: Option<u64>,
+    /// Operation.
+    pub operation: String,
+}
+
+/// Stand-in for a plain service.
+#[derive(Debug)]
+pub struct Service {
+    incarnation: Incarnation,
+    lifecycle: Arc<Lifecycle>,
+    settings: ServiceSettings,
+    state: Mutex<ServiceState>,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    executions: Vec<Execution>,
+    faults: ServiceFaults,
+    gauge: Gauge,
+    rate: Rate,
+}
+
+/// Counts one run until it is dropped, also when its caller disconnects.
+struct RunningCall(Arc<Service>);
+
+impl Drop for RunningCall {
+    fn drop(&mut self) {
+        self.0.add_running(-1);
+    }
+}
+
+impl Service {
+    /// Starts the stand-in in this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Listen` when the address cannot be listened on.
+    pub async fn start(settings: ServiceSettings) -> Result<Standin, Error> {
+        let (address, limits) = (settings.place.address, settings.limits);
+        let service = Arc::new(Self {
+            incarnation: settings.place.incarnation(),
+            lifecycle: Lifecycle::new(),
+            state: Mutex::new(ServiceState {
+                executions: Vec::new(),
+                faults: settings.faults.clone(),
+                gauge: Gauge::new(Duration::from_millis(settings.report_lag_ms)),
+                rate: Rate::default(),
+            }),
+            settings,
+        });
+        Standin::launch(address, limits, |address| service.parts(address)).await
+    }
+
+    fn parts(self: Arc<Self>, address: SocketAddr) -> Parts {
+        let mut operations = Vec::new();
+        for operation in &self.settings.operations {
+            operations.push(ServiceOperation {
+                kind: operation.kind,
+                name: operation.name.clone(),
+            });
+        }
+        let role = ListingRole::Service {
+            operations,
+            service: self.settings.service.clone(),
+        };
+        let place = &self.settings.place;
+        Parts {
+            drained: Box::pin(self.clone().drained()),
+            lifecycle: self.lifecycle.clone(),
+            registration: Some(Registration::new(place, address, self.incarnation, role)),
+            handler: self,
+        }
+    }
+
+    async fn drained(self: Arc<Self>) {
+        sleep(Duration::from_millis(self.settings.place.leave_grace_ms)).await;
+        while lock(&self.state).gauge.level().running_count > 0 {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn respond(self: Arc<Self>, request: Request) -> Response {
+        let segments = request.segments();
+        match (&request.method, segments.as_slice()) {
+            (&Method::GET, ["executions"]) => {
+                return wire::json(StatusCode::OK, &lock(&self.state).executions);
+            }
+            (&Method::PUT, ["faults"]) => return self.set_faults(&request),
+            _ => {}
+        }
+        while lock(&self.state).faults.frozen {
+            sleep(POLL_INTERVAL).await;
+        }
+        match (&request.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "load"]) => self.load(),
+            (&Method::POST, ["v1", "operations", name]) => self.clone().run(name, &request).await,
+            _ => not_found(&request),
+        }
+    }
+
+    fn set_faults(&self, request: &Request) -> Response {
+        match request.json() {
+            Err(error) => bad_request(&error),
+            Ok(faults) => {
+                lock(&self.state).faults = faults;
+                wire::empty(StatusCode::NO_CONTENT)
+            }
+        }
+    }
+
+    fn load(&self) -> Response {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let level = state.gauge.reported(now);
+        let report = LoadReport {
+            age_ms: self.settings.report_lag_ms,
+            incarnation: self.incarnation,
+            leaving: self.lifecycle.is_leaving(),
+            rate_per_s: state.rate.per_second(now),
+            running_count: level.running_count,
+            slot_count: self.settings.slot_count,
+            waiting_count: level.waiting_count,
+            ..LoadReport::default()
+        };
+        wire::json(StatusCode::OK, &report)
+    }
+
+    async fn run(self: Arc<Self>, name: &str, request: &Request) -> Response {
+        let operations = &self.settings.operations;
+        let Some(operation) = operations.iter().find(|operation| *operation.name == *name) else {
+            return not_found(request);
+        };
+        if let Some(refusal) = self.refusal() {
+            return refusal;
+        }
+        self.add_running(1);
+        let _running = RunningCall(self.clone());
+        // Recorded before the delay: the run counts even when the caller disconnects meanwhile.
+        let number = self.record(name, request);
+        let body = String::from_utf8_lossy(&request.body);
+        let marker = &self.settings.crash_marker;
+        if !marker.is_empty() && body.contains(marker) {
+            return self.crash().await;
+        }
+        let added_ms = lock(&self.state).faults.delay_ms;
+        sleep(Duration::from_millis(operation.delay_ms + added_ms)).await;
+        if lock(&self.state).faults.crash {
+            return self.crash().await;
+        }
+        let mut state = lock(&self.state);
+        state.rate.count(Instant::now());
+        if state.faults.drop_reply_count > 0 {
+            state.faults.drop_reply_count -= 1;
+            return wire::disconnect();
+        }
+        let reply = serde_json::json!({"body": body, "execution": number, "operation": name});
+        wire::json(StatusCode::OK, &reply)
+    }
+
+    fn refusal(&self) -> Option<Response> {
+        let mut state = lock(&self.state);
+        if state.faults.refuse_count > 0 {
+            state.faults.refuse_count -= 1;
+            return Some(refuse("refused", "a fault makes this service refuse"));
+        }
+        if state.gauge.level().running_count >= self.settings.slot_count {
+            return Some(refuse("busy", "all slots are in use"));
+        }
+        None
+    }
+
+    fn record(&self, operation: &str, request: &Request) -> usize {
+        let execution = Execution {
+            body: String::from_utf8_lossy(&request.body).into(),
+            key: request.header("idempotency-key").map(Into::into),
+            left_since_ms: self.lifecycle.left_since_ms(),
+            operation: operation.into(),
+        };
+        let mut state = lock(&self.state);
+        state.executions.push(execution);
+        state.executions.len()
+    }
+
+    fn add_running(&self, change: i32) {
+        let mut state = lock(&self.state);
+        let mut level = state.gauge.level();
+        level.running_count = level.running_count.saturating_add_signed(change);
+        state.gauge.set(Instant::now(), level);
+    }
+
+    async fn crash(&self) -> Response {
+        self.lifecycle.crash();
+        std::future::pending().await
+    }
+}
+
+impl Handler for Service {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        Box::pin(self.respond(request))
+    }
+}
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -50,6 +50,12 @@
         })
     }
 
+    /// Whether the other side has not closed the connection, as far as is known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of the reply.
     ///
     /// # Errors
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,10 +19,7 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{
-        convert::Infallible, error::Error as StdError, net::SocketAddr, pin::pin, sync::Arc,
-        time::Duration,
-    },
+    std::{error::Error as StdError, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     thiserror::Error,
     tokio::{
         net::{TcpListener, TcpStream},
@@ -51,7 +48,7 @@
     hyper,
     limits::Limits,
     request::Request,
-    response::{Body, BodySender, Response, empty, json, stream, text},
+    response::{Body, BodySender, Disconnect, Response, disconnect, empty, json, stream, text},
     server::{Handler, serve},
     sse::{ServerEvent, ServerEventReader},
 };
--- a/crates/wire/src/response.rs
+++ b/crates/wire/src/response.rs
@@ -1,18 +1,23 @@
 use super::*;
 
 /// Body of a response.
-pub type Body = BoxBody<Bytes, Infallible>;
+pub type Body = BoxBody<Bytes, Disconnect>;
 
 /// Response of a server.
 pub type Response = hyper::Response<Body>;
 
+/// Makes the server close the connection without ending the reply, as a crash would.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the connection is closed on purpose; expect no reply")]
+pub struct Disconnect;
+
 /// Frames that wait for a slow reader before the writer has to wait.
 const STREAM_FRAME_COUNT: usize = 32;
 
 /// Writing end of a streamed body. Dropping it ends the body.
 #[derive(Clone, Debug)]
 pub struct BodySender {
-    sender: mpsc::Sender<Bytes>,
+    sender: mpsc::Sender<Result<Bytes, Disconnect>>,
 }
 
 impl BodySender {
@@ -21,16 +26,29 @@
         self.sender.closed().await;
     }
 
+    /// Closes the connection after the bytes sent so far.
+    pub async fn disconnect(self) {
+        let _ = self.sender.send(Err(Disconnect)).await;
+    }
+
     /// Sends bytes; returns false when the reader has gone.
     pub async fn send(&self, bytes: impl Into<Bytes>) -> bool {
-        self.sender.send(bytes.into()).await.is_ok()
+        self.sender.send(Ok(bytes.into())).await.is_ok()
     }
 }
 
+/// Closes the connection instead of replying.
+#[must_use]
+pub fn disconnect() -> Response {
+    let mut response = empty(StatusCode::INTERNAL_SERVER_ERROR);
+    response.extensions_mut().insert(Disconnect);
+    response
+}
+
 /// Response without a body.
 #[must_use]
 pub fn empty(status: StatusCode) -> Response {
-    with_body(status, None, Full::new(Bytes::new()).boxed())
+    with_body(status, None, whole(Bytes::new()))
 }
 
 /// Response with a JSON body.
@@ -38,11 +56,7 @@
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
     match serde_json::to_vec(value) {
         Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
-        Ok(bytes) => with_body(
-            status,
-            Some("application/json"),
-            Full::new(Bytes::from(bytes)).boxed(),
-        ),
+        Ok(bytes) => with_body(status, Some("application/json"), whole(bytes.into())),
     }
 }
 
@@ -50,10 +64,13 @@
 #[must_use]
 pub fn stream(status: StatusCode, content_type: &'static str) -> (BodySender, Response) {
     let (sender, receiver) = mpsc::channel(STREAM_FRAME_COUNT);
-    let frames = futures::stream::unfold(receiver, |mut receiver| async move {
-        let bytes = receiver.recv().await?;
-        Some((Ok::<_, Infallible>(Frame::data(bytes)), receiver))
-    });
+    let frames = futures::stream::unfold(
+        receiver,
+        |mut receiver: mpsc::Receiver<Result<Bytes, Disconnect>>| async move {
+            let bytes = receiver.recv().await?;
+            Some((bytes.map(Frame::data), receiver))
+        },
+    );
     let mut response = with_body(
         status,
         Some(content_type),
@@ -71,10 +88,14 @@
     with_body(
         status,
         Some("text/plain; charset=utf-8"),
-        Full::new(body.into()).boxed(),
+        whole(body.into()),
     )
 }
 
+fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed()
+}
+
 fn with_body(status: StatusCode, content_type: Option<&'static str>, body: Body) -> Response {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -65,7 +65,13 @@
 ) {
     let service = service_fn(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(respond(request, peer, handler, limits).await) }
+        async move {
+            let response = respond(request, peer, handler, limits).await;
+            match response.extensions().get::<Disconnect>() {
+                None => Ok(response),
+                Some(disconnect) => Err(*disconnect),
+            }
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .header_read_timeout(limits.idle())
