--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -10,6 +10,8 @@
     pub now: Duration,
     /// Seeded random numbers.
     pub random: ChaCha8Rng,
+    /// Events that a state chart did not list in the state that they met. Each is a defect.
+    pub unexpected_count: u64,
     /// Wall clock at `now`, for expiry times that outlive the process.
     pub wall: SystemTime,
     next_ticket: StoreTicket,
@@ -24,6 +26,7 @@
             next_ticket: 1,
             now: Duration::ZERO,
             random,
+            unexpected_count: 0,
             wall,
         }
     }
@@ -33,6 +36,24 @@
         self.commands.push(command);
     }
 
+    /// Logs and counts an event that a state chart does not list.
+    pub fn unexpected(&mut self, subject: &str, error: &chart::Error) {
+        self.unexpected_count += 1;
+        self.log("unexpected", subject, error.to_string());
+    }
+
+    /// Logs a decision that chose no target.
+    pub fn log(&mut self, kind: &'static str, subject: &str, reason: impl Into<Arc<str>>) {
+        self.push(Command::Log(Decision {
+            account: None,
+            alternatives: Vec::new(),
+            chosen: Vec::new(),
+            kind,
+            reason: reason.into(),
+            subject: subject.into(),
+        }));
+    }
+
     /// Adds a request to the table service and returns the ticket that its reply will carry.
     pub fn store(&mut self, request: StoreRequest) -> StoreTicket {
         let ticket = self.next_ticket;
--- /dev/null
+++ b/crates/control/src/heartbeat.rs
@@ -0,0 +1,177 @@
+use super::*;
+
+impl Members {
+    /// Reads the list, polls collected targets, sends heartbeats, and draws conclusions from
+    /// silence.
+    pub fn tick(&mut self, context: &mut Context, own: &OwnState) {
+        let now = context.now;
+        self.is_leaving = own.leaving;
+        if now.saturating_sub(self.ticked_at) > PAUSE {
+            self.forgive_silence(now);
+        }
+        self.ticked_at = now;
+        if now >= self.listing_at {
+            self.listing_at = now + Duration::from_millis(self.settings.listing_ms);
+            context.push(Command::ReadListing);
+        }
+        for (id, entry) in &mut self.peers {
+            entry.belief.tick(context, id, &self.settings, true);
+        }
+        for (id, entry) in &mut self.targets {
+            let is_observed = entry.is_polled;
+            entry.belief.tick(context, id, &self.settings, is_observed);
+        }
+        self.forget(now);
+        self.refresh(now);
+        self.poll(context);
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + Duration::from_millis(self.settings.heartbeat_ms);
+            self.send_heartbeats(context, own);
+        }
+    }
+
+    /// A pause of this process is no evidence about others.
+    fn forgive_silence(&mut self, now: Duration) {
+        for entry in self.peers.values_mut() {
+            entry.belief.detector.reset(now);
+        }
+        for entry in self.targets.values_mut() {
+            entry.belief.detector.reset(now);
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let horizon = Duration::from_millis(self.settings.view_ms);
+        let memory = Duration::from_millis(self.settings.departure_memory_ms);
+        let listed = self.listed.clone().unwrap_or_default();
+        let is_old = |at: Duration| now.saturating_sub(at) > horizon;
+        self.strangers.retain(|_, heard_at| !is_old(*heard_at));
+        self.peers.retain(|id, entry| {
+            let is_silent = entry.peer.heard_at.is_none_or(is_old);
+            listed.contains(id) || !is_silent
+        });
+        self.targets.retain(|id, entry| {
+            let is_working = matches!(entry.target.health, TargetHealth::Live);
+            listed.contains(id) || is_working || !is_old(entry.target.reported_at)
+        });
+        let (peers, targets) = (&self.peers, &self.targets);
+        self.departures.retain(|id, (_, learned_at)| {
+            let is_known = peers.contains_key(id) || targets.contains_key(id);
+            is_known || now.saturating_sub(*learned_at) <= memory.max(horizon)
+        });
+    }
+
+    fn poll(&mut self, context: &mut Context) {
+        let now = context.now;
+        let interval = Duration::from_millis(self.settings.poll_ms);
+        let standby = Duration::from_millis(self.settings.standby_ms);
+        let own = (&self.identity.instance, &self.identity.failure_domain);
+        for (id, entry) in &mut self.targets {
+            if now < entry.poll_at {
+                continue;
+            }
+            entry.poll_at = now + interval;
+            let candidates = self
+                .peers
+                .values()
+                .filter(|entry| entry.peer.takes_work())
+                .map(|entry| (&entry.peer.id, &entry.peer.failure_domain));
+            let ranked = rendezvous::rank(&entry.target, candidates.chain([own]));
+            let is_stale = now.saturating_sub(entry.target.reported_at) > standby;
+            let is_collector = ranked.first() == Some(&own.0);
+            let is_standby = ranked.get(1) == Some(&own.0) && is_stale;
+            let is_polled = (is_collector || is_standby) && !self.is_leaving;
+            if is_polled && !entry.is_polled {
+                entry.belief.detector.reset(now);
+            }
+            entry.is_polled = is_polled;
+            if !is_polled {
+                continue;
+            }
+            context.push(Command::Poll {
+                address: entry.target.address,
+                cache_event_count: entry.target.report.cache_event_count,
+                is_engine: matches!(entry.target.role, ListingRole::Engine { .. }),
+                target: id.clone(),
+            });
+        }
+    }
+
+    fn send_heartbeats(&mut self, context: &mut Context, own: &OwnState) {
+        let memory = Duration::from_millis(self.settings.departure_memory_ms);
+        let departures: Vec<Departure> = self
+            .departures
+            .iter()
+            .filter(|(_, (_, learned_at))| context.now.saturating_sub(*learned_at) <= memory)
+            .map(|(id, (incarnation, _))| Departure {
+                id: id.clone(),
+                incarnation: *incarnation,
+            })
+            .collect();
+        for (id, entry) in &mut self.peers {
+            let digests = digests(&self.targets, &mut entry.sent, context.now, &self.settings);
+            let heartbeat = Heartbeat {
+                config_version: own.config_version,
+                confirmed_age_ms: own.confirmed_age.as_millis() as u64,
+                crashes: own.crashes.clone(),
+                demands: own.demands.clone(),
+                departures: departures.clone(),
+                digests,
+                incarnation: self.identity.incarnation,
+                leaving: own.leaving,
+                ready: own.ready,
+                sender: self.identity.instance.clone(),
+                spare_count: own.spare_count,
+            };
+            context.push(Command::SendHeartbeat {
+                heartbeat,
+                peer: id.clone(),
+                peer_address: entry.peer.peer_address,
+            });
+        }
+    }
+}
+
+/// Digests of the polled targets for one peer. Models that the peer has are left out.
+fn digests(
+    targets: &BTreeMap<TargetId, TargetEntry>,
+    sent: &mut BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
+    now: Duration,
+    settings: &MemberSettings,
+) -> Vec<TargetDigest> {
+    let refresh = Duration::from_millis(settings.models_refresh_ms);
+    sent.retain(|id, _| targets.get(id).is_some_and(|entry| entry.is_polled));
+    let mut digests = Vec::new();
+    for (id, entry) in targets {
+        if !entry.is_polled || entry.belief.state() == BeliefState::Joining {
+            continue;
+        }
+        let report = &entry.target.report;
+        let is_known = sent.get(id).is_some_and(|(models, sent_at)| {
+            *models == report.models && now.saturating_sub(*sent_at) < refresh
+        });
+        if !is_known {
+            sent.insert(id.clone(), (report.models.clone(), now));
+        }
+        let age = now.saturating_sub(entry.target.reported_at);
+        digests.push(TargetDigest {
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            health: entry.target.health,
+            incarnation: entry.target.incarnation,
+            models: (!is_known).then(|| report.models.clone()),
+            rate_per_s: report.rate_per_s as f32,
+            running_count: clip(report.running_count),
+            slot_count: clip(report.slot_count),
+            target: id.clone(),
+            waiting_count: clip(report.waiting_count),
+        });
+    }
+    digests
+}
+
+fn clip(count: u32) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
+
+/// Gap between ticks, which are due every 50 ms, from which this process counts as paused.
+const PAUSE: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/control/src/member.rs
@@ -0,0 +1,286 @@
+use super::*;
+
+/// What this instance tells of itself in heartbeats.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OwnState {
+    /// Version of the lists in force.
+    pub config_version: ConfigVersion,
+    /// Time since the store confirmed that version.
+    pub confirmed_age: Duration,
+    /// Crashes seen in the last minutes.
+    pub crashes: Vec<CrashReport>,
+    /// Demand of accounts with running or waiting requests.
+    pub demands: Vec<Demand>,
+    /// Whether this instance is about to stop.
+    pub leaving: bool,
+    /// Whether this instance serves callers.
+    pub ready: bool,
+    /// Requests that it could take now.
+    pub spare_count: u32,
+}
+
+/// Live view of targets and peers. Belongs to the control thread of one instance.
+#[derive(Debug)]
+pub struct Members {
+    /// Departures by id: incarnation and when this instance learned of it.
+    pub(crate) departures: BTreeMap<Arc<str>, (Incarnation, Duration)>,
+    pub(crate) heartbeat_at: Duration,
+    pub(crate) identity: Identity,
+    pub(crate) is_leaving: bool,
+    /// Ids in the last list that was read; none before the first.
+    pub(crate) listed: Option<BTreeSet<Arc<str>>>,
+    pub(crate) listing_at: Duration,
+    pub(crate) peers: BTreeMap<InstanceId, PeerEntry>,
+    pub(crate) settings: MemberSettings,
+    /// Senders of heartbeats that no list has named yet, and when they were heard.
+    pub(crate) strangers: BTreeMap<InstanceId, Duration>,
+    pub(crate) targets: BTreeMap<TargetId, TargetEntry>,
+    pub(crate) ticked_at: Duration,
+}
+
+#[derive(Debug)]
+pub(crate) struct PeerEntry {
+    pub(crate) belief: Belief,
+    pub(crate) peer: Peer,
+    /// Models last sent to the peer by target, with the time.
+    pub(crate) sent: BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
+}
+
+#[derive(Debug)]
+pub(crate) struct TargetEntry {
+    pub(crate) belief: Belief,
+    /// Whether this instance polls the target.
+    pub(crate) is_polled: bool,
+    pub(crate) poll_at: Duration,
+    pub(crate) target: Target,
+}
+
+impl Members {
+    /// Creates an empty view.
+    #[must_use]
+    pub fn new(identity: Identity, settings: MemberSettings) -> Self {
+        Self {
+            departures: BTreeMap::new(),
+            heartbeat_at: Duration::ZERO,
+            identity,
+            is_leaving: false,
+            listed: None,
+            listing_at: Duration::ZERO,
+            peers: BTreeMap::new(),
+            settings,
+            strangers: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            ticked_at: Duration::ZERO,
+        }
+    }
+
+    /// All known targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values().map(|entry| &entry.target)
+    }
+
+    /// One target.
+    #[must_use]
+    pub fn target(&self, id: &TargetId) -> Option<&Target> {
+        self.targets.get(id).map(|entry| &entry.target)
+    }
+
+    /// All known peers.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().map(|entry| &entry.peer)
+    }
+
+    /// One peer.
+    #[must_use]
+    pub fn peer(&self, id: &InstanceId) -> Option<&Peer> {
+        self.peers.get(id).map(|entry| &entry.peer)
+    }
+
+    /// Whether the platform's list was read at least once.
+    #[must_use]
+    pub fn has_listing(&self) -> bool {
+        self.listed.is_some()
+    }
+
+    /// Whether this instance hears from more than half of its view, itself included. The view is
+    /// every instance that is listed or was heard in the last minute and is not leaving. False
+    /// before the platform's list was read, because the view is then unknown.
+    #[must_use]
+    pub fn has_majority(&self, now: Duration) -> bool {
+        let Some(listed) = &self.listed else {
+            return false;
+        };
+        let hearing = Duration::from_millis(self.settings.hearing_ms);
+        let horizon = Duration::from_millis(self.settings.view_ms);
+        let (mut heard, mut view) = (1_usize, 1_usize);
+        for (id, entry) in &self.peers {
+            let silence = entry.peer.heard_at.map(|at| now.saturating_sub(at));
+            let is_recent = silence.is_some_and(|silence| silence <= horizon);
+            let is_leaving = entry.peer.health == TargetHealth::Leaving;
+            if is_leaving || !(listed.contains(id) || is_recent) {
+                continue;
+            }
+            view += 1;
+            heard += usize::from(silence.is_some_and(|silence| silence <= hearing));
+        }
+        for heard_at in self.strangers.values() {
+            let silence = now.saturating_sub(*heard_at);
+            view += usize::from(silence <= horizon);
+            heard += usize::from(silence <= hearing);
+        }
+        heard * 2 > view
+    }
+
+    /// Whether this instance owns `key` by its own view. Two instances may both say so; actions
+    /// of owners start with a conditional write for that reason.
+    #[must_use]
+    pub fn is_owner(&self, key: &str) -> bool {
+        if self.is_leaving {
+            return false;
+        }
+        let own = rendezvous::weight(key, &self.identity.instance);
+        for peer in self.peers() {
+            if peer.takes_work() && rendezvous::weight(key, &peer.id) > own {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Live peer for the copy of a journal: in another failure domain if one is there, by spare
+    /// capacity. `seed` varies the choice among equal peers.
+    #[must_use]
+    pub fn backup_for(&self, seed: u64) -> Option<(InstanceId, SocketAddr)> {
+        let own = &self.identity.failure_domain;
+        let chosen = self
+            .peers()
+            .filter(|peer| peer.takes_work())
+            .max_by_key(|peer| {
+                let is_away = peer.failure_domain != *own;
+                let is_live = peer.health == TargetHealth::Live;
+                let draw = rendezvous::weight(&seed.to_string(), &peer.id);
+                // A draw weighted by spare capacity, so that one peer does not get every journal.
+                let score = (draw >> 32) * u64::from(peer.spare_count.saturating_add(1));
+                (is_away, is_live, score)
+            });
+        chosen.map(|peer| (peer.id.clone(), peer.peer_address))
+    }
+
+    /// Takes the platform's list. An empty list removes nobody, and a process that is heard from
+    /// stays although the list lacks it.
+    pub fn listing_read(&mut self, context: &mut Context, listings: Vec<Listing>) {
+        if listings.is_empty() {
+            context.log("member", "listing", "the list is empty; kept the last one");
+            return;
+        }
+        let is_first = self.listed.is_none();
+        self.listed = Some(listings.iter().map(|row| row.id.clone()).collect());
+        for listing in listings {
+            if listing.id == self.identity.instance {
+                continue;
+            }
+            let (id, incarnation) = (listing.id.clone(), listing.incarnation);
+            let is_leaving = listing.leaving;
+            match &listing.role {
+                ListingRole::Entry { peer_address } => {
+                    let address = *peer_address;
+                    self.list_peer(context, listing, address, is_first);
+                }
+                _ => self.list_target(context, listing, is_first),
+            }
+            if is_leaving {
+                self.depart(context, &id, incarnation);
+            }
+            self.apply_departure(context, &id);
+        }
+        self.refresh(context.now);
+    }
+
+    /// Notes that a process leaves. Later processes under the id are not affected.
+    pub(crate) fn depart(
+        &mut self,
+        context: &mut Context,
+        id: &Arc<str>,
+        incarnation: Incarnation,
+    ) {
+        let known = self.departures.get(id).map(|(known, _)| *known);
+        if known.is_none_or(|known| known < incarnation) {
+            self.departures
+                .insert(id.clone(), (incarnation, context.now));
+        }
+        self.apply_departure(context, id);
+    }
+
+    /// Marks the member as leaving if its incarnation has left.
+    pub(crate) fn apply_departure(&mut self, context: &mut Context, id: &Arc<str>) {
+        let Some((left, _)) = self.departures.get(id) else {
+            return;
+        };
+        if let Some(entry) = self.peers.get_mut(id)
+            && entry.peer.incarnation <= *left
+        {
+            entry.belief.leave(context, id);
+            entry.peer.health = entry.belief.health();
+        }
+        if let Some(entry) = self.targets.get_mut(id)
+            && entry.target.incarnation <= *left
+        {
+            entry.belief.leave(context, id);
+            entry.target.health = entry.belief.health();
+        }
+    }
+
+    fn list_peer(
+        &mut self,
+        context: &mut Context,
+        listing: Listing,
+        peer_address: SocketAddr,
+        is_first: bool,
+    ) {
+        self.strangers.remove(&listing.id);
+        let interval = Duration::from_millis(self.settings.heartbeat_ms);
+        if let Some(entry) = self.peers.get_mut(&listing.id)
+            && entry.peer.incarnation >= listing.incarnation
+        {
+            return;
+        }
+        let belief = Belief::new(context.now, interval, is_first);
+        let peer = Peer::listed(listing, peer_address);
+        let sent = BTreeMap::new();
+        self.peers
+            .insert(peer.id.clone(), PeerEntry { belief, peer, sent });
+    }
+
+    fn list_target(&mut self, context: &mut Context, listing: Listing, is_first: bool) {
+        if let Some(entry) = self.targets.get_mut(&listing.id)
+            && entry.target.incarnation >= listing.incarnation
+        {
+            entry.target.role = listing.role;
+            return;
+        }
+        let interval = Duration::from_millis(self.settings.poll_ms);
+        // Spreads the polls of one collector over the interval.
+        let phase_ms = rendezvous::weight(&listing.id, "poll") % self.settings.poll_ms.max(1);
+        let is_fast = !is_first;
+        let phase = Duration::from_millis(if is_fast { 0 } else { phase_ms });
+        let entry = TargetEntry {
+            belief: Belief::new(context.now, interval, is_first),
+            is_polled: false,
+            poll_at: context.now + phase,
+            target: Target::listed(listing, context.now),
+        };
+        self.targets.insert(entry.target.id.clone(), entry);
+    }
+
+    /// Copies beliefs into what routing reads.
+    pub(crate) fn refresh(&mut self, now: Duration) {
+        for entry in self.peers.values_mut() {
+            entry.peer.health = entry.belief.health();
+            entry.peer.ramp_fraction = entry.belief.ramp_fraction(now, &self.settings);
+        }
+        for entry in self.targets.values_mut() {
+            entry.target.health = entry.belief.health();
+            entry.target.ramp_fraction = entry.belief.ramp_fraction(now, &self.settings);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/observation.rs
@@ -0,0 +1,171 @@
+use super::*;
+
+impl Members {
+    /// Takes a peer's heartbeat: its own state, its word on targets, and departures.
+    pub fn heartbeat_received(&mut self, context: &mut Context, heartbeat: &Heartbeat) {
+        if heartbeat.sender == self.identity.instance {
+            return;
+        }
+        for departure in &heartbeat.departures {
+            self.depart(context, &departure.id, departure.incarnation);
+        }
+        if heartbeat.leaving {
+            self.depart(context, &heartbeat.sender, heartbeat.incarnation);
+        }
+        if self.peer_heard(context, heartbeat) {
+            for digest in &heartbeat.digests {
+                self.digest_received(context, digest);
+            }
+        }
+        self.apply_departure(context, &heartbeat.sender);
+        self.refresh(context.now);
+    }
+
+    /// Takes note that a heartbeat found no receiver.
+    pub fn heartbeat_failed(&mut self, context: &mut Context, peer: &InstanceId) {
+        let Some(entry) = self.peers.get_mut(peer) else {
+            return;
+        };
+        entry.sent.clear();
+        entry.belief.apply(context, peer, BeliefEvent::Refused);
+        entry.peer.health = entry.belief.health();
+    }
+
+    /// Takes a target's reply to a poll.
+    pub fn load_received(&mut self, context: &mut Context, target: &TargetId, report: LoadReport) {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        if !entry.accepts_incarnation(context.now, report.incarnation, &self.settings) {
+            return;
+        }
+        entry.belief.detector.arrived(context.now);
+        entry.belief.apply(context, target, BeliefEvent::Heard);
+        let is_leaving = report.leaving;
+        let incarnation = report.incarnation;
+        let age = Duration::from_millis(report.age_ms);
+        entry.target.reported_at = context.now.saturating_sub(age);
+        entry.target.report = report;
+        entry.target.health = entry.belief.health();
+        if is_leaving {
+            self.depart(context, target, incarnation);
+        }
+        self.apply_departure(context, target);
+    }
+
+    /// Takes note that a poll failed.
+    pub fn load_failed(&mut self, context: &mut Context, target: &TargetId, kind: FailureKind) {
+        self.dispatch_failed(context, target, kind);
+    }
+
+    /// Takes note that a poll or a dispatch of this instance failed. Only a refused or broken
+    /// connection is evidence; a refusal of work is not, and silence is left to the detector.
+    pub fn dispatch_failed(&mut self, context: &mut Context, target: &TargetId, kind: FailureKind) {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        if matches!(kind, FailureKind::Broken | FailureKind::Unreachable) {
+            entry.belief.apply(context, target, BeliefEvent::Refused);
+            entry.target.health = entry.belief.health();
+        }
+    }
+
+    /// Records the sender's state; false when the heartbeat is of an earlier process.
+    fn peer_heard(&mut self, context: &mut Context, heartbeat: &Heartbeat) -> bool {
+        let Some(entry) = self.peers.get_mut(&heartbeat.sender) else {
+            if heartbeat.leaving {
+                self.strangers.remove(&heartbeat.sender);
+            } else {
+                self.strangers.insert(heartbeat.sender.clone(), context.now);
+            }
+            return true;
+        };
+        if heartbeat.incarnation < entry.peer.incarnation {
+            return false;
+        }
+        if heartbeat.incarnation > entry.peer.incarnation {
+            let interval = Duration::from_millis(self.settings.heartbeat_ms);
+            entry.belief = Belief::new(context.now, interval, false);
+            entry.peer.incarnation = heartbeat.incarnation;
+            entry.sent.clear();
+        }
+        entry.belief.detector.arrived(context.now);
+        entry
+            .belief
+            .apply(context, &heartbeat.sender, BeliefEvent::Heard);
+        let peer = &mut entry.peer;
+        peer.config_version = heartbeat.config_version;
+        peer.confirmed_age = Duration::from_millis(heartbeat.confirmed_age_ms);
+        peer.crashes.clone_from(&heartbeat.crashes);
+        peer.demands.clone_from(&heartbeat.demands);
+        peer.heard_at = Some(context.now);
+        peer.ready = heartbeat.ready;
+        peer.spare_count = heartbeat.spare_count;
+        true
+    }
+
+    fn digest_received(&mut self, context: &mut Context, digest: &TargetDigest) {
+        if digest.health == TargetHealth::Leaving {
+            self.depart(context, &digest.target, digest.incarnation);
+        }
+        let Some(entry) = self.targets.get_mut(&digest.target) else {
+            return;
+        };
+        if !entry.accepts_incarnation(context.now, digest.incarnation, &self.settings) {
+            return;
+        }
+        let age = Duration::from_millis(u64::from(digest.age_ms));
+        let reported_at = context.now.saturating_sub(age);
+        if let Some(models) = &digest.models {
+            entry.target.report.models.clone_from(models);
+        }
+        let is_first = entry.belief.state() == BeliefState::Joining;
+        let is_newer = is_first || reported_at > entry.target.reported_at;
+        if is_newer {
+            let report = &mut entry.target.report;
+            report.rate_per_s = f64::from(digest.rate_per_s);
+            report.running_count = u32::from(digest.running_count);
+            report.slot_count = u32::from(digest.slot_count);
+            report.waiting_count = u32::from(digest.waiting_count);
+            entry.target.reported_at = reported_at;
+        }
+        // Own polls are better evidence than a peer's word.
+        if entry.is_polled && digest.health != TargetHealth::Down {
+            return;
+        }
+        let event = match digest.health {
+            TargetHealth::Down if entry.is_contradicted() => return,
+            TargetHealth::Down => BeliefEvent::ConfirmedDown,
+            TargetHealth::Leaving => return,
+            TargetHealth::Live if is_newer => BeliefEvent::Heard,
+            TargetHealth::Live => return,
+            TargetHealth::Suspect => BeliefEvent::Late,
+        };
+        entry.belief.apply(context, &digest.target, event);
+    }
+}
+
+impl TargetEntry {
+    /// Whether a report of `incarnation` is of the current process. A newer process replaces the
+    /// belief about the old one.
+    fn accepts_incarnation(
+        &mut self,
+        now: Duration,
+        incarnation: Incarnation,
+        settings: &MemberSettings,
+    ) -> bool {
+        if incarnation > self.target.incarnation {
+            let interval = Duration::from_millis(settings.poll_ms);
+            self.belief = Belief::new(now, interval, false);
+            self.target.incarnation = incarnation;
+            self.target.report = LoadReport::default();
+            self.target.reported_at = now;
+        }
+        incarnation >= self.target.incarnation
+    }
+
+    /// Whether this instance polls the target and hears from it on time.
+    fn is_contradicted(&self) -> bool {
+        self.is_polled && self.belief.state() == BeliefState::Live
+    }
+}
--- a/crates/control/src/target.rs
+++ b/crates/control/src/target.rs
@@ -26,7 +26,22 @@
 }
 
 impl Target {
-    /// Whether it may get new work.
+    pub(crate) fn listed(listing: Listing, now: Duration) -> Self {
+        Self {
+            address: listing.address,
+            failure_domain: listing.failure_domain,
+            health: TargetHealth::Suspect,
+            id: listing.id,
+            incarnation: listing.incarnation,
+            ramp_fraction: 1.0,
+            region: listing.region,
+            report: LoadReport::default(),
+            reported_at: now,
+            role: listing.role,
+        }
+    }
+
+    /// Whether it may get new work. Suspect targets get work only if nothing else can.
     #[must_use]
     pub fn takes_work(&self) -> bool {
         matches!(self.health, TargetHealth::Live | TargetHealth::Suspect)
--- a/crates/types/src/heartbeat.rs
+++ b/crates/types/src/heartbeat.rs
@@ -62,6 +62,15 @@
     pub remaining_ms: u64,
 }
 
+/// A process that is about to stop, or has stopped, by the word of any source.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Departure {
+    /// Instance or target.
+    pub id: Arc<str>,
+    /// Start number of the process. Later processes under the same id are not leaving.
+    pub incarnation: Incarnation,
+}
+
 /// Periodic message from one instance to each peer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -73,6 +82,9 @@
     pub crashes: Vec<CrashReport>,
     /// Demand of accounts with running or waiting requests.
     pub demands: Vec<Demand>,
+    /// Departures that the sender learned of in the last 30 s, so that the platform's list may lag.
+    #[serde(default)]
+    pub departures: Vec<Departure>,
     /// Targets that the sender collects.
     pub digests: Vec<TargetDigest>,
     /// Start number of the sender's process.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -37,7 +37,7 @@
     change::{Change, ChangeRecord, EditAnswer},
     error::Error,
     generate::GenerateRequest,
-    heartbeat::{CrashReport, Demand, Heartbeat, TargetDigest, TargetHealth},
+    heartbeat::{CrashReport, Demand, Departure, Heartbeat, TargetDigest, TargetHealth},
     id::{
         AcceleratorKind, AccountId, Attempt, ConfigVersion, FailureDomain, Fence, Fingerprint,
         Incarnation, InstanceId, ModelId, Nonce, OperationId, PlanId, RegionId, RequestId,
