--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -39,7 +39,7 @@
     engine::{CancelRequest, KvCache, KvRequest, PriorityRequest},
     error::Error,
     generate::GenerateRequest,
-    heartbeat::{CrashReport, Demand, Heartbeat, TargetDigest, TargetHealth},
+    heartbeat::{CrashReport, Demand, Departure, Heartbeat, TargetDigest, TargetHealth},
     id::{
         AcceleratorKind, AccountId, Attempt, ConfigVersion, FailureDomain, Fence, Fingerprint,
         Incarnation, InstanceId, ModelId, Nonce, OperationId, PlanId, RegionId, RequestId,
