Add the builder and recorder for tests over real processes

Cause: failure tests need processes that stop, freeze and lose links, and a check of the invariants over what was seen outside. Change: suite starts binaries with settings, signals them by id, relays links that can be cut, delayed, silent or without replies, and checks what callers, engines, services and operators saw.

--- /dev/null
+++ b/crates/suite/src/caller.rs
@@ -0,0 +1,159 @@
+use super::*;
+
+/// Longest silence on a stream before the caller takes the instance for lost.
+const SILENCE: Duration = Duration::from_secs(20);
+
+/// A caller signed in to an account. It records everything that it is told.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Entry addresses, in the order in which they are tried.
+    pub entries: Vec<SocketAddr>,
+    /// Secret key of the account.
+    pub key: String,
+    /// Where to record.
+    pub recorder: Recorder,
+}
+
+/// Where a streamed answer stands.
+#[derive(Clone, Debug, Default)]
+pub struct Stream {
+    /// Whether the end came.
+    pub is_complete: bool,
+    /// Id of the last event; empty before the first.
+    pub last_event: String,
+    /// Text so far.
+    pub text: String,
+}
+
+impl Caller {
+    /// Asks for the entry addresses and uses them from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no instance replies with addresses.
+    pub async fn find_addresses(&mut self) -> Result<Vec<SocketAddr>> {
+        let reply = self.send(&Call::get("/v1/addresses")).await?;
+        let body: Value = reply.json()?;
+        let mut addresses = Vec::new();
+        for entry in body["addresses"].as_array().context("no `addresses`")? {
+            let text = entry.as_str().or(entry["address"].as_str());
+            addresses.push(text.context("an address that is no text")?.parse()?);
+        }
+        self.entries.clone_from(&addresses);
+        Ok(addresses)
+    }
+
+    /// Calls a non-repeatable operation and records the outcome.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no instance replies.
+    pub async fn call(&self, path: &str, key: &str, body: &Value) -> Result<Told> {
+        let call = Call::post(path, body)?.header("idempotency-key", key);
+        let number = self.recorder.asked(key);
+        let told = told(&self.send(&call).await?)?;
+        self.recorder.told(number, told.clone());
+        Ok(told)
+    }
+
+    /// Streams an answer to its end, and resumes it at another address when it breaks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer does not end within the limit.
+    pub async fn generate(&self, body: &Value) -> Result<Stream> {
+        let mut stream = Stream::default();
+        let end = Instant::now() + LIMIT;
+        let mut last = anyhow!("no entry address");
+        while Instant::now() < end {
+            for entry in &self.entries {
+                match self.read(*entry, body, &mut stream).await {
+                    Err(error) => last = error,
+                    Ok(()) if stream.is_complete => return Ok(stream),
+                    Ok(()) => last = anyhow!("{entry} ended the stream early"),
+                }
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Err(last.context("the answer did not end"))
+    }
+
+    /// Reads one connection's part of an answer into `stream`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks or the request is refused.
+    pub async fn read(&self, entry: SocketAddr, body: &Value, stream: &mut Stream) -> Result<()> {
+        let call = match stream.last_event.parse::<ResumePoint>() {
+            Err(_) => Call::post("/v1/completions", body)?,
+            Ok(point) => Call::get(format!("/v1/completions/{}", point.request))
+                .header("last-event-id", &stream.last_event),
+        };
+        let call = self.authorized(call);
+        let mut connection = Connection::open(entry, call.connect_limit).await?;
+        let mut reply = connection.send(&call).await?;
+        if !reply.status.is_success() {
+            let text = reply.read(SILENCE, 64 * 1024).await?;
+            let text = String::from_utf8_lossy(&text).into_owned();
+            bail!("{entry} refused with {}: {text}", reply.status);
+        }
+        let mut events = ServerEventReader::new(reply.lines());
+        while let Some(event) = events.next(SILENCE).await? {
+            self.take(&event, stream)?;
+        }
+        Ok(())
+    }
+
+    fn take(&self, event: &wire::ServerEvent, stream: &mut Stream) -> Result<()> {
+        match event.event.as_str() {
+            "" | "message" | "token" => {}
+            "end" | "done" => {
+                let point: ResumePoint = stream.last_event.parse()?;
+                self.recorder.completed(&point.request);
+                stream.is_complete = true;
+                return Ok(());
+            }
+            other => bail!("event `{other}`: {}", event.data),
+        }
+        let data: Value = serde_json::from_str(&event.data)?;
+        let text = data["text"].as_str().context("a token without text")?;
+        let point: ResumePoint = event.id.parse()?;
+        // The first event tells which request this is; the recorder compares the others with it.
+        let first: ResumePoint = match stream.last_event.as_str() {
+            "" => point.clone(),
+            last => last.parse()?,
+        };
+        self.recorder
+            .token(&first.request, &point.request, point.index, text);
+        stream.last_event.clone_from(&event.id);
+        stream.text.push_str(text);
+        Ok(())
+    }
+
+    fn authorized(&self, call: Call) -> Call {
+        call.header("authorization", format!("Bearer {}", self.key))
+    }
+
+    /// Sends a request to the first address that replies.
+    async fn send(&self, call: &Call) -> Result<Reply> {
+        let call = self.authorized(call.clone());
+        let mut last = anyhow!("no entry address");
+        for entry in &self.entries {
+            match wire::call(*entry, &call).await {
+                Err(error) => last = error.into(),
+                Ok(reply) => return Ok(reply),
+            }
+        }
+        Err(last)
+    }
+}
+
+fn told(reply: &Reply) -> Result<Told> {
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    match reply.header("x-outcome") {
+        Some("not-run") => Ok(Told::NotRun),
+        Some("ran") => Ok(Told::Ran(text)),
+        Some("unknown") => Ok(Told::Unknown),
+        _ => bail!("no `x-outcome` with status {}: {text}", reply.status),
+    }
+}
--- /dev/null
+++ b/crates/suite/src/process.rs
@@ -0,0 +1,194 @@
+use super::*;
+
+/// Lines of the log that are printed when a test fails.
+const LOG_LINE_COUNT: usize = 40;
+
+/// One started process. Dropping it ends it at once, also when a test panics.
+#[derive(Debug)]
+pub struct Process {
+    announcement: Announcement,
+    child: Child,
+    log: PathBuf,
+    name: String,
+}
+
+impl Process {
+    /// Starts a binary with settings and waits until it announces its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the log when the process ends or announces nothing.
+    pub fn start<T: Serialize>(
+        folder: &Folder,
+        program: &str,
+        name: &str,
+        settings: &T,
+    ) -> Result<Self> {
+        let file = folder.write(&format!("{name}.json"), settings)?;
+        let log = folder.file(&format!("{name}.log"));
+        let mut child = Command::new(binary(program)?)
+            .arg("--settings")
+            .arg(file)
+            .stderr(File::create(&log)?)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("cannot start `{program}`"))?;
+        let output = child.stdout.take();
+        let mut process = Self {
+            announcement: Announcement {
+                listening: BTreeMap::new(),
+                program: program.into(),
+            },
+            child,
+            log,
+            name: name.into(),
+        };
+        let line = first_line(output.context("no standard output")?)
+            .with_context(|| format!("{name} announced nothing: {}", process.log_tail()))?;
+        process.announcement = serde_json::from_str(&line)
+            .with_context(|| format!("{name} announced `{line}`: {}", process.log_tail()))?;
+        Ok(process)
+    }
+
+    /// Address that the process announced for a purpose.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it announced none.
+    pub fn address(&self, purpose: &str) -> Result<SocketAddr> {
+        let address = self.announcement.listening.get(purpose);
+        address
+            .copied()
+            .with_context(|| format!("{} listens on nothing for `{purpose}`", self.name))
+    }
+
+    /// Process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops the process from running, as a paused machine would.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system refuses.
+    pub fn freeze(&self) -> Result<()> {
+        signal::send(self.id(), Signal::Freeze)
+    }
+
+    /// Lets a frozen process run again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system refuses.
+    pub fn thaw(&self) -> Result<()> {
+        signal::send(self.id(), Signal::Continue)
+    }
+
+    /// Ends the process at once and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system refuses.
+    pub fn kill(&mut self) -> Result<ExitStatus> {
+        if let Some(status) = self.child.try_wait()? {
+            return Ok(status);
+        }
+        signal::send(self.id(), Signal::Kill)?;
+        Ok(self.child.wait()?)
+    }
+
+    /// Asks the process to shut down gracefully, and returns at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system refuses.
+    pub fn terminate(&mut self) -> Result<()> {
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        signal::send(self.id(), Signal::Terminate)
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the log when it goes on.
+    pub async fn ended(&mut self) -> Result<ExitStatus> {
+        let end = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() >= end {
+                bail!("{} goes on running: {}", self.name, self.log_tail());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Asks the process to shut down gracefully and waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the log when it goes on or ends with a fault.
+    pub async fn stop(&mut self) -> Result<()> {
+        self.terminate()?;
+        let status = self.ended().await?;
+        if status.success() {
+            return Ok(());
+        }
+        bail!("{} ended with {status}: {}", self.name, self.log_tail());
+    }
+
+    /// Last lines of the log of the process.
+    #[must_use]
+    pub fn log_tail(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let start = lines.len().saturating_sub(LOG_LINE_COUNT);
+        format!("last log lines:\n{}", lines[start..].join("\n"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}: {}", self.name, self.log_tail());
+        }
+        if let Ok(None) = self.child.try_wait() {
+            let _ = self.child.kill();
+        }
+        let _ = self.child.wait();
+    }
+}
+
+/// Finds a binary of the workspace in the folder above the test executable.
+pub(crate) fn binary(program: &str) -> Result<PathBuf> {
+    let test = std::env::current_exe().context("the path of the test")?;
+    let folder = test.parent().and_then(Path::parent);
+    let file = folder.context("the target folder")?.join(program);
+    if file.is_file() {
+        return Ok(file);
+    }
+    bail!("`{program}` is not built; run `cargo build --workspace` and then the tests again")
+}
+
+/// Waits for the first line, and keeps reading so that the process never blocks on its output.
+fn first_line(output: ChildStdout) -> Result<String> {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines() {
+            let Ok(line) = line else {
+                return;
+            };
+            let _ = sender.send(line);
+        }
+    });
+    receiver
+        .recv_timeout(LIMIT)
+        .map_err(|error| anyhow!("no line on standard output: {error}"))
+}
--- /dev/null
+++ b/crates/suite/src/recorder.rs
@@ -0,0 +1,229 @@
+use {
+    super::*,
+    record::{Asked, Records},
+};
+
+/// Collects what happened at the edges of the router, and checks the invariants of the design
+/// page over it. Clones share one record.
+#[derive(Clone, Debug, Default)]
+pub struct Recorder {
+    records: Arc<Mutex<Records>>,
+}
+
+impl Recorder {
+    /// Records that an edit was accepted.
+    pub fn accepted(&self, operation: &str, version: ConfigVersion) {
+        self.lock().accepted.push((operation.into(), version));
+    }
+
+    /// Records that a call is about to be made, and returns its number for `told`.
+    #[must_use]
+    pub fn asked(&self, key: &str) -> usize {
+        let mut records = self.lock();
+        records.entry_count += 1;
+        let asked_at = records.entry_count;
+        records.calls.push(Asked {
+            asked_at,
+            key: key.into(),
+            told: None,
+        });
+        records.calls.len() - 1
+    }
+
+    /// Records one run of a non-repeatable operation.
+    pub fn executed(&self, key: &str) {
+        *self.lock().executed.entry(key.into()).or_default() += 1;
+    }
+
+    /// Records that the caller left an answer on purpose.
+    pub fn abandoned(&self, request: &str) {
+        let mut records = self.lock();
+        let received = records.received.entry(request.into()).or_default();
+        received.is_abandoned = true;
+    }
+
+    /// Records the end of an answer.
+    pub fn completed(&self, request: &str) {
+        let mut records = self.lock();
+        let received = records.received.entry(request.into()).or_default();
+        received.is_complete = true;
+    }
+
+    /// Records layers that an engine ran, in the order of its log.
+    pub fn layers(&self, runs: &[LayerRun]) {
+        self.lock().layers.extend_from_slice(runs);
+    }
+
+    /// Records the version that an instance showed.
+    pub fn observed(&self, instance: &str, version: ConfigVersion) {
+        let mut records = self.lock();
+        let versions = records.observed.entry(instance.into()).or_default();
+        versions.push(version);
+    }
+
+    /// Records a token that the caller of `request` received; `named` is the request in the
+    /// event's id.
+    pub fn token(&self, request: &str, named: &str, index: TokenIndex, text: &str) {
+        let mut records = self.lock();
+        let received = records.received.entry(request.into()).or_default();
+        received.tokens.push((named.into(), index, text.into()));
+    }
+
+    /// Records what a caller was told of call number `call`.
+    pub fn told(&self, call: usize, told: Told) {
+        let mut records = self.lock();
+        records.entry_count += 1;
+        let told_at = records.entry_count;
+        if let Some(asked) = records.calls.get_mut(call) {
+            asked.told = Some((told_at, told));
+        }
+    }
+
+    /// Checks the invariants and returns one line for each violation.
+    #[must_use]
+    pub fn check(&self) -> Vec<String> {
+        let records = self.lock().clone();
+        let mut faults = Vec::new();
+        check_layers(&records, &mut faults);
+        check_answers(&records, &mut faults);
+        check_calls(&records, &mut faults);
+        check_versions(&records, &mut faults);
+        faults
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Every layer of the model runs exactly once for each token, in order. A token that an attempt
+/// began and did not finish is made again by a later attempt, so each attempt is checked alone,
+/// and each token received needs one attempt that ran layers without a gap.
+fn check_layers(records: &Records, faults: &mut Vec<String>) {
+    type Ranges = Vec<LayerRange>;
+    let mut runs: BTreeMap<(&str, TokenIndex), BTreeMap<u32, Ranges>> = BTreeMap::new();
+    let mut layer_count = 0;
+    for run in &records.layers {
+        let attempts = runs.entry((&run.request, run.index)).or_default();
+        attempts.entry(run.attempt).or_default().push(run.layers);
+        layer_count = layer_count.max(run.layers.end);
+    }
+    for ((request, index), attempts) in &mut runs {
+        for (attempt, ranges) in attempts {
+            // The logs of several engines are joined in any order.
+            ranges.sort();
+            let overlaps = |pair: &[LayerRange]| pair[1].start < pair[0].end;
+            if ranges.windows(2).any(overlaps) {
+                let place = format!("{request} token {index} attempt {attempt}");
+                faults.push(format!("{place}: layers ran more than once: {ranges:?}"));
+            }
+        }
+    }
+    if layer_count == 0 {
+        return;
+    }
+    for (request, received) in &records.received {
+        for (_, index, _) in &received.tokens {
+            let attempts = runs.get(&(&**request, *index));
+            let covers = |ranges: &Ranges| LayerRange::covers(ranges, layer_count);
+            if !attempts.is_some_and(|attempts| attempts.values().any(covers)) {
+                faults.push(format!("{request} token {index}: not all layers ran"));
+            }
+        }
+    }
+}
+
+/// Each caller receives the complete response to its own request.
+fn check_answers(records: &Records, faults: &mut Vec<String>) {
+    for (request, received) in &records.received {
+        for (place, (named, index, _)) in received.tokens.iter().enumerate() {
+            if named != request {
+                faults.push(format!("{request}: received a token of {named}"));
+            }
+            if usize::try_from(*index) != Ok(place) {
+                faults.push(format!("{request}: token {index} came at place {place}"));
+            }
+        }
+        if !received.is_complete && !received.is_abandoned {
+            faults.push(format!("{request}: the answer was cut off"));
+        }
+    }
+}
+
+/// A non-repeatable operation runs at most once, and what callers were told of it is true.
+fn check_calls(records: &Records, faults: &mut Vec<String>) {
+    for (key, count) in &records.executed {
+        if *count > 1 {
+            faults.push(format!("key {key}: ran {count} times"));
+        }
+    }
+    let mut by_key: BTreeMap<&str, Vec<&Asked>> = BTreeMap::new();
+    for asked in &records.calls {
+        by_key.entry(&asked.key).or_default().push(asked);
+    }
+    for (key, calls) in by_key {
+        let count = records.executed.get(key).copied().unwrap_or_default();
+        let results: BTreeSet<&str> = calls.iter().filter_map(|asked| asked.result()).collect();
+        if results.len() > 1 {
+            faults.push(format!("key {key}: callers were given several results"));
+        }
+        if count == 0 && !results.is_empty() {
+            faults.push(format!("key {key}: told that it ran, and it did not"));
+        }
+        if count > 0 && calls.iter().all(|asked| asked.not_run()) {
+            faults.push(format!("key {key}: told that it was not run, and it ran"));
+        }
+        if is_withdrawn(&calls) {
+            faults.push(format!("key {key}: told not run after another outcome"));
+        }
+    }
+}
+
+/// Whether a call made after `ran` or `unknown` was told is told that nothing was run. A key that
+/// was told not run may be sent again and then run, also while the first reply is on its way.
+fn is_withdrawn(calls: &[&Asked]) -> bool {
+    let mut final_at = u64::MAX;
+    for asked in calls {
+        if let Some((told_at, Told::Ran(_) | Told::Unknown)) = &asked.told {
+            final_at = final_at.min(*told_at);
+        }
+    }
+    calls
+        .iter()
+        .any(|asked| asked.not_run() && asked.asked_at > final_at)
+}
+
+impl Asked {
+    fn not_run(&self) -> bool {
+        matches!(self.told, Some((_, Told::NotRun)))
+    }
+
+    fn result(&self) -> Option<&str> {
+        match &self.told {
+            Some((_, Told::Ran(body))) => Some(body),
+            _ => None,
+        }
+    }
+}
+
+/// A change once accepted never reverts: no version is given twice, and none goes back.
+fn check_versions(records: &Records, faults: &mut Vec<String>) {
+    let mut operations: BTreeMap<ConfigVersion, &OperationId> = BTreeMap::new();
+    for (operation, version) in &records.accepted {
+        if let Some(other) = operations.insert(*version, operation)
+            && other != operation
+        {
+            faults.push(format!(
+                "version {version}: {operation} and {other} have it"
+            ));
+        }
+    }
+    for (instance, versions) in &records.observed {
+        for pair in versions.windows(2) {
+            if pair[1] < pair[0] {
+                let (before, after) = (pair[0], pair[1]);
+                faults.push(format!("{instance}: version {before} reverted to {after}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/suite/src/relay.rs
@@ -0,0 +1,143 @@
+use super::*;
+
+/// Bytes moved at once.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// State of a link.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Link {
+    /// Connections are closed, and new ones are closed as soon as they are made.
+    Cut,
+    /// Each piece is held for this time.
+    Delayed(Duration),
+    /// Requests pass; replies are discarded.
+    DropReplies,
+    /// Everything passes.
+    #[default]
+    Open,
+    /// Nothing passes and nothing is closed, as when packets are lost. What was held passes when
+    /// the link opens again.
+    Silent,
+}
+
+/// TCP relay in the test process, through which a link between two processes is configured.
+/// Dropping it closes all of its connections.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    dropped: Arc<AtomicU64>,
+    link: watch::Sender<Link>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port is free.
+    pub async fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let link = watch::Sender::new(Link::Open);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let task = tokio::spawn(accept(listener, target, link.clone(), dropped.clone()));
+        Ok(Self {
+            address,
+            dropped,
+            link,
+            task,
+        })
+    }
+
+    /// Address to configure instead of the target's.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes of replies that were discarded.
+    #[must_use]
+    pub fn dropped_bytes(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Changes the state of the link, for open connections too.
+    pub fn set(&self, link: Link) {
+        self.link.send_replace(link);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    link: watch::Sender<Link>,
+    dropped: Arc<AtomicU64>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((near, _)) = listener.accept().await {
+        while connections.try_join_next().is_some() {}
+        if *link.borrow() == Link::Cut {
+            continue;
+        }
+        connections.spawn(carry(near, target, link.subscribe(), dropped.clone()));
+    }
+}
+
+async fn carry(
+    near: TcpStream,
+    target: SocketAddr,
+    mut link: watch::Receiver<Link>,
+    dropped: Arc<AtomicU64>,
+) {
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let requests = pump(near_read, far_write, link.clone(), None);
+    let replies = pump(far_read, near_write, link.clone(), Some(&dropped));
+    tokio::select! {
+        _ = async { tokio::join!(requests, replies) } => {}
+        _ = link.wait_for(|link| *link == Link::Cut) => {}
+    }
+}
+
+/// Moves bytes one way; `dropped` counts discarded bytes and is given for replies only.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut link: watch::Receiver<Link>,
+    dropped: Option<&AtomicU64>,
+) {
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let count = match from.read(&mut piece).await {
+            Err(_) | Ok(0) => break,
+            Ok(count) => count,
+        };
+        let state = match link.wait_for(|link| *link != Link::Silent).await {
+            Err(_) => break,
+            Ok(state) => *state,
+        };
+        match (state, dropped) {
+            (Link::Delayed(delay), _) => sleep(delay).await,
+            (Link::DropReplies, Some(dropped)) => {
+                dropped.fetch_add(count as u64, Ordering::Relaxed);
+                continue;
+            }
+            _ => {}
+        }
+        if to.write_all(&piece[..count]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/crates/suite/src/until.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+/// Longest wait for a condition. Generous, because it only bounds a test that fails: the machine
+/// may be busy, and the slowest condition waited for (a graceful shutdown) takes about 10 s.
+pub const LIMIT: Duration = Duration::from_secs(90);
+
+/// Time between looks at a condition.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Waits until `look` returns a value, and returns it.
+///
+/// # Errors
+///
+/// Returns an error that names the condition and the last fault when the limit is over.
+pub async fn until<T, F>(condition: &str, mut look: impl FnMut() -> F) -> Result<T>
+where
+    F: Future<Output = Result<Option<T>>>,
+{
+    let end = Instant::now() + LIMIT;
+    loop {
+        let result = look().await;
+        if let Ok(Some(value)) = result {
+            return Ok(value);
+        }
+        if Instant::now() >= end {
+            let last = match result {
+                Err(error) => format!(": {error:#}"),
+                Ok(_) => String::new(),
+            };
+            bail!("`{condition}` did not hold within {LIMIT:?}{last}");
+        }
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/suite/tests/relay.rs
@@ -0,0 +1,80 @@
+//! The relay must do to a link what it claims, or failure tests pass without a failure.
+
+use {
+    std::net::SocketAddr,
+    suite::{Link, Relay, until},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+    },
+};
+
+/// Server that reports each byte it receives and sends it back.
+async fn echo() -> (SocketAddr, mpsc::UnboundedReceiver<u8>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                while let Ok(byte) = stream.read_u8().await {
+                    let _ = (sender.send(byte), stream.write_u8(byte).await);
+                }
+            });
+        }
+    });
+    (address, receiver)
+}
+
+#[tokio::test]
+async fn dropped_replies_leave_requests_intact() {
+    let (target, mut seen) = echo().await;
+    let relay = Relay::start(target).await.unwrap();
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    relay.set(Link::DropReplies);
+    stream.write_u8(1).await.unwrap();
+    assert_eq!(seen.recv().await, Some(1));
+    until("the reply is dropped", async || {
+        Ok((relay.dropped_bytes() == 1).then_some(()))
+    })
+    .await
+    .unwrap();
+    relay.set(Link::Open);
+    stream.write_u8(5).await.unwrap();
+    assert_eq!(stream.read_u8().await.unwrap(), 5);
+}
+
+#[tokio::test]
+async fn silent_link_holds_bytes_until_it_opens() {
+    let (target, mut seen) = echo().await;
+    let relay = Relay::start(target).await.unwrap();
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    relay.set(Link::Silent);
+    stream.write_u8(2).await.unwrap();
+    assert!(seen.try_recv().is_err());
+    relay.set(Link::Open);
+    assert_eq!(stream.read_u8().await.unwrap(), 2);
+}
+
+#[tokio::test]
+async fn cut_link_closes_open_and_new_connections() {
+    let (target, _seen) = echo().await;
+    let relay = Relay::start(target).await.unwrap();
+    let mut open = TcpStream::connect(relay.address()).await.unwrap();
+    open.write_u8(3).await.unwrap();
+    assert_eq!(open.read_u8().await.unwrap(), 3);
+    relay.set(Link::Cut);
+    assert!(open.read_u8().await.is_err());
+    let mut new = TcpStream::connect(relay.address()).await.unwrap();
+    assert!(new.read_u8().await.is_err());
+    relay.set(Link::Open);
+    until("the link passes bytes again", async || {
+        let mut stream = TcpStream::connect(relay.address()).await?;
+        stream.write_u8(4).await?;
+        Ok(Some(stream.read_u8().await?))
+    })
+    .await
+    .unwrap();
+}
