Add the journals of streams for takeover by another instance

Cause: a stream must survive the loss of the instance that serves it, with one holder at a time. Change: control::Journals with idempotent appends, hand-over by holder and epoch, retention, bound.

--- /dev/null
+++ b/crates/control/src/journal.rs
@@ -0,0 +1,390 @@
+use super::*;
+
+/// Bytes counted for a journal besides its texts.
+const FIXED_BYTES: usize = 512;
+
+/// Bytes counted for a token besides its text.
+const TOKEN_BYTES: usize = 32;
+
+/// Limits on the journals of one instance.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct JournalSettings {
+    /// Most memory for journals and copies together, in bytes. Past it, ended journals are dropped,
+    /// oldest end first; if that is not enough, new ones are refused.
+    pub max_bytes: usize,
+    /// Time that a journal is kept after its stream ended or its owner was lost, in milliseconds.
+    pub retention_ms: u64,
+}
+
+impl Default for JournalSettings {
+    fn default() -> Self {
+        Self {
+            max_bytes: 8 * 1024 * 1024,
+            retention_ms: 60_000,
+        }
+    }
+}
+
+/// Part of a journal that its owner sends to the backup peer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JournalAppend {
+    /// The whole journal; the first message of a stream, and the first to a new backup.
+    Whole {
+        /// Number of hand-overs before this holder.
+        epoch: u32,
+        /// Journal.
+        journal: Journal,
+        /// Who serves the stream.
+        owner: Holder,
+    },
+    /// Tokens that follow those sent earlier.
+    Tokens {
+        /// Newest attempt that was started.
+        attempt: Attempt,
+        /// Why the answer is complete, if it is.
+        finish: Option<FinishReason>,
+        /// Index of the first of `tokens`.
+        from: TokenIndex,
+        /// Who serves the stream.
+        owner: Holder,
+        /// Request.
+        request: RequestId,
+        /// Tokens.
+        tokens: Vec<Arc<str>>,
+    },
+}
+
+impl JournalAppend {
+    /// Request that the message is about.
+    #[must_use]
+    pub fn request(&self) -> &RequestId {
+        match self {
+            Self::Tokens { request, .. } => request,
+            Self::Whole { journal, .. } => &journal.request,
+        }
+    }
+}
+
+/// Answer to an append.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AppendAnswer {
+    /// The tokens are kept.
+    Appended {
+        /// Index after the last token kept.
+        next: TokenIndex,
+    },
+    /// Memory for journals is used up; the sender needs another backup.
+    Full,
+    /// Tokens before `from` are missing, or the journal is; send it whole.
+    Incomplete {
+        /// Index after the last token kept; 0 if there is no journal.
+        next: TokenIndex,
+    },
+    /// Another instance took the stream over; the sender must not deliver any more of it.
+    Taken {
+        /// Instance that took it.
+        by: InstanceId,
+    },
+}
+
+/// One run of a stream at one instance. The nonce tells apart two runs at the same instance, and
+/// lets an attempt to take a journal be repeated when its reply is lost.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holder {
+    /// Instance that serves the stream, or will.
+    pub instance: InstanceId,
+    /// Random value of this run.
+    pub nonce: Nonce,
+}
+
+/// Answer to a request for a journal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TakeAnswer {
+    /// Every other taker is turned away from now on.
+    Given {
+        /// Number of hand-overs, this one included.
+        epoch: u32,
+        /// The journal.
+        journal: Box<Journal>,
+    },
+    /// Another taker has the journal.
+    Taken {
+        /// Instance that took it.
+        by: InstanceId,
+    },
+    /// No journal of this request is held for this account. A journal of another account gives the
+    /// same answer, so that request ids of other accounts cannot be probed.
+    Unknown,
+}
+
+/// A journal with what decides how long it is kept and who may have it.
+#[derive(Clone, Debug)]
+struct Entry {
+    bytes: usize,
+    /// Hand-overs of the stream before `owner`.
+    epoch: u32,
+    /// When retention ends; none while the stream runs and its owner is heard from.
+    expires: Option<Duration>,
+    journal: Journal,
+    /// Who serves the stream.
+    owner: Holder,
+    /// Who took the stream over. Invariant: once set, only this holder replaces the entry.
+    taker: Option<Holder>,
+}
+
+impl Entry {
+    /// Who holds the stream, if it is not `holder`.
+    fn other_holder(&self, holder: &Holder) -> Option<InstanceId> {
+        let current = self.taker.as_ref().unwrap_or(&self.owner);
+        (current != holder).then(|| current.instance.clone())
+    }
+
+    /// Who holds the stream, if `holder` of `epoch` may not replace it. A holder that took the
+    /// stream elsewhere, while this entry could not be reached, has a higher epoch.
+    fn successor(&self, holder: &Holder, epoch: u32) -> Option<InstanceId> {
+        if self.taker.is_none() && epoch > self.epoch {
+            return None;
+        }
+        self.other_holder(holder)
+    }
+}
+
+/// Journals of the streams that this instance serves, and copies that it keeps for peers.
+#[derive(Debug)]
+pub struct Journals {
+    bytes: usize,
+    /// Invariant: `bytes` is the sum of the entries' bytes.
+    entries: BTreeMap<RequestId, Entry>,
+    settings: JournalSettings,
+}
+
+impl Journals {
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new(settings: JournalSettings) -> Self {
+        Self {
+            bytes: 0,
+            entries: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Applies an append. Tokens that are already kept are skipped, so an append may be repeated.
+    pub fn append(&mut self, now: Duration, append: JournalAppend) -> AppendAnswer {
+        self.expire(now);
+        match append {
+            JournalAppend::Tokens {
+                attempt,
+                finish,
+                from,
+                owner,
+                request,
+                tokens,
+            } => {
+                let Some(entry) = self.entries.get(&request) else {
+                    return AppendAnswer::Incomplete { next: 0 };
+                };
+                if let Some(by) = entry.other_holder(&owner) {
+                    return AppendAnswer::Taken { by };
+                }
+                let next = token_count(&entry.journal);
+                if from > next {
+                    return AppendAnswer::Incomplete { next };
+                }
+                let skipped = usize::try_from(next - from).unwrap_or(usize::MAX);
+                let fresh: Vec<Arc<str>> = tokens.into_iter().skip(skipped).collect();
+                let added = fresh.iter().map(token_bytes).sum();
+                if !self.make_room(added, &request) {
+                    return AppendAnswer::Full;
+                }
+                self.extend(now, &request, fresh, attempt, finish)
+            }
+            JournalAppend::Whole {
+                epoch,
+                journal,
+                owner,
+            } => self.insert(now, journal, epoch, owner),
+        }
+    }
+
+    /// Bytes counted for all journals.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Journals held, of both kinds.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Starts the retention of a journal whose stream ended without a finish reason, for example
+    /// because its caller disconnected.
+    pub fn end(&mut self, now: Duration, request: &RequestId) {
+        let expires = now + self.retention();
+        if let Some(entry) = self.entries.get_mut(request) {
+            entry.expires.get_or_insert(expires);
+        }
+    }
+
+    /// Drops journals whose retention is over.
+    pub fn expire(&mut self, now: Duration) {
+        let mut freed = 0;
+        self.entries.retain(|_, entry| {
+            let kept = entry.expires.is_none_or(|expires| expires > now);
+            if !kept {
+                freed += entry.bytes;
+            }
+            kept
+        });
+        self.bytes -= freed;
+    }
+
+    /// The journal of a request as far as it is held here.
+    #[must_use]
+    pub fn get(&self, request: &RequestId) -> Option<&Journal> {
+        self.entries.get(request).map(|entry| &entry.journal)
+    }
+
+    /// Starts the retention of the copies of an instance that was lost or has stopped. A later
+    /// append from it ends the retention again.
+    pub fn owner_lost(&mut self, now: Duration, owner: &InstanceId) {
+        let expires = now + self.retention();
+        for entry in self.entries.values_mut() {
+            if entry.owner.instance == *owner {
+                entry.expires.get_or_insert(expires);
+            }
+        }
+    }
+
+    /// Hands a journal over to the first taker that asks for it on behalf of its account. The same
+    /// taker gets it again, so a lost reply loses no stream.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        request: &RequestId,
+        account: &AccountId,
+        taker: &Holder,
+    ) -> TakeAnswer {
+        self.expire(now);
+        let expires = now + self.retention();
+        let Some(entry) = self.entries.get_mut(request) else {
+            return TakeAnswer::Unknown;
+        };
+        if entry.journal.account != *account {
+            return TakeAnswer::Unknown;
+        }
+        let holder = entry.taker.get_or_insert_with(|| taker.clone());
+        if holder != taker {
+            return TakeAnswer::Taken {
+                by: holder.instance.clone(),
+            };
+        }
+        entry.expires = Some(expires);
+        TakeAnswer::Given {
+            epoch: entry.epoch + 1,
+            journal: Box::new(entry.journal.clone()),
+        }
+    }
+
+    fn extend(
+        &mut self,
+        now: Duration,
+        request: &RequestId,
+        tokens: Vec<Arc<str>>,
+        attempt: Attempt,
+        finish: Option<FinishReason>,
+    ) -> AppendAnswer {
+        let expires = now + self.retention();
+        let Some(entry) = self.entries.get_mut(request) else {
+            return AppendAnswer::Incomplete { next: 0 };
+        };
+        let added: usize = tokens.iter().map(token_bytes).sum();
+        entry.bytes += added;
+        self.bytes += added;
+        entry.journal.attempt = entry.journal.attempt.max(attempt);
+        entry.journal.tokens.extend(tokens);
+        entry.journal.finish = entry.journal.finish.or(finish);
+        entry.expires = entry.journal.finish.map(|_| expires);
+        AppendAnswer::Appended {
+            next: token_count(&entry.journal),
+        }
+    }
+
+    fn insert(
+        &mut self,
+        now: Duration,
+        journal: Journal,
+        epoch: u32,
+        owner: Holder,
+    ) -> AppendAnswer {
+        let request = journal.request.clone();
+        let next = token_count(&journal);
+        let mut replaced = 0;
+        if let Some(entry) = self.entries.get(&request) {
+            if let Some(by) = entry.successor(&owner, epoch) {
+                return AppendAnswer::Taken { by };
+            }
+            let kept = token_count(&entry.journal);
+            // A delayed repeat of the first message must not drop tokens that came after it.
+            if entry.owner == owner && kept >= next {
+                return AppendAnswer::Appended { next: kept };
+            }
+            replaced = entry.bytes;
+        }
+        let bytes = journal_bytes(&journal);
+        if !self.make_room(bytes.saturating_sub(replaced), &request) {
+            return AppendAnswer::Full;
+        }
+        let entry = Entry {
+            bytes,
+            epoch,
+            expires: journal.finish.map(|_| now + self.retention()),
+            journal,
+            owner,
+            taker: None,
+        };
+        self.bytes = self.bytes - replaced + bytes;
+        self.entries.insert(request, entry);
+        AppendAnswer::Appended { next }
+    }
+
+    /// Drops ended journals, oldest end first, until `added` bytes fit. Journals that were taken
+    /// over stay, because they turn later takers away.
+    fn make_room(&mut self, added: usize, kept: &RequestId) -> bool {
+        while self.bytes + added > self.settings.max_bytes {
+            let oldest = self
+                .entries
+                .iter()
+                .filter(|(request, entry)| *request != kept && entry.taker.is_none())
+                .filter_map(|(request, entry)| Some((entry.expires?, request.clone())))
+                .min();
+            let Some((_, request)) = oldest else {
+                return false;
+            };
+            if let Some(entry) = self.entries.remove(&request) {
+                self.bytes -= entry.bytes;
+            }
+        }
+        true
+    }
+
+    fn retention(&self) -> Duration {
+        Duration::from_millis(self.settings.retention_ms)
+    }
+}
+
+fn journal_bytes(journal: &Journal) -> usize {
+    let tokens: usize = journal.tokens.iter().map(token_bytes).sum();
+    FIXED_BYTES + journal.prompt.len() + tokens
+}
+
+fn token_bytes(token: &Arc<str>) -> usize {
+    TOKEN_BYTES + token.len()
+}
+
+fn token_count(journal: &Journal) -> TokenIndex {
+    TokenIndex::try_from(journal.tokens.len()).unwrap_or(TokenIndex::MAX)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,16 +6,18 @@
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, SystemTime},
     },
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
-        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
-        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Listing, ListingRole, Lists,
-        LoadReport, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId, Route,
-        StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind, FinishReason,
+        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Journal, Listing, ListingRole,
+        Lists, LoadReport, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId,
+        Route, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+        TokenIndex,
     },
 };
 
@@ -24,6 +26,7 @@
 mod decision;
 mod event;
 mod identity;
+mod journal;
 mod target;
 
 pub use {
@@ -32,5 +35,6 @@
     decision::{Candidate, Decision},
     event::{Event, OwnerStatus},
     identity::Identity,
+    journal::{AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer},
     target::Target,
 };
--- /dev/null
+++ b/crates/control/tests/journal.rs
@@ -0,0 +1,202 @@
+//! Journals: hand-over, repeated appends, retention and the bound on memory.
+
+use {
+    control::{AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer},
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngAlgorithm, RngSeed},
+    },
+    std::{sync::Arc, time::Duration},
+    types::Journal,
+};
+
+fn journal(request: &str, tokens: &[Arc<str>]) -> Journal {
+    Journal {
+        account: "lagoon".into(),
+        attempt: 1,
+        finish: None,
+        max_tokens: 100,
+        model: "m".into(),
+        prompt: "prompt".into(),
+        request: request.into(),
+        seed: 7,
+        tokens: tokens.to_vec(),
+    }
+}
+
+fn whole(request: &str) -> JournalAppend {
+    JournalAppend::Whole {
+        epoch: 0,
+        journal: journal(request, &[]),
+        owner: holder("a"),
+    }
+}
+
+fn tokens(request: &str, from: u32, tokens: &[Arc<str>]) -> JournalAppend {
+    JournalAppend::Tokens {
+        attempt: 1,
+        finish: None,
+        from,
+        owner: holder("a"),
+        request: request.into(),
+        tokens: tokens.to_vec(),
+    }
+}
+
+fn holder(instance: &str) -> Holder {
+    Holder {
+        instance: instance.into(),
+        nonce: instance.into(),
+    }
+}
+
+fn answer(count: u32) -> Vec<Arc<str>> {
+    (0..count).map(|index| format!("t{index}").into()).collect()
+}
+
+fn config() -> Config {
+    Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x6a6f_7572),
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against lost, repeated or reordered tokens when appends are repeated, delayed or
+    /// dropped: the copy is always a prefix of the answer.
+    #[test]
+    fn copy_is_a_prefix(pieces in prop::collection::vec((0u32..30, 0u32..10), 1..40)) {
+        let all = answer(40);
+        let mut journals = Journals::new(JournalSettings::default());
+        journals.append(Duration::ZERO, whole("r"));
+        let mut kept = 0;
+        for (from, count) in pieces {
+            let piece = &all[from as usize..(from + count) as usize];
+            let expected = if from > kept {
+                AppendAnswer::Incomplete { next: kept }
+            } else {
+                kept = kept.max(from + count);
+                AppendAnswer::Appended { next: kept }
+            };
+            prop_assert_eq!(journals.append(Duration::ZERO, tokens("r", from, piece)), expected);
+            let held = &journals.get(&"r".into()).expect("journal").tokens;
+            prop_assert_eq!(held.as_slice(), &all[..kept as usize]);
+        }
+    }
+
+    /// Guards against two instances that serve one stream, and against memory past the bound.
+    #[test]
+    fn one_taker_and_bounded_memory(
+        steps in prop::collection::vec((0u8..5, 0u8..6, 0u8..3, 0u64..30_000), 1..80),
+    ) {
+        let settings = JournalSettings { max_bytes: 2_500, ..JournalSettings::default() };
+        let mut journals = Journals::new(settings);
+        let mut now = Duration::ZERO;
+        let mut holders = std::collections::BTreeMap::new();
+        for (kind, request, instance, pause_ms) in steps {
+            now += Duration::from_millis(pause_ms);
+            journals.expire(now);
+            let (request, instance) = (format!("r{request}"), format!("i{instance}"));
+            holders.retain(|request: &String, _| {
+                journals.get(&request.as_str().into()).is_some()
+            });
+            match kind {
+                0 => { journals.append(now, whole(&request)); }
+                1 => { journals.append(now, tokens(&request, 0, &answer(5))); }
+                2 => journals.end(now, &request.as_str().into()),
+                3 => journals.owner_lost(now, &"a".into()),
+                _ => {
+                    let answer = journals.take(
+                        now, &request.as_str().into(), &"lagoon".into(), &holder(&instance),
+                    );
+                    if matches!(answer, TakeAnswer::Given { .. }) {
+                        let holder = holders.entry(request).or_insert(instance.clone());
+                        prop_assert_eq!(&*holder, &instance);
+                    }
+                }
+            }
+            prop_assert!(journals.bytes() <= settings.max_bytes);
+        }
+    }
+}
+
+/// Guards against an owner that goes on delivering after its stream was taken over, and against a
+/// stream lost with the reply to its hand-over.
+#[test]
+fn hand_over_stops_the_old_owner_and_may_be_repeated() {
+    let mut journals = Journals::new(JournalSettings::default());
+    let (now, request) = (Duration::ZERO, "r".into());
+    journals.append(now, whole("r"));
+    let take = |journals: &mut Journals, account: &str, instance| {
+        journals.take(now, &request, &account.into(), &holder(instance))
+    };
+    assert_eq!(take(&mut journals, "other", "x"), TakeAnswer::Unknown);
+    let first = take(&mut journals, "lagoon", "b");
+    assert!(matches!(first, TakeAnswer::Given { .. }));
+    assert_eq!(take(&mut journals, "lagoon", "b"), first);
+    let by = "b".into();
+    assert_eq!(take(&mut journals, "lagoon", "c"), TakeAnswer::Taken { by });
+    let by = "b".into();
+    let late = journals.append(now, tokens("r", 0, &answer(1)));
+    assert_eq!(late, AppendAnswer::Taken { by });
+}
+
+/// Guards against a journal that is dropped while its stream runs, or kept for ever after its end.
+#[test]
+fn retention_starts_at_the_end_or_loss_and_an_append_stops_it() {
+    let mut journals = Journals::new(JournalSettings::default());
+    let second = Duration::from_secs;
+    let request = "r".into();
+    journals.append(second(0), whole("r"));
+    journals.expire(second(1_000));
+    assert_eq!(journals.count(), 1);
+    journals.owner_lost(second(1_000), &"a".into());
+    journals.append(second(1_059), tokens("r", 0, &answer(1)));
+    journals.expire(second(1_100));
+    assert_eq!(journals.count(), 1);
+    journals.end(second(1_100), &request);
+    journals.end(second(1_150), &request);
+    journals.expire(second(1_159));
+    assert_eq!(journals.count(), 1);
+    journals.expire(second(1_160));
+    assert_eq!((journals.count(), journals.bytes()), (0, 0));
+}
+
+/// Guards against a holder that is replaced by a delayed message of an earlier one, and against a
+/// taker that cannot go on with the stream it took.
+#[test]
+fn the_taker_replaces_the_owner_and_never_the_reverse() {
+    let mut journals = Journals::new(JournalSettings::default());
+    let (now, request) = (Duration::ZERO, "r".into());
+    let adopt = |epoch, instance| JournalAppend::Whole {
+        epoch,
+        journal: journal("r", &answer(2)),
+        owner: holder(instance),
+    };
+    journals.append(now, whole("r"));
+    let TakeAnswer::Given { epoch, .. } =
+        journals.take(now, &request, &"lagoon".into(), &holder("b"))
+    else {
+        panic!("the first taker gets the journal");
+    };
+    let by = "b".into();
+    assert_eq!(
+        journals.append(now, adopt(9, "c")),
+        AppendAnswer::Taken { by }
+    );
+    let adopted = AppendAnswer::Appended { next: 2 };
+    assert_eq!(journals.append(now, adopt(epoch, "b")), adopted);
+    let by = "b".into();
+    assert_eq!(journals.append(now, whole("r")), AppendAnswer::Taken { by });
+    assert_eq!(journals.append(now, adopt(epoch + 1, "d")), adopted);
+    let by = "d".into();
+    assert_eq!(
+        journals.append(now, adopt(epoch, "b")),
+        AppendAnswer::Taken { by }
+    );
+}
