Add the tarpc service between instances

Cause: instances exchange heartbeats, changes, journals and call states. Change: peer::Pool and peer::serve behind the traits Peers and PeerHandler; shared secret, backoff.

--- /dev/null
+++ b/crates/peer/src/changes.rs
@@ -0,0 +1,10 @@
+use super::*;
+
+/// Answer to a request for the changes after a version.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Changes {
+    /// The sender no longer has all changes after the version; these are its lists.
+    Lists(Arc<Lists>),
+    /// Changes in order of version; empty when there are none.
+    Records(Vec<ChangeRecord>),
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,63 @@
-//! Messages between entry instances over tarpc.
+//! Messages between entry instances: a `tarpc` service over TCP with bincode.
+//!
+//! Every call carries the secret that all instances share, has a deadline and travels in frames of
+//! bounded size. Callers of this crate see the traits `Peers` and `PeerHandler` only.
+
+use {
+    blake3::Hash,
+    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    futures::{FutureExt, Stream, StreamExt, future::BoxFuture},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        fmt::{self, Debug, Formatter},
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tarpc::{
+        client::{self, RpcError},
+        context::Context,
+        serde_transport::{self, Transport},
+        server::{BaseChannel, Channel},
+        tokio_serde::formats::Bincode,
+        tokio_util::codec::LengthDelimitedCodec,
+    },
+    thiserror::Error,
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{Semaphore, watch},
+        task::JoinSet,
+        time::{Instant, timeout},
+    },
+    types::{
+        AccountId, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists, Nonce,
+        RequestId,
+    },
+};
+
+mod changes;
+mod error;
+mod peers;
+mod pool;
+mod secret;
+mod server;
+mod service;
+mod settings;
+mod slot;
+
+pub use {
+    changes::Changes,
+    error::Error,
+    peers::{PeerHandler, Peers},
+    pool::Pool,
+    secret::Secret,
+    server::serve,
+    settings::PeerSettings,
+};
+
+use {
+    service::{PeerServiceClient, Rejection},
+    slot::Slot,
+};
--- /dev/null
+++ b/crates/peer/src/slot.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+/// Connection to one peer.
+#[derive(Default)]
+pub(crate) struct Slot {
+    client: Option<PeerServiceClient>,
+    /// Attempts to connect that failed since the last connection.
+    failure_count: u32,
+    retry_at: Option<Instant>,
+}
+
+impl Slot {
+    /// Forgets `connection`, unless a newer one has taken its place.
+    pub(crate) fn disconnect(&mut self, connection: u64, current: u64) {
+        if connection == current {
+            self.client = None;
+        }
+    }
+
+    /// The open connection, or a new one.
+    pub(crate) async fn connect(
+        &mut self,
+        address: SocketAddr,
+        settings: &PeerSettings,
+    ) -> Result<(PeerServiceClient, bool), Error> {
+        if let Some(client) = &self.client {
+            return Ok((client.clone(), false));
+        }
+        let now = Instant::now();
+        if let Some(retry_at) = self.retry_at.filter(|retry_at| *retry_at > now) {
+            let wait = retry_at - now;
+            return Err(Error::Backoff { address, wait });
+        }
+        match open(address, settings).await {
+            Err(message) => {
+                self.retry_at = Some(Instant::now() + self.pause(settings));
+                self.failure_count = self.failure_count.saturating_add(1);
+                Err(Error::Connect { address, message })
+            }
+            Ok(client) => {
+                self.client = Some(client.clone());
+                self.failure_count = 0;
+                self.retry_at = None;
+                Ok((client, true))
+            }
+        }
+    }
+
+    fn pause(&self, settings: &PeerSettings) -> Duration {
+        let factor = 1_u64.checked_shl(self.failure_count).unwrap_or(u64::MAX);
+        let pause_ms = settings.backoff_ms.saturating_mul(factor);
+        Duration::from_millis(pause_ms.min(settings.backoff_max_ms))
+    }
+}
+
+async fn open(address: SocketAddr, settings: &PeerSettings) -> Result<PeerServiceClient, Arc<str>> {
+    let limit = Duration::from_millis(settings.connect_ms);
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Err(_) => return Err(format!("no answer for {limit:?}").into()),
+        Ok(result) => result.map_err(|error| error.to_string())?,
+    };
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
+    let transport = server::transport(stream, settings.frame_bytes);
+    Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
+}
