Add the signatures of Node and its settings

Cause: the process around Node needs stable signatures while the policy is written. Change: Node, NodeSettings, Status and AddressAnswer with the agreed signatures; no policy yet.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! checkers drive exactly the code that ships.
 
 use {
+    rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
@@ -14,23 +15,34 @@
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
         Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
         GenerateSubmission, Heartbeat, Incarnation, InstanceId, Listing, ListingRole, Lists,
-        LoadReport, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId, Route,
-        StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+        LoadReport, ModelId, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId,
+        Route, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
     },
 };
 
+mod address;
 mod command;
 mod context;
 mod decision;
 mod event;
 mod identity;
+mod node;
+mod settings;
+mod status;
 mod target;
 
 pub use {
+    address::AddressAnswer,
     command::Command,
     context::Context,
     decision::{Candidate, Decision},
     event::{Event, OwnerStatus},
     identity::Identity,
+    node::Node,
+    settings::{
+        AdmissionSettings, DrainSettings, NodeSettings, QuarantineSettings, RetrySettings,
+        RouteSettings,
+    },
+    status::{InstanceStatus, Status, TargetStatus},
     target::Target,
 };
