Let an owner end its copy, and count tokens in event ids

Cause: a copy of a stream whose caller left had no end; an event id could not say `no token yet`. Change: JournalAppend::End; ResumePoint::index is the number of tokens that the caller has.

--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -26,98 +26,6 @@
     }
 }
 
-/// Part of a journal that its owner sends to the backup peer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum JournalAppend {
-    /// The whole journal; the first message of a stream, and the first to a new backup.
-    Whole {
-        /// Number of hand-overs before this holder.
-        epoch: u32,
-        /// Journal.
-        journal: Journal,
-        /// Who serves the stream.
-        owner: Holder,
-    },
-    /// Tokens that follow those sent earlier.
-    Tokens {
-        /// Newest attempt that was started.
-        attempt: Attempt,
-        /// Why the answer is complete, if it is.
-        finish: Option<FinishReason>,
-        /// Index of the first of `tokens`.
-        from: TokenIndex,
-        /// Who serves the stream.
-        owner: Holder,
-        /// Request.
-        request: RequestId,
-        /// Tokens.
-        tokens: Vec<Arc<str>>,
-    },
-}
-
-impl JournalAppend {
-    /// Request that the message is about.
-    #[must_use]
-    pub fn request(&self) -> &RequestId {
-        match self {
-            Self::Tokens { request, .. } => request,
-            Self::Whole { journal, .. } => &journal.request,
-        }
-    }
-}
-
-/// Answer to an append.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum AppendAnswer {
-    /// The tokens are kept.
-    Appended {
-        /// Index after the last token kept.
-        next: TokenIndex,
-    },
-    /// Memory for journals is used up; the sender needs another backup.
-    Full,
-    /// Tokens before `from` are missing, or the journal is; send it whole.
-    Incomplete {
-        /// Index after the last token kept; 0 if there is no journal.
-        next: TokenIndex,
-    },
-    /// Another instance took the stream over; the sender must not deliver any more of it.
-    Taken {
-        /// Instance that took it.
-        by: InstanceId,
-    },
-}
-
-/// One run of a stream at one instance. The nonce tells apart two runs at the same instance, and
-/// lets an attempt to take a journal be repeated when its reply is lost.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Holder {
-    /// Instance that serves the stream, or will.
-    pub instance: InstanceId,
-    /// Random value of this run.
-    pub nonce: Nonce,
-}
-
-/// Answer to a request for a journal.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum TakeAnswer {
-    /// Every other taker is turned away from now on.
-    Given {
-        /// Number of hand-overs, this one included.
-        epoch: u32,
-        /// The journal.
-        journal: Box<Journal>,
-    },
-    /// Another taker has the journal.
-    Taken {
-        /// Instance that took it.
-        by: InstanceId,
-    },
-    /// No journal of this request is held for this account. A journal of another account gives the
-    /// same answer, so that request ids of other accounts cannot be probed.
-    Unknown,
-}
-
 /// A journal with what decides how long it is kept and who may have it.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -174,6 +82,7 @@
     pub fn append(&mut self, now: Duration, append: JournalAppend) -> AppendAnswer {
         self.expire(now);
         match append {
+            JournalAppend::End { owner, request } => self.close(now, &request, &owner),
             JournalAppend::Tokens {
                 attempt,
                 finish,
@@ -220,15 +129,6 @@
         self.entries.len()
     }
 
-    /// Starts the retention of a journal whose stream ended without a finish reason, for example
-    /// because its caller disconnected.
-    pub fn end(&mut self, now: Duration, request: &RequestId) {
-        let expires = now + self.retention();
-        if let Some(entry) = self.entries.get_mut(request) {
-            entry.expires.get_or_insert(expires);
-        }
-    }
-
     /// Drops journals whose retention is over.
     pub fn expire(&mut self, now: Duration) {
         let mut freed = 0;
@@ -289,6 +189,21 @@
         }
     }
 
+    /// Starts the retention of a journal, unless it has started.
+    fn close(&mut self, now: Duration, request: &RequestId, owner: &Holder) -> AppendAnswer {
+        let expires = now + self.retention();
+        let Some(entry) = self.entries.get_mut(request) else {
+            return AppendAnswer::Incomplete { next: 0 };
+        };
+        if let Some(by) = entry.other_holder(owner) {
+            return AppendAnswer::Taken { by };
+        }
+        entry.expires.get_or_insert(expires);
+        AppendAnswer::Appended {
+            next: token_count(&entry.journal),
+        }
+    }
+
     fn extend(
         &mut self,
         now: Duration,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 mod event;
 mod identity;
 mod journal;
+mod journal_message;
 mod node;
 mod settings;
 mod status;
@@ -41,7 +42,8 @@
     decision::{Candidate, Decision},
     event::{Event, OwnerStatus},
     identity::Identity,
-    journal::{AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer},
+    journal::{JournalSettings, Journals},
+    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer},
     node::Node,
     settings::{
         AdmissionSettings, DrainSettings, NodeSettings, QuarantineSettings, RetrySettings,
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -43,6 +43,13 @@
     }
 }
 
+fn end(request: &str) -> JournalAppend {
+    JournalAppend::End {
+        owner: holder("a"),
+        request: request.into(),
+    }
+}
+
 fn holder(instance: &str) -> Holder {
     Holder {
         instance: instance.into(),
@@ -108,7 +115,7 @@
             match kind {
                 0 => { journals.append(now, whole(&request)); }
                 1 => { journals.append(now, tokens(&request, 0, &answer(5))); }
-                2 => journals.end(now, &request.as_str().into()),
+                2 => { journals.append(now, end(&request)); }
                 3 => journals.owner_lost(now, &"a".into()),
                 _ => {
                     let answer = journals.take(
@@ -151,7 +158,6 @@
 fn retention_starts_at_the_end_or_loss_and_an_append_stops_it() {
     let mut journals = Journals::new(JournalSettings::default());
     let second = Duration::from_secs;
-    let request = "r".into();
     journals.append(second(0), whole("r"));
     journals.expire(second(1_000));
     assert_eq!(journals.count(), 1);
@@ -159,8 +165,8 @@
     journals.append(second(1_059), tokens("r", 0, &answer(1)));
     journals.expire(second(1_100));
     assert_eq!(journals.count(), 1);
-    journals.end(second(1_100), &request);
-    journals.end(second(1_150), &request);
+    journals.append(second(1_100), end("r"));
+    journals.append(second(1_150), end("r"));
     journals.expire(second(1_159));
     assert_eq!(journals.count(), 1);
     journals.expire(second(1_160));
--- a/crates/types/src/journal.rs
+++ b/crates/types/src/journal.rs
@@ -28,7 +28,7 @@
 pub struct ResumePoint {
     /// Instance that holds the copy of the journal, if any.
     pub backup: Option<InstanceId>,
-    /// Last token that the caller has.
+    /// Tokens that the caller has; 0 before the first.
     pub index: TokenIndex,
     /// Instance that served the stream.
     pub owner: InstanceId,
