--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,34 +3,52 @@
 //! checkers drive exactly the code that ships.
 
 use {
+    rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, SystemTime},
     },
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
-        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
-        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Listing, ListingRole, Lists,
-        LoadReport, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId, Route,
-        StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind, FinishReason,
+        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Journal, Listing, ListingRole,
+        Lists, LoadReport, ModelId, Nonce, OperationId, Order, Priority, Refusal, RegionId,
+        RequestId, Route, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth,
+        TargetId, TokenIndex,
     },
 };
 
+mod address;
 mod command;
 mod context;
 mod decision;
 mod event;
 mod identity;
+mod journal;
+mod journal_message;
+mod node;
+mod settings;
+mod status;
 mod target;
 
 pub use {
+    address::AddressAnswer,
     command::Command,
     context::Context,
     decision::{Candidate, Decision},
     event::{Event, OwnerStatus},
     identity::Identity,
+    journal::{JournalSettings, Journals},
+    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer},
+    node::Node,
+    settings::{
+        AdmissionSettings, DrainSettings, NodeSettings, QuarantineSettings, RetrySettings,
+        RouteSettings,
+    },
+    status::{InstanceStatus, Status, TargetStatus},
     target::Target,
 };
