Follow the replies of the administration interface

Cause: an instance reports an edit that may still take effect with 202, names the current version in `current_version`, and takes up to 10 s for it. Change: ctl retries after 202 with the same operation id, and waits 12 s for each address; suite reads the announced addresses in both forms.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -6,9 +6,9 @@
 /// Longest pause between rounds over the addresses.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Longest wait for one address; the next one is tried after that. Longer than the 2 s that an
-/// instance takes at most to resolve a lost reply of the store.
-const REPLY_LIMIT: Duration = Duration::from_secs(5);
+/// Longest wait for one address; the next one is tried after that. Longer than the 10 s after
+/// which an instance with default settings replies that the result of an edit is not known.
+const REPLY_LIMIT: Duration = Duration::from_secs(12);
 
 /// One edit of a list.
 #[derive(Clone, Debug)]
@@ -133,13 +133,16 @@
         Err(error) => return Attempt::Unsure(error.to_string()),
         Ok(reply) => reply,
     };
+    if reply.status == StatusCode::ACCEPTED {
+        let message = format!("{address} does not know yet whether the edit takes effect");
+        return Attempt::Unsure(message);
+    }
     if !reply.status.is_server_error() {
         return Attempt::Final(reply);
     }
     let fault = fault(&reply);
     let message = format!("{address}: {}", fault.message);
-    // Only 503 with another kind than `unknown` says that nothing was changed.
-    if reply.status.as_u16() == 503 && fault.kind != "unknown" {
+    if reply.status == StatusCode::SERVICE_UNAVAILABLE {
         return Attempt::NotDone(message);
     }
     Attempt::Unsure(message)
@@ -165,8 +168,7 @@
 /// Version that a conflict names, in its body or as `ETag`.
 fn current(reply: &Reply) -> String {
     let body: Value = reply.json().unwrap_or_default();
-    let fields = [&body["current"], &body["error"]["current"]];
-    if let Some(version) = fields.iter().find_map(|field| field.as_u64()) {
+    if let Some(version) = body["current_version"].as_u64() {
         return version.to_string();
     }
     let tag = reply.header("etag").unwrap_or("not known");
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -10,6 +10,15 @@
 }
 
 impl List {
+    /// Name of one entry in replies.
+    #[must_use]
+    pub fn noun(self) -> &'static str {
+        match self {
+            Self::Accounts => "account",
+            Self::Plans => "plan",
+        }
+    }
+
     /// Path of the list.
     #[must_use]
     pub fn path(self) -> &'static str {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -20,7 +20,10 @@
     thiserror::Error,
     tokio::time::{Instant, sleep},
     types::{Account, ConfigVersion, Plan, hash_key},
-    wire::{Call, Fault, FaultBody, Reply, call, hyper::Method},
+    wire::{
+        Call, Fault, FaultBody, Reply, call,
+        hyper::{Method, StatusCode},
+    },
 };
 
 mod client;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -35,7 +35,7 @@
             Ok(if options.is_json {
                 line(&reply)
             } else {
-                pretty(&reply["entry"])
+                pretty(&reply[list.noun()])
             })
         }
         Command::Status => {
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -6,7 +6,6 @@
     anyhow::{Context, Result, anyhow, bail},
     serde::Serialize,
     serde_json::Value,
-    settings::Announcement,
     std::{
         collections::{BTreeMap, BTreeSet},
         fs::{self, File},
--- a/crates/suite/src/process.rs
+++ b/crates/suite/src/process.rs
@@ -6,7 +6,7 @@
 /// One started process. Dropping it ends it at once, also when a test panics.
 #[derive(Debug)]
 pub struct Process {
-    announcement: Announcement,
+    announcement: Value,
     child: Child,
     log: PathBuf,
     name: String,
@@ -36,10 +36,7 @@
             .with_context(|| format!("cannot start `{program}`"))?;
         let output = child.stdout.take();
         let mut process = Self {
-            announcement: Announcement {
-                listening: BTreeMap::new(),
-                program: program.into(),
-            },
+            announcement: Value::Null,
             child,
             log,
             name: name.into(),
@@ -57,10 +54,14 @@
     ///
     /// Returns an error when it announced none.
     pub fn address(&self, purpose: &str) -> Result<SocketAddr> {
-        let address = self.announcement.listening.get(purpose);
-        address
-            .copied()
-            .with_context(|| format!("{} listens on nothing for `{purpose}`", self.name))
+        let announced = &self.announcement;
+        let text = announced[purpose].as_str();
+        let text = text.or(announced["listening"][purpose].as_str());
+        let text = text.with_context(|| {
+            let name = &self.name;
+            format!("{name} announced no address for `{purpose}` in {announced}")
+        })?;
+        Ok(text.parse()?)
     }
 
     /// Process id.
--- a/crates/suite/tests/recorder.rs
+++ b/crates/suite/tests/recorder.rs
@@ -32,7 +32,7 @@
     recorder.layers(&[run(1, 0, 4), run(2, 4, 8), run(2, 0, 4)]);
     recorder.token("r", "r", 0, "a");
     recorder.completed("r");
-    // The reply to the first call overtakes nothing: the second was made before it came.
+    // The second call was made before the reply to the first came.
     let (first, second) = (recorder.asked("k"), recorder.asked("k"));
     recorder.told(second, Told::Ran("x".into()));
     recorder.told(first, Told::NotRun);
