--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
     bytes::Bytes,
     futures::future::BoxFuture,
     serde::{Deserialize, Serialize},
+    settings::{Check, Faults},
     std::{
         fmt::Debug,
         net::SocketAddr,
--- a/crates/standin/src/bin/standin-engine.rs
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -1,3 +1,16 @@
-//! Small stand-ins for the platform, engines and services, for tests and the demo.
+//! Stand-in for a model engine that holds a range of layers.
 
-fn main() {}
+use {
+    settings::Program,
+    standin::{Engine, run_binary},
+    std::process::ExitCode,
+};
+
+fn main() -> anyhow::Result<ExitCode> {
+    let program = Program {
+        description: "Stand-in for a model engine that holds a range of layers.",
+        name: "standin-engine",
+        version: env!("CARGO_PKG_VERSION"),
+    };
+    Ok(run_binary(&program, Engine::start)?)
+}
--- a/crates/standin/src/bin/standin-service.rs
+++ b/crates/standin/src/bin/standin-service.rs
@@ -1,3 +1,16 @@
-//! Small stand-ins for the platform, engines and services, for tests and the demo.
+//! Stand-in for a plain service.
 
-fn main() {}
+use {
+    settings::Program,
+    standin::{Service, run_binary},
+    std::process::ExitCode,
+};
+
+fn main() -> anyhow::Result<ExitCode> {
+    let program = Program {
+        description: "Stand-in for a plain service.",
+        name: "standin-service",
+        version: env!("CARGO_PKG_VERSION"),
+    };
+    Ok(run_binary(&program, Service::start)?)
+}
--- /dev/null
+++ b/crates/standin/src/check.rs
@@ -0,0 +1,100 @@
+use super::*;
+
+const FRACTION_REMEDY: &str = "write a part of the whole, such as 0.1";
+
+impl Check for Place {
+    fn check(&self, faults: &mut Faults) {
+        let holds = !self.id.is_empty() && !self.id.contains(['/', '?', '#', ' ']);
+        let problem = "is no path segment";
+        let remedy = "write letters, digits and `-`";
+        faults.require(holds, "id", &self.id, problem, remedy);
+        let remedy = "refresh more often than the platform's rows expire, for example each 1000";
+        faults.range("refresh_ms", self.refresh_ms, 10..=60_000, remedy);
+    }
+}
+
+impl Check for PlatformSettings {
+    fn check(&self, faults: &mut Faults) {
+        faults.inside("log", &self.log);
+        check_limits(faults, &self.limits);
+        let remedy = "give rows time to be refreshed, for example 6000";
+        faults.range("expiry_ms", self.expiry_ms, 100..=3_600_000, remedy);
+        let fraction = self.faults.lost_reply_fraction;
+        faults.range(
+            "faults.lost_reply_fraction",
+            fraction,
+            0.0..=1.0,
+            FRACTION_REMEDY,
+        );
+    }
+}
+
+impl Check for ServiceSettings {
+    fn check(&self, faults: &mut Faults) {
+        faults.inside("log", &self.log);
+        faults.inside("place", &self.place);
+        check_limits(faults, &self.limits);
+        let remedy = "allow at least one call at once";
+        faults.range("slot_count", self.slot_count, 1..=u32::MAX, remedy);
+    }
+}
+
+impl Check for EngineSettings {
+    fn check(&self, faults: &mut Faults) {
+        faults.inside("log", &self.log);
+        faults.inside("place", &self.place);
+        check_limits(faults, &self.limits);
+        let remedy = "allow at least one request at once";
+        faults.range("slot_count", self.slot_count, 1..=4_096, remedy);
+        let fraction = self.cache_event_gap_fraction;
+        faults.range(
+            "cache_event_gap_fraction",
+            fraction,
+            0.0..=1.0,
+            FRACTION_REMEDY,
+        );
+        let remedy = "write 1 for no slowdown";
+        let factor = self.faults.slow_factor;
+        faults.range("faults.slow_factor", factor, 0.0..=1e6, remedy);
+        for (index, model) in self.models.iter().enumerate() {
+            let layers = model.layers;
+            let holds = layers.start < layers.end && layers.end <= model.layer_count;
+            faults.require(
+                holds,
+                &format!("models[{index}].layers"),
+                format!("{} to {}", layers.start, layers.end),
+                "is no range of the model's layers",
+                "write `start` below `end`, and `end` at most `layer_count`",
+            );
+        }
+    }
+}
+
+fn check_limits(faults: &mut Faults, limits: &Limits) {
+    // hyper panics on a smaller buffer.
+    let remedy = "allow at least 8192 bytes";
+    faults.range(
+        "limits.head_bytes",
+        limits.head_bytes,
+        8_192..=usize::MAX,
+        remedy,
+    );
+}
+
+impl BinarySettings for EngineSettings {
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
+
+impl BinarySettings for PlatformSettings {
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
+
+impl BinarySettings for ServiceSettings {
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,313 @@
+use super::*;
+
+/// Time after the last step of a stream at a later stage for which the stream counts as running.
+const STREAM_IDLE: Duration = Duration::from_secs(1);
+
+/// Stand-in for a model engine that holds a range of layers.
+#[derive(Debug)]
+pub struct Engine {
+    incarnation: Incarnation,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+    links: Links,
+    pub(crate) settings: EngineSettings,
+    pub(crate) slots: Arc<Slots>,
+    pub(crate) state: Mutex<EngineState>,
+    /// Steps of later stages that run at once.
+    steps: Semaphore,
+}
+
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) cache: PrefixCache,
+    /// Attempts that this engine runs as first stage.
+    pub(crate) controls: BTreeMap<RequestId, Arc<Control>>,
+    pub(crate) faults: EngineFaults,
+    /// Fence of the newest order that was carried out.
+    pub(crate) fence: Fence,
+    /// Tokens of each request whose KV cache was imported.
+    pub(crate) imported: BTreeMap<RequestId, u32>,
+    pub(crate) log: EngineLog,
+    pub(crate) models: Vec<LoadedModel>,
+    /// Fence of the newest order that was accepted.
+    pub(crate) newest_fence: Fence,
+    /// Orders accepted so far; a load in progress ends when a newer order arrives.
+    pub(crate) order_count: u64,
+    pub(crate) rate: Rate,
+    /// Last step and tokens held of each attempt, for KV export and for the drain.
+    pub(crate) streams: BTreeMap<(RequestId, Attempt), (Instant, u32)>,
+}
+
+impl Engine {
+    /// Starts the stand-in in this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Listen` when the address cannot be listened on.
+    pub async fn start(settings: EngineSettings) -> Result<Standin, Error> {
+        let (address, limits) = (settings.place.address, settings.limits);
+        let lag = Duration::from_millis(settings.report_lag_ms);
+        let engine = Arc::new(Self {
+            incarnation: settings.place.incarnation(),
+            lifecycle: Lifecycle::new(),
+            links: Links::default(),
+            slots: Slots::new(settings.slot_count, lag),
+            state: Mutex::new(EngineState::new(&settings)),
+            steps: Semaphore::new(usize::try_from(settings.slot_count).unwrap_or(1)),
+            settings,
+        });
+        Standin::launch(address, limits, |address| engine.parts(address)).await
+    }
+
+    fn parts(self: Arc<Self>, address: SocketAddr) -> Parts {
+        let role = ListingRole::Engine {
+            accelerator: self.settings.accelerator.clone(),
+            checks_fence: self.settings.checks_fence,
+        };
+        let place = &self.settings.place;
+        Parts {
+            drained: Box::pin(self.clone().drained()),
+            lifecycle: self.lifecycle.clone(),
+            registration: Some(Registration::new(place, address, self.incarnation, role)),
+            handler: self,
+        }
+    }
+
+    /// Completes when no attempt runs here and no step of another stage's attempt came for the
+    /// grace time.
+    async fn drained(self: Arc<Self>) {
+        let grace = Duration::from_millis(self.settings.place.leave_grace_ms);
+        sleep(grace).await;
+        loop {
+            let is_idle = {
+                let mut state = lock(&self.state);
+                state.forget_streams(grace.max(STREAM_IDLE));
+                state.controls.is_empty() && state.streams.is_empty()
+            };
+            if is_idle {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn respond(self: Arc<Self>, request: Request) -> Response {
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/log") => return wire::json(StatusCode::OK, &lock(&self.state).log),
+            (&Method::PUT, "/faults") => return self.set_faults(&request),
+            _ => {}
+        }
+        self.thawed().await;
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/v1/events") => self.events(&request),
+            (&Method::GET, "/v1/load") => self.load(),
+            (&Method::POST, "/v1/cancel") => self.cancel(&request),
+            (&Method::POST, "/v1/forward") => self.forward(&request).await,
+            (&Method::POST, "/v1/generate") => self.generate(&request),
+            (&Method::POST, "/v1/kv/export") => self.export_kv(&request),
+            (&Method::POST, "/v1/kv/import") => self.import_kv(&request),
+            (&Method::POST, "/v1/orders") => self.order(&request),
+            (&Method::POST, "/v1/priority") => self.set_priority(&request),
+            _ => not_found(&request),
+        }
+    }
+
+    pub(crate) fn faults(&self) -> EngineFaults {
+        lock(&self.state).faults.clone()
+    }
+
+    /// Waits until the engine is not frozen.
+    async fn thawed(&self) {
+        while lock(&self.state).faults.frozen {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn set_faults(&self, request: &Request) -> Response {
+        match request.json() {
+            Err(error) => bad_request(&error),
+            Ok(faults) => {
+                lock(&self.state).faults = faults;
+                wire::empty(StatusCode::NO_CONTENT)
+            }
+        }
+    }
+
+    fn generate(self: &Arc<Self>, request: &Request) -> Response {
+        let request: GenerateRequest = match request.json() {
+            Err(error) => return bad_request(&error),
+            Ok(request) => request,
+        };
+        if let Some(refusal) = self.refusal(&request) {
+            return refusal;
+        }
+        let control = Arc::new(Control {
+            attempt: request.attempt,
+            canceled: watch::Sender::new(false),
+            priority: watch::Sender::new(request.priority),
+        });
+        let previous = lock(&self.state)
+            .controls
+            .insert(request.request.clone(), control.clone());
+        if let Some(previous) = previous {
+            previous.canceled.send_replace(true);
+        }
+        let (sender, response) = wire::stream(StatusCode::OK, "application/x-ndjson");
+        let generation = Generation {
+            control,
+            engine: self.clone(),
+            request,
+        };
+        tokio::spawn(generation.run(sender));
+        response
+    }
+
+    /// Why a prompt is not taken; nothing of it was run.
+    fn refusal(&self, request: &GenerateRequest) -> Option<Response> {
+        let state = lock(&self.state);
+        if state.faults.refuse {
+            return Some(refuse("refused", "a fault makes this engine refuse"));
+        }
+        let grace_ms = self.settings.place.leave_grace_ms;
+        if self
+            .lifecycle
+            .left_since_ms()
+            .is_some_and(|ms| ms > grace_ms)
+        {
+            return Some(refuse("leaving", "this engine is about to stop"));
+        }
+        if !request.route.is_complete() {
+            return Some(wire::empty(StatusCode::BAD_REQUEST));
+        }
+        if !state.holds(&request.model, &request.route, 0) {
+            return Some(refuse("not_held", "this engine does not hold these layers"));
+        }
+        let newer = state.controls.get(&request.request);
+        if newer.is_some_and(|control| control.attempt >= request.attempt) {
+            return Some(refuse("old_attempt", "a newer attempt is running"));
+        }
+        if self.slots.level().waiting_count >= self.settings.queue_count {
+            return Some(wire::empty(StatusCode::TOO_MANY_REQUESTS));
+        }
+        None
+    }
+
+    /// Forgets an attempt that ended.
+    pub(crate) fn end(&self, request: &GenerateRequest, control: &Arc<Control>) {
+        let mut state = lock(&self.state);
+        let current = state.controls.get(&request.request);
+        if current.is_some_and(|current| Arc::ptr_eq(current, control)) {
+            state.controls.remove(&request.request);
+        }
+    }
+
+    async fn forward(&self, request: &Request) -> Response {
+        let step: ForwardRequest = match request.json() {
+            Err(error) => return bad_request(&error),
+            Ok(step) => step,
+        };
+        if !lock(&self.state).holds(&step.model, &step.route, step.position) {
+            return refuse("not_held", "this engine does not hold these layers");
+        }
+        let Ok(_permit) = self.steps.acquire().await else {
+            return refuse("stopped", "this engine has stopped");
+        };
+        wire::json(StatusCode::OK, &self.step(&step).await)
+    }
+
+    /// Runs the own layers for one token, then those of the later stages.
+    pub(crate) async fn step(&self, step: &ForwardRequest) -> ForwardReply {
+        let stages = &step.route.stages;
+        let own = &stages[step.position];
+        self.thawed().await;
+        let prefill = self.begin(step);
+        let busy = Duration::from_micros(self.settings.step_us) + prefill;
+        sleep(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
+        self.thawed().await;
+        lock(&self.state).record(step, own.layers, self.settings.log_entry_count);
+        let Some(next) = stages.get(step.position + 1) else {
+            return ForwardReply::Ran {
+                layers: vec![own.layers],
+                text: token_of_hash(&step.prompt_hash, step.seed, step.index).into(),
+            };
+        };
+        let link_us = self.settings.link_delay_us + self.faults().link_delay_us;
+        sleep(Duration::from_micros(link_us)).await;
+        let mut forwarded = step.clone();
+        forwarded.position += 1;
+        let limit = Duration::from_millis(self.settings.forward_limit_ms);
+        let reply = self.links.forward(next.address, &forwarded, limit).await;
+        match reply {
+            Err(kind) => ForwardReply::Failed(AttemptFailure {
+                attempt: step.attempt,
+                kind,
+                target: next.target.clone(),
+            }),
+            Ok(ForwardReply::Ran { mut layers, text }) => {
+                layers.insert(0, own.layers);
+                ForwardReply::Ran { layers, text }
+            }
+            Ok(failed) => failed,
+        }
+    }
+
+    /// Notes the start of an attempt and returns the time to process its prompt.
+    fn begin(&self, step: &ForwardRequest) -> Duration {
+        let Some(prefill) = &step.prefill else {
+            return Duration::ZERO;
+        };
+        let mut state = lock(&self.state);
+        let prompt_tokens = types::count_tokens(&prefill.prompt) + prefill.delivered_tokens;
+        let imported = state.imported.remove(&step.request).unwrap_or_default();
+        let cached = state.cache.use_prompt(Instant::now(), &prefill.prompt);
+        let cached_tokens = cached.max(imported).min(prompt_tokens);
+        let stream = (step.request.clone(), step.attempt);
+        state
+            .streams
+            .insert(stream, (Instant::now(), prompt_tokens));
+        state.log.starts.push_back(StartEntry {
+            attempt: step.attempt,
+            cached_tokens,
+            left_since_ms: self.lifecycle.left_since_ms(),
+            position: step.position,
+            request: step.request.clone(),
+        });
+        let new_tokens = prompt_tokens - cached_tokens;
+        Duration::from_micros(self.settings.prefill_us * u64::from(new_tokens))
+    }
+
+    fn load(&self) -> Response {
+        let now = Instant::now();
+        let level = self.slots.reported(now);
+        let mut state = lock(&self.state);
+        let report = LoadReport {
+            age_ms: self.settings.report_lag_ms,
+            cache_event_count: state.cache.event_count(),
+            fence: state.fence,
+            incarnation: self.incarnation,
+            leaving: self.lifecycle.is_leaving(),
+            models: state.models.clone(),
+            rate_per_s: state.rate.per_second(now),
+            running_count: level.running_count.max(state.stream_count(STREAM_IDLE)),
+            slot_count: self.settings.slot_count,
+            waiting_count: level.waiting_count,
+        };
+        wire::json(StatusCode::OK, &report)
+    }
+
+    fn events(&self, request: &Request) -> Response {
+        let after = request.parameter("after").unwrap_or("0");
+        let Ok(after) = after.parse() else {
+            return wire::empty(StatusCode::BAD_REQUEST);
+        };
+        let lag = Duration::from_millis(self.settings.cache_event_lag_ms);
+        let state = lock(&self.state);
+        let events = state.cache.events(Instant::now(), after, lag);
+        wire::json(StatusCode::OK, &events)
+    }
+}
+
+impl Handler for Engine {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        Box::pin(self.respond(request))
+    }
+}
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -11,4 +11,10 @@
         /// Cause.
         message: String,
     },
+    /// The system refuses threads, signals or output.
+    #[error("the process cannot run: {0}; check its limits and what reads its output")]
+    Process(#[from] std::io::Error),
+    /// Settings or arguments cannot be used.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
 }
--- /dev/null
+++ b/crates/standin/src/generation.rs
@@ -0,0 +1,154 @@
+use super::*;
+
+/// Control of one attempt at its first stage.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) attempt: Attempt,
+    pub(crate) canceled: watch::Sender<bool>,
+    pub(crate) priority: watch::Sender<Priority>,
+}
+
+/// One attempt at its first stage.
+pub(crate) struct Generation {
+    pub(crate) control: Arc<Control>,
+    pub(crate) engine: Arc<Engine>,
+    pub(crate) request: GenerateRequest,
+}
+
+/// Stream of records, with the faults that are set for it.
+struct Output {
+    held: Option<Bytes>,
+    sender: BodySender,
+    token_count: u32,
+}
+
+impl Generation {
+    /// Runs until the answer is complete or nobody waits for it any more.
+    pub(crate) async fn run(self, sender: BodySender) {
+        let reader = sender.clone();
+        let mut canceled = self.control.canceled.subscribe();
+        tokio::select! {
+            () = reader.closed() => {}
+            () = self.engine.lifecycle.crashed() => {}
+            () = self.steps(sender) => {}
+            _ = canceled.wait_for(|canceled| *canceled) => {}
+        }
+        self.engine.end(&self.request, &self.control);
+    }
+
+    async fn steps(&self, sender: BodySender) {
+        let mut output = Output {
+            held: None,
+            sender,
+            token_count: 0,
+        };
+        let mut slot = self.slot().await;
+        let marker = &self.engine.settings.crash_marker;
+        if !marker.is_empty() && self.request.prompt.contains(marker) {
+            self.engine.lifecycle.crash();
+            return;
+        }
+        let first = TokenIndex::try_from(self.request.delivered.len()).unwrap_or(u32::MAX);
+        let (end, reason) = answer_length(&self.request.prompt, self.request.max_tokens);
+        let mut step = self.first_step(first);
+        for index in first..end {
+            if self.engine.slots.is_wanted_above(self.priority()) {
+                drop(slot);
+                slot = self.slot().await;
+            }
+            step.index = index;
+            let record = match self.engine.step(&step).await {
+                ForwardReply::Failed(failure) => {
+                    output.finish(&StreamRecord::Failed(failure)).await;
+                    return;
+                }
+                ForwardReply::Ran { layers, text } => StreamRecord::Token(TokenRecord {
+                    attempt: step.attempt,
+                    index,
+                    layers,
+                    text,
+                }),
+            };
+            step.prefill = None;
+            let faults = self.engine.faults();
+            output.token(&record, &faults).await;
+            if faults.drop_after_tokens == Some(output.token_count) {
+                output.sender.disconnect().await;
+                return;
+            }
+        }
+        drop(slot);
+        let end = StreamRecord::End {
+            attempt: self.request.attempt,
+            reason,
+            token_count: end.max(first),
+        };
+        output.finish(&end).await;
+    }
+
+    fn first_step(&self, delivered_tokens: u32) -> ForwardRequest {
+        let request = &self.request;
+        ForwardRequest {
+            attempt: request.attempt,
+            index: delivered_tokens,
+            model: request.model.clone(),
+            position: 0,
+            prefill: Some(Prefill {
+                delivered_tokens,
+                prompt: request.prompt.clone(),
+            }),
+            prompt_hash: types::hash_key(&request.prompt),
+            request: request.request.clone(),
+            route: request.route.clone(),
+            seed: request.seed,
+        }
+    }
+
+    fn priority(&self) -> Priority {
+        *self.control.priority.borrow()
+    }
+
+    /// Waits for a slot, and queues again when the priority changes.
+    async fn slot(&self) -> Slot {
+        let mut priority = self.control.priority.subscribe();
+        loop {
+            let current = *priority.borrow_and_update();
+            tokio::select! {
+                slot = self.engine.slots.acquire(current) => return slot,
+                _ = priority.changed() => {}
+            }
+        }
+    }
+}
+
+impl Output {
+    async fn finish(mut self, record: &StreamRecord) {
+        if let Some(held) = self.held.take() {
+            self.sender.send(held).await;
+        }
+        self.sender.send(line(record)).await;
+    }
+
+    async fn token(&mut self, record: &StreamRecord, faults: &EngineFaults) {
+        let line = line(record);
+        self.token_count += 1;
+        let is_nth = |every: u32| every > 0 && self.token_count.is_multiple_of(every);
+        if is_nth(faults.reorder_every) && self.held.is_none() {
+            self.held = Some(line);
+            return;
+        }
+        if is_nth(faults.duplicate_every) {
+            self.sender.send(line.clone()).await;
+        }
+        self.sender.send(line).await;
+        if let Some(held) = self.held.take() {
+            self.sender.send(held).await;
+        }
+    }
+}
+
+fn line(record: &StreamRecord) -> Bytes {
+    let mut line = serde_json::to_vec(record).unwrap_or_default();
+    line.push(b'\n');
+    line.into()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,61 +6,93 @@
     futures::future::BoxFuture,
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    settings::{Check, Faults, LogSettings, Program},
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, VecDeque},
+        io::Write as _,
         net::SocketAddr,
+        process::ExitCode,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     thiserror::Error,
     tokio::{
         net::TcpListener,
-        sync::watch,
+        signal::unix::{SignalKind, signal},
+        sync::{Semaphore, oneshot, watch},
         task::JoinHandle,
         time::{Instant, sleep},
     },
     types::{
-        Condition, FailureDomain, Incarnation, Listing, ListingRole, LoadReport, OperationKind,
-        RegionId, Row, RowVersion, ServiceId, ServiceOperation, StoreReply, StoreRequest, Write,
+        AcceleratorKind, Attempt, AttemptFailure, CacheEvent, CancelRequest, Condition,
+        FailureDomain, FailureKind, Fence, FinishReason, GenerateRequest, Incarnation, KvCache,
+        KvRequest, LayerRange, Listing, ListingRole, LoadReport, LoadedModel, ModelId,
+        OperationKind, Order, PREFIX_BLOCK_TOKENS, Priority, PriorityRequest, RegionId, RequestId,
+        Route, Row, RowVersion, ServiceId, ServiceOperation, StoreReply, StoreRequest,
+        StreamRecord, TokenIndex, TokenRecord, Write,
     },
     wire::{
-        Call, Fault, Handler, Limits, Request, Response,
+        BodySender, Call, Connection, Fault, Handler, Limits, Request, Response,
         hyper::{Method, StatusCode, header::HeaderValue},
     },
 };
 
+mod answer;
+mod check;
+mod engine;
+mod engine_control;
+mod engine_log;
+mod engine_settings;
+mod engine_state;
 mod error;
 mod gauge;
+mod generation;
 mod lifecycle;
+mod link;
 mod place;
 mod platform;
 mod platform_settings;
+mod prefix_cache;
+mod program;
 mod rate;
 mod reply;
 mod roster;
 mod rows;
 mod service;
 mod service_settings;
+mod slots;
 mod standin;
 
 use {
-    gauge::Gauge,
+    answer::token_of_hash,
+    engine::EngineState,
+    gauge::{Gauge, Level},
+    generation::{Control, Generation},
     lifecycle::Lifecycle,
+    link::{ForwardReply, ForwardRequest, Links, Prefill},
     place::Registration,
+    prefix_cache::PrefixCache,
     rate::Rate,
     reply::{bad_request, lock, not_found, refuse},
     roster::Roster,
     rows::Rows,
+    slots::{Slot, Slots},
     standin::Parts,
 };
 
 pub use {
+    answer::{answer_length, answer_text, answer_token},
+    engine::Engine,
+    engine_log::{EngineLog, RunEntry, StartEntry},
+    engine_settings::{EngineFaults, EngineSettings},
     error::Error,
     lifecycle::Ending,
     place::Place,
     platform::Platform,
     platform_settings::{Outage, PlatformFaults, PlatformSettings},
+    program::{BinarySettings, Listening, run_binary},
     service::{Execution, Service},
     service_settings::{OperationSettings, ServiceFaults, ServiceSettings},
     standin::Standin,
--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+/// Step of one token, as one stage sends it to the next.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ForwardRequest {
+    pub(crate) attempt: Attempt,
+    pub(crate) index: TokenIndex,
+    pub(crate) model: ModelId,
+    /// Position of the receiver in the route.
+    pub(crate) position: usize,
+    /// What to process before the first token of an attempt.
+    pub(crate) prefill: Option<Prefill>,
+    pub(crate) prompt_hash: Arc<str>,
+    pub(crate) request: RequestId,
+    pub(crate) route: Route,
+    pub(crate) seed: u64,
+}
+
+/// Prompt and length of what was already delivered.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Prefill {
+    pub(crate) delivered_tokens: u32,
+    pub(crate) prompt: Arc<str>,
+}
+
+/// Reply of a stage to one step.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ForwardReply {
+    Failed(AttemptFailure),
+    Ran {
+        layers: Vec<LayerRange>,
+        text: Arc<str>,
+    },
+}
+
+/// Longest time for which an idle connection is used again. Below the idle limit of servers, so
+/// that a connection closed for idleness is not taken for a stage that died.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Open connections to next stages.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    idle: Mutex<BTreeMap<SocketAddr, Vec<(Instant, Connection)>>>,
+}
+
+impl Links {
+    /// Sends one step and waits for its result.
+    pub(crate) async fn forward(
+        &self,
+        address: SocketAddr,
+        step: &ForwardRequest,
+        limit: Duration,
+    ) -> Result<ForwardReply, FailureKind> {
+        let mut call = Call::post("/v1/forward", step).map_err(|_| FailureKind::Unreachable)?;
+        call.limit = limit;
+        let mut connection = match self.take(address) {
+            None => Connection::open(address, limit)
+                .await
+                .map_err(|_| FailureKind::Unreachable)?,
+            Some(connection) => connection,
+        };
+        let failure = |error: wire::Error| match error {
+            wire::Error::Silent { .. } => FailureKind::Silent,
+            _ => FailureKind::Broken,
+        };
+        let mut reply = connection.send(&call).await.map_err(failure)?;
+        let body = reply.read(limit, call.limit_bytes).await.map_err(failure)?;
+        if reply.status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(FailureKind::Refused);
+        }
+        let reply = serde_json::from_slice(&body).map_err(|_| FailureKind::Protocol)?;
+        let mut idle = lock(&self.idle);
+        idle.entry(address)
+            .or_default()
+            .push((Instant::now(), connection));
+        Ok(reply)
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = lock(&self.idle);
+        let connections = idle.get_mut(&address)?;
+        connections
+            .retain(|(used_at, connection)| connection.is_open() && used_at.elapsed() < IDLE_LIMIT);
+        connections.pop().map(|(_, connection)| connection)
+    }
+}
--- a/crates/standin/src/platform_settings.rs
+++ b/crates/standin/src/platform_settings.rs
@@ -13,6 +13,8 @@
     pub faults: PlatformFaults,
     /// Limits on requests.
     pub limits: Limits,
+    /// What the binary logs.
+    pub log: LogSettings,
     /// Time by which the instance list is behind, in milliseconds.
     pub list_lag_ms: u64,
     /// Seed of every random choice.
@@ -26,6 +28,7 @@
             expiry_ms: 6_000,
             faults: PlatformFaults::default(),
             limits: Limits::default(),
+            log: LogSettings::default(),
             list_lag_ms: 1_000,
             seed: 1,
         }
--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,78 @@
+use super::*;
+
+/// Exit status after a crash that a fault caused; that of a process ended by SIGABRT in a shell.
+const CRASH_STATUS: u8 = 134;
+
+/// Threads of one stand-in; many run on one machine.
+const WORKER_COUNT: usize = 2;
+
+/// Line on standard output when a binary listens.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Listening {
+    /// Address on which it listens.
+    pub address: SocketAddr,
+}
+
+/// Settings of a binary.
+pub trait BinarySettings: Check + Default + DeserializeOwned + Serialize {
+    /// What is logged.
+    fn log(&self) -> &LogSettings;
+}
+
+/// Runs a stand-in as a process: reads its settings, prints its address, leaves on SIGTERM or
+/// SIGINT.
+///
+/// # Errors
+///
+/// Returns `Error::Settings` for settings and arguments that cannot be used, `Error::Listen` when
+/// the address is taken, and `Error::Process` when the system refuses threads or signals.
+pub fn run_binary<T, F>(program: &Program, start: impl FnOnce(T) -> F) -> Result<ExitCode, Error>
+where
+    F: Future<Output = Result<Standin, Error>>,
+    T: BinarySettings,
+{
+    let Some(settings) = program.settings_from_process::<T>()? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    settings::start_log(settings.log())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(WORKER_COUNT)
+        .build()?;
+    let ending = runtime.block_on(async {
+        let standin = start(settings).await?;
+        announce(standin.address())?;
+        wait(standin).await
+    })?;
+    runtime.shutdown_background();
+    match ending {
+        Ending::Crashed => Ok(ExitCode::from(CRASH_STATUS)),
+        Ending::Stopped => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn announce(address: SocketAddr) -> Result<(), Error> {
+    let line = serde_json::to_string(&Listening { address }).map_err(std::io::Error::from)?;
+    let mut output = std::io::stdout().lock();
+    writeln!(output, "{line}")?;
+    output.flush()?;
+    Ok(())
+}
+
+async fn wait(standin: Standin) -> Result<Ending, Error> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let lifecycle = standin.lifecycle();
+    let signals = async {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        lifecycle.leave();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        ending = standin.wait() => Ok(ending),
+        () = signals => Ok(Ending::Stopped),
+    }
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -173,6 +173,14 @@
             state.faults.refuse_count -= 1;
             return Some(refuse("refused", "a fault makes this service refuse"));
         }
+        let grace_ms = self.settings.place.leave_grace_ms;
+        if self
+            .lifecycle
+            .left_since_ms()
+            .is_some_and(|ms| ms > grace_ms)
+        {
+            return Some(refuse("leaving", "this service is about to stop"));
+        }
         if state.gauge.level().running_count >= self.settings.slot_count {
             return Some(refuse("busy", "all slots are in use"));
         }
--- a/crates/standin/src/service_settings.rs
+++ b/crates/standin/src/service_settings.rs
@@ -10,6 +10,8 @@
     pub faults: ServiceFaults,
     /// Limits on requests.
     pub limits: Limits,
+    /// What the binary logs.
+    pub log: LogSettings,
     /// Operations.
     pub operations: Vec<OperationSettings>,
     /// Where it runs.
@@ -33,6 +35,7 @@
             crash_marker: String::new(),
             faults: ServiceFaults::default(),
             limits: Limits::default(),
+            log: LogSettings::default(),
             operations: vec![
                 operation("availability", OperationKind::Idempotent),
                 operation("confirm", OperationKind::NonRepeatable),
--- /dev/null
+++ b/crates/standin/src/slots.rs
@@ -0,0 +1,121 @@
+use super::*;
+
+/// Place in the queue: higher priority first, then earlier arrival.
+type Ticket = (Reverse<Priority>, u64);
+
+/// Slots of continuous batching, given to waiting requests by priority.
+#[derive(Debug)]
+pub(crate) struct Slots {
+    slot_count: u32,
+    state: Mutex<SlotState>,
+}
+
+#[derive(Debug)]
+struct SlotState {
+    gauge: Gauge,
+    next_arrival: u64,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Slot>>,
+}
+
+/// A slot in use; dropping it gives it to the first that waits.
+#[derive(Debug)]
+pub(crate) struct Slot(Arc<Slots>);
+
+/// A place in the queue; dropping it gives it up.
+struct Waiting {
+    slots: Arc<Slots>,
+    ticket: Ticket,
+}
+
+impl Slots {
+    pub(crate) fn new(slot_count: u32, lag: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            slot_count,
+            state: Mutex::new(SlotState {
+                gauge: Gauge::new(lag),
+                next_arrival: 0,
+                waiting: BTreeMap::new(),
+            }),
+        })
+    }
+
+    /// Waits for a slot. Gives up its place when dropped.
+    pub(crate) async fn acquire(self: &Arc<Self>, priority: Priority) -> Slot {
+        let (sender, receiver) = oneshot::channel();
+        let waiting = {
+            let mut state = lock(&self.state);
+            let mut level = state.gauge.level();
+            if level.running_count < self.slot_count {
+                level.running_count += 1;
+                state.gauge.set(Instant::now(), level);
+                return Slot(self.clone());
+            }
+            let ticket = (Reverse(priority), state.next_arrival);
+            state.next_arrival += 1;
+            state.waiting.insert(ticket, sender);
+            state.update_waiting();
+            Waiting {
+                slots: self.clone(),
+                ticket,
+            }
+        };
+        let slot = receiver.await;
+        drop(waiting);
+        match slot {
+            Err(_) => std::future::pending().await,
+            Ok(slot) => slot,
+        }
+    }
+
+    /// Whether a request of higher priority waits.
+    pub(crate) fn is_wanted_above(&self, priority: Priority) -> bool {
+        let state = lock(&self.state);
+        let first = state.waiting.keys().next();
+        first.is_some_and(|(Reverse(waiting), _)| *waiting > priority)
+    }
+
+    pub(crate) fn level(&self) -> Level {
+        lock(&self.state).gauge.level()
+    }
+
+    pub(crate) fn reported(&self, now: Instant) -> Level {
+        lock(&self.state).gauge.reported(now)
+    }
+
+    fn pop(&self) -> Option<oneshot::Sender<Slot>> {
+        let mut state = lock(&self.state);
+        let next = state.waiting.pop_first().map(|(_, sender)| sender);
+        if next.is_none() {
+            let mut level = state.gauge.level();
+            level.running_count -= 1;
+            state.gauge.set(Instant::now(), level);
+        }
+        state.update_waiting();
+        next
+    }
+}
+
+impl SlotState {
+    fn update_waiting(&mut self) {
+        let mut level = self.gauge.level();
+        level.waiting_count = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        self.gauge.set(Instant::now(), level);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        // A receiver that gave up returns the new slot, whose drop goes on to the next waiter.
+        if let Some(sender) = self.0.pop() {
+            let _ = sender.send(Slot(self.0.clone()));
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut state = lock(&self.slots.state);
+        state.waiting.remove(&self.ticket);
+        state.update_waiting();
+    }
+}
--- a/crates/standin/src/standin.rs
+++ b/crates/standin/src/standin.rs
@@ -35,6 +35,10 @@
         self.lifecycle.leave();
     }
 
+    pub(crate) fn lifecycle(&self) -> Arc<Lifecycle> {
+        self.lifecycle.clone()
+    }
+
     /// Makes it leave and waits until it has ended.
     pub async fn stop(self) -> Ending {
         self.leave();
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -10,6 +10,7 @@
         stream::{self, BoxStream, StreamExt},
     },
     serde::{Deserialize, Serialize},
+    settings::{Check, Faults},
     std::{fmt::Debug, net::SocketAddr, sync::Arc, time::Duration},
     types::{
         AttemptFailure, CacheEvent, CallReply, CancelRequest, FailureKind, GenerateRequest,
--- a/crates/target/src/target_settings.rs
+++ b/crates/target/src/target_settings.rs
@@ -28,3 +28,19 @@
         }
     }
 }
+
+impl Check for TargetSettings {
+    fn check(&self, faults: &mut Faults) {
+        let remedy = "leave time for one round trip";
+        for (path, value) in [
+            ("connect_limit_ms", self.connect_limit_ms),
+            ("idle_limit_ms", self.idle_limit_ms),
+            ("poll_limit_ms", self.poll_limit_ms),
+            ("service_limit_ms", self.service_limit_ms),
+        ] {
+            faults.range(path, value, 1..=3_600_000, remedy);
+        }
+        let remedy = "allow at least one record, for example 16777216";
+        faults.range("reply_bytes", self.reply_bytes, 1_024..=usize::MAX, remedy);
+    }
+}
--- /dev/null
+++ b/crates/target/tests/engine.rs
@@ -0,0 +1,366 @@
+//! Guards against answers that differ from those of one undisturbed engine.
+
+#![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
+
+use {
+    futures::StreamExt,
+    standin::{
+        Ending, Engine, EngineFaults, EngineLog, EngineSettings, Place, Standin, answer_text,
+        answer_token,
+    },
+    std::{sync::Arc, time::Duration},
+    target::{EngineClient, Engines},
+    types::{
+        AttemptFailure, CancelRequest, FailureKind, FinishReason, GenerateRequest, KvRequest,
+        LayerRange, LoadedModel, Order, PriorityRequest, Route, Stage, StreamRecord, WantedState,
+    },
+    wire::{Call, hyper::Method},
+};
+
+const LAYER_COUNT: u32 = 8;
+const PROMPT: &str = "one two three";
+
+fn model(start: u32, end: u32) -> LoadedModel {
+    LoadedModel {
+        adapters: Vec::new(),
+        layer_count: LAYER_COUNT,
+        layers: LayerRange { end, start },
+        model: "m".into(),
+    }
+}
+
+fn settings(start: u32, end: u32) -> EngineSettings {
+    EngineSettings {
+        crash_marker: "CRASH".into(),
+        models: vec![model(start, end)],
+        place: Place {
+            leave_grace_ms: 0,
+            ..Place::default()
+        },
+        prefill_us: 0,
+        report_lag_ms: 0,
+        step_us: 500,
+        weight_load_ms: 0,
+        ..EngineSettings::default()
+    }
+}
+
+async fn pair() -> (Standin, Standin) {
+    let first = Engine::start(settings(0, 3)).await.unwrap();
+    let second = Engine::start(settings(3, LAYER_COUNT)).await.unwrap();
+    (first, second)
+}
+
+fn request(stages: &[(&Standin, &str, u32, u32)]) -> GenerateRequest {
+    let mut route = Route {
+        layer_count: LAYER_COUNT,
+        stages: Vec::new(),
+    };
+    for (standin, target, start, end) in stages {
+        route.stages.push(Stage {
+            address: standin.address(),
+            layers: model(*start, *end).layers,
+            target: (*target).into(),
+        });
+    }
+    GenerateRequest {
+        attempt: 1,
+        delivered: Vec::new(),
+        max_tokens: 6,
+        model: "m".into(),
+        priority: 1,
+        prompt: PROMPT.into(),
+        request: "r".into(),
+        route,
+        seed: 9,
+    }
+}
+
+fn pair_request(first: &Standin, second: &Standin) -> GenerateRequest {
+    request(&[(first, "first", 0, 3), (second, "second", 3, LAYER_COUNT)])
+}
+
+async fn run(request: GenerateRequest) -> Vec<Result<StreamRecord, AttemptFailure>> {
+    let address = request.route.stages[0].address;
+    let records = EngineClient::default().generate(address, request);
+    records.collect().await
+}
+
+/// Texts of the token records, checking that each crossed the layers once and in order.
+fn texts(records: &[Result<StreamRecord, AttemptFailure>]) -> Vec<(u32, Arc<str>)> {
+    let mut texts = Vec::new();
+    for record in records {
+        if let Ok(StreamRecord::Token(token)) = record {
+            assert!(LayerRange::covers(&token.layers, LAYER_COUNT));
+            texts.push((token.index, token.text.clone()));
+        }
+    }
+    texts
+}
+
+fn expected(indexes: std::ops::Range<u32>) -> Vec<(u32, Arc<str>)> {
+    indexes
+        .map(|index| (index, answer_token(PROMPT, 9, index).into()))
+        .collect()
+}
+
+async fn log(standin: &Standin) -> EngineLog {
+    let reply = wire::call(standin.address(), &Call::get("/log")).await;
+    reply.unwrap().json().unwrap()
+}
+
+async fn set(standin: &Standin, faults: &EngineFaults) {
+    let call = Call::with_json(Method::PUT, "/faults", faults).unwrap();
+    wire::call(standin.address(), &call).await.unwrap();
+}
+
+async fn wait_for_idle(standin: &Standin) {
+    let engines = EngineClient::default();
+    loop {
+        let load = engines.load(standin.address()).await.unwrap();
+        // Streams of later stages count for a second; only slots and the queue matter here.
+        if load.waiting_count == 0 && load.running_count <= 1 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn end(token_count: u32) -> Result<StreamRecord, AttemptFailure> {
+    Ok(StreamRecord::End {
+        attempt: 1,
+        reason: FinishReason::Length,
+        token_count,
+    })
+}
+
+/// Guards against a layer that runs twice, not at all or out of order for a token.
+#[tokio::test]
+async fn two_stages_run_each_layer_once() {
+    let (first, second) = pair().await;
+    let records = run(pair_request(&first, &second)).await;
+    assert_eq!(texts(&records), expected(0..6));
+    assert_eq!(records.last(), Some(&end(6)));
+    for standin in [&first, &second] {
+        let mut runs: Vec<_> = log(standin).await.runs.into();
+        assert_eq!(runs.len(), 6);
+        runs.sort();
+        runs.dedup();
+        assert_eq!(runs.len(), 6);
+    }
+}
+
+/// Guards against a resumed answer that starts over or differs from the first attempt.
+#[tokio::test]
+async fn resume_continues_after_delivered_tokens() {
+    let (first, second) = pair().await;
+    let mut request = pair_request(&first, &second);
+    request.delivered = vec![
+        answer_token(PROMPT, 9, 0).into(),
+        answer_token(PROMPT, 9, 1).into(),
+    ];
+    let records = run(request).await;
+    assert_eq!(texts(&records), expected(2..6));
+    let whole: String = expected(0..6)
+        .into_iter()
+        .map(|(_, text)| text.to_string())
+        .collect();
+    assert_eq!(whole, answer_text(PROMPT, 9, 6));
+}
+
+/// Guards against blaming the first stage for the death of the second.
+#[tokio::test]
+async fn dead_next_stage_is_named() {
+    let (first, second) = pair().await;
+    let request = pair_request(&first, &second);
+    second.crash();
+    assert_eq!(second.wait().await, Ending::Crashed);
+    let records = run(request).await;
+    let Some(Ok(StreamRecord::Failed(failure))) = records.last() else {
+        panic!("expected a failure, got {records:?}");
+    };
+    assert_eq!((&*failure.target, failure.attempt), ("second", 1));
+}
+
+/// Guards against a crash that looks like a refusal, or that ends with a complete answer.
+#[tokio::test]
+async fn marked_prompt_crashes_the_engine() {
+    let engine = Engine::start(settings(0, LAYER_COUNT)).await.unwrap();
+    let mut request = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    request.prompt = "please CRASH now".into();
+    let records = run(request).await;
+    let failure = records.last().unwrap().clone().unwrap_err();
+    assert!(!failure.kind.is_not_run());
+    assert_eq!(engine.wait().await, Ending::Crashed);
+}
+
+/// Guards against work that goes on after its caller canceled it or went away.
+#[tokio::test]
+async fn cancel_and_drop_free_the_slot() {
+    let mut settings = settings(0, LAYER_COUNT);
+    settings.slot_count = 1;
+    let engine = Engine::start(settings).await.unwrap();
+    let mut endless = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    endless.max_tokens = 1_000_000;
+    let engines = EngineClient::default();
+    let mut canceled = engines.generate(engine.address(), endless.clone());
+    assert!(canceled.next().await.unwrap().is_ok());
+    let cancel = CancelRequest {
+        attempt: 1,
+        request: "r".into(),
+    };
+    engines.cancel(engine.address(), cancel).await.unwrap();
+    assert!(canceled.any(|record| async move { record.is_err() }).await);
+    endless.request = "s".into();
+    let mut dropped = engines.generate(engine.address(), endless.clone());
+    assert!(dropped.next().await.unwrap().is_ok());
+    drop(dropped);
+    endless.request = "t".into();
+    endless.max_tokens = 1;
+    assert_eq!(run(endless).await.last(), Some(&end(1)));
+    wait_for_idle(&engine).await;
+}
+
+/// Guards against a request that keeps its slot although a more important one waits.
+#[tokio::test]
+async fn priority_decides_who_runs() {
+    let mut settings = settings(0, LAYER_COUNT);
+    settings.slot_count = 1;
+    let engine = Engine::start(settings).await.unwrap();
+    let mut long = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    long.max_tokens = 1_000_000;
+    let engines = EngineClient::default();
+    let mut stream = engines.generate(engine.address(), long.clone());
+    assert!(stream.next().await.unwrap().is_ok());
+    let lowered = PriorityRequest {
+        attempt: 1,
+        priority: 0,
+        request: "r".into(),
+    };
+    engines
+        .set_priority(engine.address(), lowered)
+        .await
+        .unwrap();
+    long.request = "short".into();
+    long.max_tokens = 2;
+    // The slot is free only if the long request gives it up.
+    assert_eq!(run(long).await.last(), Some(&end(2)));
+}
+
+/// Guards against an order of a former owner that takes effect after a newer one.
+#[tokio::test]
+async fn old_fence_is_refused_only_where_it_is_checked() {
+    for checks_fence in [false, true] {
+        let mut settings = settings(0, LAYER_COUNT);
+        settings.checks_fence = checks_fence;
+        let engine = Engine::start(settings).await.unwrap();
+        let engines = EngineClient::default();
+        let order = |fence, end| Order {
+            fence,
+            wanted: WantedState {
+                models: vec![model(0, end)],
+                ..WantedState::default()
+            },
+        };
+        engines.order(engine.address(), order(5, 4)).await.unwrap();
+        while engines.load(engine.address()).await.unwrap().fence != 5 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let load = engines.load(engine.address()).await.unwrap();
+        assert_eq!(load.models, [model(0, 4)]);
+        let result = engines.order(engine.address(), order(4, 2)).await;
+        let expected = if checks_fence {
+            Err(FailureKind::Refused)
+        } else {
+            Ok(())
+        };
+        assert_eq!(result, expected);
+    }
+}
+
+/// Guards against doubled and reordered records that are not produced, which would leave the
+/// assembly untested end to end; and against a stream that breaks at another place than asked.
+#[tokio::test]
+async fn faults_of_records() {
+    let engine = Engine::start(settings(0, LAYER_COUNT)).await.unwrap();
+    let request = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    let indexes =
+        |records: &[_]| -> Vec<u32> { texts(records).iter().map(|text| text.0).collect() };
+    let faults = EngineFaults {
+        duplicate_every: 3,
+        reorder_every: 2,
+        ..EngineFaults::default()
+    };
+    set(&engine, &faults).await;
+    let records = run(request.clone()).await;
+    assert_eq!(indexes(&records), [0, 2, 2, 1, 4, 3, 5]);
+    assert_eq!(records.last(), Some(&end(6)));
+    let faults = EngineFaults {
+        drop_after_tokens: Some(2),
+        ..EngineFaults::default()
+    };
+    set(&engine, &faults).await;
+    let records = run(request).await;
+    assert_eq!(indexes(&records), [0, 1]);
+    assert_eq!(
+        records.last().unwrap().clone().unwrap_err().kind,
+        FailureKind::Broken
+    );
+}
+
+/// Guards against an import that saves nothing, and against cache events that are wrong.
+#[tokio::test]
+async fn caches_save_prefill() {
+    let (first, second) = pair().await;
+    let mut request = pair_request(&first, &second);
+    run(request.clone()).await;
+    let export = KvRequest {
+        attempt: 1,
+        request: "r".into(),
+    };
+    let engines = EngineClient::default();
+    let cache = engines.export_kv(first.address(), export).await.unwrap();
+    assert_eq!(cache.token_count, 3 + 6);
+    let other = Engine::start(settings(0, 3)).await.unwrap();
+    engines
+        .import_kv(other.address(), cache.clone())
+        .await
+        .unwrap();
+    let refused = engines.import_kv(second.address(), cache).await;
+    assert_eq!(refused, Err(FailureKind::Refused));
+    request.attempt = 2;
+    request.route.stages[0].address = other.address();
+    run(request.clone()).await;
+    assert_eq!(log(&other).await.starts[0].cached_tokens, 3);
+    request.prompt = "word ".repeat(40).into();
+    request.request = "s".into();
+    run(request.clone()).await;
+    let hashes = types::prefix_hashes(&request.prompt);
+    let events = loop {
+        let events = engines.cache_events(other.address(), 0).await.unwrap();
+        if !events.is_empty() {
+            break events;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    let published: Vec<u64> = events.iter().map(|event| event.prefix_hash).collect();
+    assert_eq!(published, hashes);
+    request.attempt = 3;
+    run(request).await;
+    assert_eq!(log(&other).await.starts[2].cached_tokens, 32);
+}
+
+/// Guards against a planned stop that cuts off a stream.
+#[tokio::test]
+async fn leaving_engine_finishes_its_streams() {
+    let engine = Engine::start(settings(0, LAYER_COUNT)).await.unwrap();
+    let mut request = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    request.max_tokens = 100;
+    let engines = EngineClient::default();
+    let mut stream = engines.generate(engine.address(), request);
+    assert!(stream.next().await.unwrap().is_ok());
+    engine.leave();
+    let rest: Vec<_> = stream.collect().await;
+    assert_eq!(rest.last(), Some(&end(100)));
+    assert_eq!(engine.wait().await, Ending::Stopped);
+}
--- /dev/null
+++ b/crates/target/tests/service.rs
@@ -0,0 +1,126 @@
+//! Guards against a service stand-in that misreports what it ran, on which every test of "at most
+//! once" depends.
+
+#![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
+
+use {
+    platform::{Listings, PlatformClient},
+    standin::{
+        Ending, Execution, Place, Platform, Service, ServiceFaults, ServiceSettings, Standin,
+    },
+    std::time::Duration,
+    target::{ServiceClient, Services},
+    types::{CallReply, FailureKind},
+    wire::Call,
+};
+
+async fn start(faults: ServiceFaults) -> Standin {
+    let settings = ServiceSettings {
+        faults,
+        place: Place {
+            leave_grace_ms: 0,
+            ..Place::default()
+        },
+        ..ServiceSettings::default()
+    };
+    Service::start(settings).await.unwrap()
+}
+
+async fn call(standin: &Standin, key: &str) -> Result<CallReply, FailureKind> {
+    ServiceClient::default()
+        .call(
+            standin.address(),
+            "confirm".into(),
+            Some(key.into()),
+            "b".into(),
+        )
+        .await
+}
+
+async fn keys(standin: &Standin) -> Vec<String> {
+    let reply = wire::call(standin.address(), &Call::get("/executions")).await;
+    let executions: Vec<Execution> = reply.unwrap().json().unwrap();
+    executions.into_iter().filter_map(|run| run.key).collect()
+}
+
+#[tokio::test]
+async fn refused_calls_do_not_run_and_dropped_ones_do() {
+    let faults = ServiceFaults {
+        drop_reply_count: 1,
+        refuse_count: 1,
+        ..ServiceFaults::default()
+    };
+    let service = start(faults).await;
+    assert_eq!(call(&service, "1").await, Err(FailureKind::Refused));
+    assert_eq!(call(&service, "2").await, Err(FailureKind::Broken));
+    assert_eq!(call(&service, "3").await.unwrap().status, 200);
+    assert_eq!(keys(&service).await, ["2", "3"]);
+    let load = ServiceClient::default().load(service.address()).await;
+    assert_eq!(load.unwrap().slot_count, 64);
+}
+
+#[tokio::test]
+async fn crash_breaks_the_call() {
+    let faults = ServiceFaults {
+        crash: true,
+        ..ServiceFaults::default()
+    };
+    let service = start(faults).await;
+    assert_eq!(call(&service, "1").await, Err(FailureKind::Broken));
+    assert_eq!(service.wait().await, Ending::Crashed);
+}
+
+/// Guards against a call in progress that a planned stop cuts off.
+#[tokio::test]
+async fn leaving_service_finishes_its_calls() {
+    let faults = ServiceFaults {
+        delay_ms: 100,
+        ..ServiceFaults::default()
+    };
+    let service = start(faults).await;
+    let running = async {
+        while keys(&service).await.is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        service.leave();
+    };
+    let (reply, ()) = tokio::join!(call(&service, "1"), running);
+    assert_eq!(reply.unwrap().status, 200);
+    assert_eq!(service.wait().await, Ending::Stopped);
+}
+
+/// Guards against a target that is missing from the list, or that leaves without saying so.
+#[tokio::test]
+async fn registers_and_marks_itself_leaving() {
+    let settings = standin::PlatformSettings {
+        list_lag_ms: 0,
+        ..standin::PlatformSettings::default()
+    };
+    let platform = Platform::start(settings).await.unwrap();
+    let client = PlatformClient::new(platform::PlatformSettings {
+        addresses: vec![platform.address()],
+        ..platform::PlatformSettings::default()
+    })
+    .unwrap();
+    let settings = ServiceSettings {
+        place: Place {
+            platforms: vec![platform.address()],
+            ..Place::default()
+        },
+        ..ServiceSettings::default()
+    };
+    let service = Service::start(settings).await.unwrap();
+    wait_for_row(&client, false).await;
+    service.leave();
+    wait_for_row(&client, true).await;
+}
+
+async fn wait_for_row(client: &PlatformClient, leaving: bool) {
+    loop {
+        let rows = client.read().await.unwrap();
+        if rows.first().is_some_and(|row| row.leaving == leaving) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,6 +29,7 @@
 mod load;
 mod order;
 mod outcome;
+mod prefix;
 mod route;
 mod store;
 mod submission;
@@ -52,6 +53,7 @@
     load::{CacheEvent, LoadReport, LoadedModel},
     order::{EngineRole, Order, WantedState},
     outcome::{CallOutcome, CallReply, Refusal, RefusalKind},
+    prefix::{PREFIX_BLOCK_TOKENS, count_tokens, prefix_hashes},
     route::{LayerRange, Route, Stage},
     store::{Condition, Row, StoreFailure, StoreReply, StoreRequest, Write},
     submission::{CallSubmission, GenerateSubmission, OperationKind, Priority},
--- a/crates/wire/src/response.rs
+++ b/crates/wire/src/response.rs
@@ -68,6 +68,10 @@
         receiver,
         |mut receiver: mpsc::Receiver<Result<Bytes, Disconnect>>| async move {
             let bytes = receiver.recv().await?;
+            if bytes.is_err() {
+                // hyper drops what it has not flushed when a body fails; it flushes when it waits.
+                tokio::task::yield_now().await;
+            }
             Some((bytes.map(Frame::data), receiver))
         },
     );
