--- /dev/null
+++ b/crates/control/src/admission.rs
@@ -0,0 +1,202 @@
+use super::*;
+
+/// Work that one unit of weight may start per round of the deficit round robin, in tokens or
+/// milliseconds.
+const QUANTUM: f64 = 64.0;
+
+/// Bounded queues per account, served by deficit round robin in proportion to plan weights.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    counts: BTreeMap<AccountId, u32>,
+    queues: BTreeMap<Resource, BTreeMap<AccountId, Lanes>>,
+    settings: AdmissionSettings,
+}
+
+/// One queued request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Waiting {
+    /// Account.
+    pub account: AccountId,
+    /// Expected size, in tokens or milliseconds.
+    pub cost: f64,
+    /// Whether it may use the places that are kept for short work.
+    pub is_short: bool,
+    /// Request.
+    pub request: RequestId,
+    /// When it was queued.
+    pub since: Duration,
+    /// Weight of the account's plan.
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lanes {
+    deficit: f64,
+    long: VecDeque<Waiting>,
+    short: VecDeque<Waiting>,
+}
+
+impl Admission {
+    /// Creates empty queues.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Cost that is served before new work of an account: its own queue, and what the shares of
+    /// the others let pass meanwhile.
+    #[must_use]
+    pub fn cost_ahead(&self, resource: &Resource, account: &AccountId, weight: f64) -> f64 {
+        let Some(accounts) = self.queues.get(resource) else {
+            return 0.0;
+        };
+        let own_cost = accounts.get(account).map_or(0.0, Lanes::cost);
+        let mut ahead = own_cost;
+        for (other, lanes) in accounts {
+            if other == account {
+                continue;
+            }
+            let other_weight = lanes.weight();
+            let share = (own_cost + QUANTUM * weight) * other_weight / weight.max(0.001);
+            ahead += lanes.cost().min(share);
+        }
+        ahead
+    }
+
+    /// Takes the request that is served next among those that `may_start`, which gets the request
+    /// at the head of a lane.
+    pub fn next(
+        &mut self,
+        resource: &Resource,
+        now: Duration,
+        may_start: &mut dyn FnMut(&Waiting) -> bool,
+    ) -> Option<Waiting> {
+        let max_wait = Duration::from_millis(self.settings.max_wait_ms);
+        let accounts = self.queues.get_mut(resource)?;
+        let mut eligible = Vec::new();
+        let mut best: Option<(f64, AccountId, bool)> = None;
+        for (account, lanes) in accounts.iter() {
+            let Some((head, is_short)) = lanes.head(now, max_wait, may_start) else {
+                continue;
+            };
+            let quantum = QUANTUM * head.weight;
+            let rounds = ((head.cost - lanes.deficit) / quantum).ceil().max(0.0);
+            eligible.push((account.clone(), quantum));
+            if best.as_ref().is_none_or(|(fewest, ..)| rounds < *fewest) {
+                best = Some((rounds, account.clone(), is_short));
+            }
+        }
+        let (rounds, account, is_short) = best?;
+        for (account, quantum) in eligible {
+            if let Some(lanes) = accounts.get_mut(&account) {
+                lanes.deficit += rounds * quantum;
+            }
+        }
+        let lanes = accounts.get_mut(&account)?;
+        let lane = if is_short { &mut lanes.short } else { &mut lanes.long };
+        let waiting = lane.pop_front()?;
+        lanes.deficit -= waiting.cost;
+        self.forget(resource, &account);
+        Some(waiting)
+    }
+
+    /// Appends a request to the queue of its account.
+    pub fn push(&mut self, resource: &Resource, waiting: Waiting) {
+        *self.counts.entry(waiting.account.clone()).or_default() += 1;
+        let accounts = self.queues.entry(resource.clone()).or_default();
+        let lanes = accounts.entry(waiting.account.clone()).or_default();
+        if waiting.is_short {
+            lanes.short.push_back(waiting);
+        } else {
+            lanes.long.push_back(waiting);
+        }
+    }
+
+    /// Takes a request out of the queues. Returns whether it was there.
+    pub fn remove(&mut self, resource: &Resource, account: &AccountId, request: &RequestId) -> bool {
+        let lanes = self.queues.get_mut(resource);
+        let Some(lanes) = lanes.and_then(|accounts| accounts.get_mut(account)) else {
+            return false;
+        };
+        let before = lanes.short.len() + lanes.long.len();
+        lanes.short.retain(|waiting| waiting.request != *request);
+        lanes.long.retain(|waiting| waiting.request != *request);
+        let is_removed = lanes.short.len() + lanes.long.len() < before;
+        if is_removed {
+            self.forget(resource, account);
+        }
+        is_removed
+    }
+
+    /// Resources with queued work.
+    #[must_use]
+    pub fn resources(&self) -> Vec<Resource> {
+        self.queues.keys().cloned().collect()
+    }
+
+    /// Queued requests of an account.
+    #[must_use]
+    pub fn waiting_count(&self, account: &AccountId) -> u32 {
+        self.counts.get(account).copied().unwrap_or_default()
+    }
+
+    /// Counts a request out, and drops the deficit of an account without queued work, as unused
+    /// shares must not pile up.
+    fn forget(&mut self, resource: &Resource, account: &AccountId) {
+        if let Some(count) = self.counts.get_mut(account) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.counts.remove(account);
+            }
+        }
+        let Some(accounts) = self.queues.get_mut(resource) else {
+            return;
+        };
+        accounts.retain(|_, lanes| !lanes.short.is_empty() || !lanes.long.is_empty());
+        if accounts.is_empty() {
+            self.queues.remove(resource);
+        }
+    }
+}
+
+impl Lanes {
+    fn cost(&self) -> f64 {
+        self.short.iter().chain(&self.long).map(|waiting| waiting.cost).sum()
+    }
+
+    /// Head to serve, and whether it is the short one. Short work goes first until the long head
+    /// has waited for `max_wait`.
+    fn head(
+        &self,
+        now: Duration,
+        max_wait: Duration,
+        may_start: &mut dyn FnMut(&Waiting) -> bool,
+    ) -> Option<(&Waiting, bool)> {
+        let long = self.long.front();
+        let is_long_first = match (long, self.short.front()) {
+            (Some(long), Some(short)) => {
+                long.since <= short.since && now.saturating_sub(long.since) >= max_wait
+            }
+            _ => false,
+        };
+        let order = if is_long_first { [false, true] } else { [true, false] };
+        for is_short in order {
+            let lane = if is_short { &self.short } else { &self.long };
+            if let Some(head) = lane.front()
+                && may_start(head)
+            {
+                return Some((head, is_short));
+            }
+        }
+        None
+    }
+
+    fn weight(&self) -> f64 {
+        let head = self.short.front().or(self.long.front());
+        head.map_or(0.0, |waiting| waiting.weight)
+    }
+}
--- /dev/null
+++ b/crates/control/src/cache.rs
@@ -0,0 +1,119 @@
+use super::*;
+
+/// Part of its weight that an entry keeps for each gap in the engine's events since it was seen:
+/// the missing events may have removed it.
+const GAP_WEIGHT: f64 = 0.5;
+
+/// What engines probably hold in their prefix caches, from their late and gappy events and from
+/// one's own dispatches.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCaches {
+    engines: BTreeMap<TargetId, Engine>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    entries: BTreeMap<u64, Entry>,
+    gap_count: u32,
+    position: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    gap_count: u32,
+    seen_at: Duration,
+}
+
+impl PrefixCaches {
+    /// Notes that a prompt with these prefixes was sent to an engine.
+    pub fn dispatched(&mut self, now: Duration, target: &TargetId, hashes: &[u64], limit: u32) {
+        if hashes.is_empty() {
+            return;
+        }
+        let engine = self.engines.entry(target.clone()).or_default();
+        for hash in hashes {
+            engine.note(now, *hash, limit);
+        }
+    }
+
+    /// Takes in events of an engine. Events at positions already seen are dropped, unless they
+    /// start over after a restart.
+    pub fn events_received(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        events: &[CacheEvent],
+        limit: u32,
+    ) {
+        let engine = self.engines.entry(target.clone()).or_default();
+        for event in events {
+            if event.position <= engine.position {
+                continue;
+            }
+            if event.position > engine.position + 1 && engine.position > 0 {
+                engine.gap_count += 1;
+            }
+            engine.position = event.position;
+            if event.present {
+                engine.note(now, event.prefix_hash, limit);
+            } else {
+                engine.entries.remove(&event.prefix_hash);
+            }
+        }
+    }
+
+    /// Forgets everything about an engine, for example after its restart.
+    pub fn forget(&mut self, target: &TargetId) {
+        self.engines.remove(target);
+    }
+
+    /// Position of the last event received from an engine.
+    #[must_use]
+    pub fn position(&self, target: &TargetId) -> u64 {
+        self.engines.get(target).map_or(0, |engine| engine.position)
+    }
+
+    /// Part of a prompt that the engine probably holds, from 0 to 1, discounted by the age of the
+    /// knowledge and by gaps since.
+    #[must_use]
+    pub fn saved_fraction(
+        &self,
+        now: Duration,
+        target: &TargetId,
+        hashes: &[u64],
+        half_life: Duration,
+    ) -> f64 {
+        let Some(engine) = self.engines.get(target) else {
+            return 0.0;
+        };
+        let mut best: f64 = 0.0;
+        for (index, hash) in hashes.iter().enumerate() {
+            let Some(entry) = engine.entries.get(hash) else {
+                continue;
+            };
+            let age = now.saturating_sub(entry.seen_at).as_secs_f64();
+            let gaps = engine.gap_count.saturating_sub(entry.gap_count).min(16);
+            let trust = 0.5_f64.powf(age / half_life.as_secs_f64().max(0.001))
+                * GAP_WEIGHT.powi(gaps as i32);
+            best = best.max(trust * (index + 1) as f64 / hashes.len() as f64);
+        }
+        best
+    }
+}
+
+impl Engine {
+    fn note(&mut self, now: Duration, hash: u64, limit: u32) {
+        let entry = Entry {
+            gap_count: self.gap_count,
+            seen_at: now,
+        };
+        self.entries.insert(hash, entry);
+        if self.entries.len() <= limit.max(1) as usize {
+            return;
+        }
+        let mut ages: Vec<Duration> = self.entries.values().map(|entry| entry.seen_at).collect();
+        ages.sort_unstable();
+        let median = ages[ages.len() / 2];
+        self.entries.retain(|_, entry| entry.seen_at > median);
+    }
+}
--- /dev/null
+++ b/crates/control/src/route.rs
@@ -0,0 +1,329 @@
+use super::*;
+
+/// Targets whose score is at most this much above the best are good; the draw is among them. It
+/// must be wide enough that instances with the same view spread over several targets.
+const GOOD_FACTOR: f64 = 1.5;
+
+/// Absolute width of the good scores, in milliseconds: differences below it are noise.
+const GOOD_MARGIN_MS: f64 = 5.0;
+
+/// Most alternatives logged per stage.
+const LOGGED_ALTERNATIVES: usize = 8;
+
+/// A chosen route with the numbers behind it.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// Candidates that were weighed and not chosen, best first within each stage.
+    pub alternatives: Vec<Candidate>,
+    /// Chosen candidates in the order of the route.
+    pub chosen: Vec<Candidate>,
+    /// Route.
+    pub route: Route,
+    /// Expected time of one token over the route, in milliseconds.
+    pub token_ms: f64,
+}
+
+/// Chooses routes, and learns speeds, links and caches for it.
+#[derive(Clone, Debug)]
+pub struct Router {
+    /// Prefix caches of engines.
+    pub caches: PrefixCaches,
+    /// Links between targets.
+    pub links: Links,
+    /// Speeds of accelerator kinds and services.
+    pub rates: Rates,
+    settings: RouteSettings,
+    short_slot_fraction: f64,
+    /// Own work at targets.
+    pub slots: Slots,
+    target_queue_count: u32,
+}
+
+/// One target in the place of one stage.
+struct Piece<'a> {
+    layer_count: u32,
+    layers: LayerRange,
+    own: Score,
+    target: &'a Target,
+    /// Score from here to the end of the route, `own` included.
+    to_go: Score,
+}
+
+impl Router {
+    /// Creates a router that has observed nothing.
+    #[must_use]
+    pub fn new(settings: RouteSettings, admission: &AdmissionSettings) -> Self {
+        Self {
+            caches: PrefixCaches::default(),
+            links: Links::default(),
+            rates: Rates::default(),
+            settings,
+            short_slot_fraction: admission.short_slot_fraction,
+            slots: Slots::default(),
+            target_queue_count: admission.target_queue_count,
+        }
+    }
+
+    /// Chooses a complete route with a free place at every stage.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Blocked::Full` when targets would do but have no place, and `Blocked::NoTarget`
+    /// when they do not make up a route.
+    pub fn choose(
+        &self,
+        view: &View,
+        wish: &Wish,
+        random: &mut ChaCha8Rng,
+    ) -> Result<Choice, Blocked> {
+        let pieces = self.pieces(view, wish, true);
+        if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
+            return Ok(choice);
+        }
+        match self.best(view, wish) {
+            None => Err(Blocked::NoTarget),
+            Some(_) => Err(Blocked::Full),
+        }
+    }
+
+    /// Expected time of the best route, full or not, in milliseconds, without waiting for a place.
+    #[must_use]
+    pub fn best(&self, view: &View, wish: &Wish) -> Option<f64> {
+        let pieces = self.pieces(view, wish, false);
+        let first = pieces.iter().filter(|piece| piece.layers.start == 0);
+        let best = first.map(|piece| piece.to_go).min_by(Score::compare)?;
+        (best != Score::MAX).then_some(best.expected_ms)
+    }
+
+    /// Requests that all targets for a resource can run at once: the slots at the layer range
+    /// with the fewest.
+    #[must_use]
+    pub fn slot_count(&self, view: &View, resource: &Resource) -> f64 {
+        let mut by_start: BTreeMap<u32, f64> = BTreeMap::new();
+        for target in view.targets {
+            if !target.takes_work() {
+                continue;
+            }
+            for (layers, _) in resource.pieces(target) {
+                *by_start.entry(layers.start).or_default() += f64::from(target.report.slot_count);
+            }
+        }
+        by_start.values().copied().reduce(f64::min).unwrap_or_default()
+    }
+
+    fn pieces<'a>(&self, view: &View<'a>, wish: &Wish, needs_place: bool) -> Vec<Piece<'a>> {
+        let mut pieces = Vec::new();
+        for target in view.targets {
+            if !target.takes_work() || target.report.leaving || target.report.slot_count == 0 {
+                continue;
+            }
+            if needs_place && !self.has_place(view, wish, target) {
+                continue;
+            }
+            for (layers, layer_count) in wish.resource.pieces(target) {
+                pieces.push(Piece {
+                    layer_count,
+                    layers,
+                    own: self.own_score(view, wish, target, layers, layer_count),
+                    target,
+                    to_go: Score::MAX,
+                });
+            }
+        }
+        pieces.sort_by_key(|piece| Reverse(piece.layers.start));
+        self.fill_to_go(view, wish, &mut pieces);
+        pieces.retain(|piece| piece.to_go != Score::MAX);
+        pieces
+    }
+
+    /// Computes the best score to the end from each piece, last layers first: the shortest path
+    /// over all complete chains.
+    fn fill_to_go(&self, view: &View, wish: &Wish, pieces: &mut [Piece]) {
+        for index in 0..pieces.len() {
+            let (later, rest) = pieces.split_at_mut(index);
+            let piece = &mut rest[0];
+            if piece.layers.end == piece.layer_count {
+                piece.to_go = piece.own;
+                continue;
+            }
+            let mut best = Score::MAX;
+            for next in later.iter() {
+                if next.layers.start != piece.layers.end || next.layer_count != piece.layer_count {
+                    continue;
+                }
+                if next.to_go == Score::MAX {
+                    continue;
+                }
+                let link = self.link(view, wish, Some(piece.target), next.target);
+                let total = link.plus(&next.to_go);
+                if total.compare(&best).is_lt() {
+                    best = total;
+                }
+            }
+            if best != Score::MAX {
+                piece.to_go = piece.own.plus(&best);
+            }
+        }
+    }
+
+    fn draw_route(
+        &self,
+        view: &View,
+        wish: &Wish,
+        pieces: &[Piece],
+        random: &mut ChaCha8Rng,
+    ) -> Option<Choice> {
+        let mut choice = Choice {
+            alternatives: Vec::new(),
+            chosen: Vec::new(),
+            route: Route {
+                layer_count: 0,
+                stages: Vec::new(),
+            },
+            token_ms: 0.0,
+        };
+        let mut previous: Option<&Piece> = None;
+        while previous.is_none_or(|piece| piece.layers.end < piece.layer_count) {
+            let mut scored = Vec::new();
+            for piece in pieces {
+                let is_next = previous.map_or(piece.layers.start == 0, |previous| {
+                    piece.layers.start == previous.layers.end
+                        && piece.layer_count == previous.layer_count
+                });
+                if is_next {
+                    let from = previous.map(|previous| previous.target);
+                    let link = self.link(view, wish, from, piece.target);
+                    scored.push((link.plus(&piece.to_go), link, piece));
+                }
+            }
+            let (link, piece) = draw(&mut scored, &mut choice, random)?;
+            choice.token_ms += link.expected_ms / wish.answer_tokens.max(1.0);
+            choice.token_ms += self.step_ms(piece.target, piece.layers, piece.layer_count);
+            choice.route.layer_count = piece.layer_count;
+            choice.route.stages.push(Stage {
+                address: piece.target.address,
+                layers: piece.layers,
+                target: piece.target.id.clone(),
+            });
+            previous = Some(piece);
+        }
+        Some(choice)
+    }
+
+    fn has_place(&self, view: &View, wish: &Wish, target: &Target) -> bool {
+        if wish.is_suspect && self.slots.has_suspect(&target.id) {
+            return false;
+        }
+        let slots = f64::from(target.report.slot_count);
+        let ramped = (slots * target.ramp_fraction).ceil();
+        // Below four slots a kept place would take too much from long work.
+        let kept = if wish.is_short || slots < 4.0 {
+            0.0
+        } else {
+            (slots * self.short_slot_fraction).ceil()
+        };
+        let limit = (ramped - kept).max(1.0) + f64::from(self.target_queue_count);
+        let instance = &view.identity.instance;
+        self.slots.has_place(view.now, target, view.factor, limit, instance)
+    }
+
+    fn link(&self, view: &View, wish: &Wish, from: Option<&Target>, to: &Target) -> Score {
+        let token_ms = match from {
+            None => default_ms(
+                (&view.identity.failure_domain, &view.identity.region),
+                (&to.failure_domain, &to.region),
+                &self.settings,
+            ),
+            Some(from) => self.links.cost_ms(view.now, from, to, &self.settings),
+        };
+        Score {
+            avoidance: 0,
+            expected_ms: token_ms * wish.answer_tokens.max(1.0),
+        }
+    }
+
+    fn own_score(
+        &self,
+        view: &View,
+        wish: &Wish,
+        target: &Target,
+        layers: LayerRange,
+        layer_count: u32,
+    ) -> Score {
+        let step_ms = self.step_ms(target, layers, layer_count);
+        let load = self.slots.load(view.now, target, view.factor);
+        let busy = load / f64::from(target.report.slot_count.max(1));
+        let answer_ms = step_ms * wish.answer_tokens.max(1.0);
+        let wait_ms = busy * answer_ms;
+        let prefill_ms = step_ms * f64::from(wish.prompt_tokens) / self.settings.prefill_speedup;
+        let half_life = Duration::from_millis(self.settings.cache_half_life_ms);
+        let saved = self
+            .caches
+            .saved_fraction(view.now, &target.id, wish.prefix_hashes, half_life)
+            // A busy engine evicts soon, and affinity must not pile work on one engine.
+            * (1.0 - busy).max(0.0);
+        Score {
+            avoidance: avoidance(wish, target),
+            expected_ms: wait_ms + prefill_ms * (1.0 - saved) + answer_ms,
+        }
+    }
+
+    fn step_ms(&self, target: &Target, layers: LayerRange, layer_count: u32) -> f64 {
+        let held = layers.end.saturating_sub(layers.start);
+        let default_rate = self.settings.default_rate_per_s;
+        self.rates.step_ms(target, held, layer_count, default_rate)
+    }
+}
+
+/// Reasons to avoid a target: it failed this request, it is suspect, or it shares the failure
+/// domain of the last failure.
+fn avoidance(wish: &Wish, target: &Target) -> u32 {
+    let mut avoidance = 0;
+    if wish.avoid_targets.contains(&target.id) {
+        avoidance += 100;
+    }
+    if target.health == TargetHealth::Suspect {
+        avoidance += 10;
+    }
+    if wish.avoid_domain == Some(&target.failure_domain) {
+        avoidance += 1;
+    }
+    avoidance
+}
+
+/// Draws two of the good candidates, takes the better and logs the others.
+fn draw<'a, 'b>(
+    scored: &mut [(Score, Score, &'a Piece<'b>)],
+    choice: &mut Choice,
+    random: &mut ChaCha8Rng,
+) -> Option<(Score, &'a Piece<'b>)> {
+    scored.sort_by(|left, right| left.0.compare(&right.0));
+    let best = scored.first()?.0;
+    let limit_ms = best.expected_ms * GOOD_FACTOR + GOOD_MARGIN_MS;
+    let good_count = scored
+        .iter()
+        .filter(|(score, ..)| {
+            score.avoidance == best.avoidance && score.expected_ms <= limit_ms
+        })
+        .count();
+    let first = random.random_range(0..good_count);
+    let mut second = random.random_range(0..good_count.max(2) - 1);
+    if second >= first {
+        second += 1;
+    }
+    // The candidates are sorted, so the lower index is the better.
+    let index = first.min(second).min(good_count - 1);
+    for (position, (score, _, piece)) in scored.iter().enumerate() {
+        let candidate = Candidate {
+            score_ms: score.expected_ms,
+            target: piece.target.id.clone(),
+        };
+        if position == index {
+            choice.chosen.push(candidate);
+        } else if position <= LOGGED_ALTERNATIVES {
+            choice.alternatives.push(candidate);
+        }
+    }
+    let (_, link, piece) = &scored[index];
+    Some((*link, piece))
+}
