--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -97,7 +97,11 @@
             }
         }
         let lanes = accounts.get_mut(&account)?;
-        let lane = if is_short { &mut lanes.short } else { &mut lanes.long };
+        let lane = if is_short {
+            &mut lanes.short
+        } else {
+            &mut lanes.long
+        };
         let waiting = lane.pop_front()?;
         lanes.deficit -= waiting.cost;
         self.forget(resource, &account);
@@ -116,8 +120,26 @@
         }
     }
 
+    /// Gives back a request that `next` returned and that found no place.
+    pub fn put_back(&mut self, resource: &Resource, waiting: Waiting) {
+        *self.counts.entry(waiting.account.clone()).or_default() += 1;
+        let accounts = self.queues.entry(resource.clone()).or_default();
+        let lanes = accounts.entry(waiting.account.clone()).or_default();
+        lanes.deficit += waiting.cost;
+        if waiting.is_short {
+            lanes.short.push_front(waiting);
+        } else {
+            lanes.long.push_front(waiting);
+        }
+    }
+
     /// Takes a request out of the queues. Returns whether it was there.
-    pub fn remove(&mut self, resource: &Resource, account: &AccountId, request: &RequestId) -> bool {
+    pub fn remove(
+        &mut self,
+        resource: &Resource,
+        account: &AccountId,
+        request: &RequestId,
+    ) -> bool {
         let lanes = self.queues.get_mut(resource);
         let Some(lanes) = lanes.and_then(|accounts| accounts.get_mut(account)) else {
             return false;
@@ -165,7 +187,11 @@
 
 impl Lanes {
     fn cost(&self) -> f64 {
-        self.short.iter().chain(&self.long).map(|waiting| waiting.cost).sum()
+        self.short
+            .iter()
+            .chain(&self.long)
+            .map(|waiting| waiting.cost)
+            .sum()
     }
 
     /// Head to serve, and whether it is the short one. Short work goes first until the long head
@@ -183,7 +209,11 @@
             }
             _ => false,
         };
-        let order = if is_long_first { [false, true] } else { [true, false] };
+        let order = if is_long_first {
+            [false, true]
+        } else {
+            [true, false]
+        };
         for is_short in order {
             let lane = if is_short { &self.short } else { &self.long };
             if let Some(head) = lane.front()
--- a/crates/control/src/limit.rs
+++ b/crates/control/src/limit.rs
@@ -37,7 +37,10 @@
     #[must_use]
     pub fn factor(&self, now: Duration) -> f64 {
         let sum = |demands: &BTreeMap<AccountId, (u32, u32)>| -> u32 {
-            demands.values().map(|(running, waiting)| running + waiting).sum()
+            demands
+                .values()
+                .map(|(running, waiting)| running + waiting)
+                .sum()
         };
         let own = sum(&self.own).max(1);
         let (mut total, mut count) = (own, 1.0_f64);
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -26,7 +26,13 @@
 impl Links {
     /// Cost of one token between two targets, in milliseconds.
     #[must_use]
-    pub fn cost_ms(&self, now: Duration, from: &Target, to: &Target, settings: &RouteSettings) -> f64 {
+    pub fn cost_ms(
+        &self,
+        now: Duration,
+        from: &Target,
+        to: &Target,
+        settings: &RouteSettings,
+    ) -> f64 {
         let base = default_ms(
             (&from.failure_domain, &from.region),
             (&to.failure_domain, &to.region),
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -63,7 +63,12 @@
 
     /// Takes in the entries of a peer's heartbeat, which replace those of its last one. Entries at
     /// the limit are kept even if the peer is lost.
-    pub fn heartbeat_received(&mut self, now: Duration, peer: &InstanceId, reports: &[CrashReport]) {
+    pub fn heartbeat_received(
+        &mut self,
+        now: Duration,
+        peer: &InstanceId,
+        reports: &[CrashReport],
+    ) {
         let mut entries = BTreeMap::new();
         for report in reports {
             let remaining_ms = report.remaining_ms.min(self.settings.expiry_ms);
@@ -133,7 +138,10 @@
         let mut crashes = BTreeSet::new();
         let mut expires_at = now;
         let own = self.own.get(&fingerprint);
-        let of_peers = self.peers.values().filter_map(|entries| entries.get(&fingerprint));
+        let of_peers = self
+            .peers
+            .values()
+            .filter_map(|entries| entries.get(&fingerprint));
         for entry in own.into_iter().chain(of_peers) {
             if entry.expires_at > now {
                 crashes.extend(&entry.crashes);
--- a/crates/control/src/rate.rs
+++ b/crates/control/src/rate.rs
@@ -40,7 +40,13 @@
     /// Time for one token or call to cross `layers` of `layer_count` layers at the target, in
     /// milliseconds.
     #[must_use]
-    pub fn step_ms(&self, target: &Target, layers: u32, layer_count: u32, default_rate: f64) -> f64 {
+    pub fn step_ms(
+        &self,
+        target: &Target,
+        layers: u32,
+        layer_count: u32,
+        default_rate: f64,
+    ) -> f64 {
         let observed = self.by_kind.get(&kind(target)).copied();
         let rate = observed.unwrap_or(default_rate * f64::from(layer_count));
         1_000.0 * f64::from(layers) / rate.max(0.001)
--- a/crates/control/src/route.rs
+++ b/crates/control/src/route.rs
@@ -108,7 +108,11 @@
                 *by_start.entry(layers.start).or_default() += f64::from(target.report.slot_count);
             }
         }
-        by_start.values().copied().reduce(f64::min).unwrap_or_default()
+        by_start
+            .values()
+            .copied()
+            .reduce(f64::min)
+            .unwrap_or_default()
     }
 
     fn pieces<'a>(&self, view: &View<'a>, wish: &Wish, needs_place: bool) -> Vec<Piece<'a>> {
@@ -224,7 +228,8 @@
         };
         let limit = (ramped - kept).max(1.0) + f64::from(self.target_queue_count);
         let instance = &view.identity.instance;
-        self.slots.has_place(view.now, target, view.factor, limit, instance)
+        self.slots
+            .has_place(view.now, target, view.factor, limit, instance)
     }
 
     fn link(&self, view: &View, wish: &Wish, from: Option<&Target>, to: &Target) -> Score {
@@ -302,9 +307,7 @@
     let limit_ms = best.expected_ms * GOOD_FACTOR + GOOD_MARGIN_MS;
     let good_count = scored
         .iter()
-        .filter(|(score, ..)| {
-            score.avoidance == best.avoidance && score.expected_ms <= limit_ms
-        })
+        .filter(|(score, ..)| score.avoidance == best.avoidance && score.expected_ms <= limit_ms)
         .count();
     let first = random.random_range(0..good_count);
     let mut second = random.random_range(0..good_count.max(2) - 1);
--- a/crates/control/src/score.rs
+++ b/crates/control/src/score.rs
@@ -64,7 +64,7 @@
     /// Time since the process started.
     pub now: Duration,
     /// Targets.
-    pub targets: &'a [Target],
+    pub targets: &'a [&'a Target],
 }
 
 /// Why there is no route.
--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -67,7 +67,11 @@
         let (mut in_report, mut running, mut since) = (0.0, 0.0, 0.0);
         for work in &held.work {
             let is_in_report = work.started_at < target.reported_at;
-            if is_in_report && work.ended_at.is_none_or(|ended| ended >= target.reported_at) {
+            if is_in_report
+                && work
+                    .ended_at
+                    .is_none_or(|ended| ended >= target.reported_at)
+            {
                 in_report += 1.0;
             }
             if work.ended_at.is_none() {
@@ -76,9 +80,9 @@
             }
         }
         let age_s = now.saturating_sub(target.reported_at).as_secs_f64();
-        let remaining = held.mean_s.map_or(1.0, |mean_s| {
-            (-age_s / mean_s.max(0.001)).exp()
-        });
+        let remaining = held
+            .mean_s
+            .map_or(1.0, |mean_s| (-age_s / mean_s.max(0.001)).exp());
         (reported - in_report).max(0.0) * remaining + running + since * (factor - 1.0).max(0.0)
     }
 
@@ -103,7 +107,10 @@
         }
         let held = self.held.get(&target.id);
         let started = held.map_or(0, |held| {
-            let recent = held.work.iter().filter(|work| work.started_at >= target.reported_at);
+            let recent = held
+                .work
+                .iter()
+                .filter(|work| work.started_at >= target.reported_at);
             recent.count()
         });
         let mut hasher = DefaultHasher::new();
@@ -122,7 +129,13 @@
     }
 
     /// Notes that a request was sent to a target.
-    pub fn start(&mut self, now: Duration, request: &RequestId, target: &TargetId, is_suspect: bool) {
+    pub fn start(
+        &mut self,
+        now: Duration,
+        request: &RequestId,
+        target: &TargetId,
+        is_suspect: bool,
+    ) {
         let held = self.held.entry(target.clone()).or_default();
         held.work.push(Work {
             ended_at: None,
