--- /dev/null
+++ b/crates/control/src/call_entry.rs
@@ -0,0 +1,224 @@
+use super::*;
+
+/// States of `charts/call.json`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CallState {
+    Abandoned,
+    Claimed,
+    Claiming,
+    Closed,
+    Following,
+    Marking,
+    NotRun,
+    Ran,
+    Resolving,
+    Unknown,
+}
+
+/// Events of `charts/call.json`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CallEvent {
+    Absent,
+    Ambiguous,
+    Cleaned,
+    Completed,
+    Confirmed,
+    ConfirmedLate,
+    Expired,
+    Lost,
+    Marked,
+    OwnerEnded,
+    OwnerGone,
+    OwnerRunning,
+    OwnerSilent,
+    Refused,
+    RowBehind,
+    RowMismatch,
+    RowNotRun,
+    RowRan,
+    RowSettled,
+    RowStarted,
+    RowSuperseded,
+    RowUnknown,
+    Unavailable,
+}
+
+/// Actions of `charts/call.json`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CallAction {
+    AnswerMismatch,
+    AnswerNotRun,
+    AnswerOutcome,
+    AnswerOwner,
+    AnswerRow,
+    AnswerUnknown,
+    Clean,
+    Clear,
+    MarkUnknown,
+    ReadBack,
+    SendClaim,
+    Settle,
+    Write,
+}
+
+pub(crate) static CALL_CHART: LazyLock<Chart<CallState, CallEvent, CallAction>> =
+    LazyLock::new(|| {
+        Chart::parse(include_str!("../../../charts/call.json"))
+            .expect("charts/call.json names what this file names")
+    });
+
+/// One key at this instance.
+#[derive(Clone, Debug)]
+pub(crate) struct CallEntry {
+    pub(crate) ask_at: Duration,
+    /// When the claim was first sent. The dispatch window counts from here.
+    pub(crate) began: Duration,
+    pub(crate) body_hash: Arc<str>,
+    /// Version that the newest claim requires. An earlier claim requires a lower version, which
+    /// the row has passed.
+    pub(crate) claim_version: RowVersion,
+    pub(crate) deadline_at: Duration,
+    /// When the row was first seen to be up to date with an ended call.
+    pub(crate) ended_at: Option<Duration>,
+    pub(crate) expires_ms: u64,
+    /// When it began to wait for another owner.
+    pub(crate) followed_at: Duration,
+    /// Whether a request to the store about this key waits for its reply.
+    pub(crate) in_flight: bool,
+    pub(crate) nonce: Nonce,
+    /// Answer of an ended call. Invariant: present in `NotRun`, `Ran` and `Unknown`.
+    pub(crate) outcome: Option<CallOutcome>,
+    /// Request that made the claim. Only this one dispatches.
+    pub(crate) primary: RequestId,
+    /// Callers without an answer.
+    pub(crate) requests: Vec<RequestId>,
+    pub(crate) retry_at: Option<Duration>,
+    pub(crate) retry_count: u32,
+    /// The row as last seen or written.
+    pub(crate) row: Option<CallRow>,
+    /// Version of the row as last seen or written; 0 for absent.
+    pub(crate) row_version: RowVersion,
+    pub(crate) state: CallState,
+}
+
+impl CallEntry {
+    /// Whether it may be forgotten: it has ended and the row says so.
+    pub(crate) fn is_durable(&self) -> bool {
+        self.ended_at.is_some() && !self.in_flight
+    }
+
+    /// Row of the own claim in `state`.
+    pub(crate) fn own_row(&self, identity: &Identity, state: CallRowState) -> CallRow {
+        let result = match (&self.outcome, state) {
+            (Some(CallOutcome::Ran(reply)), CallRowState::Ran) => Some(reply.clone()),
+            _ => None,
+        };
+        CallRow {
+            body_hash: self.body_hash.clone(),
+            expires_ms: self.expires_ms,
+            incarnation: identity.incarnation,
+            nonce: self.nonce.clone(),
+            owner: identity.instance.clone(),
+            result,
+            state,
+        }
+    }
+
+    /// Row of the lost owner's claim, which becomes `unknown` and keeps its nonce, so that the
+    /// owner can still add a result.
+    pub(crate) fn marked_row(&self, identity: &Identity) -> CallRow {
+        let row = self.row.clone();
+        let row = row.unwrap_or_else(|| self.own_row(identity, CallRowState::Unknown));
+        CallRow {
+            result: None,
+            state: CallRowState::Unknown,
+            ..row
+        }
+    }
+
+    /// Answer that the row holds.
+    pub(crate) fn row_outcome(&self) -> CallOutcome {
+        let result = self.row.as_ref().and_then(|row| row.result.clone());
+        result.map_or(CallOutcome::Unknown, CallOutcome::Ran)
+    }
+
+    /// Bytes of its result.
+    pub(crate) fn result_bytes(&self) -> usize {
+        match &self.outcome {
+            Some(CallOutcome::Ran(reply)) => reply.body.len(),
+            _ => 0,
+        }
+    }
+
+    /// State that the row is to have after the call has ended.
+    pub(crate) fn wanted(&self) -> Option<CallRowState> {
+        match self.state {
+            CallState::NotRun => Some(CallRowState::NotRun),
+            CallState::Ran => Some(CallRowState::Ran),
+            CallState::Unknown => Some(CallRowState::Unknown),
+            _ => None,
+        }
+    }
+
+    /// What a row that was read or met in a conflict means in the current state.
+    pub(crate) fn judge(&self, row: Option<&CallRow>, version: RowVersion) -> CallEvent {
+        let is_own = row.is_some_and(|row| row.nonce == self.nonce);
+        if self.wanted().is_some() {
+            return self.judge_ended(row, is_own);
+        }
+        if self.state == CallState::Marking {
+            return self.judge_marking(row);
+        }
+        let Some(row) = row else {
+            return CallEvent::Absent;
+        };
+        match row.state {
+            CallRowState::Started if is_own => return CallEvent::Confirmed,
+            CallRowState::NotRun if is_own => return CallEvent::Cleaned,
+            _ if version == self.claim_version && !is_own => return CallEvent::Absent,
+            _ => {}
+        }
+        if row.body_hash != self.body_hash {
+            return CallEvent::RowMismatch;
+        }
+        match row.state {
+            CallRowState::NotRun => CallEvent::RowNotRun,
+            CallRowState::Ran => CallEvent::RowRan,
+            CallRowState::Started => CallEvent::RowStarted,
+            CallRowState::Unknown => CallEvent::RowUnknown,
+        }
+    }
+
+    fn judge_ended(&self, row: Option<&CallRow>, is_own: bool) -> CallEvent {
+        let Some(row) = row.filter(|_| is_own) else {
+            return CallEvent::RowSuperseded;
+        };
+        if Some(row.state) == self.wanted() {
+            return CallEvent::RowSettled;
+        }
+        match row.state {
+            CallRowState::Unknown => CallEvent::RowUnknown,
+            _ => CallEvent::RowBehind,
+        }
+    }
+
+    fn judge_marking(&self, row: Option<&CallRow>) -> CallEvent {
+        let Some(row) = row else {
+            return CallEvent::Absent;
+        };
+        let is_same = self
+            .row
+            .as_ref()
+            .is_some_and(|seen| seen.nonce == row.nonce);
+        match row.state {
+            CallRowState::NotRun => CallEvent::RowNotRun,
+            CallRowState::Ran => CallEvent::RowRan,
+            CallRowState::Started if is_same => CallEvent::RowStarted,
+            CallRowState::Started => CallEvent::RowSuperseded,
+            CallRowState::Unknown => CallEvent::RowUnknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/call_reply.rs
@@ -0,0 +1,215 @@
+use super::*;
+
+impl Records {
+    /// Takes a reply of the store; none if the ticket is not of the record.
+    pub fn store_replied(
+        &mut self,
+        context: &mut Context,
+        ticket: StoreTicket,
+        result: &Result<StoreReply, StoreFailure>,
+    ) -> Option<Vec<RecordEffect>> {
+        if self
+            .sweep
+            .store_replied(context, ticket, result, &self.settings)
+        {
+            return Some(Vec::new());
+        }
+        let flight = self.flights.remove(&ticket)?;
+        let mut effects = Vec::new();
+        match flight {
+            Flight::Change {
+                event,
+                key,
+                nonce,
+                row,
+            } => {
+                if self.landed(&key, &nonce) {
+                    self.changed(context, &key, event, row, result, &mut effects);
+                }
+            }
+            Flight::Outcomes(rows) => self.outcomes_replied(context, rows, result, &mut effects),
+            Flight::Read { key, nonce } => {
+                if self.landed(&key, &nonce) {
+                    self.read(context, &key, result, &mut effects);
+                }
+            }
+        }
+        self.flush(context);
+        Some(effects)
+    }
+
+    /// Time passed: closes windows, asks owners, retries, writes and sweeps.
+    pub fn tick(&mut self, context: &mut Context, members: &Members) -> Vec<RecordEffect> {
+        let mut effects = Vec::new();
+        let keys: Vec<Arc<str>> = self.entries.keys().cloned().collect();
+        for key in keys {
+            self.tick_entry(context, &key, members, &mut effects);
+        }
+        self.forget(context.now);
+        self.flush(context);
+        self.sweep.tick(context, members, &self.settings);
+        effects
+    }
+
+    /// Clears the flight of an entry; false if the entry is of another claim.
+    pub(crate) fn landed(&mut self, key: &Arc<str>, nonce: &Nonce) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        if *nonce != entry.nonce {
+            return false;
+        }
+        entry.in_flight = false;
+        true
+    }
+
+    /// Judges the row of a key, as it was read or met in a conflict.
+    pub(crate) fn judge(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        rows: &[Row],
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let found = rows.iter().find(|row| row.key == *key);
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let row = found.and_then(|row| CallRow::parse(&row.value));
+        if found.is_some() && row.is_none() {
+            context.log("record", key, "the row of this call is not readable");
+        }
+        let version = found.map_or(0, |row| row.version);
+        let event = entry.judge(row.as_ref(), version);
+        entry.row = row;
+        entry.row_version = version;
+        let event = self.in_time(context.now, key, event);
+        let outcome = (event == CallEvent::RowUnknown).then_some(CallOutcome::Unknown);
+        self.apply(context, key, event, outcome, effects);
+    }
+
+    fn changed(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        event: CallEvent,
+        row: CallRow,
+        result: &Result<StoreReply, StoreFailure>,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        match result {
+            Err(StoreFailure::Ambiguous) => {
+                self.apply(context, key, CallEvent::Ambiguous, None, effects);
+            }
+            Err(StoreFailure::Unavailable) => {
+                self.apply(context, key, CallEvent::Unavailable, None, effects);
+            }
+            Ok(StoreReply::Committed { version }) => {
+                if let Some(entry) = self.entries.get_mut(key) {
+                    entry.row = Some(row);
+                    entry.row_version = *version;
+                }
+                let event = self.in_time(context.now, key, event);
+                self.apply(context, key, event, None, effects);
+            }
+            Ok(StoreReply::Conflict { rows } | StoreReply::Rows { rows }) => {
+                self.judge(context, key, rows, effects);
+            }
+        }
+    }
+
+    fn read(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        result: &Result<StoreReply, StoreFailure>,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        match result {
+            Ok(StoreReply::Rows { rows }) => self.judge(context, key, rows, effects),
+            _ => self.apply(context, key, CallEvent::Unavailable, None, effects),
+        }
+    }
+
+    /// A confirmation counts only while the window is open.
+    fn in_time(&self, now: Duration, key: &Arc<str>, event: CallEvent) -> CallEvent {
+        let is_open = self
+            .entries
+            .get(key)
+            .is_some_and(|entry| self.is_window_open(entry, now));
+        match event {
+            CallEvent::Confirmed if !is_open => CallEvent::ConfirmedLate,
+            _ => event,
+        }
+    }
+
+    fn tick_entry(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        members: &Members,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let Some(entry) = self.entries.get(key) else {
+            return;
+        };
+        let now = context.now;
+        let is_expired = match entry.state {
+            CallState::Claiming | CallState::Resolving => !self.is_window_open(entry, now),
+            CallState::Following | CallState::Marking => now > entry.deadline_at,
+            _ => false,
+        };
+        if is_expired {
+            return self.apply(context, key, CallEvent::Expired, None, effects);
+        }
+        if entry.state == CallState::Following {
+            return self.follow(context, key, members, effects);
+        }
+        if entry.retry_at.is_some_and(|at| now >= at) && !entry.in_flight {
+            self.read_row(context, key);
+        }
+    }
+
+    /// Asks the owner of a claim, or finds that it is gone.
+    fn follow(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        members: &Members,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let now = context.now;
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let silence = Duration::from_millis(self.settings.owner_silence_ms);
+        let row = entry.row.as_ref();
+        let owner = row.map(|row| (row.owner.clone(), row.incarnation));
+        let owner = owner.unwrap_or_default();
+        let peer = members.peer(&owner.0);
+        let is_gone = match peer {
+            _ if owner.0 == self.identity.instance => true,
+            None => now.saturating_sub(entry.followed_at) > silence,
+            Some(peer) => {
+                let heard_at = peer.heard_at.unwrap_or(entry.followed_at);
+                let is_silent = now.saturating_sub(heard_at.max(entry.followed_at)) > silence;
+                let is_down = peer.health == TargetHealth::Down;
+                peer.incarnation > owner.1 || is_down || is_silent
+            }
+        };
+        if is_gone {
+            return self.apply(context, key, CallEvent::OwnerGone, None, effects);
+        }
+        let Some(peer) = peer.filter(|_| now >= entry.ask_at) else {
+            return;
+        };
+        entry.ask_at = now + Duration::from_millis(self.settings.ask_ms);
+        let nonce = row.map(|row| row.nonce.clone()).unwrap_or_default();
+        context.push(Command::AskOwner {
+            nonce,
+            owner: owner.0,
+            peer_address: peer.peer_address,
+            request: entry.primary.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/control/src/claim.rs
@@ -0,0 +1,221 @@
+use super::*;
+
+impl Records {
+    /// Sends the first claim of a key. `old` is the ended call that it replaces.
+    pub(crate) fn claim(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        call: &CallSubmission,
+        old: Option<CallEntry>,
+    ) -> Vec<RecordEffect> {
+        if !self.make_room() {
+            return vec![self.refuse(&call.request, RefusalKind::Limit)];
+        }
+        let nonce: Nonce = format!("{:032x}", context.random.random::<u128>()).into();
+        let (row, row_version) = old.map_or((None, 0), |old| (old.row, old.row_version));
+        let entry = CallEntry {
+            ask_at: context.now,
+            began: context.now,
+            body_hash: call.body_hash.clone(),
+            claim_version: 0,
+            deadline_at: context.now + call.deadline,
+            ended_at: None,
+            expires_ms: wall_ms(context) + self.settings.retention_ms,
+            followed_at: context.now,
+            in_flight: false,
+            nonce: nonce.clone(),
+            outcome: None,
+            primary: call.request.clone(),
+            requests: vec![call.request.clone()],
+            retry_at: None,
+            retry_count: 0,
+            row,
+            row_version,
+            state: CALL_CHART.initial(),
+        };
+        self.nonces.insert(nonce, key.clone());
+        self.requests.insert(call.request.clone(), key.clone());
+        self.entries.insert(key.clone(), entry);
+        self.send_claim(context, key);
+        Vec::new()
+    }
+
+    /// Takes one step of the chart. `outcome` is kept when the step leads to another state.
+    pub(crate) fn apply(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        event: CallEvent,
+        outcome: Option<CallOutcome>,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let step = match CALL_CHART.step(entry.state, event) {
+            Err(error) => return context.unexpected(key, &error),
+            Ok(step) => step,
+        };
+        if step.state != entry.state && outcome.is_some() {
+            entry.outcome = outcome;
+        }
+        if step.state == CallState::Following && entry.state != CallState::Following {
+            entry.followed_at = context.now;
+        }
+        entry.state = step.state;
+        for action in &step.actions {
+            self.act(context, key, *action, effects);
+        }
+        if step.state == CallState::Closed {
+            self.remove(key);
+        }
+    }
+
+    fn act(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        action: CallAction,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let refused = CallOutcome::NotRun(self.refusal(RefusalKind::StoreUnavailable));
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        match action {
+            CallAction::AnswerMismatch => entry.outcome = Some(CallOutcome::KeyMismatch),
+            CallAction::AnswerNotRun => {
+                let is_refused = matches!(entry.outcome, Some(CallOutcome::NotRun(_)));
+                if !is_refused {
+                    entry.outcome = Some(refused);
+                }
+            }
+            CallAction::AnswerOutcome | CallAction::AnswerOwner => {}
+            CallAction::AnswerRow => entry.outcome = Some(entry.row_outcome()),
+            CallAction::AnswerUnknown => entry.outcome = Some(CallOutcome::Unknown),
+            CallAction::Clean => return self.send_row(context, key, CallEvent::Cleaned),
+            CallAction::Clear => {
+                entry.retry_at = None;
+                let request = entry.primary.clone();
+                effects.push(RecordEffect::Cleared { request });
+                return;
+            }
+            CallAction::MarkUnknown => return self.send_row(context, key, CallEvent::Marked),
+            CallAction::ReadBack => return self.read_back(context, key),
+            CallAction::SendClaim => return self.send_claim(context, key),
+            CallAction::Settle => {
+                entry.ended_at.get_or_insert(context.now);
+                return;
+            }
+            CallAction::Write => {
+                entry.ended_at = None;
+                return self.outbox.add(context.now, key);
+            }
+        }
+        self.answer(key, effects);
+    }
+
+    /// Gives the entry's outcome to all callers that wait for it.
+    fn answer(&mut self, key: &Arc<str>, effects: &mut Vec<RecordEffect>) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let outcome = entry.outcome.clone().unwrap_or(CallOutcome::Unknown);
+        for request in entry.requests.drain(..) {
+            if request != entry.primary {
+                self.requests.remove(&request);
+            }
+            effects.push(RecordEffect::Answer {
+                outcome: outcome.clone(),
+                request,
+            });
+        }
+    }
+
+    fn send_claim(&mut self, context: &mut Context, key: &Arc<str>) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            // Only an absent row or one that says not_run may be claimed.
+            let row = entry.row.as_ref();
+            let is_free = row.is_some_and(|row| row.state == CallRowState::NotRun);
+            entry.claim_version = if is_free { entry.row_version } else { 0 };
+        }
+        self.send_row(context, key, CallEvent::Confirmed);
+    }
+
+    /// Sends the conditional write whose success brings `event`.
+    fn send_row(&mut self, context: &mut Context, key: &Arc<str>, event: CallEvent) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if entry.in_flight {
+            return;
+        }
+        let row = match event {
+            CallEvent::Marked => entry.marked_row(&self.identity),
+            CallEvent::Cleaned => entry.own_row(&self.identity, CallRowState::NotRun),
+            _ => entry.own_row(&self.identity, CallRowState::Started),
+        };
+        let version = match event {
+            CallEvent::Confirmed => entry.claim_version,
+            _ => entry.row_version,
+        };
+        let index = (event != CallEvent::Marked).then(|| Write {
+            key: expiry_key(key, row.expires_ms),
+            value: Some("".into()),
+        });
+        let change = Write {
+            key: key.clone(),
+            value: Some(row.to_value()),
+        };
+        let ticket = context.store(StoreRequest::Transact {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version,
+            }],
+            writes: index.into_iter().chain([change]).collect(),
+        });
+        entry.in_flight = true;
+        let flight = Flight::Change {
+            event,
+            key: key.clone(),
+            nonce: entry.nonce.clone(),
+            row,
+        };
+        self.flights.insert(ticket, flight);
+    }
+
+    /// Reads the row: at once the first time, later after growing waits.
+    fn read_back(&mut self, context: &mut Context, key: &Arc<str>) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if entry.in_flight {
+            return;
+        }
+        entry.retry_count += 1;
+        if entry.retry_count == 1 {
+            return self.read_row(context, key);
+        }
+        // A caller waits in every state but `Abandoned`, so there the waits may grow longer.
+        let max_ms = match entry.state {
+            CallState::Abandoned => self.settings.retry_max_ms,
+            _ => self.settings.retry_min_ms * 4,
+        };
+        let wait_ms = self.settings.retry_min_ms << entry.retry_count.min(12);
+        entry.retry_at = Some(context.now + Duration::from_millis(wait_ms.min(max_ms)));
+    }
+
+    pub(crate) fn read_row(&mut self, context: &mut Context, key: &Arc<str>) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.in_flight = true;
+        entry.retry_at = None;
+        let ticket = context.store(StoreRequest::Read {
+            keys: vec![key.clone()],
+        });
+        let (key, nonce) = (key.clone(), entry.nonce.clone());
+        self.flights.insert(ticket, Flight::Read { key, nonce });
+    }
+}
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -2,7 +2,7 @@
 
 /// What each part of the node needs to act on one event: the time, random numbers, and the place
 /// for its commands.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Context {
     /// Commands so far, in order.
     pub commands: Vec<Command>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 
 use {
     chart::Chart,
+    rand::Rng,
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
@@ -14,15 +15,19 @@
     },
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
-        Change, ChangeRecord, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
+        Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
         FailureDomain, FailureKind, GenerateSubmission, Heartbeat, Incarnation, InstanceId,
         Listing, ListingRole, Lists, LoadReport, LoadedModel, Nonce, OperationId, Order, Priority,
-        Refusal, RegionId, RequestId, Route, StoreFailure, StoreReply, StoreRequest, StoreTicket,
-        TargetDigest, TargetHealth, TargetId,
+        Refusal, RefusalKind, RegionId, RequestId, Route, Row, RowVersion, StoreFailure,
+        StoreReply, StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
     },
 };
 
 mod belief;
+mod call_entry;
+mod call_reply;
+mod call_row;
+mod claim;
 mod command;
 mod context;
 mod decision;
@@ -33,14 +38,25 @@
 mod member;
 mod member_settings;
 mod observation;
+mod outcome;
 mod peer;
+mod record;
+mod record_settings;
 mod rendezvous;
+mod sweep;
 mod target;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
+    call_entry::{CALL_CHART, CallAction, CallEntry, CallEvent, CallState},
+    call_row::{
+        CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
+    },
     detector::{Detector, Silence},
     member::TargetEntry,
+    outcome::Outbox,
+    record::Flight,
+    sweep::Sweep,
 };
 
 pub use {
@@ -52,5 +68,7 @@
     member::{Members, OwnState},
     member_settings::MemberSettings,
     peer::Peer,
+    record::{RecordEffect, Records},
+    record_settings::RecordSettings,
     target::Target,
 };
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -20,7 +20,7 @@
 }
 
 /// Live view of targets and peers. Belongs to the control thread of one instance.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Members {
     /// Departures by id: incarnation and when this instance learned of it.
     pub(crate) departures: BTreeMap<Arc<str>, (Incarnation, Duration)>,
@@ -38,7 +38,7 @@
     pub(crate) ticked_at: Duration,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct PeerEntry {
     pub(crate) belief: Belief,
     pub(crate) peer: Peer,
@@ -46,7 +46,7 @@
     pub(crate) sent: BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct TargetEntry {
     pub(crate) belief: Belief,
     /// Whether this instance polls the target.
--- /dev/null
+++ b/crates/control/src/outcome.rs
@@ -0,0 +1,178 @@
+use super::*;
+
+/// Outcomes that wait for their transaction.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outbox {
+    /// Keys whose last transaction met a conflict; each is written by itself.
+    alone: BTreeSet<Arc<str>>,
+    failure_count: u32,
+    /// Time before which nothing is sent, after the store failed.
+    not_before: Duration,
+    pending: BTreeSet<Arc<str>>,
+    since: Duration,
+}
+
+impl Outbox {
+    pub(crate) fn add(&mut self, now: Duration, key: &Arc<str>) {
+        if self.pending.is_empty() {
+            self.since = now;
+        }
+        self.pending.insert(key.clone());
+    }
+
+    pub(crate) fn due_at(&self, settings: &RecordSettings) -> Option<Duration> {
+        if self.pending.is_empty() {
+            return None;
+        }
+        let batch = Duration::from_millis(settings.batch_ms);
+        Some((self.since + batch).max(self.not_before))
+    }
+
+    fn failed(&mut self, now: Duration, settings: &RecordSettings) {
+        self.failure_count += 1;
+        let wait_ms = settings.retry_min_ms << self.failure_count.min(12);
+        self.not_before = now + Duration::from_millis(wait_ms.min(settings.retry_max_ms));
+    }
+}
+
+impl Records {
+    /// Writes waiting outcomes that are due.
+    pub(crate) fn flush(&mut self, context: &mut Context) {
+        let is_full = self.outbox.pending.len() >= self.settings.batch_max_count;
+        let due_at = self.outbox.due_at(&self.settings);
+        let is_due = due_at.is_some_and(|at| context.now >= at);
+        let may_send = context.now >= self.outbox.not_before;
+        let is_early = !is_due && !is_full;
+        if is_early || !may_send {
+            return;
+        }
+        let mut batch = Vec::new();
+        for key in std::mem::take(&mut self.outbox.pending) {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            // A write in progress is compared with the wanted state when its reply comes.
+            let Some(state) = entry.wanted().filter(|_| !entry.in_flight) else {
+                continue;
+            };
+            entry.in_flight = true;
+            let row = entry.own_row(&self.identity, state);
+            if self.outbox.alone.remove(&key) {
+                self.send_outcomes(context, vec![(key, row)]);
+                continue;
+            }
+            batch.push((key, row));
+            if batch.len() >= self.settings.batch_max_count {
+                let full = std::mem::take(&mut batch);
+                self.send_outcomes(context, full);
+            }
+        }
+        if !batch.is_empty() {
+            self.send_outcomes(context, batch);
+        }
+    }
+
+    pub(crate) fn outcomes_replied(
+        &mut self,
+        context: &mut Context,
+        rows: Vec<(Arc<str>, CallRow)>,
+        result: &Result<StoreReply, StoreFailure>,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        match result {
+            Err(_) => self.outbox.failed(context.now, &self.settings),
+            Ok(_) => self.outbox.failure_count = 0,
+        }
+        for (key, row) in rows {
+            if !self.landed(&key, &row.nonce) {
+                continue;
+            }
+            match result {
+                Err(_) => self.outbox.add(context.now, &key),
+                Ok(StoreReply::Committed { version }) => {
+                    self.outcome_written(context, &key, row, *version, effects);
+                }
+                Ok(StoreReply::Conflict { rows } | StoreReply::Rows { rows }) => {
+                    self.outbox.alone.insert(key.clone());
+                    self.judge(context, &key, rows, effects);
+                }
+            }
+        }
+    }
+
+    /// Makes room for one more call; false when every call in memory is still needed.
+    pub(crate) fn make_room(&mut self) -> bool {
+        if self.entries.len() < self.settings.max_count {
+            return true;
+        }
+        let durable = self.entries.iter().filter(|(_, entry)| entry.is_durable());
+        let oldest = durable.min_by_key(|(_, entry)| entry.ended_at);
+        let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+            return false;
+        };
+        self.remove(&key);
+        true
+    }
+
+    /// Forgets ended calls by age, then by bytes, oldest first.
+    pub(crate) fn forget(&mut self, now: Duration) {
+        let memory = Duration::from_millis(self.settings.ended_memory_ms);
+        let mut ended: Vec<(Duration, Arc<str>, usize)> = Vec::new();
+        for (key, entry) in &self.entries {
+            if let Some(ended_at) = entry.ended_at.filter(|_| entry.is_durable()) {
+                ended.push((ended_at, key.clone(), entry.result_bytes()));
+            }
+        }
+        ended.sort_unstable();
+        let mut bytes: usize = ended.iter().map(|(_, _, bytes)| bytes).sum();
+        for (ended_at, key, size) in ended {
+            let is_old = now.saturating_sub(ended_at) > memory;
+            if !is_old && bytes <= self.settings.ended_max_bytes {
+                break;
+            }
+            bytes -= size;
+            self.remove(&key);
+        }
+        self.outbox
+            .alone
+            .retain(|key| self.entries.contains_key(key));
+    }
+
+    fn outcome_written(
+        &mut self,
+        context: &mut Context,
+        key: &Arc<str>,
+        row: CallRow,
+        version: RowVersion,
+        effects: &mut Vec<RecordEffect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let event = match entry.wanted() {
+            Some(state) if state == row.state => CallEvent::RowSettled,
+            _ => CallEvent::RowBehind,
+        };
+        entry.row = Some(row);
+        entry.row_version = version;
+        self.apply(context, key, event, None, effects);
+    }
+
+    fn send_outcomes(&mut self, context: &mut Context, rows: Vec<(Arc<str>, CallRow)>) {
+        let mut conditions = Vec::new();
+        let mut writes = Vec::new();
+        for (key, row) in &rows {
+            let version = self.entries.get(key).map_or(0, |entry| entry.row_version);
+            conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
+            writes.push(Write {
+                key: key.clone(),
+                value: Some(row.to_value()),
+            });
+        }
+        let ticket = context.store(StoreRequest::Transact { conditions, writes });
+        self.flights.insert(ticket, Flight::Outcomes(rows));
+    }
+}
--- /dev/null
+++ b/crates/control/src/record.rs
@@ -0,0 +1,276 @@
+use super::*;
+
+/// What the node does after a step of the record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RecordEffect {
+    /// Give the caller its final answer.
+    Answer {
+        /// Answer.
+        outcome: CallOutcome,
+        /// Request.
+        request: RequestId,
+    },
+    /// The claim is durable: the node may dispatch now.
+    Cleared {
+        /// Request.
+        request: RequestId,
+    },
+}
+
+/// Record of non-repeatable calls at one instance. Belongs to the control thread.
+///
+/// The claim of a key is one conditional write with a fresh nonce, and only the process that made
+/// the nonce dispatches under it. A claim whose reply was lost may take effect at any later time;
+/// it is fenced by giving the row a version that the claim's condition does not accept.
+#[derive(Clone, Debug)]
+pub struct Records {
+    pub(crate) entries: BTreeMap<Arc<str>, CallEntry>,
+    pub(crate) flights: BTreeMap<StoreTicket, Flight>,
+    pub(crate) identity: Identity,
+    pub(crate) nonces: BTreeMap<Nonce, Arc<str>>,
+    pub(crate) outbox: Outbox,
+    pub(crate) requests: BTreeMap<RequestId, Arc<str>>,
+    pub(crate) settings: RecordSettings,
+    pub(crate) sweep: Sweep,
+}
+
+/// Request to the store that waits for its reply.
+#[derive(Clone, Debug)]
+pub(crate) enum Flight {
+    /// Writes the row of one key; holds the row that it writes.
+    Change {
+        event: CallEvent,
+        key: Arc<str>,
+        /// Nonce of the entry, which differs from that of the row when it marks another's claim.
+        nonce: Nonce,
+        row: CallRow,
+    },
+    /// Writes outcomes.
+    Outcomes(Vec<(Arc<str>, CallRow)>),
+    /// Reads the row of one key for the holder of the nonce.
+    Read { key: Arc<str>, nonce: Nonce },
+}
+
+impl Records {
+    /// Creates an empty record.
+    #[must_use]
+    pub fn new(identity: Identity, settings: RecordSettings) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            identity,
+            nonces: BTreeMap::new(),
+            outbox: Outbox::default(),
+            requests: BTreeMap::new(),
+            settings,
+            sweep: Sweep::default(),
+        }
+    }
+
+    /// Starts or joins the call of a key. The submission must carry a key.
+    pub fn submit(&mut self, context: &mut Context, call: &CallSubmission) -> Vec<RecordEffect> {
+        let Some(caller_key) = &call.key else {
+            context.log(
+                "record",
+                &call.request,
+                "a call without a key was submitted",
+            );
+            return vec![self.refuse(&call.request, RefusalKind::Limit)];
+        };
+        let key = call_key(&call.account, caller_key);
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return self.claim(context, &key, call, None);
+        };
+        let request = call.request.clone();
+        if entry.body_hash != call.body_hash {
+            let outcome = CallOutcome::KeyMismatch;
+            return vec![RecordEffect::Answer { outcome, request }];
+        }
+        let is_durable = entry.is_durable();
+        match entry.state {
+            CallState::NotRun if is_durable => {
+                let old = self.remove(&key);
+                self.claim(context, &key, call, old)
+            }
+            CallState::Abandoned | CallState::NotRun => {
+                vec![self.refuse(&request, RefusalKind::StoreUnavailable)]
+            }
+            CallState::Ran | CallState::Unknown => {
+                let outcome = entry.outcome.clone().unwrap_or(CallOutcome::Unknown);
+                vec![RecordEffect::Answer { outcome, request }]
+            }
+            _ if entry.requests.len() >= self.settings.max_waiting_count => {
+                // The call may run for the callers that wait, so `not run` would be false.
+                let outcome = CallOutcome::Unknown;
+                vec![RecordEffect::Answer { outcome, request }]
+            }
+            _ => {
+                entry.requests.push(request.clone());
+                self.requests.insert(request, key);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Whether the request may be sent to a target at `now`: its claim is durable, its caller has
+    /// no answer, and the window since the claim was first sent is open. To be asked before each
+    /// dispatch.
+    #[must_use]
+    pub fn may_dispatch(&self, now: Duration, request: &RequestId) -> bool {
+        let Some(entry) = self.primary(request) else {
+            return false;
+        };
+        entry.state == CallState::Claimed && self.is_window_open(entry, now)
+    }
+
+    /// A target replied.
+    pub fn completed(
+        &mut self,
+        context: &mut Context,
+        request: &RequestId,
+        reply: CallReply,
+    ) -> Vec<RecordEffect> {
+        self.end(
+            context,
+            request,
+            CallEvent::Completed,
+            CallOutcome::Ran(reply),
+        )
+    }
+
+    /// Nothing was run, and nothing will be dispatched.
+    pub fn not_run(
+        &mut self,
+        context: &mut Context,
+        request: &RequestId,
+        refusal: Refusal,
+    ) -> Vec<RecordEffect> {
+        let outcome = CallOutcome::NotRun(refusal);
+        self.end(context, request, CallEvent::Refused, outcome)
+    }
+
+    /// The call may have run: its connection broke after bytes were sent, or its deadline passed.
+    pub fn lost(&mut self, context: &mut Context, request: &RequestId) -> Vec<RecordEffect> {
+        self.end(context, request, CallEvent::Lost, CallOutcome::Unknown)
+    }
+
+    /// What this process says of a claim when a peer asks.
+    #[must_use]
+    pub fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
+        let entry = self.nonces.get(nonce).and_then(|key| self.entries.get(key));
+        let Some(entry) = entry else {
+            return OwnerStatus::UnknownClaim;
+        };
+        match entry.state {
+            CallState::Abandoned | CallState::NotRun | CallState::Ran | CallState::Unknown => {
+                let outcome = entry.outcome.clone();
+                OwnerStatus::Ended(outcome.unwrap_or(CallOutcome::Unknown))
+            }
+            CallState::Claimed | CallState::Claiming | CallState::Resolving => OwnerStatus::Running,
+            CallState::Closed | CallState::Following | CallState::Marking => {
+                OwnerStatus::UnknownClaim
+            }
+        }
+    }
+
+    /// Takes the answer to `Command::AskOwner`.
+    pub fn owner_answered(
+        &mut self,
+        context: &mut Context,
+        request: &RequestId,
+        status: OwnerStatus,
+    ) -> Vec<RecordEffect> {
+        let mut effects = Vec::new();
+        let Some(key) = self.requests.get(request).cloned() else {
+            return effects;
+        };
+        let state = self.entries.get(&key).map(|entry| entry.state);
+        if !matches!(state, Some(CallState::Following)) {
+            return effects;
+        }
+        let (event, outcome) = match status {
+            OwnerStatus::Ended(outcome) => (CallEvent::OwnerEnded, Some(outcome)),
+            OwnerStatus::NoReply => (CallEvent::OwnerSilent, None),
+            OwnerStatus::Running => (CallEvent::OwnerRunning, None),
+            OwnerStatus::UnknownClaim => (CallEvent::OwnerGone, None),
+        };
+        self.apply(context, &key, event, outcome, &mut effects);
+        effects
+    }
+
+    /// Number of calls in memory.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Time by which `tick` is due, so that no outcome waits longer than the batch time.
+    #[must_use]
+    pub fn flush_at(&self) -> Option<Duration> {
+        self.outbox.due_at(&self.settings)
+    }
+
+    pub(crate) fn is_window_open(&self, entry: &CallEntry, now: Duration) -> bool {
+        let window = Duration::from_millis(self.settings.window_ms);
+        now.saturating_sub(entry.began) <= window && now <= entry.deadline_at
+    }
+
+    pub(crate) fn refuse(&self, request: &RequestId, kind: RefusalKind) -> RecordEffect {
+        RecordEffect::Answer {
+            outcome: CallOutcome::NotRun(self.refusal(kind)),
+            request: request.clone(),
+        }
+    }
+
+    pub(crate) fn refusal(&self, kind: RefusalKind) -> Refusal {
+        Refusal {
+            kind,
+            retry_after: Duration::from_millis(self.settings.retry_after_ms),
+        }
+    }
+
+    /// Forgets a key.
+    pub(crate) fn remove(&mut self, key: &Arc<str>) -> Option<CallEntry> {
+        let entry = self.entries.remove(key)?;
+        self.nonces.remove(&entry.nonce);
+        self.requests.remove(&entry.primary);
+        for request in &entry.requests {
+            self.requests.remove(request);
+        }
+        Some(entry)
+    }
+
+    fn primary(&self, request: &RequestId) -> Option<&CallEntry> {
+        let key = self.requests.get(request)?;
+        let entry = self.entries.get(key)?;
+        (entry.primary == *request).then_some(entry)
+    }
+
+    fn end(
+        &mut self,
+        context: &mut Context,
+        request: &RequestId,
+        event: CallEvent,
+        outcome: CallOutcome,
+    ) -> Vec<RecordEffect> {
+        let mut effects = Vec::new();
+        let Some(key) = self.requests.get(request).cloned() else {
+            return effects;
+        };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return effects;
+        };
+        if entry.primary == *request {
+            self.apply(context, &key, event, Some(outcome), &mut effects);
+            return effects;
+        }
+        // A caller that joined gives up; the call goes on for the others.
+        entry.requests.retain(|waiting| waiting != request);
+        self.requests.remove(request);
+        effects.push(RecordEffect::Answer {
+            outcome: CallOutcome::Unknown,
+            request: request.clone(),
+        });
+        effects
+    }
+}
--- /dev/null
+++ b/crates/control/src/sweep.rs
@@ -0,0 +1,111 @@
+use super::*;
+
+/// Deletes expired rows of calls. Only the owner of the hour starts; deletions are conditional,
+/// so two sweepers at once do no harm.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sweep {
+    at: Duration,
+    step: Option<(StoreTicket, SweepStep)>,
+}
+
+#[derive(Clone, Debug)]
+enum SweepStep {
+    Delete { is_last: bool },
+    Read { index: Vec<Arc<str>>, is_last: bool },
+    Scan,
+}
+
+impl Sweep {
+    pub(crate) fn tick(
+        &mut self,
+        context: &mut Context,
+        members: &Members,
+        settings: &RecordSettings,
+    ) {
+        if context.now < self.at || self.step.is_some() {
+            return;
+        }
+        self.at = context.now + Duration::from_millis(settings.sweep_ms);
+        let hour = wall_ms(context) / HOUR_MS;
+        if members.is_owner(&format!("{EXPIRY_PREFIX}{hour}")) {
+            self.scan(context, settings);
+        }
+    }
+
+    /// Takes a reply; false if the ticket is not of the sweep.
+    pub(crate) fn store_replied(
+        &mut self,
+        context: &mut Context,
+        ticket: StoreTicket,
+        result: &Result<StoreReply, StoreFailure>,
+        settings: &RecordSettings,
+    ) -> bool {
+        let Some((_, step)) = self.step.take_if(|(expected, _)| *expected == ticket) else {
+            return false;
+        };
+        // Any failure ends this sweep; the next one starts from the same rows.
+        match (step, result) {
+            (SweepStep::Scan, Ok(StoreReply::Rows { rows })) => self.read(context, rows, settings),
+            (SweepStep::Read { index, is_last }, Ok(StoreReply::Rows { rows })) => {
+                self.delete(context, &index, rows, is_last);
+            }
+            (SweepStep::Delete { is_last: false }, Ok(StoreReply::Committed { .. })) => {
+                self.scan(context, settings);
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// Scans from the oldest hour to the hour before the current one, so that hours whose owner
+    /// was lost are swept by a later one.
+    fn scan(&mut self, context: &mut Context, settings: &RecordSettings) {
+        let hour = wall_ms(context) / HOUR_MS;
+        let ticket = context.store(StoreRequest::Scan {
+            from: EXPIRY_PREFIX.into(),
+            limit_count: settings.sweep_max_count,
+            to: format!("{EXPIRY_PREFIX}{hour:010}/").into(),
+        });
+        self.step = Some((ticket, SweepStep::Scan));
+    }
+
+    fn read(&mut self, context: &mut Context, rows: &[Row], settings: &RecordSettings) {
+        if rows.is_empty() {
+            return;
+        }
+        let is_last = rows.len() < settings.sweep_max_count as usize;
+        let index: Vec<Arc<str>> = rows.iter().map(|row| row.key.clone()).collect();
+        let keys = index.iter().filter_map(|key| indexed_call(key)).collect();
+        let ticket = context.store(StoreRequest::Read { keys });
+        self.step = Some((ticket, SweepStep::Read { index, is_last }));
+    }
+
+    fn delete(&mut self, context: &mut Context, index: &[Arc<str>], rows: &[Row], is_last: bool) {
+        let now_ms = wall_ms(context);
+        let mut conditions = Vec::new();
+        let mut writes = Vec::new();
+        for row in rows {
+            let is_expired = CallRow::parse(&row.value).is_none_or(|call| call.expires_ms < now_ms);
+            if !is_expired {
+                continue;
+            }
+            conditions.push(Condition {
+                key: row.key.clone(),
+                version: row.version,
+            });
+            writes.push(Write {
+                key: row.key.clone(),
+                value: None,
+            });
+        }
+        // A key that was claimed anew has a later index row as well, so this one may go.
+        for key in index {
+            writes.push(Write {
+                key: key.clone(),
+                value: None,
+            });
+        }
+        let ticket = context.store(StoreRequest::Transact { conditions, writes });
+        self.step = Some((ticket, SweepStep::Delete { is_last }));
+    }
+}
