--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,12 +17,12 @@
     },
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
-        Change, ChangeRecord, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
+        Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
         FailureDomain, FailureKind, Fingerprint, GenerateSubmission, Heartbeat, Incarnation,
         InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
         Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind, RegionId,
-        RequestId, Route, ServiceId, Stage, StoreFailure, StoreReply, StoreRequest, StoreTicket,
-        TargetDigest, TargetHealth, TargetId,
+        RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
     },
 };
 
@@ -30,7 +30,11 @@
 mod admission;
 mod belief;
 mod cache;
+mod call_entry;
+mod call_reply;
+mod call_row;
 mod claim;
+mod claims;
 mod command;
 mod context;
 mod decision;
@@ -48,12 +52,14 @@
 mod member_settings;
 mod node;
 mod observation;
+mod outcome;
 mod peer;
 mod priority;
 mod progress;
 mod quarantine;
 mod rate;
 mod record;
+mod record_settings;
 mod rendezvous;
 mod request;
 mod resource;
@@ -64,22 +70,30 @@
 mod slots;
 mod status;
 mod submit;
+mod sweep;
 mod target;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
+    call_entry::{CALL_CHART, CallAction, CallEntry, CallEvent, CallState},
+    call_row::{
+        CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
+    },
     detector::{Detector, Silence},
     life::{Payload, plan},
     member::TargetEntry,
+    outcome::Outbox,
+    record::Flight,
     request::{Entry, Job},
     submit::refusal,
+    sweep::Sweep,
 };
 
 pub use {
     address::AddressAnswer,
     admission::{Admission, Waiting},
     cache::PrefixCaches,
-    claim::Claims,
+    claims::Claims,
     command::Command,
     context::Context,
     decision::{Candidate, Decision},
@@ -96,7 +110,8 @@
     priority::generation_priority,
     quarantine::Quarantine,
     rate::Rates,
-    record::RecordEffect,
+    record::{RecordEffect, Records},
+    record_settings::RecordSettings,
     request::{RequestAction, RequestEvent, RequestState},
     resource::Resource,
     retry::RetryBudget,
