--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -40,6 +40,7 @@
 mod decision;
 mod detector;
 mod dispatch;
+mod drain;
 mod event;
 mod failure;
 mod heartbeat;
@@ -97,6 +98,7 @@
     command::Command,
     context::Context,
     decision::{Candidate, Decision},
+    drain::Drain,
     event::{Event, OwnerStatus},
     history::History,
     identity::Identity,
--- a/crates/control/src/limit.rs
+++ b/crates/control/src/limit.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Waiting requests of all accounts here.
+    #[must_use]
+    pub fn waiting_count(&self) -> u32 {
+        self.own.values().map(|(_, waiting)| waiting).sum()
+    }
+
     /// Running requests of all accounts here.
     #[must_use]
     pub fn running_count(&self) -> u32 {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,68 +3,234 @@
 /// One entry instance's decisions: a deterministic state machine driven by one thread.
 #[derive(Debug)]
 pub struct Node {
-    context: Context,
-    identity: Identity,
-    lists: Arc<Lists>,
-    settings: NodeSettings,
+    pub(crate) context: Context,
+    pub(crate) drain: Drain,
+    pub(crate) identity: Identity,
+    pub(crate) lists: Arc<Lists>,
+    pub(crate) members: Members,
+    pub(crate) records: Records,
+    pub(crate) requests: Requests,
+    started: SystemTime,
 }
 
 impl Node {
-    /// Creates a node at time zero.
+    /// Creates a node at time zero, which is `wall` on the wall clock.
     #[must_use]
     pub fn new(settings: NodeSettings, identity: Identity, wall: SystemTime) -> Self {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
         Self {
             context: Context::new(random, wall),
-            identity,
+            drain: Drain::new(settings.drain.clone()),
+            identity: identity.clone(),
             lists: Arc::default(),
-            settings,
+            members: Members::new(identity.clone(), settings.member.clone()),
+            records: Records::new(identity, settings.record.clone()),
+            requests: Requests::new(settings),
+            started: wall,
         }
     }
 
-    /// Entry addresses for a caller, near runners of `model` if given.
-    pub fn addresses(&mut self, now: Duration, _model: Option<&ModelId>) -> AddressAnswer {
-        self.context.now = now;
-        AddressAnswer {
-            addresses: vec![self.identity.address],
-            time_to_live: Duration::from_millis(self.settings.drain.address_ttl_ms),
+    /// Acts on one event. `now` is the time since the process started and must not decrease.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Command> {
+        self.set_time(now);
+        match event {
+            Event::AttemptFailed { .. }
+            | Event::CallCompleted { .. }
+            | Event::CallSubmitted(_)
+            | Event::CallerGone { .. }
+            | Event::GenerateCompleted { .. }
+            | Event::GenerateSubmitted(_)
+            | Event::Progressed { .. } => self.request_event(event),
+            Event::DrainStarted => self.drain(),
+            Event::Ticked => self.tick(),
+            event => self.member_event(event),
         }
+        self.flush_records();
+        std::mem::take(&mut self.context.commands)
     }
 
-    /// Changes after `version`, or none when they are no longer held.
+    /// Events that a state chart did not list in the state that they met. Each is a defect.
     #[must_use]
-    pub fn changes_since(&self, _version: ConfigVersion) -> Option<Vec<ChangeRecord>> {
-        None
+    pub fn unexpected_count(&self) -> u64 {
+        self.context.unexpected_count
     }
 
-    /// Acts on one event. `now` is the time since the process started and must not decrease.
-    pub fn handle(&mut self, now: Duration, _event: Event) -> Vec<Command> {
+    pub(crate) fn set_time(&mut self, now: Duration) {
         self.context.now = now;
-        std::mem::take(&mut self.context.commands)
+        self.context.wall = self.started + now;
     }
 
-    /// Lists in force at this instance.
-    #[must_use]
-    pub fn lists(&self) -> &Arc<Lists> {
-        &self.lists
+    fn drain(&mut self) {
+        self.drain.start(self.context.now);
+        self.requests.drain();
     }
 
-    /// What became of the call that was claimed with `nonce`.
-    #[must_use]
-    pub fn owner_status(&self, _nonce: &Nonce) -> OwnerStatus {
-        OwnerStatus::UnknownClaim
+    /// Events of one request.
+    fn request_event(&mut self, event: Event) {
+        if let Event::AttemptFailed { failure, .. } = &event {
+            let (target, kind) = (&failure.target, failure.kind);
+            self.members
+                .dispatch_failed(&mut self.context, target, kind);
+        }
+        let frees_or_adds = !matches!(event, Event::Progressed { .. });
+        self.with_requests(|requests, scope| {
+            match event {
+                Event::AttemptFailed {
+                    delivered_tokens,
+                    failure,
+                    request,
+                } => requests.attempt_failed(scope, &request, &failure, delivered_tokens),
+                Event::CallCompleted {
+                    attempt,
+                    reply,
+                    request,
+                } => requests.call_completed(scope, &request, attempt, reply),
+                Event::CallSubmitted(call) => requests.call_submitted(scope, &call),
+                Event::CallerGone { request } => requests.caller_gone(scope, &request),
+                Event::GenerateCompleted {
+                    attempt,
+                    request,
+                    token_count,
+                } => requests.generate_completed(scope, &request, attempt, token_count),
+                Event::GenerateSubmitted(generate) => requests.generate_submitted(scope, generate),
+                Event::Progressed {
+                    delivered_tokens,
+                    request,
+                } => requests.progressed(scope, &request, delivered_tokens),
+                _ => {}
+            }
+            if frees_or_adds {
+                requests.dispatch_ready(scope);
+            }
+        });
     }
 
-    /// What this node believes of itself, its peers and its targets.
-    #[must_use]
-    pub fn status(&self, _now: Duration) -> Status {
-        Status {
+    /// Events about targets, peers, the store and the lists.
+    fn member_event(&mut self, event: Event) {
+        let context = &mut self.context;
+        match event {
+            Event::CacheEventsReceived { events, target } => {
+                self.requests
+                    .cache_events_received(context.now, &target, &events);
+            }
+            Event::HeartbeatFailed { peer } => self.members.heartbeat_failed(context, &peer),
+            Event::HeartbeatReceived(heartbeat) => self.heartbeat_received(&heartbeat),
+            Event::ListingRead { listings } => self.members.listing_read(context, listings),
+            Event::ListsReceived(lists) => self.lists = lists,
+            Event::LoadFailed { kind, target } => self.members.load_failed(context, &target, kind),
+            Event::LoadReceived { report, target } => {
+                self.load_received(&target, report);
+            }
+            Event::OwnerAnswered { request, status } => {
+                let effects = self.records.owner_answered(context, &request, status);
+                self.apply_effects(effects);
+            }
+            Event::StoreReplied { result, ticket } => self.store_replied(ticket, &result),
+            _ => {}
+        }
+    }
+
+    fn load_received(&mut self, target: &TargetId, report: LoadReport) {
+        let known = self.members.target(target);
+        if known.is_some_and(|known| known.incarnation != report.incarnation) {
+            // A new process has an empty cache, and its events start over.
+            self.requests.router.caches.forget(target);
+        }
+        self.members
+            .load_received(&mut self.context, target, report);
+        self.dispatch_ready();
+    }
+
+    fn heartbeat_received(&mut self, heartbeat: &Heartbeat) {
+        if heartbeat.sender == self.identity.instance {
+            return;
+        }
+        self.members
+            .heartbeat_received(&mut self.context, heartbeat);
+        self.requests
+            .heartbeat_received(self.context.now, heartbeat);
+        self.dispatch_ready();
+    }
+
+    fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
+        let context = &mut self.context;
+        if let Some(effects) = self.records.store_replied(context, ticket, result) {
+            self.apply_effects(effects);
+        }
+    }
+
+    fn tick(&mut self) {
+        let own = self.own_state();
+        self.members.tick(&mut self.context, &own);
+        self.requests
+            .fill_cache_positions(&mut self.context.commands);
+        let effects = self.records.tick(&mut self.context, &self.members);
+        self.apply_effects(effects);
+        self.with_requests(|requests, scope| {
+            requests.tick(scope);
+            requests.dispatch_ready(scope);
+        });
+        if self
+            .drain
+            .is_over(self.context.now, self.requests.is_empty())
+        {
+            self.context.push(Command::Stop);
+        }
+    }
+
+    /// Writes outcomes whose batch is complete.
+    fn flush_records(&mut self) {
+        let is_due = |at| at <= self.context.now;
+        if self.records.flush_at().is_some_and(is_due) {
+            let effects = self.records.tick(&mut self.context, &self.members);
+            self.apply_effects(effects);
+        }
+    }
+
+    fn own_state(&self) -> OwnState {
+        let now = self.context.now;
+        OwnState {
             config_version: self.lists.version,
-            in_force_count: 1,
-            instance_count: 1,
-            instances: Vec::new(),
-            ready: false,
-            targets: Vec::new(),
+            confirmed_age: self.confirmed_age(now),
+            crashes: self.requests.quarantine.reports(now),
+            demands: self.requests.limits.demands(),
+            leaving: self.drain.is_started(),
+            ready: self.is_ready(now),
+            spare_count: self.spare_count(),
+        }
+    }
+
+    fn apply_effects(&mut self, effects: Vec<RecordEffect>) {
+        if effects.is_empty() {
+            return;
         }
+        self.with_requests(|requests, scope| {
+            requests.apply_effects(scope, effects);
+            requests.dispatch_ready(scope);
+        });
+    }
+
+    fn dispatch_ready(&mut self) {
+        self.with_requests(Requests::dispatch_ready);
+    }
+
+    fn with_requests(&mut self, act: impl FnOnce(&mut Requests, &mut Scope)) {
+        let now = self.context.now;
+        let is_fresh = self.is_fresh(now);
+        let targets: Vec<&Target> = self.members.targets().collect();
+        let mut scope = Scope {
+            claims: &mut self.records,
+            context: &mut self.context,
+            is_fresh,
+            lists: &self.lists,
+            members: &self.members,
+            view: View {
+                factor: self.requests.limits.factor(now),
+                identity: &self.identity,
+                now,
+                targets: &targets,
+            },
+        };
+        act(&mut self.requests, &mut scope);
     }
 }
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -76,6 +76,33 @@
         }
     }
 
+    /// Takes in changes of an engine's prefix cache.
+    pub fn cache_events_received(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        events: &[CacheEvent],
+    ) {
+        let limit = self.settings.route.cache_prefix_count;
+        self.router
+            .caches
+            .events_received(now, target, events, limit);
+    }
+
+    /// Asks each polled engine for the cache events after the last one received.
+    pub fn fill_cache_positions(&self, commands: &mut [Command]) {
+        for command in commands {
+            if let Command::Poll {
+                cache_event_count,
+                target,
+                ..
+            } = command
+            {
+                *cache_event_count = self.router.caches.position(target);
+            }
+        }
+    }
+
     /// Takes in what a peer knows of crashes and demand.
     pub fn heartbeat_received(&mut self, now: Duration, heartbeat: &Heartbeat) {
         self.limits.heartbeat_received(now, heartbeat);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -8,8 +8,12 @@
     pub admission: AdmissionSettings,
     /// Graceful shutdown.
     pub drain: DrainSettings,
+    /// Membership.
+    pub member: MemberSettings,
     /// Requests that crash targets.
     pub quarantine: QuarantineSettings,
+    /// Record of non-repeatable calls.
+    pub record: RecordSettings,
     /// Retries.
     pub retry: RetrySettings,
     /// Choice of targets.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,5 +1,9 @@
 use super::*;
 
+/// Time without confirmation by the store after which only a majority of instances lets an instance
+/// admit work.
+const MAX_UNCONFIRMED: Duration = Duration::from_secs(4);
+
 /// What a node believes of itself, its peers and its targets.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Status {
@@ -17,6 +21,110 @@
     pub targets: Vec<TargetStatus>,
 }
 
+impl Node {
+    /// Entry addresses for a caller, near runners of `model` if given.
+    pub fn addresses(&mut self, now: Duration, _model: Option<&ModelId>) -> AddressAnswer {
+        self.set_time(now);
+        AddressAnswer {
+            addresses: vec![self.identity.address],
+            time_to_live: Duration::from_secs(5),
+        }
+    }
+
+    /// Changes after `version`, or none when they are no longer held.
+    #[must_use]
+    pub fn changes_since(&self, _version: ConfigVersion) -> Option<Vec<ChangeRecord>> {
+        None
+    }
+
+    /// Lists in force at this instance.
+    #[must_use]
+    pub fn lists(&self) -> &Arc<Lists> {
+        &self.lists
+    }
+
+    /// What became of the call that was claimed with `nonce`.
+    #[must_use]
+    pub fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
+        self.records.owner_status(nonce)
+    }
+
+    /// What this node believes of itself, its peers and its targets.
+    #[must_use]
+    pub fn status(&self, now: Duration) -> Status {
+        let config_version = self.lists().version;
+        let mut instances = vec![InstanceStatus {
+            address: self.identity.address,
+            config_version,
+            failure_domain: self.identity.failure_domain.clone(),
+            health: if self.drain.is_started() {
+                TargetHealth::Leaving
+            } else {
+                TargetHealth::Live
+            },
+            id: self.identity.instance.clone(),
+        }];
+        for peer in self.members.peers() {
+            instances.push(InstanceStatus {
+                address: peer.address,
+                config_version: peer.config_version,
+                failure_domain: peer.failure_domain.clone(),
+                health: peer.health,
+                id: peer.id.clone(),
+            });
+        }
+        let (mut in_force_count, mut instance_count) = (0, 0);
+        for instance in &instances {
+            if instance.health == TargetHealth::Down {
+                continue;
+            }
+            instance_count += 1;
+            in_force_count += u32::from(instance.config_version >= config_version);
+        }
+        Status {
+            config_version,
+            in_force_count,
+            instance_count,
+            instances,
+            ready: self.is_ready(now),
+            targets: self.members.targets().map(TargetStatus::of).collect(),
+        }
+    }
+
+    /// Time since the lists were confirmed to be current.
+    pub(crate) fn confirmed_age(&self, _now: Duration) -> Duration {
+        Duration::ZERO
+    }
+
+    /// Whether the lists in force are known to be current enough to admit work (section 6 of the
+    /// design page).
+    pub(crate) fn is_fresh(&self, now: Duration) -> bool {
+        let is_confirmed = self.confirmed_age(now) <= MAX_UNCONFIRMED;
+        self.lists.version > 0 && (is_confirmed || self.members.has_majority(now))
+    }
+
+    /// Whether this instance admits new work.
+    pub(crate) fn is_ready(&self, now: Duration) -> bool {
+        !self.drain.is_started() && self.is_fresh(now)
+    }
+
+    /// Requests that could start now at the targets that this instance sees, less those that wait,
+    /// divided by the instances that share them.
+    pub(crate) fn spare_count(&self) -> u32 {
+        let (requests, now) = (&self.requests, self.context.now);
+        let factor = requests.limits.factor(now);
+        let mut free = 0.0;
+        for target in self.members.targets() {
+            if target.takes_work() {
+                let slots = f64::from(target.report.slot_count);
+                free += (slots - requests.router.slots.load(now, target, factor)).max(0.0);
+            }
+        }
+        let waiting = requests.limits.waiting_count();
+        ((free / factor) as u32).saturating_sub(waiting)
+    }
+}
+
 /// One entry instance in a `Status`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct InstanceStatus {
@@ -52,3 +160,18 @@
     /// Requests waiting at the target.
     pub waiting_count: u32,
 }
+
+impl TargetStatus {
+    fn of(target: &Target) -> Self {
+        Self {
+            address: target.address,
+            failure_domain: target.failure_domain.clone(),
+            health: target.health,
+            id: target.id.clone(),
+            rate_per_s: target.report.rate_per_s,
+            running_count: target.report.running_count,
+            slot_count: target.report.slot_count,
+            waiting_count: target.report.waiting_count,
+        }
+    }
+}
