--- /dev/null
+++ b/crates/control/src/life.rs
@@ -0,0 +1,287 @@
+use super::*;
+
+/// Queues, running requests and what was learned from them: the life of every request here.
+#[derive(Debug)]
+pub struct Requests {
+    pub(crate) admission: Admission,
+    pub(crate) budget: RetryBudget,
+    pub(crate) entries: BTreeMap<RequestId, Entry>,
+    /// Queued requests that were accepted earlier, in order of their return.
+    pub(crate) first: VecDeque<RequestId>,
+    pub(crate) history: History,
+    pub(crate) is_draining: bool,
+    pub(crate) limits: Limits,
+    pub(crate) observe_at: Duration,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) router: Router,
+    pub(crate) settings: NodeSettings,
+}
+
+/// What the requests need of the rest of the node to act on one event.
+pub struct Scope<'a> {
+    /// Record of non-repeatable calls.
+    pub claims: &'a mut dyn Claims,
+    /// Time, random numbers and commands.
+    pub context: &'a mut Context,
+    /// Whether the configuration is known to be current.
+    pub is_fresh: bool,
+    /// Operator lists.
+    pub lists: &'a Lists,
+    /// Targets and peers.
+    pub members: &'a Members,
+    /// What routing sees.
+    pub view: View<'a>,
+}
+
+/// Data of a step that the chart's actions use.
+#[derive(Debug, Default)]
+pub(crate) struct Payload {
+    pub(crate) choice: Option<Choice>,
+    pub(crate) refusal: Option<Refusal>,
+    pub(crate) reply: Option<CallReply>,
+    /// Tokens delivered, or of the whole answer.
+    pub(crate) tokens: u32,
+}
+
+impl Requests {
+    /// Creates empty queues.
+    #[must_use]
+    pub fn new(settings: NodeSettings) -> Self {
+        Self {
+            admission: Admission::new(settings.admission.clone()),
+            budget: RetryBudget::new(settings.retry.clone()),
+            entries: BTreeMap::new(),
+            first: VecDeque::new(),
+            history: History::default(),
+            is_draining: false,
+            limits: Limits::default(),
+            observe_at: Duration::ZERO,
+            quarantine: Quarantine::new(settings.quarantine.clone()),
+            router: Router::new(settings.route.clone(), &settings.admission),
+            settings,
+        }
+    }
+
+    /// Whether no request is left.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Refuses new work from now on and lets the rest finish.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Takes a step of one request's chart and carries out its actions. An event that the chart
+    /// does not list is logged and counted.
+    pub(crate) fn step(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        event: RequestEvent,
+        mut payload: Payload,
+    ) {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        let actions = match entry.step(event) {
+            Ok(actions) => actions,
+            Err(error) => {
+                scope.context.unexpected(request, &error);
+                return;
+            }
+        };
+        let is_ended = entry.state == RequestState::Ended;
+        let mut effects = Vec::new();
+        for action in actions {
+            effects.extend(self.act(scope, request, action, &mut payload));
+        }
+        if is_ended {
+            self.entries.remove(request);
+        }
+        self.apply_effects(scope, effects);
+    }
+
+    /// Carries out what the record of non-repeatable calls decided.
+    pub fn apply_effects(&mut self, scope: &mut Scope, effects: Vec<RecordEffect>) {
+        for effect in effects {
+            match effect {
+                RecordEffect::Answer { outcome, request } => {
+                    self.step(scope, &request, RequestEvent::Answered, Payload::default());
+                    scope.context.push(Command::AnswerCall { outcome, request });
+                }
+                RecordEffect::Cleared { request } => self.cleared(scope, &request),
+            }
+        }
+    }
+
+    fn act(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        action: RequestAction,
+        payload: &mut Payload,
+    ) -> Vec<RecordEffect> {
+        match action {
+            RequestAction::Answer => return self.answer(scope, request, payload),
+            RequestAction::Cancel => self.cancel(scope, request),
+            RequestAction::Dequeue => self.dequeue(request),
+            RequestAction::Dispatch => self.dispatch(scope, request, payload),
+            RequestAction::Enqueue => self.enqueue(scope, request),
+            RequestAction::EnqueueFirst => self.enqueue_first(request),
+            RequestAction::Free => self.free(scope, request),
+            RequestAction::Learn => self.learn(scope, request, payload),
+            RequestAction::NoteProgress => self.note_progress(scope, request, payload),
+            RequestAction::Refuse => return self.refuse(scope, request, payload),
+        }
+        Vec::new()
+    }
+
+    fn answer(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        payload: &mut Payload,
+    ) -> Vec<RecordEffect> {
+        let Some(reply) = payload.reply.take() else {
+            return Vec::new();
+        };
+        if self
+            .entries
+            .get(request)
+            .is_some_and(Entry::is_non_repeatable)
+        {
+            return scope.claims.completed(scope.context, request, reply);
+        }
+        scope.context.push(Command::AnswerCall {
+            outcome: CallOutcome::Ran(reply),
+            request: request.clone(),
+        });
+        Vec::new()
+    }
+
+    fn cancel(&mut self, scope: &mut Scope, request: &RequestId) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        let Some(route) = entry.route.clone() else {
+            return;
+        };
+        scope.context.push(Command::Cancel {
+            attempt: entry.attempt,
+            request: request.clone(),
+            route,
+        });
+    }
+
+    fn dequeue(&mut self, request: &RequestId) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        self.limits.change(&entry.account, 0, -1);
+        self.first.retain(|queued| queued != request);
+        self.admission
+            .remove(&entry.resource, &entry.account, request);
+    }
+
+    fn enqueue(&mut self, scope: &Scope, request: &RequestId) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        self.limits.change(&entry.account, 0, 1);
+        let waiting = Waiting {
+            account: entry.account.clone(),
+            cost: entry.size,
+            is_short: entry.is_short,
+            request: request.clone(),
+            since: scope.context.now,
+            weight: f64::from(plan(scope.lists, &entry.account).share_weight.max(1)),
+        };
+        self.admission.push(&entry.resource, waiting);
+    }
+
+    fn enqueue_first(&mut self, request: &RequestId) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        self.limits.change(&entry.account, 0, 1);
+        self.first.push_back(request.clone());
+    }
+
+    fn free(&mut self, scope: &Scope, request: &RequestId) {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        self.router
+            .slots
+            .end(scope.context.now, request, &entry.targets());
+        self.limits.change(&entry.account, -1, 0);
+        entry.route = None;
+    }
+
+    fn learn(&mut self, scope: &Scope, request: &RequestId, payload: &Payload) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        let size = match entry.job {
+            Job::Call(_) => {
+                let ran = scope.context.now.saturating_sub(entry.started_at);
+                ran.as_secs_f64() * 1_000.0
+            }
+            Job::Generate(_) => f64::from(payload.tokens),
+        };
+        self.history.observe(&entry.account, &entry.kind, size);
+        self.quarantine.clear(entry.fingerprint);
+    }
+
+    fn refuse(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        payload: &mut Payload,
+    ) -> Vec<RecordEffect> {
+        let (Some(entry), Some(refusal)) = (self.entries.get(request), payload.refusal.take())
+        else {
+            return Vec::new();
+        };
+        scope.context.push(Command::Log(Decision {
+            account: Some(entry.account.clone()),
+            alternatives: Vec::new(),
+            chosen: Vec::new(),
+            kind: "refuse",
+            reason: format!("{:?}, come back in {:?}", refusal.kind, refusal.retry_after).into(),
+            subject: request.clone(),
+        }));
+        match &entry.job {
+            Job::Call(_) if entry.is_non_repeatable() => {
+                return scope.claims.not_run(scope.context, request, refusal);
+            }
+            Job::Call(_) => {
+                // An earlier attempt may have run, and "not run" must be true.
+                let outcome = if entry.may_have_run {
+                    CallOutcome::Unknown
+                } else {
+                    CallOutcome::NotRun(refusal)
+                };
+                scope.context.push(Command::AnswerCall {
+                    outcome,
+                    request: request.clone(),
+                });
+            }
+            Job::Generate(_) => scope.context.push(Command::Refuse {
+                refusal,
+                request: request.clone(),
+            }),
+        }
+        Vec::new()
+    }
+}
+
+/// Plan of an account. The entry layer signs callers in, so an account that is missing here was
+/// deleted a moment ago; it has the default plan for what it still runs.
+pub(crate) fn plan(lists: &Lists, account: &AccountId) -> Plan {
+    let entry = lists.accounts.get(account);
+    let plan = entry.and_then(|entry| lists.plans.get(&entry.plan));
+    plan.cloned().unwrap_or_default()
+}
