--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,6 +29,7 @@
 mod load;
 mod order;
 mod outcome;
+mod prefix;
 mod route;
 mod store;
 mod submission;
@@ -39,7 +40,7 @@
     engine::{CancelRequest, KvCache, KvRequest, PriorityRequest},
     error::Error,
     generate::GenerateRequest,
-    heartbeat::{CrashReport, Demand, Heartbeat, TargetDigest, TargetHealth},
+    heartbeat::{CrashReport, Demand, Departure, Heartbeat, TargetDigest, TargetHealth},
     id::{
         AcceleratorKind, AccountId, Attempt, ConfigVersion, FailureDomain, Fence, Fingerprint,
         Incarnation, InstanceId, ModelId, Nonce, OperationId, PlanId, RegionId, RequestId,
@@ -52,6 +53,7 @@
     load::{CacheEvent, LoadReport, LoadedModel},
     order::{EngineRole, Order, WantedState},
     outcome::{CallOutcome, CallReply, Refusal, RefusalKind},
+    prefix::{PREFIX_BLOCK_TOKENS, count_tokens, prefix_hashes},
     route::{LayerRange, Route, Stage},
     store::{Condition, Row, StoreFailure, StoreReply, StoreRequest, Write},
     submission::{CallSubmission, GenerateSubmission, OperationKind, Priority},
