--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -10,6 +10,9 @@
 /// which an instance with default settings replies that the result of an edit is not known.
 const REPLY_LIMIT: Duration = Duration::from_secs(12);
 
+/// Pause between two looks at the status while waiting.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+
 /// One edit of a list.
 #[derive(Clone, Debug)]
 pub struct Edit {
@@ -92,6 +95,43 @@
         }
     }
 
+    /// Reads the status of one instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `get`.
+    pub async fn status(&self) -> Result<Status, Error> {
+        let reply = self.get("/admin/status").await?;
+        serde_json::from_value(reply).map_err(|error| Error::Reply {
+            message: error.to_string(),
+        })
+    }
+
+    /// Waits until a version is in force on every instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Wait` when `limit` is over, and the errors of `get`.
+    pub async fn wait(&self, version: ConfigVersion, limit: Duration) -> Result<(), Error> {
+        let end = Instant::now() + limit;
+        loop {
+            let status = self.status().await?;
+            let (in_force, total) = (status.in_force_count(version), status.instance_count);
+            if total > 0 && in_force == total {
+                return Ok(());
+            }
+            if Instant::now() >= end {
+                return Err(Error::Wait {
+                    in_force,
+                    limit,
+                    total,
+                    version,
+                });
+            }
+            sleep(WAIT_PAUSE).await;
+        }
+    }
+
     fn authorized(&self, call: Call) -> Call {
         let call = Call {
             limit: REPLY_LIMIT,
--- a/crates/ctl/src/key.rs
+++ b/crates/ctl/src/key.rs
@@ -18,7 +18,12 @@
     random_hex::<SECRET_BYTES>()
 }
 
-pub(crate) fn new_operation() -> Result<String, Error> {
+/// Makes an operation id for one edit.
+///
+/// # Errors
+///
+/// Returns `Error::Key` when the system gives no random numbers.
+pub fn new_operation() -> Result<String, Error> {
     random_hex::<OPERATION_BYTES>()
 }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -41,7 +41,7 @@
     command::{Command, List},
     entry::{parse_entry, read_entry},
     error::Error,
-    key::{new_secret, operator_key},
+    key::{new_operation, new_secret, operator_key},
     options::{HELP, Options},
     run::run,
     status::{InstanceStatus, Status},
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,8 +1,5 @@
 use super::*;
 
-/// Pause between two looks at the status with `--wait`.
-const WAIT_PAUSE: Duration = Duration::from_millis(100);
-
 /// Carries out a command and returns the text for standard output.
 ///
 /// # Errors
@@ -39,7 +36,7 @@
             })
         }
         Command::Status => {
-            let status = read_status(&client).await?;
+            let status = client.status().await?;
             Ok(show_status(options, &status))
         }
     }
@@ -71,7 +68,7 @@
         })
         .await?;
     if options.wait {
-        wait(options, client, version).await?;
+        client.wait(version, options.limit).await?;
     }
     if options.is_json {
         let is_in_force = options.wait;
@@ -85,33 +82,6 @@
     })
 }
 
-async fn wait(options: &Options, client: &Client, version: ConfigVersion) -> Result<(), Error> {
-    let end = Instant::now() + options.limit;
-    loop {
-        let status = read_status(client).await?;
-        let (in_force, total) = (status.in_force_count(version), status.instance_count);
-        if total > 0 && in_force == total {
-            return Ok(());
-        }
-        if Instant::now() >= end {
-            return Err(Error::Wait {
-                in_force,
-                limit: options.limit,
-                total,
-                version,
-            });
-        }
-        sleep(WAIT_PAUSE).await;
-    }
-}
-
-async fn read_status(client: &Client) -> Result<Status, Error> {
-    let reply = client.get("/admin/status").await?;
-    serde_json::from_value(reply).map_err(|error| Error::Reply {
-        message: error.to_string(),
-    })
-}
-
 async fn show_list(options: &Options, client: &Client, list: List) -> Result<String, Error> {
     let reply = client.get(list.path()).await?;
     if options.is_json {
--- /dev/null
+++ b/crates/demo/src/account.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// Key of the example account. The demo listens on loopback only.
+pub(crate) const CALLER_KEY: &str = "demo-caller-key";
+
+/// Key of the operator.
+pub(crate) const OPERATOR_KEY: &str = "demo-operator-key";
+
+/// Longest wait until an edit is in force on both instances.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Creates the example plan and account through the administration interface, and waits until
+/// both instances use them.
+pub(crate) async fn create_account(entries: &[SocketAddr]) -> Result<()> {
+    let client = Client {
+        entries: entries.to_vec(),
+        key: OPERATOR_KEY.into(),
+        limit: WAIT_LIMIT,
+    };
+    let plan = json!({"models": [MODEL], "services": [SERVICE]});
+    let account = json!({"plan": "demo", "key_hashes": [hash_key(CALLER_KEY)]});
+    let mut version = 0;
+    for (path, entry) in [
+        ("/admin/plans/demo", plan),
+        ("/admin/accounts/demo", account),
+    ] {
+        let edit = Edit {
+            entry: Some(entry),
+            if_match: None,
+            operation: new_operation()?,
+            path: path.into(),
+        };
+        version = client.edit(&edit).await.context("the example edits")?;
+    }
+    client.wait(version, WAIT_LIMIT).await?;
+    Ok(())
+}
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,3 +1,101 @@
 //! The router and its stand-ins in one process on loopback.
 
-fn main() {}
+use {
+    anyhow::{Context, Result, bail},
+    ctl::{Client, Edit, new_operation},
+    entry::{Running, Shutdown},
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    settings::{Check, Faults, LogSettings, Program},
+    standin::{
+        Engine, EngineSettings, OperationSettings, Place, Platform, Service, ServiceSettings,
+        Standin,
+    },
+    std::{net::SocketAddr, process::ExitCode, time::Duration},
+    tokio::{
+        signal::unix::{Signal, SignalKind, signal},
+        sync::watch,
+        time::{Instant, sleep},
+    },
+    types::{LayerRange, LoadedModel, OperationKind, hash_key},
+    wire::Call,
+};
+
+mod account;
+mod backends;
+mod demo_settings;
+mod entries;
+mod guide;
+
+use {
+    account::{CALLER_KEY, OPERATOR_KEY, create_account},
+    backends::Backends,
+    demo_settings::DemoSettings,
+    entries::start_entries,
+    guide::guide,
+};
+
+/// Model that the engines hold.
+const MODEL: &str = "assistant";
+
+/// Service that the service stand-ins offer.
+const SERVICE: &str = "booking";
+
+/// Failure domains; each holds a whole model, a service target and an entry instance.
+const DOMAINS: [&str; 2] = ["zone-a", "zone-b"];
+
+const PROGRAM: Program = Program {
+    description: "Two entry instances and their back ends in one process on loopback.",
+    name: "demo",
+    version: env!("CARGO_PKG_VERSION"),
+};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Err(error) => {
+            eprintln!("demo: {error:#}");
+            ExitCode::FAILURE
+        }
+        Ok(()) => ExitCode::SUCCESS,
+    }
+}
+
+async fn run() -> Result<()> {
+    let Some(settings) = PROGRAM.settings_from_process::<DemoSettings>()? else {
+        return Ok(());
+    };
+    settings::start_log(&settings.log)?;
+    // Signals are caught from here on, so that an early one also ends everything gracefully.
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let backends = Backends::start(&settings).await?;
+    let (shutdown, receiver) = watch::channel(Shutdown::None);
+    let entries = start_entries(&settings, backends.platform(), receiver).await?;
+    let addresses: Vec<SocketAddr> = entries.iter().map(|entry| entry.address).collect();
+    tokio::select! {
+        result = create_account(&addresses) => result?,
+        () = stop_signal(&mut interrupt, &mut terminate) => bail!("stopped while it started"),
+    }
+    println!("{}", guide(&addresses));
+    stop_signal(&mut interrupt, &mut terminate).await;
+    eprintln!(
+        "Stopping: waits for streams, and until the addresses that callers hold have expired. \
+         Ctrl-C again stops at once."
+    );
+    shutdown.send_replace(Shutdown::Graceful);
+    let ended = futures::future::join_all(entries.into_iter().map(Running::ended));
+    tokio::select! {
+        _ = ended => {}
+        () = stop_signal(&mut interrupt, &mut terminate) => return Ok(()),
+    }
+    drop(backends);
+    Ok(())
+}
+
+async fn stop_signal(interrupt: &mut Signal, terminate: &mut Signal) {
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
