Add the entry instance: HTTP interface, control thread, streams, drain

Cause: the decisions need a process that moves bytes, carries out commands and reports events. Change: entry::run and the binary entry; sign-in, completions, resume, calls, admin, probes, drain.

--- /dev/null
+++ b/crates/entry/src/calls.rs
@@ -0,0 +1,224 @@
+use super::*;
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 128;
+
+/// One call as the caller sent it.
+struct CallTask {
+    app: Arc<App>,
+    body: Bytes,
+    key: Option<Arc<str>>,
+    operation: Arc<str>,
+    request: RequestId,
+}
+
+pub(crate) async fn submit(
+    app: &Arc<App>,
+    request: &Request,
+    service: &str,
+    operation: &str,
+) -> Result<Response, Fault> {
+    let directory = app.directory();
+    let caller = directory.sign_in(request)?;
+    let service = ServiceId::from(service);
+    directory.check_service(&caller, &service)?;
+    let kind = match app.roster.operation(&service, operation) {
+        None => {
+            let refusal = Refusal {
+                kind: RefusalKind::NoTarget,
+                retry_after: Duration::from_secs(1),
+            };
+            return Ok(not_run(app, &refusal).await);
+        }
+        Some(None) => return Err(unknown_operation(&service, operation)),
+        Some(Some(kind)) => kind,
+    };
+    let key = read_key(request, kind)?;
+    let submission = CallSubmission {
+        body_hash: blake3::hash(&request.body).to_hex().as_str().into(),
+        deadline: Duration::from_millis(caller.plan.deadline_ms),
+        fingerprint: fingerprint(&[
+            caller.account.as_bytes(),
+            service.as_bytes(),
+            operation.as_bytes(),
+            &request.body,
+        ]),
+        account: caller.account,
+        key: key.clone(),
+        kind,
+        operation: operation.into(),
+        request: random_id(),
+        service,
+    };
+    let task = CallTask {
+        app: app.clone(),
+        body: request.body.clone(),
+        key,
+        operation: operation.into(),
+        request: submission.request.clone(),
+    };
+    let outcome = task.start(submission).await;
+    Ok(respond(app, outcome).await)
+}
+
+impl CallTask {
+    /// Runs the call in a task of its own, because a dispatched operation goes on when its caller
+    /// disconnects.
+    async fn start(self, submission: CallSubmission) -> Option<CallOutcome> {
+        let (sender, receiver) = oneshot::channel();
+        let steps = self.app.registry.open_call(&self.request);
+        self.app.report(Event::CallSubmitted(submission));
+        tokio::spawn(self.run(steps, sender));
+        receiver.await.ok()
+    }
+
+    async fn run(
+        self,
+        mut steps: mpsc::UnboundedReceiver<CallStep>,
+        mut sender: oneshot::Sender<CallOutcome>,
+    ) {
+        let mut is_gone = false;
+        loop {
+            let step = tokio::select! {
+                step = steps.recv() => step,
+                () = sender.closed(), if !is_gone => {
+                    is_gone = true;
+                    let request = self.request.clone();
+                    self.app.report(Event::CallerGone { request });
+                    continue;
+                }
+                // The node forgets a call whose caller left before it was dispatched.
+                () = tokio::time::sleep(GONE_WAIT), if is_gone => break,
+            };
+            match step {
+                None => break,
+                Some(CallStep::Answer(outcome)) => {
+                    let _ = sender.send(outcome);
+                    break;
+                }
+                Some(CallStep::Dispatch {
+                    address,
+                    attempt,
+                    target,
+                }) => self.dispatch(address, attempt, target),
+            }
+        }
+        self.app.registry.close_call(&self.request);
+    }
+
+    /// Sends the call to one target. The reply is reported also after the caller was answered,
+    /// because it still settles the record of the call.
+    fn dispatch(&self, address: SocketAddr, attempt: Attempt, target: TargetId) {
+        let (app, request) = (self.app.clone(), self.request.clone());
+        let reply = app.parts.services.call(
+            address,
+            self.operation.clone(),
+            self.key.clone(),
+            self.body.clone(),
+        );
+        tokio::spawn(async move {
+            let event = match reply.await {
+                Err(kind) => Event::AttemptFailed {
+                    delivered_tokens: 0,
+                    failure: AttemptFailure {
+                        attempt,
+                        kind,
+                        target,
+                    },
+                    request,
+                },
+                Ok(reply) => Event::CallCompleted {
+                    attempt,
+                    reply,
+                    request,
+                },
+            };
+            app.report(event);
+        });
+    }
+}
+
+/// Time for which the task of a call stays after its caller left, for commands under way.
+const GONE_WAIT: Duration = Duration::from_secs(60);
+
+async fn respond(app: &App, outcome: Option<CallOutcome>) -> Response {
+    match outcome {
+        Some(CallOutcome::KeyMismatch) => {
+            let message = "the idempotency key was used with another body; nothing was run for \
+                           this one; send it with a new key";
+            Fault::new(StatusCode::UNPROCESSABLE_ENTITY, "key_mismatch", message).into_response()
+        }
+        Some(CallOutcome::NotRun(refusal)) => not_run(app, &refusal).await,
+        Some(CallOutcome::Ran(reply)) => ran(&reply),
+        // Without an outcome nothing is known of the call.
+        Some(CallOutcome::Unknown) | None => {
+            let message = "the outcome is unknown: the operation ran or did not run, and it will \
+                           not be run again under this key; check with the service";
+            let fault = Fault::new(StatusCode::BAD_GATEWAY, "outcome_unknown", message);
+            with_outcome(fault.into_response(), "unknown")
+        }
+    }
+}
+
+async fn not_run(app: &App, refusal: &Refusal) -> Response {
+    let mut response = refuse(app, refusal).await;
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    with_outcome(response, "not_run")
+}
+
+fn ran(reply: &CallReply) -> Response {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
+    let mut response = wire::text(status, reply.body.as_bytes().to_vec());
+    let is_json = serde_json::from_str::<serde::de::IgnoredAny>(&reply.body).is_ok();
+    if is_json {
+        let value = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    with_outcome(response, "ran")
+}
+
+fn with_outcome(mut response: Response, outcome: &'static str) -> Response {
+    let value = HeaderValue::from_static(outcome);
+    response.headers_mut().insert("x-outcome", value);
+    response
+}
+
+fn read_key(request: &Request, kind: OperationKind) -> Result<Option<Arc<str>>, Fault> {
+    let fault = |kind, message| Err(Fault::new(StatusCode::BAD_REQUEST, kind, message));
+    if request.headers.get("idempotency-key").is_none() {
+        return match kind {
+            OperationKind::Idempotent => Ok(None),
+            OperationKind::NonRepeatable => fault(
+                "missing_key",
+                "this operation runs at most once; send `Idempotency-Key` with a new random value",
+            ),
+        };
+    }
+    let key = request.header("idempotency-key").unwrap_or_default();
+    // A key is part of a row's name, where `/` separates the parts.
+    let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != b'/';
+    if key.is_empty() || key.len() > KEY_BYTES || !key.bytes().all(is_allowed) {
+        return fault(
+            "invalid_key",
+            "`Idempotency-Key` must have 1 to 128 visible ASCII characters other than `/`",
+        );
+    }
+    Ok(Some(key.into()))
+}
+
+fn unknown_operation(service: &str, operation: &str) -> Fault {
+    let message = format!("the service `{service}` has no operation `{operation}`; check its name");
+    Fault::new(StatusCode::NOT_FOUND, "unknown_operation", message)
+}
+
+/// Hash of several texts. Their lengths are hashed too, so that moving a boundary changes it.
+pub(crate) fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    Fingerprint::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/crates/entry/src/copier.rs
@@ -0,0 +1,181 @@
+use super::*;
+
+/// Keeps a stream's journal here and its copy at the backup peer.
+pub(crate) struct Copier {
+    app: Arc<App>,
+    backup: Option<(InstanceId, SocketAddr)>,
+    epoch: u32,
+    /// Instances that did not take a copy of this stream.
+    failed: HashSet<InstanceId>,
+    holder: Holder,
+    /// Tokens in the journal.
+    next: TokenIndex,
+    request: RequestId,
+}
+
+impl Copier {
+    /// Puts the journal of a new or resumed stream into the store of this instance.
+    pub(crate) fn open(
+        app: Arc<App>,
+        journal: Journal,
+        epoch: u32,
+        holder: Holder,
+    ) -> Result<Self, Fault> {
+        let request = journal.request.clone();
+        let append = JournalAppend::Whole {
+            epoch,
+            journal,
+            owner: holder.clone(),
+        };
+        let answer = lock(&app.journals).append(app.now(), append);
+        match answer {
+            AppendAnswer::Appended { next } => Ok(Self {
+                app,
+                backup: None,
+                epoch,
+                failed: HashSet::new(),
+                holder,
+                next,
+                request,
+            }),
+            AppendAnswer::Full | AppendAnswer::Incomplete { .. } => Err(no_memory()),
+            AppendAnswer::Taken { .. } => Err(taken_over()),
+        }
+    }
+
+    /// Keeps tokens here and at the backup. Only after this may they be delivered.
+    pub(crate) async fn append(
+        &mut self,
+        attempt: Attempt,
+        finish: Option<FinishReason>,
+        tokens: Vec<Arc<str>>,
+    ) -> Result<(), End> {
+        let append = JournalAppend::Tokens {
+            attempt,
+            finish,
+            from: self.next,
+            owner: self.holder.clone(),
+            request: self.request.clone(),
+            tokens,
+        };
+        match self.keep(append.clone()) {
+            AppendAnswer::Appended { next } => self.next = next,
+            AppendAnswer::Full | AppendAnswer::Incomplete { .. } => {
+                return Err(End::Failed(no_memory()));
+            }
+            AppendAnswer::Taken { .. } => return Err(End::TakenOver),
+        }
+        let Some((_, address)) = self.backup.clone() else {
+            return Ok(());
+        };
+        let answer = self.app.parts.peers.append_journal(address, append).await;
+        match answer {
+            Ok(AppendAnswer::Appended { .. }) => Ok(()),
+            Ok(AppendAnswer::Taken { .. }) => Err(End::TakenOver),
+            Ok(AppendAnswer::Incomplete { .. }) => self.copy_whole().await,
+            Ok(AppendAnswer::Full) | Err(_) => {
+                self.drop_backup();
+                self.copy_whole().await
+            }
+        }
+    }
+
+    /// Uses the backup that the node chose, and gives it the whole journal unless it has it.
+    pub(crate) async fn set_backup(
+        &mut self,
+        backup: Option<(InstanceId, SocketAddr)>,
+    ) -> Result<(), End> {
+        let is_same = backup == self.backup;
+        let is_failed = backup
+            .as_ref()
+            .is_some_and(|(instance, _)| self.failed.contains(instance));
+        if is_same || is_failed {
+            return Ok(());
+        }
+        self.backup = backup;
+        self.copy_whole().await
+    }
+
+    /// Starts the retention of the journal and its copy.
+    pub(crate) async fn end(&mut self) {
+        let append = JournalAppend::End {
+            owner: self.holder.clone(),
+            request: self.request.clone(),
+        };
+        self.keep(append.clone());
+        if let Some((_, address)) = self.backup {
+            // A copy that misses this is dropped a while after its owner is gone.
+            let _ = self.app.parts.peers.append_journal(address, append).await;
+        }
+    }
+
+    /// Resume point after `index` tokens.
+    pub(crate) fn point(&self, index: TokenIndex) -> ResumePoint {
+        ResumePoint {
+            backup: self.backup.as_ref().map(|(instance, _)| instance.clone()),
+            index,
+            owner: self.holder.instance.clone(),
+            request: self.request.clone(),
+        }
+    }
+
+    /// Tokens in the journal.
+    pub(crate) fn tokens(&self) -> Vec<Arc<str>> {
+        let journals = lock(&self.app.journals);
+        journals
+            .get(&self.request)
+            .map(|journal| journal.tokens.clone())
+            .unwrap_or_default()
+    }
+
+    /// Gives the backup the whole journal; tries others when it does not take it. Without any, the
+    /// stream goes on and its resume points name no backup.
+    async fn copy_whole(&mut self) -> Result<(), End> {
+        while let Some((instance, address)) = self.backup.clone() {
+            let journal = lock(&self.app.journals).get(&self.request).cloned();
+            let Some(journal) = journal else {
+                return Ok(());
+            };
+            let append = JournalAppend::Whole {
+                epoch: self.epoch,
+                journal,
+                owner: self.holder.clone(),
+            };
+            match self.app.parts.peers.append_journal(address, append).await {
+                Ok(AppendAnswer::Appended { .. }) => {
+                    lock(&self.app.backups).insert(self.request.clone(), address);
+                    return Ok(());
+                }
+                Ok(AppendAnswer::Taken { .. }) => return Err(End::TakenOver),
+                answer => {
+                    tracing::warn!(request = &*self.request, %instance, ?answer, "no copy kept");
+                    self.drop_backup();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Replaces a backup that keeps no copy.
+    fn drop_backup(&mut self) {
+        if let Some((instance, _)) = self.backup.take() {
+            self.failed.insert(instance);
+        }
+        lock(&self.app.backups).remove(&self.request);
+        let identity = &self.app.identity;
+        self.backup =
+            self.app
+                .roster
+                .backup(&identity.instance, &identity.failure_domain, &self.failed);
+    }
+
+    fn keep(&self, append: JournalAppend) -> AppendAnswer {
+        lock(&self.app.journals).append(self.app.now(), append)
+    }
+}
+
+fn no_memory() -> Fault {
+    let message = "the memory for streams of this instance is used up; use another address";
+    Fault::new(StatusCode::SERVICE_UNAVAILABLE, "journal_memory", message)
+        .retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,110 @@
+use super::*;
+
+/// The lists in the form in which requests are checked against them.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    keys: Vec<(Hash, AccountId)>,
+    pub(crate) lists: Arc<Lists>,
+}
+
+/// A caller that signed in.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) account: AccountId,
+    pub(crate) plan: Plan,
+}
+
+impl Directory {
+    pub(crate) fn new(lists: Arc<Lists>) -> Self {
+        let mut keys = Vec::new();
+        for (id, account) in &lists.accounts {
+            for hash in &account.key_hashes {
+                if let Ok(hash) = Hash::from_hex(&**hash) {
+                    keys.push((hash, id.clone()));
+                }
+            }
+        }
+        Self { keys, lists }
+    }
+
+    /// Account and plan of the key in a request. Compares with every key and each time in full, so
+    /// that the time taken tells nothing about the stored hashes.
+    pub(crate) fn sign_in(&self, request: &Request) -> Result<Caller, Fault> {
+        let hash = bearer_hash(request).ok_or_else(unknown_key)?;
+        let mut account = None;
+        for (known, id) in &self.keys {
+            // `Hash` compares in constant time.
+            if *known == hash {
+                account = Some(id);
+            }
+        }
+        let account = account.ok_or_else(unknown_key)?;
+        let entry = self.lists.accounts.get(account).ok_or_else(unknown_key)?;
+        let plan = self.lists.plans.get(&entry.plan).ok_or_else(unknown_key)?;
+        Ok(Caller {
+            account: account.clone(),
+            plan: plan.clone(),
+        })
+    }
+
+    /// Checks that the caller's plan has the model.
+    pub(crate) fn check_model(&self, caller: &Caller, model: &ModelId) -> Result<(), Fault> {
+        if caller.plan.models.contains(model) {
+            return Ok(());
+        }
+        let is_known = self
+            .lists
+            .plans
+            .values()
+            .any(|plan| plan.models.contains(model));
+        Err(not_in_plan("model", model, is_known))
+    }
+
+    /// Checks that the caller's plan has the service.
+    pub(crate) fn check_service(&self, caller: &Caller, service: &ServiceId) -> Result<(), Fault> {
+        if caller.plan.services.contains(service) {
+            return Ok(());
+        }
+        let is_known = self
+            .lists
+            .plans
+            .values()
+            .any(|plan| plan.services.contains(service));
+        Err(not_in_plan("service", service, is_known))
+    }
+}
+
+/// Checks the key of an operator against the hashes in the settings.
+pub(crate) fn check_operator(hashes: &BTreeSet<KeyHash>, request: &Request) -> Result<(), Fault> {
+    let hash = bearer_hash(request).ok_or_else(unknown_key)?;
+    let mut is_known = false;
+    for known in hashes {
+        is_known |= Hash::from_hex(&**known).is_ok_and(|known| known == hash);
+    }
+    if is_known { Ok(()) } else { Err(unknown_key()) }
+}
+
+fn bearer_hash(request: &Request) -> Option<Hash> {
+    let (scheme, key) = request.header("authorization")?.split_once(' ')?;
+    let key = key.trim();
+    let is_bearer = scheme.eq_ignore_ascii_case("bearer") && !key.is_empty();
+    is_bearer.then(|| blake3::hash(key.as_bytes()))
+}
+
+fn not_in_plan(noun: &str, name: &str, is_known: bool) -> Fault {
+    if is_known {
+        let kind = format!("{noun}_not_in_plan");
+        let message = format!(
+            "the plan of this account does not have the {noun} `{name}`; ask the operator to add it"
+        );
+        return Fault::new(StatusCode::FORBIDDEN, &kind, message);
+    }
+    let message = format!("there is no {noun} `{name}`; check its name");
+    Fault::new(StatusCode::NOT_FOUND, &format!("unknown_{noun}"), message)
+}
+
+fn unknown_key() -> Fault {
+    let message =
+        "the key is missing or unknown; send `Authorization: Bearer KEY` with a valid key";
+    Fault::new(StatusCode::UNAUTHORIZED, "unknown_key", message)
+}
--- /dev/null
+++ b/crates/entry/src/drain.rs
@@ -0,0 +1,93 @@
+use super::*;
+
+/// Time from one registration to the next.
+const REGISTER: Duration = Duration::from_secs(1);
+
+/// Keeps this instance in the platform's list.
+pub(crate) async fn register(app: Arc<App>) {
+    let mut interval = tokio::time::interval(REGISTER);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        register_once(&app).await;
+    }
+}
+
+async fn register_once(app: &App) {
+    let identity = &app.identity;
+    let listing = Listing {
+        address: identity.address,
+        failure_domain: identity.failure_domain.clone(),
+        id: identity.instance.clone(),
+        incarnation: identity.incarnation,
+        leaving: app.leaving.load(Ordering::Relaxed),
+        region: identity.region.clone(),
+        role: ListingRole::Entry {
+            peer_address: identity.peer_address,
+        },
+    };
+    if let Err(error) = app.parts.listings.register(listing).await {
+        tracing::warn!(
+            ?error,
+            "not registered in the platform's list; trying again"
+        );
+    }
+}
+
+/// Waits for the wish to stop, and then until the node has finished its work, the limit has passed
+/// or the wish is to stop at once.
+pub(crate) async fn drain(app: &Arc<App>, shutdown: &mut watch::Receiver<Shutdown>) {
+    let mut stopped = app.stopped.subscribe();
+    if wait_for(shutdown, Shutdown::Graceful).await == Shutdown::Immediate {
+        warn_cut_off(app, "it was asked to stop at once");
+        return;
+    }
+    tracing::info!(
+        instance = &*app.identity.instance,
+        "graceful shutdown started"
+    );
+    app.leaving.store(true, Ordering::Relaxed);
+    app.report(Event::DrainStarted);
+    tokio::join!(register_once(app), tell_peers(app));
+    let limit = Duration::from_millis(app.settings.drain_limit_ms);
+    tokio::select! {
+        _ = stopped.wait_for(|is_stopped| *is_stopped) => {}
+        _ = wait_for(shutdown, Shutdown::Immediate) => {
+            warn_cut_off(app, "it was asked to stop at once");
+        }
+        () = tokio::time::sleep(limit) => warn_cut_off(app, "`drain_limit_ms` has passed"),
+    }
+}
+
+async fn tell_peers(app: &App) {
+    let identity = &app.identity;
+    let mut notices = Vec::new();
+    for address in app.roster.peers(&identity.instance) {
+        let (instance, incarnation) = (identity.instance.clone(), identity.incarnation);
+        notices.push(app.parts.peers.leave(address, instance, incarnation));
+    }
+    for result in futures::future::join_all(notices).await {
+        if let Err(error) = result {
+            tracing::debug!(%error, "a peer was not told of the shutdown");
+        }
+    }
+}
+
+/// Waits until at least `wish` is asked for. A dropped sender asks for an immediate stop.
+async fn wait_for(shutdown: &mut watch::Receiver<Shutdown>, wish: Shutdown) -> Shutdown {
+    match shutdown.wait_for(|asked| *asked >= wish).await {
+        Err(_) => Shutdown::Immediate,
+        Ok(asked) => *asked,
+    }
+}
+
+fn warn_cut_off(app: &App, reason: &str) {
+    let (calls, streams) = app.registry.counts();
+    tracing::warn!(
+        instance = &*app.identity.instance,
+        calls,
+        streams,
+        reason,
+        "stopping without waiting for work in progress"
+    );
+}
--- /dev/null
+++ b/crates/entry/src/executor.rs
@@ -0,0 +1,193 @@
+use super::*;
+
+impl App {
+    /// Carries out one command of the node. Commands without input or output take effect before
+    /// this returns, so their order holds; the others run as tasks that report events.
+    pub fn execute(self: &Arc<Self>, command: Command) {
+        match command {
+            Command::AnswerCall { outcome, request } => {
+                self.registry.call(&request, CallStep::Answer(outcome));
+            }
+            Command::AnswerEdit { answer, operation } => {
+                self.registry.answer_edit(&operation, &answer);
+            }
+            // The run of a stream stops its engines itself, because it alone knows the numbers
+            // under which they know its attempts.
+            Command::Cancel {
+                attempt, request, ..
+            } => self.registry.stream(&request, StreamStep::Cancel(attempt)),
+            Command::DispatchCall {
+                address,
+                attempt,
+                request,
+                target,
+            } => {
+                let step = CallStep::Dispatch {
+                    address,
+                    attempt,
+                    target,
+                };
+                self.registry.call(&request, step);
+            }
+            Command::DispatchGenerate {
+                attempt,
+                backup,
+                priority,
+                request,
+                route,
+            } => {
+                let step = StreamStep::Dispatch {
+                    attempt,
+                    backup,
+                    priority,
+                    route,
+                };
+                self.registry.stream(&request, step);
+            }
+            Command::Log(decision) => log_decision(&decision),
+            Command::PublishLists(lists) => {
+                *lock(&self.directory) = Arc::new(Directory::new(lists));
+            }
+            Command::Refuse { refusal, request } => {
+                self.registry.stream(&request, StreamStep::Refuse(refusal));
+            }
+            Command::SetPriority {
+                attempt,
+                priority,
+                request,
+                ..
+            } => {
+                let step = StreamStep::SetPriority { attempt, priority };
+                self.registry.stream(&request, step);
+            }
+            Command::Stop => {
+                self.stopped.send_replace(true);
+            }
+            command => {
+                let app = self.clone();
+                tokio::spawn(async move { app.exchange(command).await });
+            }
+        }
+    }
+
+    /// Carries out a command that waits for the outside.
+    async fn exchange(&self, command: Command) {
+        match command {
+            Command::AskOwner {
+                nonce,
+                peer_address,
+                request,
+                ..
+            } => {
+                let answer = self.parts.peers.call_status(peer_address, nonce).await;
+                let status = answer.unwrap_or(OwnerStatus::NoReply);
+                self.report(Event::OwnerAnswered { request, status });
+            }
+            Command::FetchChanges {
+                after,
+                peer_address,
+                ..
+            } => self.fetch_changes(after, peer_address).await,
+            Command::Poll {
+                address,
+                cache_event_count,
+                is_engine: true,
+                target,
+            } => self.poll_engine(address, cache_event_count, target).await,
+            Command::Poll {
+                address, target, ..
+            } => self.report_load(self.parts.services.load(address).await, target),
+            Command::PushChanges {
+                peer_address,
+                records,
+                ..
+            } => {
+                // A peer that misses a push learns of the change from the next heartbeat.
+                let _ = self.parts.peers.push_changes(peer_address, records).await;
+            }
+            Command::ReadListing => self.read_listing().await,
+            Command::SendHeartbeat {
+                heartbeat,
+                peer,
+                peer_address,
+            } => {
+                let sent = self.parts.peers.heartbeat(peer_address, heartbeat).await;
+                if let Err(error) = sent {
+                    tracing::debug!(%peer, %error, "heartbeat not delivered");
+                    self.report(Event::HeartbeatFailed { peer });
+                }
+            }
+            Command::SendOrder {
+                address,
+                order,
+                target,
+            } => {
+                let sent = self.parts.engines.order(address, order.clone()).await;
+                if sent.is_err() {
+                    self.report(Event::OrderFailed { order, target });
+                }
+            }
+            Command::Store { request, ticket } => {
+                let result = self.parts.table.execute(request).await;
+                self.report(Event::StoreReplied { result, ticket });
+            }
+            command => tracing::error!(?command, "command was not carried out"),
+        }
+    }
+
+    async fn fetch_changes(&self, after: ConfigVersion, peer_address: SocketAddr) {
+        match self.parts.peers.changes_since(peer_address, after).await {
+            Err(error) => tracing::debug!(%error, "changes not fetched"),
+            Ok(Changes::Lists(lists)) => self.report(Event::ListsReceived(lists)),
+            Ok(Changes::Records(records)) => self.report(Event::ChangesReceived { records }),
+        }
+    }
+
+    async fn poll_engine(&self, address: SocketAddr, cache_event_count: u64, target: TargetId) {
+        let loaded = self.parts.engines.load(address).await;
+        let newest = loaded.as_ref().map_or(0, |report| report.cache_event_count);
+        self.report_load(loaded, target.clone());
+        if newest <= cache_event_count {
+            return;
+        }
+        let events = self.parts.engines.cache_events(address, cache_event_count);
+        if let Ok(events) = events.await {
+            self.report(Event::CacheEventsReceived { events, target });
+        }
+    }
+
+    async fn read_listing(&self) {
+        match self.parts.listings.read().await {
+            Err(error) => tracing::warn!(?error, "the platform's list was not read"),
+            Ok(listings) => {
+                self.roster.update(&listings);
+                self.report(Event::ListingRead { listings });
+            }
+        }
+    }
+
+    fn report_load(&self, loaded: Result<LoadReport, FailureKind>, target: TargetId) {
+        self.report(match loaded {
+            Err(kind) => Event::LoadFailed { kind, target },
+            Ok(report) => Event::LoadReceived { report, target },
+        });
+    }
+}
+
+fn log_decision(decision: &Decision) {
+    let candidates = |list: &[Candidate]| {
+        let scores = list
+            .iter()
+            .map(|candidate| format!("{}={:.3}ms", candidate.target, candidate.score_ms));
+        scores.collect::<Vec<_>>().join(",")
+    };
+    tracing::info!(
+        request = &*decision.subject,
+        kind = decision.kind,
+        account = decision.account.as_deref().unwrap_or_default(),
+        chosen = candidates(&decision.chosen),
+        reason = &*decision.reason,
+        alternatives = candidates(&decision.alternatives),
+        "decision"
+    );
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+/// Serves callers and operators over HTTP.
+struct Interface {
+    app: Arc<App>,
+    metrics: Option<PrometheusHandle>,
+}
+
+/// Handler of the requests of callers and operators. `metrics` is what `/metrics` shows.
+#[must_use]
+pub fn handler(app: Arc<App>, metrics: Option<PrometheusHandle>) -> Arc<dyn wire::Handler> {
+    Arc::new(Interface { app, metrics })
+}
+
+impl wire::Handler for Interface {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        async move {
+            let area = area(&request);
+            let response = match self.route(request).await {
+                Err(fault) => fault.into_response(),
+                Ok(response) => response,
+            };
+            let status = response.status().as_u16().to_string();
+            metrics::counter!("entry_requests_total", "area" => area, "status" => status)
+                .increment(1);
+            response
+        }
+        .boxed()
+    }
+}
+
+impl Interface {
+    async fn route(&self, request: Request) -> Result<Response, Fault> {
+        let path = request.path.clone();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let (app, method) = (&self.app, request.method.clone());
+        match (segments.as_slice(), method.as_str()) {
+            (["health"], "GET") => Ok(wire::text(StatusCode::OK, "alive\n")),
+            (["ready"], "GET") => probes::ready(app).await,
+            (["metrics"], "GET") => Ok(probes::metrics(self.metrics.as_ref())),
+            (["v1", "addresses"], "GET") => addresses::answer(app, &request).await,
+            (["v1", "completions"], "POST") => completions::submit(app, &request).await,
+            (["v1", "completions", id], "GET") => resume::resume(app, &request, id).await,
+            (["v1", "services", service, operation], "POST") => {
+                calls::submit(app, &request, service, operation).await
+            }
+            (["admin", rest @ ..], _) => {
+                check_operator(&app.settings.operator_key_hashes, &request)?;
+                admin::route(app, &request, rest).await
+            }
+            (
+                ["health" | "ready" | "metrics"]
+                | ["v1", "addresses" | "completions"]
+                | ["v1", "completions", _]
+                | ["v1", "services", _, _],
+                _,
+            ) => Err(wrong_method(&request)),
+            _ => Err(unknown_path(&request)),
+        }
+    }
+}
+
+/// Part of the interface, for metrics, whose labels must not grow with what callers send.
+fn area(request: &Request) -> &'static str {
+    match request.segments().as_slice() {
+        ["admin", ..] => "admin",
+        ["v1", "addresses", ..] => "addresses",
+        ["v1", "completions", ..] => "completions",
+        ["v1", "services", ..] => "services",
+        ["health" | "metrics" | "ready", ..] => "probes",
+        _ => "other",
+    }
+}
+
+pub(crate) fn unknown_path(request: &Request) -> Fault {
+    let message = format!("there is nothing at `{}`; check the path", request.path);
+    Fault::new(StatusCode::NOT_FOUND, "unknown_path", message)
+}
+
+pub(crate) fn wrong_method(request: &Request) -> Fault {
+    let message = format!(
+        "`{}` does not take {}; see the list of requests",
+        request.path, request.method
+    );
+    Fault::new(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", message)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,112 @@
-//! The entry instance: callers' and operators' interface, control thread and traffic threads.
+//! The entry instance: the interface of callers and operators, the control thread and the traffic
+//! threads.
+//!
+//! Decisions are made by `control::Node` on its own thread. Everything here moves bytes, carries
+//! out the node's commands and reports events to it.
+
+use {
+    blake3::Hash,
+    bytes::Bytes,
+    control::{
+        AddressAnswer, AppendAnswer, Candidate, Command, Decision, Event, Holder, Identity,
+        JournalAppend, JournalSettings, Journals, Node, NodeSettings, OwnerStatus, Status,
+        TakeAnswer,
+    },
+    futures::{FutureExt, StreamExt, future::BoxFuture},
+    hyper::{
+        Method, StatusCode,
+        header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    },
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    peer::{Changes, PeerHandler, PeerSettings, Peers, Pool},
+    platform::{Listings, PlatformClient, PlatformSettings, Table},
+    rand::seq::IndexedRandom,
+    serde::{Deserialize, Serialize},
+    settings::{Check, Faults, LogSettings},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        fmt::{self, Debug, Formatter},
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant, SystemTime},
+    },
+    target::{EngineClient, Engines, RecordStream, ServiceClient, Services, TargetSettings},
+    thiserror::Error,
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, oneshot, watch},
+        task::{JoinHandle, JoinSet},
+        time::{MissedTickBehavior, timeout},
+    },
+    types::{
+        Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
+        CancelRequest, Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
+        Fingerprint, FinishReason, GenerateRequest, GenerateSubmission, Heartbeat, Incarnation,
+        InstanceId, Journal, KeyHash, LayerRange, Listing, ListingRole, Lists, LoadReport, ModelId,
+        Nonce, OperationId, OperationKind, Plan, Priority, PriorityRequest, Refusal, RefusalKind,
+        RegionId, RequestId, ResumePoint, Route, ServiceId, StreamRecord, TargetId, TokenIndex,
+        TokenRecord,
+    },
+    wire::{BodySender, Fault, Limits, Request, Response, ServerEvent},
+    xtra::{Address, Handler, Mailbox},
+};
+
+mod addresses;
+mod admin;
+mod app;
+mod attempt;
+mod calls;
+mod completions;
+mod control_thread;
+mod copier;
+mod directory;
+mod drain;
+mod end;
+mod error;
+mod executor;
+mod handler;
+mod instance;
+mod output;
+mod peer_service;
+mod probes;
+mod refusal;
+mod registry;
+mod resume;
+mod roster;
+mod sequence;
+mod settings_file;
+mod stream;
+
+pub use {
+    app::{App, Parts},
+    control_thread::Control,
+    error::Error,
+    handler::handler,
+    instance::{Running, Shutdown, run, start},
+    settings_file::{Settings, StreamSettings},
+};
+
+use {
+    addresses::{ending, milliseconds},
+    app::{SWEEP, random_id},
+    attempt::Run,
+    calls::fingerprint,
+    control_thread::ControlAddress,
+    copier::Copier,
+    directory::{Directory, check_operator},
+    drain::{drain, register},
+    end::End,
+    handler::{unknown_path, wrong_method},
+    output::{Failure, Output},
+    peer_service::PeerService,
+    refusal::{refusal_fault, refuse},
+    registry::{CallStep, Registry, StreamInbox, StreamStep, lock},
+    resume::taken_over,
+    roster::Roster,
+    sequence::Sequence,
+    settings_file::{is_key_hash, is_name},
+    stream::{Stream, StreamStart},
+};
--- /dev/null
+++ b/crates/entry/src/probes.rs
@@ -0,0 +1,27 @@
+use super::*;
+
+pub(crate) fn metrics(handle: Option<&PrometheusHandle>) -> Response {
+    let Some(handle) = handle else {
+        return wire::text(StatusCode::OK, "");
+    };
+    handle.run_upkeep();
+    wire::text(StatusCode::OK, handle.render())
+}
+
+/// Whether callers should use this instance.
+pub(crate) async fn ready(app: &App) -> Result<Response, Fault> {
+    let not_ready = |kind, message| Fault::new(StatusCode::SERVICE_UNAVAILABLE, kind, message);
+    if app.leaving.load(Ordering::Relaxed) {
+        return Err(not_ready(
+            "draining",
+            "this instance is about to stop; use another one",
+        ));
+    }
+    match app.parts.control.status().await {
+        Some(status) if status.ready => Ok(wire::text(StatusCode::OK, "ready\n")),
+        _ => Err(not_ready(
+            "not_ready",
+            "this instance has not confirmed its configuration; use another one, or wait",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+/// Fault that tells a caller of a refusal. Nothing was run.
+pub(crate) fn refusal_fault(refusal: &Refusal) -> Fault {
+    let (status, kind, message) = match refusal.kind {
+        RefusalKind::Deadline => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "deadline",
+            "the answer would not be complete before the deadline; send it again later",
+        ),
+        RefusalKind::Draining => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "draining",
+            "this instance is about to stop; send the request to another address",
+        ),
+        RefusalKind::Limit => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "limit",
+            "the account has as many requests as its plan allows; wait for some of them to end",
+        ),
+        RefusalKind::NoTarget => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_target",
+            "nothing that can run the request is live; send it again later",
+        ),
+        RefusalKind::Quarantined => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "quarantined",
+            "requests like this one crashed their targets; change the request, or wait",
+        ),
+        RefusalKind::RetriesExhausted => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "retries_exhausted",
+            "every attempt failed; send it again later",
+        ),
+        RefusalKind::StaleConfig => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stale_config",
+            "this instance cannot confirm its configuration; send the request to another address",
+        ),
+        RefusalKind::StoreUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "store_unavailable",
+            "the platform's store does not answer; nothing was run; send it again later",
+        ),
+    };
+    Fault::new(status, kind, message).retry_after(refusal.retry_after)
+}
+
+/// Whether the caller should go to another instance.
+pub(crate) fn is_elsewhere(refusal: &Refusal) -> bool {
+    matches!(
+        refusal.kind,
+        RefusalKind::Draining | RefusalKind::StaleConfig
+    )
+}
+
+/// Response that tells of a refusal, with other addresses where these help.
+pub(crate) async fn refuse(app: &App, refusal: &Refusal) -> Response {
+    let mut response = refusal_fault(refusal).into_response();
+    if !is_elsewhere(refusal) {
+        return response;
+    }
+    let Some(answer) = app.parts.control.addresses(None).await else {
+        return response;
+    };
+    let mut others = Vec::new();
+    for address in &answer.addresses {
+        if *address != app.identity.address {
+            others.push(address.to_string());
+        }
+    }
+    if let Ok(value) = HeaderValue::try_from(others.join(", ")) {
+        response.headers_mut().insert("x-entry-addresses", value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/entry/src/resume.rs
@@ -0,0 +1,123 @@
+use super::*;
+
+/// What the instances that may hold a journal say.
+enum Found {
+    Given { epoch: u32, journal: Box<Journal> },
+    Nothing,
+    Taken,
+    Unreachable,
+}
+
+pub(crate) async fn resume(app: &Arc<App>, request: &Request, id: &str) -> Result<Response, Fault> {
+    let caller = app.directory().sign_in(request)?;
+    let point = read_point(request, id)?;
+    let holder = Holder {
+        instance: app.identity.instance.clone(),
+        nonce: random_id(),
+    };
+    let (epoch, journal) = match find(app, &point, &caller.account, &holder).await {
+        Found::Given { epoch, journal } => (epoch, *journal),
+        Found::Nothing => return Err(unknown_stream()),
+        Found::Taken => return Err(taken_over()),
+        Found::Unreachable => return Err(unreachable_holders()),
+    };
+    if usize::try_from(point.index).is_ok_and(|index| index > journal.tokens.len()) {
+        return Err(unknown_stream());
+    }
+    let start = StreamStart {
+        deadline: Duration::from_millis(caller.plan.deadline_ms),
+        epoch,
+        journal,
+        skipped: point.index,
+    };
+    let (body, response) = wire::stream(StatusCode::OK, "text/event-stream");
+    let idle = Duration::from_millis(app.settings.stream.idle_ms);
+    let (begin, _) = oneshot::channel();
+    Stream::spawn_as(
+        app.clone(),
+        start,
+        Output::events(body, begin, idle),
+        holder,
+    )?;
+    Ok(response)
+}
+
+/// Asks the owner and then the backup for the journal.
+async fn find(app: &App, point: &ResumePoint, account: &AccountId, holder: &Holder) -> Found {
+    let mut found = Found::Nothing;
+    for instance in [Some(&point.owner), point.backup.as_ref()] {
+        let Some(instance) = instance else {
+            continue;
+        };
+        let answer = if *instance == app.identity.instance {
+            Ok(app.take(&point.request, account, holder).await)
+        } else {
+            ask(app, instance, point, account, holder).await
+        };
+        match answer {
+            Err(()) => found = Found::Unreachable,
+            Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
+            Ok(TakeAnswer::Taken { .. }) => return Found::Taken,
+            Ok(TakeAnswer::Unknown) => {}
+        }
+    }
+    found
+}
+
+async fn ask(
+    app: &App,
+    instance: &InstanceId,
+    point: &ResumePoint,
+    account: &AccountId,
+    holder: &Holder,
+) -> Result<TakeAnswer, ()> {
+    let address = app.roster.peer_address(instance).ok_or(())?;
+    let answer = app.parts.peers.take_journal(
+        address,
+        point.request.clone(),
+        account.clone(),
+        holder.clone(),
+    );
+    answer.await.map_err(|error| {
+        tracing::warn!(request = &*point.request, %error, "a journal was not handed over");
+    })
+}
+
+fn read_point(request: &Request, id: &str) -> Result<ResumePoint, Fault> {
+    let fault = |message: String| Fault::new(StatusCode::BAD_REQUEST, "invalid_event_id", message);
+    let Some(text) = request.header("last-event-id") else {
+        return Err(fault(
+            "send `Last-Event-ID` with the `id` of the last event received".into(),
+        ));
+    };
+    let point: ResumePoint = text
+        .parse()
+        .map_err(|error: types::Error| fault(error.to_string()))?;
+    if *point.request != *id {
+        let message = format!("`{text}` belongs to another request than `{id}`; use its path");
+        return Err(fault(message));
+    }
+    Ok(point)
+}
+
+fn unknown_stream() -> Fault {
+    let message = "no stream of this account is held under this id; it ended more than a minute \
+                   ago or never was; send the prompt again";
+    Fault::new(StatusCode::NOT_FOUND, "unknown_stream", message)
+}
+
+/// Fault of a connection that lost its stream to another one.
+pub(crate) fn taken_over() -> Fault {
+    let message = "another connection resumed this stream; read it there";
+    Fault::new(StatusCode::CONFLICT, "taken_over", message)
+}
+
+fn unreachable_holders() -> Fault {
+    let message = "the instances that hold this stream do not answer; resume it again shortly";
+    Fault::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "holders_unreachable",
+        message,
+    )
+    .retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,388 @@
+use super::*;
+
+/// Tokens from one report of progress to the next.
+const PROGRESS_TOKENS: TokenIndex = 16;
+
+/// What a stream starts from.
+pub(crate) struct StreamStart {
+    pub(crate) deadline: Duration,
+    pub(crate) epoch: u32,
+    pub(crate) journal: Journal,
+    /// Tokens that the caller has.
+    pub(crate) skipped: TokenIndex,
+}
+
+/// One run of a stream at this instance.
+pub(crate) struct Stream {
+    app: Arc<App>,
+    /// Attempts of earlier runs. Engines count attempts over all runs, the node within one.
+    base: Attempt,
+    copier: Copier,
+    /// Tokens that the caller has.
+    delivered: TokenIndex,
+    nonce: Nonce,
+    output: Output,
+    /// Tokens in order that are not copied yet.
+    pending: Vec<Arc<str>>,
+    /// A dispatch that came while another attempt ran.
+    queued: Option<StreamStep>,
+    run: Option<Run>,
+    sequence: Sequence,
+    steps: mpsc::UnboundedReceiver<StreamStep>,
+}
+
+impl Stream {
+    /// Starts the first run of a stream.
+    pub(crate) fn spawn(app: Arc<App>, start: StreamStart, output: Output) -> Result<(), Fault> {
+        let holder = Holder {
+            instance: app.identity.instance.clone(),
+            nonce: random_id(),
+        };
+        Self::spawn_as(app, start, output, holder)
+    }
+
+    /// Starts a run as the holder that took the journal.
+    pub(crate) fn spawn_as(
+        app: Arc<App>,
+        start: StreamStart,
+        output: Output,
+        holder: Holder,
+    ) -> Result<(), Fault> {
+        let (request, nonce) = (start.journal.request.clone(), holder.nonce.clone());
+        // Registered first, so that whoever takes the journal finds the run and ends it.
+        let StreamInbox { steps, taken } = app.registry.open_stream(&request, &nonce);
+        let copier = Copier::open(app.clone(), start.journal.clone(), start.epoch, holder);
+        let copier = match copier {
+            Err(fault) => {
+                app.registry.close_stream(&request, &nonce);
+                return Err(fault);
+            }
+            Ok(copier) => copier,
+        };
+        let kept = TokenIndex::try_from(start.journal.tokens.len()).unwrap_or(TokenIndex::MAX);
+        let stream = Self {
+            app,
+            base: start.journal.attempt,
+            copier,
+            delivered: start.skipped,
+            nonce,
+            output,
+            pending: Vec::new(),
+            queued: None,
+            run: None,
+            sequence: Sequence::new(kept),
+            steps,
+        };
+        tokio::spawn(stream.run(start, taken));
+        Ok(())
+    }
+
+    async fn run(mut self, start: StreamStart, mut taken: oneshot::Receiver<()>) {
+        let limit = Duration::from_millis(self.app.settings.stream.limit_ms);
+        let end = tokio::select! {
+            biased;
+            _ = &mut taken => End::TakenOver,
+            result = timeout(limit, self.drive(&start)) => match result {
+                Err(_) => End::Failed(too_long(limit)),
+                Ok(Err(end)) => end,
+                Ok(Ok(())) => End::Finished,
+            },
+        };
+        self.close(end, &start.journal.request).await;
+    }
+
+    async fn close(mut self, end: End, request: &RequestId) {
+        if !matches!(end, End::Finished) {
+            self.stop_run();
+        }
+        if !matches!(end, End::Finished | End::Refused(_)) {
+            let request = request.clone();
+            self.app.report(Event::CallerGone { request });
+        }
+        self.app.registry.close_stream(request, &self.nonce);
+        // Whoever takes the stream over waits for this.
+        self.steps.close();
+        metrics::counter!("entry_streams_total", "end" => end.name()).increment(1);
+        match end {
+            End::Failed(fault) => {
+                self.copier.end().await;
+                self.output.fail(Failure::Fault(fault)).await;
+            }
+            End::Finished => {}
+            End::Gone => self.copier.end().await,
+            End::Refused(refusal) => {
+                self.copier.end().await;
+                self.output.fail(Failure::Refused(refusal)).await;
+            }
+            End::TakenOver => self.output.fail(Failure::Fault(taken_over())).await,
+        }
+    }
+
+    /// Runs attempts until the answer is complete.
+    async fn drive(&mut self, start: &StreamStart) -> Result<(), End> {
+        if start.epoch > 0 {
+            self.replay(&start.journal).await?;
+        }
+        if let Some(reason) = start.journal.finish {
+            self.finish(&start.journal, reason).await;
+            return Ok(());
+        }
+        self.app
+            .report(Event::GenerateSubmitted(completions::submission(start)));
+        loop {
+            let step = match self.queued.take() {
+                None => tokio::select! {
+                    step = self.steps.recv() => step.ok_or(End::Gone)?,
+                    () = self.output.closed() => return Err(End::Gone),
+                },
+                Some(step) => step,
+            };
+            match step {
+                StreamStep::Cancel(_) | StreamStep::SetPriority { .. } => {}
+                StreamStep::Dispatch {
+                    attempt,
+                    backup,
+                    priority,
+                    route,
+                } => {
+                    self.copier.set_backup(backup).await?;
+                    let attempt = self.base + attempt;
+                    if self
+                        .attempt(&start.journal, attempt, priority, route)
+                        .await?
+                    {
+                        return Ok(());
+                    }
+                }
+                StreamStep::Refuse(refusal) => return Err(End::Refused(refusal)),
+            }
+        }
+    }
+
+    /// Runs one attempt; returns whether the answer is complete.
+    async fn attempt(
+        &mut self,
+        journal: &Journal,
+        attempt: Attempt,
+        priority: Priority,
+        route: Route,
+    ) -> Result<bool, End> {
+        let Some(stage) = route.stages.first().cloned() else {
+            return Ok(false);
+        };
+        if !self.output.begin(&self.copier.point(self.delivered)).await {
+            return Err(End::Gone);
+        }
+        self.sequence.start(attempt, route.layer_count);
+        let request = GenerateRequest {
+            attempt,
+            delivered: self.copier.tokens(),
+            max_tokens: journal.max_tokens,
+            model: journal.model.clone(),
+            priority,
+            prompt: journal.prompt.clone(),
+            request: journal.request.clone(),
+            route: route.clone(),
+            seed: journal.seed,
+        };
+        self.run = Some(Run {
+            app: self.app.clone(),
+            attempt,
+            first: stage.target,
+            request: journal.request.clone(),
+            route,
+        });
+        let records = self.app.parts.engines.generate(stage.address, request);
+        self.read(journal, attempt, records).await
+    }
+
+    /// Reads the records of one attempt until it ends.
+    async fn read(
+        &mut self,
+        journal: &Journal,
+        attempt: Attempt,
+        mut records: RecordStream,
+    ) -> Result<bool, End> {
+        let batch = Duration::from_millis(self.app.settings.stream.batch_ms);
+        let mut flush_at = None;
+        loop {
+            let flush = async {
+                match flush_at {
+                    None => std::future::pending().await,
+                    Some(time) => tokio::time::sleep_until(time).await,
+                }
+            };
+            tokio::select! {
+                biased;
+                step = self.steps.recv() => {
+                    if self.interrupt(step.ok_or(End::Gone)?, attempt)? {
+                        self.stop_run();
+                        return Ok(false);
+                    }
+                }
+                () = self.output.closed() => return Err(End::Gone),
+                () = flush => {
+                    self.flush(journal, attempt, None).await?;
+                    flush_at = None;
+                }
+                record = records.next() => {
+                    let record = record.unwrap_or_else(|| Err(self.broken(attempt)));
+                    if let Some(is_complete) = self.take(journal, attempt, record).await? {
+                        return Ok(is_complete);
+                    }
+                    if !self.pending.is_empty() {
+                        flush_at.get_or_insert_with(|| tokio::time::Instant::now() + batch);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes one record. Returns whether the answer is complete once the attempt has ended.
+    async fn take(
+        &mut self,
+        journal: &Journal,
+        attempt: Attempt,
+        record: Result<StreamRecord, AttemptFailure>,
+    ) -> Result<Option<bool>, End> {
+        let failure = match record {
+            Err(failure) | Ok(StreamRecord::Failed(failure)) => failure,
+            Ok(StreamRecord::End {
+                attempt: ended,
+                reason,
+                token_count,
+            }) => {
+                if self.sequence.is_complete(ended, token_count) {
+                    self.flush(journal, attempt, Some(reason)).await?;
+                    self.app.report(Event::GenerateCompleted {
+                        attempt: attempt - self.base,
+                        request: journal.request.clone(),
+                        token_count,
+                    });
+                    self.finish(journal, reason).await;
+                    return Ok(Some(true));
+                }
+                self.fault(attempt, FailureKind::Protocol)
+            }
+            Ok(StreamRecord::Token(token)) => match self.sequence.take(token) {
+                Err(kind) => self.fault(attempt, kind),
+                Ok(tokens) => {
+                    self.pending.extend(tokens);
+                    return Ok(None);
+                }
+            },
+        };
+        if failure.attempt != attempt {
+            return Ok(None);
+        }
+        self.flush(journal, attempt, None).await?;
+        self.stop_run();
+        self.app.report(Event::AttemptFailed {
+            delivered_tokens: self.delivered,
+            failure: AttemptFailure {
+                attempt: attempt - self.base,
+                ..failure
+            },
+            request: journal.request.clone(),
+        });
+        Ok(Some(false))
+    }
+
+    /// Acts on a command that came during an attempt; returns whether the attempt must stop.
+    fn interrupt(&mut self, step: StreamStep, attempt: Attempt) -> Result<bool, End> {
+        match step {
+            StreamStep::Cancel(canceled) => Ok(self.base + canceled == attempt),
+            step @ StreamStep::Dispatch { .. } => {
+                self.queued = Some(step);
+                Ok(true)
+            }
+            StreamStep::Refuse(refusal) => Err(End::Refused(refusal)),
+            StreamStep::SetPriority {
+                attempt: meant,
+                priority,
+            } => {
+                if let Some(run) = self.run.as_ref().filter(|_| self.base + meant == attempt) {
+                    run.set_priority(priority);
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Copies the pending tokens and then delivers them.
+    async fn flush(
+        &mut self,
+        journal: &Journal,
+        attempt: Attempt,
+        finish: Option<FinishReason>,
+    ) -> Result<(), End> {
+        let tokens = std::mem::take(&mut self.pending);
+        if tokens.is_empty() && finish.is_none() {
+            return Ok(());
+        }
+        self.copier.append(attempt, finish, tokens.clone()).await?;
+        let before = self.delivered;
+        self.deliver(journal, &tokens).await?;
+        let is_first = before == 0 && self.delivered > 0;
+        if is_first || before / PROGRESS_TOKENS != self.delivered / PROGRESS_TOKENS {
+            self.app.report(Event::Progressed {
+                delivered_tokens: self.delivered,
+                request: journal.request.clone(),
+            });
+        }
+        Ok(())
+    }
+
+    async fn deliver(&mut self, journal: &Journal, tokens: &[Arc<str>]) -> Result<(), End> {
+        for token in tokens {
+            self.delivered += 1;
+            let point = self.copier.point(self.delivered);
+            if !self.output.token(journal, &point, token).await {
+                return Err(End::Gone);
+            }
+        }
+        metrics::counter!("entry_tokens_total").increment(tokens.len() as u64);
+        Ok(())
+    }
+
+    async fn finish(&mut self, journal: &Journal, reason: FinishReason) {
+        let point = self.copier.point(self.delivered);
+        self.output.finish(journal, &point, reason).await;
+    }
+
+    /// Delivers the tokens of the journal that the caller does not have.
+    async fn replay(&mut self, journal: &Journal) -> Result<(), End> {
+        if !self.output.begin(&self.copier.point(self.delivered)).await {
+            return Err(End::Gone);
+        }
+        let skipped = usize::try_from(self.delivered).unwrap_or(usize::MAX);
+        let missing = journal.tokens.get(skipped..).unwrap_or_default().to_vec();
+        self.deliver(journal, &missing).await
+    }
+
+    fn broken(&self, attempt: Attempt) -> AttemptFailure {
+        self.fault(attempt, FailureKind::Broken)
+    }
+
+    /// Failure of the current attempt that is blamed on its first stage.
+    fn fault(&self, attempt: Attempt, kind: FailureKind) -> AttemptFailure {
+        let target = self.run.as_ref().map(|run| run.first.clone());
+        AttemptFailure {
+            attempt,
+            kind,
+            target: target.unwrap_or_default(),
+        }
+    }
+
+    /// Frees the engines of the attempt under way.
+    fn stop_run(&mut self) {
+        if let Some(run) = self.run.take() {
+            run.stop();
+        }
+    }
+}
+
+fn too_long(limit: Duration) -> Fault {
+    let message = format!("the stream lasted longer than {limit:?}; ask for a shorter answer");
+    Fault::new(StatusCode::GATEWAY_TIMEOUT, "stream_too_long", message)
+}
