--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -8,8 +8,12 @@
     pub admission: AdmissionSettings,
     /// Graceful shutdown.
     pub drain: DrainSettings,
+    /// Membership.
+    pub member: MemberSettings,
     /// Requests that crash targets.
     pub quarantine: QuarantineSettings,
+    /// Record of non-repeatable calls.
+    pub record: RecordSettings,
     /// Retries.
     pub retry: RetrySettings,
     /// Choice of targets.
@@ -22,16 +26,15 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionSettings {
-    /// Running time after which a generation loses one step of priority, in milliseconds.
-    pub demotion_step_ms: u64,
     /// Priority of new work.
     pub first_priority: Priority,
-    /// Lowest priority after demotion. Long work keeps at least this much, and waiting work gains
-    /// it back, so that its wait is bounded.
+    /// Lowest priority after demotion by delivered tokens.
     pub floor_priority: Priority,
-    /// Longest time in the queue after which work is served before all younger work, in
-    /// milliseconds.
+    /// Wait after which long work is served before younger work of its account, and stalled
+    /// generations get their first priority back, in milliseconds.
     pub max_wait_ms: u64,
+    /// Expected time up to which a call counts as short, in milliseconds.
+    pub short_call_ms: u64,
     /// Part of each target's slots that only short work may use, from 0 to 1.
     pub short_slot_fraction: f64,
     /// Expected answer length up to which work counts as short, in tokens.
@@ -45,10 +48,10 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            demotion_step_ms: 2_000,
             first_priority: 9,
             floor_priority: 3,
             max_wait_ms: 5_000,
+            short_call_ms: 200,
             short_slot_fraction: 0.15,
             short_tokens: 128,
             target_queue_count: 0,
@@ -80,6 +83,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct QuarantineSettings {
+    /// Tokens that a suspect must deliver after its crash to be cleared before its end.
+    pub clear_tokens: u32,
     /// Targets that a fingerprint may crash before it is refused.
     pub crash_count: u32,
     /// Time for which a crash is remembered, in milliseconds.
@@ -89,6 +94,7 @@
 impl Default for QuarantineSettings {
     fn default() -> Self {
         Self {
+            clear_tokens: 4,
             crash_count: 2,
             expiry_ms: 600_000,
         }
@@ -138,10 +144,6 @@
     pub default_rate_per_s: f64,
     /// Link cost between failure domains of a region, in microseconds.
     pub domain_link_us: u64,
-    /// Most chains that one decision builds.
-    pub max_chain_count: u32,
-    /// Part of the queueing time that an affinity bonus may outweigh, from 0 to 1.
-    pub max_affinity_fraction: f64,
     /// Prompt tokens that fill the cache in the time of one generated token.
     pub prefill_speedup: f64,
     /// Link cost between regions, in microseconds.
@@ -157,8 +159,6 @@
             cache_prefix_count: 4_096,
             default_rate_per_s: 50.0,
             domain_link_us: 500,
-            max_chain_count: 256,
-            max_affinity_fraction: 0.5,
             prefill_speedup: 20.0,
             region_link_us: 20_000,
             same_link_us: 100,
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -1,14 +1,5 @@
 use super::*;
 
-/// Bytes of prompt per token, for the estimate of its length before an engine counts it.
-const TOKEN_BYTES: usize = 4;
-
-/// Bytes of prompt from one hashed prefix to the next.
-const PREFIX_BYTES: usize = 256;
-
-/// Most hashed prefixes of one prompt.
-const PREFIX_COUNT: usize = 32;
-
 /// Body of a request for generated text.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -104,26 +95,12 @@
         ]),
         max_tokens: journal.max_tokens,
         model: journal.model.clone(),
-        prefix_hashes: prefix_hashes(&journal.model, &journal.prompt),
-        prompt_tokens: u32::try_from(journal.prompt.len().div_ceil(TOKEN_BYTES))
-            .unwrap_or(u32::MAX),
+        prefix_hashes: prefix_hashes(&journal.prompt),
+        prompt_tokens: count_tokens(&journal.prompt),
         request: journal.request.clone(),
     }
 }
 
-/// Hashes of the prompt's first 256, 512, ... bytes.
-fn prefix_hashes(model: &str, prompt: &str) -> Vec<u64> {
-    let bytes = prompt.as_bytes();
-    let mut hashes = Vec::new();
-    for count in 1..=(bytes.len() / PREFIX_BYTES).min(PREFIX_COUNT) {
-        hashes.push(fingerprint(&[
-            model.as_bytes(),
-            &bytes[..count * PREFIX_BYTES],
-        ]));
-    }
-    hashes
-}
-
 fn malformed(message: &str) -> Fault {
     Fault::new(StatusCode::BAD_REQUEST, "malformed", message)
 }
--- a/crates/entry/src/executor.rs
+++ b/crates/entry/src/executor.rs
@@ -4,6 +4,23 @@
     /// Carries out one command of the node. Commands without input or output take effect before
     /// this returns, so their order holds; the others run as tasks that report events.
     pub fn execute(self: &Arc<Self>, command: Command) {
+        let Some(command) = self.apply(command) else {
+            return;
+        };
+        let app = self.clone();
+        tokio::spawn(async move {
+            match command {
+                Command::AskOwner { .. }
+                | Command::FetchChanges { .. }
+                | Command::PushChanges { .. }
+                | Command::SendHeartbeat { .. } => app.send_to_peer(command).await,
+                command => app.exchange(command).await,
+            }
+        });
+    }
+
+    /// Carries out a command without input or output, or gives it back.
+    fn apply(&self, command: Command) -> Option<Command> {
         match command {
             Command::AnswerCall { outcome, request } => {
                 self.registry.call(&request, CallStep::Answer(outcome));
@@ -11,11 +28,6 @@
             Command::AnswerEdit { answer, operation } => {
                 self.registry.answer_edit(&operation, &answer);
             }
-            // The run of a stream stops its engines itself, because it alone knows the numbers
-            // under which they know its attempts.
-            Command::Cancel {
-                attempt, request, ..
-            } => self.registry.stream(&request, StreamStep::Cancel(attempt)),
             Command::DispatchCall {
                 address,
                 attempt,
@@ -29,6 +41,26 @@
                 };
                 self.registry.call(&request, step);
             }
+            Command::Log(decision) => log_decision(&decision),
+            Command::PublishLists(lists) => {
+                *lock(&self.directory) = Arc::new(Directory::new(lists));
+            }
+            Command::Stop => {
+                self.stopped.send_replace(true);
+            }
+            command => return self.apply_to_stream(command),
+        }
+        None
+    }
+
+    /// Passes a command to the run of its stream, or gives it back. The run stops its engines and
+    /// changes their priorities itself, because it alone knows the numbers under which they know
+    /// its attempts.
+    fn apply_to_stream(&self, command: Command) -> Option<Command> {
+        let (request, step) = match command {
+            Command::Cancel {
+                attempt, request, ..
+            } => (request, StreamStep::Cancel(attempt)),
             Command::DispatchGenerate {
                 attempt,
                 backup,
@@ -42,36 +74,55 @@
                     priority,
                     route,
                 };
-                self.registry.stream(&request, step);
-            }
-            Command::Log(decision) => log_decision(&decision),
-            Command::PublishLists(lists) => {
-                *lock(&self.directory) = Arc::new(Directory::new(lists));
-            }
-            Command::Refuse { refusal, request } => {
-                self.registry.stream(&request, StreamStep::Refuse(refusal));
+                (request, step)
             }
+            Command::Refuse { refusal, request } => (request, StreamStep::Refuse(refusal)),
             Command::SetPriority {
                 attempt,
                 priority,
                 request,
                 ..
+            } => (request, StreamStep::SetPriority { attempt, priority }),
+            command => return Some(command),
+        };
+        self.registry.stream(&request, step);
+        None
+    }
+
+    /// Carries out a command that waits for the platform or a target.
+    async fn exchange(&self, command: Command) {
+        match command {
+            Command::Poll {
+                address,
+                cache_event_count,
+                is_engine: true,
+                target,
+            } => self.poll_engine(address, cache_event_count, target).await,
+            Command::Poll {
+                address, target, ..
+            } => self.report_load(self.parts.services.load(address).await, target),
+            Command::ReadListing => self.read_listing().await,
+            Command::SendOrder {
+                address,
+                order,
+                target,
             } => {
-                let step = StreamStep::SetPriority { attempt, priority };
-                self.registry.stream(&request, step);
-            }
-            Command::Stop => {
-                self.stopped.send_replace(true);
+                let sent = self.parts.engines.order(address, order.clone()).await;
+                if sent.is_err() {
+                    self.report(Event::OrderFailed { order, target });
+                }
             }
-            command => {
-                let app = self.clone();
-                tokio::spawn(async move { app.exchange(command).await });
+            Command::Store { request, ticket } => {
+                let result = self.parts.table.execute(request).await;
+                self.report(Event::StoreReplied { result, ticket });
             }
+            command => tracing::error!(?command, "command was not carried out"),
         }
     }
 
-    /// Carries out a command that waits for the outside.
-    async fn exchange(&self, command: Command) {
+    /// Carries out a command that waits for a peer.
+    async fn send_to_peer(&self, command: Command) {
+        let peers = &self.parts.peers;
         match command {
             Command::AskOwner {
                 nonce,
@@ -79,7 +130,7 @@
                 request,
                 ..
             } => {
-                let answer = self.parts.peers.call_status(peer_address, nonce).await;
+                let answer = peers.call_status(peer_address, nonce).await;
                 let status = answer.unwrap_or(OwnerStatus::NoReply);
                 self.report(Event::OwnerAnswered { request, status });
             }
@@ -88,49 +139,24 @@
                 peer_address,
                 ..
             } => self.fetch_changes(after, peer_address).await,
-            Command::Poll {
-                address,
-                cache_event_count,
-                is_engine: true,
-                target,
-            } => self.poll_engine(address, cache_event_count, target).await,
-            Command::Poll {
-                address, target, ..
-            } => self.report_load(self.parts.services.load(address).await, target),
             Command::PushChanges {
                 peer_address,
                 records,
                 ..
             } => {
                 // A peer that misses a push learns of the change from the next heartbeat.
-                let _ = self.parts.peers.push_changes(peer_address, records).await;
+                let _ = peers.push_changes(peer_address, records).await;
             }
-            Command::ReadListing => self.read_listing().await,
             Command::SendHeartbeat {
                 heartbeat,
                 peer,
                 peer_address,
             } => {
-                let sent = self.parts.peers.heartbeat(peer_address, heartbeat).await;
-                if let Err(error) = sent {
+                if let Err(error) = peers.heartbeat(peer_address, heartbeat).await {
                     tracing::debug!(%peer, %error, "heartbeat not delivered");
                     self.report(Event::HeartbeatFailed { peer });
                 }
             }
-            Command::SendOrder {
-                address,
-                order,
-                target,
-            } => {
-                let sent = self.parts.engines.order(address, order.clone()).await;
-                if sent.is_err() {
-                    self.report(Event::OrderFailed { order, target });
-                }
-            }
-            Command::Store { request, ticket } => {
-                let result = self.parts.table.execute(request).await;
-                self.report(Event::StoreReplied { result, ticket });
-            }
             command => tracing::error!(?command, "command was not carried out"),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,7 +48,7 @@
         InstanceId, Journal, KeyHash, LayerRange, Listing, ListingRole, Lists, LoadReport, ModelId,
         Nonce, OperationId, OperationKind, Plan, Priority, PriorityRequest, Refusal, RefusalKind,
         RegionId, RequestId, ResumePoint, Route, ServiceId, StreamRecord, TargetId, TokenIndex,
-        TokenRecord,
+        TokenRecord, count_tokens, prefix_hashes,
     },
     wire::{BodySender, Fault, Limits, Request, Response, ServerEvent},
     xtra::{Address, Handler, Mailbox},
