--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -46,7 +46,7 @@
 pub use {
     caller::{Caller, Stream},
     folder::Folder,
-    process::Process,
+    process::{Process, binary},
     record::{LayerRun, Told},
     recorder::Recorder,
     relay::{Link, Relay},
--- a/crates/suite/src/process.rs
+++ b/crates/suite/src/process.rs
@@ -168,7 +168,11 @@
 }
 
 /// Finds a binary of the workspace in the folder above the test executable.
-pub(crate) fn binary(program: &str) -> Result<PathBuf> {
+///
+/// # Errors
+///
+/// Returns an error when the binary is not built.
+pub fn binary(program: &str) -> Result<PathBuf> {
     let test = std::env::current_exe().context("the path of the test")?;
     let folder = test.parent().and_then(Path::parent);
     let file = folder.context("the target folder")?.join(program);
