--- a/crates/suite/src/caller.rs
+++ b/crates/suite/src/caller.rs
@@ -36,8 +36,8 @@
         let body: Value = reply.json()?;
         let mut addresses = Vec::new();
         for entry in body["addresses"].as_array().context("no `addresses`")? {
-            let text = entry.as_str().or(entry["address"].as_str());
-            addresses.push(text.context("an address that is no text")?.parse()?);
+            let text = entry.as_str().context("an address that is no text")?;
+            addresses.push(text.parse()?);
         }
         self.entries.clone_from(&addresses);
         Ok(addresses)
@@ -99,33 +99,38 @@
         }
         let mut events = ServerEventReader::new(reply.lines());
         while let Some(event) = events.next(SILENCE).await? {
+            if stream.last_event.is_empty() {
+                // The first event has an id and no data; it allows a resume before any token.
+                stream.last_event = events.last_id().into();
+            }
             self.take(&event, stream)?;
         }
         Ok(())
     }
 
-    fn take(&self, event: &wire::ServerEvent, stream: &mut Stream) -> Result<()> {
-        match event.event.as_str() {
-            "" | "message" | "token" => {}
-            "end" | "done" => {
-                let point: ResumePoint = stream.last_event.parse()?;
-                self.recorder.completed(&point.request);
-                stream.is_complete = true;
-                return Ok(());
-            }
-            other => bail!("event `{other}`: {}", event.data),
+    fn take(&self, event: &ServerEvent, stream: &mut Stream) -> Result<()> {
+        if event.event == "error" {
+            bail!("the stream failed: {}", event.data);
+        }
+        if event.data == "[DONE]" {
+            return Ok(());
         }
         let data: Value = serde_json::from_str(&event.data)?;
-        let text = data["text"].as_str().context("a token without text")?;
+        let choice = &data["choices"][0];
+        let text = choice["text"].as_str().context("an event without text")?;
+        // The id that the first event named is the caller's request; others are compared with it.
+        let first: ResumePoint = stream.last_event.parse()?;
         let point: ResumePoint = event.id.parse()?;
-        // The first event tells which request this is; the recorder compares the others with it.
-        let first: ResumePoint = match stream.last_event.as_str() {
-            "" => point.clone(),
-            last => last.parse()?,
-        };
-        self.recorder
-            .token(&first.request, &point.request, point.index, text);
         stream.last_event.clone_from(&event.id);
+        if !choice["finish_reason"].is_null() {
+            self.recorder.completed(&first.request);
+            stream.is_complete = true;
+            return Ok(());
+        }
+        // An event id counts the tokens that the caller has after the event.
+        let index = point.index.checked_sub(1).context("a token with count 0")?;
+        self.recorder
+            .token(&first.request, &point.request, index, text);
         stream.text.push_str(text);
         Ok(())
     }
@@ -151,7 +156,7 @@
 fn told(reply: &Reply) -> Result<Told> {
     let text = String::from_utf8_lossy(&reply.body).into_owned();
     match reply.header("x-outcome") {
-        Some("not-run") => Ok(Told::NotRun),
+        Some("not_run") => Ok(Told::NotRun),
         Some("ran") => Ok(Told::Ran(text)),
         Some("unknown") => Ok(Told::Unknown),
         _ => bail!("no `x-outcome` with status {}: {text}", reply.status),
--- /dev/null
+++ b/crates/suite/src/cluster.rs
@@ -0,0 +1,217 @@
+use super::*;
+
+/// Real processes on loopback: the platform, engines, services and entry instances. Dropping it
+/// ends them all.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Engines; those of one failure domain follow each other in the order of their layers.
+    pub engines: Vec<Process>,
+    /// Entry instances.
+    pub entries: Vec<Process>,
+    /// Platform.
+    pub platform: Process,
+    /// Link of each entry instance to the platform.
+    pub platform_links: Vec<Relay>,
+    /// What happened.
+    pub recorder: Recorder,
+    /// Service targets, one in each failure domain.
+    pub services: Vec<Process>,
+    folder: Folder,
+    setup: Setup,
+}
+
+impl Cluster {
+    /// Starts all processes, creates the test account and waits until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the process or condition that failed.
+    pub async fn start(setup: Setup) -> Result<Self> {
+        let folder = Folder::new()?;
+        let platform = Process::start(&folder, "standin-platform", "platform", &setup.platform)?;
+        let mut cluster = Self {
+            engines: Vec::new(),
+            entries: Vec::new(),
+            folder,
+            platform,
+            platform_links: Vec::new(),
+            recorder: Recorder::default(),
+            services: Vec::new(),
+            setup,
+        };
+        for domain in 0..cluster.setup.domain_count {
+            cluster.start_domain(domain)?;
+        }
+        for number in 0..cluster.setup.entry_count {
+            cluster.start_entry(number).await?;
+        }
+        for entry in &cluster.entries {
+            cluster.wait_ready(entry).await?;
+        }
+        cluster.create_account().await?;
+        Ok(cluster)
+    }
+
+    /// Caller of the test account that knows all entry addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an instance announced no address.
+    pub fn caller(&self) -> Result<Caller> {
+        Ok(Caller {
+            entries: self.entry_addresses()?,
+            key: CALLER_KEY.into(),
+            recorder: self.recorder.clone(),
+        })
+    }
+
+    /// Operator's client that knows all entry addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an instance announced no address.
+    pub fn operator(&self) -> Result<Client> {
+        Ok(Client {
+            entries: self.entry_addresses()?,
+            key: OPERATOR_KEY.into(),
+            limit: LIMIT,
+        })
+    }
+
+    /// Makes an edit and records its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `ctl`.
+    pub async fn edit(&self, path: &str, entry: Value) -> Result<ConfigVersion> {
+        let operation = new_operation()?;
+        let edit = Edit {
+            entry: Some(entry),
+            if_match: None,
+            operation: operation.clone(),
+            path: path.into(),
+        };
+        let version = self.operator()?.edit(&edit).await?;
+        self.recorder.accepted(&operation, version);
+        Ok(version)
+    }
+
+    /// Replaces the faults of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not take them.
+    pub async fn set_faults<T: Serialize>(&self, process: &Process, faults: &T) -> Result<()> {
+        let call = Call::with_json(Method::PUT, "/faults", faults)?;
+        let reply = wire::call(process.address("address")?, &call).await?;
+        if !reply.status.is_success() {
+            bail!("faults were refused with {}", reply.status);
+        }
+        Ok(())
+    }
+
+    /// Reads what engines and services ran, and checks the invariants. Call it once, at the end;
+    /// what a killed process ran is not known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with every violation.
+    pub async fn check(&self) -> Result<()> {
+        for engine in &self.engines {
+            let Some(log) = read::<EngineLog>(engine, "/log").await? else {
+                continue;
+            };
+            let mut runs = Vec::new();
+            for run in log.runs {
+                runs.push(LayerRun {
+                    attempt: run.attempt,
+                    index: run.index,
+                    layers: run.layers,
+                    request: run.request,
+                });
+            }
+            self.recorder.layers(&runs);
+        }
+        for service in &self.services {
+            let executions = read::<Vec<Execution>>(service, "/executions").await?;
+            for execution in executions.unwrap_or_default() {
+                if let Some(key) = execution.key {
+                    self.recorder.executed(&key);
+                }
+            }
+        }
+        match self.recorder.check()[..] {
+            [] => Ok(()),
+            ref faults => bail!("invariants were violated:\n{}", faults.join("\n")),
+        }
+    }
+
+    fn entry_addresses(&self) -> Result<Vec<SocketAddr>> {
+        self.entries
+            .iter()
+            .map(|entry| entry.address("address"))
+            .collect()
+    }
+
+    fn start_domain(&mut self, domain: usize) -> Result<()> {
+        let platform = self.platform.address("address")?;
+        for stage in 0..self.setup.stage_count {
+            let settings = self.setup.engine(domain, stage, platform);
+            let name = settings.place.id.clone();
+            let engine = Process::start(&self.folder, "standin-engine", &name, &settings)?;
+            self.engines.push(engine);
+        }
+        let settings = self.setup.service(domain, platform);
+        let name = settings.place.id.clone();
+        let service = Process::start(&self.folder, "standin-service", &name, &settings)?;
+        self.services.push(service);
+        Ok(())
+    }
+
+    async fn start_entry(&mut self, number: usize) -> Result<()> {
+        let link = Relay::start(self.platform.address("address")?).await?;
+        let settings = self.setup.entry(number, link.address());
+        let name = settings.instance.clone();
+        let entry = Process::start(&self.folder, "entry", &name, &settings)?;
+        self.entries.push(entry);
+        self.platform_links.push(link);
+        Ok(())
+    }
+
+    /// Waits until an instance has a configuration and knows all peers.
+    async fn wait_ready(&self, entry: &Process) -> Result<()> {
+        let address = entry.address("address")?;
+        let operator = Client {
+            entries: vec![address],
+            ..self.operator()?
+        };
+        until("the instance is ready and knows its peers", async || {
+            let reply = wire::call(address, &Call::get("/ready")).await?;
+            if !reply.status.is_success() {
+                bail!("{}", String::from_utf8_lossy(&reply.body));
+            }
+            let count = operator.status().await?.instance_count;
+            Ok((count == self.setup.entry_count).then_some(()))
+        })
+        .await
+        .with_context(|| entry.log_tail())
+    }
+
+    async fn create_account(&self) -> Result<()> {
+        let plan = json!({"models": [MODEL], "services": [SERVICE]});
+        self.edit("/admin/plans/standard", plan).await?;
+        let account = json!({"plan": "standard", "key_hashes": [hash_key(CALLER_KEY)]});
+        let version = self.edit("/admin/accounts/tester", account).await?;
+        self.operator()?.wait(version, LIMIT).await?;
+        Ok(())
+    }
+}
+
+/// Reads a record of a stand-in; none when it has ended.
+async fn read<T: DeserializeOwned>(process: &Process, path: &str) -> Result<Option<T>> {
+    match wire::call(process.address("address")?, &Call::get(path)).await {
+        Err(error) if error.is_not_sent() => Ok(None),
+        Err(error) => Err(error.into()),
+        Ok(reply) => Ok(Some(reply.json()?)),
+    }
+}
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -4,8 +4,10 @@
 
 use {
     anyhow::{Context, Result, anyhow, bail},
-    serde::Serialize,
-    serde_json::Value,
+    ctl::{Client, Edit, new_operation},
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    standin::{EngineLog, EngineSettings, Execution, Place, ServiceSettings},
     std::{
         collections::{BTreeMap, BTreeSet},
         fs::{self, File},
@@ -30,26 +32,33 @@
         task::{JoinHandle, JoinSet},
         time::{Instant, sleep},
     },
-    types::{ConfigVersion, LayerRange, OperationId, RequestId, ResumePoint, TokenIndex},
-    wire::{Call, Connection, Reply, ServerEventReader},
+    types::{
+        ConfigVersion, LayerRange, LoadedModel, OperationId, RequestId, ResumePoint, TokenIndex,
+        hash_key,
+    },
+    wire::{Call, Connection, Reply, ServerEvent, ServerEventReader, hyper::Method},
 };
 
 mod caller;
+mod cluster;
 mod folder;
 mod process;
 mod record;
 mod recorder;
 mod relay;
+mod setup;
 mod signal;
 mod until;
 
 pub use {
     caller::{Caller, Stream},
+    cluster::Cluster,
     folder::Folder,
     process::{Process, binary},
     record::{LayerRun, Told},
     recorder::Recorder,
     relay::{Link, Relay},
+    setup::{CALLER_KEY, MODEL, OPERATOR_KEY, SERVICE, Setup},
     signal::Signal,
     until::{LIMIT, until},
 };
--- /dev/null
+++ b/crates/suite/tests/basic.rs
@@ -0,0 +1,39 @@
+//! Guards against a release whose parts work alone and not together.
+
+use {
+    serde_json::json,
+    suite::{Cluster, MODEL, SERVICE, Setup, Told},
+};
+
+#[tokio::test]
+async fn caller_gets_address_stream_and_booking() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let mut caller = cluster.caller()?;
+    assert_eq!(caller.find_addresses().await?.len(), 2);
+
+    let prompt = json!({"model": MODEL, "prompt": "Describe the lagoon.", "max_tokens": 20,
+        "seed": 7, "stream": true});
+    let stream = caller.generate(&prompt).await?;
+    assert_eq!(
+        stream.text,
+        standin::answer_text("Describe the lagoon.", 7, 20)
+    );
+
+    let path = format!("/v1/services/{SERVICE}/confirm");
+    let body = json!({"room": 12});
+    let first = caller.call(&path, "booking-1", &body).await?;
+    assert!(matches!(first, Told::Ran(_)), "{first:?}");
+    // The second call goes to the other instance.
+    caller.entries.reverse();
+    assert_eq!(caller.call(&path, "booking-1", &body).await?, first);
+    cluster.check().await
+}
+
+#[tokio::test]
+async fn instances_end_gracefully() -> anyhow::Result<()> {
+    let mut cluster = Cluster::start(Setup::default()).await?;
+    for mut entry in cluster.entries.drain(..) {
+        entry.stop().await?;
+    }
+    Ok(())
+}
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -33,6 +33,7 @@
 /// Reads server-sent events from a streamed reply.
 #[derive(Debug)]
 pub struct ServerEventReader {
+    last_id: String,
     lines: LineReader,
 }
 
@@ -40,7 +41,16 @@
     /// Reads events from `lines`.
     #[must_use]
     pub fn new(lines: LineReader) -> Self {
-        Self { lines }
+        Self {
+            last_id: String::new(),
+            lines,
+        }
+    }
+
+    /// Id of the last event that had one, also of events without data; empty before the first.
+    #[must_use]
+    pub fn last_id(&self) -> &str {
+        &self.last_id
     }
 
     /// Reads the next event; none is the end of the stream. An event that was cut off is not
@@ -56,6 +66,9 @@
             let line = String::from_utf8_lossy(&line);
             let line = line.trim_end_matches('\r');
             if line.is_empty() {
+                if !event.id.is_empty() {
+                    self.last_id.clone_from(&event.id);
+                }
                 let Some(data) = data.take() else {
                     event = ServerEvent::default();
                     continue;
