Test the parsers of outside input with generated bytes

Cause: settings and entries had such tests; event ids, server-sent events, JSON bodies and raw requests had none.

--- /dev/null
+++ b/crates/wire/tests/parsers.rs
@@ -0,0 +1,169 @@
+//! Guards against a panic, a hang or an unclear error on any bytes that the other side may send.
+
+use {
+    bytes::Bytes,
+    futures::future::BoxFuture,
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        runtime::Runtime,
+        sync::watch,
+    },
+    types::{Account, GenerateRequest, Plan, StoreRequest, StreamRecord},
+    wire::{
+        Call, Connection, Error, Handler, Limits, Request, Response, ServerEvent,
+        ServerEventReader,
+        hyper::{HeaderMap, Method, StatusCode},
+    },
+};
+
+/// Generous, because it only bounds a test that fails.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Streams the bytes that it holds.
+#[derive(Default)]
+struct Source(Mutex<Vec<u8>>);
+
+impl Handler for Source {
+    fn handle(self: Arc<Self>, _request: Request) -> BoxFuture<'static, Response> {
+        let bytes = self.0.lock().expect("no panic").clone();
+        Box::pin(async move {
+            let (body, response) = wire::stream(StatusCode::OK, "text/event-stream");
+            tokio::spawn(async move {
+                // Odd pieces, so that events are split at every place.
+                for piece in bytes.chunks(7) {
+                    if !body.send(Bytes::copy_from_slice(piece)).await {
+                        return;
+                    }
+                }
+            });
+            response
+        })
+    }
+}
+
+fn runner(seed: u8, cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    TestRunner::new_with_rng(config, random)
+}
+
+fn serve(runtime: &Runtime) -> (SocketAddr, Arc<Source>, watch::Sender<bool>) {
+    let source = Arc::new(Source::default());
+    let (stop, shutdown) = watch::channel(false);
+    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0"));
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    runtime.spawn(wire::serve(
+        listener,
+        source.clone(),
+        Limits::default(),
+        shutdown,
+    ));
+    (address, source, stop)
+}
+
+async fn events(address: SocketAddr) -> Result<Vec<ServerEvent>, Error> {
+    let mut connection = Connection::open(address, LIMIT).await?;
+    let reply = connection.send(&Call::get("/")).await?;
+    let mut reader = ServerEventReader::new(reply.lines());
+    let mut events = Vec::new();
+    while let Some(event) = reader.next(LIMIT).await? {
+        events.push(event);
+    }
+    Ok(events)
+}
+
+#[test]
+fn events_survive_any_split_and_any_neighbour() {
+    let runtime = Runtime::new().unwrap();
+    let (address, source, _stop) = serve(&runtime);
+    let noise = r"(:[a-z ]{0,9}|data|id:|event: [a-z]{0,5}|retry: x|[^\r\n]{0,20}|\r?)\n";
+    let noise = proptest::collection::vec(noise, 0..6);
+    let event = ("[a-z]{0,5}", r"[a-z0-9.]{1,9}", r"[a-zA-Zäß \n]{0,30}");
+    runner(3, 150)
+        .run(&(noise, event), |(noise, (event, id, data))| {
+            let sent = ServerEvent { data, event, id };
+            let mut bytes = noise.concat().into_bytes();
+            bytes.extend_from_slice(b"\n\n");
+            bytes.extend_from_slice(&sent.encode());
+            bytes.extend_from_slice(b"data: cut off");
+            *source.0.lock().unwrap() = bytes;
+            let received = runtime.block_on(events(address)).unwrap();
+            prop_assert_eq!(received.last(), Some(&sent));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn bytes_that_are_no_request_do_not_disturb_the_next_one() {
+    let runtime = Runtime::new().unwrap();
+    let (address, source, _stop) = serve(&runtime);
+    *source.0.lock().unwrap() = b"data: fine\n\n".to_vec();
+    let head = r"(GET|POST|[A-Z]{1,9}) /[a-z/?%]{0,20} HTTP/1\.[0-9]\r\n([A-Za-z-]{1,12}: ?[a-z0-9]{0,12}\r\n){0,4}(\r\n)?";
+    let bytes = prop_oneof![
+        head.prop_map(String::into_bytes),
+        proptest::collection::vec(any::<u8>(), 0..200),
+    ];
+    runner(5, 100)
+        .run(&bytes, |bytes| {
+            runtime.block_on(async {
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                // The server may close before everything is written or read.
+                let _ = stream.write_all(&bytes).await;
+                let _ = stream.shutdown().await;
+                let mut reply = Vec::new();
+                let _ = stream.read_to_end(&mut reply).await;
+            });
+            let received = runtime.block_on(events(address)).unwrap();
+            prop_assert_eq!(&received[0].data, "fine");
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn no_body_makes_the_reader_of_json_panic() {
+    let field = r#""(plan|models|request|route|stages|keys|attempt|Token|end)": ?(-?[0-9]{1,25}|"[a-z]{0,4}"|\[|\{|null|1e999)"#;
+    let object = proptest::collection::vec(field, 0..5);
+    let object = object.prop_map(|fields| format!("{{{}}}", fields.join(",")).into_bytes());
+    let deep = (0..5_000_usize).prop_map(|depth| "[".repeat(depth).into_bytes());
+    let bytes = prop_oneof![object, deep, proptest::collection::vec(any::<u8>(), 0..100)];
+    runner(9, 2_000)
+        .run(&bytes, |bytes| {
+            let request = Request {
+                body: bytes.into(),
+                headers: HeaderMap::new(),
+                method: Method::POST,
+                path: "/".into(),
+                peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+                query: String::new(),
+            };
+            let errors = [
+                request.json::<Account>().err(),
+                request.json::<GenerateRequest>().err(),
+                request.json::<Plan>().err(),
+                request.json::<StoreRequest>().err(),
+                request.json::<StreamRecord>().err(),
+            ];
+            for error in errors.into_iter().flatten() {
+                prop_assert!(error.to_string().starts_with("not the expected JSON: "));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
