--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -77,6 +77,10 @@
         result = create_account(&addresses) => result?,
         () = stop_signal(&mut interrupt, &mut terminate) => bail!("stopped while it started"),
     }
+    println!(
+        "{}",
+        json!({"entry-1": addresses[0], "entry-2": addresses[1]})
+    );
     println!("{}", guide(&addresses));
     stop_signal(&mut interrupt, &mut terminate).await;
     eprintln!(
--- /dev/null
+++ b/crates/demo/tests/demo.rs
@@ -0,0 +1,52 @@
+//! Guards against a first command of the README that does not start, serve or stop.
+
+use {
+    serde_json::json,
+    std::{net::SocketAddr, time::Duration},
+    suite::{Caller, Folder, Process, Recorder, Told, until},
+};
+
+#[tokio::test]
+async fn demo_serves_the_calls_of_the_readme_and_stops() -> anyhow::Result<()> {
+    let folder = Folder::new()?;
+    let mut demo = Process::start(&folder, "demo", "demo", &json!({"first_port": 0}))?;
+    let entries = vec![demo.address("entry-1")?, demo.address("entry-2")?];
+    let mut caller = Caller {
+        entries: entries.clone(),
+        key: "demo-caller-key".into(),
+        recorder: Recorder::default(),
+    };
+    let prompt = json!({"model": "assistant", "prompt": "Describe the lagoon.",
+        "max_tokens": 10, "stream": true});
+    caller.generate(&prompt).await?;
+    let (path, body) = ("/v1/services/booking/confirm", json!({"room": 12}));
+    let first = caller.call(path, "booking-1", &body).await?;
+    assert!(matches!(first, Told::Ran(_)), "{first:?}");
+    caller.entries.reverse();
+    assert_eq!(caller.call(path, "booking-1", &body).await?, first);
+    let operator = ctl::Client {
+        entries,
+        key: "demo-operator-key".into(),
+        limit: Duration::from_secs(30),
+    };
+    assert_eq!(operator.status().await?.in_force_count, 2);
+    check_readme(&demo, &operator.entries).await?;
+    demo.stop().await
+}
+
+/// Guards against calls in the README that differ from those that the demo prints.
+async fn check_readme(demo: &Process, entries: &[SocketAddr]) -> anyhow::Result<()> {
+    let lines = until("the demo has printed its calls", async || {
+        let lines = demo.output();
+        let is_complete = lines.iter().any(|line| line.starts_with("Ctrl-C"));
+        Ok(is_complete.then_some(lines))
+    })
+    .await?;
+    let readme = include_str!("../../../README.md");
+    for line in lines.iter().filter(|line| line.starts_with("  ")) {
+        let line = line.replace(&entries[0].to_string(), "127.0.0.1:7101");
+        let line = line.replace(&entries[1].to_string(), "127.0.0.1:7102");
+        assert!(readme.contains(line.trim()), "not in the README: {line}");
+    }
+    Ok(())
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,12 +6,10 @@
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::{Map, Value},
     std::{
-        collections::BTreeMap,
         ffi::OsString,
         fmt::{self, Display, Formatter},
         fs,
         io::{self, Write},
-        net::SocketAddr,
         ops::RangeInclusive,
         path::Path,
     },
@@ -19,7 +17,6 @@
     tracing_subscriber::EnvFilter,
 };
 
-mod announce;
 mod check;
 mod document;
 mod error;
@@ -32,7 +29,6 @@
 use {document::Document, nearest::nearest};
 
 pub use {
-    announce::{Announcement, announce},
     check::Check,
     error::Error,
     fault::{Fault, Faults},
--- a/crates/suite/src/process.rs
+++ b/crates/suite/src/process.rs
@@ -10,6 +10,7 @@
     child: Child,
     log: PathBuf,
     name: String,
+    output: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -29,19 +30,22 @@
         let mut child = Command::new(binary(program)?)
             .arg("--settings")
             .arg(file)
+            // Backtraces of plain errors would push the message out of the log's last lines.
+            .env("RUST_LIB_BACKTRACE", "0")
             .stderr(File::create(&log)?)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
             .with_context(|| format!("cannot start `{program}`"))?;
-        let output = child.stdout.take();
+        let stdout = child.stdout.take();
         let mut process = Self {
             announcement: Value::Null,
             child,
             log,
             name: name.into(),
+            output: Arc::default(),
         };
-        let line = first_line(output.context("no standard output")?)
+        let line = first_line(stdout.context("no standard output")?, &process.output)
             .with_context(|| format!("{name} announced nothing: {}", process.log_tail()))?;
         process.announcement = serde_json::from_str(&line)
             .with_context(|| format!("{name} announced `{line}`: {}", process.log_tail()))?;
@@ -56,7 +60,6 @@
     pub fn address(&self, purpose: &str) -> Result<SocketAddr> {
         let announced = &self.announcement;
         let text = announced[purpose].as_str();
-        let text = text.or(announced["listening"][purpose].as_str());
         let text = text.with_context(|| {
             let name = &self.name;
             format!("{name} announced no address for `{purpose}` in {announced}")
@@ -64,6 +67,13 @@
         Ok(text.parse()?)
     }
 
+    /// Lines on standard output so far, without the first one.
+    #[must_use]
+    pub fn output(&self) -> Vec<String> {
+        let output = self.output.lock();
+        output.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Process id.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -183,15 +193,18 @@
 }
 
 /// Waits for the first line, and keeps reading so that the process never blocks on its output.
-fn first_line(output: ChildStdout) -> Result<String> {
+fn first_line(stdout: ChildStdout, output: &Arc<Mutex<Vec<String>>>) -> Result<String> {
+    let output = output.clone();
     let (sender, receiver) = mpsc::channel();
     std::thread::spawn(move || {
-        for line in BufReader::new(output).lines() {
-            let Ok(line) = line else {
-                return;
-            };
+        let mut lines = BufReader::new(stdout).lines().map_while(Result::ok);
+        if let Some(line) = lines.next() {
             let _ = sender.send(line);
         }
+        for line in lines {
+            let mut output = output.lock().unwrap_or_else(PoisonError::into_inner);
+            output.push(line);
+        }
     });
     receiver
         .recv_timeout(LIMIT)
