Add failure tests over real processes

Cause: the first end-to-end test covers no failure. Change: tests that kill and stop instances and stages, lose a reply of a service and take the store down.

--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -118,7 +118,8 @@
     /// Returns an error with every violation.
     pub async fn check(&self) -> Result<()> {
         for engine in &self.engines {
-            let Some(log) = read::<EngineLog>(engine, "/log").await? else {
+            let Some(log) = engine_log(engine).await? else {
+                self.recorder.log_lost();
                 continue;
             };
             let mut runs = Vec::new();
@@ -207,6 +208,15 @@
     }
 }
 
+/// Reads what an engine ran; none when it has ended.
+///
+/// # Errors
+///
+/// Returns an error when the engine does not reply.
+pub async fn engine_log(engine: &Process) -> Result<Option<EngineLog>> {
+    read(engine, "/log").await
+}
+
 /// Reads a record of a stand-in; none when it has ended.
 async fn read<T: DeserializeOwned>(process: &Process, path: &str) -> Result<Option<T>> {
     match wire::call(process.address("address")?, &Call::get(path)).await {
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -52,7 +52,7 @@
 
 pub use {
     caller::{Caller, Stream},
-    cluster::Cluster,
+    cluster::{Cluster, engine_log},
     folder::Folder,
     process::{Process, binary},
     record::{LayerRun, Told},
--- a/crates/suite/src/record.rs
+++ b/crates/suite/src/record.rs
@@ -55,6 +55,8 @@
     pub(crate) calls: Vec<Asked>,
     /// Runs of non-repeatable operations by key, over all services.
     pub(crate) executed: BTreeMap<String, u64>,
+    /// Whether the log of an engine is lost, so that no layer can be said to be missing.
+    pub(crate) is_log_lost: bool,
     /// Layers that engines ran, in the order of each engine's log.
     pub(crate) layers: Vec<LayerRun>,
     /// Number of entries about calls.
--- a/crates/suite/src/recorder.rs
+++ b/crates/suite/src/recorder.rs
@@ -54,6 +54,22 @@
         self.lock().layers.extend_from_slice(runs);
     }
 
+    /// Records that the log of an engine is lost. Layers that ran twice are still seen.
+    pub fn log_lost(&self) {
+        self.lock().is_log_lost = true;
+    }
+
+    /// Tokens that callers received so far.
+    #[must_use]
+    pub fn token_count(&self) -> usize {
+        let records = self.lock();
+        records
+            .received
+            .values()
+            .map(|received| received.tokens.len())
+            .sum()
+    }
+
     /// Records the version that an instance showed.
     pub fn observed(&self, instance: &str, version: ConfigVersion) {
         let mut records = self.lock();
@@ -119,7 +135,7 @@
             }
         }
     }
-    if layer_count == 0 {
+    if layer_count == 0 || records.is_log_lost {
         return;
     }
     for (request, received) in &records.received {
--- /dev/null
+++ b/crates/suite/tests/failures.rs
@@ -0,0 +1,129 @@
+//! Guards against answers and bookings that are lost, doubled or misreported when a part fails.
+
+use {
+    serde_json::{Value, json},
+    standin::{EngineSettings, Outage, PlatformFaults, ServiceFaults},
+    suite::{Cluster, MODEL, SERVICE, Setup, Stream, Told, engine_log, until},
+    tokio::task::JoinHandle,
+};
+
+const PROMPT: &str = "Describe the lagoon.";
+
+/// Tokens of an answer; with `STEP_US` it lasts long enough for a failure in its middle.
+const TOKEN_COUNT: u32 = 100;
+
+const STEP_US: u64 = 30_000;
+
+/// Starts an answer and waits until it has begun to arrive.
+async fn begin_answer(cluster: &Cluster) -> anyhow::Result<JoinHandle<anyhow::Result<Stream>>> {
+    let caller = cluster.caller()?;
+    let body = json!({"model": MODEL, "prompt": PROMPT, "max_tokens": TOKEN_COUNT, "seed": 7,
+        "stream": true});
+    let answer = tokio::spawn(async move { caller.generate(&body).await });
+    until("five tokens have arrived", async || {
+        Ok((cluster.recorder.token_count() >= 5).then_some(()))
+    })
+    .await?;
+    Ok(answer)
+}
+
+async fn slow_cluster() -> anyhow::Result<Cluster> {
+    let engine = EngineSettings {
+        step_us: STEP_US,
+        ..EngineSettings::default()
+    };
+    Cluster::start(Setup {
+        engine,
+        ..Setup::default()
+    })
+    .await
+}
+
+async fn check_answer(
+    cluster: &Cluster,
+    answer: JoinHandle<anyhow::Result<Stream>>,
+) -> anyhow::Result<()> {
+    let stream = answer.await??;
+    let expected = standin::answer_text(PROMPT, 7, TOKEN_COUNT);
+    assert_eq!(stream.text, expected);
+    cluster.check().await
+}
+
+fn confirm() -> (String, Value) {
+    let path = format!("/v1/services/{SERVICE}/confirm");
+    (path, json!({"room": 12}))
+}
+
+#[tokio::test]
+async fn stream_survives_the_loss_of_its_instance() -> anyhow::Result<()> {
+    let mut cluster = slow_cluster().await?;
+    let answer = begin_answer(&cluster).await?;
+    cluster.entries[0].kill()?;
+    check_answer(&cluster, answer).await
+}
+
+#[tokio::test]
+async fn stream_survives_the_loss_of_a_stage() -> anyhow::Result<()> {
+    let mut cluster = slow_cluster().await?;
+    let answer = begin_answer(&cluster).await?;
+    for engine in &mut cluster.engines {
+        let log = engine_log(engine).await?.unwrap_or_default();
+        if log.starts.iter().any(|start| start.position == 1) {
+            engine.kill()?;
+        }
+    }
+    check_answer(&cluster, answer).await
+}
+
+#[tokio::test]
+async fn stream_survives_the_graceful_stop_of_its_instance() -> anyhow::Result<()> {
+    let mut cluster = slow_cluster().await?;
+    let answer = begin_answer(&cluster).await?;
+    cluster.entries[0].terminate()?;
+    check_answer(&cluster, answer).await?;
+    // A second signal would end the instance at once.
+    assert!(cluster.entries[0].ended().await?.success());
+    Ok(())
+}
+
+#[tokio::test]
+async fn booking_whose_reply_is_lost_stays_unknown() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let faults = ServiceFaults {
+        drop_reply_count: 1,
+        ..ServiceFaults::default()
+    };
+    for service in &cluster.services {
+        cluster.set_faults(service, &faults).await?;
+    }
+    let mut caller = cluster.caller()?;
+    let (path, body) = confirm();
+    let first = caller.call(&path, "booking-1", &body).await?;
+    assert_eq!(first, Told::Unknown);
+    caller.entries.reverse();
+    let again = caller.call(&path, "booking-1", &body).await?;
+    assert_eq!(again, Told::Unknown);
+    cluster.check().await
+}
+
+#[tokio::test]
+async fn booking_is_not_run_while_the_store_is_down() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let down = PlatformFaults {
+        down: Some(Outage::Refuse),
+        ..PlatformFaults::default()
+    };
+    cluster.set_faults(&cluster.platform, &down).await?;
+    let caller = cluster.caller()?;
+    let (path, body) = confirm();
+    let told = caller.call(&path, "booking-1", &body).await?;
+    assert_eq!(told, Told::NotRun);
+    let up = PlatformFaults::default();
+    cluster.set_faults(&cluster.platform, &up).await?;
+    until("the same key runs once the store is up", async || {
+        let told = caller.call(&path, "booking-1", &body).await?;
+        Ok(matches!(told, Told::Ran(_)).then_some(()))
+    })
+    .await?;
+    cluster.check().await
+}
