Test whole requests through nodes and simulated targets

Cause: the policy was composed without tests; the deadline estimate counted the work of others twice. Change: tests/request.rs with a simulated world in virtual time; suspect targets only when no other route exists; the estimate for deadlines leaves out the load term.

--- a/crates/control/src/route.rs
+++ b/crates/control/src/route.rs
@@ -49,6 +49,17 @@
     to_go: Score,
 }
 
+/// Which targets are weighed, and how.
+#[derive(Clone, Copy)]
+struct Scan {
+    /// Whether work at the targets counts.
+    counts_load: bool,
+    /// Whether full targets are left out.
+    needs_place: bool,
+    /// Whether suspect targets are weighed too.
+    with_suspects: bool,
+}
+
 impl Router {
     /// Creates a router that has observed nothing.
     #[must_use]
@@ -76,20 +87,51 @@
         wish: &Wish,
         random: &mut ChaCha8Rng,
     ) -> Result<Choice, Blocked> {
-        let pieces = self.pieces(view, wish, true);
-        if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
-            return Ok(choice);
-        }
-        match self.best(view, wish) {
-            None => Err(Blocked::NoTarget),
-            Some(_) => Err(Blocked::Full),
+        // Suspect targets get work only if the others make up no route; full ones are waited for.
+        for with_suspects in [false, true] {
+            let pieces = self.pieces(
+                view,
+                wish,
+                Scan {
+                    counts_load: true,
+                    needs_place: true,
+                    with_suspects,
+                },
+            );
+            if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
+                return Ok(choice);
+            }
+            if !self
+                .pieces(
+                    view,
+                    wish,
+                    Scan {
+                        counts_load: true,
+                        needs_place: false,
+                        with_suspects,
+                    },
+                )
+                .is_empty()
+            {
+                return Err(Blocked::Full);
+            }
         }
+        Err(Blocked::NoTarget)
     }
 
-    /// Expected time of the best route, full or not, in milliseconds, without waiting for a place.
+    /// Expected time of the best route, full or not, in milliseconds, without waiting for a place
+    /// and without the work of others, whose effect is in the observed speeds.
     #[must_use]
     pub fn best(&self, view: &View, wish: &Wish) -> Option<f64> {
-        let pieces = self.pieces(view, wish, false);
+        let pieces = self.pieces(
+            view,
+            wish,
+            Scan {
+                counts_load: false,
+                needs_place: false,
+                with_suspects: true,
+            },
+        );
         let first = pieces.iter().filter(|piece| piece.layers.start == 0);
         let best = first.map(|piece| piece.to_go).min_by(Score::compare)?;
         (best != Score::MAX).then_some(best.expected_ms)
@@ -115,20 +157,29 @@
             .unwrap_or_default()
     }
 
-    fn pieces<'a>(&self, view: &View<'a>, wish: &Wish, needs_place: bool) -> Vec<Piece<'a>> {
+    /// Targets that are part of a complete route, once per layer range; empty if there is none.
+    fn pieces<'a>(&self, view: &View<'a>, wish: &Wish, scan: Scan) -> Vec<Piece<'a>> {
         let mut pieces = Vec::new();
         for target in view.targets {
+            if target.health == TargetHealth::Suspect && !scan.with_suspects {
+                continue;
+            }
             if !target.takes_work() || target.report.leaving || target.report.slot_count == 0 {
                 continue;
             }
-            if needs_place && !self.has_place(view, wish, target) {
+            if scan.needs_place && !self.has_place(view, wish, target) {
                 continue;
             }
+            let load = if scan.counts_load {
+                self.slots.load(view.now, target, view.factor)
+            } else {
+                0.0
+            };
             for (layers, layer_count) in wish.resource.pieces(target) {
                 pieces.push(Piece {
                     layer_count,
                     layers,
-                    own: self.own_score(view, wish, target, layers, layer_count),
+                    own: self.own_score(view, wish, target, load, (layers, layer_count)),
                     target,
                     to_go: Score::MAX,
                 });
@@ -137,6 +188,9 @@
         pieces.sort_by_key(|piece| Reverse(piece.layers.start));
         self.fill_to_go(view, wish, &mut pieces);
         pieces.retain(|piece| piece.to_go != Score::MAX);
+        if pieces.iter().all(|piece| piece.layers.start > 0) {
+            pieces.clear();
+        }
         pieces
     }
 
@@ -252,11 +306,10 @@
         view: &View,
         wish: &Wish,
         target: &Target,
-        layers: LayerRange,
-        layer_count: u32,
+        load: f64,
+        (layers, layer_count): (LayerRange, u32),
     ) -> Score {
         let step_ms = self.step_ms(target, layers, layer_count);
-        let load = self.slots.load(view.now, target, view.factor);
         let busy = load / f64::from(target.report.slot_count.max(1));
         let answer_ms = step_ms * wish.answer_tokens.max(1.0);
         let wait_ms = busy * answer_ms;
--- /dev/null
+++ b/crates/control/tests/request.rs
@@ -0,0 +1,370 @@
+//! Whole requests through one or more nodes and simulated targets.
+
+mod world;
+
+use {
+    control::{Command, Event},
+    std::{collections::BTreeMap, time::Duration},
+    types::{FailureKind, GenerateSubmission, OperationKind, RefusalKind},
+    world::{World, call, generate, lists},
+};
+
+fn submit(world: &mut World, node: usize, generate: GenerateSubmission) {
+    world.send(node, Event::GenerateSubmitted(generate));
+}
+
+/// Guards against instances that see the same reports sending all their work to the same target.
+#[test]
+fn instances_do_not_herd() {
+    let mut world = World::new(8, 6, 1);
+    world.slots = 40;
+    world.run(1_500);
+    for node in 0..8 {
+        for index in 0..12 {
+            submit(&mut world, node, generate("a", &format!("r{node}-{index}")));
+        }
+    }
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for work in &world.work {
+        *counts.entry(work.route[0].clone()).or_default() += 1;
+    }
+    let most = counts.values().copied().max().unwrap();
+    let total: usize = counts.values().sum();
+    assert!(total >= 40, "{counts:?}");
+    assert!(most * 6 <= total * 5 / 2, "{counts:?}");
+}
+
+/// Guards against chains that skip or repeat layers, and decisions without a log line.
+#[test]
+fn routes_are_complete_chains_and_logged() {
+    let mut world = World::new(1, 3, 4);
+    submit(&mut world, 0, generate("a", "r"));
+    assert_eq!(world.routes("r")[0].len(), 4);
+    let mut decisions = world
+        .log
+        .iter()
+        .filter_map(|(_, _, command)| match command {
+            Command::Log(decision) if decision.kind == "route" => Some(decision),
+            _ => None,
+        });
+    let decision = decisions.next().unwrap();
+    assert_eq!(decision.chosen.len(), 4);
+    assert_eq!(decision.alternatives.len(), 8);
+}
+
+/// Guards against short work that waits behind work running 100 times longer.
+#[test]
+fn short_work_passes_long_work() {
+    let mut world = World::new(1, 1, 1);
+    for index in 0..4 {
+        let id = format!("long{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(20));
+        submit(
+            &mut world,
+            0,
+            GenerateSubmission {
+                deadline: Duration::from_secs(600),
+                prompt_tokens: 900,
+                ..generate("a", &id)
+            },
+        );
+    }
+    world.run(22_000);
+    for index in 4..20 {
+        let id = format!("long{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(20));
+        submit(
+            &mut world,
+            0,
+            GenerateSubmission {
+                deadline: Duration::from_secs(600),
+                prompt_tokens: 900,
+                ..generate("a", &id)
+            },
+        );
+    }
+    assert!(world.work.len() < 8, "no place is kept for short work");
+    let submitted = world.now;
+    submit(&mut world, 0, generate("a", "short"));
+    world.run(1_000);
+    let ended = world
+        .ended_at("short")
+        .expect("short work waits behind long work");
+    assert!(ended - submitted <= Duration::from_millis(200));
+    world.run(80_000);
+    assert!(world.ended_at("long19").is_some(), "long work starves");
+}
+
+/// Guards against one account taking the capacity of another: completed work follows the weights.
+#[test]
+fn shares_follow_plan_weights() {
+    let mut world = World::new(1, 1, 1);
+    for index in 0..160 {
+        submit(&mut world, 0, generate("a", &format!("a{index}")));
+        submit(&mut world, 0, generate("b", &format!("b{index}")));
+    }
+    world.run(1_500);
+    let of_a = world
+        .ended
+        .iter()
+        .filter(|(id, _)| id.starts_with('a'))
+        .count();
+    let of_b = world.ended.len() - of_a;
+    let ratio = of_b as f64 / of_a as f64;
+    assert!((2.0..4.0).contains(&ratio), "a {of_a}, b {of_b}");
+}
+
+/// Guards against more running requests than the plan allows over all instances, and against an
+/// instance that gets none of a small limit.
+#[test]
+fn concurrency_limit_is_divided_by_demand() {
+    let mut world = World::new(4, 3, 1);
+    for node in 0..4 {
+        world.send(node, Event::ListsReceived(lists(6)));
+        submit(&mut world, node, generate("a", &format!("first{node}")));
+    }
+    world.run(2_000);
+    for node in 0..4 {
+        for index in 0..40 {
+            submit(&mut world, node, generate("a", &format!("r{node}-{index}")));
+        }
+    }
+    world.run(1_000);
+    let mut most = 0;
+    for _ in 0..50 {
+        world.run(10);
+        most = most.max(world.work.len());
+    }
+    assert!(most <= 8, "{most} run under a limit of 6");
+    world.run(10_000);
+    assert_eq!(world.ended.len(), 164);
+}
+
+/// Guards against refusals that are held back, and that name no time to come back.
+#[test]
+fn hopeless_work_is_refused_at_once() {
+    let mut world = World::new(1, 1, 1);
+    let patient = |index: usize| GenerateSubmission {
+        deadline: Duration::from_secs(600),
+        ..generate("a", &format!("r{index}"))
+    };
+    for index in 0..100 {
+        submit(&mut world, 0, patient(index));
+    }
+    let late = GenerateSubmission {
+        deadline: Duration::from_millis(300),
+        ..generate("a", "late")
+    };
+    submit(&mut world, 0, late);
+    for index in 100..300 {
+        submit(&mut world, 0, patient(index));
+    }
+    let (at, refusal) = &world.refusals("late")[0];
+    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Deadline));
+    assert!(
+        refusal.retry_after > Duration::from_millis(200),
+        "{refusal:?}"
+    );
+    let (at, refusal) = &world.refusals("r299")[0];
+    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Limit));
+    world.run(5_000);
+    assert!(
+        world.ended_at("r150").is_some(),
+        "queued work is not dispatched"
+    );
+}
+
+/// Guards against streams that are lost, or retried in the failure domain that failed, when a
+/// stage dies while the retry budget is empty.
+#[test]
+fn streams_survive_a_stage_in_another_domain() {
+    let mut world = World::new(1, 3, 2);
+    for index in 0..8 {
+        let id = format!("r{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(2));
+        submit(&mut world, 0, generate("a", &id));
+    }
+    let victim = world.work[0].route[1].clone();
+    let broken: Vec<_> = world
+        .work
+        .iter()
+        .filter(|work| work.route[1] == victim)
+        .map(|work| work.request.clone())
+        .collect();
+    world.kill(&victim);
+    world.run(40_000);
+    for request in &broken {
+        assert!(world.refusals(request).is_empty(), "{request} is lost");
+        let routes = world.routes(request);
+        assert_eq!(routes.len(), 2, "{request}: {routes:?}");
+        assert!(!routes[1].contains(&victim));
+    }
+    assert_eq!(world.ended.len(), 8);
+}
+
+/// Guards against retries that multiply an overload: refusing targets use up the budget.
+#[test]
+fn overload_retries_stay_in_the_budget() {
+    let mut world = World::new(1, 2, 1);
+    world.slots = 100;
+    world.run(1_500);
+    let mut attempts = 0;
+    for index in 0..60 {
+        let id = format!("r{index}");
+        world.send(
+            0,
+            Event::CallSubmitted(call("a", &id, OperationKind::Idempotent)),
+        );
+    }
+    for _ in 0..60 {
+        for work in std::mem::take(&mut world.work) {
+            attempts += 1;
+            let target = work.route[0].clone();
+            world.fail(&work, &target, FailureKind::Refused, 0);
+        }
+        world.run(50);
+    }
+    assert!(
+        (60..=72 + 3).contains(&attempts),
+        "{attempts} attempts for 60 calls"
+    );
+}
+
+/// Guards against a second run of a call that may have run, and a lost chance for one that did not.
+#[test]
+fn non_repeatable_calls_retry_only_if_not_run() {
+    let mut world = World::new(1, 3, 1);
+    world.send(
+        0,
+        Event::CallSubmitted(call("a", "k1", OperationKind::NonRepeatable)),
+    );
+    let work = world.work.remove(0);
+    let target = work.route[0].clone();
+    world.fail(&work, &target, FailureKind::Unreachable, 0);
+    assert_eq!(world.routes("k1").len(), 2);
+    assert_ne!(world.routes("k1")[1][0], target);
+    let work = world.work.remove(0);
+    let target = work.route[0].clone();
+    world.fail(&work, &target, FailureKind::Broken, 0);
+    world.run(2_000);
+    assert_eq!(
+        world.routes("k1").len(),
+        2,
+        "dispatched again after it may have run"
+    );
+}
+
+/// Guards against one request that takes down target after target, here or through another
+/// instance, and against refusing the requests that only shared a crashed target.
+#[test]
+fn crashing_request_loses_two_targets_and_bystanders_complete() {
+    let mut world = World::new(2, 6, 1);
+    for index in 0..12 {
+        let id = format!("r{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(1));
+        submit(&mut world, index % 2, generate("b", &id));
+    }
+    world.crashers.extend(["bad".into(), "again".into()]);
+    submit(&mut world, 0, generate("a", "bad"));
+    assert_eq!(world.dead.len(), 2);
+    let (_, refusal) = &world.refusals("bad")[0];
+    assert_eq!(refusal.kind, RefusalKind::Quarantined);
+    world.run(1_000);
+    let again = GenerateSubmission {
+        fingerprint: generate("a", "bad").fingerprint,
+        ..generate("a", "again")
+    };
+    submit(&mut world, 1, again);
+    let (at, refusal) = &world.refusals("again")[0];
+    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Quarantined));
+    assert!(refusal.retry_after > Duration::from_secs(590));
+    world.run(15_000);
+    assert_eq!(world.dead.len(), 2);
+    for index in 0..12 {
+        let id = format!("r{index}");
+        assert!(world.ended_at(&id).is_some(), "{id} is not completed");
+        assert!(world.refusals(&id).is_empty());
+    }
+}
+
+/// Guards against work that goes on for a caller that is gone.
+#[test]
+fn disconnect_cancels() {
+    let mut world = World::new(1, 1, 2);
+    submit(&mut world, 0, generate("a", "r"));
+    let commands = world.send(
+        0,
+        Event::CallerGone {
+            request: "r".into(),
+        },
+    );
+    assert!(matches!(commands[0], Command::Cancel { attempt: 1, .. }));
+    assert!(world.work.is_empty());
+}
+
+/// Guards against a drain that cuts work off, takes new work, or stops while callers still have
+/// this address.
+#[test]
+fn drain_finishes_work_before_stop() {
+    let stops = |world: &World| {
+        let stop = |entry: &&(usize, Duration, Command)| entry.2 == Command::Stop;
+        world.log.iter().filter(stop).count()
+    };
+    let mut world = World::new(2, 2, 1);
+    world.durations.insert("r".into(), Duration::from_secs(9));
+    submit(&mut world, 0, generate("a", "r"));
+    world.send(0, Event::DrainStarted);
+    submit(&mut world, 0, generate("a", "new"));
+    assert_eq!(world.refusals("new")[0].1.kind, RefusalKind::Draining);
+    world.run(8_500);
+    assert_eq!(stops(&world), 0);
+    world.run(1_000);
+    assert_eq!((stops(&world), world.ended.len()), (1, 1));
+
+    world.send(1, Event::DrainStarted);
+    world.run(6_900);
+    assert_eq!(stops(&world), 1);
+    world.run(200);
+    assert_eq!(stops(&world), 2);
+}
+
+/// Guards against long work that keeps the engines' first priority, or sinks without bound.
+#[test]
+fn priority_falls_with_length_to_a_floor() {
+    let mut world = World::new(1, 1, 1);
+    world.durations.insert("r".into(), Duration::from_secs(60));
+    submit(&mut world, 0, generate("a", "r"));
+    let mut last = 9;
+    for delivered_tokens in [1, 100, 200, 500, 4_000, 100_000] {
+        world.run(500);
+        let event = Event::Progressed {
+            delivered_tokens,
+            request: "r".into(),
+        };
+        for command in world.send(0, event) {
+            if let Command::SetPriority { priority, .. } = command {
+                assert!(priority < last);
+                last = priority;
+            }
+        }
+    }
+    assert_eq!(last, 3);
+    world.run(6_000);
+    let stalled = world
+        .log
+        .iter()
+        .rev()
+        .find_map(|(_, _, command)| match command {
+            Command::SetPriority { priority, .. } => Some(*priority),
+            _ => None,
+        });
+    assert_eq!(stalled, Some(9));
+}
--- /dev/null
+++ b/crates/control/tests/world/mod.rs
@@ -0,0 +1,461 @@
+//! Nodes and simulated targets in virtual time, for tests of whole requests.
+
+#![allow(dead_code)]
+
+use {
+    control::{Command, Event, Identity, Node, NodeSettings},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
+    types::{
+        Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
+        GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
+        OperationKind, Plan, Refusal, RequestId, Route, ServiceOperation, StoreReply, TargetId,
+    },
+};
+
+const STEP: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub attempt: u32,
+    pub is_call: bool,
+    pub node: usize,
+    pub request: RequestId,
+    pub route: Vec<TargetId>,
+    pub started: Option<Duration>,
+}
+
+pub struct World {
+    /// Requests that crash the first target that runs them.
+    pub crashers: BTreeSet<RequestId>,
+    pub dead: BTreeSet<TargetId>,
+    /// Time that a request runs; 100 ms if not set.
+    pub durations: BTreeMap<RequestId, Duration>,
+    pub ended: Vec<(RequestId, Duration)>,
+    pub listings: Vec<Listing>,
+    pub log: Vec<(usize, Duration, Command)>,
+    pub models: BTreeMap<TargetId, LoadedModel>,
+    pub nodes: Vec<Node>,
+    pub now: Duration,
+    pub slots: u32,
+    pub work: Vec<Work>,
+}
+
+impl World {
+    /// `domains` failure domains with one engine per stage of model `m` and one server of service
+    /// `s` each, and accounts `a` (weight 1), `b` (weight 3).
+    pub fn new(node_count: usize, domains: usize, stages: u32) -> Self {
+        let mut world = Self {
+            crashers: BTreeSet::new(),
+            dead: BTreeSet::new(),
+            durations: BTreeMap::new(),
+            ended: Vec::new(),
+            listings: Vec::new(),
+            log: Vec::new(),
+            models: BTreeMap::new(),
+            nodes: Vec::new(),
+            now: Duration::ZERO,
+            slots: 8,
+            work: Vec::new(),
+        };
+        for index in 0..node_count {
+            let role = ListingRole::Entry {
+                peer_address: address(200 + index),
+            };
+            world.list(&format!("n{index}"), index % domains, role);
+            world.nodes.push(node(index, index % domains));
+        }
+        for domain in 0..domains {
+            for stage in 0..stages {
+                world.add_engine(domain, stage, stages);
+            }
+            world.list(&format!("s{domain}"), domain, service());
+        }
+        for index in 0..node_count {
+            world.send(index, Event::ListsReceived(lists(64)));
+        }
+        world.run(2_500);
+        world
+    }
+
+    pub fn send(&mut self, node: usize, event: Event) -> Vec<Command> {
+        let commands = self.nodes[node].handle(self.now, event);
+        for command in &commands {
+            self.log.push((node, self.now, command.clone()));
+        }
+        for command in commands.clone() {
+            self.obey(node, command);
+        }
+        commands
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now += STEP;
+            self.finish_work();
+            if self.now.as_millis().is_multiple_of(50) {
+                for index in 0..self.nodes.len() {
+                    self.send(index, Event::Ticked);
+                }
+            }
+        }
+    }
+
+    /// Kills a target: all its work breaks.
+    pub fn kill(&mut self, target: &str) {
+        self.dead.insert(target.into());
+        let (broken, rest) = self
+            .work
+            .drain(..)
+            .partition(|work| work.route.iter().any(|id| &**id == target));
+        self.work = rest;
+        let broken: Vec<Work> = broken;
+        for work in broken {
+            self.fail(&work, target, FailureKind::Broken, 0);
+        }
+    }
+
+    pub fn fail(&mut self, work: &Work, target: &str, kind: FailureKind, delivered: u32) {
+        let event = Event::AttemptFailed {
+            delivered_tokens: delivered,
+            failure: AttemptFailure {
+                attempt: work.attempt,
+                kind,
+                target: target.into(),
+            },
+            request: work.request.clone(),
+        };
+        self.send(work.node, event);
+    }
+
+    /// Refusals of a request, with the time of each.
+    pub fn refusals(&self, request: &str) -> Vec<(Duration, Refusal)> {
+        let mut found = Vec::new();
+        for (_, at, command) in &self.log {
+            match command {
+                Command::Refuse {
+                    refusal,
+                    request: id,
+                } if &**id == request => {
+                    found.push((*at, refusal.clone()));
+                }
+                Command::AnswerCall {
+                    outcome: CallOutcome::NotRun(refusal),
+                    request: id,
+                } if &**id == request => found.push((*at, refusal.clone())),
+                _ => {}
+            }
+        }
+        found
+    }
+
+    /// Routes of the attempts of a request.
+    pub fn routes(&self, request: &str) -> Vec<Vec<TargetId>> {
+        let mut routes = Vec::new();
+        for (_, _, command) in &self.log {
+            match command {
+                Command::DispatchCall {
+                    request: id,
+                    target,
+                    ..
+                } if &**id == request => {
+                    routes.push(vec![target.clone()]);
+                }
+                Command::DispatchGenerate {
+                    request: id, route, ..
+                } if &**id == request => {
+                    routes.push(targets(route));
+                }
+                _ => {}
+            }
+        }
+        routes
+    }
+
+    pub fn ended_at(&self, request: &str) -> Option<Duration> {
+        let mut ended = self.ended.iter().filter(|(id, _)| &**id == request);
+        ended.next().map(|(_, at)| *at)
+    }
+
+    fn add_engine(&mut self, domain: usize, stage: u32, stages: u32) {
+        let id = format!("e{domain}-{stage}");
+        let layers = LayerRange {
+            start: stage * 8,
+            end: (stage + 1) * 8,
+        };
+        let model = LoadedModel {
+            adapters: Vec::new(),
+            layer_count: stages * 8,
+            layers,
+            model: "m".into(),
+        };
+        self.models.insert(id.as_str().into(), model);
+        let role = ListingRole::Engine {
+            accelerator: "k".into(),
+            checks_fence: true,
+        };
+        self.list(&id, domain, role);
+    }
+
+    fn list(&mut self, id: &str, domain: usize, role: ListingRole) {
+        let index = self.listings.len();
+        self.listings.push(Listing {
+            address: address(index),
+            failure_domain: format!("d{domain}").into(),
+            id: id.into(),
+            incarnation: 1,
+            leaving: false,
+            region: "r".into(),
+            role,
+        });
+    }
+
+    fn obey(&mut self, node: usize, command: Command) {
+        match command {
+            Command::Cancel {
+                attempt, request, ..
+            } => {
+                self.work
+                    .retain(|work| work.request != request || work.attempt != attempt);
+            }
+            Command::DispatchCall {
+                attempt,
+                request,
+                target,
+                ..
+            } => {
+                self.start(node, attempt, request, vec![target], true);
+            }
+            Command::DispatchGenerate {
+                attempt,
+                request,
+                route,
+                ..
+            } => {
+                assert!(route.is_complete(), "incomplete route for {request}");
+                self.start(node, attempt, request, targets(&route), false);
+            }
+            Command::Poll { target, .. } => self.poll(node, &target),
+            Command::ReadListing => {
+                let listings = self.listings.clone();
+                self.send(node, Event::ListingRead { listings });
+            }
+            Command::SendHeartbeat {
+                heartbeat, peer, ..
+            } => {
+                let index: usize = peer[1..]
+                    .parse()
+                    .expect("peers are named n0, n1, and so on");
+                self.send(index, Event::HeartbeatReceived(heartbeat));
+            }
+            Command::Store { ticket, .. } => {
+                let result = Ok(StoreReply::Committed { version: 7 });
+                self.send(node, Event::StoreReplied { result, ticket });
+            }
+            _ => {}
+        }
+    }
+
+    fn start(
+        &mut self,
+        node: usize,
+        attempt: u32,
+        request: RequestId,
+        route: Vec<TargetId>,
+        is_call: bool,
+    ) {
+        let work = Work {
+            attempt,
+            is_call,
+            node,
+            request,
+            route,
+            started: None,
+        };
+        let dead = work
+            .route
+            .iter()
+            .find(|id| self.dead.contains(*id))
+            .cloned();
+        if let Some(target) = dead {
+            self.fail(&work, &target, FailureKind::Unreachable, 0);
+            return;
+        }
+        let is_crasher = self.crashers.contains(&work.request);
+        let first = work.route[0].clone();
+        self.work.push(work);
+        if is_crasher {
+            self.kill(&first);
+        }
+    }
+
+    fn poll(&mut self, node: usize, target: &TargetId) {
+        if self.dead.contains(target) {
+            let event = Event::LoadFailed {
+                kind: FailureKind::Unreachable,
+                target: target.clone(),
+            };
+            self.send(node, event);
+            return;
+        }
+        let held = self.work.iter().filter(|work| work.route.contains(target));
+        let count = held.count() as u32;
+        let report = LoadReport {
+            incarnation: 1,
+            models: self.models.get(target).cloned().into_iter().collect(),
+            rate_per_s: 50.0 * f64::from(count.min(self.slots)),
+            running_count: count.min(self.slots),
+            slot_count: self.slots,
+            waiting_count: count.saturating_sub(self.slots),
+            ..LoadReport::default()
+        };
+        let target = target.clone();
+        self.send(node, Event::LoadReceived { report, target });
+    }
+
+    fn finish_work(&mut self) {
+        let mut running: BTreeMap<TargetId, u32> = BTreeMap::new();
+        for work in &mut self.work {
+            let count = running.entry(work.route[0].clone()).or_default();
+            *count += 1;
+            if *count <= self.slots && work.started.is_none() {
+                work.started = Some(self.now);
+            }
+        }
+        let mut done = Vec::new();
+        for work in &self.work {
+            let default = Duration::from_millis(100);
+            let duration = self
+                .durations
+                .get(&work.request)
+                .copied()
+                .unwrap_or(default);
+            if work.started.is_some_and(|at| self.now >= at + duration) {
+                done.push(work.clone());
+            }
+        }
+        for work in done {
+            self.work.retain(|other| other.request != work.request);
+            self.ended.push((work.request.clone(), self.now));
+            let duration = self
+                .durations
+                .get(&work.request)
+                .map_or(100, Duration::as_millis);
+            let event = if work.is_call {
+                Event::CallCompleted {
+                    attempt: work.attempt,
+                    reply: CallReply {
+                        body: "{}".into(),
+                        status: 200,
+                    },
+                    request: work.request,
+                }
+            } else {
+                Event::GenerateCompleted {
+                    attempt: work.attempt,
+                    request: work.request,
+                    token_count: (duration / 20).max(1) as u32,
+                }
+            };
+            self.send(work.node, event);
+        }
+    }
+}
+
+pub fn lists(max_concurrent_count: u32) -> Arc<Lists> {
+    let mut lists = Lists {
+        version: 1,
+        ..Lists::default()
+    };
+    for (account, weight) in [("a", 1), ("b", 3)] {
+        let plan = Plan {
+            max_concurrent_count,
+            max_queued_count: 200,
+            share_weight: weight,
+            ..Plan::default()
+        };
+        lists.plans.insert(account.into(), plan);
+        let account_entry = Account {
+            plan: account.into(),
+            ..Account::default()
+        };
+        lists.accounts.insert(account.into(), account_entry);
+    }
+    Arc::new(lists)
+}
+
+pub fn generate(account: &str, request: &str) -> GenerateSubmission {
+    GenerateSubmission {
+        account: account.into(),
+        deadline: Duration::from_secs(60),
+        delivered_tokens: 0,
+        fingerprint: request
+            .bytes()
+            .fold(7, |hash, byte| hash * 31 + u64::from(byte)),
+        max_tokens: 4_096,
+        model: "m".into(),
+        prefix_hashes: Vec::new(),
+        prompt_tokens: 20,
+        request: request.into(),
+    }
+}
+
+pub fn call(account: &str, request: &str, kind: OperationKind) -> CallSubmission {
+    CallSubmission {
+        account: account.into(),
+        body_hash: "hash".into(),
+        deadline: Duration::from_secs(10),
+        fingerprint: request
+            .bytes()
+            .fold(9, |hash, byte| hash * 31 + u64::from(byte)),
+        key: (kind == OperationKind::NonRepeatable).then(|| request.into()),
+        kind,
+        operation: "op".into(),
+        request: request.into(),
+        service: "s".into(),
+    }
+}
+
+fn targets(route: &Route) -> Vec<TargetId> {
+    route
+        .stages
+        .iter()
+        .map(|stage| stage.target.clone())
+        .collect()
+}
+
+fn address(index: usize) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 9_000 + index as u16).into()
+}
+
+fn service() -> ListingRole {
+    let operations = vec![ServiceOperation {
+        kind: OperationKind::Idempotent,
+        name: "op".into(),
+    }];
+    ListingRole::Service {
+        operations,
+        service: "s".into(),
+    }
+}
+
+fn node(index: usize, domain: usize) -> Node {
+    let settings = NodeSettings {
+        seed: index as u64 + 1,
+        ..NodeSettings::default()
+    };
+    let identity = Identity {
+        address: address(index),
+        failure_domain: format!("d{domain}").into(),
+        incarnation: 1,
+        instance: format!("n{index}").into(),
+        peer_address: address(200 + index),
+        region: "r".into(),
+    };
+    Node::new(settings, identity, SystemTime::UNIX_EPOCH)
+}
