Check requests, routes and queues against simple models

Cause: single examples do not reach the orders in which failures, answers and time may meet. Change: tests/request_model.rs with proptest at a fixed seed: one final answer per request, routes against a search of all chains, fairness bound of the queues.

--- /dev/null
+++ b/crates/control/tests/request_model.rs
@@ -0,0 +1,281 @@
+//! Random events against simple models, at fixed seeds.
+
+mod world;
+
+use {
+    control::{
+        Admission, AdmissionSettings, Blocked, Command, Event, Identity, Resource, RouteSettings,
+        Router, Target, View, Waiting, Wish,
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    },
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    types::{
+        FailureKind, LayerRange, ListingRole, LoadReport, LoadedModel, OperationKind, TargetHealth,
+    },
+    world::{World, call, generate},
+};
+
+fn runner(cases: u32) -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// Number of final answers that a request got.
+fn finals(world: &World, request: &str) -> usize {
+    let answered = world.log.iter().filter(|(_, _, command)| match command {
+        Command::AnswerCall { request: id, .. } | Command::Refuse { request: id, .. } => {
+            &**id == request
+        }
+        _ => false,
+    });
+    let is_generate = request.starts_with('g');
+    let completed = world
+        .ended
+        .iter()
+        .filter(|(id, _)| is_generate && &**id == request);
+    answered.count() + completed.count()
+}
+
+fn act(world: &mut World, index: usize, action: u8, pick: usize) {
+    let node = pick % world.nodes.len();
+    match action {
+        0..=2 => {
+            let submission = generate(["a", "b"][pick % 2], &format!("g{index}"));
+            world.send(node, Event::GenerateSubmitted(submission));
+        }
+        3 => {
+            let submission = call("a", &format!("c{index}"), OperationKind::Idempotent);
+            world.send(node, Event::CallSubmitted(submission));
+        }
+        4 => {
+            let submission = call("b", &format!("k{index}"), OperationKind::NonRepeatable);
+            world.send(node, Event::CallSubmitted(submission));
+        }
+        5..=7 if !world.work.is_empty() => {
+            let work = world.work.remove(pick % world.work.len());
+            let target = work.route[pick % work.route.len()].clone();
+            let kinds = [
+                FailureKind::Refused,
+                FailureKind::Unreachable,
+                FailureKind::Silent,
+            ];
+            world.fail(
+                &work,
+                &target,
+                kinds[usize::from(action) - 5],
+                pick as u32 % 40,
+            );
+        }
+        8 if !world.work.is_empty() => {
+            let work = world.work[pick % world.work.len()].clone();
+            let event = Event::Progressed {
+                delivered_tokens: pick as u32 % 50,
+                request: work.request,
+            };
+            world.send(work.node, event);
+        }
+        9 if world.dead.len() < 3 => {
+            let victim = world.models.keys().nth(pick % world.models.len()).cloned();
+            world.kill(&victim.expect("the world has engines"));
+        }
+        _ => world.run(100),
+    }
+}
+
+/// Guards against requests without a final answer or with two, events that the chart does not
+/// take, places that are never given back, and second runs of calls that may have run.
+#[test]
+fn every_request_ends_once() {
+    let steps = prop::collection::vec((0_u8..12, 0_usize..1_000), 10..80);
+    let result = runner(48).run(&steps, |steps| {
+        let mut world = World::new(2, 4, 2);
+        for (index, (action, pick)) in steps.iter().enumerate() {
+            act(&mut world, index, *action, *pick);
+        }
+        world.run(75_000);
+        for (index, (action, _)) in steps.iter().enumerate() {
+            let kind = match action {
+                0..=2 => 'g',
+                3 => 'c',
+                4 => 'k',
+                _ => continue,
+            };
+            let request = format!("{kind}{index}");
+            prop_assert_eq!(finals(&world, &request), 1, "final answers of {}", request);
+        }
+        prop_assert!(world.work.is_empty(), "left at targets: {:?}", world.work);
+        for node in &world.nodes {
+            prop_assert_eq!(node.unexpected_count(), 0);
+        }
+        let heartbeat = world
+            .log
+            .iter()
+            .rev()
+            .find_map(|(_, _, command)| match command {
+                Command::SendHeartbeat { heartbeat, .. } => Some(heartbeat),
+                _ => None,
+            });
+        prop_assert!(heartbeat.is_some_and(|heartbeat| heartbeat.demands.is_empty()));
+        Ok(())
+    });
+    result.unwrap();
+}
+
+fn engine(index: usize, start: u32, end: u32, domain: u8, running_count: u32) -> Target {
+    Target {
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: format!("d{domain}").into(),
+        health: TargetHealth::Live,
+        id: format!("e{index}").into(),
+        incarnation: 1,
+        ramp_fraction: 1.0,
+        region: "r".into(),
+        report: LoadReport {
+            models: vec![LoadedModel {
+                adapters: Vec::new(),
+                layer_count: 6,
+                layers: LayerRange { start, end },
+                model: "m".into(),
+            }],
+            running_count,
+            slot_count: 8,
+            ..LoadReport::default()
+        },
+        reported_at: Duration::ZERO,
+        role: ListingRole::Engine {
+            accelerator: "k".into(),
+            checks_fence: false,
+        },
+    }
+}
+
+/// Whether a complete chain exists, by trying all of them.
+fn has_chain(targets: &[Target], from: u32) -> bool {
+    from == 6
+        || targets.iter().any(|target| {
+            let layers = target.report.models[0].layers;
+            let has_place = target.report.running_count < target.report.slot_count;
+            layers.start == from && has_place && has_chain(targets, layers.end)
+        })
+}
+
+/// Guards against routes that are missed, incomplete, or lead through full targets, against a
+/// search of all chains.
+#[test]
+fn routes_match_a_search_of_all_chains() {
+    let pieces = prop::collection::vec((0_u32..6, 1_u32..5, 0_u8..3, 0_u32..12), 1..14);
+    let result = runner(512).run(&pieces, |pieces| {
+        let mut targets = Vec::new();
+        for (index, (start, length, domain, running)) in pieces.into_iter().enumerate() {
+            targets.push(engine(
+                index,
+                start,
+                (start + length).min(6),
+                domain,
+                running,
+            ));
+        }
+        let refs: Vec<&Target> = targets.iter().collect();
+        let identity = Identity {
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: "d0".into(),
+            incarnation: 1,
+            instance: "n".into(),
+            peer_address: ([127, 0, 0, 1], 2).into(),
+            region: "r".into(),
+        };
+        let view = View {
+            factor: 1.0,
+            identity: &identity,
+            now: Duration::ZERO,
+            targets: &refs,
+        };
+        let resource = Resource::Model("m".into());
+        let wish = Wish {
+            answer_tokens: 10.0,
+            avoid_domain: None,
+            avoid_targets: &BTreeSet::new(),
+            is_short: true,
+            is_suspect: false,
+            prefix_hashes: &[],
+            prompt_tokens: 10,
+            resource: &resource,
+        };
+        let router = Router::new(RouteSettings::default(), &AdmissionSettings::default());
+        match router.choose(&view, &wish, &mut ChaCha8Rng::seed_from_u64(1)) {
+            Ok(choice) => {
+                prop_assert!(choice.route.is_complete());
+                for stage in &choice.route.stages {
+                    let target = targets.iter().find(|target| target.id == stage.target);
+                    prop_assert!(target.is_some_and(|target| target.report.running_count < 8));
+                }
+            }
+            Err(blocked) => {
+                prop_assert!(!has_chain(&targets, 0));
+                for target in &mut targets {
+                    target.report.running_count = 0;
+                }
+                prop_assert_eq!(blocked == Blocked::Full, has_chain(&targets, 0));
+            }
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// Guards against deficits that favour an account: over any backlog, the served cost per weight
+/// differs between backlogged accounts by no more than the largest request and one round allow.
+#[test]
+fn deficit_round_robin_is_fair_to_backlogged_accounts() {
+    let costs = prop::collection::vec((0_usize..3, 1.0_f64..500.0), 60..200);
+    let result = runner(128).run(&costs, |costs| {
+        let mut admission = Admission::new(AdmissionSettings::default());
+        let resource = Resource::Model("m".into());
+        let mut left: BTreeMap<String, usize> = BTreeMap::new();
+        for (index, (account, cost)) in costs.iter().enumerate() {
+            let name = format!("a{account}");
+            *left.entry(name.clone()).or_default() += 1;
+            let waiting = Waiting {
+                account: name.into(),
+                cost: *cost,
+                is_short: true,
+                request: format!("{index}").into(),
+                since: Duration::ZERO,
+                weight: (account + 1) as f64,
+            };
+            admission.push(&resource, waiting);
+        }
+        let mut served: BTreeMap<String, f64> = BTreeMap::new();
+        let mut count = 0;
+        while let Some(waiting) = admission.next(&resource, Duration::ZERO, &mut |_| true) {
+            count += 1;
+            let name = waiting.account.to_string();
+            *served.entry(name.clone()).or_default() += waiting.cost / waiting.weight;
+            *left.entry(name).or_default() -= 1;
+            if left.values().any(|left| *left == 0) {
+                continue;
+            }
+            let most = served.values().copied().fold(0.0, f64::max);
+            let least = left
+                .keys()
+                .map(|name| served.get(name).copied().unwrap_or(0.0));
+            let spread = most - least.fold(f64::MAX, f64::min);
+            prop_assert!(spread <= 500.0 + 64.0 + 500.0, "{served:?}");
+        }
+        prop_assert_eq!(count, costs.len());
+        Ok(())
+    });
+    result.unwrap();
+}
