--- /dev/null
+++ b/crates/control/tests/support/table.rs
@@ -0,0 +1,76 @@
+//! Table service in memory with the conditions and versions of the platform's.
+
+use {
+    std::{collections::BTreeMap, sync::Arc},
+    types::{Row, StoreReply, StoreRequest},
+};
+
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    pub rows: BTreeMap<Arc<str>, Row>,
+    version: u64,
+}
+
+impl Table {
+    pub fn run(&mut self, request: &StoreRequest) -> StoreReply {
+        match request {
+            StoreRequest::Read { keys } => StoreReply::Rows {
+                rows: keys
+                    .iter()
+                    .filter_map(|key| self.rows.get(key))
+                    .cloned()
+                    .collect(),
+            },
+            StoreRequest::Scan {
+                from,
+                limit_count,
+                to,
+            } => {
+                let range = self.rows.range(from.clone()..to.clone());
+                let rows = range
+                    .take(*limit_count as usize)
+                    .map(|(_, row)| row.clone());
+                StoreReply::Rows {
+                    rows: rows.collect(),
+                }
+            }
+            StoreRequest::Transact { conditions, writes } => {
+                let version = |key| self.rows.get(key).map_or(0, |row| row.version);
+                if conditions
+                    .iter()
+                    .any(|one| version(&one.key) != one.version)
+                {
+                    let keys = conditions.iter().map(|one| &one.key);
+                    let rows = keys.filter_map(|key| self.rows.get(key)).cloned().collect();
+                    return StoreReply::Conflict { rows };
+                }
+                self.version += 1;
+                let version = self.version;
+                for write in writes {
+                    let key = write.key.clone();
+                    match write.value.clone() {
+                        None => self.rows.remove(&key),
+                        Some(value) => self.rows.insert(
+                            key.clone(),
+                            Row {
+                                key,
+                                value,
+                                version,
+                            },
+                        ),
+                    };
+                }
+                StoreReply::Committed { version }
+            }
+        }
+    }
+
+    /// Value of a field of a row, as JSON text; empty when the row is absent.
+    pub fn field(&self, key: &str, field: &str) -> String {
+        let Some(row) = self.rows.get(key) else {
+            return String::new();
+        };
+        let value: serde_json::Value = serde_json::from_str(&row.value).unwrap();
+        value[field].to_string()
+    }
+}
