--- a/crates/control/src/route.rs
+++ b/crates/control/src/route.rs
@@ -366,13 +366,10 @@
         .iter()
         .filter(|(score, ..)| score.avoidance == best.avoidance && score.expected_ms <= limit_ms)
         .count();
+    // Drawn with replacement, so that of two targets the worse gets a part too: the better one is
+    // the same for all instances. The candidates are sorted, so the lower index is the better.
     let first = random.random_range(0..good_count);
-    let mut second = random.random_range(0..good_count.max(2) - 1);
-    if second >= first {
-        second += 1;
-    }
-    // The candidates are sorted, so the lower index is the better.
-    let index = first.min(second).min(good_count - 1);
+    let index = first.min(random.random_range(0..good_count));
     for (position, (score, _, piece)) in scored.iter().enumerate() {
         let candidate = Candidate {
             score_ms: score.expected_ms,
--- a/crates/control/tests/request_model.rs
+++ b/crates/control/tests/request_model.rs
@@ -1,12 +1,14 @@
 //! Random events against simple models, at fixed seeds.
 
+mod engines;
 mod world;
 
 use {
     control::{
-        Admission, AdmissionSettings, Blocked, Command, Event, Identity, Resource, RouteSettings,
-        Router, Target, View, Waiting, Wish,
+        Admission, AdmissionSettings, Blocked, Command, Event, Resource, RouteSettings, Router,
+        Target, View, Waiting,
     },
+    engines::{engine, identity, wish},
     proptest::{
         prelude::*,
         test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -16,9 +18,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{
-        FailureKind, LayerRange, ListingRole, LoadReport, LoadedModel, OperationKind, TargetHealth,
-    },
+    types::{FailureKind, OperationKind},
     world::{World, call, generate},
 };
 
@@ -133,34 +133,6 @@
     result.unwrap();
 }
 
-fn engine(index: usize, start: u32, end: u32, domain: u8, running_count: u32) -> Target {
-    Target {
-        address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: format!("d{domain}").into(),
-        health: TargetHealth::Live,
-        id: format!("e{index}").into(),
-        incarnation: 1,
-        ramp_fraction: 1.0,
-        region: "r".into(),
-        report: LoadReport {
-            models: vec![LoadedModel {
-                adapters: Vec::new(),
-                layer_count: 6,
-                layers: LayerRange { start, end },
-                model: "m".into(),
-            }],
-            running_count,
-            slot_count: 8,
-            ..LoadReport::default()
-        },
-        reported_at: Duration::ZERO,
-        role: ListingRole::Engine {
-            accelerator: "k".into(),
-            checks_fence: false,
-        },
-    }
-}
-
 /// Whether a complete chain exists, by trying all of them.
 fn has_chain(targets: &[Target], from: u32) -> bool {
     from == 6
@@ -188,14 +160,7 @@
             ));
         }
         let refs: Vec<&Target> = targets.iter().collect();
-        let identity = Identity {
-            address: ([127, 0, 0, 1], 1).into(),
-            failure_domain: "d0".into(),
-            incarnation: 1,
-            instance: "n".into(),
-            peer_address: ([127, 0, 0, 1], 2).into(),
-            region: "r".into(),
-        };
+        let identity = identity();
         let view = View {
             factor: 1.0,
             identity: &identity,
@@ -203,16 +168,8 @@
             targets: &refs,
         };
         let resource = Resource::Model("m".into());
-        let wish = Wish {
-            answer_tokens: 10.0,
-            avoid_domain: None,
-            avoid_targets: &BTreeSet::new(),
-            is_short: true,
-            is_suspect: false,
-            prefix_hashes: &[],
-            prompt_tokens: 10,
-            resource: &resource,
-        };
+        let avoided = BTreeSet::new();
+        let wish = wish(&resource, &avoided, &[]);
         let router = Router::new(RouteSettings::default(), &AdmissionSettings::default());
         match router.choose(&view, &wish, &mut ChaCha8Rng::seed_from_u64(1)) {
             Ok(choice) => {
