--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,9 +29,13 @@
 mod call_row;
 mod claim;
 mod command;
+mod config;
+mod config_read;
+mod config_settings;
 mod context;
 mod decision;
 mod detector;
+mod edit;
 mod event;
 mod heartbeat;
 mod identity;
@@ -43,6 +47,7 @@
 mod record;
 mod record_settings;
 mod rendezvous;
+mod snapshot;
 mod sweep;
 mod target;
 
@@ -52,15 +57,21 @@
     call_row::{
         CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
     },
+    config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
+    config_read::Reader,
     detector::{Detector, Silence},
+    edit::{Edit, EditEvent, EditState},
     member::TargetEntry,
     outcome::Outbox,
     record::Flight,
+    snapshot::{SnapshotStep, Snapshots},
     sweep::Sweep,
 };
 
 pub use {
     command::Command,
+    config::Configs,
+    config_settings::ConfigSettings,
     context::Context,
     decision::{Candidate, Decision},
     event::{Event, OwnerStatus},
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -102,6 +102,14 @@
         self.listed.is_some()
     }
 
+    /// Whether the platform's last list names `id`.
+    #[must_use]
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.listed
+            .as_ref()
+            .is_some_and(|listed| listed.contains(id))
+    }
+
     /// Whether this instance hears from more than half of its view, itself included. The view is
     /// every instance that is listed or was heard in the last minute and is not leaving. False
     /// before the platform's list was read, because the view is then unknown.
