--- /dev/null
+++ b/crates/control/tests/config.rs
@@ -0,0 +1,231 @@
+//! Named failures of the configuration, one at a time.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    control::{Command, ConfigSettings, Configs, Context, MemberSettings, Members},
+    std::sync::Arc,
+    support::{context, heartbeat, identity, members, ms, peer_listing, table::Table},
+    types::{Change, EditAnswer, Lists, Plan, StoreFailure, StoreReply},
+    yare::parameterized,
+};
+
+struct Instance {
+    configs: Configs,
+    context: Context,
+    members: Members,
+}
+
+impl Instance {
+    fn new(members: Members) -> Self {
+        Self {
+            configs: Configs::new(ConfigSettings::default()),
+            context: context(1),
+            members,
+        }
+    }
+
+    /// Ticks twice after `after` and lets the table answer, or fail when there is none. Returns
+    /// the commands that are not for the table.
+    fn tick(&mut self, after: u64, mut table: Option<&mut Table>) -> Vec<Command> {
+        self.context.now += ms(after);
+        let mut others = Vec::new();
+        for _ in 0..2 {
+            self.configs.tick(&mut self.context, &self.members);
+            while !self.context.commands.is_empty() {
+                for command in std::mem::take(&mut self.context.commands) {
+                    let Command::Store { request, ticket } = &command else {
+                        others.push(command);
+                        continue;
+                    };
+                    let reply = table.as_mut().map(|table| table.run(request));
+                    let result: Result<StoreReply, _> = reply.ok_or(StoreFailure::Unavailable);
+                    self.configs
+                        .store_replied(&mut self.context, *ticket, &result);
+                }
+            }
+        }
+        others
+    }
+
+    fn edit(&mut self, name: &str, base: Option<u64>, table: &mut Table) -> Vec<Command> {
+        let change = put(name);
+        self.configs
+            .edit(&mut self.context, &name.into(), base, change, true);
+        self.tick(0, Some(table))
+    }
+}
+
+fn put(name: &str) -> Change {
+    Change::PutPlan {
+        id: name.into(),
+        plan: Plan::default(),
+    }
+}
+
+fn answer(commands: &[Command]) -> EditAnswer {
+    let mut answers = commands.iter().filter_map(|command| match command {
+        Command::AnswerEdit { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    answers.next().unwrap()
+}
+
+fn alone() -> Instance {
+    Instance::new(members("a", &["a"], &[]))
+}
+
+/// Guards against an edit that is pushed late, and one that is answered before it is durable.
+#[test]
+fn accepted_edit_is_durable_and_pushed_at_once() {
+    let mut table = Table::default();
+    let mut a = Instance::new(members("a", &["a", "b"], &["b"]));
+    a.tick(50, Some(&mut table));
+    let commands = a.edit("p", None, &mut table);
+    assert_eq!(answer(&commands), EditAnswer::Accepted { version: 1 });
+    assert_eq!(&*table.rows["config/head"].value, "1");
+    let is_push = |command: &Command| matches!(command, Command::PushChanges { .. });
+    assert!(commands.iter().any(is_push));
+}
+
+/// Guards against an operator whose edit overwrites one that it has not seen, and against a
+/// resubmitted operation id that makes a second change.
+#[test]
+fn stale_base_is_a_conflict_and_a_known_operation_is_not_repeated() {
+    let mut table = Table::default();
+    let mut a = alone();
+    a.tick(50, Some(&mut table));
+    a.edit("p1", Some(0), &mut table);
+    let conflict = a.edit("p2", Some(0), &mut table);
+    assert_eq!(answer(&conflict), EditAnswer::Conflict { current: 1 });
+    let again = a.edit("p1", Some(0), &mut table);
+    assert_eq!(answer(&again), EditAnswer::Accepted { version: 1 });
+    let mut fresh = alone();
+    fresh.tick(50, Some(&mut table));
+    let elsewhere = fresh.edit("p1", None, &mut table);
+    assert_eq!(answer(&elsewhere), EditAnswer::Accepted { version: 1 });
+}
+
+/// Guards against an invalid edit that enters the series, and an edit of a minority.
+#[test]
+fn invalid_and_minority_edits_change_nothing() {
+    let mut table = Table::default();
+    let mut a = alone();
+    a.tick(50, Some(&mut table));
+    let change = Change::DeletePlan { id: "none".into() };
+    a.configs
+        .edit(&mut a.context, &"x".into(), None, change, true);
+    let commands = a.tick(0, Some(&mut table));
+    assert!(matches!(answer(&commands), EditAnswer::Invalid { .. }));
+    a.configs
+        .edit(&mut a.context, &"y".into(), None, put("p"), false);
+    let commands = a.tick(0, Some(&mut table));
+    assert!(matches!(answer(&commands), EditAnswer::Unavailable { .. }));
+    assert!(table.rows.is_empty());
+}
+
+/// Guards against a series that grows without bound, a joiner that cannot read a trimmed series,
+/// and a joiner that applies an old operation id again.
+#[test]
+fn snapshot_and_trimming_keep_joiners_and_operation_ids() {
+    let mut table = Table::default();
+    let mut a = alone();
+    a.tick(50, Some(&mut table));
+    for number in 1..=1_400 {
+        a.edit(&format!("p{number}"), None, &mut table);
+        a.tick(20, Some(&mut table));
+    }
+    let changes = table
+        .rows
+        .keys()
+        .filter(|key| key.starts_with("config/change/"));
+    let count = changes.count();
+    assert!((1_024..1_400).contains(&count), "{count}");
+    let mut joiner = alone();
+    joiner.tick(50, Some(&mut table));
+    assert!(joiner.configs.is_ready());
+    assert_eq!(joiner.configs.lists(), a.configs.lists());
+    let again = joiner.edit("p900", None, &mut table);
+    assert_eq!(answer(&again), EditAnswer::Accepted { version: 900 });
+}
+
+/// Guards against a joiner that takes a low version during a store outage, from a minority or
+/// from peers that are themselves joining.
+#[parameterized(
+    joining_peers = { &[("b", true), ("c", false), ("d", false)], false },
+    majority = { &[("b", true), ("c", true)], true },
+    minority = { &[("b", true)], false },
+)]
+fn joining_in_an_outage_needs_ready_peers(heard: &[(&str, bool)], expected: bool) {
+    let mut a = Instance::new(members("a", &["a", "b", "c", "d"], &[]));
+    for (name, ready) in heard {
+        let mut beat = heartbeat(name);
+        beat.ready = *ready;
+        beat.config_version = if *ready { 3 } else { 0 };
+        a.members.heartbeat_received(&mut a.context, &beat);
+    }
+    let commands = a.tick(50, None);
+    let is_fetch = |command: &Command| matches!(command, Command::FetchChanges { .. });
+    assert_eq!(commands.iter().any(is_fetch), expected);
+    assert!(!a.configs.is_ready());
+    let lists = Lists {
+        version: 3,
+        ..Lists::default()
+    };
+    a.configs.lists_received(&mut a.context, &Arc::new(lists));
+    a.tick(50, None);
+    assert_eq!(a.configs.is_ready(), expected);
+}
+
+/// Guards against a joiner that is ready without a list during an outage.
+#[test]
+fn joining_in_an_outage_without_a_list_is_not_ready() {
+    let members = Members::new(identity("a", 1), MemberSettings::default());
+    let mut a = Instance::new(members);
+    a.tick(50, None);
+    a.tick(5_000, None);
+    assert!(!a.configs.is_ready());
+}
+
+/// Guards against an instance that stays behind while the store is down, or goes backwards.
+#[test]
+fn peer_fills_in_for_the_store_and_nothing_reverts() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (alone(), alone());
+    b.tick(50, Some(&mut table));
+    a.tick(50, Some(&mut table));
+    for name in ["p1", "p2"] {
+        a.edit(name, None, &mut table);
+    }
+    b.tick(1_000, None);
+    assert_eq!(b.configs.confirmed_age(b.context.now), ms(1_000));
+    let address = "127.0.0.1:1".parse().unwrap();
+    b.configs
+        .peer_version(&mut b.context, &"a".into(), address, 2);
+    let fetch = b.context.commands.remove(0);
+    assert!(matches!(fetch, Command::FetchChanges { after: 0, .. }));
+    let records = a.configs.changes_since(0).unwrap();
+    b.configs.changes_received(&mut b.context, &records);
+    b.configs.changes_received(&mut b.context, &records[..1]);
+    let old = Arc::new(Lists::default());
+    b.configs.lists_received(&mut b.context, &old);
+    assert_eq!(b.configs.lists(), a.configs.lists());
+}
+
+/// Guards against more range reads than the table takes: 2.05 s at 410 instances.
+#[test]
+fn read_period_grows_with_the_number_of_instances() {
+    let mut members = Members::new(identity("a", 1), MemberSettings::default());
+    let listings = (0..410).map(|number| peer_listing(&format!("i{number}")));
+    let own = peer_listing("a");
+    let all = listings.take(409).chain([own]).collect();
+    members.listing_read(&mut context(0), all);
+    let mut a = Instance::new(members);
+    let mut table = Table::default();
+    a.tick(50, Some(&mut table));
+    for (after, confirmed_age) in [(2_049, 2_049), (1, 0)] {
+        a.tick(after, Some(&mut table));
+        assert_eq!(a.configs.confirmed_age(a.context.now), ms(confirmed_age));
+    }
+}
