--- a/crates/control/tests/request.rs
+++ b/crates/control/tests/request.rs
@@ -431,3 +431,26 @@
         });
     assert_eq!(stalled, Some(9));
 }
+
+/// Guards against an instance that admits work with lists that may be outdated, and one that stops
+/// at a mere outage of the store.
+#[test]
+fn stale_instance_refuses_only_without_majority() {
+    let mut world = World::new(3, 3, 1);
+    world.is_store_down = true;
+    world.run(6_000);
+    submit(&mut world, 0, generate("a", "connected"));
+    assert_eq!(world.routes("connected").len(), 1);
+    world.cut_off = Some(0);
+    world.run(6_000);
+    submit(&mut world, 0, generate("a", "alone"));
+    let (_, refusal) = &world.refusals("alone")[0];
+    assert_eq!(refusal.kind, RefusalKind::StaleConfig);
+    assert!(refusal.retry_after > Duration::ZERO);
+    assert!(!world.nodes[0].status(world.now).ready);
+    assert!(world.nodes[1].status(world.now).ready);
+    world.is_store_down = false;
+    world.run(1_500);
+    submit(&mut world, 0, generate("a", "confirmed"));
+    assert_eq!(world.routes("confirmed").len(), 1);
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -12,7 +12,8 @@
     types::{
         Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
         GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
-        OperationKind, Plan, Refusal, RequestId, Route, ServiceOperation, StoreReply, TargetId,
+        OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation, StoreFailure,
+        StoreReply, StoreRequest, TargetId,
     },
 };
 
@@ -31,10 +32,13 @@
 pub struct World {
     /// Requests that crash the first target that runs them.
     pub crashers: BTreeSet<RequestId>,
+    /// Node whose heartbeats are lost in both directions.
+    pub cut_off: Option<usize>,
     pub dead: BTreeSet<TargetId>,
     /// Time that a request runs; 100 ms if not set.
     pub durations: BTreeMap<RequestId, Duration>,
     pub ended: Vec<(RequestId, Duration)>,
+    pub is_store_down: bool,
     pub listings: Vec<Listing>,
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
@@ -50,9 +54,11 @@
     pub fn new(node_count: usize, domains: usize, stages: u32) -> Self {
         let mut world = Self {
             crashers: BTreeSet::new(),
+            cut_off: None,
             dead: BTreeSet::new(),
             durations: BTreeMap::new(),
             ended: Vec::new(),
+            is_store_down: false,
             listings: Vec::new(),
             log: Vec::new(),
             models: BTreeMap::new(),
@@ -251,10 +257,19 @@
                 let index: usize = peer[1..]
                     .parse()
                     .expect("peers are named n0, n1, and so on");
-                self.send(index, Event::HeartbeatReceived(heartbeat));
+                if self.cut_off != Some(index) && self.cut_off != Some(node) {
+                    self.send(index, Event::HeartbeatReceived(heartbeat));
+                }
             }
-            Command::Store { ticket, .. } => {
-                let result = Ok(StoreReply::Committed { version: 7 });
+            Command::Store { request, ticket } => {
+                let result = match request {
+                    _ if self.is_store_down => Err(StoreFailure::Unavailable),
+                    StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
+                    StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
+                    StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
+                        rows: vec![self.head(node)],
+                    }),
+                };
                 self.send(node, Event::StoreReplied { result, ticket });
             }
             _ => {}
@@ -294,6 +309,15 @@
         }
     }
 
+    /// Head of the configuration, which confirms the node's own version.
+    fn head(&self, node: usize) -> Row {
+        Row {
+            key: "config/head".into(),
+            value: self.nodes[node].lists().version.to_string().into(),
+            version: 1,
+        }
+    }
+
     fn poll(&mut self, node: usize, target: &TargetId) {
         if self.dead.contains(target) {
             let event = Event::LoadFailed {
@@ -369,7 +393,7 @@
 
 pub fn lists(max_concurrent_count: u32) -> Arc<Lists> {
     let mut lists = Lists {
-        version: 1,
+        version: if max_concurrent_count == 64 { 1 } else { 2 },
         ..Lists::default()
     };
     for (account, weight) in [("a", 1), ("b", 3)] {
