--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -6,6 +6,8 @@
 pub struct NodeSettings {
     /// Queues, shares and limits.
     pub admission: AdmissionSettings,
+    /// Configuration.
+    pub config: ConfigSettings,
     /// Graceful shutdown.
     pub drain: DrainSettings,
     /// Membership.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -33,14 +33,14 @@
 
     /// Changes after `version`, or none when they are no longer held.
     #[must_use]
-    pub fn changes_since(&self, _version: ConfigVersion) -> Option<Vec<ChangeRecord>> {
-        None
+    pub fn changes_since(&self, version: ConfigVersion) -> Option<Vec<ChangeRecord>> {
+        self.configs.changes_since(version)
     }
 
     /// Lists in force at this instance.
     #[must_use]
     pub fn lists(&self) -> &Arc<Lists> {
-        &self.lists
+        self.configs.lists()
     }
 
     /// What became of the call that was claimed with `nonce`.
@@ -91,16 +91,11 @@
         }
     }
 
-    /// Time since the lists were confirmed to be current.
-    pub(crate) fn confirmed_age(&self, _now: Duration) -> Duration {
-        Duration::ZERO
-    }
-
     /// Whether the lists in force are known to be current enough to admit work (section 6 of the
     /// design page).
     pub(crate) fn is_fresh(&self, now: Duration) -> bool {
-        let is_confirmed = self.confirmed_age(now) <= MAX_UNCONFIRMED;
-        self.lists.version > 0 && (is_confirmed || self.members.has_majority(now))
+        let is_confirmed = self.configs.confirmed_age(now) <= MAX_UNCONFIRMED;
+        self.configs.is_ready() && (is_confirmed || self.members.has_majority(now))
     }
 
     /// Whether this instance admits new work.
