Test the interface and streams of the entry instance

Cause: order, resumption, sign-in and outcomes must hold for every input. Change: fakes at the trait borders and a network of instances in one process; tests without time.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -95,7 +95,7 @@
     let limits = app.settings.limits;
     let mut servers = JoinSet::new();
     servers.spawn(wire::serve(callers, handler, limits, closed.clone()));
-    let service = Arc::new(PeerService(app.clone()));
+    let service = peer_handler(app.clone());
     let peer = app.settings.peer.clone();
     let mut background = JoinSet::new();
     background.spawn(peer::serve(peers, service, peer, closed));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -86,6 +86,7 @@
     error::Error,
     handler::handler,
     instance::{Running, Shutdown, run, start},
+    peer_service::peer_handler,
     settings_file::{Settings, StreamSettings},
 };
 
@@ -101,7 +102,6 @@
     end::End,
     handler::{unknown_path, wrong_method},
     output::{Failure, Output},
-    peer_service::PeerService,
     refusal::{refusal_fault, refuse},
     registry::{CallStep, Registry, StreamInbox, StreamStep, lock},
     resume::taken_over,
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -1,7 +1,13 @@
 use super::*;
 
 /// Serves the calls of other instances.
-pub(crate) struct PeerService(pub(crate) Arc<App>);
+struct PeerService(Arc<App>);
+
+/// Handler of the calls of other instances.
+#[must_use]
+pub fn peer_handler(app: Arc<App>) -> Arc<dyn PeerHandler> {
+    Arc::new(PeerService(app))
+}
 
 impl PeerHandler for PeerService {
     fn append_journal(&self, append: JournalAppend) -> BoxFuture<'static, AppendAnswer> {
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,278 @@
+//! Streams: order, attempts, copies before delivery, disconnects and resumption.
+
+mod support;
+
+use {
+    control::{Command, Event},
+    support::*,
+    types::{AttemptFailure, FailureKind, Refusal, RefusalKind, StreamRecord},
+    wire::{Request, Response},
+};
+
+fn resume(id: &str, key: &str) -> Request {
+    let path = format!("/v1/completions/{}", id.split('.').next().expect("an id"));
+    let key = format!("Bearer {key}");
+    let headers = [("authorization", &*key), ("last-event-id", id)];
+    request("GET", &path, &headers, "")
+}
+
+fn broken(attempt: u32) -> AttemptFailure {
+    AttemptFailure {
+        attempt,
+        kind: FailureKind::Broken,
+        target: "e2".into(),
+    }
+}
+
+/// Guards against tokens that are delivered twice, out of order, or from an earlier attempt.
+#[tokio::test]
+async fn tokens_arrive_once_and_in_order() {
+    let fixture = Fixture::new();
+    let (response, request, records) = fixture.stream(None).await;
+    for record in [
+        token(1, 0),
+        token(1, 2),
+        token(1, 0),
+        token(0, 1),
+        token(1, 1),
+        token(1, 2),
+    ] {
+        records.send(record).unwrap();
+    }
+    records.send(end(1, 3)).unwrap();
+    let text = read_all(response).await;
+    assert_eq!(parse_events(&text).0, "t0 t1 t2 ");
+    assert!(text.contains(&format!("id: {request}.a.-.3\n")), "{text}");
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let mut events = Vec::new();
+    while !matches!(events.last(), Some(Event::GenerateCompleted { .. })) {
+        events.push(fixture.event().await);
+    }
+}
+
+/// Guards against an answer that is incomplete, or a stream where one JSON object is due.
+#[tokio::test]
+async fn whole_answers_are_one_object() {
+    let fixture = Fixture::new();
+    let response = tokio::spawn(fixture.send(prompt(false)));
+    let Event::GenerateSubmitted(submission) = fixture.event().await else {
+        panic!("a prompt is submitted first");
+    };
+    fixture.app.execute(dispatch(&submission.request, 1, None));
+    let (_, records) = fixture.generation().await;
+    for record in [token(1, 0), token(1, 1), end(1, 2)] {
+        records.send(record).unwrap();
+    }
+    let text = read_all(response.await.unwrap()).await;
+    let body: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(body["choices"][0]["text"], "t0 t1 ");
+    assert_eq!(body["choices"][0]["finish_reason"], "stop");
+}
+
+/// Guards against tokens lost or repeated when a stage dies, and against late output of the attempt
+/// that failed.
+#[tokio::test]
+async fn the_next_attempt_goes_on_after_the_delivered_tokens() {
+    let fixture = Fixture::new();
+    let (response, request, records) = fixture.stream(None).await;
+    records.send(token(1, 0)).unwrap();
+    records.send(Ok(StreamRecord::Failed(broken(1)))).unwrap();
+    let failed = loop {
+        if let Event::AttemptFailed {
+            failure,
+            delivered_tokens,
+            ..
+        } = fixture.event().await
+        {
+            break (failure, delivered_tokens);
+        }
+    };
+    assert_eq!(failed, (broken(1), 1));
+    fixture.app.execute(dispatch(&request, 2, None));
+    let (generation, records) = fixture.generation().await;
+    assert_eq!((generation.attempt, generation.delivered.len()), (2, 1));
+    for record in [token(1, 1), token(2, 0), token(2, 1), end(2, 2)] {
+        records.send(record).unwrap();
+    }
+    assert_eq!(parse_events(&read_all(response).await).0, "t0 t1 ");
+}
+
+/// Guards against an incomplete answer that looks complete because the engine says so.
+#[tokio::test]
+async fn an_end_with_missing_tokens_is_a_failed_attempt() {
+    let fixture = Fixture::new();
+    let (_response, _, records) = fixture.stream(None).await;
+    records.send(token(1, 0)).unwrap();
+    records.send(end(1, 2)).unwrap();
+    loop {
+        if let Event::AttemptFailed { failure, .. } = fixture.event().await {
+            assert_eq!(failure.kind, FailureKind::Protocol);
+            break;
+        }
+    }
+}
+
+/// Guards against a refusal that looks like an empty answer, before and after the stream began.
+#[tokio::test]
+async fn a_refusal_is_a_fault_with_a_time() {
+    let refuse = |request: &std::sync::Arc<str>| Command::Refuse {
+        refusal: Refusal {
+            kind: RefusalKind::NoTarget,
+            retry_after: std::time::Duration::from_millis(1_500),
+        },
+        request: request.clone(),
+    };
+    let fixture = Fixture::new();
+    let response = tokio::spawn(fixture.send(prompt(true)));
+    let Event::GenerateSubmitted(submission) = fixture.event().await else {
+        panic!("a prompt is submitted first");
+    };
+    fixture.app.execute(refuse(&submission.request));
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["retry-after"], "2");
+    let (response, request, _records) = fixture.stream(None).await;
+    fixture.app.execute(refuse(&request));
+    let text = read_all(response).await;
+    assert!(
+        text.contains("event: error\ndata: {\"error\":{\"kind\":\"no_target\""),
+        "{text}"
+    );
+}
+
+/// Guards against engines that go on working for a caller that has gone.
+#[tokio::test]
+async fn a_disconnect_cancels_every_stage() {
+    let fixture = Fixture::new();
+    let (response, request, _records) = fixture.stream(None).await;
+    drop(response);
+    assert_eq!(fixture.event().await, Event::CallerGone { request });
+    let mut canceled = fixture.calls.canceled.lock().await;
+    for _ in 0..2 {
+        assert_eq!(canceled.recv().await.unwrap().attempt, 1);
+    }
+}
+
+/// Guards against a stream that ends when its backup is lost, and against ids that name a backup
+/// without a copy.
+#[tokio::test]
+async fn a_lost_backup_is_replaced() {
+    let network = Network::default();
+    let (fixture, _b, _c) = (
+        Fixture::on(&network, "a"),
+        Fixture::on(&network, "b"),
+        Fixture::on(&network, "c"),
+    );
+    fixture.read_listing().await;
+    let (mut response, request, records) = fixture.stream(Some("b")).await;
+    records.send(token(1, 0)).unwrap();
+    read_until(&mut response, &format!("id: {request}.a.b.1\n")).await;
+    network.lose("b");
+    records.send(token(1, 1)).unwrap();
+    read_until(&mut response, &format!("id: {request}.a.c.2\n")).await;
+}
+
+/// Guards against a stream that is lost with its instance: the backup has every delivered token,
+/// and attempts of the new run have higher numbers than those of the lost one.
+#[tokio::test]
+async fn any_instance_resumes_from_the_backup() {
+    let network = Network::default();
+    let (owner, _backup, other) = (
+        Fixture::on(&network, "a"),
+        Fixture::on(&network, "b"),
+        Fixture::on(&network, "c"),
+    );
+    other.read_listing().await;
+    let (mut response, _, records) = owner.stream(Some("b")).await;
+    records.send(token(1, 0)).unwrap();
+    records.send(token(1, 1)).unwrap();
+    let text = read_until(&mut response, "t1 ").await;
+    let (_, id) = parse_events(&text);
+    network.lose("a");
+    let first = id.replace(".2", ".1");
+    let resumed = other.send(resume(&first, "key-1")).await;
+    assert_eq!(resumed.status(), 200);
+    let Event::GenerateSubmitted(submission) = other.event().await else {
+        panic!("the rest is submitted");
+    };
+    assert_eq!(submission.delivered_tokens, 2);
+    other.app.execute(dispatch(&submission.request, 1, None));
+    let (generation, records) = other.generation().await;
+    assert_eq!((generation.attempt, generation.delivered.len()), (2, 2));
+    records.send(token(2, 2)).unwrap();
+    records.send(end(2, 3)).unwrap();
+    assert_eq!(parse_events(&read_all(resumed).await).0, "t1 t2 ");
+}
+
+/// Guards against two connections that both get one stream, at one instance and at two, and
+/// against an old connection that goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn exactly_one_of_two_resumers_gets_the_stream() {
+    for other in ["b", "c"] {
+        let network = Network::default();
+        let (owner, backup, third) = (
+            Fixture::on(&network, "a"),
+            Fixture::on(&network, "b"),
+            Fixture::on(&network, "c"),
+        );
+        for fixture in [&owner, &backup, &third] {
+            fixture.read_listing().await;
+        }
+        let (mut response, _, records) = owner.stream(Some("b")).await;
+        records.send(token(1, 0)).unwrap();
+        let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+        let rival = if other == "b" { &backup } else { &third };
+        let first = tokio::spawn(third.send(resume(&id, "key-1")));
+        let second = tokio::spawn(rival.send(resume(&id, "key-1")));
+        let responses: [Response; 2] = [first.await.unwrap(), second.await.unwrap()];
+        let mut statuses = responses
+            .each_ref()
+            .map(|response| response.status().as_u16());
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409]);
+        // The old connection ends with a fault and delivers nothing more.
+        let _ = records.send(token(1, 1));
+        let rest = read_all(response).await;
+        assert!(
+            rest.contains("taken_over") && !rest.contains("t1 "),
+            "{rest}"
+        );
+    }
+}
+
+/// Guards against the engine numbers and the end of the first run when a caller comes back to the
+/// instance that still serves it.
+#[tokio::test]
+async fn the_owner_itself_resumes() {
+    let fixture = Fixture::new();
+    let (mut response, request, records) = fixture.stream(None).await;
+    records.send(token(1, 0)).unwrap();
+    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let resumed = fixture.send(resume(&id, "key-1")).await;
+    assert_eq!(resumed.status(), 200);
+    let mut events = Vec::new();
+    while !matches!(events.last(), Some(Event::GenerateSubmitted(_))) {
+        events.push(fixture.event().await);
+    }
+    assert!(
+        events.contains(&Event::CallerGone { request }),
+        "{events:?}"
+    );
+}
+
+/// Guards against streams that another account, or a caller with a made-up id, can read.
+#[tokio::test]
+async fn only_the_account_resumes() {
+    let fixture = Fixture::new();
+    let (mut response, request, records) = fixture.stream(None).await;
+    records.send(token(1, 0)).unwrap();
+    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    assert_eq!(fixture.send(resume(&id, "key-2")).await.status(), 404);
+    assert_eq!(fixture.send(resume(&id, "key-9")).await.status(), 401);
+    assert_eq!(fixture.send(resume("x.a.-.1", "key-1")).await.status(), 404);
+    assert_eq!(fixture.send(resume("x.a.1", "key-1")).await.status(), 400);
+    let elsewhere = fixture.send(resume(&format!("{request}.z.-.1"), "key-1"));
+    assert_eq!(elsewhere.await.status(), 503);
+    records.send(token(1, 1)).unwrap();
+    read_until(&mut response, "t1 ").await;
+}
