Add the assembly of token streams

Cause: records arrive late, doubled, reordered and from old attempts, and a caller must get each token once.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,16 +18,18 @@
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
         Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
-        FailureDomain, FailureKind, Fingerprint, GenerateSubmission, Heartbeat, Incarnation,
-        InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
-        Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind, RegionId,
-        RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
-        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
+        FailureDomain, FailureKind, Fingerprint, FinishReason, GenerateSubmission, Heartbeat,
+        Incarnation, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
+        ModelId, Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind,
+        RegionId, RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, StreamRecord, TargetDigest, TargetHealth, TargetId, TokenIndex,
+        TokenRecord, Write,
     },
 };
 
 mod address;
 mod admission;
+mod assembly;
 mod belief;
 mod cache;
 mod call_entry;
@@ -93,6 +95,7 @@
 pub use {
     address::AddressAnswer,
     admission::{Admission, Waiting},
+    assembly::{Assembly, AssemblyStep, Violation},
     cache::PrefixCaches,
     claims::Claims,
     command::Command,
--- a/crates/target/src/engines.rs
+++ b/crates/target/src/engines.rs
@@ -1,7 +1,9 @@
 use super::*;
 
-/// Records of one attempt in the order in which they came. Ends after `StreamRecord::End`, after
-/// `StreamRecord::Failed`, or after the error that broke it off, which blames the first stage.
+/// Records of one attempt in the order in which they came. Ends after `StreamRecord::Failed`, after
+/// the error that broke it off, which blames the first stage, or when the engine closes the stream
+/// after `StreamRecord::End`. Tokens may follow `End` when records were reordered, so that only an
+/// assembly knows when the answer is complete; the reader then drops the stream.
 /// Dropping the stream closes the connection, and the engine stops working for it.
 pub type RecordStream = BoxStream<'static, Result<StreamRecord, AttemptFailure>>;
 
--- a/crates/target/src/record_reader.rs
+++ b/crates/target/src/record_reader.rs
@@ -1,9 +1,11 @@
 use super::*;
 
 enum State {
-    Ended,
+    /// The engine ended the answer; records that it sent before may still come.
+    Ending(LineReader),
     Reading(LineReader),
     Sending(Box<GenerateRequest>),
+    Stopped,
 }
 
 /// Reads the records that the engine at `address` sends for `request`.
@@ -38,20 +40,29 @@
     address: SocketAddr,
     state: State,
 ) -> Option<(Result<StreamRecord, FailureKind>, State)> {
+    let is_ending = matches!(state, State::Ending(_));
     let lines = match state {
-        State::Ended => return None,
-        State::Reading(lines) => Ok(lines),
+        State::Ending(lines) | State::Reading(lines) => Ok(lines),
         State::Sending(request) => send(settings, address, &request).await,
+        State::Stopped => return None,
     };
     let mut lines = match lines {
-        Err(kind) => return Some((Err(kind), State::Ended)),
+        Err(kind) => return Some((Err(kind), State::Stopped)),
         Ok(lines) => lines,
     };
-    match next(settings, &mut lines).await {
-        Err(kind) => Some((Err(kind), State::Ended)),
-        Ok(record @ StreamRecord::Token(_)) => Some((Ok(record), State::Reading(lines))),
-        Ok(record) => Some((Ok(record), State::Ended)),
-    }
+    let record = match next(settings, &mut lines).await {
+        Err(kind) => return Some((Err(kind), State::Stopped)),
+        Ok(None) if is_ending => return None,
+        Ok(None) => return Some((Err(FailureKind::Broken), State::Stopped)),
+        Ok(Some(record)) => record,
+    };
+    let state = match record {
+        StreamRecord::End { .. } => State::Ending(lines),
+        StreamRecord::Failed(_) => State::Stopped,
+        StreamRecord::Token(_) if is_ending => State::Ending(lines),
+        StreamRecord::Token(_) => State::Reading(lines),
+    };
+    Some((Ok(record), state))
 }
 
 async fn send(
@@ -76,11 +87,14 @@
 async fn next(
     settings: TargetSettings,
     lines: &mut LineReader,
-) -> Result<StreamRecord, FailureKind> {
+) -> Result<Option<StreamRecord>, FailureKind> {
     let limit = Duration::from_millis(settings.idle_limit_ms);
     match lines.line(limit).await {
         Err(error) => Err(classify::failure(&error)),
-        Ok(None) => Err(FailureKind::Broken),
-        Ok(Some(line)) => serde_json::from_slice(&line).map_err(|_| FailureKind::Protocol),
+        Ok(None) => Ok(None),
+        Ok(Some(line)) => match serde_json::from_slice(&line) {
+            Err(_) => Err(FailureKind::Protocol),
+            Ok(record) => Ok(Some(record)),
+        },
     }
 }
