--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,13 +22,14 @@
         Incarnation, InstanceId, Journal, LayerRange, Listing, ListingRole, Lists, LoadReport,
         LoadedModel, ModelId, Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal,
         RefusalKind, RegionId, RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure,
-        StoreReply, StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, TokenIndex,
-        Write,
+        StoreReply, StoreRequest, StoreTicket, StreamRecord, TargetDigest, TargetHealth, TargetId,
+        TokenIndex, TokenRecord, Write,
     },
 };
 
 mod address;
 mod admission;
+mod assembly;
 mod belief;
 mod cache;
 mod call_entry;
@@ -96,6 +97,7 @@
 pub use {
     address::AddressAnswer,
     admission::{Admission, Waiting},
+    assembly::{Assembly, AssemblyStep, Violation},
     cache::PrefixCaches,
     claims::Claims,
     command::Command,
