--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,9 +8,9 @@
     blake3::Hash,
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, Candidate, Command, Decision, Event, Holder, Identity,
-        JournalAppend, JournalSettings, Journals, Node, NodeSettings, OwnerStatus, Status,
-        TakeAnswer,
+        AddressAnswer, AppendAnswer, Assembly, AssemblyStep, Candidate, Command, Decision, Event,
+        Holder, Identity, JournalAppend, JournalSettings, Journals, Node, NodeSettings,
+        OwnerStatus, Status, TakeAnswer,
     },
     futures::{FutureExt, StreamExt, future::BoxFuture},
     hyper::{
@@ -24,7 +24,7 @@
     serde::{Deserialize, Serialize},
     settings::{Check, Faults, LogSettings},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         fmt::{self, Debug, Formatter},
         net::SocketAddr,
         sync::{
@@ -45,10 +45,10 @@
         Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
         CancelRequest, Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
         Fingerprint, FinishReason, GenerateRequest, GenerateSubmission, Heartbeat, Incarnation,
-        InstanceId, Journal, KeyHash, LayerRange, Listing, ListingRole, Lists, LoadReport, ModelId,
-        Nonce, OperationId, OperationKind, Plan, Priority, PriorityRequest, Refusal, RefusalKind,
+        InstanceId, Journal, KeyHash, Listing, ListingRole, Lists, LoadReport, ModelId, Nonce,
+        OperationId, OperationKind, Plan, Priority, PriorityRequest, Refusal, RefusalKind,
         RegionId, RequestId, ResumePoint, Route, ServiceId, StreamRecord, TargetId, TokenIndex,
-        TokenRecord, count_tokens, prefix_hashes,
+        count_tokens, prefix_hashes,
     },
     wire::{BodySender, Fault, Limits, Request, Response, ServerEvent},
     xtra::{Address, Handler, Mailbox},
@@ -62,6 +62,7 @@
 mod completions;
 mod control_thread;
 mod copier;
+mod delivery;
 mod directory;
 mod drain;
 mod end;
@@ -76,7 +77,6 @@
 mod registry;
 mod resume;
 mod roster;
-mod sequence;
 mod settings_file;
 mod stream;
 
@@ -106,7 +106,6 @@
     registry::{CallStep, Registry, StreamInbox, StreamStep, lock},
     resume::taken_over,
     roster::Roster,
-    sequence::Sequence,
     settings_file::{is_key_hash, is_name},
     stream::{Stream, StreamStart},
 };
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,8 +1,5 @@
 use super::*;
 
-/// Tokens from one report of progress to the next.
-const PROGRESS_TOKENS: TokenIndex = 16;
-
 /// What a stream starts from.
 pub(crate) struct StreamStart {
     pub(crate) deadline: Duration,
@@ -14,21 +11,24 @@
 
 /// One run of a stream at this instance.
 pub(crate) struct Stream {
-    app: Arc<App>,
+    pub(crate) app: Arc<App>,
+    /// Made at the first dispatch, which tells the model's layers.
+    pub(crate) assembly: Option<Assembly>,
     /// Attempts of earlier runs. Engines count attempts over all runs, the node within one.
-    base: Attempt,
-    copier: Copier,
+    pub(crate) base: Attempt,
+    pub(crate) copier: Copier,
     /// Tokens that the caller has.
-    delivered: TokenIndex,
-    nonce: Nonce,
-    output: Output,
+    pub(crate) delivered: TokenIndex,
+    /// Tokens in the journal when the run started.
+    pub(crate) kept: TokenIndex,
+    pub(crate) nonce: Nonce,
+    pub(crate) output: Output,
     /// Tokens in order that are not copied yet.
-    pending: Vec<Arc<str>>,
+    pub(crate) pending: Vec<Arc<str>>,
     /// A dispatch that came while another attempt ran.
-    queued: Option<StreamStep>,
-    run: Option<Run>,
-    sequence: Sequence,
-    steps: mpsc::UnboundedReceiver<StreamStep>,
+    pub(crate) queued: Option<StreamStep>,
+    pub(crate) run: Option<Run>,
+    pub(crate) steps: mpsc::UnboundedReceiver<StreamStep>,
 }
 
 impl Stream {
@@ -70,7 +70,8 @@
             pending: Vec::new(),
             queued: None,
             run: None,
-            sequence: Sequence::new(kept),
+            kept,
+            assembly: None,
             steps,
         };
         tokio::spawn(stream.run(start, taken));
@@ -173,7 +174,10 @@
         if !self.output.begin(&self.copier.point(self.delivered)).await {
             return Err(End::Gone);
         }
-        self.sequence.start(attempt, route.layer_count);
+        let (layer_count, kept) = (route.layer_count, self.kept);
+        self.assembly
+            .get_or_insert_with(|| Assembly::new(layer_count, kept))
+            .start_attempt(attempt);
         let request = GenerateRequest {
             attempt,
             delivered: self.copier.tokens(),
@@ -226,7 +230,6 @@
                     flush_at = None;
                 }
                 record = records.next() => {
-                    let record = record.unwrap_or_else(|| Err(self.broken(attempt)));
                     if let Some(is_complete) = self.take(journal, attempt, record).await? {
                         return Ok(is_complete);
                     }
@@ -243,38 +246,36 @@
         &mut self,
         journal: &Journal,
         attempt: Attempt,
-        record: Result<StreamRecord, AttemptFailure>,
+        record: Option<Result<StreamRecord, AttemptFailure>>,
     ) -> Result<Option<bool>, End> {
-        let failure = match record {
-            Err(failure) | Ok(StreamRecord::Failed(failure)) => failure,
-            Ok(StreamRecord::End {
-                attempt: ended,
+        let failure = match self.accept(record, attempt) {
+            AssemblyStep::Complete {
                 reason,
                 token_count,
-            }) => {
-                if self.sequence.is_complete(ended, token_count) {
-                    self.flush(journal, attempt, Some(reason)).await?;
-                    self.app.report(Event::GenerateCompleted {
-                        attempt: attempt - self.base,
-                        request: journal.request.clone(),
-                        token_count,
-                    });
-                    self.finish(journal, reason).await;
-                    return Ok(Some(true));
-                }
+            } => return self.complete(journal, attempt, reason, token_count).await,
+            AssemblyStep::Deliver {
+                finish,
+                first,
+                tokens,
+            } => {
+                let count = TokenIndex::try_from(tokens.len()).unwrap_or(TokenIndex::MAX);
+                self.pending.extend(tokens);
+                return match finish {
+                    None => Ok(None),
+                    Some(reason) => {
+                        let token_count = first.saturating_add(count);
+                        self.complete(journal, attempt, reason, token_count).await
+                    }
+                };
+            }
+            AssemblyStep::Failed(failure) => failure,
+            AssemblyStep::Ignore | AssemblyStep::Wait => return Ok(None),
+            AssemblyStep::Violation(violation) => {
+                let request = &*journal.request;
+                tracing::warn!(request, attempt, ?violation, "an engine broke the protocol");
                 self.fault(attempt, FailureKind::Protocol)
             }
-            Ok(StreamRecord::Token(token)) => match self.sequence.take(token) {
-                Err(kind) => self.fault(attempt, kind),
-                Ok(tokens) => {
-                    self.pending.extend(tokens);
-                    return Ok(None);
-                }
-            },
         };
-        if failure.attempt != attempt {
-            return Ok(None);
-        }
         self.flush(journal, attempt, None).await?;
         self.stop_run();
         self.app.report(Event::AttemptFailed {
@@ -288,6 +289,46 @@
         Ok(Some(false))
     }
 
+    fn accept(
+        &mut self,
+        record: Option<Result<StreamRecord, AttemptFailure>>,
+        attempt: Attempt,
+    ) -> AssemblyStep {
+        let broken = self.fault(attempt, FailureKind::Broken);
+        let Some(assembly) = &mut self.assembly else {
+            return AssemblyStep::Failed(broken);
+        };
+        match record {
+            None => match assembly.stream_stopped() {
+                // A stream without more records cannot be waited for.
+                AssemblyStep::Ignore => AssemblyStep::Failed(broken),
+                step => step,
+            },
+            Some(Err(failure)) => {
+                assembly.stream_stopped();
+                AssemblyStep::Failed(failure)
+            }
+            Some(Ok(record)) => assembly.accept(&record),
+        }
+    }
+
+    async fn complete(
+        &mut self,
+        journal: &Journal,
+        attempt: Attempt,
+        reason: FinishReason,
+        token_count: TokenIndex,
+    ) -> Result<Option<bool>, End> {
+        self.flush(journal, attempt, Some(reason)).await?;
+        self.app.report(Event::GenerateCompleted {
+            attempt: attempt - self.base,
+            request: journal.request.clone(),
+            token_count,
+        });
+        self.finish(journal, reason).await;
+        Ok(Some(true))
+    }
+
     /// Acts on a command that came during an attempt; returns whether the attempt must stop.
     fn interrupt(&mut self, step: StreamStep, attempt: Attempt) -> Result<bool, End> {
         match step {
@@ -309,61 +350,6 @@
         }
     }
 
-    /// Copies the pending tokens and then delivers them.
-    async fn flush(
-        &mut self,
-        journal: &Journal,
-        attempt: Attempt,
-        finish: Option<FinishReason>,
-    ) -> Result<(), End> {
-        let tokens = std::mem::take(&mut self.pending);
-        if tokens.is_empty() && finish.is_none() {
-            return Ok(());
-        }
-        self.copier.append(attempt, finish, tokens.clone()).await?;
-        let before = self.delivered;
-        self.deliver(journal, &tokens).await?;
-        let is_first = before == 0 && self.delivered > 0;
-        if is_first || before / PROGRESS_TOKENS != self.delivered / PROGRESS_TOKENS {
-            self.app.report(Event::Progressed {
-                delivered_tokens: self.delivered,
-                request: journal.request.clone(),
-            });
-        }
-        Ok(())
-    }
-
-    async fn deliver(&mut self, journal: &Journal, tokens: &[Arc<str>]) -> Result<(), End> {
-        for token in tokens {
-            self.delivered += 1;
-            let point = self.copier.point(self.delivered);
-            if !self.output.token(journal, &point, token).await {
-                return Err(End::Gone);
-            }
-        }
-        metrics::counter!("entry_tokens_total").increment(tokens.len() as u64);
-        Ok(())
-    }
-
-    async fn finish(&mut self, journal: &Journal, reason: FinishReason) {
-        let point = self.copier.point(self.delivered);
-        self.output.finish(journal, &point, reason).await;
-    }
-
-    /// Delivers the tokens of the journal that the caller does not have.
-    async fn replay(&mut self, journal: &Journal) -> Result<(), End> {
-        if !self.output.begin(&self.copier.point(self.delivered)).await {
-            return Err(End::Gone);
-        }
-        let skipped = usize::try_from(self.delivered).unwrap_or(usize::MAX);
-        let missing = journal.tokens.get(skipped..).unwrap_or_default().to_vec();
-        self.deliver(journal, &missing).await
-    }
-
-    fn broken(&self, attempt: Attempt) -> AttemptFailure {
-        self.fault(attempt, FailureKind::Broken)
-    }
-
     /// Failure of the current attempt that is blamed on its first stage.
     fn fault(&self, attempt: Attempt, kind: FailureKind) -> AttemptFailure {
         let target = self.run.as_ref().map(|run| run.first.clone());
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -104,6 +104,7 @@
     let (_response, _, records) = fixture.stream(None).await;
     records.send(token(1, 0)).unwrap();
     records.send(end(1, 2)).unwrap();
+    drop(records);
     loop {
         if let Event::AttemptFailed { failure, .. } = fixture.event().await {
             assert_eq!(failure.kind, FailureKind::Protocol);
