Test the stand-in binaries and end a crashing stream without an end

Cause: the body of a stream sometimes ended properly before a crash closed its connection, and a leaving process could end before the list knew. Change: a crashing engine keeps its bodies open, a leaving process waits for its row, and zero delays no longer cost a timer tick.

--- /dev/null
+++ b/crates/platform/tests/metrics.rs
@@ -0,0 +1,73 @@
+//! Guards against load on the store that is not counted, and against faults that hit other writes
+//! than asked for.
+
+#![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
+
+use {
+    platform::{PlatformClient, PlatformSettings, Table},
+    standin::{Platform, PlatformFaults},
+    types::{StoreFailure, StoreRequest},
+    wire::Call,
+};
+
+fn write() -> StoreRequest {
+    StoreRequest::Transact {
+        conditions: Vec::new(),
+        writes: Vec::new(),
+    }
+}
+
+async fn lost_replies(faults: PlatformFaults, write_count: usize) -> (Vec<usize>, String) {
+    let settings = standin::PlatformSettings {
+        faults,
+        seed: 7,
+        ..standin::PlatformSettings::default()
+    };
+    let platform = Platform::start(settings).await.unwrap();
+    let client = PlatformClient::new(PlatformSettings {
+        addresses: vec![platform.address()],
+        ..PlatformSettings::default()
+    })
+    .unwrap();
+    let mut lost = Vec::new();
+    for number in 1..=write_count {
+        if client.execute(write()).await == Err(StoreFailure::Ambiguous) {
+            lost.push(number);
+        }
+    }
+    let read = StoreRequest::Read { keys: Vec::new() };
+    client.execute(read).await.unwrap();
+    let reply = wire::call(platform.address(), &Call::get("/metrics")).await;
+    let text = String::from_utf8(reply.unwrap().body.to_vec()).unwrap();
+    (lost, text)
+}
+
+#[tokio::test]
+async fn every_nth_write_is_lost_and_all_are_counted() {
+    let faults = PlatformFaults {
+        lost_reply_every: 3,
+        ..PlatformFaults::default()
+    };
+    let (lost, metrics) = lost_replies(faults, 7).await;
+    assert_eq!(lost, [3, 6]);
+    assert!(
+        metrics.contains("standin_platform_writes_total 7\n"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("standin_platform_reads_total 1\n"),
+        "{metrics}"
+    );
+}
+
+#[tokio::test]
+async fn random_losses_follow_the_seed() {
+    let faults = PlatformFaults {
+        lost_reply_fraction: 0.5,
+        ..PlatformFaults::default()
+    };
+    let (one, _) = lost_replies(faults.clone(), 20).await;
+    let (other, _) = lost_replies(faults, 20).await;
+    assert_eq!(one, other);
+    assert!(!one.is_empty() && one.len() < 20);
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -221,7 +221,7 @@
         self.thawed().await;
         let prefill = self.begin(step);
         let busy = Duration::from_micros(self.settings.step_us) + prefill;
-        sleep(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
+        pause(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
         self.thawed().await;
         lock(&self.state).record(step, own.layers, self.settings.log_entry_count);
         let Some(next) = stages.get(step.position + 1) else {
@@ -231,7 +231,7 @@
             };
         };
         let link_us = self.settings.link_delay_us + self.faults().link_delay_us;
-        sleep(Duration::from_micros(link_us)).await;
+        pause(Duration::from_micros(link_us)).await;
         let mut forwarded = step.clone();
         forwarded.position += 1;
         let limit = Duration::from_millis(self.settings.forward_limit_ms);
--- a/crates/standin/src/generation.rs
+++ b/crates/standin/src/generation.rs
@@ -27,9 +27,14 @@
     pub(crate) async fn run(self, sender: BodySender) {
         let reader = sender.clone();
         let mut canceled = self.control.canceled.subscribe();
+        let crashed = async {
+            self.engine.lifecycle.crashed().await;
+            // The body must not end before the connection closes: a crash ends no reply properly.
+            reader.closed().await;
+        };
         tokio::select! {
             () = reader.closed() => {}
-            () = self.engine.lifecycle.crashed() => {}
+            () = crashed => {}
             () = self.steps(sender) => {}
             _ = canceled.wait_for(|canceled| *canceled) => {}
         }
@@ -46,7 +51,7 @@
         let marker = &self.engine.settings.crash_marker;
         if !marker.is_empty() && self.request.prompt.contains(marker) {
             self.engine.lifecycle.crash();
-            return;
+            std::future::pending::<()>().await;
         }
         let first = TokenIndex::try_from(self.request.delivered.len()).unwrap_or(u32::MAX);
         let (end, reason) = answer_length(&self.request.prompt, self.request.max_tokens);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -75,7 +75,7 @@
     place::Registration,
     prefix_cache::PrefixCache,
     rate::Rate,
-    reply::{bad_request, lock, not_found, refuse},
+    reply::{bad_request, lock, not_found, pause, refuse},
     roster::Roster,
     rows::Rows,
     slots::{Slot, Slots},
--- a/crates/standin/src/lifecycle.rs
+++ b/crates/standin/src/lifecycle.rs
@@ -12,6 +12,8 @@
 /// Tells the parts of one stand-in that it is about to end.
 #[derive(Debug)]
 pub(crate) struct Lifecycle {
+    /// Whether the platform's list was told, or could not be told, that the stand-in leaves.
+    announced: watch::Sender<bool>,
     crashed: watch::Sender<bool>,
     left_at: watch::Sender<Option<Instant>>,
 }
@@ -19,11 +21,21 @@
 impl Lifecycle {
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
+            announced: watch::Sender::new(false),
             crashed: watch::Sender::new(false),
             left_at: watch::Sender::new(None),
         })
     }
 
+    pub(crate) fn announce(&self) {
+        self.announced.send_replace(true);
+    }
+
+    pub(crate) async fn announced(&self) {
+        let mut receiver = self.announced.subscribe();
+        let _ = receiver.wait_for(|announced| *announced).await;
+    }
+
     pub(crate) fn crash(&self) {
         self.crashed.send_replace(true);
     }
--- a/crates/standin/src/place.rs
+++ b/crates/standin/src/place.rs
@@ -85,6 +85,7 @@
             self.listing.leaving = lifecycle.is_leaving();
             self.put().await;
             if self.listing.leaving {
+                lifecycle.announce();
                 sleep(self.refresh).await;
                 continue;
             }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -64,7 +64,7 @@
             _ => {}
         }
         let (down, delay) = self.weather();
-        sleep(delay).await;
+        pause(delay).await;
         match down {
             None => {}
             Some(Outage::Disconnect) => return wire::disconnect(),
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -24,3 +24,11 @@
         .insert("x-outcome", HeaderValue::from_static("not-run"));
     response
 }
+
+/// Sleeps for `duration`. The timer rounds up to whole milliseconds, which a duration of zero must
+/// not cost.
+pub(crate) async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        sleep(duration).await;
+    }
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -153,7 +153,7 @@
             return self.crash().await;
         }
         let added_ms = lock(&self.state).faults.delay_ms;
-        sleep(Duration::from_millis(operation.delay_ms + added_ms)).await;
+        pause(Duration::from_millis(operation.delay_ms + added_ms)).await;
         if lock(&self.state).faults.crash {
             return self.crash().await;
         }
--- a/crates/standin/src/standin.rs
+++ b/crates/standin/src/standin.rs
@@ -89,10 +89,12 @@
         if let Some(registration) = parts.registration {
             registration.run(&parts.lifecycle).await;
         }
+        parts.lifecycle.announce();
         std::future::pending::<()>().await;
     };
     let departure = async {
         parts.lifecycle.left().await;
+        parts.lifecycle.announced().await;
         parts.drained.await;
         let _ = stop.send(true);
         std::future::pending::<()>().await;
--- /dev/null
+++ b/crates/standin/tests/binaries.rs
@@ -0,0 +1,173 @@
+//! Guards against binaries that tests and scripts cannot start, configure or stop.
+
+#![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
+
+use {
+    standin::{EngineSettings, Listening, Place, PlatformSettings, ServiceSettings},
+    std::{
+        fs,
+        io::{BufRead, BufReader},
+        path::PathBuf,
+        process::{Child, Command, Output, Stdio},
+    },
+    types::{GenerateRequest, LayerRange, Listing, Route, Stage},
+    wire::Call,
+    yare::parameterized,
+};
+
+const ENGINE: &str = env!("CARGO_BIN_EXE_standin-engine");
+const PLATFORM: &str = env!("CARGO_BIN_EXE_standin-platform");
+const SERVICE: &str = env!("CARGO_BIN_EXE_standin-service");
+
+/// A stand-in process that ends with its test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    fs::write(&file, text).unwrap();
+    file
+}
+
+fn run(binary: &str, arguments: &[&str]) -> Output {
+    Command::new(binary).args(arguments).output().unwrap()
+}
+
+fn start(binary: &str, name: &str, settings: &str) -> (Process, Listening) {
+    let mut child = Command::new(binary)
+        .arg("--settings")
+        .arg(settings_file(name, settings))
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let output = child.stdout.take().unwrap();
+    BufReader::new(output).read_line(&mut line).unwrap();
+    (Process(child), serde_json::from_str(&line).unwrap())
+}
+
+fn terminate(process: &Process) {
+    let id = process.0.id().to_string();
+    let status = Command::new("sh")
+        .args(["-c", "kill -TERM $0", &id])
+        .status();
+    assert!(status.unwrap().success());
+}
+
+#[parameterized(
+    engine = { ENGINE, "standin-engine" },
+    platform = { PLATFORM, "standin-platform" },
+    service = { SERVICE, "standin-service" },
+)]
+fn arguments(binary: &str, name: &str) {
+    let version = run(binary, &["--version"]);
+    assert!(String::from_utf8_lossy(&version.stdout).starts_with(name));
+    let help = run(binary, &["--help"]);
+    assert!(String::from_utf8_lossy(&help.stdout).contains("--settings FILE"));
+    let file = settings_file(
+        &format!("{name}-faulty"),
+        r#"{"lmits": {}, "limits": {"head_bytes": 1}}"#,
+    );
+    let check = run(
+        binary,
+        &["--check-settings", "--settings", file.to_str().unwrap()],
+    );
+    let message = String::from_utf8_lossy(&check.stderr);
+    assert!(!check.status.success());
+    assert!(
+        message.contains("lmits") && message.contains("limits.head_bytes"),
+        "{message}"
+    );
+    assert!(!run(binary, &["--nonsense"]).status.success());
+}
+
+/// Guards against a default that its own check refuses.
+#[test]
+fn defaults_are_valid() {
+    for (name, text) in [
+        ("engine", serde_json::to_string(&EngineSettings::default())),
+        (
+            "platform",
+            serde_json::to_string(&PlatformSettings::default()),
+        ),
+        (
+            "service",
+            serde_json::to_string(&ServiceSettings::default()),
+        ),
+    ] {
+        let binary = [ENGINE, PLATFORM, SERVICE];
+        let binary = binary.iter().find(|path| path.ends_with(name)).unwrap();
+        let file = settings_file(&format!("{name}-default"), &text.unwrap());
+        let check = run(
+            binary,
+            &["--check-settings", "--settings", file.to_str().unwrap()],
+        );
+        assert!(
+            check.status.success(),
+            "{}",
+            String::from_utf8_lossy(&check.stderr)
+        );
+    }
+}
+
+/// Guards against an engine process that ends without marking itself leaving.
+#[tokio::test]
+async fn terminated_engine_leaves_the_list_first() {
+    let (_platform, platform) = start(PLATFORM, "list", r#"{"list_lag_ms": 0}"#);
+    let settings = EngineSettings {
+        place: Place {
+            leave_grace_ms: 300,
+            platforms: vec![platform.address],
+            ..Place::default()
+        },
+        ..EngineSettings::default()
+    };
+    let text = serde_json::to_string(&settings).unwrap();
+    let (mut engine, _) = start(ENGINE, "leaving", &text);
+    while rows(platform).await.is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    terminate(&engine);
+    assert!(engine.0.wait().unwrap().success());
+    assert!(rows(platform).await[0].leaving);
+}
+
+async fn rows(platform: Listening) -> Vec<Listing> {
+    let reply = wire::call(platform.address, &Call::get("/v1/instances")).await;
+    reply.unwrap().json().unwrap()
+}
+
+/// Guards against a crash that ends like a planned stop.
+#[tokio::test]
+async fn marked_prompt_ends_the_process() {
+    let (mut engine, listening) = start(ENGINE, "crash", r#"{"crash_marker": "CRASH"}"#);
+    let layers = LayerRange { end: 32, start: 0 };
+    let request = GenerateRequest {
+        attempt: 1,
+        delivered: Vec::new(),
+        max_tokens: 1,
+        model: "assistant".into(),
+        priority: 0,
+        prompt: "CRASH".into(),
+        request: "r".into(),
+        route: Route {
+            layer_count: 32,
+            stages: vec![Stage {
+                address: listening.address,
+                layers,
+                target: "engine-1".into(),
+            }],
+        },
+        seed: 0,
+    };
+    let call = Call::post("/v1/generate", &request).unwrap();
+    assert!(wire::call(listening.address, &call).await.is_err());
+    assert_eq!(engine.0.wait().unwrap().code(), Some(134));
+}
