--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -219,6 +219,10 @@
         let stages = &step.route.stages;
         let own = &stages[step.position];
         self.thawed().await;
+        if self.is_deadly(step) {
+            self.lifecycle.crash();
+            std::future::pending::<()>().await;
+        }
         let prefill = self.begin(step);
         let busy = Duration::from_micros(self.settings.step_us) + prefill;
         pause(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
@@ -250,6 +254,13 @@
         }
     }
 
+    /// Whether the prompt of a step makes this engine crash.
+    fn is_deadly(&self, step: &ForwardRequest) -> bool {
+        let marker = &self.settings.crash_marker;
+        let prompt = step.prefill.as_ref().map(|prefill| &prefill.prompt);
+        !marker.is_empty() && prompt.is_some_and(|prompt| prompt.contains(marker))
+    }
+
     /// Notes the start of an attempt and returns the time to process its prompt.
     fn begin(&self, step: &ForwardRequest) -> Duration {
         let Some(prefill) = &step.prefill else {
--- a/crates/standin/src/generation.rs
+++ b/crates/standin/src/generation.rs
@@ -48,11 +48,6 @@
             token_count: 0,
         };
         let mut slot = self.slot().await;
-        let marker = &self.engine.settings.crash_marker;
-        if !marker.is_empty() && self.request.prompt.contains(marker) {
-            self.engine.lifecycle.crash();
-            std::future::pending::<()>().await;
-        }
         let first = TokenIndex::try_from(self.request.delivered.len()).unwrap_or(u32::MAX);
         let (end, reason) = answer_length(&self.request.prompt, self.request.max_tokens);
         let mut step = self.first_step(first);
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -194,6 +194,46 @@
     assert_eq!(engine.wait().await, Ending::Crashed);
 }
 
+/// Guards against a crash at a later stage that is blamed on the first one.
+#[tokio::test]
+async fn marked_prompt_crashes_a_later_stage() {
+    let mut harmless = settings(0, 3);
+    harmless.crash_marker.clear();
+    let first = Engine::start(harmless).await.unwrap();
+    let second = Engine::start(settings(3, LAYER_COUNT)).await.unwrap();
+    let mut request = pair_request(&first, &second);
+    request.prompt = "please CRASH now".into();
+    let records = run(request).await;
+    let expected = AttemptFailure {
+        attempt: 1,
+        kind: FailureKind::Broken,
+        target: "second".into(),
+    };
+    assert_eq!(records, [Ok(StreamRecord::Failed(expected))]);
+    assert_eq!(second.wait().await, Ending::Crashed);
+}
+
+/// Guards against a frozen stage that is taken for a live one.
+#[tokio::test]
+async fn frozen_next_stage_is_silent() {
+    let mut impatient = settings(0, 3);
+    impatient.forward_limit_ms = 50;
+    let first = Engine::start(impatient).await.unwrap();
+    let second = Engine::start(settings(3, LAYER_COUNT)).await.unwrap();
+    let faults = EngineFaults {
+        frozen: true,
+        ..EngineFaults::default()
+    };
+    set(&second, &faults).await;
+    let records = run(pair_request(&first, &second)).await;
+    let expected = AttemptFailure {
+        attempt: 1,
+        kind: FailureKind::Silent,
+        target: "second".into(),
+    };
+    assert_eq!(records, [Ok(StreamRecord::Failed(expected))]);
+}
+
 /// Guards against work that goes on after its caller canceled it or went away.
 #[tokio::test]
 async fn cancel_and_drop_free_the_slot() {
@@ -350,6 +390,30 @@
     assert_eq!(log(&other).await.starts[2].cached_tokens, 32);
 }
 
+/// Guards against a cache that grows without limit, and against events whose gaps do not show.
+#[tokio::test]
+async fn full_cache_evicts_the_oldest_prefix() {
+    let mut settings = settings(0, LAYER_COUNT);
+    settings.cache_block_count = 2;
+    settings.cache_event_gap_fraction = 0.5;
+    settings.cache_event_lag_ms = 0;
+    let engine = Engine::start(settings).await.unwrap();
+    let mut request = request(&[(&engine, "only", 0, LAYER_COUNT)]);
+    request.max_tokens = 1;
+    for number in 0..10 {
+        request.prompt = format!("{number} ").repeat(16).into();
+        request.request = number.to_string().into();
+        run(request.clone()).await;
+    }
+    let engines = EngineClient::default();
+    let events = engines.cache_events(engine.address(), 0).await.unwrap();
+    let load = engines.load(engine.address()).await.unwrap();
+    // Ten prefixes came, and all but the last two went.
+    assert_eq!(load.cache_event_count, 10 + 8);
+    assert!(!events.is_empty() && events.len() < 18);
+    assert!(events.is_sorted_by_key(|event| event.position));
+}
+
 /// Guards against a planned stop that cuts off a stream.
 #[tokio::test]
 async fn leaving_engine_finishes_its_streams() {
