Shorten the tests of the stand-ins

Cause: the tests were longer than a third of the code that they test. Change: faults are written as JSON, as they travel; a wait after the cancel test goes, since its last request already needs the freed slot.

--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -4,16 +4,17 @@
 
 use {
     platform::{Listings, Objects, PlatformClient, PlatformSettings, Table},
-    standin::{Outage, Platform, PlatformFaults, Standin},
+    serde_json::{Value, json},
+    standin::{Outage, Platform, Standin},
     std::{net::SocketAddr, sync::Arc},
     types::{Condition, Listing, ListingRole, StoreFailure, StoreReply, StoreRequest, Write},
     wire::{Call, hyper::Method},
     yare::parameterized,
 };
 
-async fn start(faults: PlatformFaults) -> Standin {
+async fn start(faults: Value) -> Standin {
     let settings = standin::PlatformSettings {
-        faults,
+        faults: serde_json::from_value(faults).unwrap(),
         list_lag_ms: 0,
         ..standin::PlatformSettings::default()
     };
@@ -29,8 +30,8 @@
     PlatformClient::new(settings).unwrap()
 }
 
-async fn set(platform: &Standin, faults: &PlatformFaults) {
-    let call = Call::with_json(Method::PUT, "/faults", faults).unwrap();
+async fn set(platform: &Standin, faults: Value) {
+    let call = Call::with_json(Method::PUT, "/faults", &faults).unwrap();
     let reply = wire::call(platform.address(), &call).await.unwrap();
     assert!(reply.status.is_success());
 }
@@ -75,7 +76,7 @@
 /// Guards against a transaction that is applied in part, or against a stale condition.
 #[tokio::test]
 async fn transactions_apply_all_or_nothing() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let client = client(&[platform.address()]);
     let first = client.execute(write("a", 0, Some("1"))).await;
     assert_eq!(first, Ok(StoreReply::Committed { version: 1 }));
@@ -95,7 +96,7 @@
 /// Guards against scans that ignore their bounds or their limit.
 #[tokio::test]
 async fn scans_keep_bounds_and_limit() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let client = client(&[platform.address()]);
     for key in ["a", "b", "c"] {
         client.execute(write(key, 0, Some("x"))).await.unwrap();
@@ -111,12 +112,9 @@
 /// Guards against a lost reply that is reported as "not carried out", or a write that is resent.
 #[tokio::test]
 async fn lost_reply_is_ambiguous_and_applied_once() {
-    let faults = PlatformFaults {
-        lost_reply_count: 1,
-        ..PlatformFaults::default()
-    };
+    let faults = json!({"lost_reply_count": 1});
     let platform = start(faults).await;
-    let other = start(PlatformFaults::default()).await;
+    let other = start(json!({})).await;
     let client = client(&[platform.address(), other.address()]);
     let result = client.execute(write("a", 0, Some("1"))).await;
     assert_eq!(result, Err(StoreFailure::Ambiguous));
@@ -128,11 +126,7 @@
 /// Guards against taking a write that applies late for one that never applies.
 #[tokio::test]
 async fn late_write_is_ambiguous_and_applies_later() {
-    let faults = PlatformFaults {
-        late_ms: 50,
-        late_write_count: 1,
-        ..PlatformFaults::default()
-    };
+    let faults = json!({"late_ms": 50, "late_write_count": 1});
     let platform = start(faults).await;
     let client = client(&[platform.address()]);
     let result = client.execute(write("a", 0, Some("1"))).await;
@@ -150,11 +144,8 @@
 )]
 #[test_macro(tokio::test)]
 async fn outage_of_a_write(outage: Outage, expected: StoreFailure) {
-    let faults = PlatformFaults {
-        down: Some(outage),
-        ..PlatformFaults::default()
-    };
-    let (down, up) = (start(faults).await, start(PlatformFaults::default()).await);
+    let faults = json!({"down": outage});
+    let (down, up) = (start(faults).await, start(json!({})).await);
     let client = client(&[down.address(), up.address()]);
     assert_eq!(
         client.execute(write("a", 0, Some("1"))).await,
@@ -162,7 +153,7 @@
     );
     // A read may be repeated, so the other address serves it.
     assert!(keys(&client, "a", "b", 1).await.is_empty());
-    set(&down, &PlatformFaults::default()).await;
+    set(&down, json!({})).await;
     let only = self::client(&[down.address()]);
     assert!(keys(&only, "a", "b", 1).await.is_empty());
 }
@@ -170,7 +161,7 @@
 /// Guards against giving up while another address is reachable and nothing was sent.
 #[tokio::test]
 async fn unreachable_address_is_passed_over() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let dead = dead_address().await;
     let result = client(&[dead, platform.address()])
         .execute(write("a", 0, Some("1")))
@@ -183,7 +174,7 @@
 /// Guards against objects that differ from what was written.
 #[tokio::test]
 async fn objects_are_kept_and_deleted() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let client = client(&[platform.address()]);
     assert_eq!(client.get("x".into()).await, Ok(None));
     client
@@ -216,7 +207,7 @@
 /// for it.
 #[tokio::test]
 async fn leaving_is_final_for_an_incarnation() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let client = client(&[platform.address()]);
     client.register(listing(1, true)).await.unwrap();
     client.register(listing(1, false)).await.unwrap();
@@ -229,15 +220,12 @@
 /// Guards against a list that shows changes at once, which would hide faults that its lag causes.
 #[tokio::test]
 async fn list_lags() {
-    let platform = start(PlatformFaults::default()).await;
+    let platform = start(json!({})).await;
     let client = client(&[platform.address()]);
-    let faults = PlatformFaults {
-        list_lag_ms: Some(3_600_000),
-        ..PlatformFaults::default()
-    };
-    set(&platform, &faults).await;
+    let faults = json!({"list_lag_ms": 3_600_000});
+    set(&platform, faults).await;
     client.register(listing(1, false)).await.unwrap();
     assert!(client.read().await.unwrap().is_empty());
-    set(&platform, &PlatformFaults::default()).await;
+    set(&platform, json!({})).await;
     assert_eq!(client.read().await.unwrap(), [listing(1, false)]);
 }
--- a/crates/platform/tests/metrics.rs
+++ b/crates/platform/tests/metrics.rs
@@ -5,7 +5,8 @@
 
 use {
     platform::{PlatformClient, PlatformSettings, Table},
-    standin::{Platform, PlatformFaults},
+    serde_json::{Value, json},
+    standin::Platform,
     types::{StoreFailure, StoreRequest},
     wire::Call,
 };
@@ -17,9 +18,9 @@
     }
 }
 
-async fn lost_replies(faults: PlatformFaults, write_count: usize) -> (Vec<usize>, String) {
+async fn lost_replies(faults: Value, write_count: usize) -> (Vec<usize>, String) {
     let settings = standin::PlatformSettings {
-        faults,
+        faults: serde_json::from_value(faults).unwrap(),
         seed: 7,
         ..standin::PlatformSettings::default()
     };
@@ -44,10 +45,7 @@
 
 #[tokio::test]
 async fn every_nth_write_is_lost_and_all_are_counted() {
-    let faults = PlatformFaults {
-        lost_reply_every: 3,
-        ..PlatformFaults::default()
-    };
+    let faults = json!({"lost_reply_every": 3});
     let (lost, metrics) = lost_replies(faults, 7).await;
     assert_eq!(lost, [3, 6]);
     assert!(
@@ -62,10 +60,7 @@
 
 #[tokio::test]
 async fn random_losses_follow_the_seed() {
-    let faults = PlatformFaults {
-        lost_reply_fraction: 0.5,
-        ..PlatformFaults::default()
-    };
+    let faults = json!({"lost_reply_fraction": 0.5});
     let (one, _) = lost_replies(faults.clone(), 20).await;
     let (other, _) = lost_replies(faults, 20).await;
     assert_eq!(one, other);
--- a/crates/standin/tests/binaries.rs
+++ b/crates/standin/tests/binaries.rs
@@ -3,14 +3,15 @@
 #![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
 
 use {
-    standin::{EngineSettings, Listening, Place, PlatformSettings, ServiceSettings},
+    serde_json::json,
+    standin::{EngineSettings, Listening, PlatformSettings, ServiceSettings},
     std::{
         fs,
         io::{BufRead, BufReader},
         path::PathBuf,
         process::{Child, Command, Output, Stdio},
     },
-    types::{GenerateRequest, LayerRange, Listing, Route, Stage},
+    types::Listing,
     wire::Call,
     yare::parameterized,
 };
@@ -121,15 +122,8 @@
 #[tokio::test]
 async fn terminated_engine_leaves_the_list_first() {
     let (_platform, platform) = start(PLATFORM, "list", r#"{"list_lag_ms": 0}"#);
-    let settings = EngineSettings {
-        place: Place {
-            leave_grace_ms: 300,
-            platforms: vec![platform.address],
-            ..Place::default()
-        },
-        ..EngineSettings::default()
-    };
-    let text = serde_json::to_string(&settings).unwrap();
+    let place = json!({"leave_grace_ms": 300, "platforms": [platform.address]});
+    let text = json!({"place": place}).to_string();
     let (mut engine, _) = start(ENGINE, "leaving", &text);
     while rows(platform).await.is_empty() {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
@@ -148,25 +142,13 @@
 #[tokio::test]
 async fn marked_prompt_ends_the_process() {
     let (mut engine, listening) = start(ENGINE, "crash", r#"{"crash_marker": "CRASH"}"#);
-    let layers = LayerRange { end: 32, start: 0 };
-    let request = GenerateRequest {
-        attempt: 1,
-        delivered: Vec::new(),
-        max_tokens: 1,
-        model: "assistant".into(),
-        priority: 0,
-        prompt: "CRASH".into(),
-        request: "r".into(),
-        route: Route {
-            layer_count: 32,
-            stages: vec![Stage {
-                address: listening.address,
-                layers,
-                target: "engine-1".into(),
-            }],
-        },
-        seed: 0,
-    };
+    let layers = json!({"end": 32, "start": 0});
+    let stage = json!({"address": listening.address, "layers": layers, "target": "engine-1"});
+    let request = json!({
+        "attempt": 1, "delivered": [], "max_tokens": 1, "model": "assistant", "priority": 0,
+        "prompt": "CRASH", "request": "r", "seed": 0,
+        "route": {"layer_count": 32, "stages": [stage]},
+    });
     let call = Call::post("/v1/generate", &request).unwrap();
     assert!(wire::call(listening.address, &call).await.is_err());
     assert_eq!(engine.0.wait().unwrap().code(), Some(134));
--- a/crates/target/tests/engine.rs
+++ b/crates/target/tests/engine.rs
@@ -4,9 +4,9 @@
 
 use {
     futures::StreamExt,
+    serde_json::{Value, json},
     standin::{
-        Ending, Engine, EngineFaults, EngineLog, EngineSettings, Place, Standin, answer_text,
-        answer_token,
+        Ending, Engine, EngineLog, EngineSettings, Place, Standin, answer_text, answer_token,
     },
     std::{sync::Arc, time::Duration},
     target::{EngineClient, Engines},
@@ -109,20 +109,16 @@
     reply.unwrap().json().unwrap()
 }
 
-async fn set(standin: &Standin, faults: &EngineFaults) {
-    let call = Call::with_json(Method::PUT, "/faults", faults).unwrap();
+async fn set(standin: &Standin, faults: Value) {
+    let call = Call::with_json(Method::PUT, "/faults", &faults).unwrap();
     wire::call(standin.address(), &call).await.unwrap();
 }
 
-async fn wait_for_idle(standin: &Standin) {
-    let engines = EngineClient::default();
-    loop {
-        let load = engines.load(standin.address()).await.unwrap();
-        // Streams of later stages count for a second; only slots and the queue matter here.
-        if load.waiting_count == 0 && load.running_count <= 1 {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
+fn failure_of_second(kind: FailureKind) -> AttemptFailure {
+    AttemptFailure {
+        attempt: 1,
+        kind,
+        target: "second".into(),
     }
 }
 
@@ -204,12 +200,12 @@
     let mut request = pair_request(&first, &second);
     request.prompt = "please CRASH now".into();
     let records = run(request).await;
-    let expected = AttemptFailure {
-        attempt: 1,
-        kind: FailureKind::Broken,
-        target: "second".into(),
-    };
-    assert_eq!(records, [Ok(StreamRecord::Failed(expected))]);
+    assert_eq!(
+        records,
+        [Ok(StreamRecord::Failed(failure_of_second(
+            FailureKind::Broken
+        )))]
+    );
     assert_eq!(second.wait().await, Ending::Crashed);
 }
 
@@ -220,18 +216,15 @@
     impatient.forward_limit_ms = 50;
     let first = Engine::start(impatient).await.unwrap();
     let second = Engine::start(settings(3, LAYER_COUNT)).await.unwrap();
-    let faults = EngineFaults {
-        frozen: true,
-        ..EngineFaults::default()
-    };
-    set(&second, &faults).await;
+    let faults = json!({"frozen": true});
+    set(&second, faults).await;
     let records = run(pair_request(&first, &second)).await;
-    let expected = AttemptFailure {
-        attempt: 1,
-        kind: FailureKind::Silent,
-        target: "second".into(),
-    };
-    assert_eq!(records, [Ok(StreamRecord::Failed(expected))]);
+    assert_eq!(
+        records,
+        [Ok(StreamRecord::Failed(failure_of_second(
+            FailureKind::Silent
+        )))]
+    );
 }
 
 /// Guards against work that goes on after its caller canceled it or went away.
@@ -258,7 +251,6 @@
     endless.request = "t".into();
     endless.max_tokens = 1;
     assert_eq!(run(endless).await.last(), Some(&end(1)));
-    wait_for_idle(&engine).await;
 }
 
 /// Guards against a request that keeps its slot although a more important one waits.
@@ -326,20 +318,13 @@
     let request = request(&[(&engine, "only", 0, LAYER_COUNT)]);
     let indexes =
         |records: &[_]| -> Vec<u32> { texts(records).iter().map(|text| text.0).collect() };
-    let faults = EngineFaults {
-        duplicate_every: 3,
-        reorder_every: 2,
-        ..EngineFaults::default()
-    };
-    set(&engine, &faults).await;
+    let faults = json!({"duplicate_every": 3, "reorder_every": 2});
+    set(&engine, faults).await;
     let records = run(request.clone()).await;
     assert_eq!(indexes(&records), [0, 2, 2, 1, 4, 3, 5]);
     assert_eq!(records.last(), Some(&end(6)));
-    let faults = EngineFaults {
-        drop_after_tokens: Some(2),
-        ..EngineFaults::default()
-    };
-    set(&engine, &faults).await;
+    let faults = json!({"drop_after_tokens": 2});
+    set(&engine, faults).await;
     let records = run(request).await;
     assert_eq!(indexes(&records), [0, 1]);
     assert_eq!(
--- a/crates/target/tests/service.rs
+++ b/crates/target/tests/service.rs
@@ -5,18 +5,17 @@
 
 use {
     platform::{Listings, PlatformClient},
-    standin::{
-        Ending, Execution, Place, Platform, Service, ServiceFaults, ServiceSettings, Standin,
-    },
+    serde_json::{Value, json},
+    standin::{Ending, Execution, Place, Platform, Service, ServiceSettings, Standin},
     std::time::Duration,
     target::{ServiceClient, Services},
     types::{CallReply, FailureKind},
     wire::Call,
 };
 
-async fn start(faults: ServiceFaults) -> Standin {
+async fn start(faults: Value) -> Standin {
     let settings = ServiceSettings {
-        faults,
+        faults: serde_json::from_value(faults).unwrap(),
         place: Place {
             leave_grace_ms: 0,
             ..Place::default()
@@ -45,11 +44,7 @@
 
 #[tokio::test]
 async fn refused_calls_do_not_run_and_dropped_ones_do() {
-    let faults = ServiceFaults {
-        drop_reply_count: 1,
-        refuse_count: 1,
-        ..ServiceFaults::default()
-    };
+    let faults = json!({"drop_reply_count": 1, "refuse_count": 1});
     let service = start(faults).await;
     assert_eq!(call(&service, "1").await, Err(FailureKind::Refused));
     assert_eq!(call(&service, "2").await, Err(FailureKind::Broken));
@@ -61,10 +56,7 @@
 
 #[tokio::test]
 async fn crash_breaks_the_call() {
-    let faults = ServiceFaults {
-        crash: true,
-        ..ServiceFaults::default()
-    };
+    let faults = json!({"crash": true});
     let service = start(faults).await;
     assert_eq!(call(&service, "1").await, Err(FailureKind::Broken));
     assert_eq!(service.wait().await, Ending::Crashed);
@@ -73,10 +65,7 @@
 /// Guards against a call in progress that a planned stop cuts off.
 #[tokio::test]
 async fn leaving_service_finishes_its_calls() {
-    let faults = ServiceFaults {
-        delay_ms: 100,
-        ..ServiceFaults::default()
-    };
+    let faults = json!({"delay_ms": 100});
     let service = start(faults).await;
     let running = async {
         while keys(&service).await.is_empty() {
