--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -219,9 +219,13 @@
         let stages = &step.route.stages;
         let own = &stages[step.position];
         self.thawed().await;
+        if self.is_deadly(step) {
+            self.lifecycle.crash();
+            std::future::pending::<()>().await;
+        }
         let prefill = self.begin(step);
         let busy = Duration::from_micros(self.settings.step_us) + prefill;
-        sleep(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
+        pause(busy.mul_f64(self.faults().slow_factor.max(0.0))).await;
         self.thawed().await;
         lock(&self.state).record(step, own.layers, self.settings.log_entry_count);
         let Some(next) = stages.get(step.position + 1) else {
@@ -231,7 +235,7 @@
             };
         };
         let link_us = self.settings.link_delay_us + self.faults().link_delay_us;
-        sleep(Duration::from_micros(link_us)).await;
+        pause(Duration::from_micros(link_us)).await;
         let mut forwarded = step.clone();
         forwarded.position += 1;
         let limit = Duration::from_millis(self.settings.forward_limit_ms);
@@ -250,6 +254,13 @@
         }
     }
 
+    /// Whether the prompt of a step makes this engine crash.
+    fn is_deadly(&self, step: &ForwardRequest) -> bool {
+        let marker = &self.settings.crash_marker;
+        let prompt = step.prefill.as_ref().map(|prefill| &prefill.prompt);
+        !marker.is_empty() && prompt.is_some_and(|prompt| prompt.contains(marker))
+    }
+
     /// Notes the start of an attempt and returns the time to process its prompt.
     fn begin(&self, step: &ForwardRequest) -> Duration {
         let Some(prefill) = &step.prefill else {
