--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -38,11 +38,15 @@
 mod claim;
 mod claims;
 mod command;
+mod config;
+mod config_read;
+mod config_settings;
 mod context;
 mod decision;
 mod detector;
 mod dispatch;
 mod drain;
+mod edit;
 mod event;
 mod failure;
 mod heartbeat;
@@ -73,6 +77,7 @@
 mod score;
 mod settings;
 mod slots;
+mod snapshot;
 mod status;
 mod submit;
 mod sweep;
@@ -84,12 +89,16 @@
     call_row::{
         CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
     },
+    config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
+    config_read::Reader,
     detector::{Detector, Silence},
+    edit::{Edit, EditEvent, EditState},
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
     record::Flight,
     request::{Entry, Job},
+    snapshot::{SnapshotStep, Snapshots},
     submit::refusal,
     sweep::Sweep,
 };
@@ -101,6 +110,8 @@
     cache::PrefixCaches,
     claims::Claims,
     command::Command,
+    config::Configs,
+    config_settings::ConfigSettings,
     context::Context,
     decision::{Candidate, Decision},
     drain::Drain,
