--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -38,6 +38,8 @@
     /// Time that a request runs; 100 ms if not set.
     pub durations: BTreeMap<RequestId, Duration>,
     pub ended: Vec<(RequestId, Duration)>,
+    /// Requests whose callers disconnected.
+    pub gone: BTreeSet<RequestId>,
     pub is_store_down: bool,
     pub listings: Vec<Listing>,
     pub log: Vec<(usize, Duration, Command)>,
@@ -58,6 +60,7 @@
             dead: BTreeSet::new(),
             durations: BTreeMap::new(),
             ended: Vec::new(),
+            gone: BTreeSet::new(),
             is_store_down: false,
             listings: Vec::new(),
             log: Vec::new(),
