Add entry addresses

Cause: callers cache the list, so its order must spread them and leave out departing instances. Change: addresses() with a weighted random order, the caller's failure domain first, and a jittered time to live.

--- /dev/null
+++ b/crates/control/src/address.rs
@@ -0,0 +1,94 @@
+use super::*;
+
+/// One entry address.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryAddress {
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Failure domain, so that callers can prefer their own.
+    pub failure_domain: FailureDomain,
+    /// Instance.
+    pub instance: InstanceId,
+}
+
+/// Answer to a caller that asks for entry addresses.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AddressAnswer {
+    /// Addresses in the order in which the caller should try them.
+    pub addresses: Vec<EntryAddress>,
+    /// Time after which the caller must ask again.
+    pub time_to_live: Duration,
+}
+
+/// Longest time to live of an answer. A leaving instance takes callers for this long after its
+/// peers know that it leaves.
+pub const MAX_TIME_TO_LIVE: Duration = Duration::from_millis(6_000);
+
+const MIN_TIME_TO_LIVE: Duration = Duration::from_millis(4_000);
+
+/// Weight of an instance without spare capacity, so that it is still tried last.
+const LEAST_WEIGHT: f64 = 0.1;
+
+/// Factor for a suspect instance.
+const SUSPECT_FACTOR: f64 = 0.1;
+
+/// Orders the entry instances for one caller: those in the caller's failure domain first, then
+/// those in a region where a live target holds `model`, each group in a random order weighted by
+/// spare capacity. Instances that are leaving, down or not ready are left out.
+#[must_use]
+pub fn addresses(
+    members: &Members,
+    identity: &Identity,
+    random: &mut ChaCha8Rng,
+    model: Option<&ModelId>,
+    caller_domain: Option<&FailureDomain>,
+) -> AddressAnswer {
+    let regions = regions_of(members, model);
+    let mut ranked = Vec::new();
+    let mut add = |entry: EntryAddress, region: &RegionId, weight: f64| {
+        let is_near = caller_domain == Some(&entry.failure_domain);
+        // Sorting by u^(1/w) in falling order is a weighted draw without replacement.
+        let draw = random.random::<f64>().powf(1.0 / weight.max(LEAST_WEIGHT));
+        ranked.push((is_near, regions.contains(region), draw, entry));
+    };
+    let own = members.own_state();
+    if own.ready && !own.leaving {
+        let entry = EntryAddress {
+            address: identity.address,
+            failure_domain: identity.failure_domain.clone(),
+            instance: identity.instance.clone(),
+        };
+        add(entry, &identity.region, f64::from(own.spare_count));
+    }
+    for peer in members.peers().filter(|peer| peer.takes_work()) {
+        let is_suspect = peer.health == TargetHealth::Suspect;
+        let factor = if is_suspect { SUSPECT_FACTOR } else { 1.0 };
+        let weight = f64::from(peer.spare_count) * peer.ramp_fraction * factor;
+        let entry = EntryAddress {
+            address: peer.address,
+            failure_domain: peer.failure_domain.clone(),
+            instance: peer.id.clone(),
+        };
+        add(entry, &peer.region, weight);
+    }
+    ranked.sort_by(|left, right| {
+        let groups = (right.0, right.1).cmp(&(left.0, left.1));
+        groups.then(right.2.total_cmp(&left.2))
+    });
+    let spread = MIN_TIME_TO_LIVE.as_millis() as u64..=MAX_TIME_TO_LIVE.as_millis() as u64;
+    AddressAnswer {
+        addresses: ranked.into_iter().map(|(_, _, _, entry)| entry).collect(),
+        time_to_live: Duration::from_millis(random.random_range(spread)),
+    }
+}
+
+fn regions_of(members: &Members, model: Option<&ModelId>) -> BTreeSet<RegionId> {
+    let Some(model) = model else {
+        return BTreeSet::new();
+    };
+    let holders = members.targets().filter(|target| {
+        let mut models = target.report.models.iter();
+        target.takes_work() && models.any(|loaded| loaded.model == *model)
+    });
+    holders.map(|target| target.region.clone()).collect()
+}
--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -5,7 +5,7 @@
     /// silence.
     pub fn tick(&mut self, context: &mut Context, own: &OwnState) {
         let now = context.now;
-        self.is_leaving = own.leaving;
+        self.own = own.clone();
         if now.saturating_sub(self.ticked_at) > PAUSE {
             self.forgive_silence(now);
         }
@@ -80,7 +80,7 @@
             let is_stale = now.saturating_sub(entry.target.reported_at) > standby;
             let is_collector = ranked.first() == Some(&own.0);
             let is_standby = ranked.get(1) == Some(&own.0) && is_stale;
-            let is_polled = (is_collector || is_standby) && !self.is_leaving;
+            let is_polled = (is_collector || is_standby) && !self.own.leaving;
             if is_polled && !entry.is_polled {
                 entry.belief.detector.reset(now);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,12 +17,13 @@
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
         Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
         FailureDomain, FailureKind, GenerateSubmission, Heartbeat, Incarnation, InstanceId,
-        Listing, ListingRole, Lists, LoadReport, LoadedModel, Nonce, OperationId, Order, Priority,
-        Refusal, RefusalKind, RegionId, RequestId, Route, Row, RowVersion, StoreFailure,
+        Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId, Nonce, OperationId, Order,
+        Priority, Refusal, RefusalKind, RegionId, RequestId, Route, Row, RowVersion, StoreFailure,
         StoreReply, StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
     },
 };
 
+mod address;
 mod belief;
 mod call_entry;
 mod call_reply;
@@ -69,6 +70,7 @@
 };
 
 pub use {
+    address::{AddressAnswer, EntryAddress, MAX_TIME_TO_LIVE, addresses},
     command::Command,
     config::Configs,
     config_settings::ConfigSettings,
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -26,10 +26,11 @@
     pub(crate) departures: BTreeMap<Arc<str>, (Incarnation, Duration)>,
     pub(crate) heartbeat_at: Duration,
     pub(crate) identity: Identity,
-    pub(crate) is_leaving: bool,
     /// Ids in the last list that was read; none before the first.
     pub(crate) listed: Option<BTreeSet<Arc<str>>>,
     pub(crate) listing_at: Duration,
+    /// What this instance told of itself at the last tick.
+    pub(crate) own: OwnState,
     pub(crate) peers: BTreeMap<InstanceId, PeerEntry>,
     pub(crate) settings: MemberSettings,
     /// Senders of heartbeats that no list has named yet, and when they were heard.
@@ -63,9 +64,9 @@
             departures: BTreeMap::new(),
             heartbeat_at: Duration::ZERO,
             identity,
-            is_leaving: false,
             listed: None,
             listing_at: Duration::ZERO,
+            own: OwnState::default(),
             peers: BTreeMap::new(),
             settings,
             strangers: BTreeMap::new(),
@@ -96,6 +97,12 @@
         self.peers.get(id).map(|entry| &entry.peer)
     }
 
+    /// What this instance told of itself at the last tick.
+    #[must_use]
+    pub fn own_state(&self) -> &OwnState {
+        &self.own
+    }
+
     /// Whether the platform's list was read at least once.
     #[must_use]
     pub fn has_listing(&self) -> bool {
@@ -143,7 +150,7 @@
     /// of owners start with a conditional write for that reason.
     #[must_use]
     pub fn is_owner(&self, key: &str) -> bool {
-        if self.is_leaving {
+        if self.own.leaving {
             return false;
         }
         let own = rendezvous::weight(key, &self.identity.instance);
