--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -100,7 +100,7 @@
 };
 
 pub use {
-    address::AddressAnswer,
+    address::{AddressAnswer, EntryAddress, MAX_TIME_TO_LIVE, addresses},
     admission::{Admission, Waiting},
     cache::PrefixCaches,
     claims::Claims,
--- a/crates/control/tests/request_model.rs
+++ b/crates/control/tests/request_model.rs
@@ -19,7 +19,10 @@
         time::Duration,
     },
     types::{FailureKind, OperationKind},
-    world::{World, call, generate},
+    world::{
+        World,
+        builder::{call, generate},
+    },
 };
 
 fn runner(cases: u32) -> TestRunner {
