--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -104,7 +104,7 @@
 };
 
 pub use {
-    address::AddressAnswer,
+    address::{AddressAnswer, EntryAddress, MAX_TIME_TO_LIVE, addresses},
     admission::{Admission, Waiting},
     assembly::{Assembly, AssemblyStep, Violation},
     cache::PrefixCaches,
--- /dev/null
+++ b/crates/control/tests/admission.rs
@@ -0,0 +1,209 @@
+//! Shares, limits and refusals of several nodes with simulated targets.
+
+mod world;
+
+use {
+    control::Event,
+    std::{collections::BTreeMap, time::Duration},
+    types::{GenerateSubmission, RefusalKind},
+    world::{
+        World,
+        builder::{generate, lists},
+    },
+};
+
+/// Guards against instances that see the same reports sending their next work to the same target.
+#[test]
+fn instances_do_not_herd() {
+    let mut world = World::new(8, 6, 1);
+    for round in 0..2 {
+        for node in 0..8 {
+            world.submit(node, generate("b", &format!("r{node}-{round}")));
+        }
+    }
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for work in &world.work {
+        *counts.entry(work.route[0].clone()).or_default() += 1;
+    }
+    assert_eq!(world.work.len(), 16);
+    assert!(counts.len() >= 5, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 6), "{counts:?}");
+}
+
+/// Guards against instances that all fill the same free places, and against places left unused
+/// while work waits.
+#[test]
+fn instances_share_free_places() {
+    let mut world = World::new(8, 6, 1);
+    for node in 0..8 {
+        world.send(node, Event::ListsReceived(lists(1_000)));
+        for index in 0..100 {
+            let id = format!("r{node}-{index}");
+            world
+                .durations
+                .insert(id.as_str().into(), Duration::from_millis(300));
+            world.submit(node, generate("a", &id));
+        }
+    }
+    world.run(1_500);
+    let (mut most, mut sum) = (0, 0);
+    for _ in 0..100 {
+        world.run(10);
+        most = most.max(world.work.len());
+        sum += world.work.len().min(48);
+    }
+    assert!(most <= 56, "{most} at targets with 48 places");
+    assert!(sum / 100 >= 40, "{} of 48 places are used", sum / 100);
+}
+
+/// Guards against short work that waits behind work running 100 times longer.
+#[test]
+fn short_work_passes_long_work() {
+    let mut world = World::new(1, 1, 1);
+    for index in 0..4 {
+        let id = format!("long{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(20));
+        world.submit(
+            0,
+            GenerateSubmission {
+                deadline: Duration::from_secs(600),
+                prompt_tokens: 900,
+                ..generate("a", &id)
+            },
+        );
+    }
+    world.run(22_000);
+    for index in 4..20 {
+        let id = format!("long{index}");
+        world
+            .durations
+            .insert(id.as_str().into(), Duration::from_secs(20));
+        world.submit(
+            0,
+            GenerateSubmission {
+                deadline: Duration::from_secs(600),
+                prompt_tokens: 900,
+                ..generate("a", &id)
+            },
+        );
+    }
+    assert!(world.work.len() < 8, "no place is kept for short work");
+    let submitted = world.now;
+    world.submit(0, generate("a", "short"));
+    world.run(1_000);
+    let ended = world
+        .ended_at("short")
+        .expect("short work waits behind long work");
+    assert!(ended - submitted <= Duration::from_millis(200));
+    world.run(80_000);
+    assert!(world.ended_at("long19").is_some(), "long work starves");
+}
+
+/// Guards against one account taking the capacity of another: completed work follows the weights.
+#[test]
+fn shares_follow_plan_weights() {
+    let mut world = World::new(1, 1, 1);
+    for index in 0..160 {
+        world.submit(0, generate("a", &format!("a{index}")));
+        world.submit(0, generate("b", &format!("b{index}")));
+    }
+    world.run(1_500);
+    let of_a = world
+        .ended
+        .iter()
+        .filter(|(id, _)| id.starts_with('a'))
+        .count();
+    let of_b = world.ended.len() - of_a;
+    let ratio = of_b as f64 / of_a as f64;
+    assert!((2.0..4.0).contains(&ratio), "a {of_a}, b {of_b}");
+}
+
+/// Guards against more running requests than the plan allows over all instances, and against an
+/// instance that gets none of a small limit.
+#[test]
+fn concurrency_limit_is_divided_by_demand() {
+    let mut world = World::new(4, 3, 1);
+    for node in 0..4 {
+        world.send(node, Event::ListsReceived(lists(6)));
+        world.submit(node, generate("a", &format!("first{node}")));
+    }
+    world.run(2_000);
+    for node in 0..4 {
+        for index in 0..10 {
+            let id = format!("r{node}-{index}");
+            world
+                .durations
+                .insert(id.as_str().into(), Duration::from_secs(2));
+            world.submit(node, generate("a", &id));
+        }
+    }
+    let (mut most, mut least) = (0, usize::MAX);
+    for _ in 0..800 {
+        world.run(10);
+        most = most.max(world.work.len());
+        least = least.min(world.work.len());
+    }
+    assert!(most <= 6, "{most} run under a limit of 6");
+    assert!(least >= 4, "only {least} run under a limit of 6");
+    world.run(10_000);
+    assert_eq!(world.ended.len(), 44);
+}
+
+/// Guards against refusals that are held back, and that name no time to come back.
+#[test]
+fn hopeless_work_is_refused_at_once() {
+    let mut world = World::new(1, 1, 1);
+    let patient = |index: usize| GenerateSubmission {
+        deadline: Duration::from_secs(600),
+        ..generate("a", &format!("r{index}"))
+    };
+    for index in 0..100 {
+        world.submit(0, patient(index));
+    }
+    let late = GenerateSubmission {
+        deadline: Duration::from_millis(300),
+        ..generate("a", "late")
+    };
+    world.submit(0, late);
+    for index in 100..300 {
+        world.submit(0, patient(index));
+    }
+    let (at, refusal) = &world.refusals("late")[0];
+    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Deadline));
+    assert!(
+        refusal.retry_after > Duration::from_millis(200),
+        "{refusal:?}"
+    );
+    let (at, refusal) = &world.refusals("r299")[0];
+    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Limit));
+    world.run(5_000);
+    assert!(
+        world.ended_at("r150").is_some(),
+        "queued work is not dispatched"
+    );
+}
+
+/// Guards against an instance that admits work with lists that may be outdated, and one that stops
+/// at a mere outage of the store.
+#[test]
+fn stale_instance_refuses_only_without_majority() {
+    let mut world = World::new(3, 3, 1);
+    world.is_store_down = true;
+    world.run(6_000);
+    world.submit(0, generate("a", "connected"));
+    assert_eq!(world.routes("connected").len(), 1);
+    world.cut_off = Some(0);
+    world.run(6_000);
+    world.submit(0, generate("a", "alone"));
+    let (_, refusal) = &world.refusals("alone")[0];
+    assert_eq!(refusal.kind, RefusalKind::StaleConfig);
+    assert!(refusal.retry_after > Duration::ZERO);
+    assert!(!world.nodes[0].status(world.now).ready);
+    assert!(world.nodes[1].status(world.now).ready);
+    world.is_store_down = false;
+    world.run(1_500);
+    world.submit(0, generate("a", "confirmed"));
+    assert_eq!(world.routes("confirmed").len(), 1);
+}
