--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -68,6 +68,8 @@
     fn drain(&mut self) {
         self.drain.start(self.context.now);
         self.requests.drain();
+        // Answers to callers that ask for addresses leave this instance out from now on.
+        self.tick();
     }
 
     /// Events of one request.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -23,12 +23,10 @@
 
 impl Node {
     /// Entry addresses for a caller, near runners of `model` if given.
-    pub fn addresses(&mut self, now: Duration, _model: Option<&ModelId>) -> AddressAnswer {
+    pub fn addresses(&mut self, now: Duration, model: Option<&ModelId>) -> AddressAnswer {
         self.set_time(now);
-        AddressAnswer {
-            addresses: vec![self.identity.address],
-            time_to_live: Duration::from_secs(5),
-        }
+        let random = &mut self.context.random;
+        addresses(&self.members, &self.identity, random, model, None)
     }
 
     /// Changes after `version`, or none when they are no longer held.
--- a/crates/control/tests/request.rs
+++ b/crates/control/tests/request.rs
@@ -1,4 +1,4 @@
-//! Whole requests through one or more nodes and simulated targets.
+//! Whole requests through one or two nodes and simulated targets: routes, retries, crashes, drain.
 
 mod world;
 
@@ -6,62 +6,17 @@
     control::{Command, Event},
     std::{collections::BTreeMap, time::Duration},
     types::{FailureKind, GenerateSubmission, OperationKind, RefusalKind},
-    world::{World, call, generate, lists},
+    world::{
+        World,
+        builder::{call, generate},
+    },
 };
 
-fn submit(world: &mut World, node: usize, generate: GenerateSubmission) {
-    world.send(node, Event::GenerateSubmitted(generate));
-}
-
-/// Guards against instances that see the same reports sending their next work to the same target.
-#[test]
-fn instances_do_not_herd() {
-    let mut world = World::new(8, 6, 1);
-    for round in 0..2 {
-        for node in 0..8 {
-            submit(&mut world, node, generate("b", &format!("r{node}-{round}")));
-        }
-    }
-    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
-    for work in &world.work {
-        *counts.entry(work.route[0].clone()).or_default() += 1;
-    }
-    assert_eq!(world.work.len(), 16);
-    assert!(counts.len() >= 5, "{counts:?}");
-    assert!(counts.values().all(|count| *count <= 6), "{counts:?}");
-}
-
-/// Guards against instances that all fill the same free places, and against places left unused
-/// while work waits.
-#[test]
-fn instances_share_free_places() {
-    let mut world = World::new(8, 6, 1);
-    for node in 0..8 {
-        world.send(node, Event::ListsReceived(lists(1_000)));
-        for index in 0..100 {
-            let id = format!("r{node}-{index}");
-            world
-                .durations
-                .insert(id.as_str().into(), Duration::from_millis(300));
-            submit(&mut world, node, generate("a", &id));
-        }
-    }
-    world.run(1_500);
-    let (mut most, mut sum) = (0, 0);
-    for _ in 0..100 {
-        world.run(10);
-        most = most.max(world.work.len());
-        sum += world.work.len().min(48);
-    }
-    assert!(most <= 56, "{most} at targets with 48 places");
-    assert!(sum / 100 >= 40, "{} of 48 places are used", sum / 100);
-}
-
 /// Guards against chains that skip or repeat layers, and decisions without a log line.
 #[test]
 fn routes_are_complete_chains_and_logged() {
     let mut world = World::new(1, 3, 4);
-    submit(&mut world, 0, generate("a", "r"));
+    world.submit(0, generate("a", "r"));
     assert_eq!(world.routes("r")[0].len(), 4);
     let mut decisions = world
         .log
@@ -75,137 +30,6 @@
     assert_eq!(decision.alternatives.len(), 8);
 }
 
-/// Guards against short work that waits behind work running 100 times longer.
-#[test]
-fn short_work_passes_long_work() {
-    let mut world = World::new(1, 1, 1);
-    for index in 0..4 {
-        let id = format!("long{index}");
-        world
-            .durations
-            .insert(id.as_str().into(), Duration::from_secs(20));
-        submit(
-            &mut world,
-            0,
-            GenerateSubmission {
-                deadline: Duration::from_secs(600),
-                prompt_tokens: 900,
-                ..generate("a", &id)
-            },
-        );
-    }
-    world.run(22_000);
-    for index in 4..20 {
-        let id = format!("long{index}");
-        world
-            .durations
-            .insert(id.as_str().into(), Duration::from_secs(20));
-        submit(
-            &mut world,
-            0,
-            GenerateSubmission {
-                deadline: Duration::from_secs(600),
-                prompt_tokens: 900,
-                ..generate("a", &id)
-            },
-        );
-    }
-    assert!(world.work.len() < 8, "no place is kept for short work");
-    let submitted = world.now;
-    submit(&mut world, 0, generate("a", "short"));
-    world.run(1_000);
-    let ended = world
-        .ended_at("short")
-        .expect("short work waits behind long work");
-    assert!(ended - submitted <= Duration::from_millis(200));
-    world.run(80_000);
-    assert!(world.ended_at("long19").is_some(), "long work starves");
-}
-
-/// Guards against one account taking the capacity of another: completed work follows the weights.
-#[test]
-fn shares_follow_plan_weights() {
-    let mut world = World::new(1, 1, 1);
-    for index in 0..160 {
-        submit(&mut world, 0, generate("a", &format!("a{index}")));
-        submit(&mut world, 0, generate("b", &format!("b{index}")));
-    }
-    world.run(1_500);
-    let of_a = world
-        .ended
-        .iter()
-        .filter(|(id, _)| id.starts_with('a'))
-        .count();
-    let of_b = world.ended.len() - of_a;
-    let ratio = of_b as f64 / of_a as f64;
-    assert!((2.0..4.0).contains(&ratio), "a {of_a}, b {of_b}");
-}
-
-/// Guards against more running requests than the plan allows over all instances, and against an
-/// instance that gets none of a small limit.
-#[test]
-fn concurrency_limit_is_divided_by_demand() {
-    let mut world = World::new(4, 3, 1);
-    for node in 0..4 {
-        world.send(node, Event::ListsReceived(lists(6)));
-        submit(&mut world, node, generate("a", &format!("first{node}")));
-    }
-    world.run(2_000);
-    for node in 0..4 {
-        for index in 0..10 {
-            let id = format!("r{node}-{index}");
-            world
-                .durations
-                .insert(id.as_str().into(), Duration::from_secs(2));
-            submit(&mut world, node, generate("a", &id));
-        }
-    }
-    let (mut most, mut least) = (0, usize::MAX);
-    for _ in 0..800 {
-        world.run(10);
-        most = most.max(world.work.len());
-        least = least.min(world.work.len());
-    }
-    assert!(most <= 6, "{most} run under a limit of 6");
-    assert!(least >= 4, "only {least} run under a limit of 6");
-    world.run(10_000);
-    assert_eq!(world.ended.len(), 44);
-}
-
-/// Guards against refusals that are held back, and that name no time to come back.
-#[test]
-fn hopeless_work_is_refused_at_once() {
-    let mut world = World::new(1, 1, 1);
-    let patient = |index: usize| GenerateSubmission {
-        deadline: Duration::from_secs(600),
-        ..generate("a", &format!("r{index}"))
-    };
-    for index in 0..100 {
-        submit(&mut world, 0, patient(index));
-    }
-    let late = GenerateSubmission {
-        deadline: Duration::from_millis(300),
-        ..generate("a", "late")
-    };
-    submit(&mut world, 0, late);
-    for index in 100..300 {
-        submit(&mut world, 0, patient(index));
-    }
-    let (at, refusal) = &world.refusals("late")[0];
-    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Deadline));
-    assert!(
-        refusal.retry_after > Duration::from_millis(200),
-        "{refusal:?}"
-    );
-    let (at, refusal) = &world.refusals("r299")[0];
-    assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Limit));
-    world.run(5_000);
-    assert!(
-        world.ended_at("r150").is_some(),
-        "queued work is not dispatched"
-    );
-}
-
 /// Guards against streams that are lost, or retried in the failure domain that failed, when a
 /// stage dies while the retry budget is empty.
 #[test]
@@ -216,7 +40,7 @@
         world
             .durations
             .insert(id.as_str().into(), Duration::from_secs(2));
-        submit(&mut world, 0, generate("a", &id));
+        world.submit(0, generate("a", &id));
     }
     let victim = world.work[0].route[1].clone();
     let broken: Vec<_> = world
@@ -298,10 +122,10 @@
         world
             .durations
             .insert(id.as_str().into(), Duration::from_secs(1));
-        submit(&mut world, index % 2, generate("b", &id));
+        world.submit(index % 2, generate("b", &id));
     }
     world.crashers.extend(["bad".into(), "again".into()]);
-    submit(&mut world, 0, generate("a", "bad"));
+    world.submit(0, generate("a", "bad"));
     assert_eq!(world.dead.len(), 2);
     let (_, refusal) = &world.refusals("bad")[0];
     assert_eq!(refusal.kind, RefusalKind::Quarantined);
@@ -310,7 +134,7 @@
         fingerprint: generate("a", "bad").fingerprint,
         ..generate("a", "again")
     };
-    submit(&mut world, 1, again);
+    world.submit(1, again);
     let (at, refusal) = &world.refusals("again")[0];
     assert_eq!((*at, refusal.kind), (world.now, RefusalKind::Quarantined));
     assert!(refusal.retry_after > Duration::from_secs(590));
@@ -332,7 +156,7 @@
         world
             .durations
             .insert(id.as_str().into(), Duration::from_secs(1));
-        submit(&mut world, 0, generate("a", &id));
+        world.submit(0, generate("a", &id));
     }
     let victim = world.work[0].route[0].clone();
     let suspects: Vec<_> = world
@@ -362,7 +186,7 @@
 #[test]
 fn disconnect_cancels() {
     let mut world = World::new(1, 1, 2);
-    submit(&mut world, 0, generate("a", "r"));
+    world.submit(0, generate("a", "r"));
     let commands = world.send(
         0,
         Event::CallerGone {
@@ -383,9 +207,16 @@
     };
     let mut world = World::new(2, 2, 1);
     world.durations.insert("r".into(), Duration::from_secs(9));
-    submit(&mut world, 0, generate("a", "r"));
+    world.submit(0, generate("a", "r"));
     world.send(0, Event::DrainStarted);
-    submit(&mut world, 0, generate("a", "new"));
+    assert!(
+        world.nodes[0]
+            .addresses(world.now, None)
+            .addresses
+            .iter()
+            .all(|entry| &*entry.instance == "n1")
+    );
+    world.submit(0, generate("a", "new"));
     assert_eq!(world.refusals("new")[0].1.kind, RefusalKind::Draining);
     world.run(8_500);
     assert_eq!(stops(&world), 0);
@@ -404,7 +235,7 @@
 fn priority_falls_with_length_to_a_floor() {
     let mut world = World::new(1, 1, 1);
     world.durations.insert("r".into(), Duration::from_secs(60));
-    submit(&mut world, 0, generate("a", "r"));
+    world.submit(0, generate("a", "r"));
     let mut last = 9;
     for delivered_tokens in [1, 100, 200, 500, 4_000, 100_000] {
         world.run(500);
@@ -431,26 +262,3 @@
         });
     assert_eq!(stalled, Some(9));
 }
-
-/// Guards against an instance that admits work with lists that may be outdated, and one that stops
-/// at a mere outage of the store.
-#[test]
-fn stale_instance_refuses_only_without_majority() {
-    let mut world = World::new(3, 3, 1);
-    world.is_store_down = true;
-    world.run(6_000);
-    submit(&mut world, 0, generate("a", "connected"));
-    assert_eq!(world.routes("connected").len(), 1);
-    world.cut_off = Some(0);
-    world.run(6_000);
-    submit(&mut world, 0, generate("a", "alone"));
-    let (_, refusal) = &world.refusals("alone")[0];
-    assert_eq!(refusal.kind, RefusalKind::StaleConfig);
-    assert!(refusal.retry_after > Duration::ZERO);
-    assert!(!world.nodes[0].status(world.now).ready);
-    assert!(world.nodes[1].status(world.now).ready);
-    world.is_store_down = false;
-    world.run(1_500);
-    submit(&mut world, 0, generate("a", "confirmed"));
-    assert_eq!(world.routes("confirmed").len(), 1);
-}
--- /dev/null
+++ b/crates/control/tests/world/query.rs
@@ -0,0 +1,54 @@
+//! What happened to single requests.
+
+use super::*;
+
+impl World {
+    /// Refusals of a request, with the time of each.
+    pub fn refusals(&self, request: &str) -> Vec<(Duration, Refusal)> {
+        let mut found = Vec::new();
+        for (_, at, command) in &self.log {
+            match command {
+                Command::Refuse {
+                    refusal,
+                    request: id,
+                } if &**id == request => {
+                    found.push((*at, refusal.clone()));
+                }
+                Command::AnswerCall {
+                    outcome: CallOutcome::NotRun(refusal),
+                    request: id,
+                } if &**id == request => found.push((*at, refusal.clone())),
+                _ => {}
+            }
+        }
+        found
+    }
+
+    /// Routes of the attempts of a request.
+    pub fn routes(&self, request: &str) -> Vec<Vec<TargetId>> {
+        let mut routes = Vec::new();
+        for (_, _, command) in &self.log {
+            match command {
+                Command::DispatchCall {
+                    request: id,
+                    target,
+                    ..
+                } if &**id == request => {
+                    routes.push(vec![target.clone()]);
+                }
+                Command::DispatchGenerate {
+                    request: id, route, ..
+                } if &**id == request => {
+                    routes.push(targets(route));
+                }
+                _ => {}
+            }
+        }
+        routes
+    }
+
+    pub fn ended_at(&self, request: &str) -> Option<Duration> {
+        let mut ended = self.ended.iter().filter(|(id, _)| &**id == request);
+        ended.next().map(|(_, at)| *at)
+    }
+}
