--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -65,9 +65,9 @@
         return response;
     };
     let mut others = Vec::new();
-    for address in &answer.addresses {
-        if *address != app.identity.address {
-            others.push(address.to_string());
+    for entry in &answer.addresses {
+        if entry.address != app.identity.address {
+            others.push(entry.address.to_string());
         }
     }
     if let Ok(value) = HeaderValue::try_from(others.join(", ")) {
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -299,10 +299,9 @@
     let fixture = Fixture::new();
     let addresses = request("GET", "/v1/addresses?model=m", &[KEY], "");
     let text = read_all(fixture.send(addresses).await).await;
-    assert_eq!(
-        text,
-        r#"{"addresses":["10.0.0.1:80"],"time_to_live_ms":4500}"#
-    );
+    let entry = r#"{"address":"10.0.0.1:80","failure_domain":"z","instance":"e"}"#;
+    let expected = format!(r#"{{"addresses":[{entry}],"time_to_live_ms":4500}}"#);
+    assert_eq!(text, expected);
     for path in ["/health", "/ready", "/metrics"] {
         let response = fixture.send(request("GET", path, &[], "")).await;
         assert_eq!(response.status(), 200, "{path}");
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use {
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, Command, Event, Holder, Identity, JournalAppend, OwnerStatus,
-        Status, TakeAnswer,
+        AddressAnswer, AppendAnswer, Command, EntryAddress, Event, Holder, Identity, JournalAppend,
+        OwnerStatus, Status, TakeAnswer,
     },
     entry::{App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
@@ -245,7 +245,11 @@
 impl Control for FakeControl {
     fn addresses(&self, _: Option<Arc<str>>) -> BoxFuture<'static, Option<AddressAnswer>> {
         let answer = AddressAnswer {
-            addresses: vec![SocketAddr::from(([10, 0, 0, 1], 80))],
+            addresses: vec![EntryAddress {
+                address: SocketAddr::from(([10, 0, 0, 1], 80)),
+                failure_domain: "z".into(),
+                instance: "e".into(),
+            }],
             time_to_live: Duration::from_millis(4_500),
         };
         async { Some(answer) }.boxed()
