--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -10,6 +10,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct JournalSettings {
+    /// Time after which a journal without new tokens is dropped, in milliseconds. At least the
+    /// longest stream; it ends copies whose owner lives on and whose last message was lost.
+    pub idle_ms: u64,
     /// Most memory for journals and copies together, in bytes. Past it, ended journals are dropped,
     /// oldest end first; if that is not enough, new ones are refused.
     pub max_bytes: usize,
@@ -20,6 +23,7 @@
 impl Default for JournalSettings {
     fn default() -> Self {
         Self {
+            idle_ms: 30 * 60 * 1_000,
             max_bytes: 8 * 1024 * 1024,
             retention_ms: 60_000,
         }
@@ -39,6 +43,8 @@
     owner: Holder,
     /// Who took the stream over. Invariant: once set, only this holder replaces the entry.
     taker: Option<Holder>,
+    /// When the newest tokens came.
+    touched: Duration,
 }
 
 impl Entry {
@@ -131,9 +137,11 @@
 
     /// Drops journals whose retention is over.
     pub fn expire(&mut self, now: Duration) {
+        let idle = Duration::from_millis(self.settings.idle_ms);
         let mut freed = 0;
         self.entries.retain(|_, entry| {
-            let kept = entry.expires.is_none_or(|expires| expires > now);
+            let is_idle = now.saturating_sub(entry.touched) >= idle;
+            let kept = !is_idle && entry.expires.is_none_or(|expires| expires > now);
             if !kept {
                 freed += entry.bytes;
             }
@@ -148,12 +156,12 @@
         self.entries.get(request).map(|entry| &entry.journal)
     }
 
-    /// Starts the retention of the copies of an instance that was lost or has stopped. A later
-    /// append from it ends the retention again.
-    pub fn owner_lost(&mut self, now: Duration, owner: &InstanceId) {
+    /// Starts the retention of the copies whose owner is not among the instances that live. A later
+    /// append from the owner ends the retention again.
+    pub fn keep_owners(&mut self, now: Duration, live: &BTreeSet<InstanceId>) {
         let expires = now + self.retention();
         for entry in self.entries.values_mut() {
-            if entry.owner.instance == *owner {
+            if !live.contains(&entry.owner.instance) {
                 entry.expires.get_or_insert(expires);
             }
         }
@@ -223,6 +231,7 @@
         entry.journal.tokens.extend(tokens);
         entry.journal.finish = entry.journal.finish.or(finish);
         entry.expires = entry.journal.finish.map(|_| expires);
+        entry.touched = now;
         AppendAnswer::Appended {
             next: token_count(&entry.journal),
         }
@@ -260,6 +269,7 @@
             journal,
             owner,
             taker: None,
+            touched: now,
         };
         self.bytes = self.bytes - replaced + bytes;
         self.entries.insert(request, entry);
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -6,8 +6,8 @@
         prelude::*,
         test_runner::{Config, RngAlgorithm, RngSeed},
     },
-    std::{sync::Arc, time::Duration},
-    types::Journal,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    types::{InstanceId, Journal},
 };
 
 fn journal(request: &str, tokens: &[Arc<str>]) -> Journal {
@@ -50,6 +50,10 @@
     }
 }
 
+fn live(instance: &str) -> BTreeSet<InstanceId> {
+    BTreeSet::from([instance.into()])
+}
+
 fn holder(instance: &str) -> Holder {
     Holder {
         instance: instance.into(),
@@ -116,7 +120,7 @@
                 0 => { journals.append(now, whole(&request)); }
                 1 => { journals.append(now, tokens(&request, 0, &answer(5))); }
                 2 => { journals.append(now, end(&request)); }
-                3 => journals.owner_lost(now, &"a".into()),
+                3 => journals.keep_owners(now, &live("b")),
                 _ => {
                     let answer = journals.take(
                         now, &request.as_str().into(), &"lagoon".into(), &holder(&instance),
@@ -161,7 +165,10 @@
     journals.append(second(0), whole("r"));
     journals.expire(second(1_000));
     assert_eq!(journals.count(), 1);
-    journals.owner_lost(second(1_000), &"a".into());
+    journals.keep_owners(second(1_000), &live("a"));
+    journals.expire(second(1_500));
+    assert_eq!(journals.count(), 1);
+    journals.keep_owners(second(1_000), &live("b"));
     journals.append(second(1_059), tokens("r", 0, &answer(1)));
     journals.expire(second(1_100));
     assert_eq!(journals.count(), 1);
@@ -206,3 +213,16 @@
         AppendAnswer::Taken { by }
     );
 }
+
+/// Guards against copies that stay for ever because the last message of a live owner was lost.
+#[test]
+fn a_copy_without_new_tokens_is_dropped() {
+    let mut journals = Journals::new(JournalSettings::default());
+    journals.append(Duration::ZERO, whole("r"));
+    let minutes = |count: u64| Duration::from_secs(60 * count);
+    journals.append(minutes(20), tokens("r", 0, &answer(1)));
+    journals.expire(minutes(49));
+    assert_eq!(journals.count(), 1);
+    journals.expire(minutes(50));
+    assert_eq!((journals.count(), journals.bytes()), (0, 0));
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -81,9 +81,20 @@
         self.parts.control.report(event);
     }
 
-    /// Drops what belongs to journals whose retention is over.
-    pub(crate) fn sweep(&self) {
+    /// Drops what belongs to journals whose retention is over, and to instances that are gone.
+    pub(crate) async fn sweep(&self) {
+        let status = self.parts.control.status().await;
+        let mut live = BTreeSet::from([self.identity.instance.clone()]);
+        for instance in status.iter().flat_map(|status| &status.instances) {
+            if instance.health != TargetHealth::Down {
+                live.insert(instance.id.clone());
+            }
+        }
+        lock(&self.heartbeats).retain(|instance, _| live.contains(instance));
         let mut journals = lock(&self.journals);
+        if status.is_some() {
+            journals.keep_owners(self.now(), &live);
+        }
         journals.expire(self.now());
         lock(&self.backups).retain(|request, _| journals.get(request).is_some());
         metrics::gauge!("entry_journal_bytes").set(journals.bytes() as f64);
--- a/crates/entry/src/control_thread.rs
+++ b/crates/entry/src/control_thread.rs
@@ -81,6 +81,7 @@
             // Without a receiver the instance is ending, and its commands have no effect.
             let _ = self.commands.send(command);
         }
+        metrics::gauge!("entry_unexpected_events").set(self.node.unexpected_count() as f64);
     }
 }
 
--- a/crates/entry/src/copier.rs
+++ b/crates/entry/src/copier.rs
@@ -104,7 +104,7 @@
         };
         self.keep(append.clone());
         if let Some((_, address)) = self.backup {
-            // A copy that misses this is dropped a while after its owner is gone.
+            // A copy that misses this is dropped after `journal.idle_ms`.
             let _ = self.app.parts.peers.append_journal(address, append).await;
         }
     }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -133,7 +133,7 @@
     let mut interval = tokio::time::interval(SWEEP);
     loop {
         interval.tick().await;
-        app.sweep();
+        app.sweep().await;
     }
 }
 
--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -155,6 +155,13 @@
         faults.range("stream.batch_ms", self.stream.batch_ms, 0..=1_000, time);
         faults.range("stream.idle_ms", self.stream.idle_ms, 1..=day_ms, time);
         faults.range("stream.limit_ms", self.stream.limit_ms, 1..=day_ms, time);
+        faults.require(
+            self.journal.idle_ms >= self.stream.limit_ms,
+            "journal.idle_ms",
+            self.journal.idle_ms,
+            "is shorter than `stream.limit_ms`",
+            "set it to at least the longest stream, so that no running stream loses its copy",
+        );
         let count = "choose a count within the range";
         let threads = self.traffic_thread_count;
         faults.range("traffic_thread_count", threads, 1..=256, count);
--- /dev/null
+++ b/crates/entry/tests/instance.rs
@@ -0,0 +1,111 @@
+//! Whole instances on loopback without a platform: start, limits on input, and both ways to stop.
+
+use {
+    entry::{Running, Settings, Shutdown, start},
+    std::net::SocketAddr,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::watch,
+    },
+    wire::Call,
+};
+
+fn settings() -> Settings {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = Settings {
+        address: loopback,
+        peer_address: loopback,
+        ..Settings::default()
+    };
+    // Nothing listens on port 1, so the platform is down.
+    settings.platform.addresses = vec![SocketAddr::from(([127, 0, 0, 1], 1))];
+    settings.peer.secret = "secret".into();
+    settings.limits.body_bytes = 1_000;
+    settings
+}
+
+async fn started(settings: Settings) -> (Running, watch::Sender<Shutdown>) {
+    let (sender, shutdown) = watch::channel(Shutdown::None);
+    let running = start(settings, shutdown).await.expect("free ports");
+    (running, sender)
+}
+
+/// Guards against an instance that admits work, or does not start, while the platform is down.
+#[tokio::test]
+async fn without_a_platform_it_lives_and_is_not_ready() {
+    let (running, _shutdown) = started(settings()).await;
+    for (path, status) in [("/health", 200), ("/ready", 503), ("/metrics", 200)] {
+        let reply = wire::call(running.address, &Call::get(path)).await.unwrap();
+        assert_eq!(reply.status, status, "{path}");
+    }
+}
+
+/// Guards against an instance that waits for work, or for the platform, when it must end at once.
+#[tokio::test]
+async fn an_immediate_stop_needs_nobody() {
+    let (running, shutdown) = started(settings()).await;
+    shutdown.send(Shutdown::Immediate).unwrap();
+    running.ended().await;
+}
+
+/// Guards against a graceful stop that never ends: a second request ends it, and so does the limit.
+#[tokio::test]
+async fn a_graceful_stop_can_be_cut_short() {
+    let (running, shutdown) = started(settings()).await;
+    shutdown.send(Shutdown::Graceful).unwrap();
+    let mut text = String::new();
+    while !text.contains("draining") {
+        let reply = wire::call(running.address, &Call::get("/ready")).await;
+        text = String::from_utf8_lossy(&reply.unwrap().body).into_owned();
+    }
+    shutdown.send(Shutdown::Immediate).unwrap();
+    running.ended().await;
+    let (running, shutdown) = started(Settings {
+        drain_limit_ms: 1,
+        ..settings()
+    })
+    .await;
+    shutdown.send(Shutdown::Graceful).unwrap();
+    running.ended().await;
+}
+
+/// Guards against input that is not HTTP, or too long, and against harm to other connections.
+#[tokio::test]
+async fn wrong_input_is_refused_and_harms_nobody() {
+    let (running, _shutdown) = started(settings()).await;
+    let long_head = format!("GET /health HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(40_000));
+    let long_body = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n{}",
+        "a".repeat(2_000)
+    );
+    for (input, status) in [
+        ("\u{0}\u{1}\r\n\r\n", "400"),
+        ("GET / HTTP/1.1\r\ncontent-length: -1\r\n\r\n", "400"),
+        (&*long_head, "431"),
+        (&*long_body, "413"),
+    ] {
+        let mut stream = TcpStream::connect(running.address).await.unwrap();
+        // The other side may close the connection before it has read everything.
+        let _ = stream.write_all(input.as_bytes()).await;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).await.unwrap();
+        let head = String::from_utf8_lossy(&head).into_owned();
+        assert_eq!(head, format!("HTTP/1.1 {status}"));
+        let reply = wire::call(running.address, &Call::get("/health")).await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+}
+
+/// Guards against a message that does not say which setting is wrong.
+#[tokio::test]
+async fn a_used_port_names_its_setting() {
+    let (running, _shutdown) = started(settings()).await;
+    let (_sender, shutdown) = watch::channel(Shutdown::None);
+    let taken = Settings {
+        peer_address: running.peer_address,
+        ..settings()
+    };
+    let error = start(taken, shutdown).await.unwrap_err().to_string();
+    assert!(error.contains("`peer_address`"), "{error}");
+}
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -11,7 +11,7 @@
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
     types::{
         AccountId, Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
-        Nonce, RequestId,
+        Nonce, RequestId, TargetDigest, TargetHealth,
     },
 };
 
@@ -48,7 +48,7 @@
     }
 
     fn heartbeat(&self, heartbeat: Heartbeat) -> BoxFuture<'static, ()> {
-        self.record(format!("heartbeat {}", heartbeat.sender));
+        self.record(format!("heartbeat {heartbeat:?}"));
         async {}.boxed()
     }
 
@@ -129,6 +129,33 @@
     }
 }
 
+fn heartbeat() -> Heartbeat {
+    let digest = TargetDigest {
+        age_ms: 1,
+        health: TargetHealth::Live,
+        incarnation: 1,
+        models: Some(Vec::new()),
+        rate_per_s: 1.5,
+        running_count: 1,
+        slot_count: 2,
+        target: "t".into(),
+        waiting_count: 0,
+    };
+    Heartbeat {
+        config_version: 7,
+        confirmed_age_ms: 1,
+        crashes: Vec::new(),
+        demands: Vec::new(),
+        departures: Vec::new(),
+        digests: vec![digest],
+        incarnation: 9,
+        leaving: false,
+        ready: true,
+        sender: "a".into(),
+        spare_count: 3,
+    }
+}
+
 fn holder() -> Holder {
     Holder {
         instance: "a".into(),
@@ -147,13 +174,15 @@
     assert_eq!(changes, Changes::Lists(Arc::new(Lists::default())));
     let changes = pool.changes_since(address, 4).await.unwrap();
     assert_eq!(changes, Changes::Records(vec![record(5)]));
+    pool.heartbeat(address, heartbeat()).await.unwrap();
     pool.push_changes(address, vec![record(1)]).await.unwrap();
     pool.leave(address, "a".into(), 9).await.unwrap();
     let taken = pool.take_journal(address, "r".into(), "x".into(), holder());
     let by = "a".into();
     assert_eq!(taken.await.unwrap(), TakeAnswer::Taken { by });
     let calls = server.fake.calls.lock().unwrap().clone();
-    assert_eq!(calls, ["append r", "push 1", "leave a 9"]);
+    let heard = format!("heartbeat {:?}", heartbeat());
+    assert_eq!(calls, ["append r", &heard, "push 1", "leave a 9"]);
 }
 
 /// Guards against calls of a process that does not know the secret, or of one without any.
