Test exhausted retries and the failure domain of retries

Cause: removing the rule for accepted streams, the unknown outcome or the avoided domain passed all tests. Change: one test and one check in tests/request.rs.

--- a/crates/control/tests/request.rs
+++ b/crates/control/tests/request.rs
@@ -5,7 +5,7 @@
 use {
     control::{Command, Event},
     std::{collections::BTreeMap, time::Duration},
-    types::{FailureKind, GenerateSubmission, OperationKind, RefusalKind},
+    types::{CallOutcome, FailureKind, GenerateSubmission, OperationKind, RefusalKind},
     world::{
         World,
         builder::{call, generate},
@@ -56,6 +56,9 @@
         let routes = world.routes(request);
         assert_eq!(routes.len(), 2, "{request}: {routes:?}");
         assert!(!routes[1].contains(&victim));
+        let domain = &victim[..3];
+        let is_elsewhere = routes[1].iter().all(|target| !target.starts_with(domain));
+        assert!(is_elsewhere, "{request}: {routes:?}");
     }
     assert_eq!(world.ended.len(), 8);
 }
@@ -262,3 +265,42 @@
         });
     assert_eq!(stalled, Some(9));
 }
+
+/// Guards against accepted streams that are lost to an empty budget, and against "not run" for a
+/// call that may have run.
+#[test]
+fn exhausted_retries_neither_lose_streams_nor_lie() {
+    let mut world = World::new(1, 3, 1);
+    world.submit(0, generate("a", "stream"));
+    world.send(
+        0,
+        Event::Progressed {
+            delivered_tokens: 5,
+            request: "stream".into(),
+        },
+    );
+    world.send(
+        0,
+        Event::CallSubmitted(call("a", "call", OperationKind::Idempotent)),
+    );
+    for _ in 0..200 {
+        for work in std::mem::take(&mut world.work) {
+            let target = work.route[0].clone();
+            world.fail(&work, &target, FailureKind::Silent, 0);
+        }
+        world.run(30);
+    }
+    world.run(2_000);
+    assert!(world.refusals("stream").is_empty() && world.ended_at("stream").is_some());
+    assert!(world.refusals("call").is_empty(), "told as not run");
+    let is_unknown = |entry: &(usize, Duration, Command)| {
+        matches!(
+            &entry.2,
+            Command::AnswerCall {
+                outcome: CallOutcome::Unknown,
+                ..
+            }
+        )
+    };
+    assert!(world.log.iter().any(is_unknown));
+}
