Add orders to engines and the placement policy

Cause: engines must follow demand, also where they ignore fences and while owners change. Change: Orders with the row first, its version as fence, one order outstanding, and a token row for loads; placement with hysteresis and cover in two failure domains; charts/order.json.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,9 +17,10 @@
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
         Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
         FailureDomain, FailureKind, GenerateSubmission, Heartbeat, Incarnation, InstanceId,
-        Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId, Nonce, OperationId, Order,
-        Priority, Refusal, RefusalKind, RegionId, RequestId, Route, Row, RowVersion, StoreFailure,
-        StoreReply, StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
+        LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId, Nonce,
+        OperationId, Order, Priority, Refusal, RefusalKind, RegionId, RequestId, Route, Row,
+        RowVersion, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetDigest,
+        TargetHealth, TargetId, WantedState, Write,
     },
 };
 
@@ -43,14 +44,19 @@
 mod member;
 mod member_settings;
 mod observation;
+mod order;
+mod order_settings;
 mod outcome;
+mod owned_engine;
 mod peer;
+mod placement;
 mod record;
 mod record_settings;
 mod rendezvous;
 mod snapshot;
 mod sweep;
 mod target;
+mod token_row;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
@@ -64,9 +70,12 @@
     edit::{Edit, EditEvent, EditState},
     member::TargetEntry,
     outcome::Outbox,
+    owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
+    placement::Placements,
     record::Flight,
     snapshot::{SnapshotStep, Snapshots},
     sweep::Sweep,
+    token_row::{TOKENS, TokenRow},
 };
 
 pub use {
@@ -80,6 +89,8 @@
     identity::Identity,
     member::{Members, OwnState},
     member_settings::MemberSettings,
+    order::Orders,
+    order_settings::OrderSettings,
     peer::Peer,
     record::{RecordEffect, Records},
     record_settings::RecordSettings,
--- /dev/null
+++ b/crates/control/src/token_row.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+/// Loads that the weight store takes, as a token bucket in one row of the table.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TokenRow {
+    bucket: Option<Bucket>,
+    /// Version of the row; 0 for absent.
+    pub(crate) version: RowVersion,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Bucket {
+    /// Wall-clock time in milliseconds at which `count` was true.
+    at_ms: u64,
+    count: f64,
+}
+
+impl TokenRow {
+    /// Finds the row among those of a read.
+    pub(crate) fn read(rows: &[Row]) -> Self {
+        let row = rows.iter().find(|row| &*row.key == TOKENS);
+        Self {
+            bucket: row.and_then(|row| serde_json::from_str(&row.value).ok()),
+            version: row.map_or(0, |row| row.version),
+        }
+    }
+
+    pub(crate) fn has_one(&self, wall_ms: u64, settings: &OrderSettings) -> bool {
+        self.count(wall_ms, settings) >= 1.0
+    }
+
+    /// Value of the row after one load.
+    pub(crate) fn taken(&self, wall_ms: u64, settings: &OrderSettings) -> Arc<str> {
+        let last_ms = self.bucket.as_ref().map_or(0, |bucket| bucket.at_ms);
+        to_value(&Bucket {
+            // An instance whose clock is behind must not add the difference twice.
+            at_ms: wall_ms.max(last_ms),
+            count: self.count(wall_ms, settings) - 1.0,
+        })
+    }
+
+    fn count(&self, wall_ms: u64, settings: &OrderSettings) -> f64 {
+        let Some(bucket) = &self.bucket else {
+            return settings.token_max_count;
+        };
+        let minutes = wall_ms.saturating_sub(bucket.at_ms) as f64 / 60_000.0;
+        let count = bucket.count + minutes * settings.loads_per_minute;
+        count.min(settings.token_max_count)
+    }
+}
+
+/// Row that spaces loads to the weight store's rate limit.
+pub(crate) const TOKENS: &str = "order-tokens";
--- /dev/null
+++ b/crates/control/tests/order.rs
@@ -0,0 +1,271 @@
+//! Named failures of orders to engines and of placement.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    control::{Command, Context, Decision, OrderSettings, Orders},
+    std::collections::BTreeMap,
+    support::{context, engine_listing, mesh::Mesh, ms, peer_listing, table::Table},
+    types::{LayerRange, LoadReport, LoadedModel, Order, StoreFailure, TargetId},
+};
+
+/// How the store answers.
+#[derive(Clone, Copy, PartialEq)]
+enum Store {
+    Late(u64),
+    Lost,
+    Works,
+}
+
+/// One instance, its engines, and the table.
+struct World {
+    context: Context,
+    logs: Vec<Decision>,
+    mesh: Mesh,
+    orders: Orders,
+    sent: Vec<(TargetId, Order)>,
+    store: Store,
+    table: Table,
+}
+
+impl World {
+    /// Engines by name and domain, each with the work and the model that it reports.
+    fn new(engines: &[(&str, &str, u32, &str)], settings: OrderSettings) -> Self {
+        let mut listings = vec![peer_listing("a")];
+        let mut reports = BTreeMap::new();
+        for (name, domain, running_count, model) in engines {
+            listings.push(engine_listing(name, domain));
+            let report = LoadReport {
+                incarnation: 1,
+                models: Vec::from_iter((!model.is_empty()).then(|| loaded(model))),
+                running_count: *running_count,
+                slot_count: 10,
+                ..LoadReport::default()
+            };
+            reports.insert(TargetId::from(*name), report);
+        }
+        let mut mesh = Mesh::new(listings, &[]);
+        mesh.reports = reports;
+        mesh.start("a", "a");
+        Self {
+            context: context(5),
+            logs: Vec::new(),
+            mesh,
+            orders: Orders::new(settings),
+            sent: Vec::new(),
+            store: Store::Works,
+            table: Table::default(),
+        }
+    }
+
+    fn run(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / 50 {
+            self.mesh.run(50);
+            let members = &self.mesh.instances["a"].0;
+            self.context.now += ms(50);
+            self.context.wall += ms(50);
+            self.orders.tick(&mut self.context, members);
+            while !self.context.commands.is_empty() {
+                for command in std::mem::take(&mut self.context.commands) {
+                    self.take(command);
+                }
+            }
+        }
+        assert_eq!(self.context.unexpected_count, 0);
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Log(decision) => self.logs.push(decision),
+            Command::SendOrder { order, target, .. } => {
+                let row = &self.table.rows[&*format!("order/{target}")];
+                assert_eq!(row.version, order.fence, "sent without its row");
+                self.sent.push((target, order));
+            }
+            Command::Store { request, ticket } => {
+                let reply = self.table.run(&request);
+                let result = match self.store {
+                    Store::Late(late_ms) => {
+                        self.context.now += ms(late_ms);
+                        Ok(reply)
+                    }
+                    Store::Lost => Err(StoreFailure::Ambiguous),
+                    Store::Works => Ok(reply),
+                };
+                self.orders
+                    .store_replied(&mut self.context, ticket, &result);
+            }
+            _ => {}
+        }
+    }
+
+    /// Makes an engine reach the state of its last order.
+    fn obey(&mut self) {
+        for (target, order) in &self.sent {
+            let report = self.mesh.reports.get_mut(target).unwrap();
+            report.fence = order.fence;
+            report.models.clone_from(&order.wanted.models);
+        }
+    }
+
+    fn targets(&self) -> Vec<&str> {
+        self.sent.iter().map(|(target, _)| &**target).collect()
+    }
+}
+
+fn loaded(model: &str) -> LoadedModel {
+    LoadedModel {
+        adapters: Vec::new(),
+        layer_count: 8,
+        layers: LayerRange { start: 0, end: 8 },
+        model: model.into(),
+    }
+}
+
+/// Model `m` is short of engines, and `spare` holds nothing.
+fn short_of_engines() -> World {
+    let engines = [
+        ("e1", "a", 12, "m"),
+        ("e2", "b", 12, "m"),
+        ("spare", "b", 0, ""),
+    ];
+    World::new(&engines, OrderSettings::default())
+}
+
+/// Guards against an order without its row, a second order before the first is seen, and a
+/// decision without a reason in the log.
+#[test]
+fn lasting_need_loads_one_engine_and_waits() {
+    let mut world = short_of_engines();
+    world.run(30_000);
+    assert_eq!(world.targets(), ["spare"]);
+    let decision = world
+        .logs
+        .iter()
+        .find(|decision| decision.kind == "order")
+        .unwrap();
+    assert!(decision.reason.contains("high use"), "{}", decision.reason);
+    world.obey();
+    world.run(60_000);
+    assert_eq!(world.targets(), ["spare"]);
+}
+
+/// Guards against engines that are moved for a short burst, or back and forth at the limit.
+#[test]
+fn short_or_middling_need_moves_nothing() {
+    let mut world = short_of_engines();
+    world.run(8_000);
+    for _ in 0..4 {
+        for (running_count, duration_ms) in [(6, 3_000), (8, 20_000), (12, 8_000)] {
+            for name in ["e1", "e2"] {
+                world.mesh.reports.get_mut(name).unwrap().running_count = running_count;
+            }
+            world.run(duration_ms);
+        }
+    }
+    assert!(world.sent.is_empty());
+}
+
+/// Guards against an engine that ignores fences and was set by an older order.
+#[test]
+fn report_of_another_state_repeats_the_order_under_a_new_fence() {
+    let mut world = short_of_engines();
+    world.run(20_000);
+    world.obey();
+    world.run(5_000);
+    world.mesh.reports.get_mut("spare").unwrap().models = vec![loaded("old")];
+    world.run(60_000);
+    let (first, last) = (&world.sent[0].1, &world.sent.last().unwrap().1);
+    assert_eq!(first.wanted, last.wanted);
+    assert!(last.fence > first.fence && world.sent.len() <= 3);
+}
+
+/// Guards against an order whose write may not have taken effect, and one that a paused owner
+/// sends after another owner may have replaced it.
+#[test]
+fn lost_or_late_write_sends_nothing_until_the_wait_is_over() {
+    for store in [Store::Lost, Store::Late(6_000)] {
+        let mut world = short_of_engines();
+        world.run(10_000);
+        world.store = store;
+        world.run(3_000);
+        assert!(world.sent.is_empty());
+        world.store = Store::Works;
+        world.run(80_000);
+        assert!(world.sent.iter().all(|(target, _)| &**target == "spare"));
+        assert!(!world.sent.is_empty());
+    }
+}
+
+/// Guards against a new owner that orders while the order of the one before is outstanding.
+#[test]
+fn order_of_an_earlier_owner_is_waited_for() {
+    let mut world = short_of_engines();
+    world.run(20_000);
+    assert_eq!(world.sent.len(), 1);
+    world.orders = Orders::new(OrderSettings::default());
+    world.run(29_000);
+    assert_eq!(world.sent.len(), 1);
+    world.run(20_000);
+    assert_eq!(world.sent.len(), 2);
+}
+
+/// Guards against more loads than the weight store takes.
+#[test]
+fn loads_are_spaced_by_the_token_row() {
+    let settings = OrderSettings {
+        lasting_ms: 1_000,
+        loads_per_minute: 1.0,
+        token_max_count: 1.0,
+        wait_ms: 1_000,
+        ..OrderSettings::default()
+    };
+    let mut engines = vec![("e1", "a", 90, "m"), ("e2", "b", 90, "m")];
+    engines.extend(["s1", "s2", "s3"].map(|name| (name, "a", 0, "")));
+    let mut world = World::new(&engines, settings);
+    for count in 1..=3 {
+        world.run(if count == 1 { 10_000 } else { 60_000 });
+        world.obey();
+        assert!((1..=count).contains(&world.sent.len()));
+    }
+    assert!(world.sent.len() >= 2);
+}
+
+/// Guards against a move that leaves a model in one failure domain, and a donor that is itself
+/// short afterwards.
+#[test]
+fn donors_keep_their_cover_and_their_places() {
+    let engines = [
+        ("e1", "a", 20, "m"),
+        ("e2", "b", 20, "m"),
+        ("d1", "a", 0, "idle"),
+        ("d2", "b", 0, "idle"),
+        ("f1", "a", 8, "full"),
+        ("f2", "b", 8, "full"),
+        ("f3", "b", 8, "full"),
+    ];
+    let mut world = World::new(&engines, OrderSettings::default());
+    world.run(60_000);
+    assert!(world.sent.is_empty(), "{:?}", world.targets());
+    world.mesh.listings.push(engine_listing("d3", "b"));
+    let report = world.mesh.reports["d2"].clone();
+    world.mesh.reports.insert("d3".into(), report);
+    world.run(60_000);
+    assert!(
+        world
+            .targets()
+            .iter()
+            .all(|target| ["d2", "d3"].contains(target))
+    );
+    assert!(!world.sent.is_empty());
+}
+
+/// Guards against a model that a lost failure domain takes away.
+#[test]
+fn lost_cover_is_repaired_in_another_domain() {
+    let engines = [("e1", "a", 1, "m"), ("s1", "a", 0, ""), ("s2", "b", 0, "")];
+    let mut world = World::new(&engines, OrderSettings::default());
+    world.run(30_000);
+    assert_eq!(world.targets(), ["s2"]);
+}
