Merge orders to engines and compose them in Node

Cause: placement is driven by the same state machine. Change: merges branch state; Node passes load reports, store replies, failures and ticks to Orders.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,7 +22,7 @@
         InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
         Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind, RegionId,
         RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
-        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
+        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, WantedState, Write,
     },
 };
 
@@ -57,8 +57,12 @@
 mod member_settings;
 mod node;
 mod observation;
+mod order;
+mod order_settings;
 mod outcome;
+mod owned_engine;
 mod peer;
+mod placement;
 mod priority;
 mod progress;
 mod quarantine;
@@ -78,6 +82,7 @@
 mod submit;
 mod sweep;
 mod target;
+mod token_row;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
@@ -92,11 +97,14 @@
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
+    owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
+    placement::Placements,
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     submit::refusal,
     sweep::Sweep,
+    token_row::{TOKENS, TokenRow},
 };
 
 pub use {
@@ -119,6 +127,8 @@
     member::{Members, OwnState},
     member_settings::MemberSettings,
     node::Node,
+    order::Orders,
+    order_settings::OrderSettings,
     peer::Peer,
     priority::generation_priority,
     quarantine::Quarantine,
