--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -121,15 +121,6 @@
         draw < free / factor
     }
 
-    /// Requests of this instance that run at a target.
-    #[must_use]
-    pub fn running_count(&self, target: &TargetId) -> usize {
-        self.held.get(target).map_or(0, |held| {
-            let running = held.work.iter().filter(|work| work.ended_at.is_none());
-            running.count()
-        })
-    }
-
     /// Notes that a request was sent to a target.
     pub fn start(
         &mut self,
--- a/crates/control/tests/request_model.rs
+++ b/crates/control/tests/request_model.rs
@@ -51,6 +51,19 @@
     answered.count() + completed.count()
 }
 
+fn fail(world: &mut World, kind: usize, pick: usize) {
+    let work = world.work.remove(pick % world.work.len());
+    let target = work.route[pick % work.route.len()].clone();
+    let kinds = [
+        FailureKind::Refused,
+        FailureKind::Unreachable,
+        FailureKind::Silent,
+        FailureKind::Broken,
+    ];
+    let kind = kinds[kind + pick % 2];
+    world.fail(&work, &target, kind, pick as u32 % 40);
+}
+
 fn act(world: &mut World, index: usize, action: u8, pick: usize) {
     let node = pick % world.nodes.len();
     match action {
@@ -66,18 +79,7 @@
             let submission = call("b", &format!("k{index}"), OperationKind::NonRepeatable);
             world.send(node, Event::CallSubmitted(submission));
         }
-        5..=7 if !world.work.is_empty() => {
-            let work = world.work.remove(pick % world.work.len());
-            let target = work.route[pick % work.route.len()].clone();
-            let kinds = [
-                FailureKind::Refused,
-                FailureKind::Unreachable,
-                FailureKind::Silent,
-                FailureKind::Broken,
-            ];
-            let kind = kinds[usize::from(action) - 5 + pick % 2];
-            world.fail(&work, &target, kind, pick as u32 % 40);
-        }
+        5..=7 if !world.work.is_empty() => fail(world, usize::from(action) - 5, pick),
         8 if !world.work.is_empty() => {
             let work = world.work[pick % world.work.len()].clone();
             let event = Event::Progressed {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -225,17 +225,7 @@
                     self.send(index, Event::HeartbeatReceived(heartbeat));
                 }
             }
-            Command::Store { request, ticket } => {
-                let result = match request {
-                    _ if self.is_store_down => Err(StoreFailure::Unavailable),
-                    StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
-                    StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
-                    StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
-                        rows: vec![self.head(node)],
-                    }),
-                };
-                self.send(node, Event::StoreReplied { result, ticket });
-            }
+            Command::Store { request, ticket } => self.reply(node, ticket, &request),
             _ => {}
         }
     }
@@ -273,6 +263,18 @@
         }
     }
 
+    fn reply(&mut self, node: usize, ticket: u64, request: &StoreRequest) {
+        let result = match request {
+            _ if self.is_store_down => Err(StoreFailure::Unavailable),
+            StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
+            StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
+            StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
+                rows: vec![self.head(node)],
+            }),
+        };
+        self.send(node, Event::StoreReplied { result, ticket });
+    }
+
     /// Head of the configuration, which confirms the node's own version.
     fn head(&self, node: usize) -> Row {
         Row {
