Count a second crash only for attempts that ran apart

Cause: when a failure domain was lost, a frequent request that ran on two of its targets was refused everywhere for 10 minutes. Change: crashes of attempts that were sent before the first was known count as one; a crash of an attempt that ran apart adds to what all instances saw.

--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -138,6 +138,7 @@
         entry.progressed_at = now;
         entry.started_at = now;
         entry.token_ms = choice.token_ms;
+        entry.was_suspect = is_suspect;
         entry.priority = generation_priority(
             &self.settings.admission,
             entry.delivered_tokens,
--- a/crates/control/src/failure.rs
+++ b/crates/control/src/failure.rs
@@ -19,12 +19,12 @@
         entry.delivered_tokens = entry.delivered_tokens.max(delivered_tokens);
         let target = scope.members.target(&failure.target);
         entry.failed(failure, target.map(|target| target.failure_domain.clone()));
-        let fingerprint = entry.fingerprint;
+        let (fingerprint, was_suspect) = (entry.fingerprint, entry.was_suspect);
         let is_lost = entry.is_non_repeatable() && !failure.kind.is_not_run();
         if failure.kind == FailureKind::Broken {
             let incarnation = target.map_or(0, |target| target.incarnation);
             self.quarantine
-                .crashed(now, fingerprint, &failure.target, incarnation);
+                .crashed(now, fingerprint, &failure.target, incarnation, was_suspect);
         }
         if is_lost {
             let effects = scope.claims.lost(scope.context, request);
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -30,9 +30,12 @@
     /// Time until requests with this fingerprint may come back, if they are refused now.
     #[must_use]
     pub fn blocked_for(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
-        let (crashes, expires_at) = self.seen(now, fingerprint);
-        (crashes.len() >= self.settings.crash_count as usize)
-            .then(|| expires_at.saturating_sub(now))
+        let limit = self.settings.crash_count as usize;
+        let blocking = self
+            .entries(now, fingerprint)
+            .filter(|entry| entry.crashes.len() >= limit);
+        let expires_at = blocking.map(|entry| entry.expires_at).max()?;
+        Some(expires_at.saturating_sub(now))
     }
 
     /// Clears a suspect that ran alone without a crash. An entry that reached the limit stays.
@@ -42,23 +45,34 @@
             .retain(|key, entry| *key != fingerprint || entry.crashes.len() >= limit);
     }
 
-    /// Notes that a process of `target` crashed while it ran a request. Two crashes of one target
-    /// count as two if its process was restarted in between.
+    /// Notes that a process of `target` crashed while it ran a request.
+    ///
+    /// Only a crash of an attempt that ran apart, `was_suspect`, adds to an earlier one. When a
+    /// failure domain is lost, copies of a frequent request run on several targets that go down
+    /// together, and such a request must not be refused for it. Two crashes of one target count as
+    /// two if its process was restarted in between.
     pub fn crashed(
         &mut self,
         now: Duration,
         fingerprint: Fingerprint,
         target: &TargetId,
         incarnation: Incarnation,
+        was_suspect: bool,
     ) {
-        let process = format!("{target}#{incarnation}").into();
-        let expires_at = now + Duration::from_millis(self.settings.expiry_ms);
-        let entry = self.own.entry(fingerprint).or_insert(Entry {
-            crashes: BTreeSet::new(),
-            expires_at,
-        });
-        entry.crashes.insert(process);
-        entry.expires_at = expires_at;
+        let mut crashes = BTreeSet::new();
+        if was_suspect {
+            for entry in self.entries(now, fingerprint) {
+                crashes.extend(entry.crashes.iter().cloned());
+            }
+        } else if self.own.contains_key(&fingerprint) {
+            return;
+        }
+        crashes.insert(format!("{target}#{incarnation}").into());
+        let entry = Entry {
+            crashes,
+            expires_at: now + Duration::from_millis(self.settings.expiry_ms),
+        };
+        self.own.insert(fingerprint, entry);
     }
 
     /// Takes in the entries of a peer's heartbeat, which replace those of its last one. Entries at
@@ -91,7 +105,7 @@
     /// Whether a request with this fingerprint must run apart from other suspects.
     #[must_use]
     pub fn is_suspect(&self, now: Duration, fingerprint: Fingerprint) -> bool {
-        !self.seen(now, fingerprint).0.is_empty()
+        self.entries(now, fingerprint).next().is_some()
     }
 
     /// Entries for heartbeats.
@@ -134,20 +148,13 @@
         own.expires_at = own.expires_at.max(entry.expires_at);
     }
 
-    fn seen(&self, now: Duration, fingerprint: Fingerprint) -> (BTreeSet<&TargetId>, Duration) {
-        let mut crashes = BTreeSet::new();
-        let mut expires_at = now;
-        let own = self.own.get(&fingerprint);
-        let of_peers = self
-            .peers
-            .values()
-            .filter_map(|entries| entries.get(&fingerprint));
-        for entry in own.into_iter().chain(of_peers) {
-            if entry.expires_at > now {
-                crashes.extend(&entry.crashes);
-                expires_at = expires_at.max(entry.expires_at);
-            }
-        }
-        (crashes, expires_at)
+    /// Entries of this instance and of each peer that have not expired.
+    fn entries(&self, now: Duration, fingerprint: Fingerprint) -> impl Iterator<Item = &Entry> {
+        let of_peers = self.peers.values();
+        let own = std::iter::once(&self.own);
+        let found = own
+            .chain(of_peers)
+            .filter_map(move |all| all.get(&fingerprint));
+        found.filter(move |entry| entry.expires_at > now)
     }
 }
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -124,6 +124,8 @@
     pub(crate) state: RequestState,
     /// Expected time of one token over the route, in milliseconds.
     pub(crate) token_ms: f64,
+    /// Whether the newest attempt runs apart from other suspects.
+    pub(crate) was_suspect: bool,
 }
 
 impl Entry {
@@ -171,6 +173,7 @@
             started_at: now,
             state: CHART.initial(),
             token_ms: 0.0,
+            was_suspect: false,
             job,
         }
     }
