--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,7 +23,7 @@
         LoadedModel, ModelId, Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal,
         RefusalKind, RegionId, RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure,
         StoreReply, StoreRequest, StoreTicket, StreamRecord, TargetDigest, TargetHealth, TargetId,
-        TokenIndex, TokenRecord, Write,
+        TokenIndex, TokenRecord, WantedState, Write,
     },
 };
 
@@ -61,8 +61,12 @@
 mod member_settings;
 mod node;
 mod observation;
+mod order;
+mod order_settings;
 mod outcome;
+mod owned_engine;
 mod peer;
+mod placement;
 mod priority;
 mod progress;
 mod quarantine;
@@ -82,6 +86,7 @@
 mod submit;
 mod sweep;
 mod target;
+mod token_row;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
@@ -96,11 +101,14 @@
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
+    owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
+    placement::Placements,
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     submit::refusal,
     sweep::Sweep,
+    token_row::{TOKENS, TokenRow},
 };
 
 pub use {
@@ -126,6 +134,8 @@
     member::{Members, OwnState},
     member_settings::MemberSettings,
     node::Node,
+    order::Orders,
+    order_settings::OrderSettings,
     peer::Peer,
     priority::generation_priority,
     quarantine::Quarantine,
