--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -20,16 +20,17 @@
 }
 
 /// Live view of targets and peers. Belongs to the control thread of one instance.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Members {
     /// Departures by id: incarnation and when this instance learned of it.
     pub(crate) departures: BTreeMap<Arc<str>, (Incarnation, Duration)>,
     pub(crate) heartbeat_at: Duration,
     pub(crate) identity: Identity,
-    pub(crate) is_leaving: bool,
     /// Ids in the last list that was read; none before the first.
     pub(crate) listed: Option<BTreeSet<Arc<str>>>,
     pub(crate) listing_at: Duration,
+    /// What this instance told of itself at the last tick.
+    pub(crate) own: OwnState,
     pub(crate) peers: BTreeMap<InstanceId, PeerEntry>,
     pub(crate) settings: MemberSettings,
     /// Senders of heartbeats that no list has named yet, and when they were heard.
@@ -38,7 +39,7 @@
     pub(crate) ticked_at: Duration,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct PeerEntry {
     pub(crate) belief: Belief,
     pub(crate) peer: Peer,
@@ -46,7 +47,7 @@
     pub(crate) sent: BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct TargetEntry {
     pub(crate) belief: Belief,
     /// Whether this instance polls the target.
@@ -63,9 +64,9 @@
             departures: BTreeMap::new(),
             heartbeat_at: Duration::ZERO,
             identity,
-            is_leaving: false,
             listed: None,
             listing_at: Duration::ZERO,
+            own: OwnState::default(),
             peers: BTreeMap::new(),
             settings,
             strangers: BTreeMap::new(),
@@ -96,12 +97,26 @@
         self.peers.get(id).map(|entry| &entry.peer)
     }
 
+    /// What this instance told of itself at the last tick.
+    #[must_use]
+    pub fn own_state(&self) -> &OwnState {
+        &self.own
+    }
+
     /// Whether the platform's list was read at least once.
     #[must_use]
     pub fn has_listing(&self) -> bool {
         self.listed.is_some()
     }
 
+    /// Whether the platform's last list names `id`.
+    #[must_use]
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.listed
+            .as_ref()
+            .is_some_and(|listed| listed.contains(id))
+    }
+
     /// Whether this instance hears from more than half of its view, itself included. The view is
     /// every instance that is listed or was heard in the last minute and is not leaving. False
     /// before the platform's list was read, because the view is then unknown.
@@ -135,7 +150,7 @@
     /// of owners start with a conditional write for that reason.
     #[must_use]
     pub fn is_owner(&self, key: &str) -> bool {
-        if self.is_leaving {
+        if self.own.leaving {
             return false;
         }
         let own = rendezvous::weight(key, &self.identity.instance);
--- /dev/null
+++ b/crates/control/src/progress.rs
@@ -0,0 +1,251 @@
+use super::*;
+
+/// Time between two looks at the speeds in the reports.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(500);
+
+impl Requests {
+    /// Takes in delivered tokens.
+    pub fn progressed(&mut self, scope: &mut Scope, request: &RequestId, delivered_tokens: u32) {
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        // Progress of an attempt that has just failed may arrive after its failure.
+        if entry.state != RequestState::Running || delivered_tokens <= entry.delivered_tokens {
+            return;
+        }
+        let payload = Payload {
+            tokens: delivered_tokens,
+            ..Payload::default()
+        };
+        self.step(scope, request, RequestEvent::Progressed, payload);
+    }
+
+    /// Takes in the end of a generation.
+    pub fn generate_completed(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        attempt: Attempt,
+        token_count: u32,
+    ) {
+        if !self.is_current(request, attempt) {
+            return;
+        }
+        let payload = Payload {
+            tokens: token_count,
+            ..Payload::default()
+        };
+        self.step(scope, request, RequestEvent::Completed, payload);
+    }
+
+    /// Takes in the reply to a call. A reply to a non-repeatable call that was given up still
+    /// tells its record that the call ran.
+    pub fn call_completed(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        attempt: Attempt,
+        reply: CallReply,
+    ) {
+        if self.is_current(request, attempt) {
+            let payload = Payload {
+                reply: Some(reply),
+                ..Payload::default()
+            };
+            self.step(scope, request, RequestEvent::Completed, payload);
+        } else if !self.entries.contains_key(request) {
+            let effects = scope.claims.completed(scope.context, request, reply);
+            self.apply_effects(scope, effects);
+        }
+    }
+
+    /// Stops a request whose caller is gone. A non-repeatable call that is at a target, or in
+    /// doubt, goes on, so that its record ends in the truth.
+    pub fn caller_gone(&mut self, scope: &mut Scope, request: &RequestId) {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        entry.is_caller_gone = true;
+        if !entry.is_non_repeatable() {
+            self.step(scope, request, RequestEvent::CallerGone, Payload::default());
+            return;
+        }
+        if matches!(entry.state, RequestState::BackingOff | RequestState::Queued) {
+            let unwanted = refusal(RefusalKind::Deadline, Duration::ZERO);
+            self.refuse_now(scope, request, unwanted);
+        }
+    }
+
+    /// Takes in changes of an engine's prefix cache.
+    pub fn cache_events_received(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        events: &[CacheEvent],
+    ) {
+        let limit = self.settings.route.cache_prefix_count;
+        self.router
+            .caches
+            .events_received(now, target, events, limit);
+    }
+
+    /// Asks each polled engine for the cache events after the last one received.
+    pub fn fill_cache_positions(&self, commands: &mut [Command]) {
+        for command in commands {
+            if let Command::Poll {
+                cache_event_count,
+                target,
+                ..
+            } = command
+            {
+                *cache_event_count = self.router.caches.position(target);
+            }
+        }
+    }
+
+    /// Takes in what a peer knows of crashes and demand.
+    pub fn heartbeat_received(&mut self, now: Duration, heartbeat: &Heartbeat) {
+        self.limits.heartbeat_received(now, heartbeat);
+        self.quarantine
+            .heartbeat_received(now, &heartbeat.sender, &heartbeat.crashes);
+    }
+
+    /// Acts on the passing of time: deadlines, backoffs, priorities.
+    pub fn tick(&mut self, scope: &mut Scope) {
+        let now = scope.context.now;
+        self.limits.tick(now);
+        self.quarantine.tick(now);
+        self.observe(scope);
+        let requests: Vec<RequestId> = self.entries.keys().cloned().collect();
+        for request in requests {
+            let Some(entry) = self.entries.get(&request) else {
+                continue;
+            };
+            match entry.state {
+                RequestState::BackingOff if entry.retry_at <= now => {
+                    self.step(
+                        scope,
+                        &request,
+                        RequestEvent::BackoffEnded,
+                        Payload::default(),
+                    );
+                }
+                RequestState::BackingOff | RequestState::Queued => self.expire(scope, &request),
+                RequestState::Running => self.watch(scope, &request),
+                RequestState::Claiming | RequestState::Ended | RequestState::New => {}
+            }
+        }
+    }
+
+    pub(crate) fn note_progress(
+        &mut self,
+        scope: &mut Scope,
+        request: &RequestId,
+        payload: &Payload,
+    ) {
+        let now = scope.context.now;
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        let token_count = payload.tokens - entry.delivered_tokens;
+        let is_first = entry.delivered_tokens == entry.delivered_at_failure;
+        let passed_ms = now.saturating_sub(entry.progressed_at).as_secs_f64() * 1_000.0;
+        entry.delivered_tokens = payload.tokens;
+        entry.progressed_at = now;
+        if entry.size < f64::from(entry.delivered_tokens) {
+            entry.size = f64::from(entry.delivered_tokens);
+            entry.is_short = entry.size <= f64::from(self.settings.admission.short_tokens);
+        }
+        // The time to the first token is prefill and says nothing of links.
+        if let (false, Some(route)) = (is_first, &entry.route) {
+            let excess_ms = passed_ms / f64::from(token_count) - entry.token_ms;
+            self.router.links.observe(now, route, excess_ms);
+        }
+        let since_failure = entry.delivered_tokens - entry.delivered_at_failure;
+        if since_failure >= self.settings.quarantine.clear_tokens {
+            self.quarantine.clear(entry.fingerprint);
+            self.router.slots.cleared(request);
+        }
+        self.set_priority(scope, request);
+    }
+
+    fn is_current(&self, request: &RequestId, attempt: Attempt) -> bool {
+        let entry = self.entries.get(request);
+        entry.is_some_and(|entry| entry.state == RequestState::Running && entry.attempt == attempt)
+    }
+
+    /// Refuses waiting work as soon as its deadline, or the time in which its claim may be used,
+    /// has passed.
+    fn expire(&mut self, scope: &mut Scope, request: &RequestId) {
+        let now = scope.context.now;
+        let Some(entry) = self.entries.get(request) else {
+            return;
+        };
+        let is_late = now >= entry.arrived_at + entry.deadline && !entry.is_accepted_stream();
+        let is_claim_over = entry.is_non_repeatable() && !scope.claims.may_dispatch(now, request);
+        if is_late || is_claim_over {
+            let late = refusal(RefusalKind::Deadline, Duration::from_secs(1));
+            self.refuse_now(scope, request, late);
+        }
+    }
+
+    /// Gives up calls at their deadline and adapts the priority of generations.
+    fn watch(&mut self, scope: &mut Scope, request: &RequestId) {
+        let now = scope.context.now;
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        if matches!(entry.job, Job::Generate(_)) {
+            self.set_priority(scope, request);
+            return;
+        }
+        if now < entry.arrived_at + entry.deadline {
+            return;
+        }
+        entry.may_have_run = true;
+        if entry.is_non_repeatable() {
+            let effects = scope.claims.lost(scope.context, request);
+            self.apply_effects(scope, effects);
+            return;
+        }
+        let late = refusal(RefusalKind::Deadline, Duration::from_secs(1));
+        self.refuse_now(scope, request, late);
+    }
+
+    fn set_priority(&mut self, scope: &mut Scope, request: &RequestId) {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        let stalled = scope.context.now.saturating_sub(entry.progressed_at);
+        let admission = &self.settings.admission;
+        let priority = generation_priority(admission, entry.delivered_tokens, stalled);
+        let Some(route) = entry.route.clone() else {
+            return;
+        };
+        if priority == entry.priority {
+            return;
+        }
+        entry.priority = priority;
+        scope.context.push(Command::SetPriority {
+            attempt: entry.attempt,
+            priority,
+            request: request.clone(),
+            route,
+        });
+    }
+
+    fn observe(&mut self, scope: &Scope) {
+        let now = scope.context.now;
+        if now < self.observe_at {
+            return;
+        }
+        self.observe_at = now + OBSERVE_INTERVAL;
+        for target in scope.view.targets {
+            self.router.rates.observe(target);
+        }
+        let members = scope.members;
+        self.router.rates.retain(|id| members.target(id).is_some());
+        let reported_at = |id: &TargetId| members.target(id).map(|target| target.reported_at);
+        self.router.slots.tick(now, reported_at);
+    }
+}
--- /dev/null
+++ b/crates/control/src/quarantine.rs
@@ -0,0 +1,160 @@
+use super::*;
+
+/// Requests, by content, that were running on targets when these crashed.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    /// Crashes that this instance saw, and entries of peers that reached the limit.
+    own: BTreeMap<Fingerprint, Entry>,
+    /// Entries of each peer's last heartbeat.
+    peers: BTreeMap<InstanceId, BTreeMap<Fingerprint, Entry>>,
+    settings: QuarantineSettings,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    crashes: BTreeSet<TargetId>,
+    expires_at: Duration,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    #[must_use]
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            own: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Time until requests with this fingerprint may come back, if they are refused now.
+    #[must_use]
+    pub fn blocked_for(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        let limit = self.settings.crash_count as usize;
+        let blocking = self
+            .entries(now, fingerprint)
+            .filter(|entry| entry.crashes.len() >= limit);
+        let expires_at = blocking.map(|entry| entry.expires_at).max()?;
+        Some(expires_at.saturating_sub(now))
+    }
+
+    /// Clears a suspect that ran alone without a crash. An entry that reached the limit stays.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        let limit = self.settings.crash_count as usize;
+        self.own
+            .retain(|key, entry| *key != fingerprint || entry.crashes.len() >= limit);
+    }
+
+    /// Notes that a process of `target` crashed while it ran a request.
+    ///
+    /// Only a crash of an attempt that ran apart, `was_suspect`, adds to an earlier one. When a
+    /// failure domain is lost, copies of a frequent request run on several targets that go down
+    /// together, and such a request must not be refused for it. Two crashes of one target count as
+    /// two if its process was restarted in between.
+    pub fn crashed(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        incarnation: Incarnation,
+        was_suspect: bool,
+    ) {
+        let mut crashes = BTreeSet::new();
+        if was_suspect {
+            for entry in self.entries(now, fingerprint) {
+                crashes.extend(entry.crashes.iter().cloned());
+            }
+        } else if self.own.contains_key(&fingerprint) {
+            return;
+        }
+        crashes.insert(format!("{target}#{incarnation}").into());
+        let entry = Entry {
+            crashes,
+            expires_at: now + Duration::from_millis(self.settings.expiry_ms),
+        };
+        self.own.insert(fingerprint, entry);
+    }
+
+    /// Takes in the entries of a peer's heartbeat, which replace those of its last one. Entries at
+    /// the limit are kept even if the peer is lost.
+    pub fn heartbeat_received(
+        &mut self,
+        now: Duration,
+        peer: &InstanceId,
+        reports: &[CrashReport],
+    ) {
+        let mut entries = BTreeMap::new();
+        for report in reports {
+            let remaining_ms = report.remaining_ms.min(self.settings.expiry_ms);
+            let entry = Entry {
+                crashes: report.crashes.clone(),
+                expires_at: now + Duration::from_millis(remaining_ms),
+            };
+            if entry.crashes.len() >= self.settings.crash_count as usize {
+                self.adopt(report.fingerprint, &entry);
+            }
+            entries.insert(report.fingerprint, entry);
+        }
+        if entries.is_empty() {
+            self.peers.remove(peer);
+        } else {
+            self.peers.insert(peer.clone(), entries);
+        }
+    }
+
+    /// Whether a request with this fingerprint must run apart from other suspects.
+    #[must_use]
+    pub fn is_suspect(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        self.entries(now, fingerprint).next().is_some()
+    }
+
+    /// Entries for heartbeats.
+    #[must_use]
+    pub fn reports(&self, now: Duration) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for (fingerprint, entry) in &self.own {
+            if entry.expires_at <= now {
+                continue;
+            }
+            reports.push(CrashReport {
+                crashes: entry.crashes.clone(),
+                fingerprint: *fingerprint,
+                remaining_ms: (entry.expires_at - now).as_millis() as u64,
+            });
+        }
+        reports
+    }
+
+    /// Forgets expired entries.
+    pub fn tick(&mut self, now: Duration) {
+        self.own.retain(|_, entry| entry.expires_at > now);
+        for entries in self.peers.values_mut() {
+            entries.retain(|_, entry| entry.expires_at > now);
+        }
+        self.peers.retain(|_, entries| !entries.is_empty());
+    }
+
+    /// Takes over an entry of a peer. Its end moves only with a new crash: with each repetition it
+    /// would move by the delay of the heartbeat, back and forth between instances.
+    fn adopt(&mut self, fingerprint: Fingerprint, entry: &Entry) {
+        let own = self.own.entry(fingerprint).or_insert(Entry {
+            crashes: BTreeSet::new(),
+            expires_at: Duration::ZERO,
+        });
+        if entry.crashes.is_subset(&own.crashes) {
+            return;
+        }
+        own.crashes.extend(entry.crashes.iter().cloned());
+        own.expires_at = own.expires_at.max(entry.expires_at);
+    }
+
+    /// Entries of this instance and of each peer that have not expired.
+    fn entries(&self, now: Duration, fingerprint: Fingerprint) -> impl Iterator<Item = &Entry> {
+        let of_peers = self.peers.values();
+        let own = std::iter::once(&self.own);
+        let found = own
+            .chain(of_peers)
+            .filter_map(move |all| all.get(&fingerprint));
+        found.filter(move |entry| entry.expires_at > now)
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -20,7 +20,10 @@
     thiserror::Error,
     tokio::time::{Instant, sleep},
     types::{Account, ConfigVersion, Plan, hash_key},
-    wire::{Call, Fault, FaultBody, Reply, call, hyper::Method},
+    wire::{
+        Call, Fault, FaultBody, Reply, call,
+        hyper::{Method, StatusCode},
+    },
 };
 
 mod client;
@@ -38,7 +41,7 @@
     command::{Command, List},
     entry::{parse_entry, read_entry},
     error::Error,
-    key::{new_secret, operator_key},
+    key::{new_operation, new_secret, operator_key},
     options::{HELP, Options},
     run::run,
     status::{InstanceStatus, Status},
--- a/crates/standin/src/standin.rs
+++ b/crates/standin/src/standin.rs
@@ -35,6 +35,10 @@
         self.lifecycle.leave();
     }
 
+    pub(crate) fn lifecycle(&self) -> Arc<Lifecycle> {
+        self.lifecycle.clone()
+    }
+
     /// Makes it leave and waits until it has ended.
     pub async fn stop(self) -> Ending {
         self.leave();
@@ -85,10 +89,12 @@
         if let Some(registration) = parts.registration {
             registration.run(&parts.lifecycle).await;
         }
+        parts.lifecycle.announce();
         std::future::pending::<()>().await;
     };
     let departure = async {
         parts.lifecycle.left().await;
+        parts.lifecycle.announced().await;
         parts.drained.await;
         let _ = stop.send(true);
         std::future::pending::<()>().await;
