Expect addresses with failure domain and instance

Cause: entry addresses are objects now. Change: the caller of the suite reads them; the test of graceful ends stops both instances at once.

--- a/crates/suite/src/caller.rs
+++ b/crates/suite/src/caller.rs
@@ -36,8 +36,8 @@
         let body: Value = reply.json()?;
         let mut addresses = Vec::new();
         for entry in body["addresses"].as_array().context("no `addresses`")? {
-            let text = entry.as_str().or(entry["address"].as_str());
-            addresses.push(text.context("an address that is no text")?.parse()?);
+            let text = entry["address"].as_str().context("no `address`")?;
+            addresses.push(text.parse()?);
         }
         self.entries.clone_from(&addresses);
         Ok(addresses)
--- a/crates/suite/tests/basic.rs
+++ b/crates/suite/tests/basic.rs
@@ -35,8 +35,11 @@
 #[tokio::test]
 async fn instances_end_gracefully() -> anyhow::Result<()> {
     let mut cluster = Cluster::start(Setup::default()).await?;
-    for mut entry in cluster.entries.drain(..) {
-        entry.stop().await?;
+    for entry in &mut cluster.entries {
+        entry.terminate()?;
+    }
+    for entry in &mut cluster.entries {
+        assert!(entry.ended().await?.success(), "{}", entry.log_tail());
     }
     Ok(())
 }
