Test edits over real processes

Cause: nothing checked edits through the whole system. Change: tests of concurrent edits, lost replies of the store, the client as a process and a paused instance; the first test asserts that two stages ran; the suite records the versions that instances show.

--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -96,6 +96,47 @@
         Ok(version)
     }
 
+    /// Runs the operator's client as a process; `input` is its standard input.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub async fn ctl(&self, arguments: &[&str], input: &str) -> Result<Output> {
+        let mut entries = Vec::new();
+        for address in self.entry_addresses()? {
+            entries.push(address.to_string());
+        }
+        let file = self.folder.file("input");
+        fs::write(&file, input)?;
+        let mut command = Command::new(binary("ctl")?);
+        command
+            .args(arguments)
+            .env("SYCAMOREGAUGE_ENTRIES", entries.join(","))
+            .env("SYCAMOREGAUGE_OPERATOR_KEY", OPERATOR_KEY)
+            .stdin(File::open(file)?);
+        // Relays run in this thread, so it must not block while the client waits for them.
+        let output = tokio::task::spawn_blocking(move || command.output()).await??;
+        Ok(output)
+    }
+
+    /// Records the version that each running instance shows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an instance replies and its reply cannot be used.
+    pub async fn observe(&self) -> Result<()> {
+        for entry in &self.entries {
+            let call = Call::get("/admin/status");
+            let call = call.header("authorization", format!("Bearer {OPERATOR_KEY}"));
+            let Ok(reply) = wire::call(entry.address("address")?, &call).await else {
+                continue;
+            };
+            let version = reply.json::<ctl::Status>()?.config_version;
+            self.recorder.observed(&entry.id().to_string(), version);
+        }
+        Ok(())
+    }
+
     /// Replaces the faults of a stand-in.
     ///
     /// # Errors
@@ -117,6 +158,7 @@
     ///
     /// Returns an error with every violation.
     pub async fn check(&self) -> Result<()> {
+        self.observe().await?;
         for engine in &self.engines {
             let Some(log) = engine_log(engine).await? else {
                 self.recorder.log_lost();
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -14,7 +14,7 @@
         io::{BufRead, BufReader},
         net::SocketAddr,
         path::{Path, PathBuf},
-        process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+        process::{Child, ChildStdout, Command, ExitStatus, Output, Stdio},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
--- a/crates/suite/tests/basic.rs
+++ b/crates/suite/tests/basic.rs
@@ -2,7 +2,7 @@
 
 use {
     serde_json::json,
-    suite::{Cluster, MODEL, SERVICE, Setup, Told, until},
+    suite::{Cluster, MODEL, SERVICE, Setup, Told, engine_log, until},
 };
 
 #[tokio::test]
@@ -22,6 +22,13 @@
         standin::answer_text("Describe the lagoon.", 7, 20)
     );
 
+    let mut stage_count = 0;
+    for engine in &cluster.engines {
+        let log = engine_log(engine).await?.unwrap_or_default();
+        stage_count += usize::from(!log.runs.is_empty());
+    }
+    assert_eq!(stage_count, 2, "the completion crosses two stages");
+
     let path = format!("/v1/services/{SERVICE}/confirm");
     let body = json!({"room": 12});
     let first = caller.call(&path, "booking-1", &body).await?;
--- /dev/null
+++ b/crates/suite/tests/edits.rs
@@ -0,0 +1,118 @@
+//! Guards against edits that are lost, made twice, overwritten or reverted.
+
+use {
+    ctl::{Edit, Error, new_operation},
+    serde_json::{Value, json},
+    standin::PlatformFaults,
+    suite::{Cluster, LIMIT, MODEL, SERVICE, Setup, until},
+};
+
+fn plan(weight: u32) -> Value {
+    json!({"models": [MODEL], "services": [SERVICE], "share_weight": weight})
+}
+
+/// Two operators edit from the same version at different instances.
+#[tokio::test]
+async fn one_of_two_concurrent_edits_wins() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let base = cluster.operator()?.status().await?.config_version;
+    let (first, mut second) = (cluster.operator()?, cluster.operator()?);
+    second.entries.reverse();
+    let (one, two) = (edit(1, Some(base))?, edit(2, Some(base))?);
+    let results = tokio::join!(first.edit(&one), second.edit(&two));
+    let (winner, version) = match results {
+        (Ok(version), Err(Error::Conflict { .. })) => (&one, version),
+        (Err(Error::Conflict { .. }), Ok(version)) => (&two, version),
+        other => anyhow::bail!("not one winner: {other:?}"),
+    };
+    cluster.recorder.accepted(&winner.operation, version);
+    first.wait(version, LIMIT).await?;
+    for entry in &cluster.entries {
+        let mut reader = cluster.operator()?;
+        reader.entries = vec![entry.address("address")?];
+        let reply = reader.get("/admin/plans/standard").await?;
+        assert_eq!(reply["version"], version);
+        let weight = &reply["plan"]["share_weight"];
+        assert_eq!(
+            Some(weight),
+            winner.entry.as_ref().map(|plan| &plan["share_weight"])
+        );
+    }
+    cluster.check().await
+}
+
+/// The store applies each write and loses every second reply.
+#[tokio::test]
+async fn edit_whose_store_reply_is_lost_is_made_once() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let base = cluster.operator()?.status().await?.config_version;
+    let faults = PlatformFaults {
+        lost_reply_every: 2,
+        ..PlatformFaults::default()
+    };
+    cluster.set_faults(&cluster.platform, &faults).await?;
+    let mut version = base;
+    for weight in 1..=6 {
+        version = cluster.edit("/admin/plans/standard", plan(weight)).await?;
+        cluster.observe().await?;
+    }
+    assert_eq!(version, base + 6);
+    cluster.operator()?.wait(version, LIMIT).await?;
+    cluster.check().await
+}
+
+#[tokio::test]
+async fn client_edits_waits_and_tells_of_conflicts() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    let entry = plan(3).to_string();
+    let words = ["plans", "put", "standard", "--wait", "--json"];
+    let output = cluster.ctl(&words, &entry).await?;
+    assert!(output.status.success(), "{output:?}");
+    let reply: Value = serde_json::from_slice(&output.stdout)?;
+    let version = reply["version"].as_u64().unwrap_or_default();
+    let old = (version - 1).to_string();
+    let words = ["plans", "put", "standard", "--if-match", &old];
+    let output = cluster.ctl(&words, &entry).await?;
+    assert_eq!(output.status.code(), Some(3), "{output:?}");
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        message.contains(&format!("the current version is {version}")),
+        "{message}"
+    );
+    cluster.check().await
+}
+
+/// A paused instance resumes with an older version than the others.
+#[tokio::test]
+async fn paused_instance_does_not_bring_an_old_version_back() -> anyhow::Result<()> {
+    let cluster = Cluster::start(Setup::default()).await?;
+    cluster.observe().await?;
+    cluster.entries[1].freeze()?;
+    let mut operator = cluster.operator()?;
+    operator.entries.truncate(1);
+    // One of two instances may be no majority; then the edit waits for the other one.
+    let edit = edit(5, None)?;
+    let accepted = tokio::spawn(async move {
+        let version = operator.edit(&edit).await?;
+        anyhow::Ok((edit.operation, version))
+    });
+    cluster.entries[1].thaw()?;
+    let (operation, version) = accepted.await??;
+    cluster.recorder.accepted(&operation, version);
+    until("the version is in force everywhere", async || {
+        cluster.observe().await?;
+        let status = cluster.operator()?.status().await?;
+        Ok((status.in_force_count(version) == 2).then_some(()))
+    })
+    .await?;
+    cluster.check().await
+}
+
+fn edit(weight: u32, if_match: Option<u64>) -> anyhow::Result<Edit> {
+    Ok(Edit {
+        entry: Some(plan(weight)),
+        if_match,
+        operation: new_operation()?,
+        path: "/admin/plans/standard".into(),
+    })
+}
