Let a resume be repeated when its connection broke early

Cause: a caller whose resume broke before its first event got 409 for ever, and a third holder could not replace the record of an earlier hand-over.

--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -41,7 +41,8 @@
     journal: Journal,
     /// Who serves the stream.
     owner: Holder,
-    /// Who took the stream over. Invariant: once set, only this holder replaces the entry.
+    /// Who took the stream over. Invariant: once set, only this holder, or one of a later epoch,
+    /// replaces the entry.
     taker: Option<Holder>,
     /// When the newest tokens came.
     touched: Duration,
@@ -55,9 +56,10 @@
     }
 
     /// Who holds the stream, if `holder` of `epoch` may not replace it. A holder that took the
-    /// stream elsewhere, while this entry could not be reached, has a higher epoch.
+    /// stream elsewhere later than the one known here has a higher epoch.
     fn successor(&self, holder: &Holder, epoch: u32) -> Option<InstanceId> {
-        if self.taker.is_none() && epoch > self.epoch {
+        let known = self.epoch + u32::from(self.taker.is_some());
+        if epoch > known {
             return None;
         }
         self.other_holder(holder)
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -102,13 +102,19 @@
     }
 
     /// Hands over a journal that this instance holds. The instance with the copy is asked first,
-    /// so that two takers, one of which reaches only the copy, do not both get the stream.
+    /// so that two takers, one of which reaches only the copy, do not both get the stream. With
+    /// `only_idle`, a stream that runs here stays.
     pub(crate) async fn take(
         &self,
         request: &RequestId,
         account: &AccountId,
         taker: &Holder,
+        only_idle: bool,
     ) -> TakeAnswer {
+        if only_idle && self.registry.has_stream(request) {
+            let by = self.identity.instance.clone();
+            return TakeAnswer::Taken { by };
+        }
         let backup = lock(&self.backups).get(request).copied();
         if let Some(backup) = backup {
             let answer = self.parts.peers.take_journal(
@@ -116,6 +122,7 @@
                 request.clone(),
                 account.clone(),
                 taker.clone(),
+                false,
             );
             if let Ok(TakeAnswer::Taken { by }) = answer.await {
                 return TakeAnswer::Taken { by };
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -52,8 +52,9 @@
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> BoxFuture<'static, TakeAnswer> {
         let app = self.0.clone();
-        async move { app.take(&request, &account, &taker).await }.boxed()
+        async move { app.take(&request, &account, &taker, only_idle).await }.boxed()
     }
 }
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether a run of the stream is under way.
+    pub(crate) fn has_stream(&self, request: &RequestId) -> bool {
+        lock(&self.streams).contains_key(request)
+    }
+
     pub(crate) fn open_call(&self, request: &RequestId) -> mpsc::UnboundedReceiver<CallStep> {
         let (sender, receiver) = mpsc::unbounded_channel();
         lock(&self.calls).insert(request.clone(), sender);
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Hand-overs that a resume follows from the instances that its event id names.
+const HOP_COUNT: usize = 4;
+
 /// What the instances that may hold a journal say.
 enum Found {
     Given { epoch: u32, journal: Box<Journal> },
@@ -49,35 +52,54 @@
         let Some(instance) = instance else {
             continue;
         };
-        let answer = if *instance == app.identity.instance {
-            Ok(app.take(&point.request, account, holder).await)
-        } else {
-            ask(app, instance, point, account, holder).await
-        };
-        match answer {
+        match ask(app, instance, point, account, holder, false).await {
             Err(()) => found = Found::Unreachable,
             Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
-            Ok(TakeAnswer::Taken { .. }) => return Found::Taken,
+            Ok(TakeAnswer::Taken { by }) => return follow(app, by, point, account, holder).await,
             Ok(TakeAnswer::Unknown) => {}
         }
     }
     found
 }
 
+/// Asks the instances that took the stream over, one after another. They give it away only when no
+/// caller reads it there, which happens when a connection broke before its first event told the
+/// caller of the new place.
+async fn follow(
+    app: &App,
+    mut by: InstanceId,
+    point: &ResumePoint,
+    account: &AccountId,
+    holder: &Holder,
+) -> Found {
+    for _ in 0..HOP_COUNT {
+        match ask(app, &by, point, account, holder, true).await {
+            Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
+            Ok(TakeAnswer::Taken { by: next }) if next != by => by = next,
+            Err(()) | Ok(TakeAnswer::Taken { .. } | TakeAnswer::Unknown) => break,
+        }
+    }
+    Found::Taken
+}
+
 async fn ask(
     app: &App,
     instance: &InstanceId,
     point: &ResumePoint,
     account: &AccountId,
     holder: &Holder,
+    only_idle: bool,
 ) -> Result<TakeAnswer, ()> {
+    let request = &point.request;
+    if *instance == app.identity.instance {
+        return Ok(app.take(request, account, holder, only_idle).await);
+    }
     let address = app.roster.peer_address(instance).ok_or(())?;
-    let answer = app.parts.peers.take_journal(
-        address,
-        point.request.clone(),
-        account.clone(),
-        holder.clone(),
-    );
+    let (request, account, holder) = (request.clone(), account.clone(), holder.clone());
+    let answer = app
+        .parts
+        .peers
+        .take_journal(address, request, account, holder, only_idle);
     answer.await.map_err(|error| {
         tracing::warn!(request = &*point.request, %error, "a journal was not handed over");
     })
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -277,3 +277,28 @@
     records.send(token(1, 1)).unwrap();
     read_until(&mut response, "t1 ").await;
 }
+
+/// Guards against a stream that is out of reach because the connection that resumed it broke
+/// before the caller learned its new place.
+#[tokio::test]
+async fn a_broken_resume_can_be_repeated_anywhere() {
+    let network = Network::default();
+    let fixtures = ["a", "b", "c"].map(|instance| Fixture::on(&network, instance));
+    for fixture in &fixtures {
+        fixture.read_listing().await;
+    }
+    let [owner, backup, other] = &fixtures;
+    let (mut response, _, records) = owner.stream(Some("b")).await;
+    records.send(token(1, 0)).unwrap();
+    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    drop(other.send(resume(&id, "key-1")).await);
+    for place in [other, backup, owner] {
+        let mut resumed = place.send(resume(&id, "key-1")).await;
+        while resumed.status() == 409 {
+            // The broken connection has not been noticed yet.
+            tokio::task::yield_now().await;
+            resumed = place.send(resume(&id, "key-1")).await;
+        }
+        assert_eq!(resumed.status(), 200);
+    }
+}
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -46,13 +46,15 @@
         records: Vec<ChangeRecord>,
     ) -> BoxFuture<'static, Result<(), Error>>;
 
-    /// Asks for a journal, to go on with its stream.
+    /// Asks for a journal, to go on with its stream. With `only_idle`, a stream that a caller is
+    /// reading stays where it is.
     fn take_journal(
         &self,
         address: SocketAddr,
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>>;
 }
 
@@ -83,5 +85,6 @@
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> BoxFuture<'static, TakeAnswer>;
 }
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -177,10 +177,11 @@
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, |client, context, secret| async move {
+        self.call(address, move |client, context, secret| async move {
             client
-                .take_journal(context, secret, request, account, taker)
+                .take_journal(context, secret, request, account, taker, only_idle)
                 .await
         })
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -170,8 +170,12 @@
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> Result<TakeAnswer, Rejection> {
         self.check(&secret)?;
-        Ok(self.handler.take_journal(request, account, taker).await)
+        let answer = self
+            .handler
+            .take_journal(request, account, taker, only_idle);
+        Ok(answer.await)
     }
 }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -34,5 +34,6 @@
         request: RequestId,
         account: AccountId,
         taker: Holder,
+        only_idle: bool,
     ) -> Result<TakeAnswer, Rejection>;
 }
