--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -8,6 +8,7 @@
     pub(crate) drain: Drain,
     pub(crate) identity: Identity,
     pub(crate) members: Members,
+    pub(crate) orders: Orders,
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
@@ -24,6 +25,7 @@
             drain: Drain::new(settings.drain.clone()),
             identity: identity.clone(),
             members: Members::new(identity.clone(), settings.member.clone()),
+            orders: Orders::new(settings.order.clone()),
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
             started: wall,
@@ -146,6 +148,7 @@
             Event::LoadReceived { report, target } => {
                 self.load_received(&target, report);
             }
+            Event::OrderFailed { order, target } => self.orders.failed(context, &target, &order),
             Event::OwnerAnswered { request, status } => {
                 let effects = self.records.owner_answered(context, &request, status);
                 self.apply_effects(effects);
@@ -161,6 +164,8 @@
             // A new process has an empty cache, and its events start over.
             self.requests.router.caches.forget(target);
         }
+        self.orders
+            .load_received(&mut self.context, target, &report);
         self.members
             .load_received(&mut self.context, target, report);
         self.dispatch_ready();
@@ -185,7 +190,9 @@
 
     fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
         let context = &mut self.context;
-        if self.configs.store_replied(context, ticket, result) {
+        if self.configs.store_replied(context, ticket, result)
+            || self.orders.store_replied(context, ticket, result)
+        {
             return;
         }
         if let Some(effects) = self.records.store_replied(context, ticket, result) {
@@ -199,6 +206,7 @@
         let commands = &mut self.context.commands;
         self.requests.fill_cache_positions(commands);
         self.configs.tick(&mut self.context, &self.members);
+        self.orders.tick(&mut self.context, &self.members);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -12,6 +12,8 @@
     pub drain: DrainSettings,
     /// Membership.
     pub member: MemberSettings,
+    /// Orders to engines.
+    pub order: OrderSettings,
     /// Requests that crash targets.
     pub quarantine: QuarantineSettings,
     /// Record of non-repeatable calls.
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -81,9 +81,20 @@
         self.parts.control.report(event);
     }
 
-    /// Drops what belongs to journals whose retention is over.
-    pub(crate) fn sweep(&self) {
+    /// Drops what belongs to journals whose retention is over, and to instances that are gone.
+    pub(crate) async fn sweep(&self) {
+        let status = self.parts.control.status().await;
+        let mut live = BTreeSet::from([self.identity.instance.clone()]);
+        for instance in status.iter().flat_map(|status| &status.instances) {
+            if instance.health != TargetHealth::Down {
+                live.insert(instance.id.clone());
+            }
+        }
+        lock(&self.heartbeats).retain(|instance, _| live.contains(instance));
         let mut journals = lock(&self.journals);
+        if status.is_some() {
+            journals.keep_owners(self.now(), &live);
+        }
         journals.expire(self.now());
         lock(&self.backups).retain(|request, _| journals.get(request).is_some());
         metrics::gauge!("entry_journal_bytes").set(journals.bytes() as f64);
@@ -91,13 +102,19 @@
     }
 
     /// Hands over a journal that this instance holds. The instance with the copy is asked first,
-    /// so that two takers, one of which reaches only the copy, do not both get the stream.
+    /// so that two takers, one of which reaches only the copy, do not both get the stream. With
+    /// `only_idle`, a stream that runs here stays.
     pub(crate) async fn take(
         &self,
         request: &RequestId,
         account: &AccountId,
         taker: &Holder,
+        only_idle: bool,
     ) -> TakeAnswer {
+        if only_idle && self.registry.has_stream(request) {
+            let by = self.identity.instance.clone();
+            return TakeAnswer::Taken { by };
+        }
         let backup = lock(&self.backups).get(request).copied();
         if let Some(backup) = backup {
             let answer = self.parts.peers.take_journal(
@@ -105,6 +122,7 @@
                 request.clone(),
                 account.clone(),
                 taker.clone(),
+                false,
             );
             if let Ok(TakeAnswer::Taken { by }) = answer.await {
                 return TakeAnswer::Taken { by };
