--- a/crates/suite/tests/basic.rs
+++ b/crates/suite/tests/basic.rs
@@ -2,7 +2,7 @@
 
 use {
     serde_json::json,
-    suite::{Cluster, MODEL, SERVICE, Setup, Told, until},
+    suite::{Cluster, MODEL, SERVICE, Setup, Told, engine_log, until},
 };
 
 #[tokio::test]
@@ -22,6 +22,13 @@
         standin::answer_text("Describe the lagoon.", 7, 20)
     );
 
+    let mut stage_count = 0;
+    for engine in &cluster.engines {
+        let log = engine_log(engine).await?.unwrap_or_default();
+        stage_count += usize::from(!log.runs.is_empty());
+    }
+    assert_eq!(stage_count, 2, "the completion crosses two stages");
+
     let path = format!("/v1/services/{SERVICE}/confirm");
     let body = json!({"room": 12});
     let first = caller.call(&path, "booking-1", &body).await?;
@@ -35,8 +42,11 @@
 #[tokio::test]
 async fn instances_end_gracefully() -> anyhow::Result<()> {
     let mut cluster = Cluster::start(Setup::default()).await?;
-    for mut entry in cluster.entries.drain(..) {
-        entry.stop().await?;
+    for entry in &mut cluster.entries {
+        entry.terminate()?;
+    }
+    for entry in &mut cluster.entries {
+        assert!(entry.ended().await?.success(), "{}", entry.log_tail());
     }
     Ok(())
 }
