Never give a stream that runs elsewhere to a second resumer

Change: only the owner gives away a stream that runs; the check is repeated under the journals' lock.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -111,24 +111,36 @@
         taker: &Holder,
         only_idle: bool,
     ) -> TakeAnswer {
-        if only_idle && self.registry.has_stream(request) {
-            let by = self.identity.instance.clone();
-            return TakeAnswer::Taken { by };
-        }
+        // Read before the check: a backup of a run that the check misses is not asked.
         let backup = lock(&self.backups).get(request).copied();
+        let stays = || only_idle && self.registry.has_stream(request);
+        let here = TakeAnswer::Taken {
+            by: self.identity.instance.clone(),
+        };
+        if stays() {
+            return here;
+        }
         if let Some(backup) = backup {
             let answer = self.parts.peers.take_journal(
                 backup,
                 request.clone(),
                 account.clone(),
                 taker.clone(),
-                false,
+                // An instance that runs the stream has taken it over already.
+                true,
             );
             if let Ok(TakeAnswer::Taken { by }) = answer.await {
                 return TakeAnswer::Taken { by };
             }
         }
-        let answer = lock(&self.journals).take(self.now(), request, account, taker);
+        let answer = {
+            let mut journals = lock(&self.journals);
+            // Checked again under the lock, because a run registers before it opens its journal.
+            if stays() {
+                return here;
+            }
+            journals.take(self.now(), request, account, taker)
+        };
         if matches!(answer, TakeAnswer::Given { .. }) {
             // The earlier run must have reported its end before the stream is submitted again.
             if let Some(run) = self.registry.take_over(request) {
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -48,11 +48,15 @@
 /// Asks the owner and then the backup for the journal.
 async fn find(app: &App, point: &ResumePoint, account: &AccountId, holder: &Holder) -> Found {
     let mut found = Found::Nothing;
-    for instance in [Some(&point.owner), point.backup.as_ref()] {
+    // The owner gives the stream away also while it runs, because a caller that comes back may have
+    // a connection that the owner does not know to be broken. A backup that runs the stream has
+    // taken it over for another resume.
+    let places = [(Some(&point.owner), false), (point.backup.as_ref(), true)];
+    for (instance, only_idle) in places {
         let Some(instance) = instance else {
             continue;
         };
-        match ask(app, instance, point, account, holder, false).await {
+        match ask(app, instance, point, account, holder, only_idle).await {
             Err(()) => found = Found::Unreachable,
             Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
             Ok(TakeAnswer::Taken { by }) => return follow(app, by, point, account, holder).await,
