--- a/crates/control/tests/policy.rs
+++ b/crates/control/tests/policy.rs
@@ -203,5 +203,9 @@
     second.heartbeat_received(START, &"first".into(), &first.reports(START));
     assert!(first.blocked_for(START, 1).is_none() && second.blocked_for(START, 1).is_none());
     second.crashed(START, 1, &"e3".into(), 1, true);
-    assert!(second.blocked_for(START, 1).is_some());
+    second.crashed(START, 1, &"e4".into(), 1, false);
+    assert!(
+        second.blocked_for(START, 1).is_some(),
+        "a late report lifts the refusal"
+    );
 }
