--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -34,6 +34,9 @@
     },
 };
 
+mod network;
+mod targets;
+
 pub type Records = mpsc::UnboundedSender<Result<StreamRecord, AttemptFailure>>;
 
 /// Instances by peer address; a call to any other address fails.
@@ -152,99 +155,6 @@
     }
 }
 
-impl Network {
-    pub fn join(&self, instance: &str, handler: Arc<dyn PeerHandler>) {
-        let mut handlers = self.0.lock().expect("no panic");
-        handlers.insert(peer_address(instance), handler);
-    }
-
-    pub fn lose(&self, instance: &str) {
-        let mut handlers = self.0.lock().expect("no panic");
-        handlers.remove(&peer_address(instance));
-    }
-
-    fn at(&self, address: SocketAddr) -> Result<Arc<dyn PeerHandler>, Error> {
-        let handlers = self.0.lock().expect("no panic");
-        handlers.get(&address).cloned().ok_or(Error::Connect {
-            address,
-            message: "lost".into(),
-        })
-    }
-
-    fn call<T: Send + 'static>(
-        &self,
-        address: SocketAddr,
-        call: impl FnOnce(Arc<dyn PeerHandler>) -> BoxFuture<'static, T> + Send + 'static,
-    ) -> BoxFuture<'static, Result<T, Error>> {
-        let handler = self.at(address);
-        async move { Ok(call(handler?).await) }.boxed()
-    }
-}
-
-impl Peers for Network {
-    fn append_journal(
-        &self,
-        address: SocketAddr,
-        append: JournalAppend,
-    ) -> BoxFuture<'static, Result<AppendAnswer, Error>> {
-        self.call(address, |peer| peer.append_journal(append))
-    }
-
-    fn call_status(
-        &self,
-        address: SocketAddr,
-        nonce: Nonce,
-    ) -> BoxFuture<'static, Result<OwnerStatus, Error>> {
-        self.call(address, |peer| peer.call_status(nonce))
-    }
-
-    fn changes_since(
-        &self,
-        address: SocketAddr,
-        version: u64,
-    ) -> BoxFuture<'static, Result<Changes, Error>> {
-        self.call(address, move |peer| peer.changes_since(version))
-    }
-
-    fn heartbeat(
-        &self,
-        address: SocketAddr,
-        heartbeat: Heartbeat,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.heartbeat(heartbeat))
-    }
-
-    fn leave(
-        &self,
-        address: SocketAddr,
-        instance: InstanceId,
-        incarnation: u64,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, move |peer| peer.leave(instance, incarnation))
-    }
-
-    fn push_changes(
-        &self,
-        address: SocketAddr,
-        records: Vec<ChangeRecord>,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.push_changes(records))
-    }
-
-    fn take_journal(
-        &self,
-        address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
-    ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, move |peer| {
-            peer.take_journal(request, account, taker, only_idle)
-        })
-    }
-}
-
 impl Control for FakeControl {
     fn addresses(&self, _: Option<Arc<str>>) -> BoxFuture<'static, Option<AddressAnswer>> {
         let answer = AddressAnswer {
@@ -317,79 +227,6 @@
     }
 }
 
-impl Engines for FakeTargets {
-    fn cache_events(
-        &self,
-        _: SocketAddr,
-        _: u64,
-    ) -> BoxFuture<'static, Result<Vec<CacheEvent>, FailureKind>> {
-        async { Ok(Vec::new()) }.boxed()
-    }
-
-    fn cancel(
-        &self,
-        _: SocketAddr,
-        request: CancelRequest,
-    ) -> BoxFuture<'static, Result<(), FailureKind>> {
-        let _ = self.cancels.send(request);
-        async { Ok(()) }.boxed()
-    }
-
-    fn export_kv(
-        &self,
-        _: SocketAddr,
-        _: KvRequest,
-    ) -> BoxFuture<'static, Result<KvCache, FailureKind>> {
-        async { Err(FailureKind::Refused) }.boxed()
-    }
-
-    fn generate(&self, _: SocketAddr, request: GenerateRequest) -> RecordStream {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let _ = self.generations.send((request, sender));
-        let next = |mut receiver: mpsc::UnboundedReceiver<_>| async move {
-            Some((receiver.recv().await?, receiver))
-        };
-        futures::stream::unfold(receiver, next).boxed()
-    }
-
-    fn import_kv(&self, _: SocketAddr, _: KvCache) -> BoxFuture<'static, Result<(), FailureKind>> {
-        async { Err(FailureKind::Refused) }.boxed()
-    }
-
-    fn load(&self, _: SocketAddr) -> BoxFuture<'static, Result<LoadReport, FailureKind>> {
-        async { Ok(LoadReport::default()) }.boxed()
-    }
-
-    fn order(&self, _: SocketAddr, _: Order) -> BoxFuture<'static, Result<(), FailureKind>> {
-        async { Ok(()) }.boxed()
-    }
-
-    fn set_priority(
-        &self,
-        _: SocketAddr,
-        _: PriorityRequest,
-    ) -> BoxFuture<'static, Result<(), FailureKind>> {
-        async { Ok(()) }.boxed()
-    }
-}
-
-impl Services for FakeTargets {
-    fn call(
-        &self,
-        _: SocketAddr,
-        _: Arc<str>,
-        _: Option<Arc<str>>,
-        _: Bytes,
-    ) -> BoxFuture<'static, Result<CallReply, FailureKind>> {
-        let reply = self.replies.lock().expect("no panic").pop();
-        async { reply.unwrap_or(Err(FailureKind::Unreachable)) }.boxed()
-    }
-
-    fn load(&self, _: SocketAddr) -> BoxFuture<'static, Result<LoadReport, FailureKind>> {
-        async { Ok(LoadReport::default()) }.boxed()
-    }
-}
-
 pub fn listing(id: &str, role: ListingRole) -> Listing {
     Listing {
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
