Print faults of the entry binary without a backtrace

Cause: with backtraces enabled, a settings fault was followed by 60 lines of stack. Change: main prints the error and returns a failure code.

--- a/crates/entry/src/bin/entry.rs
+++ b/crates/entry/src/bin/entry.rs
@@ -4,7 +4,7 @@
     anyhow::Context,
     entry::{Settings, Shutdown},
     settings::Program,
-    std::{io::Write, net::SocketAddr},
+    std::{io::Write, net::SocketAddr, process::ExitCode},
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
         sync::watch,
@@ -17,7 +17,18 @@
     version: env!("CARGO_PKG_VERSION"),
 };
 
-fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
+    match serve() {
+        // The messages name the remedy; a backtrace would only hide them.
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+        Ok(()) => ExitCode::SUCCESS,
+    }
+}
+
+fn serve() -> anyhow::Result<()> {
     let Some(settings) = PROGRAM.settings_from_process::<Settings>()? else {
         return Ok(());
     };
