Add the load program

Cause: the load crate was an empty main. Change: two phases under the same seeded demand, with a fixed address and with addresses asked for; streams are resumed when they break; waits from HDR histograms; progress lines; loopback only.

--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,111 @@
+use super::*;
+
+/// Longest time that the histograms hold, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Result of both phases.
+#[derive(Debug)]
+pub struct Report {
+    pub(crate) asked: PhaseReport,
+    pub(crate) fixed: PhaseReport,
+}
+
+/// Result of one phase.
+#[derive(Debug)]
+pub(crate) struct PhaseReport {
+    complete_count: u64,
+    /// Waits for the first token of short work, in microseconds.
+    first_us: Histogram<u64>,
+    /// Gaps between tokens, in microseconds.
+    gap_us: Histogram<u64>,
+    incomplete_count: u64,
+    resume_count: u64,
+    pub(crate) shed_count: u64,
+    token_count: u64,
+    pub(crate) took: Duration,
+}
+
+impl PhaseReport {
+    pub(crate) fn new() -> Result<Self> {
+        Ok(Self {
+            complete_count: 0,
+            first_us: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
+            gap_us: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
+            incomplete_count: 0,
+            resume_count: 0,
+            shed_count: 0,
+            token_count: 0,
+            took: Duration::ZERO,
+        })
+    }
+
+    pub(crate) fn add(&mut self, work: Work, outcome: &Outcome) {
+        self.complete_count += u64::from(outcome.is_complete);
+        self.incomplete_count += u64::from(!outcome.is_complete);
+        self.resume_count += u64::from(outcome.resume_count);
+        self.token_count += outcome.gaps.len() as u64;
+        if let Some(first) = outcome.first_token {
+            self.token_count += 1;
+            if work == Work::Short {
+                self.first_us.saturating_record(first.as_micros() as u64);
+            }
+        }
+        for gap in &outcome.gaps {
+            self.gap_us.saturating_record(gap.as_micros() as u64);
+        }
+    }
+
+    fn rows(&self) -> [(&'static str, f64); 9] {
+        let quantile_ms =
+            |histogram: &Histogram<u64>, share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+        let took_s = self.took.as_secs_f64().max(f64::MIN_POSITIVE);
+        [
+            ("complete", self.complete_count as f64),
+            ("incomplete", self.incomplete_count as f64),
+            ("shed by this program", self.shed_count as f64),
+            ("resumed streams", self.resume_count as f64),
+            ("tokens/s", self.token_count as f64 / took_s),
+            ("short first token p50 ms", quantile_ms(&self.first_us, 0.5)),
+            (
+                "short first token p99 ms",
+                quantile_ms(&self.first_us, 0.99),
+            ),
+            ("token gap p95 ms", quantile_ms(&self.gap_us, 0.95)),
+            ("token gap max ms", quantile_ms(&self.gap_us, 1.0)),
+        ]
+    }
+}
+
+impl Report {
+    /// Requests of both phases whose answers were not complete.
+    #[must_use]
+    pub fn incomplete_count(&self) -> u64 {
+        self.asked.incomplete_count + self.fixed.incomplete_count
+    }
+
+    /// Requests of both phases whose answers were complete.
+    #[must_use]
+    pub fn complete_count(&self) -> u64 {
+        self.asked.complete_count + self.fixed.complete_count
+    }
+
+    /// Table of both phases and of their ratio.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<26} {:>12} {:>12} {:>8}\n",
+            "", "fixed", "asked", "ratio"
+        );
+        for ((name, fixed), (_, asked)) in self.fixed.rows().into_iter().zip(self.asked.rows()) {
+            let ratio = if fixed == 0.0 {
+                "-".into()
+            } else {
+                format!("{:.3}", asked / fixed)
+            };
+            text.push_str(&format!(
+                "{name:<26} {fixed:>12.2} {asked:>12.2} {ratio:>8}\n"
+            ));
+        }
+        text
+    }
+}
