Add commands to move a cache and to ask by key, and the time of the next tick

Cause: the entry process could neither move a cache nor tick before an outcome was due. Change: add Command::MoveCache, Event::CacheMoved, CallQuery and Node::wake_at; nothing sends MoveCache or asks by key yet. Result: clippy of control, peer and entry is clean and the tests of control and peer pass.

--- a/crates/control/src/call_reply.rs
+++ b/crates/control/src/call_reply.rs
@@ -206,9 +206,9 @@
         entry.ask_at = now + Duration::from_millis(self.settings.ask_ms);
         let nonce = row.map(|row| row.nonce.clone()).unwrap_or_default();
         context.push(Command::AskOwner {
-            nonce,
             owner: owner.0,
             peer_address: peer.peer_address,
+            query: CallQuery::Nonce(nonce),
             request: entry.primary.clone(),
         });
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -17,14 +17,14 @@
         /// Operator's id of the edit.
         operation: OperationId,
     },
-    /// Ask a peer what became of a call that it claimed.
+    /// Ask a peer what became of a call.
     AskOwner {
-        /// Nonce of the claim.
-        nonce: Nonce,
         /// Peer.
         owner: InstanceId,
         /// Address of the peer.
         peer_address: SocketAddr,
+        /// Call that is asked for.
+        query: CallQuery,
         /// Request that waits for the answer.
         request: RequestId,
     },
@@ -72,6 +72,23 @@
     },
     /// Write a decision to the log.
     Log(Decision),
+    /// Copy the KV cache of one stage of a running stream from a leaving engine to the engine that
+    /// is to replace it: export there, import here. The attempt goes on meanwhile. The end is
+    /// reported with `Event::CacheMoved`.
+    MoveCache {
+        /// Attempt whose cache is exported.
+        attempt: Attempt,
+        /// Engine that is leaving.
+        from: TargetId,
+        /// Address of the engine that is leaving.
+        from_address: SocketAddr,
+        /// Request.
+        request: RequestId,
+        /// Replacement.
+        to: TargetId,
+        /// Address of the replacement.
+        to_address: SocketAddr,
+    },
     /// Poll a target's load.
     Poll {
         /// Address of the target.
--- a/crates/control/src/config_read.rs
+++ b/crates/control/src/config_read.rs
@@ -60,6 +60,14 @@
         self.snapshot_tick(context, members);
     }
 
+    /// Time by which `tick` is due for the answers and the reads of edits.
+    pub(crate) fn wake_at(&self) -> Option<Duration> {
+        let answers = self.edits.values().map(|edit| edit.expires_at);
+        let is_reading = self.reader.in_flight || self.edits.is_empty();
+        let read = (!is_reading).then_some(self.reader.at);
+        answers.chain(read).min()
+    }
+
     /// Sends a read now, or after the one in flight.
     pub(crate) fn read_soon(&mut self, context: &mut Context) {
         if self.reader.in_flight {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -19,6 +19,17 @@
         /// Engine.
         target: TargetId,
     },
+    /// `Command::MoveCache` has ended.
+    CacheMoved {
+        /// Attempt whose cache was to be exported.
+        attempt: Attempt,
+        /// Engine that is leaving.
+        from: TargetId,
+        /// Request.
+        request: RequestId,
+        /// Tokens that the imported cache covers, counting those of the prompt.
+        result: Result<u32, FailureKind>,
+    },
     /// A service replied to a call.
     CallCompleted {
         /// Attempt that was replied to.
@@ -97,8 +108,10 @@
         /// Engine.
         target: TargetId,
     },
-    /// The owner of a call answered `Command::AskOwner`.
+    /// A peer answered `Command::AskOwner`.
     OwnerAnswered {
+        /// Peer that was asked.
+        owner: InstanceId,
         /// Request that asked.
         request: RequestId,
         /// Answer.
@@ -122,6 +135,15 @@
     Ticked,
 }
 
+/// Call that a peer is asked for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CallQuery {
+    /// Any claim of this row key.
+    Key(Arc<str>),
+    /// The claim with this nonce.
+    Nonce(Nonce),
+}
+
 /// What the owner of a non-repeatable call says of it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OwnerStatus {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -123,7 +123,7 @@
     context::Context,
     decision::{Candidate, Decision},
     drain::Drain,
-    event::{Event, OwnerStatus},
+    event::{CallQuery, Event, OwnerStatus},
     history::History,
     identity::Identity,
     journal::{JournalSettings, Journals},
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,6 +12,7 @@
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
+    ticked_at: Duration,
 }
 
 impl Node {
@@ -29,6 +30,7 @@
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
             started: wall,
+            ticked_at: Duration::ZERO,
         }
     }
 
@@ -62,6 +64,16 @@
         self.context.unexpected_count
     }
 
+    /// Time by which the next `Event::Ticked` is due for any part, in the time of `handle`; none
+    /// when the regular tick every 50 ms is early enough. What the last tick left over waits for
+    /// the regular one, so a part that cannot act yet does not cause ticks in a loop.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Duration> {
+        let times = [self.configs.wake_at(), self.records.wake_at()];
+        let later = times.into_iter().flatten();
+        later.filter(|at| *at > self.ticked_at).min()
+    }
+
     pub(crate) fn set_time(&mut self, now: Duration) {
         self.context.now = now;
         self.context.wall = self.started + now;
@@ -149,8 +161,13 @@
                 self.load_received(&target, report);
             }
             Event::OrderFailed { order, target } => self.orders.failed(context, &target, &order),
-            Event::OwnerAnswered { request, status } => {
-                let effects = self.records.owner_answered(context, &request, status);
+            Event::OwnerAnswered {
+                owner,
+                request,
+                status,
+            } => {
+                let records = &mut self.records;
+                let effects = records.owner_answered(context, &owner, &request, status);
                 self.apply_effects(effects);
             }
             Event::StoreReplied { result, ticket } => self.store_replied(ticket, &result),
@@ -201,6 +218,7 @@
     }
 
     fn tick(&mut self) {
+        self.ticked_at = self.context.now;
         let own = self.own_state();
         self.members.tick(&mut self.context, &own);
         let commands = &mut self.context.commands;
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -156,8 +156,12 @@
 
     /// What this process says of a claim when a peer asks.
     #[must_use]
-    pub fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
-        let entry = self.nonces.get(nonce).and_then(|key| self.entries.get(key));
+    pub fn owner_status(&self, query: &CallQuery) -> OwnerStatus {
+        let key = match query {
+            CallQuery::Key(key) => Some(key),
+            CallQuery::Nonce(nonce) => self.nonces.get(nonce),
+        };
+        let entry = key.and_then(|key| self.entries.get(key));
         let Some(entry) = entry else {
             return OwnerStatus::UnknownClaim;
         };
@@ -177,6 +181,7 @@
     pub fn owner_answered(
         &mut self,
         context: &mut Context,
+        _owner: &InstanceId,
         request: &RequestId,
         status: OwnerStatus,
     ) -> Vec<RecordEffect> {
@@ -210,6 +215,13 @@
         self.outbox.due_at(&self.settings)
     }
 
+    /// Time by which `tick` is due for the outcomes and the retries of this record.
+    pub(crate) fn wake_at(&self) -> Option<Duration> {
+        let idle = self.entries.values().filter(|entry| !entry.in_flight);
+        let retries = idle.filter_map(|entry| entry.retry_at);
+        retries.chain(self.flush_at()).min()
+    }
+
     pub(crate) fn is_window_open(&self, entry: &CallEntry, now: Duration) -> bool {
         let window = Duration::from_millis(self.settings.window_ms);
         now.saturating_sub(entry.began) <= window && now <= entry.deadline_at
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -43,8 +43,8 @@
 
     /// What became of the call that was claimed with `nonce`.
     #[must_use]
-    pub fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
-        self.records.owner_status(nonce)
+    pub fn owner_status(&self, query: &CallQuery) -> OwnerStatus {
+        self.records.owner_status(query)
     }
 
     /// What this node believes of itself, its peers and its targets.
--- a/crates/control/tests/record.rs
+++ b/crates/control/tests/record.rs
@@ -321,12 +321,14 @@
             .commands
             .drain(..)
             .find_map(|command| match command {
-                Command::AskOwner { nonce, .. } => Some(nonce),
+                Command::AskOwner { query, .. } => Some(query),
                 _ => None,
             });
         let status = a.records.owner_status(&asked.unwrap());
         assert_eq!(status, expected);
-        let effects = b.records.owner_answered(&mut b.context, &id("r2"), status);
+        let effects = b
+            .records
+            .owner_answered(&mut b.context, &"a".into(), &id("r2"), status);
         assert_eq!(effects.len(), usize::from(expected != OwnerStatus::Running));
         a.records.completed(&mut a.context, &id("r1"), done());
     }
--- a/crates/control/tests/record_model.rs
+++ b/crates/control/tests/record_model.rs
@@ -6,7 +6,9 @@
 mod support;
 
 use {
-    control::{Command, Context, Members, OwnerStatus, RecordEffect, RecordSettings, Records},
+    control::{
+        CallQuery, Command, Context, Members, OwnerStatus, RecordEffect, RecordSettings, Records,
+    },
     proptest::{
         prelude::*,
         test_runner::{Config, RngSeed},
@@ -18,8 +20,8 @@
         table::Table,
     },
     types::{
-        CallOutcome, CallReply, CallSubmission, Nonce, OperationKind, Refusal, RefusalKind,
-        RequestId, Row, StoreFailure, StoreReply, StoreRequest, StoreTicket,
+        CallOutcome, CallReply, CallSubmission, OperationKind, Refusal, RefusalKind, RequestId,
+        Row, StoreFailure, StoreReply, StoreRequest, StoreTicket,
     },
     yare::parameterized,
 };
@@ -84,7 +86,7 @@
     /// Faults, submissions and advances that the schedule may still use.
     allowed: Allowed,
     answers: Vec<(RequestId, CallOutcome)>,
-    asks: Vec<(usize, Nonce, RequestId)>,
+    asks: Vec<(usize, CallQuery, RequestId)>,
     late: Vec<StoreRequest>,
     processes: Vec<Process>,
     restart_count: usize,
@@ -156,8 +158,8 @@
         }
         for command in std::mem::take(&mut process.context.commands) {
             match command {
-                Command::AskOwner { nonce, request, .. } => {
-                    self.asks.push((index, nonce, request));
+                Command::AskOwner { query, request, .. } => {
+                    self.asks.push((index, query, request));
                 }
                 Command::Store { request, ticket } => self.waiting.push((index, ticket, request)),
                 _ => {}
@@ -192,7 +194,8 @@
         }
         for process in &self.processes {
             let nonce: String = self.table.field(ROW, "nonce").replace('"', "");
-            let owner = process.records.owner_status(&nonce.as_str().into());
+            let query = CallQuery::Nonce(nonce.as_str().into());
+            let owner = process.records.owner_status(&query);
             let is_own = self.table.field(ROW, "owner") == process.name();
             let is_current =
                 self.table.field(ROW, "incarnation") == process.incarnation.to_string();
@@ -277,12 +280,14 @@
     }
 
     fn ask(&mut self, place: usize) -> Result<(), String> {
-        let (index, nonce, request) = self.asks.remove(place);
-        let status: OwnerStatus = self.processes[1 - index].records.owner_status(&nonce);
+        let (index, query, request) = self.asks.remove(place);
+        let status: OwnerStatus = self.processes[1 - index].records.owner_status(&query);
+        let owner = self.processes[1 - index].name.into();
         let process = &mut self.processes[index];
-        let effects = process
-            .records
-            .owner_answered(&mut process.context, &request, status);
+        let effects =
+            process
+                .records
+                .owner_answered(&mut process.context, &owner, &request, status);
         self.settle(index, effects)
     }
 
--- a/crates/entry/src/control_thread.rs
+++ b/crates/entry/src/control_thread.rs
@@ -12,7 +12,7 @@
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes>;
 
     /// What became of a call that this instance claimed.
-    fn owner_status(&self, nonce: Nonce) -> BoxFuture<'static, OwnerStatus>;
+    fn owner_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus>;
 
     /// Hands over an event. Events of one task are handled in order.
     fn report(&self, event: Event);
@@ -30,7 +30,7 @@
 
 struct Addresses(Option<ModelId>);
 struct ChangesSince(ConfigVersion);
-struct OwnerQuery(Nonce);
+struct OwnerQuery(CallQuery);
 struct Report(Event);
 struct StatusQuery;
 
@@ -156,10 +156,10 @@
         .boxed()
     }
 
-    fn owner_status(&self, nonce: Nonce) -> BoxFuture<'static, OwnerStatus> {
+    fn owner_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
         let address = self.0.clone();
         async move {
-            let status = address.send(OwnerQuery(nonce)).await;
+            let status = address.send(OwnerQuery(query)).await;
             status.unwrap_or(OwnerStatus::NoReply)
         }
         .boxed()
--- a/crates/entry/src/executor.rs
+++ b/crates/entry/src/executor.rs
@@ -125,14 +125,18 @@
         let peers = &self.parts.peers;
         match command {
             Command::AskOwner {
-                nonce,
+                owner,
                 peer_address,
+                query,
                 request,
-                ..
             } => {
-                let answer = peers.call_status(peer_address, nonce).await;
+                let answer = peers.call_status(peer_address, query).await;
                 let status = answer.unwrap_or(OwnerStatus::NoReply);
-                self.report(Event::OwnerAnswered { request, status });
+                self.report(Event::OwnerAnswered {
+                    owner,
+                    request,
+                    status,
+                });
             }
             Command::FetchChanges {
                 after,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,9 +8,9 @@
     blake3::Hash,
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, Assembly, AssemblyStep, Candidate, Command, Decision, Event,
-        Holder, Identity, JournalAppend, JournalSettings, Journals, Node, NodeSettings,
-        OwnerStatus, Status, TakeAnswer,
+        AddressAnswer, AppendAnswer, Assembly, AssemblyStep, CallQuery, Candidate, Command,
+        Decision, Event, Holder, Identity, JournalAppend, JournalSettings, Journals, Node,
+        NodeSettings, OwnerStatus, Status, TakeAnswer,
     },
     futures::{FutureExt, StreamExt, future::BoxFuture},
     hyper::{
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -15,8 +15,8 @@
         async move { answer }.boxed()
     }
 
-    fn call_status(&self, nonce: Nonce) -> BoxFuture<'static, OwnerStatus> {
-        self.0.parts.control.owner_status(nonce)
+    fn call_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
+        self.0.parts.control.owner_status(query)
     }
 
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes> {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use {
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, Command, EntryAddress, Event, Holder, Identity, JournalAppend,
-        OwnerStatus, Status, TakeAnswer,
+        AddressAnswer, AppendAnswer, CallQuery, Command, EntryAddress, Event, Holder, Identity,
+        JournalAppend, OwnerStatus, Status, TakeAnswer,
     },
     entry::{App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
@@ -24,9 +24,9 @@
     types::{
         Account, AccountId, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord,
         FailureKind, GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange,
-        Listing, ListingRole, Lists, LoadReport, Nonce, OperationKind, Order, Plan,
-        PriorityRequest, RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply,
-        StoreRequest, StreamRecord, TokenRecord, hash_key,
+        Listing, ListingRole, Lists, LoadReport, OperationKind, Order, Plan, PriorityRequest,
+        RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest,
+        StreamRecord, TokenRecord, hash_key,
     },
     wire::{
         Request, Response,
@@ -172,7 +172,7 @@
         async { Changes::Records(Vec::new()) }.boxed()
     }
 
-    fn owner_status(&self, _: Nonce) -> BoxFuture<'static, OwnerStatus> {
+    fn owner_status(&self, _: CallQuery) -> BoxFuture<'static, OwnerStatus> {
         async { OwnerStatus::Running }.boxed()
     }
 
--- a/crates/entry/tests/support/network.rs
+++ b/crates/entry/tests/support/network.rs
@@ -41,9 +41,9 @@
     fn call_status(
         &self,
         address: SocketAddr,
-        nonce: Nonce,
+        query: CallQuery,
     ) -> BoxFuture<'static, Result<OwnerStatus, Error>> {
-        self.call(address, |peer| peer.call_status(nonce))
+        self.call(address, |peer| peer.call_status(query))
     }
 
     fn changes_since(
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,7 +5,7 @@
 
 use {
     blake3::Hash,
-    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    control::{AppendAnswer, CallQuery, Holder, JournalAppend, OwnerStatus, TakeAnswer},
     futures::{FutureExt, Stream, StreamExt, future::BoxFuture},
     serde::{Deserialize, Serialize},
     std::{
@@ -32,7 +32,7 @@
         time::{Instant, timeout},
     },
     types::{
-        AccountId, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists, Nonce,
+        AccountId, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
         RequestId,
     },
 };
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -14,7 +14,7 @@
     fn call_status(
         &self,
         address: SocketAddr,
-        nonce: Nonce,
+        query: CallQuery,
     ) -> BoxFuture<'static, Result<OwnerStatus, Error>>;
 
     /// Asks for the changes after a version.
@@ -65,7 +65,7 @@
     fn append_journal(&self, append: JournalAppend) -> BoxFuture<'static, AppendAnswer>;
 
     /// Serves `Peers::call_status`.
-    fn call_status(&self, nonce: Nonce) -> BoxFuture<'static, OwnerStatus>;
+    fn call_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus>;
 
     /// Serves `Peers::changes_since`.
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes>;
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -123,10 +123,10 @@
     fn call_status(
         &self,
         address: SocketAddr,
-        nonce: Nonce,
+        query: CallQuery,
     ) -> BoxFuture<'static, Result<OwnerStatus, Error>> {
         self.call(address, |client, context, secret| async move {
-            client.call_status(context, secret, nonce).await
+            client.call_status(context, secret, query).await
         })
     }
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -113,10 +113,10 @@
         self,
         _: Context,
         secret: Secret,
-        nonce: Nonce,
+        query: CallQuery,
     ) -> Result<OwnerStatus, Rejection> {
         self.check(&secret)?;
-        Ok(self.handler.call_status(nonce).await)
+        Ok(self.handler.call_status(query).await)
     }
 
     async fn changes_since(
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -15,7 +15,7 @@
         append: JournalAppend,
     ) -> Result<AppendAnswer, Rejection>;
 
-    async fn call_status(secret: Secret, nonce: Nonce) -> Result<OwnerStatus, Rejection>;
+    async fn call_status(secret: Secret, query: CallQuery) -> Result<OwnerStatus, Rejection>;
 
     async fn changes_since(secret: Secret, version: ConfigVersion) -> Result<Changes, Rejection>;
 
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -1,7 +1,7 @@
 //! Calls between instances over loopback.
 
 use {
-    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    control::{AppendAnswer, CallQuery, Holder, JournalAppend, OwnerStatus, TakeAnswer},
     futures::{FutureExt, future::BoxFuture},
     peer::{Changes, Error, PeerHandler, PeerSettings, Peers, Pool, Secret, serve},
     std::{
@@ -11,7 +11,7 @@
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
     types::{
         AccountId, Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
-        Nonce, RequestId, TargetDigest, TargetHealth,
+        RequestId, TargetDigest, TargetHealth,
     },
 };
 
@@ -33,7 +33,7 @@
         async { AppendAnswer::Appended { next: 3 } }.boxed()
     }
 
-    fn call_status(&self, _: Nonce) -> BoxFuture<'static, OwnerStatus> {
+    fn call_status(&self, _: CallQuery) -> BoxFuture<'static, OwnerStatus> {
         futures::future::pending().boxed()
     }
 
@@ -242,7 +242,9 @@
         call_ms: 20,
         ..settings("s")
     });
-    let result = pool.call_status(server.address, "n".into()).await;
+    let result = pool
+        .call_status(server.address, CallQuery::Nonce("n".into()))
+        .await;
     assert!(matches!(result, Err(Error::Deadline { .. })), "{result:?}");
 }
 
