Check the majority again before each write of an edit, and pace its reads

Cause: an instance that was paused after it took an edit wrote it without a majority, and an edit whose write was refused read the store again at once. Change: judge the majority in the step that sends a write, wait longer after each failed step, and let edits of an outage share the paced read.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -10,6 +10,8 @@
     pub(crate) confirmed_at: Option<Duration>,
     pub(crate) edits: BTreeMap<OperationId, Edit>,
     pub(crate) flights: BTreeMap<StoreTicket, ConfigFlight>,
+    /// Whether more than half of the view was heard at the current event.
+    pub(crate) has_majority: bool,
     /// Version that the head row names, and the version of that row.
     pub(crate) head: Option<(ConfigVersion, RowVersion)>,
     pub(crate) is_ready: bool,
@@ -44,6 +46,7 @@
             confirmed_at: None,
             edits: BTreeMap::new(),
             flights: BTreeMap::new(),
+            has_majority: false,
             head: None,
             is_ready: false,
             lists: Arc::default(),
@@ -55,6 +58,18 @@
         }
     }
 
+    /// Takes in whether this instance hears from a majority now; to be called before each event
+    /// that can lead to the write of an edit.
+    pub fn note_majority(&mut self, has_majority: bool) {
+        self.has_majority = has_majority;
+    }
+
+    /// Whether this instance may send the write of an edit.
+    #[must_use]
+    pub fn has_majority(&self) -> bool {
+        self.has_majority
+    }
+
     /// Both lists in force.
     #[must_use]
     pub fn lists(&self) -> &Arc<Lists> {
--- a/crates/control/src/config_read.rs
+++ b/crates/control/src/config_read.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reader {
     at: Duration,
+    /// Reads that failed since the last one that succeeded.
+    failure_count: u32,
     /// First version whose change row is still to be read, while `recent` lacks rows that the
     /// table keeps. Edits wait for it, because their operation ids may be in those rows.
     fill_at: Option<ConfigVersion>,
@@ -88,13 +90,24 @@
         if self.reader.in_flight {
             self.reader.is_wanted = true;
         } else if self.reader.has_failed {
-            let retry = Duration::from_millis(self.settings.retry_ms);
-            self.reader.at = self.reader.at.min(context.now + retry);
+            self.read_again(context, self.reader.failure_count);
         } else {
             self.read(context);
         }
     }
 
+    /// Makes an edit whose last step failed wait for a read after a growing wait, also when reads
+    /// succeed: a store may take reads and refuse writes.
+    pub(crate) fn read_later(&mut self, context: &Context, operation: &OperationId) {
+        let mut retry_count = self.reader.failure_count;
+        if let Some(edit) = self.edits.get_mut(operation) {
+            edit.read_number = self.reader.number + 1;
+            edit.retry_count += 1;
+            retry_count = retry_count.max(edit.retry_count);
+        }
+        self.read_again(context, retry_count);
+    }
+
     fn read(&mut self, context: &mut Context) {
         self.reader.in_flight = true;
         self.reader.is_wanted = false;
@@ -131,6 +144,7 @@
         self.reader.in_flight = false;
         let Ok(StoreReply::Rows { rows }) = result else {
             self.reader.has_failed = true;
+            self.reader.failure_count += 1;
             return;
         };
         self.reader.has_base = true;
@@ -153,9 +167,11 @@
         self.reader.in_flight = false;
         self.reader.has_failed = result.is_err();
         let Ok(StoreReply::Rows { rows }) = result else {
+            self.reader.failure_count += 1;
             self.edits_read(context, number, Some(EditEvent::Unavailable));
             return;
         };
+        self.reader.failure_count = 0;
         let before = (self.lists.version, self.reader.fill_at);
         let head = self.take_rows(context, rows);
         let has_progress = before != (self.lists.version, self.reader.fill_at);
@@ -169,13 +185,13 @@
                 self.edits_read(context, number, None);
             }
             // A push overtook this read; a later one confirms.
-            Some(head) if head.0 < self.lists.version => self.read_again(context),
+            Some(head) if head.0 < self.lists.version => self.read_again(context, 0),
             // The limit cut rows off.
             _ if has_progress => self.reader.is_wanted = true,
             // Rows that follow the own version are trimmed; the snapshot has them.
             _ => {
                 self.reader.has_base = false;
-                self.read_again(context);
+                self.read_again(context, 0);
             }
         }
         if self.reader.is_wanted && !self.reader.in_flight {
@@ -183,10 +199,12 @@
         }
     }
 
-    /// Reads again after a wait, so that a table that lost rows is not read in a loop.
-    fn read_again(&mut self, context: &Context) {
-        let retry = Duration::from_millis(self.settings.retry_ms);
-        self.reader.at = self.reader.at.min(context.now + retry);
+    /// Reads again after a wait that doubles with `retry_count`, so that a table that fails or
+    /// lost rows is not read in a loop.
+    fn read_again(&mut self, context: &Context, retry_count: u32) {
+        let wait_ms = self.settings.retry_ms << retry_count.min(12);
+        let wait = Duration::from_millis(wait_ms.min(self.settings.retry_max_ms));
+        self.reader.at = self.reader.at.min(context.now + wait);
     }
 
     /// Applies change rows in order and returns the head, which is absent only when rows were
--- a/crates/control/src/config_settings.rs
+++ b/crates/control/src/config_settings.rs
@@ -16,7 +16,9 @@
     pub read_min_ms: u64,
     /// Range reads per second over all instances.
     pub reads_per_s: u64,
-    /// Wait before a failed read that an edit needs is repeated, in milliseconds.
+    /// Longest wait before a read that an edit needs is repeated, in milliseconds.
+    pub retry_max_ms: u64,
+    /// Shortest wait before a read that an edit needs is repeated, in milliseconds.
     pub retry_ms: u64,
     /// Age of an unanswered read from which changes are fetched from a peer, in milliseconds.
     pub read_slow_ms: u64,
@@ -36,6 +38,7 @@
             read_min_ms: 1_000,
             read_slow_ms: 500,
             reads_per_s: 200,
+            retry_max_ms: 500,
             retry_ms: 100,
             retry_after_ms: 1_000,
             snapshot_count: 256,
--- a/crates/control/src/edit.rs
+++ b/crates/control/src/edit.rs
@@ -22,6 +22,7 @@
     Found,
     Fresh,
     Invalid,
+    Minority,
     Stale,
     Unavailable,
     Unchanged,
@@ -37,6 +38,7 @@
     AnswerUnavailable,
     AnswerUnknown,
     Read,
+    ReadLater,
     Send,
 }
 
@@ -53,6 +55,8 @@
     pub(crate) expires_at: Duration,
     /// Number of the range read that the edit waits for.
     pub(crate) read_number: u64,
+    /// Paced reads so far.
+    pub(crate) retry_count: u32,
     pub(crate) send_count: u32,
     /// Version of the head row that its last write required.
     pub(crate) sent_head: Option<RowVersion>,
@@ -67,7 +71,6 @@
         operation: &OperationId,
         base_version: Option<ConfigVersion>,
         change: Change,
-        has_majority: bool,
     ) {
         if let Some(version) = self.version_of(operation) {
             return answer(context, operation, EditAnswer::Accepted { version });
@@ -75,7 +78,7 @@
         if self.edits.contains_key(operation) {
             return;
         }
-        if !self.is_ready() || !has_majority {
+        if !self.is_ready() || !self.has_majority {
             let retry_after = Duration::from_millis(self.settings.retry_after_ms);
             return answer(context, operation, EditAnswer::Unavailable { retry_after });
         }
@@ -84,6 +87,7 @@
             change,
             expires_at: context.now + Duration::from_millis(self.settings.edit_ms),
             read_number: 0,
+            retry_count: 0,
             send_count: 0,
             sent_head: None,
             state: CHART.initial(),
@@ -91,8 +95,11 @@
         let event = self.judge_edit(operation, &edit);
         self.edits.insert(operation.clone(), edit);
         match event {
-            EditEvent::Fresh => self.apply_edit(context, operation, event),
-            // The own lists may be behind, so only a read decides.
+            EditEvent::Fresh if !self.reader.has_failed => {
+                self.apply_edit(context, operation, event)
+            }
+            // The own lists may be behind, so only a read decides. A store that failed is not
+            // asked by each edit: they share the next read.
             _ => self.read_for(context, operation),
         }
     }
@@ -120,14 +127,21 @@
         }
     }
 
-    /// What the lists and the head mean for an edit, after they were read.
+    /// What the lists and the head mean for an edit, after they were read. A write is sent in the
+    /// same step, and only while this instance hears from a majority: it may have been paused or
+    /// cut off since the edit came. What remains is a pause between this check and the arrival of
+    /// the write at the table. The condition on the head row still orders that write after every
+    /// change that was accepted meanwhile, but peers learn of it only when they next read the store.
     pub(crate) fn judge_edit(&self, operation: &OperationId, edit: &Edit) -> EditEvent {
         if self.version_of(operation).is_some() {
             return EditEvent::Found;
         }
         let head = self.head.filter(|head| head.0 == self.lists.version);
         if edit.sent_head.is_some() && edit.sent_head == head.map(|head| head.1) {
-            return EditEvent::Unchanged;
+            return match self.has_majority {
+                false => EditEvent::Unavailable,
+                true => EditEvent::Unchanged,
+            };
         }
         let is_based = edit
             .base_version
@@ -137,6 +151,7 @@
         }
         match Lists::clone(&self.lists).apply(&edit.change) {
             Err(_) => EditEvent::Invalid,
+            Ok(()) if !self.has_majority => EditEvent::Minority,
             Ok(()) => EditEvent::Fresh,
         }
     }
@@ -177,6 +192,7 @@
             EditAction::AnswerUnavailable => EditAnswer::Unavailable { retry_after },
             EditAction::AnswerUnknown => EditAnswer::Unknown { retry_after },
             EditAction::Read => return self.read_for(context, operation),
+            EditAction::ReadLater => return self.read_later(context, operation),
             EditAction::Send => return self.send_edit(context, operation),
         };
         answer(context, operation, result);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -128,6 +128,7 @@
 
     /// Events about the operator lists.
     fn config_event(&mut self, event: Event) {
+        self.note_majority();
         let context = &mut self.context;
         match event {
             Event::ChangesReceived { records } => self.configs.changes_received(context, &records),
@@ -136,9 +137,8 @@
                 change,
                 operation,
             } => {
-                let has_majority = self.members.has_majority(context.now);
-                self.configs
-                    .edit(context, &operation, base_version, change, has_majority);
+                let configs = &mut self.configs;
+                configs.edit(context, &operation, base_version, change);
             }
             Event::ListsReceived(lists) => self.configs.lists_received(context, &lists),
             _ => {}
@@ -206,6 +206,7 @@
     }
 
     fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
+        self.note_majority();
         let context = &mut self.context;
         if self.configs.store_replied(context, ticket, result)
             || self.orders.store_replied(context, ticket, result)
@@ -223,6 +224,7 @@
         self.members.tick(&mut self.context, &own);
         let commands = &mut self.context.commands;
         self.requests.fill_cache_positions(commands);
+        self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
         self.orders.tick(&mut self.context, &self.members);
         let effects = self.records.tick(&mut self.context, &self.members);
@@ -248,6 +250,11 @@
         }
     }
 
+    fn note_majority(&mut self) {
+        let has_majority = self.members.has_majority(self.context.now);
+        self.configs.note_majority(has_majority);
+    }
+
     fn own_state(&self) -> OwnState {
         let now = self.context.now;
         OwnState {
--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -19,8 +19,10 @@
 
 impl Instance {
     fn new(members: Members) -> Self {
+        let mut configs = Configs::new(ConfigSettings::default());
+        configs.note_majority(true);
         Self {
-            configs: Configs::new(ConfigSettings::default()),
+            configs,
             context: context(1),
             members,
         }
@@ -52,7 +54,7 @@
     fn edit(&mut self, name: &str, base: Option<u64>, table: &mut Table) -> Vec<Command> {
         let change = put(name);
         self.configs
-            .edit(&mut self.context, &name.into(), base, change, true);
+            .edit(&mut self.context, &name.into(), base, change);
         self.tick(0, Some(table))
     }
 }
@@ -114,17 +116,38 @@
     let mut a = alone();
     a.tick(50, Some(&mut table));
     let change = Change::DeletePlan { id: "none".into() };
-    a.configs
-        .edit(&mut a.context, &"x".into(), None, change, true);
+    a.configs.edit(&mut a.context, &"x".into(), None, change);
     let commands = a.tick(0, Some(&mut table));
     assert!(matches!(answer(&commands), EditAnswer::Invalid { .. }));
-    a.configs
-        .edit(&mut a.context, &"y".into(), None, put("p"), false);
+    a.configs.note_majority(false);
+    a.configs.edit(&mut a.context, &"y".into(), None, put("p"));
     let commands = a.tick(0, Some(&mut table));
     assert!(matches!(answer(&commands), EditAnswer::Unavailable { .. }));
     assert!(table.rows.is_empty());
 }
 
+/// Guards against an instance that was paused or cut off after it took an edit and then writes it.
+#[test]
+fn majority_is_checked_again_before_a_write_is_repeated() {
+    let mut table = Table::default();
+    let mut a = alone();
+    a.tick(50, Some(&mut table));
+    a.configs.edit(&mut a.context, &"p".into(), None, put("p"));
+    let sent = std::mem::take(&mut a.context.commands);
+    let [Command::Store { ticket, .. }] = sent[..] else {
+        panic!("not one request: {sent:?}");
+    };
+    let lost = Err(StoreFailure::Ambiguous);
+    a.configs.store_replied(&mut a.context, ticket, &lost);
+    a.configs.note_majority(false);
+    a.tick(1_000, Some(&mut table));
+    a.tick(1_000, Some(&mut table));
+    assert!(table.rows.is_empty());
+    a.configs.note_majority(true);
+    let commands = a.tick(900, Some(&mut table));
+    assert_eq!(answer(&commands), EditAnswer::Accepted { version: 1 });
+}
+
 /// Guards against a series that grows without bound, a joiner that cannot read a trimmed series,
 /// and a joiner that applies an old operation id again.
 #[test]
--- a/crates/control/tests/config_model.rs
+++ b/crates/control/tests/config_model.rs
@@ -1,5 +1,5 @@
 //! Schedules of conflicting edits at two instances over a faulty table. Guards against an edit
-//! that is applied twice, reverted, or reported wrongly.
+//! that is applied twice, reverted, reported wrongly, or written by an instance without a majority.
 #![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
 
 mod support;
@@ -25,11 +25,14 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Advance,
+    /// The instance no longer hears from a majority.
+    CutOff(usize),
     Deliver(usize),
     /// The table takes the request up at a later time, and the reply is lost.
     Delay(usize),
     /// The operator sends the edit of this number to the instance.
     Edit(usize, usize),
+    Join(usize),
     Land(usize),
     LoseReply(usize),
     Push(usize),
@@ -44,6 +47,7 @@
     edits: Vec<(usize, usize)>,
     fault_count: usize,
     instances: Vec<(Context, Configs, usize)>,
+    is_cut_off: [bool; 2],
     late: Vec<StoreRequest>,
     pushes: Vec<(usize, Vec<ChangeRecord>)>,
     table: Table,
@@ -56,13 +60,18 @@
     /// Two instances that have joined an empty configuration.
     fn new(fault_count: usize) -> Self {
         let names = ["a", "b"];
-        let instance = |index| (context(index), Configs::new(ConfigSettings::default()), 0);
+        let instance = |index| {
+            let mut configs = Configs::new(ConfigSettings::default());
+            configs.note_majority(true);
+            (context(index), configs, 0)
+        };
         let mut world = Self {
             advance_count: 0,
             answers: Vec::new(),
             edits: Vec::new(),
             fault_count,
             instances: vec![instance(0), instance(1)],
+            is_cut_off: [false; 2],
             late: Vec::new(),
             pushes: Vec::new(),
             table: Table::default(),
@@ -92,6 +101,8 @@
         while !self.pushes.is_empty() {
             self.take(&Step::Push(0))?;
         }
+        self.take(&Step::Join(0))?;
+        self.take(&Step::Join(1))?;
         self.take(&Step::Advance)?;
         self.take(&Step::Tick(0))?;
         self.take(&Step::Tick(1))
@@ -105,7 +116,12 @@
                     self.answers.push((number, answer));
                 }
                 Command::PushChanges { records, .. } => self.pushes.push((1 - index, records)),
-                Command::Store { request, ticket } => self.waiting.push((index, ticket, request)),
+                Command::Store { request, ticket } => {
+                    if self.is_cut_off[index] && matches!(request, StoreRequest::Transact { .. }) {
+                        return Err("an instance without a majority sent a write".into());
+                    }
+                    self.waiting.push((index, ticket, request));
+                }
                 _ => {}
             }
         }
@@ -187,9 +203,33 @@
     fn reply(&mut self, place: usize, result: Result<(), StoreFailure>) -> Result<(), String> {
         let (index, ticket, request) = self.waiting.remove(place);
         let result = result.map(|()| self.table.run(&request));
+        self.act(index, |context, configs| {
+            configs.store_replied(context, ticket, &result);
+        })
+    }
+
+    fn edit(&mut self, index: usize, number: usize) -> Result<(), String> {
+        self.edits.push((index, number));
+        let operation = Arc::from(format!("e{number}"));
+        let change = Change::PutPlan {
+            id: Arc::clone(&operation),
+            plan: Plan::default(),
+        };
+        self.act(index, |context, configs| {
+            configs.edit(context, &operation, None, change);
+        })
+    }
+
+    /// Lets one instance act and takes its commands.
+    fn act(
+        &mut self,
+        index: usize,
+        act: impl FnOnce(&mut Context, &mut Configs),
+    ) -> Result<(), String> {
         let (context, configs, highest) = &mut self.instances[index];
         *highest = configs.lists().version as usize;
-        configs.store_replied(context, ticket, &result);
+        act(context, configs);
+        self.is_cut_off[index] = !configs.has_majority();
         self.collect(index)
     }
 }
@@ -203,6 +243,11 @@
             if self.ticked[index] < self.advance_count {
                 moves.push(Step::Tick(index));
             }
+            moves.extend(match self.is_cut_off[index] {
+                false if self.fault_count > 0 => Some(Step::CutOff(index)),
+                false => None,
+                true => Some(Step::Join(index)),
+            });
             // The first edit may come to both instances, the others to one each.
             for number in [0, 1 + index] {
                 let sent = self.edits.iter().filter(|edit| edit.1 == number).count();
@@ -230,7 +275,10 @@
     }
 
     fn take(&mut self, step: &Step) -> Result<(), String> {
-        let is_fault = matches!(step, Step::Delay(_) | Step::LoseReply(_) | Step::Refuse(_));
+        let is_fault = matches!(
+            step,
+            Step::CutOff(_) | Step::Delay(_) | Step::LoseReply(_) | Step::Refuse(_)
+        );
         self.fault_count -= usize::from(is_fault);
         match *step {
             Step::Advance => {
@@ -240,22 +288,14 @@
                 }
                 Ok(())
             }
+            Step::CutOff(index) => self.act(index, |_, configs| configs.note_majority(false)),
             Step::Deliver(place) => self.reply(place, Ok(())),
             Step::Delay(place) => {
                 self.late.push(self.waiting[place].2.clone());
                 self.reply(place, Err(StoreFailure::Ambiguous))
             }
-            Step::Edit(index, number) => {
-                self.edits.push((index, number));
-                let operation = Arc::from(format!("e{number}"));
-                let change = Change::PutPlan {
-                    id: Arc::clone(&operation),
-                    plan: Plan::default(),
-                };
-                let (context, configs, _) = &mut self.instances[index];
-                configs.edit(context, &operation, None, change, true);
-                self.collect(index)
-            }
+            Step::Edit(index, number) => self.edit(index, number),
+            Step::Join(index) => self.act(index, |_, configs| configs.note_majority(true)),
             Step::Land(place) => {
                 let request = self.late.remove(place);
                 self.table.run(&request);
@@ -268,17 +308,17 @@
             }
             Step::Push(place) => {
                 let (index, records) = self.pushes.remove(place);
-                let (context, configs, highest) = &mut self.instances[index];
-                *highest = configs.lists().version as usize;
-                configs.changes_received(context, &records);
-                self.collect(index)
+                self.act(index, |context, configs| {
+                    configs.changes_received(context, &records);
+                })
             }
             Step::Refuse(place) => self.reply(place, Err(StoreFailure::Unavailable)),
             Step::Tick(index) => {
                 self.ticked[index] = self.advance_count;
-                let (context, configs, _) = &mut self.instances[index];
-                configs.tick(context, &self.view[index]);
-                self.collect(index)
+                let view = self.view.clone();
+                self.act(index, |context, configs| {
+                    configs.tick(context, &view[index])
+                })
             }
         }
     }
@@ -296,6 +336,7 @@
 #[parameterized(
     conflict = { &[Step::Edit(0, 1), Step::Edit(1, 2)] },
     delayed_write_and_second_instance = { &[Step::Edit(0, 0), Step::Delay(0), Step::Edit(1, 0)] },
+    cut_off_while_a_reply_is_lost = { &[Step::Edit(0, 0), Step::LoseReply(0), Step::CutOff(0)] },
     lost_reply = { &[Step::Edit(0, 0), Step::LoseReply(0), Step::Deliver(0)] },
 )]
 fn no_short_schedule_breaks_an_invariant(start: &[Step]) {
