Ask live peers for a key while the store is down, and bound requests to it

Cause: a repeated key was answered 'not run' in an outage though it may have run at a live peer, and each call sent a request to a store that refuses them. Change: add the call states asking and relaying, one probe for the record and one for orders, and own waits for each edit.

--- a/crates/control/src/call_entry.rs
+++ b/crates/control/src/call_entry.rs
@@ -5,6 +5,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum CallState {
     Abandoned,
+    Asking,
     Claimed,
     Claiming,
     Closed,
@@ -12,6 +13,7 @@
     Marking,
     NotRun,
     Ran,
+    Relaying,
     Resolving,
     Unknown,
 }
@@ -43,6 +45,8 @@
     RowSuperseded,
     RowUnknown,
     Unavailable,
+    UnknownToPeers,
+    Unreadable,
 }
 
 /// Actions of `charts/call.json`.
@@ -55,6 +59,7 @@
     AnswerOwner,
     AnswerRow,
     AnswerUnknown,
+    AskPeers,
     Clean,
     Clear,
     MarkUnknown,
@@ -73,7 +78,12 @@
 /// One key at this instance.
 #[derive(Clone, Debug)]
 pub(crate) struct CallEntry {
+    /// Time from which a peer may be asked again.
     pub(crate) ask_at: Duration,
+    /// End of the wait for peers that are asked by key.
+    pub(crate) ask_until: Duration,
+    /// Peers that were asked by key and did not answer yet.
+    pub(crate) asked: BTreeSet<InstanceId>,
     /// When the claim was first sent. The dispatch window counts from here.
     pub(crate) began: Duration,
     pub(crate) body_hash: Arc<str>,
@@ -95,6 +105,8 @@
     pub(crate) primary: RequestId,
     /// Callers without an answer.
     pub(crate) requests: Vec<RequestId>,
+    /// Peer that runs the call. Invariant: present in `Relaying`.
+    pub(crate) relay: Option<InstanceId>,
     pub(crate) retry_at: Option<Duration>,
     pub(crate) retry_count: u32,
     /// The row as last seen or written.
--- a/crates/control/src/call_reply.rs
+++ b/crates/control/src/call_reply.rs
@@ -15,6 +15,7 @@
             return Some(Vec::new());
         }
         let flight = self.flights.remove(&ticket)?;
+        self.gate.replied(context.now, result, &self.settings);
         let mut effects = Vec::new();
         match flight {
             Flight::Change {
@@ -41,6 +42,13 @@
     /// Time passed: closes windows, asks owners, retries, writes and sweeps.
     pub fn tick(&mut self, context: &mut Context, members: &Members) -> Vec<RecordEffect> {
         let mut effects = Vec::new();
+        // A peer that is leaving still runs what it has.
+        let alive = members
+            .peers()
+            .filter(|peer| peer.heard_at.is_some() && peer.health != TargetHealth::Down);
+        self.peers = alive
+            .map(|peer| (peer.id.clone(), peer.peer_address))
+            .collect();
         let keys: Vec<Arc<str>> = self.entries.keys().cloned().collect();
         for key in keys {
             self.tick_entry(context, &key, members, &mut effects);
@@ -101,9 +109,7 @@
             Err(StoreFailure::Ambiguous) => {
                 self.apply(context, key, CallEvent::Ambiguous, None, effects);
             }
-            Err(StoreFailure::Unavailable) => {
-                self.apply(context, key, CallEvent::Unavailable, None, effects);
-            }
+            Err(StoreFailure::Unavailable) => self.failed(context, key, effects),
             Ok(StoreReply::Committed { version }) => {
                 if let Some(entry) = self.entries.get_mut(key) {
                     entry.row = Some(row);
@@ -127,10 +133,20 @@
     ) {
         match result {
             Ok(StoreReply::Rows { rows }) => self.judge(context, key, rows, effects),
-            _ => self.apply(context, key, CallEvent::Unavailable, None, effects),
+            _ => self.failed(context, key, effects),
         }
     }
 
+    /// The store refused a request. Claims without a result also ask the peers.
+    fn failed(&mut self, context: &mut Context, key: &Arc<str>, effects: &mut Vec<RecordEffect>) {
+        let state = self.entries.get(key).map(|entry| entry.state);
+        let event = match state {
+            Some(CallState::Claiming | CallState::Resolving) => self.unreadable(),
+            _ => CallEvent::Unavailable,
+        };
+        self.apply(context, key, event, None, effects);
+    }
+
     /// A confirmation counts only while the window is open.
     fn in_time(&self, now: Duration, key: &Arc<str>, event: CallEvent) -> CallEvent {
         let is_open = self
@@ -156,17 +172,26 @@
         let now = context.now;
         let is_expired = match entry.state {
             CallState::Claiming | CallState::Resolving => !self.is_window_open(entry, now),
-            CallState::Following | CallState::Marking => now > entry.deadline_at,
+            CallState::Following | CallState::Marking | CallState::Relaying => {
+                now > entry.deadline_at
+            }
             _ => false,
         };
         if is_expired {
             return self.apply(context, key, CallEvent::Expired, None, effects);
         }
-        if entry.state == CallState::Following {
-            return self.follow(context, key, members, effects);
-        }
-        if entry.retry_at.is_some_and(|at| now >= at) && !entry.in_flight {
-            self.read_row(context, key);
+        match entry.state {
+            CallState::Asking if now >= entry.ask_until => {
+                self.apply(context, key, CallEvent::UnknownToPeers, None, effects);
+            }
+            CallState::Following => self.follow(context, key, members, effects),
+            CallState::Relaying => self.relay(context, key, members, effects),
+            _ => {
+                let is_due = entry.retry_at.is_some_and(|at| now >= at) && !entry.in_flight;
+                if is_due && self.gate.pass(now, &self.settings) {
+                    self.read_row(context, key);
+                }
+            }
         }
     }
 
--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -16,6 +16,8 @@
         let (row, row_version) = old.map_or((None, 0), |old| (old.row, old.row_version));
         let entry = CallEntry {
             ask_at: context.now,
+            ask_until: context.now,
+            asked: BTreeSet::new(),
             began: context.now,
             body_hash: call.body_hash.clone(),
             claim_version: 0,
@@ -27,6 +29,7 @@
             nonce: nonce.clone(),
             outcome: None,
             primary: call.request.clone(),
+            relay: None,
             requests: vec![call.request.clone()],
             retry_at: None,
             retry_count: 0,
@@ -37,8 +40,13 @@
         self.nonces.insert(nonce, key.clone());
         self.requests.insert(call.request.clone(), key.clone());
         self.entries.insert(key.clone(), entry);
-        self.send_claim(context, key);
-        Vec::new()
+        let mut effects = Vec::new();
+        if self.gate.pass(context.now, &self.settings) {
+            self.send_claim(context, key);
+        } else {
+            self.apply(context, key, self.unreadable(), None, &mut effects);
+        }
+        effects
     }
 
     /// Takes one step of the chart. `outcome` is kept when the step leads to another state.
@@ -94,6 +102,7 @@
             CallAction::AnswerOutcome | CallAction::AnswerOwner => {}
             CallAction::AnswerRow => entry.outcome = Some(entry.row_outcome()),
             CallAction::AnswerUnknown => entry.outcome = Some(CallOutcome::Unknown),
+            CallAction::AskPeers => return self.ask_peers(context, key),
             CallAction::Clean => return self.send_row(context, key, CallEvent::Cleaned),
             CallAction::Clear => {
                 entry.retry_at = None;
@@ -151,6 +160,11 @@
         if entry.in_flight {
             return;
         }
+        // A claim passed the gate, and a row is cleaned after a reply. Marks start by themselves.
+        if event == CallEvent::Marked && !self.gate.pass(context.now, &self.settings) {
+            entry.retry_at = Some(self.gate.opens_at());
+            return;
+        }
         let row = match event {
             CallEvent::Marked => entry.marked_row(&self.identity),
             CallEvent::Cleaned => entry.own_row(&self.identity, CallRowState::NotRun),
@@ -194,7 +208,7 @@
             return;
         }
         entry.retry_count += 1;
-        if entry.retry_count == 1 {
+        if entry.retry_count == 1 && self.gate.pass(context.now, &self.settings) {
             return self.read_row(context, key);
         }
         // A caller waits in every state but `Abandoned`, so there the waits may grow longer.
--- a/crates/control/src/config_read.rs
+++ b/crates/control/src/config_read.rs
@@ -99,13 +99,14 @@
     /// Makes an edit whose last step failed wait for a read after a growing wait, also when reads
     /// succeed: a store may take reads and refuse writes.
     pub(crate) fn read_later(&mut self, context: &Context, operation: &OperationId) {
-        let mut retry_count = self.reader.failure_count;
-        if let Some(edit) = self.edits.get_mut(operation) {
-            edit.read_number = self.reader.number + 1;
-            edit.retry_count += 1;
-            retry_count = retry_count.max(edit.retry_count);
-        }
-        self.read_again(context, retry_count);
+        let Some(edit) = self.edits.get_mut(operation) else {
+            return;
+        };
+        edit.read_number = self.reader.number + 1;
+        edit.retry_count += 1;
+        let retry_count = edit.retry_count.max(self.reader.failure_count);
+        edit.retry_at = context.now + wait(&self.settings, retry_count);
+        self.reader.at = self.reader.at.min(edit.retry_at);
     }
 
     fn read(&mut self, context: &mut Context) {
@@ -202,9 +203,8 @@
     /// Reads again after a wait that doubles with `retry_count`, so that a table that fails or
     /// lost rows is not read in a loop.
     fn read_again(&mut self, context: &Context, retry_count: u32) {
-        let wait_ms = self.settings.retry_ms << retry_count.min(12);
-        let wait = Duration::from_millis(wait_ms.min(self.settings.retry_max_ms));
-        self.reader.at = self.reader.at.min(context.now + wait);
+        let retry_at = context.now + wait(&self.settings, retry_count);
+        self.reader.at = self.reader.at.min(retry_at);
     }
 
     /// Applies change rows in order and returns the head, which is absent only when rows were
@@ -246,7 +246,7 @@
             .edits
             .iter()
             .filter(|(_, edit)| matches!(edit.state, EditState::Reading | EditState::Resolving))
-            .filter(|(_, edit)| edit.read_number <= number)
+            .filter(|(_, edit)| edit.read_number <= number && edit.retry_at <= context.now)
             .map(|(operation, _)| operation.clone())
             .collect();
         for operation in waiting {
@@ -256,6 +256,12 @@
             let event = event.unwrap_or_else(|| self.judge_edit(&operation, edit));
             self.apply_edit(context, &operation, event);
         }
+        // A read that came before the end of an edit's wait does not replace the one after it.
+        for edit in self.edits.values() {
+            if edit.retry_at > context.now {
+                self.reader.at = self.reader.at.min(edit.retry_at);
+            }
+        }
     }
 
     /// Becomes ready: with the store's version, or during an outage with the highest version of
@@ -301,3 +307,9 @@
         }
     }
 }
+
+/// Wait after failed steps.
+fn wait(settings: &ConfigSettings, failure_count: u32) -> Duration {
+    let wait_ms = settings.retry_ms << failure_count.min(12);
+    Duration::from_millis(wait_ms.min(settings.retry_max_ms))
+}
--- a/crates/control/src/config_settings.rs
+++ b/crates/control/src/config_settings.rs
@@ -38,7 +38,7 @@
             read_min_ms: 1_000,
             read_slow_ms: 500,
             reads_per_s: 200,
-            retry_max_ms: 500,
+            retry_max_ms: 1_000,
             retry_ms: 100,
             retry_after_ms: 1_000,
             snapshot_count: 256,
--- a/crates/control/src/edit.rs
+++ b/crates/control/src/edit.rs
@@ -55,7 +55,9 @@
     pub(crate) expires_at: Duration,
     /// Number of the range read that the edit waits for.
     pub(crate) read_number: u64,
-    /// Paced reads so far.
+    /// Time before which no read decides its next step, after a failed one.
+    pub(crate) retry_at: Duration,
+    /// Failed steps so far.
     pub(crate) retry_count: u32,
     pub(crate) send_count: u32,
     /// Version of the head row that its last write required.
@@ -87,6 +89,7 @@
             change,
             expires_at: context.now + Duration::from_millis(self.settings.edit_ms),
             read_number: 0,
+            retry_at: Duration::ZERO,
             retry_count: 0,
             send_count: 0,
             sent_head: None,
@@ -96,7 +99,7 @@
         self.edits.insert(operation.clone(), edit);
         match event {
             EditEvent::Fresh if !self.reader.has_failed => {
-                self.apply_edit(context, operation, event)
+                self.apply_edit(context, operation, event);
             }
             // The own lists may be behind, so only a read decides. A store that failed is not
             // asked by each edit: they share the next read.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -138,8 +138,13 @@
 /// Call that a peer is asked for.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallQuery {
-    /// Any claim of this row key.
-    Key(Arc<str>),
+    /// Any claim of a key.
+    Key {
+        /// Hash of the body that came with the key.
+        body_hash: Arc<str>,
+        /// Key of the row.
+        key: Arc<str>,
+    },
     /// The claim with this nonce.
     Nonce(Nonce),
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod address;
 mod admission;
+mod ask;
 mod assembly;
 mod belief;
 mod cache;
@@ -83,6 +84,7 @@
 mod slots;
 mod snapshot;
 mod status;
+mod store_gate;
 mod submit;
 mod sweep;
 mod target;
@@ -106,6 +108,7 @@
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
+    store_gate::StoreGate,
     submit::refusal,
     sweep::Sweep,
     token_row::{TOKENS, TokenRow},
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -9,6 +9,10 @@
 pub struct Orders {
     engines: BTreeMap<TargetId, OwnedEngine>,
     flights: BTreeMap<StoreTicket, OrderFlight>,
+    /// Whether the last request to the store failed.
+    is_failing: bool,
+    /// Time before which no order starts.
+    not_before: Duration,
     place_at: Duration,
     placements: Placements,
     reread_at: Duration,
@@ -31,6 +35,8 @@
         Self {
             engines: BTreeMap::new(),
             flights: BTreeMap::new(),
+            is_failing: false,
+            not_before: Duration::ZERO,
             place_at: Duration::ZERO,
             placements: Placements::default(),
             reread_at: Duration::ZERO,
@@ -103,6 +109,10 @@
         let Some(flight) = self.flights.remove(&ticket) else {
             return false;
         };
+        self.is_failing = result.is_err();
+        if self.is_failing {
+            self.not_before = context.now + Duration::from_millis(self.settings.back_off_ms);
+        }
         if let OrderFlight::Read(target) | OrderFlight::Write(target) = &flight {
             let engine = self.engines.get_mut(target);
             let own = engine.and_then(|one| one.flight.take_if(|own| *own == ticket));
@@ -163,7 +173,7 @@
         };
         let age = context.now.saturating_sub(target.reported_at);
         let is_current = age <= Duration::from_millis(self.settings.report_max_ms);
-        let is_idle = engine.state == OrderState::Idle && context.now >= engine.not_before;
+        let is_idle = engine.is_idle(context.now) && context.now >= self.not_before;
         let is_live = target.health == TargetHealth::Live;
         let is_same = same_models(&target.report.models, &wanted.models);
         if is_idle && is_live && is_current && !is_same {
@@ -182,7 +192,7 @@
         let Some(engine) = self.engines.get_mut(&id) else {
             return;
         };
-        let is_idle = engine.state == OrderState::Idle && now >= engine.not_before;
+        let is_idle = engine.is_idle(now) && now >= self.not_before;
         if !is_idle {
             return;
         }
@@ -226,6 +236,11 @@
                 engine.not_before = context.now + wait;
             }
             OrderAction::Read => {
+                if self.is_failing {
+                    // One engine probes the store for all.
+                    let wait = Duration::from_millis(self.settings.back_off_ms);
+                    self.not_before = context.now + wait;
+                }
                 let keys = vec![order_key(target), TOKENS.into()];
                 let ticket = context.store(StoreRequest::Read { keys });
                 engine.flight = Some(ticket);
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -43,11 +43,17 @@
         let is_due = due_at.is_some_and(|at| context.now >= at);
         let may_send = context.now >= self.outbox.not_before;
         let is_early = !is_due && !is_full;
-        if is_early || !may_send {
+        if is_early || !may_send || !self.gate.pass(context.now, &self.settings) {
             return;
         }
         let mut batch = Vec::new();
-        for key in std::mem::take(&mut self.outbox.pending) {
+        let mut pending = std::mem::take(&mut self.outbox.pending);
+        if self.gate.is_failing() {
+            // One row is the probe; the rest waits for its reply.
+            let probe = pending.pop_first();
+            self.outbox.pending = std::mem::replace(&mut pending, probe.into_iter().collect());
+        }
+        for key in pending {
             let Some(entry) = self.entries.get_mut(&key) else {
                 continue;
             };
--- a/crates/control/src/owned_engine.rs
+++ b/crates/control/src/owned_engine.rs
@@ -63,6 +63,11 @@
 }
 
 impl OwnedEngine {
+    /// Whether a step may start.
+    pub(crate) fn is_idle(&self, now: Duration) -> bool {
+        self.state == OrderState::Idle && now >= self.not_before
+    }
+
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -26,9 +26,12 @@
 pub struct Records {
     pub(crate) entries: BTreeMap<Arc<str>, CallEntry>,
     pub(crate) flights: BTreeMap<StoreTicket, Flight>,
+    pub(crate) gate: StoreGate,
     pub(crate) identity: Identity,
     pub(crate) nonces: BTreeMap<Nonce, Arc<str>>,
     pub(crate) outbox: Outbox,
+    /// Live peers, from the last tick.
+    pub(crate) peers: Vec<(InstanceId, SocketAddr)>,
     pub(crate) requests: BTreeMap<RequestId, Arc<str>>,
     pub(crate) settings: RecordSettings,
     pub(crate) sweep: Sweep,
@@ -58,9 +61,11 @@
         Self {
             entries: BTreeMap::new(),
             flights: BTreeMap::new(),
+            gate: StoreGate::default(),
             identity,
             nonces: BTreeMap::new(),
             outbox: Outbox::default(),
+            peers: Vec::new(),
             requests: BTreeMap::new(),
             settings,
             sweep: Sweep::default(),
@@ -158,7 +163,7 @@
     #[must_use]
     pub fn owner_status(&self, query: &CallQuery) -> OwnerStatus {
         let key = match query {
-            CallQuery::Key(key) => Some(key),
+            CallQuery::Key { body_hash, key } => return self.key_status(body_hash, key),
             CallQuery::Nonce(nonce) => self.nonces.get(nonce),
         };
         let entry = key.and_then(|key| self.entries.get(key));
@@ -171,9 +176,32 @@
                 OwnerStatus::Ended(outcome.unwrap_or(CallOutcome::Unknown))
             }
             CallState::Claimed | CallState::Claiming | CallState::Resolving => OwnerStatus::Running,
-            CallState::Closed | CallState::Following | CallState::Marking => {
-                OwnerStatus::UnknownClaim
+            CallState::Asking
+            | CallState::Closed
+            | CallState::Following
+            | CallState::Marking
+            | CallState::Relaying => OwnerStatus::UnknownClaim,
+        }
+    }
+
+    /// What this process knows of a key of which a peer has no claim. Only a durable claim counts:
+    /// the peer acts on the answer as if it had read the row.
+    fn key_status(&self, body_hash: &Arc<str>, key: &Arc<str>) -> OwnerStatus {
+        let Some(entry) = self.entries.get(key) else {
+            return OwnerStatus::UnknownClaim;
+        };
+        match entry.state {
+            CallState::Claimed | CallState::Ran | CallState::Unknown
+                if entry.body_hash != *body_hash =>
+            {
+                OwnerStatus::Ended(CallOutcome::KeyMismatch)
+            }
+            CallState::Claimed => OwnerStatus::Running,
+            CallState::Ran | CallState::Unknown => {
+                let outcome = entry.outcome.clone();
+                OwnerStatus::Ended(outcome.unwrap_or(CallOutcome::Unknown))
             }
+            _ => OwnerStatus::UnknownClaim,
         }
     }
 
@@ -181,7 +209,7 @@
     pub fn owner_answered(
         &mut self,
         context: &mut Context,
-        _owner: &InstanceId,
+        owner: &InstanceId,
         request: &RequestId,
         status: OwnerStatus,
     ) -> Vec<RecordEffect> {
@@ -189,17 +217,24 @@
         let Some(key) = self.requests.get(request).cloned() else {
             return effects;
         };
-        let state = self.entries.get(&key).map(|entry| entry.state);
-        if !matches!(state, Some(CallState::Following)) {
+        let Some(entry) = self.entries.get_mut(&key) else {
             return effects;
-        }
-        let (event, outcome) = match status {
-            OwnerStatus::Ended(outcome) => (CallEvent::OwnerEnded, Some(outcome)),
-            OwnerStatus::NoReply => (CallEvent::OwnerSilent, None),
-            OwnerStatus::Running => (CallEvent::OwnerRunning, None),
-            OwnerStatus::UnknownClaim => (CallEvent::OwnerGone, None),
         };
-        self.apply(context, &key, event, outcome, &mut effects);
+        let judged = match entry.state {
+            CallState::Asking | CallState::Relaying | CallState::Resolving => {
+                Self::judge_answer(entry, owner, status)
+            }
+            CallState::Following => Some(match status {
+                OwnerStatus::Ended(outcome) => (CallEvent::OwnerEnded, Some(outcome)),
+                OwnerStatus::NoReply => (CallEvent::OwnerSilent, None),
+                OwnerStatus::Running => (CallEvent::OwnerRunning, None),
+                OwnerStatus::UnknownClaim => (CallEvent::OwnerGone, None),
+            }),
+            _ => None,
+        };
+        if let Some((event, outcome)) = judged {
+            self.apply(context, &key, event, outcome, &mut effects);
+        }
         effects
     }
 
@@ -212,13 +247,17 @@
     /// Time by which `tick` is due, so that no outcome waits longer than the batch time.
     #[must_use]
     pub fn flush_at(&self) -> Option<Duration> {
-        self.outbox.due_at(&self.settings)
+        let due_at = self.outbox.due_at(&self.settings)?;
+        Some(due_at.max(self.gate.opens_at()))
     }
 
     /// Time by which `tick` is due for the outcomes and the retries of this record.
     pub(crate) fn wake_at(&self) -> Option<Duration> {
         let idle = self.entries.values().filter(|entry| !entry.in_flight);
-        let retries = idle.filter_map(|entry| entry.retry_at);
+        let retries = idle.filter_map(|entry| match entry.state {
+            CallState::Asking => Some(entry.ask_until),
+            _ => entry.retry_at,
+        });
         retries.chain(self.flush_at()).min()
     }
 
--- a/crates/control/src/record_settings.rs
+++ b/crates/control/src/record_settings.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RecordSettings {
+    /// Longest wait for peers that are asked for a key, in milliseconds.
+    pub ask_max_ms: u64,
     /// Interval of asking the owner of a call, in milliseconds.
     pub ask_ms: u64,
     /// Longest wait of an outcome for others to share its transaction, in milliseconds.
@@ -20,6 +22,8 @@
     pub max_waiting_count: usize,
     /// Silence after which an owner is gone even if it is leaving or unknown, in milliseconds.
     pub owner_silence_ms: u64,
+    /// Longest wait between two requests to a store that refuses them, in milliseconds.
+    pub probe_ms: u64,
     /// Time for which a row is kept, in milliseconds. Later the key counts as new.
     pub retention_ms: u64,
     /// Time after which a refused caller may come back, in milliseconds.
@@ -39,6 +43,7 @@
 impl Default for RecordSettings {
     fn default() -> Self {
         Self {
+            ask_max_ms: 200,
             ask_ms: 500,
             batch_ms: 10,
             batch_max_count: 64,
@@ -47,6 +52,7 @@
             max_count: 4_096,
             max_waiting_count: 16,
             owner_silence_ms: 10_000,
+            probe_ms: 250,
             retention_ms: 7 * 24 * 3_600_000,
             retry_after_ms: 1_000,
             retry_max_ms: 2_000,
--- a/crates/control/tests/config_model.rs
+++ b/crates/control/tests/config_model.rs
@@ -317,7 +317,7 @@
                 self.ticked[index] = self.advance_count;
                 let view = self.view.clone();
                 self.act(index, |context, configs| {
-                    configs.tick(context, &view[index])
+                    configs.tick(context, &view[index]);
                 })
             }
         }
--- /dev/null
+++ b/crates/control/tests/outage.rs
@@ -0,0 +1,134 @@
+//! Requests to a store that is down, counted over whole nodes.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod world;
+
+use {
+    control::{Command, Event},
+    std::time::Duration,
+    types::{Change, OperationKind, Plan, StoreRequest},
+    world::{
+        World,
+        builder::{call, generate},
+    },
+    yare::parameterized,
+};
+
+/// Most requests per second that one instance sends to a store that is down: 1 read of the
+/// series and 2 for edits, 4 of the record, 1 of orders, 1 of snapshots, and 1 to spare.
+const MAX_PER_S: usize = 10;
+
+fn store_count(world: &World, node: usize, from: Duration) -> usize {
+    let is_store = |(by, at, command): &&(usize, Duration, Command)| {
+        *by == node && *at > from && matches!(command, Command::Store { .. })
+    };
+    world.log.iter().filter(is_store).count()
+}
+
+/// Guards against a store that is asked in a loop, or by each caller, while it refuses requests:
+/// edits, call records, reads, sweeps and orders together.
+#[parameterized(
+    all_requests = { false, false, 5 },
+    lost_writes = { true, true, 0 },
+    only_writes = { true, false, 5 },
+)]
+fn outage_costs_few_requests(takes_reads: bool, loses_writes: bool, call_count: usize) {
+    let mut world = World::new(2, 2, 1);
+    let from = world.now;
+    // The model is left in one failure domain, so that an order is due all the time.
+    world.models.remove("e1-0");
+    world.is_store_down = true;
+    world.takes_reads = takes_reads;
+    world.loses_writes = loses_writes;
+    for round in 0..600 {
+        let name = format!("p{round}");
+        let edit = Event::EditSubmitted {
+            base_version: None,
+            change: Change::PutPlan {
+                id: name.as_str().into(),
+                plan: Plan::default(),
+            },
+            operation: name.as_str().into(),
+        };
+        if round % 10 == 0 {
+            world.send(round % 2, edit);
+        }
+        for number in 0..call_count {
+            let request = format!("c{round}-{number}");
+            let submission = call("a", &request, OperationKind::NonRepeatable);
+            world.send(round % 2, Event::CallSubmitted(submission));
+        }
+        world.submit(round % 2, generate("b", &format!("g{round}")));
+        world.run(100);
+    }
+    for prefix in ["call", "config/", "order/"] {
+        let text = format!("\"{prefix}");
+        let is_asked = |command: &Command| {
+            matches!(command, Command::Store { .. }) && format!("{command:?}").contains(&text)
+        };
+        let is_expected = call_count > 0 || prefix != "call";
+        let mut sent = world.log.iter().filter(|(_, at, _)| *at > from);
+        assert!(!is_expected || sent.any(|one| is_asked(&one.2)), "{prefix}");
+    }
+    let duration_s = (world.now - from).as_secs() as usize;
+    for node in 0..2 {
+        let count = store_count(&world, node, from);
+        println!("node {node}: {count} requests in {duration_s} s");
+        assert!(count <= MAX_PER_S * duration_s, "{count} requests");
+        assert!(count >= duration_s / 3, "the store is not asked any more");
+        assert_eq!(world.nodes[node].unexpected_count(), 0);
+    }
+}
+
+/// Guards against calls that stay refused after the store works again, and outcomes that are
+/// never written.
+#[test]
+fn calls_and_outcomes_go_on_after_an_outage() {
+    let mut world = World::new(2, 2, 1);
+    for name in ["c1", "c2", "c3"] {
+        let submission = call("a", name, OperationKind::NonRepeatable);
+        world.send(0, Event::CallSubmitted(submission));
+    }
+    world.is_store_down = true;
+    world.run(5_000);
+    world.is_store_down = false;
+    world.run(3_000);
+    let from = world.now;
+    let submission = call("a", "c4", OperationKind::NonRepeatable);
+    world.send(0, Event::CallSubmitted(submission));
+    world.run(1_000);
+    let written = world
+        .log
+        .iter()
+        .filter_map(|(_, _, command)| match command {
+            Command::Store {
+                request: StoreRequest::Transact { writes, .. },
+                ..
+            } => Some(writes),
+            _ => None,
+        });
+    let rows = written.flatten().filter(|write| {
+        let value = write.value.as_deref().unwrap_or_default();
+        value.contains("\"ran\"")
+    });
+    let keys: std::collections::BTreeSet<_> = rows.map(|write| write.key.clone()).collect();
+    assert_eq!(keys.len(), 4, "{keys:?}");
+    assert!(world.ended_at("c4").unwrap() > from);
+}
+
+/// Guards against `not run` for a key that ran at a live instance whose reply was lost.
+#[test]
+fn key_that_ran_elsewhere_is_answered_during_an_outage() {
+    let mut world = World::new(2, 2, 1);
+    let submission = call("a", "c", OperationKind::NonRepeatable);
+    world.send(0, Event::CallSubmitted(submission.clone()));
+    world.run(1_000);
+    assert!(world.ended_at("c").is_some());
+    world.is_store_down = true;
+    let mut again = submission;
+    again.request = "again".into();
+    world.send(1, Event::CallSubmitted(again));
+    world.run(1_000);
+    assert_eq!(world.refusals("again"), []);
+    assert!(world.has_ran("again"));
+}
--- a/crates/control/tests/record.rs
+++ b/crates/control/tests/record.rs
@@ -5,126 +5,17 @@
 mod support;
 
 use {
-    control::{Command, Context, Members, OwnerStatus, RecordEffect, RecordSettings, Records},
+    control::{Command, OwnerStatus, RecordEffect, RecordSettings},
     std::time::Duration,
-    support::{context, heartbeat, identity, members, ms, table::Table},
-    types::{
-        CallOutcome, CallReply, CallSubmission, OperationKind, Refusal, RefusalKind, RequestId,
-        StoreFailure, StoreRequest, StoreTicket,
+    support::{
+        heartbeat, members, ms,
+        records::{Instance, done, id, is_not_run, outcome, refusal, submission},
+        table::Table,
     },
+    types::{CallOutcome, StoreFailure},
     yare::parameterized,
 };
 
-struct Instance {
-    context: Context,
-    members: Members,
-    records: Records,
-}
-
-impl Instance {
-    fn new(name: &str, settings: RecordSettings) -> Self {
-        Self {
-            context: context(name.len() as u64),
-            members: members(name, &["a", "bb"], &["a", "bb"]),
-            records: Records::new(identity(name, 1), settings),
-        }
-    }
-
-    fn submit(&mut self, request: &str, key: &str) -> Vec<RecordEffect> {
-        let call = submission(request, key);
-        self.records.submit(&mut self.context, &call)
-    }
-
-    fn sent(&mut self) -> Vec<(StoreTicket, StoreRequest)> {
-        let commands = std::mem::take(&mut self.context.commands);
-        let stores = commands.into_iter().filter_map(|command| match command {
-            Command::Store { request, ticket } => Some((ticket, request)),
-            _ => None,
-        });
-        stores.collect()
-    }
-
-    fn fail(&mut self, ticket: StoreTicket, failure: StoreFailure) -> Vec<RecordEffect> {
-        let result = Err(failure);
-        self.records
-            .store_replied(&mut self.context, ticket, &result)
-            .unwrap()
-    }
-
-    /// Lets the table answer until nothing is sent any more.
-    fn exchange(&mut self, table: &mut Table) -> Vec<RecordEffect> {
-        let mut effects = Vec::new();
-        loop {
-            let sent = self.sent();
-            if sent.is_empty() {
-                return effects;
-            }
-            for (ticket, request) in sent {
-                let result = Ok(table.run(&request));
-                let replied = self
-                    .records
-                    .store_replied(&mut self.context, ticket, &result);
-                effects.extend(replied.unwrap());
-            }
-        }
-    }
-
-    fn tick(&mut self, after: Duration) -> Vec<RecordEffect> {
-        self.context.now += after;
-        self.records.tick(&mut self.context, &self.members)
-    }
-}
-
-fn submission(request: &str, key: &str) -> CallSubmission {
-    CallSubmission {
-        account: "shop".into(),
-        body_hash: "h".into(),
-        deadline: ms(30_000),
-        fingerprint: 1,
-        key: Some(key.into()),
-        kind: OperationKind::NonRepeatable,
-        operation: "book".into(),
-        request: request.into(),
-        service: "s".into(),
-    }
-}
-
-fn id(request: &str) -> RequestId {
-    request.into()
-}
-
-fn done() -> CallReply {
-    CallReply {
-        body: "done".into(),
-        status: 200,
-    }
-}
-
-fn refusal() -> Refusal {
-    Refusal {
-        kind: RefusalKind::NoTarget,
-        retry_after: ms(100),
-    }
-}
-
-fn is_not_run(effects: &[RecordEffect]) -> bool {
-    use RecordEffect::Answer;
-    matches!(
-        effects,
-        [Answer {
-            outcome: CallOutcome::NotRun(_),
-            ..
-        }]
-    )
-}
-
-fn outcome(effects: &[RecordEffect]) -> CallOutcome {
-    match effects {
-        [RecordEffect::Answer { outcome, .. }] => outcome.clone(),
-        other => panic!("not one answer: {other:?}"),
-    }
-}
-
 /// Guards against a dispatch before the claim is durable, or after the window.
 #[test]
 fn dispatch_needs_a_durable_claim_and_an_open_window() {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -46,12 +46,16 @@
     /// Requests whose callers disconnected.
     pub gone: BTreeSet<RequestId>,
     pub is_store_down: bool,
+    /// Whether the store drops writes and does not say so.
+    pub loses_writes: bool,
     pub listings: Vec<Listing>,
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
     pub nodes: Vec<Node>,
     pub now: Duration,
     pub slots: u32,
+    /// Whether a store that is down still answers reads.
+    pub takes_reads: bool,
     pub work: Vec<Work>,
 }
 
@@ -67,12 +71,14 @@
             ended: Vec::new(),
             gone: BTreeSet::new(),
             is_store_down: false,
+            loses_writes: false,
             listings: Vec::new(),
             log: Vec::new(),
             models: BTreeMap::new(),
             nodes: Vec::new(),
             now: Duration::ZERO,
             slots: 8,
+            takes_reads: false,
             work: Vec::new(),
         };
         for index in 0..node_count {
@@ -187,6 +193,20 @@
 
     fn obey(&mut self, node: usize, command: Command) {
         match command {
+            Command::AskOwner {
+                owner,
+                query,
+                request,
+                ..
+            } => {
+                let status = self.nodes[index_of(&owner)].owner_status(&query);
+                let event = Event::OwnerAnswered {
+                    owner,
+                    request,
+                    status,
+                };
+                self.send(node, event);
+            }
             Command::Cancel {
                 attempt, request, ..
             } => {
@@ -218,9 +238,7 @@
             Command::SendHeartbeat {
                 heartbeat, peer, ..
             } => {
-                let index: usize = peer[1..]
-                    .parse()
-                    .expect("peers are named n0, n1, and so on");
+                let index = index_of(&peer);
                 if self.cut_off != Some(index) && self.cut_off != Some(node) {
                     self.send(index, Event::HeartbeatReceived(heartbeat));
                 }
@@ -265,7 +283,9 @@
 
     fn reply(&mut self, node: usize, ticket: u64, request: &StoreRequest) {
         let result = match request {
-            _ if self.is_store_down => Err(StoreFailure::Unavailable),
+            StoreRequest::Transact { .. } if self.loses_writes => Err(StoreFailure::Ambiguous),
+            StoreRequest::Transact { .. } if self.is_store_down => Err(StoreFailure::Unavailable),
+            _ if self.is_store_down && !self.takes_reads => Err(StoreFailure::Unavailable),
             StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
             StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
             StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
@@ -356,3 +376,8 @@
         }
     }
 }
+
+fn index_of(peer: &str) -> usize {
+    let number = peer[1..].parse();
+    number.expect("peers are named n0, n1, and so on")
+}
--- a/crates/control/tests/world/query.rs
+++ b/crates/control/tests/world/query.rs
@@ -24,6 +24,20 @@
         found
     }
 
+    /// Whether the caller of a call got a result.
+    pub fn has_ran(&self, request: &str) -> bool {
+        self.log.iter().any(|(_, _, command)| {
+            let Command::AnswerCall {
+                outcome: CallOutcome::Ran(_),
+                request: id,
+            } = command
+            else {
+                return false;
+            };
+            &**id == request
+        })
+    }
+
     /// Routes of the attempts of a request.
     pub fn routes(&self, request: &str) -> Vec<Vec<TargetId>> {
         let mut routes = Vec::new();
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -41,7 +41,8 @@
     RetriesExhausted,
     /// This instance cannot confirm that its configuration is current.
     StaleConfig,
-    /// The platform's store does not answer.
+    /// The platform's store does not answer. For a non-repeatable call it means: this submission
+    /// was not run; earlier submissions of the key are not known.
     StoreUnavailable,
 }
 
