Load models that plans name, and unload only idle engines with cover

Cause: a model that no engine ever held was never loaded, an engine could be taken from running requests, and two owners could unload the same layers. Change: shapes and adapters of models in the settings, a survey of models in use, and the layers given up in the token row.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -86,6 +86,7 @@
 mod status;
 mod store_gate;
 mod submit;
+mod survey;
 mod sweep;
 mod target;
 mod token_row;
@@ -104,14 +105,15 @@
     member::TargetEntry,
     outcome::Outbox,
     owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
-    placement::Placements,
+    placement::{Placement, Placements, Shard},
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     store_gate::StoreGate,
     submit::refusal,
+    survey::{Scene, Survey, shard_of},
     sweep::Sweep,
-    token_row::{TOKENS, TokenRow},
+    token_row::{Move, TOKENS, TokenRow},
 };
 
 pub use {
@@ -138,7 +140,7 @@
     member_settings::MemberSettings,
     node::Node,
     order::Orders,
-    order_settings::OrderSettings,
+    order_settings::{ModelShape, OrderSettings},
     peer::Peer,
     priority::generation_priority,
     quarantine::Quarantine,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -226,7 +226,8 @@
         self.requests.fill_cache_positions(commands);
         self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
-        self.orders.tick(&mut self.context, &self.members);
+        let lists = self.configs.is_ready().then(|| &**self.configs.lists());
+        self.orders.tick(&mut self.context, &self.members, lists);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -71,7 +71,8 @@
     }
 
     /// Decides placements, repeats orders that a report does not show, and reads rows.
-    pub fn tick(&mut self, context: &mut Context, members: &Members) {
+    /// Without lists nothing is placed, as it is not known which models are in use.
+    pub fn tick(&mut self, context: &mut Context, members: &Members, lists: Option<&Lists>) {
         let now = context.now;
         self.own(members);
         let targets: Vec<TargetId> = self.engines.keys().cloned().collect();
@@ -93,9 +94,9 @@
             let ticket = context.store(StoreRequest::Read { keys });
             self.flights.insert(ticket, OrderFlight::Reread(targets));
         }
-        if now >= self.place_at {
+        if let Some(lists) = lists.filter(|_| now >= self.place_at) {
             self.place_at = now + Duration::from_millis(self.settings.place_ms);
-            self.place(context, members);
+            self.place(context, members, lists);
         }
     }
 
@@ -177,19 +178,25 @@
         let is_live = target.health == TargetHealth::Live;
         let is_same = same_models(&target.report.models, &wanted.models);
         if is_idle && is_live && is_current && !is_same {
-            engine.wanted = wanted;
+            engine.want(wanted, &target.report.models);
             context.log("order", &target.id, "the report differs from the order");
             self.apply(context, &target.id, OrderEvent::Wanted);
         }
     }
 
-    fn place(&mut self, context: &mut Context, members: &Members) {
+    fn place(&mut self, context: &mut Context, members: &Members, lists: &Lists) {
         let now = context.now;
-        let Some(choice) = self.placements.choose(now, members, &self.settings) else {
+        let scene = Scene {
+            members,
+            named: lists.plans.values().flat_map(|plan| &plan.models).collect(),
+            pending: self.pending(members),
+            settings: &self.settings,
+        };
+        let Some(choice) = self.placements.choose(now, &scene) else {
             return;
         };
         let id = choice.chosen.target.clone();
-        let Some(engine) = self.engines.get_mut(&id) else {
+        let (Some(engine), Some(target)) = (self.engines.get_mut(&id), members.target(&id)) else {
             return;
         };
         let is_idle = engine.is_idle(now) && now >= self.not_before;
@@ -197,10 +204,11 @@
             return;
         }
         let role = engine.row.as_ref().map(|(wanted, _)| wanted.role);
-        engine.wanted = WantedState {
-            models: vec![choice.loaded.clone()],
+        let wanted = WantedState {
+            models: choice.models,
             role: role.unwrap_or_default(),
         };
+        engine.want(wanted, &target.report.models);
         context.push(Command::Log(Decision {
             account: None,
             alternatives: choice.alternatives,
@@ -212,6 +220,20 @@
         self.apply(context, &id, OrderEvent::Wanted);
     }
 
+    /// Own engines that do not hold what their row states. They load it, or are ordered again.
+    fn pending(&self, members: &Members) -> BTreeMap<TargetId, Vec<LoadedModel>> {
+        let mut pending = BTreeMap::new();
+        for (id, engine) in &self.engines {
+            let (Some((wanted, _)), Some(target)) = (&engine.row, members.target(id)) else {
+                continue;
+            };
+            if !same_models(&target.report.models, &wanted.models) {
+                pending.insert(id.clone(), wanted.models.clone());
+            }
+        }
+        pending
+    }
+
     fn apply(&mut self, context: &mut Context, target: &TargetId, event: OrderEvent) {
         let Some(engine) = self.engines.get_mut(target) else {
             return;
@@ -295,7 +317,10 @@
             return;
         }
         self.tokens = TokenRow::read(rows);
-        let event = match self.tokens.has_one(wall_ms(context), &self.settings) {
+        let wall_ms = wall_ms(context);
+        let gives_up = self.engines.get(target).map(|engine| &engine.gives_up[..]);
+        let has_conflict = (self.tokens).has_conflict(wall_ms, target, gives_up.unwrap_or(&[]));
+        let event = match self.tokens.has_one(wall_ms, &self.settings) && !has_conflict {
             false => OrderEvent::NoToken,
             true => OrderEvent::Ready,
         };
@@ -303,10 +328,16 @@
     }
 
     fn write(&mut self, context: &mut Context, target: &TargetId) {
-        let tokens = self.tokens.taken(wall_ms(context), &self.settings);
         let Some(engine) = self.engines.get_mut(target) else {
             return;
         };
+        let wall_ms = wall_ms(context);
+        let own = Move {
+            shards: engine.gives_up.clone(),
+            target: target.clone(),
+            until_ms: wall_ms + self.settings.wait_ms,
+        };
+        let tokens = self.tokens.taken(wall_ms, own, &self.settings);
         engine.written_at = context.now;
         let key = order_key(target);
         let ticket = context.store(StoreRequest::Transact {
--- a/crates/control/src/order_settings.rs
+++ b/crates/control/src/order_settings.rs
@@ -20,6 +20,8 @@
     pub min_domain_count: usize,
     /// Interval of placement decisions, in milliseconds.
     pub place_ms: u64,
+    /// Models that may be loaded though no engine holds them, and the adapters of each.
+    pub models: BTreeMap<ModelId, ModelShape>,
     /// Age of a load report from which the engine is left alone, in milliseconds.
     pub report_max_ms: u64,
     /// Interval of reading the rows of owned engines, in milliseconds.
@@ -43,6 +45,7 @@
             loads_per_minute: 30.0,
             low_use: 0.7,
             min_domain_count: 2,
+            models: BTreeMap::new(),
             place_ms: 1_000,
             report_max_ms: 5_000,
             reread_ms: 30_000,
@@ -52,3 +55,37 @@
         }
     }
 }
+
+/// How a model is held.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelShape {
+    /// Adapters and versions to load.
+    #[serde(default)]
+    pub adapters: Vec<Arc<str>>,
+    /// Layers of the whole model.
+    pub layer_count: u32,
+    /// Stages, each at an engine of its own, when no engine holds the model yet.
+    pub stage_count: u32,
+}
+
+impl ModelShape {
+    /// The model in equal parts.
+    pub(crate) fn stages(&self, model: &ModelId) -> Vec<LoadedModel> {
+        let stage_count = self.stage_count.clamp(1, self.layer_count.max(1));
+        let bound = |stage: u32| {
+            let layers = u64::from(self.layer_count) * u64::from(stage) / u64::from(stage_count);
+            u32::try_from(layers).unwrap_or(self.layer_count)
+        };
+        let stage = |index: u32| LoadedModel {
+            adapters: self.adapters.clone(),
+            layer_count: self.layer_count,
+            layers: LayerRange {
+                start: bound(index),
+                end: bound(index + 1),
+            },
+            model: model.clone(),
+        };
+        (0..stage_count).map(stage).collect()
+    }
+}
--- a/crates/control/src/owned_engine.rs
+++ b/crates/control/src/owned_engine.rs
@@ -47,6 +47,8 @@
     pub(crate) address: SocketAddr,
     /// Request to the store whose reply the current step needs.
     pub(crate) flight: Option<StoreTicket>,
+    /// Shards that the engine gives up, or loads anew, by the step in progress.
+    pub(crate) gives_up: Vec<Shard>,
     /// Time before which no step starts.
     pub(crate) not_before: Duration,
     /// Desired set of the row, as last read or written, with the version of the row.
@@ -68,10 +70,18 @@
         self.state == OrderState::Idle && now >= self.not_before
     }
 
+    /// Sets what the next step is to order of an engine that holds `models`.
+    pub(crate) fn want(&mut self, wanted: WantedState, models: &[LoadedModel]) {
+        let lost = models.iter().filter(|held| !wanted.models.contains(held));
+        self.gives_up = lost.map(shard_of).collect();
+        self.wanted = wanted;
+    }
+
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
             flight: None,
+            gives_up: Vec::new(),
             not_before: Duration::ZERO,
             row: None,
             row_version: 0,
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -8,7 +8,8 @@
 pub(crate) struct Placement {
     pub(crate) alternatives: Vec<Candidate>,
     pub(crate) chosen: Candidate,
-    pub(crate) loaded: LoadedModel,
+    /// Everything that the engine is to hold.
+    pub(crate) models: Vec<LoadedModel>,
     pub(crate) reason: String,
 }
 
@@ -23,51 +24,15 @@
     shards: BTreeMap<Shard, LoadedModel>,
 }
 
-/// Use of one shard.
-#[derive(Clone, Debug, Default)]
-struct Use {
-    holders: BTreeMap<TargetId, FailureDomain>,
-    slots: f64,
-    work: f64,
-}
-
-impl Use {
-    /// Failure domains of the holders other than `engine`.
-    fn domains_without(&self, engine: &str) -> BTreeSet<&FailureDomain> {
-        let others = self
-            .holders
-            .iter()
-            .filter(|(holder, _)| ***holder != *engine);
-        others.map(|(_, domain)| domain).collect()
-    }
-
-    fn domains(&self) -> BTreeSet<&FailureDomain> {
-        self.holders.values().collect()
-    }
-
-    fn fraction(&self) -> f64 {
-        self.work / self.slots.max(1.0)
-    }
-}
-
 impl Placements {
-    /// Chooses the most urgent change, if a need has lasted.
-    pub(crate) fn choose(
-        &mut self,
-        now: Duration,
-        members: &Members,
-        settings: &OrderSettings,
-    ) -> Option<Placement> {
-        let engines: Vec<&Target> = members.targets().filter(|one| is_usable(one)).collect();
-        let domains: BTreeSet<_> = engines.iter().map(|one| &one.failure_domain).collect();
-        let survey = Survey {
-            domain_count: settings.min_domain_count.min(domains.len()),
-            uses: self.measure(&engines),
-            engines,
-            settings,
-        };
+    /// Chooses the most urgent change, if a need has lasted; otherwise an engine whose adapters
+    /// are not those of the settings.
+    pub(crate) fn choose(&mut self, now: Duration, scene: &Scene) -> Option<Placement> {
+        let engines: Vec<&Target> = scene.engines();
+        self.remember(&engines, scene);
+        let survey = Survey::new(engines, scene, &self.shards);
         self.note(now, &survey);
-        let lasting = Duration::from_millis(settings.lasting_ms);
+        let lasting = Duration::from_millis(scene.settings.lasting_ms);
         let mut due: Vec<(bool, f64, Shard)> = Vec::new();
         for (shard, (since, _)) in &self.needs {
             if now.saturating_sub(*since) >= lasting {
@@ -83,8 +48,10 @@
             let urgency = right.0.cmp(&left.0).then(right.1.total_cmp(&left.1));
             urgency.then(left.2.cmp(&right.2))
         });
-        due.into_iter()
-            .find_map(|(is_uncovered, _, shard)| self.engine_for(&shard, is_uncovered, &survey))
+        let needed = due
+            .into_iter()
+            .find_map(|(is_uncovered, _, shard)| self.engine_for(&shard, is_uncovered, &survey));
+        needed.or_else(|| survey.outdated())
     }
 
     /// Counts the need of a shard from `since`, after an engine was ordered for it.
@@ -95,37 +62,53 @@
         }
     }
 
-    fn measure(&mut self, engines: &[&Target]) -> BTreeMap<Shard, Use> {
+    /// Notes how the shards of the models that plans name are held: by the settings, or as engines
+    /// hold them or held them. A model that no engine ever held and that the settings leave out
+    /// cannot be loaded, as its layers are not known.
+    fn remember(&mut self, engines: &[&Target], scene: &Scene) {
         for engine in engines {
             for loaded in &engine.report.models {
                 let shard = (loaded.model.clone(), loaded.layers);
-                self.shards.insert(shard, loaded.clone());
+                let known = self.shards.entry(shard).or_insert_with(|| loaded.clone());
+                // Engines may hold different adapters; one that is lost would fail its requests.
+                for adapter in &loaded.adapters {
+                    if !known.adapters.contains(adapter) {
+                        known.adapters.push(adapter.clone());
+                    }
+                }
             }
         }
-        let mut uses: BTreeMap<Shard, Use> = BTreeMap::new();
-        for shard in self.shards.keys() {
-            uses.entry(shard.clone()).or_default();
-        }
-        for engine in engines {
-            let models = &engine.report.models;
-            let part = 1.0 / models.len().max(1) as f64;
-            for loaded in models {
-                let one = uses
-                    .entry((loaded.model.clone(), loaded.layers))
-                    .or_default();
-                let work = engine.report.running_count + engine.report.waiting_count;
-                one.holders
-                    .insert(engine.id.clone(), engine.failure_domain.clone());
-                one.slots += f64::from(engine.report.slot_count) * part;
-                one.work += f64::from(work) * part;
+        for model in &scene.named {
+            let Some(shape) = scene.settings.models.get(*model) else {
+                continue;
+            };
+            let is_known = self.shards.keys().any(|shard| shard.0 == **model);
+            if !is_known {
+                for loaded in shape.stages(model) {
+                    let shard = (loaded.model.clone(), loaded.layers);
+                    self.shards.insert(shard, loaded);
+                }
+            }
+            for (_, loaded) in self.shards.iter_mut().filter(|one| one.0.0 == **model) {
+                loaded.adapters.clone_from(&shape.adapters);
             }
         }
-        uses
+        self.shards.retain(|shard, _| {
+            let is_held = |engine: &&Target| {
+                let mut models = engine.report.models.iter();
+                models.any(|one| one.model == shard.0 && one.layers == shard.1)
+            };
+            scene.named.contains(&shard.0) || engines.iter().any(is_held)
+        });
     }
 
     /// Starts and ends needs. Between the two limits a need stays as it is.
     fn note(&mut self, now: Duration, survey: &Survey) {
+        self.needs.retain(|shard, _| survey.is_in_use(&shard.0));
         for (shard, one) in &survey.uses {
+            if !survey.is_in_use(&shard.0) {
+                continue;
+            }
             let is_uncovered = one.domains().len() < survey.domain_count;
             if is_uncovered || one.fraction() >= survey.settings.high_use {
                 let count = one.holders.len();
@@ -166,10 +149,10 @@
         });
         let mut ranked = candidates.into_iter().map(|(_, candidate)| candidate);
         let chosen = ranked.next()?;
-        let cause = if is_uncovered {
-            "too few failure domains"
-        } else {
-            "high use"
+        let cause = match is_uncovered {
+            true if need.holders.is_empty() => "no engine holds it",
+            true => "too few failure domains",
+            false => "high use",
         };
         let reason = format!(
             "load {} layers {}..{}: {cause}, use {:.2} over {} engines in {} domains",
@@ -183,39 +166,8 @@
         Some(Placement {
             alternatives: ranked.take(3).collect(),
             chosen,
-            loaded: self.shards.get(shard)?.clone(),
+            models: vec![self.shards.get(shard)?.clone()],
             reason,
         })
     }
 }
-
-/// What one decision is based on.
-struct Survey<'a> {
-    /// Failure domains in which each shard is to be held.
-    domain_count: usize,
-    engines: Vec<&'a Target>,
-    settings: &'a OrderSettings,
-    uses: BTreeMap<Shard, Use>,
-}
-
-impl Survey<'_> {
-    /// Whether an engine may be given another model: everything that it holds stays in enough
-    /// failure domains, and below the donor's limit, without it.
-    fn is_spare(&self, engine: &Target) -> bool {
-        let models = &engine.report.models;
-        let part = 1.0 / models.len().max(1) as f64;
-        models.iter().all(|loaded| {
-            let Some(one) = self.uses.get(&(loaded.model.clone(), loaded.layers)) else {
-                return false;
-            };
-            let slots = one.slots - f64::from(engine.report.slot_count) * part;
-            let has_places = slots > 0.0 && one.work / slots <= self.settings.donor_max_use;
-            has_places && one.domains_without(&engine.id).len() >= self.domain_count
-        })
-    }
-}
-
-fn is_usable(target: &Target) -> bool {
-    let is_engine = matches!(target.role, ListingRole::Engine { .. });
-    is_engine && target.health == TargetHealth::Live
-}
--- a/crates/control/src/token_row.rs
+++ b/crates/control/src/token_row.rs
@@ -13,6 +13,19 @@
     /// Wall-clock time in milliseconds at which `count` was true.
     at_ms: u64,
     count: f64,
+    /// Engines that give up shards and whose reports may not show it yet.
+    #[serde(default)]
+    moves: Vec<Move>,
+}
+
+/// Engine that is ordered to give up shards. Owners write these rows one after the other, so that
+/// no two of them take the same shard from two engines at once.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Move {
+    pub(crate) shards: Vec<Shard>,
+    pub(crate) target: TargetId,
+    /// Wall-clock time in milliseconds after which the reports show it.
+    pub(crate) until_ms: u64,
 }
 
 impl TokenRow {
@@ -25,17 +38,31 @@
         }
     }
 
+    /// Whether another engine gives up one of these shards now.
+    pub(crate) fn has_conflict(&self, wall_ms: u64, target: &TargetId, shards: &[Shard]) -> bool {
+        let moves = self.bucket.iter().flat_map(|bucket| &bucket.moves);
+        let mut others = moves.filter(|other| other.target != *target && other.until_ms > wall_ms);
+        others.any(|other| other.shards.iter().any(|shard| shards.contains(shard)))
+    }
+
     pub(crate) fn has_one(&self, wall_ms: u64, settings: &OrderSettings) -> bool {
         self.count(wall_ms, settings) >= 1.0
     }
 
     /// Value of the row after one load.
-    pub(crate) fn taken(&self, wall_ms: u64, settings: &OrderSettings) -> Arc<str> {
+    pub(crate) fn taken(&self, wall_ms: u64, own: Move, settings: &OrderSettings) -> Arc<str> {
+        let moves = self.bucket.iter().flat_map(|bucket| &bucket.moves);
+        let is_kept = |one: &&Move| one.until_ms > wall_ms && one.target != own.target;
+        let mut moves: Vec<Move> = moves.filter(is_kept).cloned().collect();
+        if !own.shards.is_empty() {
+            moves.push(own);
+        }
         let last_ms = self.bucket.as_ref().map_or(0, |bucket| bucket.at_ms);
         to_value(&Bucket {
             // An instance whose clock is behind must not add the difference twice.
             at_ms: wall_ms.max(last_ms),
             count: self.count(wall_ms, settings) - 1.0,
+            moves,
         })
     }
 
--- a/crates/control/tests/order.rs
+++ b/crates/control/tests/order.rs
@@ -4,125 +4,13 @@
 mod support;
 
 use {
-    control::{Command, Context, Decision, OrderSettings, Orders},
-    std::collections::BTreeMap,
-    support::{context, engine_listing, mesh::Mesh, ms, peer_listing, table::Table},
-    types::{LayerRange, LoadReport, LoadedModel, Order, StoreFailure, TargetId},
+    control::OrderSettings,
+    support::{
+        engine_listing,
+        orders::{Store, World, loaded},
+    },
 };
 
-/// How the store answers.
-#[derive(Clone, Copy, PartialEq)]
-enum Store {
-    Late(u64),
-    Lost,
-    Works,
-}
-
-/// One instance, its engines, and the table.
-struct World {
-    context: Context,
-    logs: Vec<Decision>,
-    mesh: Mesh,
-    orders: Orders,
-    sent: Vec<(TargetId, Order)>,
-    store: Store,
-    table: Table,
-}
-
-impl World {
-    /// Engines by name and domain, each with the work and the model that it reports.
-    fn new(engines: &[(&str, &str, u32, &str)], settings: OrderSettings) -> Self {
-        let mut listings = vec![peer_listing("a")];
-        let mut reports = BTreeMap::new();
-        for (name, domain, running_count, model) in engines {
-            listings.push(engine_listing(name, domain));
-            let report = LoadReport {
-                incarnation: 1,
-                models: Vec::from_iter((!model.is_empty()).then(|| loaded(model))),
-                running_count: *running_count,
-                slot_count: 10,
-                ..LoadReport::default()
-            };
-            reports.insert(TargetId::from(*name), report);
-        }
-        let mut mesh = Mesh::new(listings, &[]);
-        mesh.reports = reports;
-        mesh.start("a", "a");
-        Self {
-            context: context(5),
-            logs: Vec::new(),
-            mesh,
-            orders: Orders::new(settings),
-            sent: Vec::new(),
-            store: Store::Works,
-            table: Table::default(),
-        }
-    }
-
-    fn run(&mut self, duration_ms: u64) {
-        for _ in 0..duration_ms / 50 {
-            self.mesh.run(50);
-            let members = &self.mesh.instances["a"].0;
-            self.context.now += ms(50);
-            self.context.wall += ms(50);
-            self.orders.tick(&mut self.context, members);
-            while !self.context.commands.is_empty() {
-                for command in std::mem::take(&mut self.context.commands) {
-                    self.take(command);
-                }
-            }
-        }
-        assert_eq!(self.context.unexpected_count, 0);
-    }
-
-    fn take(&mut self, command: Command) {
-        match command {
-            Command::Log(decision) => self.logs.push(decision),
-            Command::SendOrder { order, target, .. } => {
-                let row = &self.table.rows[&*format!("order/{target}")];
-                assert_eq!(row.version, order.fence, "sent without its row");
-                self.sent.push((target, order));
-            }
-            Command::Store { request, ticket } => {
-                let reply = self.table.run(&request);
-                let result = match self.store {
-                    Store::Late(late_ms) => {
-                        self.context.now += ms(late_ms);
-                        Ok(reply)
-                    }
-                    Store::Lost => Err(StoreFailure::Ambiguous),
-                    Store::Works => Ok(reply),
-                };
-                self.orders
-                    .store_replied(&mut self.context, ticket, &result);
-            }
-            _ => {}
-        }
-    }
-
-    /// Makes an engine reach the state of its last order.
-    fn obey(&mut self) {
-        for (target, order) in &self.sent {
-            let report = self.mesh.reports.get_mut(target).unwrap();
-            report.fence = order.fence;
-            report.models.clone_from(&order.wanted.models);
-        }
-    }
-
-    fn targets(&self) -> Vec<&str> {
-        self.sent.iter().map(|(target, _)| &**target).collect()
-    }
-}
-
-fn loaded(model: &str) -> LoadedModel {
-    LoadedModel {
-        adapters: Vec::new(),
-        layer_count: 8,
-        layers: LayerRange { start: 0, end: 8 },
-        model: model.into(),
-    }
-}
-
 /// Model `m` is short of engines, and `spare` holds nothing.
 fn short_of_engines() -> World {
     let engines = [
@@ -204,7 +92,7 @@
     let mut world = short_of_engines();
     world.run(20_000);
     assert_eq!(world.sent.len(), 1);
-    world.orders = Orders::new(OrderSettings::default());
+    world.forget_orders();
     world.run(29_000);
     assert_eq!(world.sent.len(), 1);
     world.run(20_000);
--- /dev/null
+++ b/crates/control/tests/placement.rs
@@ -0,0 +1,158 @@
+//! Loads and unloads of models by demand.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    control::{ModelShape, OrderSettings},
+    std::collections::BTreeMap,
+    support::{
+        ms,
+        orders::{World, lists_naming, loaded},
+    },
+    types::{LayerRange, LoadedModel},
+    yare::parameterized,
+};
+
+fn catalog(model: &str, adapters: &[&str], stage_count: u32) -> OrderSettings {
+    let shape = ModelShape {
+        adapters: adapters.iter().map(|adapter| (*adapter).into()).collect(),
+        layer_count: 8,
+        stage_count,
+    };
+    OrderSettings {
+        models: BTreeMap::from([(model.into(), shape)]),
+        token_max_count: 20.0,
+        ..OrderSettings::default()
+    }
+}
+
+/// Models that the engines were ordered to hold at last.
+fn ordered(world: &World) -> BTreeMap<&str, Vec<LoadedModel>> {
+    let orders = world.sent.iter();
+    orders
+        .map(|(target, order)| (&**target, order.wanted.models.clone()))
+        .collect()
+}
+
+/// Guards against a model that a plan names and nobody loads, in whole or in part.
+#[test]
+fn model_that_no_engine_holds_is_loaded_in_every_domain() {
+    let engines = [
+        ("e1", "a", 0, ""),
+        ("e2", "a", 0, ""),
+        ("e3", "b", 0, ""),
+        ("e4", "b", 0, ""),
+    ];
+    let mut world = World::new(&engines, catalog("m", &["v1"], 2));
+    for _ in 0..40 {
+        world.run(5_000);
+        world.obey();
+    }
+    let mut held: Vec<(String, LayerRange)> = Vec::new();
+    for (name, domain, ..) in engines {
+        let report = &world.mesh.reports[name];
+        let [model] = &report.models[..] else {
+            panic!("{name} holds {:?}", report.models);
+        };
+        assert_eq!(model.adapters, ["v1".into()]);
+        held.push((domain.into(), model.layers));
+    }
+    held.sort_by_key(|(domain, layers)| (domain.clone(), layers.start));
+    let halves = [0, 4].map(|start| LayerRange {
+        start,
+        end: start + 4,
+    });
+    let expected = ["a", "b"].map(|domain| halves.map(|half| (String::from(domain), half)));
+    assert_eq!(held, expected.concat());
+    let mut reasons = world.logs.iter().filter(|log| log.kind == "order");
+    assert!(reasons.any(|log| log.reason.contains("no engine holds it")));
+}
+
+/// Guards against a load of a model that no plan names, that is of unknown shape, or without lists.
+#[parameterized(
+    of_unknown_shape = { &["x"], true },
+    unnamed = { &[], true },
+    without_lists = { &["m"], false },
+)]
+fn model_is_not_loaded_without_need(named: &[&str], has_lists: bool) {
+    let mut world = World::new(
+        &[("e1", "a", 0, ""), ("e2", "b", 0, "")],
+        catalog("m", &[], 1),
+    );
+    world.lists = has_lists.then(|| lists_naming(named));
+    world.run(60_000);
+    assert!(world.sent.is_empty(), "{:?}", world.sent);
+}
+
+/// Guards against an unload under running requests, and one of the last engine of a model in use.
+#[parameterized(
+    busy = { &[("d1", "a", 0, "idle"), ("d2", "b", 0, "idle"), ("d3", "b", 1, "idle")], &["d2"] },
+    last = { &[("d1", "a", 0, "idle")], &[] },
+    unnamed_and_idle = { &[("d1", "a", 0, "gone")], &["d1"] },
+    unnamed_and_in_use = { &[("d1", "a", 0, "gone"), ("d2", "b", 1, "gone")], &[] },
+)]
+fn only_idle_engines_with_cover_give_up_a_model(
+    donors: &[(&str, &str, u32, &str)],
+    expected: &[&str],
+) {
+    let mut engines = vec![("e1", "a", 20, "m"), ("e2", "b", 20, "m")];
+    engines.extend(donors);
+    let mut world = World::new(&engines, OrderSettings::default());
+    world.run(60_000);
+    let mut targets = world.targets();
+    targets.dedup();
+    assert_eq!(targets, expected);
+}
+
+/// Guards against two owners that take the same model from two engines at once, before a report
+/// shows the first order.
+#[test]
+fn second_owner_waits_for_the_first_unload_of_a_model() {
+    let engines = [
+        ("e1", "a", 20, "m"),
+        ("e2", "b", 20, "m"),
+        ("d1", "a", 0, "idle"),
+        ("d2", "b", 0, "idle"),
+        ("d3", "b", 0, "idle"),
+    ];
+    let mut world = World::new(&engines, OrderSettings::default());
+    world.run(20_000);
+    let first = world.targets()[0].to_string();
+    // A second owner sees neither the order nor the engine that was ordered.
+    world.forget_orders();
+    world.mesh.listings.retain(|listing| *listing.id != *first);
+    world.mesh.listings.push(support::engine_listing("d4", "b"));
+    let report = world.mesh.reports["d3"].clone();
+    world.mesh.reports.insert("d4".into(), report);
+    world.run(15_000);
+    assert_eq!(world.targets(), [first.as_str()]);
+    world.run(60_000);
+    assert!(world.targets().len() > 1);
+}
+
+/// Guards against adapters that are never updated, updated everywhere at once, or lost when
+/// another engine loads the model.
+#[test]
+fn adapters_change_one_engine_at_a_time() {
+    let engines = [
+        ("e1", "a", 0, "m"),
+        ("e2", "b", 0, "m"),
+        ("e3", "b", 0, "m"),
+        ("e4", "a", 0, "m"),
+    ];
+    let mut world = World::new(&engines, catalog("m", &["v2"], 1));
+    world.run(25_000);
+    assert_eq!(world.sent.len(), 1);
+    for _ in 0..30 {
+        world.obey();
+        world.run(10_000);
+    }
+    let expected = LoadedModel {
+        adapters: vec!["v2".into()],
+        ..loaded("m")
+    };
+    let held: Vec<_> = ordered(&world).into_values().collect();
+    assert_eq!(held, vec![vec![expected]; 4]);
+    assert!(world.context.now > ms(60_000));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the shared support")]
 
 pub mod mesh;
+pub mod orders;
 pub mod records;
 pub mod search;
 pub mod table;
--- /dev/null
+++ b/crates/control/tests/support/orders.rs
@@ -0,0 +1,147 @@
+//! One instance that orders engines, the engines, and the table.
+
+use {
+    super::{context, engine_listing, mesh::Mesh, ms, peer_listing, table::Table},
+    control::{Command, Context, Decision, OrderSettings, Orders},
+    std::collections::BTreeMap,
+    types::{LayerRange, Lists, LoadReport, LoadedModel, Order, Plan, StoreFailure, TargetId},
+};
+
+/// How the store answers.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Store {
+    Late(u64),
+    Lost,
+    Works,
+}
+
+/// One instance, its engines, and the table.
+pub struct World {
+    pub context: Context,
+    pub lists: Option<Lists>,
+    pub logs: Vec<Decision>,
+    pub mesh: Mesh,
+    orders: Orders,
+    pub sent: Vec<(TargetId, Order)>,
+    settings: OrderSettings,
+    pub store: Store,
+    pub table: Table,
+}
+
+impl World {
+    /// Engines by name and domain, each with the work and the model that it reports.
+    pub fn new(engines: &[(&str, &str, u32, &str)], settings: OrderSettings) -> Self {
+        let mut listings = vec![peer_listing("a")];
+        let mut reports = BTreeMap::new();
+        for (name, domain, running_count, model) in engines {
+            listings.push(engine_listing(name, domain));
+            let report = LoadReport {
+                incarnation: 1,
+                models: Vec::from_iter((!model.is_empty()).then(|| loaded(model))),
+                running_count: *running_count,
+                slot_count: 10,
+                ..LoadReport::default()
+            };
+            reports.insert(TargetId::from(*name), report);
+        }
+        let mut mesh = Mesh::new(listings, &[]);
+        mesh.reports = reports;
+        mesh.start("a", "a");
+        Self {
+            context: context(5),
+            lists: Some(lists_naming(&["m", "idle", "full"])),
+            logs: Vec::new(),
+            mesh,
+            orders: Orders::new(settings.clone()),
+            sent: Vec::new(),
+            settings,
+            store: Store::Works,
+            table: Table::default(),
+        }
+    }
+
+    pub fn run(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / 50 {
+            self.mesh.run(50);
+            let members = &self.mesh.instances["a"].0;
+            self.context.now += ms(50);
+            self.context.wall += ms(50);
+            self.orders
+                .tick(&mut self.context, members, self.lists.as_ref());
+            while !self.context.commands.is_empty() {
+                for command in std::mem::take(&mut self.context.commands) {
+                    self.take(command);
+                }
+            }
+        }
+        assert_eq!(self.context.unexpected_count, 0);
+    }
+
+    pub fn take(&mut self, command: Command) {
+        match command {
+            Command::Log(decision) => self.logs.push(decision),
+            Command::SendOrder { order, target, .. } => {
+                let row = &self.table.rows[&*format!("order/{target}")];
+                assert_eq!(row.version, order.fence, "sent without its row");
+                self.sent.push((target, order));
+            }
+            Command::Store { request, ticket } => {
+                let reply = self.table.run(&request);
+                let result = match self.store {
+                    Store::Late(late_ms) => {
+                        // The pause is one of the whole process, so its view ages too.
+                        self.context.now += ms(late_ms);
+                        for (_, context) in self.mesh.instances.values_mut() {
+                            context.now += ms(late_ms);
+                        }
+                        Ok(reply)
+                    }
+                    Store::Lost => Err(StoreFailure::Ambiguous),
+                    Store::Works => Ok(reply),
+                };
+                self.orders
+                    .store_replied(&mut self.context, ticket, &result);
+            }
+            _ => {}
+        }
+    }
+
+    /// Replaces the owner by one that has seen no order.
+    pub fn forget_orders(&mut self) {
+        self.orders = Orders::new(self.settings.clone());
+    }
+
+    /// Makes an engine reach the state of its last order.
+    pub fn obey(&mut self) {
+        for (target, order) in &self.sent {
+            let report = self.mesh.reports.get_mut(target).unwrap();
+            report.fence = order.fence;
+            report.models.clone_from(&order.wanted.models);
+        }
+    }
+
+    pub fn targets(&self) -> Vec<&str> {
+        self.sent.iter().map(|(target, _)| &**target).collect()
+    }
+}
+
+/// Lists with one plan that names these models.
+pub fn lists_naming(models: &[&str]) -> Lists {
+    let plan = Plan {
+        models: models.iter().map(|model| (*model).into()).collect(),
+        ..Plan::default()
+    };
+    Lists {
+        plans: BTreeMap::from([("p".into(), plan)]),
+        ..Lists::default()
+    }
+}
+
+pub fn loaded(model: &str) -> LoadedModel {
+    LoadedModel {
+        adapters: Vec::new(),
+        layer_count: 8,
+        layers: LayerRange { start: 0, end: 8 },
+        model: model.into(),
+    }
+}
