Move the cache of a stream off a leaving engine, or prefill it elsewhere

Cause: a stream on an engine that leaves ran there until its end, however long, and its cache could not be used elsewhere. Change: after a grace choose the route anew, move the cache when that is cheaper than prefill, and start the new attempt at the end of the move, at a failure or at the bound.

--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -116,7 +116,7 @@
         true
     }
 
-    fn is_suspect(&self, now: Duration, request: &RequestId) -> bool {
+    pub(crate) fn is_suspect(&self, now: Duration, request: &RequestId) -> bool {
         let entry = self.entries.get(request);
         entry.is_some_and(|entry| self.quarantine.is_suspect(now, entry.fingerprint))
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -44,6 +44,8 @@
 mod config_settings;
 mod context;
 mod decision;
+mod departure;
+mod departure_settings;
 mod detector;
 mod dispatch;
 mod drain;
@@ -99,6 +101,7 @@
     },
     config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
     config_read::Reader,
+    departure::Moving,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
     life::{Payload, plan},
@@ -127,6 +130,7 @@
     config_settings::ConfigSettings,
     context::Context,
     decision::{Candidate, Decision},
+    departure_settings::DepartureSettings,
     drain::Drain,
     event::{CallQuery, Event, OwnerStatus},
     history::History,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -39,6 +39,7 @@
         self.set_time(now);
         match event {
             Event::AttemptFailed { .. }
+            | Event::CacheMoved { .. }
             | Event::CallCompleted { .. }
             | Event::CallSubmitted(_)
             | Event::CallerGone { .. }
@@ -69,7 +70,11 @@
     /// the regular one, so a part that cannot act yet does not cause ticks in a loop.
     #[must_use]
     pub fn wake_at(&self) -> Option<Duration> {
-        let times = [self.configs.wake_at(), self.records.wake_at()];
+        let times = [
+            self.configs.wake_at(),
+            self.records.wake_at(),
+            self.requests.wake_at(),
+        ];
         let later = times.into_iter().flatten();
         later.filter(|at| *at > self.ticked_at).min()
     }
@@ -101,6 +106,12 @@
                     failure,
                     request,
                 } => requests.attempt_failed(scope, &request, &failure, delivered_tokens),
+                Event::CacheMoved {
+                    attempt,
+                    from,
+                    request,
+                    result,
+                } => requests.cache_moved(scope, &request, attempt, &from, &result),
                 Event::CallCompleted {
                     attempt,
                     reply,
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -197,6 +197,7 @@
         };
         if matches!(entry.job, Job::Generate(_)) {
             self.set_priority(scope, request);
+            self.watch_departure(scope, request);
             return;
         }
         if now < entry.arrived_at + entry.deadline {
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -48,6 +48,8 @@
     Progressed,
     /// Refused.
     Refused,
+    /// Its attempt at an engine that is leaving gives way to another.
+    Replaced,
     /// Was accepted by another instance, or goes on after a failure there.
     Resumed,
     /// Its attempt failed and the next may start now.
@@ -110,7 +112,11 @@
     pub(crate) job: Job,
     /// Kind of work for the history.
     pub(crate) kind: Arc<str>,
+    /// Since when an engine of the attempt is known to be leaving.
+    pub(crate) leaving_since: Option<Duration>,
     pub(crate) may_have_run: bool,
+    /// Attempt that is to replace the current one.
+    pub(crate) moving: Option<Moving>,
     pub(crate) priority: Priority,
     /// When tokens were last delivered, or the attempt started.
     pub(crate) progressed_at: Duration,
@@ -162,7 +168,9 @@
             is_caller_gone: false,
             is_short: true,
             kind: job.kind(),
+            leaving_since: None,
             may_have_run: false,
+            moving: None,
             priority: 0,
             progressed_at: now,
             request: request.clone(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -8,6 +8,8 @@
     pub admission: AdmissionSettings,
     /// Configuration.
     pub config: ConfigSettings,
+    /// Streams on engines that are leaving.
+    pub departure: DepartureSettings,
     /// Graceful shutdown.
     pub drain: DrainSettings,
     /// Membership.
--- /dev/null
+++ b/crates/control/tests/departure.rs
@@ -0,0 +1,146 @@
+//! Streams on engines that are leaving.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod world;
+
+use {
+    control::{Command, Event},
+    std::time::Duration,
+    types::{FailureKind, TargetId},
+    world::{World, builder::generate},
+    yare::parameterized,
+};
+
+const GRACE_MS: u64 = 30_000;
+
+/// A stream of two minutes, of which the last stage leaves. Returns its route.
+fn stream_on_leaving_engine(
+    prompt_tokens: u32,
+    stages: u32,
+    regions: &'static [&'static str],
+) -> (World, Vec<TargetId>) {
+    let mut world = World::with_regions(1, 2, stages, regions);
+    let request = "r";
+    world
+        .durations
+        .insert(request.into(), Duration::from_secs(120));
+    let mut prompt = generate("a", request);
+    prompt.prompt_tokens = prompt_tokens;
+    world.submit(0, prompt);
+    world.run(1_000);
+    let route = world.routes(request).remove(0);
+    let mut listings = world.listings.iter_mut();
+    let leaving = listings.find(|listing| listing.id == route[route.len() - 1]);
+    leaving.unwrap().leaving = true;
+    (world, route)
+}
+
+fn moves(world: &World) -> Vec<(TargetId, TargetId)> {
+    let commands = world
+        .log
+        .iter()
+        .filter_map(|(_, _, command)| match command {
+            Command::MoveCache { from, to, .. } => Some((from.clone(), to.clone())),
+            _ => None,
+        });
+    commands.collect()
+}
+
+fn moved(from: &TargetId, attempt: u32, result: Result<u32, FailureKind>) -> Event {
+    Event::CacheMoved {
+        attempt,
+        from: from.clone(),
+        request: "r".into(),
+        result,
+    }
+}
+
+/// Guards against a stream that a planned departure cuts off, or moves within the grace.
+#[test]
+fn stream_goes_on_within_the_grace() {
+    let (mut world, _) = stream_on_leaving_engine(4_000, 2, &["r"]);
+    world.run(GRACE_MS - 1_000);
+    assert_eq!(world.routes("r").len(), 1);
+    assert_eq!(moves(&world), []);
+}
+
+/// Guards against a new attempt before its cache is there, one that keeps the leaving engine, and
+/// one that waits for a move that failed or does not end.
+#[parameterized(
+    bound = { None },
+    failed = { Some(Err(FailureKind::Refused)) },
+    success = { Some(Ok(4_000)) },
+)]
+fn cache_is_moved_before_the_new_attempt(result: Option<Result<u32, FailureKind>>) {
+    let (mut world, old) = stream_on_leaving_engine(4_000, 2, &["r"]);
+    while moves(&world).is_empty() {
+        world.run(50);
+        assert!(world.now < Duration::from_millis(2 * GRACE_MS));
+    }
+    let [(from, to)] = &moves(&world)[..] else {
+        panic!("{:?}", moves(&world));
+    };
+    assert_eq!(from, &old[1]);
+    world.run(500);
+    assert_eq!(world.routes("r").len(), 1, "started before the move ended");
+    world.send(0, moved(from, 7, Ok(1)));
+    assert_eq!(
+        world.routes("r").len(),
+        1,
+        "took the end of another attempt"
+    );
+    match result {
+        None => {
+            assert!(world.nodes[0].wake_at().unwrap() > world.now);
+            world.run(1_500);
+        }
+        Some(result) => {
+            world.send(0, moved(from, 1, result));
+        }
+    }
+    let routes = world.routes("r");
+    assert_eq!(routes[1..], [vec![old[0].clone(), to.clone()]]);
+    let cancels = world
+        .log
+        .iter()
+        .filter(|(_, _, command)| matches!(command, Command::Cancel { attempt: 1, .. }));
+    assert_eq!(cancels.count(), 1);
+    world.send(0, moved(from, 1, Ok(1)));
+    world.run(125_000);
+    assert!(world.ended_at("r").is_some());
+    assert_eq!(world.routes("r").len(), 2);
+    assert_eq!(world.nodes[0].unexpected_count(), 0);
+}
+
+/// Guards against a move over a link that is slower than prefill, and one that ends after its
+/// bound. At 20 ms per token and 20 times that speed in prefill, 1,000 tokens take 1 s; their
+/// 8,000 layers take 40 ms to another domain and 1.6 s to another region.
+#[parameterized(
+    domain = { &["r"], 1_000, true },
+    region = { &["r", "far"], 1_000, false },
+    too_large = { &["r"], 4_000_000, false },
+)]
+fn cache_is_moved_only_if_that_is_cheaper(
+    regions: &'static [&'static str],
+    prompt_tokens: u32,
+    is_moved: bool,
+) {
+    let (mut world, old) = stream_on_leaving_engine(prompt_tokens, 1, regions);
+    world.run(GRACE_MS + 10_000);
+    assert_eq!(moves(&world).len(), usize::from(is_moved));
+    let routes = world.routes("r");
+    assert_eq!(routes.len(), 2);
+    assert_ne!(routes[1], old);
+}
+
+/// Guards against a stream that is stopped though nothing can take it over.
+#[test]
+fn stream_stays_where_nothing_replaces_its_engine() {
+    let (mut world, old) = stream_on_leaving_engine(4_000, 2, &["r"]);
+    let other = if &*old[1] == "e0-1" { "e1-1" } else { "e0-1" };
+    world.kill(other);
+    world.run(GRACE_MS + 60_000);
+    assert_eq!(world.routes("r").len(), 1);
+    world.run(40_000);
+    assert!(world.ended_at("r").is_some());
+}
--- a/crates/control/tests/outage.rs
+++ b/crates/control/tests/outage.rs
@@ -132,3 +132,36 @@
     assert_eq!(world.refusals("again"), []);
     assert!(world.has_ran("again"));
 }
+
+/// Guards against an outcome that waits for the regular tick, and ticks in a loop when a part
+/// cannot act yet.
+#[test]
+fn next_tick_is_due_when_outcomes_are() {
+    let mut world = World::new(1, 1, 1);
+    let submission = call("a", "c", OperationKind::NonRepeatable);
+    world.send(0, Event::CallSubmitted(submission));
+    while world.ended_at("c").is_none() {
+        world.run(10);
+    }
+    let due_at = world.nodes[0].wake_at().unwrap();
+    assert!(due_at <= world.ended_at("c").unwrap() + Duration::from_millis(10));
+    world.is_store_down = true;
+    world.now = due_at;
+    let commands = world.send(0, Event::Ticked);
+    assert!(commands.iter().any(|command| matches!(
+        command,
+        Command::Store {
+            request: StoreRequest::Transact { .. },
+            ..
+        }
+    )));
+    let mut tick_count = 0;
+    let end = world.now + Duration::from_secs(10);
+    while let Some(at) = world.nodes[0].wake_at().filter(|at| *at < end) {
+        assert!(at > world.now);
+        world.now = at;
+        world.send(0, Event::Ticked);
+        tick_count += 1;
+    }
+    assert!(tick_count < 60, "{tick_count}");
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -52,6 +52,8 @@
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
     pub nodes: Vec<Node>,
+    /// Regions of the failure domains in turn.
+    regions: &'static [&'static str],
     pub now: Duration,
     pub slots: u32,
     /// Whether a store that is down still answers reads.
@@ -63,6 +65,15 @@
     /// `domains` failure domains with one engine per stage of model `m` and one server of service
     /// `s` each, and accounts `a` (weight 1), `b` (weight 3).
     pub fn new(node_count: usize, domains: usize, stages: u32) -> Self {
+        Self::with_regions(node_count, domains, stages, &["r"])
+    }
+
+    pub fn with_regions(
+        node_count: usize,
+        domains: usize,
+        stages: u32,
+        regions: &'static [&'static str],
+    ) -> Self {
         let mut world = Self {
             crashers: BTreeSet::new(),
             cut_off: None,
@@ -76,6 +87,7 @@
             log: Vec::new(),
             models: BTreeMap::new(),
             nodes: Vec::new(),
+            regions,
             now: Duration::ZERO,
             slots: 8,
             takes_reads: false,
@@ -186,7 +198,7 @@
             id: id.into(),
             incarnation: 1,
             leaving: false,
-            region: "r".into(),
+            region: self.regions[domain % self.regions.len()].into(),
             role,
         });
     }
