Rank instances for limits by the hash of all builds, and share test builders

Change: rank by the rendezvous hash; one faulty table for both searches; the test of divided limits gives each instance 20 requests instead of 10, as its bound of 4 running only holds while all have demand (one ran out at 8.5 s, and 3 ran for 30 ms until its heartbeat).

--- a/crates/control/src/limit.rs
+++ b/crates/control/src/limit.rs
@@ -212,10 +212,10 @@
     }
 }
 
+/// Place of an instance in the order of a turn. The hash is one that all builds share: instances
+/// that rank differently would both take what rounding leaves over.
 fn rank(instance: &InstanceId, account: &AccountId, turn: u64) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (instance, account, turn).hash(&mut hasher);
-    hasher.finish()
+    rendezvous::weight(&format!("{turn}/{account}"), instance)
 }
 
 fn weight(demand: Option<u32>) -> u64 {
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -131,7 +131,7 @@
     }
     world.run(2_000);
     for node in 0..4 {
-        for index in 0..10 {
+        for index in 0..20 {
             let id = format!("r{node}-{index}");
             world
                 .durations
@@ -147,8 +147,8 @@
     }
     assert!(most <= 6, "{most} run under a limit of 6");
     assert!(least >= 4, "only {least} run under a limit of 6");
-    world.run(10_000);
-    assert_eq!(world.ended.len(), 44);
+    world.run(30_000);
+    assert_eq!(world.ended.len(), 84);
 }
 
 /// Guards against refusals that are held back, and that name no time to come back.
--- a/crates/control/tests/config_model.rs
+++ b/crates/control/tests/config_model.rs
@@ -12,13 +12,12 @@
     },
     std::sync::Arc,
     support::{
-        context, members, ms,
+        context,
+        faulty::{FaultyTable, Reply},
+        members, ms,
         search::{Model, follow, search},
-        table::Table,
-    },
-    types::{
-        Change, ChangeRecord, EditAnswer, Lists, Plan, StoreFailure, StoreRequest, StoreTicket,
     },
+    types::{Change, ChangeRecord, EditAnswer, Lists, Plan, StoreRequest},
     yare::parameterized,
 };
 
@@ -48,12 +47,10 @@
     fault_count: usize,
     instances: Vec<(Context, Configs, usize)>,
     is_cut_off: [bool; 2],
-    late: Vec<StoreRequest>,
     pushes: Vec<(usize, Vec<ChangeRecord>)>,
-    table: Table,
+    store: FaultyTable,
     ticked: [usize; 2],
     view: Arc<[Members; 2]>,
-    waiting: Vec<(usize, StoreTicket, StoreRequest)>,
 }
 
 impl World {
@@ -72,12 +69,10 @@
             fault_count,
             instances: vec![instance(0), instance(1)],
             is_cut_off: [false; 2],
-            late: Vec::new(),
             pushes: Vec::new(),
-            table: Table::default(),
+            store: FaultyTable::default(),
             ticked: [0; 2],
             view: Arc::new([members("a", &names, &["b"]), members("b", &names, &["a"])]),
-            waiting: Vec::new(),
         };
         for _ in 0..3 {
             world.heal_step().unwrap();
@@ -92,10 +87,10 @@
     }
 
     fn heal_step(&mut self) -> Result<(), String> {
-        while !self.late.is_empty() {
+        while !self.store.late.is_empty() {
             self.take(&Step::Land(0))?;
         }
-        while !self.waiting.is_empty() {
+        while !self.store.waiting.is_empty() {
             self.take(&Step::Deliver(0))?;
         }
         while !self.pushes.is_empty() {
@@ -120,7 +115,7 @@
                     if self.is_cut_off[index] && matches!(request, StoreRequest::Transact { .. }) {
                         return Err("an instance without a majority sent a write".into());
                     }
-                    self.waiting.push((index, ticket, request));
+                    self.store.waiting.push((index, ticket, request));
                 }
                 _ => {}
             }
@@ -130,6 +125,7 @@
 
     fn series(&self) -> Vec<ChangeRecord> {
         let rows = self
+            .store
             .table
             .rows
             .range::<Arc<str>, _>(Arc::from("config/change/")..);
@@ -200,14 +196,19 @@
         Ok(())
     }
 
-    fn reply(&mut self, place: usize, result: Result<(), StoreFailure>) -> Result<(), String> {
-        let (index, ticket, request) = self.waiting.remove(place);
-        let result = result.map(|()| self.table.run(&request));
+    fn reply(&mut self, (index, ticket, result): Reply) -> Result<(), String> {
         self.act(index, |context, configs| {
             configs.store_replied(context, ticket, &result);
         })
     }
 
+    fn advance(&mut self) {
+        self.advance_count += 1;
+        for (context, _, _) in &mut self.instances {
+            context.now += ms(1_100);
+        }
+    }
+
     fn edit(&mut self, index: usize, number: usize) -> Result<(), String> {
         self.edits.push((index, number));
         let operation = Arc::from(format!("e{number}"));
@@ -256,7 +257,7 @@
                 }
             }
         }
-        for place in 0..self.waiting.len() {
+        for place in 0..self.store.waiting.len() {
             moves.push(Step::Deliver(place));
             if self.fault_count > 0 {
                 moves.extend([
@@ -266,7 +267,7 @@
                 ]);
             }
         }
-        moves.extend((0..self.late.len()).map(Step::Land));
+        moves.extend((0..self.store.late.len()).map(Step::Land));
         moves.extend((0..self.pushes.len()).map(Step::Push));
         if self.advance_count < 9 {
             moves.push(Step::Advance);
@@ -282,29 +283,27 @@
         self.fault_count -= usize::from(is_fault);
         match *step {
             Step::Advance => {
-                self.advance_count += 1;
-                for (context, _, _) in &mut self.instances {
-                    context.now += ms(1_100);
-                }
+                self.advance();
                 Ok(())
             }
             Step::CutOff(index) => self.act(index, |_, configs| configs.note_majority(false)),
-            Step::Deliver(place) => self.reply(place, Ok(())),
+            Step::Deliver(place) => {
+                let reply = self.store.deliver(place);
+                self.reply(reply)
+            }
             Step::Delay(place) => {
-                self.late.push(self.waiting[place].2.clone());
-                self.reply(place, Err(StoreFailure::Ambiguous))
+                let reply = self.store.delay(place);
+                self.reply(reply)
             }
             Step::Edit(index, number) => self.edit(index, number),
             Step::Join(index) => self.act(index, |_, configs| configs.note_majority(true)),
             Step::Land(place) => {
-                let request = self.late.remove(place);
-                self.table.run(&request);
+                self.store.land(place);
                 self.check()
             }
             Step::LoseReply(place) => {
-                let request = self.waiting[place].2.clone();
-                self.table.run(&request);
-                self.reply(place, Err(StoreFailure::Ambiguous))
+                let reply = self.store.lose_reply(place);
+                self.reply(reply)
             }
             Step::Push(place) => {
                 let (index, records) = self.pushes.remove(place);
@@ -312,7 +311,10 @@
                     configs.changes_received(context, &records);
                 })
             }
-            Step::Refuse(place) => self.reply(place, Err(StoreFailure::Unavailable)),
+            Step::Refuse(place) => {
+                let reply = self.store.refuse(place);
+                self.reply(reply)
+            }
             Step::Tick(index) => {
                 self.ticked[index] = self.advance_count;
                 let view = self.view.clone();
@@ -325,10 +327,10 @@
 
     fn digest(&self) -> String {
         let configs: Vec<_> = self.instances.iter().map(|one| &one.1).collect();
-        let (table, waiting, late) = (&self.table, &self.waiting, &self.late);
+        let store = &self.store;
         let (pushes, answers, edits) = (&self.pushes, &self.answers, &self.edits);
         let counts = (self.advance_count, self.fault_count, self.ticked);
-        format!("{configs:?}{table:?}{waiting:?}{late:?}{pushes:?}{answers:?}{edits:?}{counts:?}")
+        format!("{configs:?}{store:?}{pushes:?}{answers:?}{edits:?}{counts:?}")
     }
 }
 
@@ -341,9 +343,9 @@
 )]
 fn no_short_schedule_breaks_an_invariant(start: &[Step]) {
     let mut world = World::new(2);
-    let outstanding = std::mem::take(&mut world.waiting);
+    let outstanding = std::mem::take(&mut world.store.waiting);
     for (index, ticket, request) in outstanding {
-        world.waiting.push((index, ticket, request));
+        world.store.waiting.push((index, ticket, request));
         world.take(&Step::Deliver(0)).unwrap();
     }
     for step in start {
--- /dev/null
+++ b/crates/control/tests/record_world/mod.rs
@@ -0,0 +1,399 @@
+//! Two instances, one key and a faulty table, for searches over schedules.
+
+use {
+    crate::support::{
+        context,
+        faulty::{FaultyTable, Reply},
+        identity, members, ms, records,
+        search::Model,
+    },
+    control::{
+        CallQuery, Command, Context, Members, OwnerStatus, RecordEffect, RecordSettings, Records,
+    },
+    std::sync::Arc,
+    types::{CallOutcome, RequestId, Row, StoreReply},
+};
+
+pub const ROW: &str = "call/shop/k";
+
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    /// The clock of all moves on; processes that are not ticked are paused.
+    Advance,
+    /// The question at this place gets the owner's answer.
+    Ask(usize),
+    /// The target replies.
+    Complete(usize),
+    /// The table gives its reply.
+    Deliver(usize),
+    /// The table takes the request up at a later time, and the reply is lost.
+    Delay(usize),
+    /// A delayed write takes effect.
+    Land(usize),
+    /// The table takes the request up, and the reply is lost.
+    LoseReply(usize),
+    /// The connection breaks after bytes were sent.
+    Lose(usize),
+    /// The table is down.
+    Refuse(usize),
+    /// The target runs the call, however long ago the dispatch was sent.
+    Run(usize),
+    /// The process starts again under the same id.
+    Restart(usize),
+    Submit(usize),
+    /// Time passes at the instance, which sees the other one as gone or live.
+    Tick(usize, bool),
+    /// The target refuses.
+    Turn(usize),
+}
+
+#[derive(Clone)]
+pub struct Process {
+    context: Context,
+    /// Request whose dispatch is on its way, and whether it ran.
+    pub dispatched: Option<(RequestId, bool)>,
+    incarnation: u64,
+    /// Whether the last row that it saw was another's claim.
+    is_informed: bool,
+    name: &'static str,
+    records: Records,
+    /// Advances that it has noticed.
+    ticked: usize,
+}
+
+#[derive(Clone, Copy)]
+pub struct Allowed {
+    pub advances: usize,
+    pub faults: usize,
+    pub submits: usize,
+}
+
+#[derive(Clone)]
+pub struct World {
+    advance_count: usize,
+    /// Faults, submissions and advances that the schedule may still use.
+    allowed: Allowed,
+    pub answers: Vec<(RequestId, CallOutcome)>,
+    pub asks: Vec<(usize, CallQuery, RequestId)>,
+    pub processes: Vec<Process>,
+    pub restart_count: usize,
+    pub runs: Vec<RequestId>,
+    pub submit_count: usize,
+    pub store: FaultyTable,
+    view: Arc<Vec<[Members; 2]>>,
+}
+
+impl Process {
+    fn name(&self) -> String {
+        format!("\"{}\"", self.name)
+    }
+}
+
+impl World {
+    pub fn new(allowed: Allowed) -> Self {
+        let names = ["a", "b"];
+        let view = |own: usize| {
+            let other = names[1 - own];
+            [
+                members(names[own], &names, &[other]),
+                members(names[own], &names, &[]),
+            ]
+        };
+        let process = |index: usize| Process {
+            context: context(index as u64),
+            dispatched: None,
+            incarnation: 1,
+            is_informed: false,
+            name: names[index],
+            records: Records::new(identity(names[index], 1), settings()),
+            ticked: 0,
+        };
+        Self {
+            advance_count: 0,
+            allowed,
+            answers: Vec::new(),
+            asks: Vec::new(),
+            processes: vec![process(0), process(1)],
+            restart_count: 0,
+            runs: Vec::new(),
+            submit_count: 0,
+            store: FaultyTable::default(),
+            view: Arc::new(vec![view(0), view(1)]),
+        }
+    }
+
+    fn settle(&mut self, index: usize, effects: Vec<RecordEffect>) -> Result<(), String> {
+        let process = &mut self.processes[index];
+        for effect in effects {
+            match effect {
+                RecordEffect::Answer { outcome, request } => {
+                    let is_not_run = matches!(outcome, CallOutcome::NotRun(_));
+                    if is_not_run && process.is_informed && !self.runs.is_empty() {
+                        return Err(format!("{request} was told `not run` beside a seen claim"));
+                    }
+                    self.answers.push((request, outcome));
+                }
+                RecordEffect::Cleared { request } => {
+                    if process.records.may_dispatch(process.context.now, &request) {
+                        process.dispatched = Some((request, false));
+                    }
+                }
+            }
+        }
+        for command in std::mem::take(&mut process.context.commands) {
+            match command {
+                Command::AskOwner { query, request, .. } => {
+                    self.asks.push((index, query, request));
+                }
+                Command::Store { request, ticket } => {
+                    self.store.waiting.push((index, ticket, request));
+                }
+                _ => {}
+            }
+        }
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.runs.len() > 1 {
+            return Err(format!("ran {} times", self.runs.len()));
+        }
+        for (request, outcome) in &self.answers {
+            let has_run = self.runs.contains(request);
+            let is_dispatched = self.processes.iter().any(|process| {
+                let dispatched = process.dispatched.as_ref();
+                dispatched.is_some_and(|(dispatched, _)| dispatched == request)
+            });
+            match outcome {
+                CallOutcome::NotRun(_) if has_run || is_dispatched => {
+                    return Err(format!("{request} was told `not run` and ran or may run"));
+                }
+                CallOutcome::Ran(_) if self.runs.is_empty() => {
+                    return Err(format!("{request} was told `ran` and nothing ran"));
+                }
+                _ => {}
+            }
+        }
+        let state = self.store.table.field(ROW, "state");
+        if state == "\"not_run\"" && !self.runs.is_empty() {
+            return Err("the row says not_run of a call that ran".into());
+        }
+        for process in &self.processes {
+            let nonce: String = self.store.table.field(ROW, "nonce").replace('"', "");
+            let query = CallQuery::Nonce(nonce.as_str().into());
+            let owner = process.records.owner_status(&query);
+            let is_own = self.store.table.field(ROW, "owner") == process.name();
+            let is_current =
+                self.store.table.field(ROW, "incarnation") == process.incarnation.to_string();
+            let is_forgotten = owner == OwnerStatus::UnknownClaim && state == "\"started\"";
+            if is_own && is_current && is_forgotten {
+                return Err("the owner forgot a claim that the row shows".into());
+            }
+        }
+        let unexpected = self
+            .processes
+            .iter()
+            .map(|one| one.context.unexpected_count);
+        if unexpected.sum::<u64>() > 0 {
+            return Err("a chart met an event that it does not list".into());
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, (index, ticket, result): Reply) -> Result<(), String> {
+        let process = &mut self.processes[index];
+        if let Ok(StoreReply::Conflict { rows } | StoreReply::Rows { rows }) = &result {
+            let name = format!("\"owner\":{}", process.name());
+            let is_other = |row: &Row| row.value.contains("started") && !row.value.contains(&name);
+            process.is_informed = rows.iter().any(is_other);
+        }
+        let effects = process
+            .records
+            .store_replied(&mut process.context, ticket, &result);
+        self.settle(index, effects.unwrap_or_default())
+    }
+
+    fn end(&mut self, index: usize, step: Step) -> Result<(), String> {
+        let process = &mut self.processes[index];
+        let Some((request, _)) = process.dispatched.take() else {
+            return Ok(());
+        };
+        let (record, context) = (&mut process.records, &mut process.context);
+        let effects = match step {
+            Step::Complete(_) => record.completed(context, &request, records::done()),
+            Step::Lose(_) => record.lost(context, &request),
+            _ => record.not_run(context, &request, records::refusal()),
+        };
+        self.settle(index, effects)
+    }
+
+    fn submit(&mut self, index: usize) -> Result<(), String> {
+        self.submit_count += 1;
+        self.allowed.submits -= 1;
+        let process = &mut self.processes[index];
+        let mut call = records::submission(&format!("r{}", self.submit_count), "k");
+        call.deadline = ms(60_000);
+        let count = process.records.count();
+        let effects = process.records.submit(&mut process.context, &call);
+        process.is_informed &= process.records.count() == count;
+        self.settle(index, effects)
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.restart_count += 1;
+        let incarnation = 1 + self.restart_count as u64;
+        let process = &mut self.processes[index];
+        process.incarnation = incarnation;
+        process.records = Records::new(identity(process.name, incarnation), settings());
+        process.is_informed = false;
+        // Bytes that have left the process are not called back by its end.
+        if process.dispatched.as_ref().is_some_and(|(_, ran)| !ran) {
+            process.dispatched = None;
+        }
+        for (_, _, request) in self
+            .store
+            .waiting
+            .extract_if(.., |(owner, _, _)| *owner == index)
+        {
+            self.store.late.push(request);
+        }
+        self.asks.retain(|(asker, _, _)| *asker != index);
+    }
+
+    fn ask(&mut self, place: usize) -> Result<(), String> {
+        let (index, query, request) = self.asks.remove(place);
+        let status: OwnerStatus = self.processes[1 - index].records.owner_status(&query);
+        let owner = self.processes[1 - index].name.into();
+        let process = &mut self.processes[index];
+        let effects =
+            process
+                .records
+                .owner_answered(&mut process.context, &owner, &request, status);
+        self.settle(index, effects)
+    }
+
+    fn tick(&mut self, index: usize, is_gone: bool) -> Result<(), String> {
+        let view = self.view.clone();
+        let process = &mut self.processes[index];
+        process.ticked = self.advance_count;
+        let members = &view[index][usize::from(is_gone)];
+        let effects = process.records.tick(&mut process.context, members);
+        self.settle(index, effects)
+    }
+}
+
+impl Model for World {
+    type Move = Step;
+
+    fn moves(&self) -> Vec<Step> {
+        let mut moves = Vec::new();
+        for (index, process) in self.processes.iter().enumerate() {
+            if process.ticked < self.advance_count || process.is_informed {
+                moves.push(Step::Tick(index, false));
+            }
+            if process.is_informed {
+                moves.push(Step::Tick(index, true));
+            }
+            if self.allowed.submits > 0 {
+                moves.push(Step::Submit(index));
+            }
+            if self.allowed.faults > 0 {
+                moves.push(Step::Restart(index));
+            }
+            match process.dispatched {
+                None => {}
+                Some((_, false)) => moves.extend([Step::Run(index), Step::Turn(index)]),
+                Some((_, true)) => moves.extend([Step::Complete(index), Step::Lose(index)]),
+            }
+        }
+        for place in 0..self.store.waiting.len() {
+            moves.push(Step::Deliver(place));
+            if self.allowed.faults > 0 {
+                moves.extend([Step::LoseReply(place), Step::Delay(place)]);
+                moves.push(Step::Refuse(place));
+            }
+        }
+        moves.extend((0..self.store.late.len()).map(Step::Land));
+        moves.extend((0..self.asks.len()).map(Step::Ask));
+        if self.allowed.advances > 0 {
+            moves.push(Step::Advance);
+        }
+        moves
+    }
+
+    fn take(&mut self, step: &Step) -> Result<(), String> {
+        let is_fault = matches!(
+            step,
+            Step::Delay(_) | Step::LoseReply(_) | Step::Refuse(_) | Step::Restart(_)
+        );
+        self.allowed.faults -= usize::from(is_fault);
+        match *step {
+            Step::Advance => {
+                self.advance_count += 1;
+                self.allowed.advances = self.allowed.advances.saturating_sub(1);
+                for process in &mut self.processes {
+                    process.context.now += ms(2_100);
+                    process.context.wall += ms(2_100);
+                }
+            }
+            Step::Ask(place) => return self.ask(place),
+            Step::Deliver(place) => {
+                let reply = self.store.deliver(place);
+                return self.reply(reply);
+            }
+            Step::Delay(place) => {
+                let reply = self.store.delay(place);
+                return self.reply(reply);
+            }
+            Step::Land(place) => {
+                self.store.land(place);
+            }
+            Step::LoseReply(place) => {
+                let reply = self.store.lose_reply(place);
+                return self.reply(reply);
+            }
+            Step::Refuse(place) => {
+                let reply = self.store.refuse(place);
+                return self.reply(reply);
+            }
+            Step::Run(index) => {
+                if let Some((request, ran)) = &mut self.processes[index].dispatched {
+                    *ran = true;
+                    self.runs.push(request.clone());
+                }
+            }
+            Step::Restart(index) => self.restart(index),
+            Step::Submit(index) => return self.submit(index),
+            Step::Tick(index, is_gone) => return self.tick(index, is_gone),
+            Step::Complete(index) | Step::Lose(index) | Step::Turn(index) => {
+                return self.end(index, *step);
+            }
+        }
+        self.check()
+    }
+
+    fn digest(&self) -> String {
+        let records: Vec<_> = self.processes.iter().map(|one| &one.records).collect();
+        let dispatched: Vec<_> = self.processes.iter().map(|one| &one.dispatched).collect();
+        let now: Vec<_> = self
+            .processes
+            .iter()
+            .map(|one| (one.ticked, one.is_informed))
+            .collect();
+        let now = (
+            now,
+            self.advance_count,
+            self.allowed.faults,
+            self.submit_count,
+        );
+        let (store, asks, runs, answers) = (&self.store, &self.asks, &self.runs, &self.answers);
+        format!("{records:?}{dispatched:?}{store:?}{asks:?}{runs:?}{answers:?}{now:?}")
+    }
+}
+
+fn settings() -> RecordSettings {
+    RecordSettings {
+        batch_ms: 0,
+        ..RecordSettings::default()
+    }
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Builder, fake table and bounded search that the tests share.
 #![allow(dead_code, reason = "each test file uses a part of the shared support")]
 
+pub mod faulty;
 pub mod mesh;
 pub mod orders;
 pub mod records;
--- a/crates/control/tests/support/table.rs
+++ b/crates/control/tests/support/table.rs
@@ -2,7 +2,7 @@
 
 use {
     std::{collections::BTreeMap, sync::Arc},
-    types::{Row, StoreReply, StoreRequest},
+    types::{Condition, Row, StoreReply, StoreRequest, Write},
 };
 
 #[derive(Clone, Debug, Default)]
@@ -34,35 +34,36 @@
                     rows: rows.collect(),
                 }
             }
-            StoreRequest::Transact { conditions, writes } => {
-                let version = |key| self.rows.get(key).map_or(0, |row| row.version);
-                if conditions
-                    .iter()
-                    .any(|one| version(&one.key) != one.version)
-                {
-                    let keys = conditions.iter().map(|one| &one.key);
-                    let rows = keys.filter_map(|key| self.rows.get(key)).cloned().collect();
-                    return StoreReply::Conflict { rows };
-                }
-                self.version += 1;
-                let version = self.version;
-                for write in writes {
-                    let key = write.key.clone();
-                    match write.value.clone() {
-                        None => self.rows.remove(&key),
-                        Some(value) => self.rows.insert(
-                            key.clone(),
-                            Row {
-                                key,
-                                value,
-                                version,
-                            },
-                        ),
-                    };
-                }
-                StoreReply::Committed { version }
-            }
+            StoreRequest::Transact { conditions, writes } => self.transact(conditions, writes),
+        }
+    }
+
+    fn transact(&mut self, conditions: &[Condition], writes: &[Write]) -> StoreReply {
+        let version = |key| self.rows.get(key).map_or(0, |row| row.version);
+        if conditions
+            .iter()
+            .any(|one| version(&one.key) != one.version)
+        {
+            let keys = conditions.iter().map(|one| &one.key);
+            let rows = keys.filter_map(|key| self.rows.get(key)).cloned().collect();
+            return StoreReply::Conflict { rows };
+        }
+        self.version += 1;
+        let version = self.version;
+        for write in writes {
+            let key = write.key.clone();
+            let Some(value) = write.value.clone() else {
+                self.rows.remove(&key);
+                continue;
+            };
+            let row = Row {
+                key: key.clone(),
+                value,
+                version,
+            };
+            self.rows.insert(key, row);
         }
+        StoreReply::Committed { version }
     }
 
     /// Value of a field of a row, as JSON text; empty when the row is absent.
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -6,7 +6,7 @@
 mod query;
 
 use {
-    control::{Command, Event, Identity, Node, NodeSettings},
+    control::{CallQuery, Command, Event, Identity, Node, NodeSettings},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -14,9 +14,9 @@
     },
     types::{
         Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
-        GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
-        OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation, StoreFailure,
-        StoreReply, StoreRequest, TargetId,
+        GenerateSubmission, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport,
+        LoadedModel, OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation,
+        StoreFailure, StoreReply, StoreRequest, TargetId,
     },
 };
 
@@ -210,15 +210,7 @@
                 query,
                 request,
                 ..
-            } => {
-                let status = self.nodes[index_of(&owner)].owner_status(&query);
-                let event = Event::OwnerAnswered {
-                    owner,
-                    request,
-                    status,
-                };
-                self.send(node, event);
-            }
+            } => self.ask(node, owner, &query, request),
             Command::Cancel {
                 attempt, request, ..
             } => {
@@ -260,6 +252,16 @@
         }
     }
 
+    fn ask(&mut self, node: usize, owner: InstanceId, query: &CallQuery, request: RequestId) {
+        let status = self.nodes[index_of(&owner)].owner_status(query);
+        let event = Event::OwnerAnswered {
+            owner,
+            request,
+            status,
+        };
+        self.send(node, event);
+    }
+
     fn start(
         &mut self,
         node: usize,
