--- a/crates/control/src/departure.rs
+++ b/crates/control/src/departure.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Time between two searches for a replacement, each of which weighs all targets.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Preparation of the attempt that replaces one at an engine that is leaving.
 #[derive(Clone, Debug)]
 pub(crate) struct Moving {
@@ -34,17 +37,19 @@
         };
         let leaving: BTreeSet<TargetId> = targets.iter().filter(is_leaving).cloned().collect();
         if leaving.is_empty() {
-            entry.leaving_since = None;
+            entry.move_at = None;
             return;
         }
-        let since = *entry.leaving_since.get_or_insert(now);
+        let grace = Duration::from_millis(self.settings.departure.grace_ms);
+        let move_at = *entry.move_at.get_or_insert(now + grace);
         if let Some(moving) = &entry.moving {
             if now >= moving.until {
                 self.replace(scope, request, "the move took too long");
             }
             return;
         }
-        if now >= since + Duration::from_millis(self.settings.departure.grace_ms) {
+        if now >= move_at {
+            entry.move_at = Some(now + RETRY_INTERVAL);
             self.prepare(scope, request, &leaving);
         }
     }
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -217,7 +217,7 @@
             .slots
             .end(scope.context.now, request, &entry.targets());
         self.limits.change(&entry.account, -1, 0);
-        entry.leaving_since = None;
+        entry.move_at = None;
         entry.moving = None;
         entry.route = None;
     }
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -112,8 +112,8 @@
     pub(crate) job: Job,
     /// Kind of work for the history.
     pub(crate) kind: Arc<str>,
-    /// Since when an engine of the attempt is known to be leaving.
-    pub(crate) leaving_since: Option<Duration>,
+    /// Time from which the attempt may be replaced, while an engine of it is leaving.
+    pub(crate) move_at: Option<Duration>,
     pub(crate) may_have_run: bool,
     /// Attempt that is to replace the current one.
     pub(crate) moving: Option<Moving>,
@@ -168,7 +168,7 @@
             is_caller_gone: false,
             is_short: true,
             kind: job.kind(),
-            leaving_since: None,
+            move_at: None,
             may_have_run: false,
             moving: None,
             priority: 0,
--- a/crates/control/tests/record.rs
+++ b/crates/control/tests/record.rs
@@ -9,7 +9,7 @@
     std::time::Duration,
     support::{
         heartbeat, members, ms,
-        records::{Instance, done, id, is_not_run, outcome, refusal, submission},
+        records::{Instance, done, id, is_not_run, outcome, refusal, start, submission},
         table::Table,
     },
     types::{CallOutcome, StoreFailure},
@@ -19,10 +19,7 @@
 /// Guards against a dispatch before the claim is durable, or after the window.
 #[test]
 fn dispatch_needs_a_durable_claim_and_an_open_window() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     assert_eq!(a.submit("r", "k"), []);
     assert!(!a.records.may_dispatch(a.context.now, &id("r")));
     assert_eq!(
@@ -36,10 +33,7 @@
 /// Guards against a process that was paused between its claim and the reply and then dispatches.
 #[test]
 fn paused_owner_answers_not_run_and_frees_the_key() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     a.context.now += ms(2_500);
     assert!(is_not_run(&a.exchange(&mut table)));
@@ -64,10 +58,7 @@
 /// Guards against losing a claim that took effect although its reply was lost.
 #[parameterized(took_effect = { true }, did_not = { false })]
 fn lost_reply_is_read_back(took_effect: bool) {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     let (ticket, request) = a.sent().remove(0);
     if took_effect {
@@ -83,10 +74,7 @@
 /// Guards against an outcome that is lost because the store is down after the dispatch.
 #[test]
 fn outage_after_dispatch_delays_only_the_row() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     a.exchange(&mut table);
     let effects = a.records.completed(&mut a.context, &id("r"), done());
@@ -105,10 +93,7 @@
 /// Guards against outcomes of other calls that are lost with the one that met a conflict.
 #[test]
 fn conflicting_batch_falls_back_to_single_writes() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     for key in ["k1", "k2", "k3"] {
         a.submit(key, key);
         a.exchange(&mut table);
@@ -138,10 +123,7 @@
 /// `not_run` was overtaken.
 #[test]
 fn overtaken_not_run_does_not_claim_over_another() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -166,10 +148,7 @@
 /// a late reply that is thrown away.
 #[test]
 fn restarted_owner_is_gone_and_a_late_reply_still_counts() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -193,10 +172,7 @@
 /// Guards against a caller at another instance that gets no answer while the owner is live.
 #[test]
 fn live_owner_is_asked_until_the_call_ends() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -229,10 +205,7 @@
 /// call runs at the same instance.
 #[test]
 fn repeated_key_waits_and_another_body_is_refused() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r1", "k");
     a.exchange(&mut table);
     assert_eq!(a.submit("r2", "k"), []);
@@ -267,10 +240,7 @@
 /// Guards against rows that are never deleted, and deletion of a row that is still needed.
 #[test]
 fn sweep_deletes_only_expired_rows() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.members = members("a", &["a"], &[]);
     a.submit("r1", "old");
     a.exchange(&mut table);
--- a/crates/control/tests/support/records.rs
+++ b/crates/control/tests/support/records.rs
@@ -70,6 +70,12 @@
     }
 }
 
+/// Instance `a` and an empty table.
+pub fn start() -> (Instance, Table) {
+    let a = Instance::new("a", RecordSettings::default());
+    (a, Table::default())
+}
+
 pub fn submission(request: &str, key: &str) -> CallSubmission {
     CallSubmission {
         account: "shop".into(),
