--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,6 +12,7 @@
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
+    ticked_at: Duration,
 }
 
 impl Node {
@@ -29,6 +30,7 @@
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
             started: wall,
+            ticked_at: Duration::ZERO,
         }
     }
 
@@ -37,6 +39,7 @@
         self.set_time(now);
         match event {
             Event::AttemptFailed { .. }
+            | Event::CacheMoved { .. }
             | Event::CallCompleted { .. }
             | Event::CallSubmitted(_)
             | Event::CallerGone { .. }
@@ -62,6 +65,20 @@
         self.context.unexpected_count
     }
 
+    /// Time by which the next `Event::Ticked` is due for any part, in the time of `handle`; none
+    /// when the regular tick every 50 ms is early enough. What the last tick left over waits for
+    /// the regular one, so a part that cannot act yet does not cause ticks in a loop.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Duration> {
+        let times = [
+            self.configs.wake_at(),
+            self.records.wake_at(),
+            self.requests.wake_at(),
+        ];
+        let later = times.into_iter().flatten();
+        later.filter(|at| *at > self.ticked_at).min()
+    }
+
     pub(crate) fn set_time(&mut self, now: Duration) {
         self.context.now = now;
         self.context.wall = self.started + now;
@@ -89,6 +106,12 @@
                     failure,
                     request,
                 } => requests.attempt_failed(scope, &request, &failure, delivered_tokens),
+                Event::CacheMoved {
+                    attempt,
+                    from,
+                    request,
+                    result,
+                } => requests.cache_moved(scope, &request, attempt, &from, &result),
                 Event::CallCompleted {
                     attempt,
                     reply,
@@ -116,6 +139,7 @@
 
     /// Events about the operator lists.
     fn config_event(&mut self, event: Event) {
+        self.note_majority();
         let context = &mut self.context;
         match event {
             Event::ChangesReceived { records } => self.configs.changes_received(context, &records),
@@ -124,9 +148,8 @@
                 change,
                 operation,
             } => {
-                let has_majority = self.members.has_majority(context.now);
-                self.configs
-                    .edit(context, &operation, base_version, change, has_majority);
+                let configs = &mut self.configs;
+                configs.edit(context, &operation, base_version, change);
             }
             Event::ListsReceived(lists) => self.configs.lists_received(context, &lists),
             _ => {}
@@ -149,8 +172,13 @@
                 self.load_received(&target, report);
             }
             Event::OrderFailed { order, target } => self.orders.failed(context, &target, &order),
-            Event::OwnerAnswered { request, status } => {
-                let effects = self.records.owner_answered(context, &request, status);
+            Event::OwnerAnswered {
+                owner,
+                request,
+                status,
+            } => {
+                let records = &mut self.records;
+                let effects = records.owner_answered(context, &owner, &request, status);
                 self.apply_effects(effects);
             }
             Event::StoreReplied { result, ticket } => self.store_replied(ticket, &result),
@@ -189,6 +217,7 @@
     }
 
     fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
+        self.note_majority();
         let context = &mut self.context;
         if self.configs.store_replied(context, ticket, result)
             || self.orders.store_replied(context, ticket, result)
@@ -201,12 +230,15 @@
     }
 
     fn tick(&mut self) {
+        self.ticked_at = self.context.now;
         let own = self.own_state();
         self.members.tick(&mut self.context, &own);
         let commands = &mut self.context.commands;
         self.requests.fill_cache_positions(commands);
+        self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
-        self.orders.tick(&mut self.context, &self.members);
+        let lists = self.configs.is_ready().then(|| &**self.configs.lists());
+        self.orders.tick(&mut self.context, &self.members, lists);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
@@ -230,6 +262,11 @@
         }
     }
 
+    fn note_majority(&mut self) {
+        let has_majority = self.members.has_majority(self.context.now);
+        self.configs.note_majority(has_majority);
+    }
+
     fn own_state(&self) -> OwnState {
         let now = self.context.now;
         OwnState {
--- a/crates/control/tests/config_model.rs
+++ b/crates/control/tests/config_model.rs
@@ -1,5 +1,5 @@
 //! Schedules of conflicting edits at two instances over a faulty table. Guards against an edit
-//! that is applied twice, reverted, or reported wrongly.
+//! that is applied twice, reverted, reported wrongly, or written by an instance without a majority.
 #![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
 
 mod support;
@@ -12,24 +12,26 @@
     },
     std::sync::Arc,
     support::{
-        context, members, ms,
+        context,
+        faulty::{FaultyTable, Reply},
+        members, ms,
         search::{Model, follow, search},
-        table::Table,
-    },
-    types::{
-        Change, ChangeRecord, EditAnswer, Lists, Plan, StoreFailure, StoreRequest, StoreTicket,
     },
+    types::{Change, ChangeRecord, EditAnswer, Lists, Plan, StoreRequest},
     yare::parameterized,
 };
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Advance,
+    /// The instance no longer hears from a majority.
+    CutOff(usize),
     Deliver(usize),
     /// The table takes the request up at a later time, and the reply is lost.
     Delay(usize),
     /// The operator sends the edit of this number to the instance.
     Edit(usize, usize),
+    Join(usize),
     Land(usize),
     LoseReply(usize),
     Push(usize),
@@ -44,31 +46,33 @@
     edits: Vec<(usize, usize)>,
     fault_count: usize,
     instances: Vec<(Context, Configs, usize)>,
-    late: Vec<StoreRequest>,
+    is_cut_off: [bool; 2],
     pushes: Vec<(usize, Vec<ChangeRecord>)>,
-    table: Table,
+    store: FaultyTable,
     ticked: [usize; 2],
     view: Arc<[Members; 2]>,
-    waiting: Vec<(usize, StoreTicket, StoreRequest)>,
 }
 
 impl World {
     /// Two instances that have joined an empty configuration.
     fn new(fault_count: usize) -> Self {
         let names = ["a", "b"];
-        let instance = |index| (context(index), Configs::new(ConfigSettings::default()), 0);
+        let instance = |index| {
+            let mut configs = Configs::new(ConfigSettings::default());
+            configs.note_majority(true);
+            (context(index), configs, 0)
+        };
         let mut world = Self {
             advance_count: 0,
             answers: Vec::new(),
             edits: Vec::new(),
             fault_count,
             instances: vec![instance(0), instance(1)],
-            late: Vec::new(),
+            is_cut_off: [false; 2],
             pushes: Vec::new(),
-            table: Table::default(),
+            store: FaultyTable::default(),
             ticked: [0; 2],
             view: Arc::new([members("a", &names, &["b"]), members("b", &names, &["a"])]),
-            waiting: Vec::new(),
         };
         for _ in 0..3 {
             world.heal_step().unwrap();
@@ -83,15 +87,17 @@
     }
 
     fn heal_step(&mut self) -> Result<(), String> {
-        while !self.late.is_empty() {
+        while !self.store.late.is_empty() {
             self.take(&Step::Land(0))?;
         }
-        while !self.waiting.is_empty() {
+        while !self.store.waiting.is_empty() {
             self.take(&Step::Deliver(0))?;
         }
         while !self.pushes.is_empty() {
             self.take(&Step::Push(0))?;
         }
+        self.take(&Step::Join(0))?;
+        self.take(&Step::Join(1))?;
         self.take(&Step::Advance)?;
         self.take(&Step::Tick(0))?;
         self.take(&Step::Tick(1))
@@ -105,7 +111,12 @@
                     self.answers.push((number, answer));
                 }
                 Command::PushChanges { records, .. } => self.pushes.push((1 - index, records)),
-                Command::Store { request, ticket } => self.waiting.push((index, ticket, request)),
+                Command::Store { request, ticket } => {
+                    if self.is_cut_off[index] && matches!(request, StoreRequest::Transact { .. }) {
+                        return Err("an instance without a majority sent a write".into());
+                    }
+                    self.store.waiting.push((index, ticket, request));
+                }
                 _ => {}
             }
         }
@@ -114,6 +125,7 @@
 
     fn series(&self) -> Vec<ChangeRecord> {
         let rows = self
+            .store
             .table
             .rows
             .range::<Arc<str>, _>(Arc::from("config/change/")..);
@@ -184,12 +196,41 @@
         Ok(())
     }
 
-    fn reply(&mut self, place: usize, result: Result<(), StoreFailure>) -> Result<(), String> {
-        let (index, ticket, request) = self.waiting.remove(place);
-        let result = result.map(|()| self.table.run(&request));
+    fn reply(&mut self, (index, ticket, result): Reply) -> Result<(), String> {
+        self.act(index, |context, configs| {
+            configs.store_replied(context, ticket, &result);
+        })
+    }
+
+    fn advance(&mut self) {
+        self.advance_count += 1;
+        for (context, _, _) in &mut self.instances {
+            context.now += ms(1_100);
+        }
+    }
+
+    fn edit(&mut self, index: usize, number: usize) -> Result<(), String> {
+        self.edits.push((index, number));
+        let operation = Arc::from(format!("e{number}"));
+        let change = Change::PutPlan {
+            id: Arc::clone(&operation),
+            plan: Plan::default(),
+        };
+        self.act(index, |context, configs| {
+            configs.edit(context, &operation, None, change);
+        })
+    }
+
+    /// Lets one instance act and takes its commands.
+    fn act(
+        &mut self,
+        index: usize,
+        act: impl FnOnce(&mut Context, &mut Configs),
+    ) -> Result<(), String> {
         let (context, configs, highest) = &mut self.instances[index];
         *highest = configs.lists().version as usize;
-        configs.store_replied(context, ticket, &result);
+        act(context, configs);
+        self.is_cut_off[index] = !configs.has_majority();
         self.collect(index)
     }
 }
@@ -203,6 +244,11 @@
             if self.ticked[index] < self.advance_count {
                 moves.push(Step::Tick(index));
             }
+            moves.extend(match self.is_cut_off[index] {
+                false if self.fault_count > 0 => Some(Step::CutOff(index)),
+                false => None,
+                true => Some(Step::Join(index)),
+            });
             // The first edit may come to both instances, the others to one each.
             for number in [0, 1 + index] {
                 let sent = self.edits.iter().filter(|edit| edit.1 == number).count();
@@ -211,7 +257,7 @@
                 }
             }
         }
-        for place in 0..self.waiting.len() {
+        for place in 0..self.store.waiting.len() {
             moves.push(Step::Deliver(place));
             if self.fault_count > 0 {
                 moves.extend([
@@ -221,7 +267,7 @@
                 ]);
             }
         }
-        moves.extend((0..self.late.len()).map(Step::Land));
+        moves.extend((0..self.store.late.len()).map(Step::Land));
         moves.extend((0..self.pushes.len()).map(Step::Push));
         if self.advance_count < 9 {
             moves.push(Step::Advance);
@@ -230,65 +276,61 @@
     }
 
     fn take(&mut self, step: &Step) -> Result<(), String> {
-        let is_fault = matches!(step, Step::Delay(_) | Step::LoseReply(_) | Step::Refuse(_));
+        let is_fault = matches!(
+            step,
+            Step::CutOff(_) | Step::Delay(_) | Step::LoseReply(_) | Step::Refuse(_)
+        );
         self.fault_count -= usize::from(is_fault);
         match *step {
             Step::Advance => {
-                self.advance_count += 1;
-                for (context, _, _) in &mut self.instances {
-                    context.now += ms(1_100);
-                }
+                self.advance();
                 Ok(())
             }
-            Step::Deliver(place) => self.reply(place, Ok(())),
-            Step::Delay(place) => {
-                self.late.push(self.waiting[place].2.clone());
-                self.reply(place, Err(StoreFailure::Ambiguous))
+            Step::CutOff(index) => self.act(index, |_, configs| configs.note_majority(false)),
+            Step::Deliver(place) => {
+                let reply = self.store.deliver(place);
+                self.reply(reply)
             }
-            Step::Edit(index, number) => {
-                self.edits.push((index, number));
-                let operation = Arc::from(format!("e{number}"));
-                let change = Change::PutPlan {
-                    id: Arc::clone(&operation),
-                    plan: Plan::default(),
-                };
-                let (context, configs, _) = &mut self.instances[index];
-                configs.edit(context, &operation, None, change, true);
-                self.collect(index)
+            Step::Delay(place) => {
+                let reply = self.store.delay(place);
+                self.reply(reply)
             }
+            Step::Edit(index, number) => self.edit(index, number),
+            Step::Join(index) => self.act(index, |_, configs| configs.note_majority(true)),
             Step::Land(place) => {
-                let request = self.late.remove(place);
-                self.table.run(&request);
+                self.store.land(place);
                 self.check()
             }
             Step::LoseReply(place) => {
-                let request = self.waiting[place].2.clone();
-                self.table.run(&request);
-                self.reply(place, Err(StoreFailure::Ambiguous))
+                let reply = self.store.lose_reply(place);
+                self.reply(reply)
             }
             Step::Push(place) => {
                 let (index, records) = self.pushes.remove(place);
-                let (context, configs, highest) = &mut self.instances[index];
-                *highest = configs.lists().version as usize;
-                configs.changes_received(context, &records);
-                self.collect(index)
+                self.act(index, |context, configs| {
+                    configs.changes_received(context, &records);
+                })
+            }
+            Step::Refuse(place) => {
+                let reply = self.store.refuse(place);
+                self.reply(reply)
             }
-            Step::Refuse(place) => self.reply(place, Err(StoreFailure::Unavailable)),
             Step::Tick(index) => {
                 self.ticked[index] = self.advance_count;
-                let (context, configs, _) = &mut self.instances[index];
-                configs.tick(context, &self.view[index]);
-                self.collect(index)
+                let view = self.view.clone();
+                self.act(index, |context, configs| {
+                    configs.tick(context, &view[index]);
+                })
             }
         }
     }
 
     fn digest(&self) -> String {
         let configs: Vec<_> = self.instances.iter().map(|one| &one.1).collect();
-        let (table, waiting, late) = (&self.table, &self.waiting, &self.late);
+        let store = &self.store;
         let (pushes, answers, edits) = (&self.pushes, &self.answers, &self.edits);
         let counts = (self.advance_count, self.fault_count, self.ticked);
-        format!("{configs:?}{table:?}{waiting:?}{late:?}{pushes:?}{answers:?}{edits:?}{counts:?}")
+        format!("{configs:?}{store:?}{pushes:?}{answers:?}{edits:?}{counts:?}")
     }
 }
 
@@ -296,13 +338,14 @@
 #[parameterized(
     conflict = { &[Step::Edit(0, 1), Step::Edit(1, 2)] },
     delayed_write_and_second_instance = { &[Step::Edit(0, 0), Step::Delay(0), Step::Edit(1, 0)] },
+    cut_off_while_a_reply_is_lost = { &[Step::Edit(0, 0), Step::LoseReply(0), Step::CutOff(0)] },
     lost_reply = { &[Step::Edit(0, 0), Step::LoseReply(0), Step::Deliver(0)] },
 )]
 fn no_short_schedule_breaks_an_invariant(start: &[Step]) {
     let mut world = World::new(2);
-    let outstanding = std::mem::take(&mut world.waiting);
+    let outstanding = std::mem::take(&mut world.store.waiting);
     for (index, ticket, request) in outstanding {
-        world.waiting.push((index, ticket, request));
+        world.store.waiting.push((index, ticket, request));
         world.take(&Step::Deliver(0)).unwrap();
     }
     for step in start {
--- a/crates/control/tests/record.rs
+++ b/crates/control/tests/record.rs
@@ -5,133 +5,21 @@
 mod support;
 
 use {
-    control::{Command, Context, Members, OwnerStatus, RecordEffect, RecordSettings, Records},
+    control::{Command, OwnerStatus, RecordEffect, RecordSettings},
     std::time::Duration,
-    support::{context, heartbeat, identity, members, ms, table::Table},
-    types::{
-        CallOutcome, CallReply, CallSubmission, OperationKind, Refusal, RefusalKind, RequestId,
-        StoreFailure, StoreRequest, StoreTicket,
+    support::{
+        heartbeat, members, ms,
+        records::{Instance, done, id, is_not_run, outcome, refusal, start, submission},
+        table::Table,
     },
+    types::{CallOutcome, StoreFailure},
     yare::parameterized,
 };
 
-struct Instance {
-    context: Context,
-    members: Members,
-    records: Records,
-}
-
-impl Instance {
-    fn new(name: &str, settings: RecordSettings) -> Self {
-        Self {
-            context: context(name.len() as u64),
-            members: members(name, &["a", "bb"], &["a", "bb"]),
-            records: Records::new(identity(name, 1), settings),
-        }
-    }
-
-    fn submit(&mut self, request: &str, key: &str) -> Vec<RecordEffect> {
-        let call = submission(request, key);
-        self.records.submit(&mut self.context, &call)
-    }
-
-    fn sent(&mut self) -> Vec<(StoreTicket, StoreRequest)> {
-        let commands = std::mem::take(&mut self.context.commands);
-        let stores = commands.into_iter().filter_map(|command| match command {
-            Command::Store { request, ticket } => Some((ticket, request)),
-            _ => None,
-        });
-        stores.collect()
-    }
-
-    fn fail(&mut self, ticket: StoreTicket, failure: StoreFailure) -> Vec<RecordEffect> {
-        let result = Err(failure);
-        self.records
-            .store_replied(&mut self.context, ticket, &result)
-            .unwrap()
-    }
-
-    /// Lets the table answer until nothing is sent any more.
-    fn exchange(&mut self, table: &mut Table) -> Vec<RecordEffect> {
-        let mut effects = Vec::new();
-        loop {
-            let sent = self.sent();
-            if sent.is_empty() {
-                return effects;
-            }
-            for (ticket, request) in sent {
-                let result = Ok(table.run(&request));
-                let replied = self
-                    .records
-                    .store_replied(&mut self.context, ticket, &result);
-                effects.extend(replied.unwrap());
-            }
-        }
-    }
-
-    fn tick(&mut self, after: Duration) -> Vec<RecordEffect> {
-        self.context.now += after;
-        self.records.tick(&mut self.context, &self.members)
-    }
-}
-
-fn submission(request: &str, key: &str) -> CallSubmission {
-    CallSubmission {
-        account: "shop".into(),
-        body_hash: "h".into(),
-        deadline: ms(30_000),
-        fingerprint: 1,
-        key: Some(key.into()),
-        kind: OperationKind::NonRepeatable,
-        operation: "book".into(),
-        request: request.into(),
-        service: "s".into(),
-    }
-}
-
-fn id(request: &str) -> RequestId {
-    request.into()
-}
-
-fn done() -> CallReply {
-    CallReply {
-        body: "done".into(),
-        status: 200,
-    }
-}
-
-fn refusal() -> Refusal {
-    Refusal {
-        kind: RefusalKind::NoTarget,
-        retry_after: ms(100),
-    }
-}
-
-fn is_not_run(effects: &[RecordEffect]) -> bool {
-    use RecordEffect::Answer;
-    matches!(
-        effects,
-        [Answer {
-            outcome: CallOutcome::NotRun(_),
-            ..
-        }]
-    )
-}
-
-fn outcome(effects: &[RecordEffect]) -> CallOutcome {
-    match effects {
-        [RecordEffect::Answer { outcome, .. }] => outcome.clone(),
-        other => panic!("not one answer: {other:?}"),
-    }
-}
-
 /// Guards against a dispatch before the claim is durable, or after the window.
 #[test]
 fn dispatch_needs_a_durable_claim_and_an_open_window() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     assert_eq!(a.submit("r", "k"), []);
     assert!(!a.records.may_dispatch(a.context.now, &id("r")));
     assert_eq!(
@@ -145,10 +33,7 @@
 /// Guards against a process that was paused between its claim and the reply and then dispatches.
 #[test]
 fn paused_owner_answers_not_run_and_frees_the_key() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     a.context.now += ms(2_500);
     assert!(is_not_run(&a.exchange(&mut table)));
@@ -173,10 +58,7 @@
 /// Guards against losing a claim that took effect although its reply was lost.
 #[parameterized(took_effect = { true }, did_not = { false })]
 fn lost_reply_is_read_back(took_effect: bool) {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     let (ticket, request) = a.sent().remove(0);
     if took_effect {
@@ -192,10 +74,7 @@
 /// Guards against an outcome that is lost because the store is down after the dispatch.
 #[test]
 fn outage_after_dispatch_delays_only_the_row() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r", "k");
     a.exchange(&mut table);
     let effects = a.records.completed(&mut a.context, &id("r"), done());
@@ -214,10 +93,7 @@
 /// Guards against outcomes of other calls that are lost with the one that met a conflict.
 #[test]
 fn conflicting_batch_falls_back_to_single_writes() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     for key in ["k1", "k2", "k3"] {
         a.submit(key, key);
         a.exchange(&mut table);
@@ -247,10 +123,7 @@
 /// `not_run` was overtaken.
 #[test]
 fn overtaken_not_run_does_not_claim_over_another() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -275,10 +148,7 @@
 /// a late reply that is thrown away.
 #[test]
 fn restarted_owner_is_gone_and_a_late_reply_still_counts() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -302,10 +172,7 @@
 /// Guards against a caller at another instance that gets no answer while the owner is live.
 #[test]
 fn live_owner_is_asked_until_the_call_ends() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     let mut b = Instance::new("bb", RecordSettings::default());
     a.submit("r1", "k");
     a.exchange(&mut table);
@@ -321,12 +188,14 @@
             .commands
             .drain(..)
             .find_map(|command| match command {
-                Command::AskOwner { nonce, .. } => Some(nonce),
+                Command::AskOwner { query, .. } => Some(query),
                 _ => None,
             });
         let status = a.records.owner_status(&asked.unwrap());
         assert_eq!(status, expected);
-        let effects = b.records.owner_answered(&mut b.context, &id("r2"), status);
+        let effects = b
+            .records
+            .owner_answered(&mut b.context, &"a".into(), &id("r2"), status);
         assert_eq!(effects.len(), usize::from(expected != OwnerStatus::Running));
         a.records.completed(&mut a.context, &id("r1"), done());
     }
@@ -336,10 +205,7 @@
 /// call runs at the same instance.
 #[test]
 fn repeated_key_waits_and_another_body_is_refused() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.submit("r1", "k");
     a.exchange(&mut table);
     assert_eq!(a.submit("r2", "k"), []);
@@ -374,10 +240,7 @@
 /// Guards against rows that are never deleted, and deletion of a row that is still needed.
 #[test]
 fn sweep_deletes_only_expired_rows() {
-    let (mut a, mut table) = (
-        Instance::new("a", RecordSettings::default()),
-        Table::default(),
-    );
+    let (mut a, mut table) = start();
     a.members = members("a", &["a"], &[]);
     a.submit("r1", "old");
     a.exchange(&mut table);
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -6,7 +6,7 @@
 mod query;
 
 use {
-    control::{Command, Event, Identity, Node, NodeSettings},
+    control::{CallQuery, Command, Event, Identity, Node, NodeSettings},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -14,9 +14,9 @@
     },
     types::{
         Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
-        GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
-        OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation, StoreFailure,
-        StoreReply, StoreRequest, TargetId,
+        GenerateSubmission, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport,
+        LoadedModel, OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation,
+        StoreFailure, StoreReply, StoreRequest, TargetId,
     },
 };
 
@@ -46,12 +46,18 @@
     /// Requests whose callers disconnected.
     pub gone: BTreeSet<RequestId>,
     pub is_store_down: bool,
+    /// Whether the store drops writes and does not say so.
+    pub loses_writes: bool,
     pub listings: Vec<Listing>,
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
     pub nodes: Vec<Node>,
+    /// Regions of the failure domains in turn.
+    regions: &'static [&'static str],
     pub now: Duration,
     pub slots: u32,
+    /// Whether a store that is down still answers reads.
+    pub takes_reads: bool,
     pub work: Vec<Work>,
 }
 
@@ -59,6 +65,15 @@
     /// `domains` failure domains with one engine per stage of model `m` and one server of service
     /// `s` each, and accounts `a` (weight 1), `b` (weight 3).
     pub fn new(node_count: usize, domains: usize, stages: u32) -> Self {
+        Self::with_regions(node_count, domains, stages, &["r"])
+    }
+
+    pub fn with_regions(
+        node_count: usize,
+        domains: usize,
+        stages: u32,
+        regions: &'static [&'static str],
+    ) -> Self {
         let mut world = Self {
             crashers: BTreeSet::new(),
             cut_off: None,
@@ -67,12 +82,15 @@
             ended: Vec::new(),
             gone: BTreeSet::new(),
             is_store_down: false,
+            loses_writes: false,
             listings: Vec::new(),
             log: Vec::new(),
             models: BTreeMap::new(),
             nodes: Vec::new(),
+            regions,
             now: Duration::ZERO,
             slots: 8,
+            takes_reads: false,
             work: Vec::new(),
         };
         for index in 0..node_count {
@@ -180,13 +198,19 @@
             id: id.into(),
             incarnation: 1,
             leaving: false,
-            region: "r".into(),
+            region: self.regions[domain % self.regions.len()].into(),
             role,
         });
     }
 
     fn obey(&mut self, node: usize, command: Command) {
         match command {
+            Command::AskOwner {
+                owner,
+                query,
+                request,
+                ..
+            } => self.ask(node, owner, &query, request),
             Command::Cancel {
                 attempt, request, ..
             } => {
@@ -218,9 +242,7 @@
             Command::SendHeartbeat {
                 heartbeat, peer, ..
             } => {
-                let index: usize = peer[1..]
-                    .parse()
-                    .expect("peers are named n0, n1, and so on");
+                let index = index_of(&peer);
                 if self.cut_off != Some(index) && self.cut_off != Some(node) {
                     self.send(index, Event::HeartbeatReceived(heartbeat));
                 }
@@ -230,6 +252,16 @@
         }
     }
 
+    fn ask(&mut self, node: usize, owner: InstanceId, query: &CallQuery, request: RequestId) {
+        let status = self.nodes[index_of(&owner)].owner_status(query);
+        let event = Event::OwnerAnswered {
+            owner,
+            request,
+            status,
+        };
+        self.send(node, event);
+    }
+
     fn start(
         &mut self,
         node: usize,
@@ -265,7 +297,9 @@
 
     fn reply(&mut self, node: usize, ticket: u64, request: &StoreRequest) {
         let result = match request {
-            _ if self.is_store_down => Err(StoreFailure::Unavailable),
+            StoreRequest::Transact { .. } if self.loses_writes => Err(StoreFailure::Ambiguous),
+            StoreRequest::Transact { .. } if self.is_store_down => Err(StoreFailure::Unavailable),
+            _ if self.is_store_down && !self.takes_reads => Err(StoreFailure::Unavailable),
             StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
             StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
             StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
@@ -356,3 +390,8 @@
         }
     }
 }
+
+fn index_of(peer: &str) -> usize {
+    let number = peer[1..].parse();
+    number.expect("peers are named n0, n1, and so on")
+}
