Tell callers that earlier submissions of a key are not known

Cause: A refusal while the store is down read like one after a look at the record. Change: The error has earlier_submissions unknown, also for unlisted services and full memory.

--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -10,7 +10,8 @@
         old: Option<CallEntry>,
     ) -> Vec<RecordEffect> {
         if !self.make_room() {
-            return vec![self.refuse(&call.request, RefusalKind::Limit)];
+            // The record of this key was not read, so earlier submissions are not known.
+            return vec![self.refuse(&call.request, RefusalKind::StoreUnavailable)];
         }
         let nonce: Nonce = format!("{:032x}", context.random.random::<u128>()).into();
         let (row, row_version) = old.map_or((None, 0), |old| (old.row, old.row_version));
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -24,11 +24,7 @@
     directory.check_service(&caller, &service)?;
     let kind = match app.roster.operation(&service, operation) {
         None => {
-            let refusal = Refusal {
-                kind: RefusalKind::NoTarget,
-                retry_after: Duration::from_secs(1),
-            };
-            return Ok(not_run(app, &refusal).await);
+            return Ok(unlisted_service(request));
         }
         Some(None) => return Err(unknown_operation(&service, operation)),
         Some(Some(kind)) => kind,
@@ -206,6 +202,20 @@
     Ok(Some(key.into()))
 }
 
+/// Refusal of a call whose service has no listed target. A key may have been used before the
+/// targets left the list, and its record is not read.
+fn unlisted_service(request: &Request) -> Response {
+    let refusal = Refusal {
+        kind: RefusalKind::NoTarget,
+        retry_after: Duration::from_secs(1),
+    };
+    let mut fault = refusal_fault(&refusal);
+    if request.headers.contains_key("idempotency-key") {
+        fault = fault.earlier_unknown();
+    }
+    with_outcome(fault.into_response(), "not_run")
+}
+
 fn unknown_operation(service: &str, operation: &str) -> Fault {
     let message = format!("the service `{service}` has no operation `{operation}`; check its name");
     Fault::new(StatusCode::NOT_FOUND, "unknown_operation", message)
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// Fault that tells a caller of a refusal. Nothing was run.
+/// Fault that tells a caller of a refusal. This submission was not run. Only `StoreUnavailable` comes
+/// before the record of a call was read; every other refusal of a call by the node comes after.
 pub(crate) fn refusal_fault(refusal: &Refusal) -> Fault {
     let (status, kind, message) = match refusal.kind {
         RefusalKind::Deadline => (
@@ -41,10 +42,15 @@
         RefusalKind::StoreUnavailable => (
             StatusCode::SERVICE_UNAVAILABLE,
             "store_unavailable",
-            "the platform's store does not answer; nothing was run; send it again later",
+            "the record of the key cannot be read or written now, so this submission was not run; \
+             earlier submissions are not known; send the same key again later",
         ),
     };
-    Fault::new(status, kind, message).retry_after(refusal.retry_after)
+    let fault = Fault::new(status, kind, message).retry_after(refusal.retry_after);
+    match refusal.kind {
+        RefusalKind::StoreUnavailable => fault.earlier_unknown(),
+        _ => fault,
+    }
 }
 
 /// Whether the caller should go to another instance.
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -123,11 +123,9 @@
     }
 }
 
-fn refused() -> CallOutcome {
-    CallOutcome::NotRun(Refusal {
-        kind: RefusalKind::StoreUnavailable,
-        retry_after: Duration::from_secs(3),
-    })
+fn refused(kind: RefusalKind) -> CallOutcome {
+    let retry_after = Duration::from_secs(3);
+    CallOutcome::NotRun(Refusal { kind, retry_after })
 }
 
 fn reply() -> CallReply {
@@ -137,15 +135,22 @@
     }
 }
 
-/// Guards against an outcome that a caller can take for another one.
+/// Guards against an outcome that a caller can take for another one, and against a refusal without
+/// a look at the record that seems to speak of earlier submissions.
 #[parameterized(
-    mismatch = { CallOutcome::KeyMismatch, 422, None },
-    not_run = { refused(), 503, Some("not_run") },
-    ran = { CallOutcome::Ran(reply()), 201, Some("ran") },
-    unknown = { CallOutcome::Unknown, 502, Some("unknown") },
+    mismatch = { CallOutcome::KeyMismatch, 422, None, "" },
+    not_run = { refused(RefusalKind::Limit), 503, Some("not_run"), "" },
+    ran = { CallOutcome::Ran(reply()), 201, Some("ran"), "" },
+    store_down = { refused(RefusalKind::StoreUnavailable), 503, Some("not_run"), "unknown" },
+    unknown = { CallOutcome::Unknown, 502, Some("unknown"), "" },
 )]
 #[test_macro(tokio::test)]
-async fn outcomes_are_told_apart(outcome: CallOutcome, status: u16, header: Option<&str>) {
+async fn outcomes_are_told_apart(
+    outcome: CallOutcome,
+    status: u16,
+    header: Option<&str>,
+    earlier: &str,
+) {
     let fixture = Fixture::new();
     fixture.read_listing().await;
     let headers = [KEY, ("idempotency-key", "k")];
@@ -165,6 +170,30 @@
         response.headers().contains_key("retry-after"),
         header == Some("not_run")
     );
+    let body: Value = serde_json::from_str(&read_all(response).await).unwrap();
+    let told = body["error"].get("earlier_submissions");
+    assert_eq!(told.and_then(Value::as_str).unwrap_or_default(), earlier);
+    assert_eq!(told.is_some(), !earlier.is_empty());
+}
+
+/// Guards against a key that seems never to have run because the service left the list.
+#[parameterized(
+    with_key = { &[KEY, ("idempotency-key", "k")], true },
+    without_key = { &[KEY], false },
+)]
+#[test_macro(tokio::test)]
+async fn an_unlisted_service_tells_nothing_of_a_key(headers: &[(&str, &str)], is_told: bool) {
+    let fixture = Fixture::new();
+    fixture.read_listing().await;
+    let call = request("POST", "/v1/services/absent/y", headers, "");
+    let response = fixture.send(call).await;
+    assert_eq!(response.headers()["x-outcome"], "not_run");
+    let text = read_all(response).await;
+    assert_eq!(
+        text.contains("\"earlier_submissions\":\"unknown\""),
+        is_told,
+        "{text}"
+    );
 }
 
 /// Guards against a reply that is lost because its caller left or was told `unknown`, and against a
--- a/crates/wire/src/fault.rs
+++ b/crates/wire/src/fault.rs
@@ -1,8 +1,19 @@
 use super::*;
 
+/// What is known of earlier submissions under the key of a refused call.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EarlierSubmissions {
+    /// The record of the key was not read, so one of them may have run.
+    Unknown,
+}
+
 /// Refusal of a request, as the caller sees it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Fault {
+    /// What is known of earlier submissions of the call; absent when its record was read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier_submissions: Option<EarlierSubmissions>,
     /// Stable name of the kind of fault, in snake case.
     pub kind: String,
     /// What is wrong and what to do.
@@ -27,6 +38,7 @@
     #[must_use]
     pub fn new(status: StatusCode, kind: &str, message: impl Into<String>) -> Self {
         Self {
+            earlier_submissions: None,
             kind: kind.into(),
             message: message.into(),
             retry_after_ms: None,
@@ -34,6 +46,13 @@
         }
     }
 
+    /// Adds that earlier submissions of the call may have run.
+    #[must_use]
+    pub fn earlier_unknown(mut self) -> Self {
+        self.earlier_submissions = Some(EarlierSubmissions::Unknown);
+        self
+    }
+
     /// Adds the time after which the request may be sent again.
     #[must_use]
     pub fn retry_after(mut self, after: Duration) -> Self {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -44,7 +44,7 @@
     call::{Call, Reply, call},
     connection::{Connection, LineReader, ReplyStream},
     error::Error,
-    fault::{Fault, FaultBody},
+    fault::{EarlierSubmissions, Fault, FaultBody},
     hyper,
     limits::Limits,
     request::Request,
