Count every instance that may admit work in the status

Cause: An instance that just started reported a version in force on 1 of 1; addresses ignored the caller's domain. Change: Counts follow the view of section 6 and are null before the first list; failure_domain is a parameter. Result: Tests of control, ctl and entry pass; the new tests cover start, silence, strangers and leaving.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -122,19 +122,14 @@
     /// before the platform's list was read, because the view is then unknown.
     #[must_use]
     pub fn has_majority(&self, now: Duration) -> bool {
-        let Some(listed) = &self.listed else {
+        if !self.has_listing() {
             return false;
-        };
+        }
         let hearing = Duration::from_millis(self.settings.hearing_ms);
         let horizon = Duration::from_millis(self.settings.view_ms);
         let (mut heard, mut view) = (1_usize, 1_usize);
-        for (id, entry) in &self.peers {
-            let silence = entry.peer.heard_at.map(|at| now.saturating_sub(at));
-            let is_recent = silence.is_some_and(|silence| silence <= horizon);
-            let is_leaving = entry.peer.health == TargetHealth::Leaving;
-            if is_leaving || !(listed.contains(id) || is_recent) {
-                continue;
-            }
+        for peer in self.view(now) {
+            let silence = peer.heard_at.map(|at| now.saturating_sub(at));
             view += 1;
             heard += usize::from(silence.is_some_and(|silence| silence <= hearing));
         }
@@ -146,6 +141,16 @@
         heard * 2 > view
     }
 
+    /// Peers that are listed or were heard in the last minute and are not leaving.
+    pub(crate) fn view(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        let horizon = Duration::from_millis(self.settings.view_ms);
+        self.peers().filter(move |peer| {
+            let heard_at = peer.heard_at;
+            let is_recent = heard_at.is_some_and(|at| now.saturating_sub(at) <= horizon);
+            peer.health != TargetHealth::Leaving && (self.is_listed(&peer.id) || is_recent)
+        })
+    }
+
     /// Whether this instance owns `key` by its own view. Two instances may both say so; actions
     /// of owners start with a conditional write for that reason.
     #[must_use]
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -9,10 +9,13 @@
 pub struct Status {
     /// Version of the lists that this instance uses.
     pub config_version: ConfigVersion,
-    /// Instances, this one included, that use `config_version` or a later one.
-    pub in_force_count: u32,
-    /// Instances that are not down, this one included.
-    pub instance_count: u32,
+    /// Instances of those in `instance_count` that use `config_version` or a later one; none before
+    /// the platform's list was read.
+    pub in_force_count: Option<u32>,
+    /// Instances that may admit work, this one included: those in the platform's last list and those
+    /// heard from in the last minute, except those that are leaving; none before the platform's list
+    /// was read.
+    pub instance_count: Option<u32>,
     /// Entry instances, this one first.
     pub instances: Vec<InstanceStatus>,
     /// Whether this instance admits new work.
@@ -22,11 +25,18 @@
 }
 
 impl Node {
-    /// Entry addresses for a caller, near runners of `model` if given.
-    pub fn addresses(&mut self, now: Duration, model: Option<&ModelId>) -> AddressAnswer {
+    /// Entry addresses for a caller: those in its failure domain first if given, then those near
+    /// runners of `model` if given.
+    pub fn addresses(
+        &mut self,
+        now: Duration,
+        model: Option<&ModelId>,
+        caller_domain: Option<&FailureDomain>,
+    ) -> AddressAnswer {
         self.set_time(now);
         let random = &mut self.context.random;
-        addresses(&self.members, &self.identity, random, model, None)
+        let (members, identity) = (&self.members, &self.identity);
+        addresses(members, identity, random, model, caller_domain)
     }
 
     /// Changes after `version`, or none when they are no longer held.
@@ -71,24 +81,35 @@
                 id: peer.id.clone(),
             });
         }
-        let (mut in_force_count, mut instance_count) = (0, 0);
-        for instance in &instances {
-            if instance.health == TargetHealth::Down {
-                continue;
-            }
-            instance_count += 1;
-            in_force_count += u32::from(instance.config_version >= config_version);
-        }
+        let counts = self.in_force(now);
         Status {
             config_version,
-            in_force_count,
-            instance_count,
+            in_force_count: counts.map(|(in_force, _)| in_force),
+            instance_count: counts.map(|(_, total)| total),
             instances,
             ready: self.is_ready(now),
             targets: self.members.targets().map(TargetStatus::of).collect(),
         }
     }
 
+    /// Instances that use the lists in force here or later ones, and all that may admit work. An
+    /// instance that just started knows no peer, so nothing is known before the first listing.
+    fn in_force(&self, now: Duration) -> Option<(u32, u32)> {
+        if !self.members.has_listing() {
+            return None;
+        }
+        let version = self.lists().version;
+        let (mut in_force, mut total) = (1, 1);
+        for peer in self.members.view(now) {
+            total += 1;
+            let is_known = peer.heard_at.is_some();
+            in_force += u32::from(is_known && peer.config_version >= version);
+        }
+        // The version of a sender that no list has named yet is not kept.
+        total += self.members.strangers.len() as u32;
+        Some((in_force, total))
+    }
+
     /// Whether the lists in force are known to be current enough to admit work (section 6 of the
     /// design page).
     pub(crate) fn is_fresh(&self, now: Duration) -> bool {
--- a/crates/control/tests/request.rs
+++ b/crates/control/tests/request.rs
@@ -214,7 +214,7 @@
     world.send(0, Event::DrainStarted);
     assert!(
         world.nodes[0]
-            .addresses(world.now, None)
+            .addresses(world.now, None, None)
             .addresses
             .iter()
             .all(|entry| &*entry.instance == "n1")
--- /dev/null
+++ b/crates/control/tests/status.rs
@@ -0,0 +1,35 @@
+//! Named failures of the count of instances on which a version is in force.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    control::{Event, Node, NodeSettings},
+    std::time::SystemTime,
+    support::{heartbeat, identity, ms, peer_listing},
+};
+
+fn counts(node: &Node) -> Option<(u32, u32)> {
+    let status = node.status(ms(100));
+    Some((status.in_force_count?, status.instance_count?))
+}
+
+/// Guards against "in force on 1 of 1" at an instance that just started, and against a count that
+/// leaves out an instance that is listed but silent, or heard from but not listed yet.
+#[test]
+fn every_instance_that_may_admit_work_counts() {
+    let identity = identity("a", 1);
+    let mut node = Node::new(NodeSettings::default(), identity, SystemTime::UNIX_EPOCH);
+    assert_eq!(counts(&node), None);
+    node.handle(ms(50), Event::HeartbeatReceived(heartbeat("d")));
+    assert_eq!(counts(&node), None);
+    let listings = ["a", "b", "c"].map(peer_listing).into();
+    node.handle(ms(60), Event::ListingRead { listings });
+    assert_eq!(counts(&node), Some((1, 4)));
+    node.handle(ms(70), Event::HeartbeatReceived(heartbeat("b")));
+    assert_eq!(counts(&node), Some((2, 4)));
+    let mut leaving = heartbeat("c");
+    leaving.leaving = true;
+    node.handle(ms(80), Event::HeartbeatReceived(leaving));
+    assert_eq!(counts(&node), Some((2, 3)));
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -117,14 +117,14 @@
         loop {
             let status = self.status().await?;
             let (in_force, total) = (status.in_force_count(version), status.instance_count);
-            if total > 0 && in_force == total {
+            if total.is_some() && in_force == total {
                 return Ok(());
             }
             if Instant::now() >= end {
                 return Err(Error::Wait {
-                    in_force,
+                    in_force: count(in_force),
                     limit,
-                    total,
+                    total: count(total),
                     version,
                 });
             }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -81,11 +81,11 @@
     )]
     Wait {
         /// Instances where it is in force.
-        in_force: usize,
+        in_force: String,
         /// Time waited.
         limit: Duration,
         /// Instances.
-        total: usize,
+        total: String,
         /// Version.
         version: ConfigVersion,
     },
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -47,3 +47,5 @@
     status::{InstanceStatus, Status},
     table::table,
 };
+
+use run::count;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -149,12 +149,17 @@
             &instance.config_version,
         ]));
     }
-    let (version, in_force) = (status.config_version, status.in_force_count);
-    let total = status.instance_count;
+    let (version, in_force) = (status.config_version, count(status.in_force_count));
+    let total = count(status.instance_count);
     let summary = format!("version {version} is in force on {in_force} of {total} instances\n");
     summary + &table(&rows)
 }
 
+/// Text of a count that the replying instance may not know.
+pub(crate) fn count(count: Option<usize>) -> String {
+    count.map_or_else(|| "an unknown number".into(), |count| count.to_string())
+}
+
 fn new_key(options: &Options) -> Result<String, Error> {
     let secret = new_secret()?;
     let hash = hash_key(&secret);
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -5,10 +5,11 @@
 pub struct Status {
     /// Version in force at the replying instance.
     pub config_version: ConfigVersion,
-    /// Instances, the replying one included, that use `config_version` or a later one.
-    pub in_force_count: usize,
-    /// Instances that are not down, the replying one included.
-    pub instance_count: usize,
+    /// Instances of those in `instance_count` that use `config_version` or a later one; none while
+    /// the replying instance does not know.
+    pub in_force_count: Option<usize>,
+    /// Instances that may admit work, the replying one included; none while it does not know.
+    pub instance_count: Option<usize>,
     /// Entry instances that the replying one knows.
     #[serde(default)]
     pub instances: Vec<InstanceStatus>,
@@ -28,11 +29,12 @@
 }
 
 impl Status {
-    /// Number of instances where `version` is in force, as far as the replying instance knows.
+    /// Number of instances where `version` is in force; none while the replying instance does not
+    /// know.
     #[must_use]
-    pub fn in_force_count(&self, version: ConfigVersion) -> usize {
+    pub fn in_force_count(&self, version: ConfigVersion) -> Option<usize> {
         if self.config_version < version {
-            return 0;
+            return self.in_force_count.map(|_| 0);
         }
         self.in_force_count
     }
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Edits {
     Accept,
+    /// Accepts edits, and has not read a list of instances at the first look at its status.
+    AcceptAtStart,
     Conflict,
     Fail,
     LoseReply,
@@ -62,7 +64,9 @@
         let mut log = self.log.lock().expect("no panic");
         log.push((header("operation-id"), header("if-match")));
         match self.edits {
-            Edits::Accept => wire::json(StatusCode::OK, &json!({"version": 8})),
+            Edits::Accept | Edits::AcceptAtStart => {
+                wire::json(StatusCode::OK, &json!({"version": 8}))
+            }
             Edits::Conflict => {
                 let error = json!({"kind": "conflict", "message": "changed"});
                 let body = json!({"current_version": 9, "error": error});
@@ -77,11 +81,14 @@
         }
     }
 
-    /// The second instance reaches version 8 at the third look.
+    /// The second instance reaches version 8 at the fourth look.
     fn status(&self) -> serde_json::Value {
         let mut reads = self.status_reads.lock().expect("no panic");
         *reads += 1;
-        let late = if *reads < 3 { 7 } else { 8 };
+        if *reads == 1 && self.edits == Edits::AcceptAtStart {
+            return json!({"config_version": 8, "in_force_count": null, "instance_count": null});
+        }
+        let late = if *reads < 4 { 7 } else { 8 };
         let instance = |id, version| json!({"id": id, "config_version": version, "failure_domain": "d", "health": "live"});
         json!({"config_version": 8, "in_force_count": late - 6, "instance_count": 2,
             "instances": [instance("a", 8), instance("b", late)]})
@@ -185,14 +192,15 @@
     }
 }
 
-/// Guards against `--wait` returning while an instance still serves the version before.
+/// Guards against `--wait` returning while an instance still serves the version before, or while
+/// the replying instance does not know the others.
 #[tokio::test]
 async fn wait_ends_when_all_instances_have_the_version() {
-    let (files, instance) = (Files::new("wait"), start(Edits::Accept).await);
+    let (files, instance) = (Files::new("wait"), start(Edits::AcceptAtStart).await);
     let options = files.options(&[instance.0], "--wait accounts put a FILE");
     let text = run(&options).await.unwrap();
     assert_eq!(text, "version 8 is in force on every instance\n");
-    assert_eq!(*instance.1.status_reads.lock().unwrap(), 3);
+    assert_eq!(*instance.1.status_reads.lock().unwrap(), 4);
 }
 
 /// Guards against columns that do not line up and against a wrong count of instances.
--- a/crates/demo/src/entries.rs
+++ b/crates/demo/src/entries.rs
@@ -47,8 +47,8 @@
     loop {
         let last = match look(address).await {
             Err(error) => error.to_string(),
-            Ok(count) if count == DOMAINS.len() => return Ok(()),
-            Ok(count) => format!("it knows {count} instances"),
+            Ok(Some(count)) if count == DOMAINS.len() => return Ok(()),
+            Ok(count) => format!("it knows {} instances", count.unwrap_or(1)),
         };
         if Instant::now() >= end {
             bail!("{address} is not ready after {READY_LIMIT:?}: {last}");
@@ -57,8 +57,8 @@
     }
 }
 
-/// Number of instances that a ready instance knows, itself included.
-async fn look(address: SocketAddr) -> Result<usize> {
+/// Number of instances that a ready instance knows, itself included; none when it does not know.
+async fn look(address: SocketAddr) -> Result<Option<usize>> {
     let reply = wire::call(address, &Call::get("/ready")).await?;
     if !reply.status.is_success() {
         bail!("{}", String::from_utf8_lossy(&reply.body));
--- a/crates/demo/tests/demo.rs
+++ b/crates/demo/tests/demo.rs
@@ -32,7 +32,7 @@
     // The status follows heartbeats, which may be late on a busy machine.
     until("the account is in force on both instances", async || {
         let status = operator.status().await?;
-        Ok((status.in_force_count == 2 && status.instance_count == 2).then_some(()))
+        Ok((status.in_force_count == Some(2) && status.instance_count == Some(2)).then_some(()))
     })
     .await?;
     check_readme(&demo, &operator.entries).await?;
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -9,13 +9,12 @@
 
 pub(crate) async fn answer(app: &App, request: &Request) -> Result<Response, Fault> {
     app.directory().sign_in(request)?;
-    let model = request.parameter("model").map(ModelId::from);
-    let answer = app
-        .parts
-        .control
-        .addresses(model)
-        .await
-        .ok_or_else(ending)?;
+    let query = AddressQuery {
+        failure_domain: request.parameter("failure_domain").map(Into::into),
+        model: request.parameter("model").map(Into::into),
+    };
+    let answer = app.parts.control.addresses(query).await;
+    let answer = answer.ok_or_else(ending)?;
     let body = AddressBody {
         addresses: &answer.addresses,
         time_to_live_ms: milliseconds(answer.time_to_live),
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -52,11 +52,15 @@
         return Err(wrong_method(request));
     }
     let status = app.parts.control.status().await.ok_or_else(ending)?;
+    let version = status.config_version;
+    let in_force = match (status.in_force_count, status.instance_count) {
+        (Some(in_force), Some(total)) => {
+            format!("version {version} in force on {in_force} of {total} instances")
+        }
+        _ => format!("version {version} in force here; the other instances are not known yet"),
+    };
     let body = StatusBody {
-        in_force: format!(
-            "version {} in force on {} of {} instances",
-            status.config_version, status.in_force_count, status.instance_count
-        ),
+        in_force,
         status: &status,
     };
     Ok(wire::json(StatusCode::OK, &body))
--- a/crates/entry/src/control_thread.rs
+++ b/crates/entry/src/control_thread.rs
@@ -6,7 +6,7 @@
 /// The node, as tasks on the traffic threads see it.
 pub trait Control: Send + Sync + 'static {
     /// Entry addresses for a caller; none when the control thread has ended.
-    fn addresses(&self, model: Option<ModelId>) -> BoxFuture<'static, Option<AddressAnswer>>;
+    fn addresses(&self, query: AddressQuery) -> BoxFuture<'static, Option<AddressAnswer>>;
 
     /// Changes after a version, or whole lists.
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes>;
@@ -21,6 +21,15 @@
     fn status(&self) -> BoxFuture<'static, Option<Status>>;
 }
 
+/// What a caller says when it asks for entry addresses.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AddressQuery {
+    /// Failure domain of the caller, whose addresses come first.
+    pub failure_domain: Option<FailureDomain>,
+    /// Model that the caller is about to use.
+    pub model: Option<ModelId>,
+}
+
 /// Actor that owns the node.
 struct Controller {
     commands: mpsc::UnboundedSender<Command>,
@@ -28,7 +37,6 @@
     started: Instant,
 }
 
-struct Addresses(Option<ModelId>);
 struct ChangesSince(ConfigVersion);
 struct OwnerQuery(Nonce);
 struct Report(Event);
@@ -46,11 +54,12 @@
     async fn stopped(self) {}
 }
 
-impl Handler<Addresses> for Controller {
+impl Handler<AddressQuery> for Controller {
     type Return = AddressAnswer;
 
-    async fn handle(&mut self, query: Addresses, _: &mut xtra::Context<Self>) -> AddressAnswer {
-        self.node.addresses(self.now(), query.0.as_ref())
+    async fn handle(&mut self, query: AddressQuery, _: &mut xtra::Context<Self>) -> AddressAnswer {
+        let (model, domain) = (query.model.as_ref(), query.failure_domain.as_ref());
+        self.node.addresses(self.now(), model, domain)
     }
 }
 
@@ -142,9 +151,9 @@
 }
 
 impl Control for ControlAddress {
-    fn addresses(&self, model: Option<ModelId>) -> BoxFuture<'static, Option<AddressAnswer>> {
+    fn addresses(&self, query: AddressQuery) -> BoxFuture<'static, Option<AddressAnswer>> {
         let address = self.0.clone();
-        async move { address.send(Addresses(model)).await.ok() }.boxed()
+        async move { address.send(query).await.ok() }.boxed()
     }
 
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -82,7 +82,7 @@
 
 pub use {
     app::{App, Parts},
-    control_thread::Control,
+    control_thread::{AddressQuery, Control},
     error::Error,
     handler::handler,
     instance::{Running, Shutdown, run, start},
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -67,7 +67,8 @@
     if !is_elsewhere(refusal) {
         return response;
     }
-    let Some(answer) = app.parts.control.addresses(None).await else {
+    let query = AddressQuery::default();
+    let Some(answer) = app.parts.control.addresses(query).await else {
         return response;
     };
     let mut others = Vec::new();
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -322,15 +322,23 @@
     );
 }
 
-/// Guards against callers who cannot read the addresses, and probes that need a key.
+/// Guards against callers who cannot read the addresses, whose failure domain is ignored, and
+/// probes that need a key.
 #[tokio::test]
 async fn addresses_and_probes() {
     let fixture = Fixture::new();
-    let addresses = request("GET", "/v1/addresses?model=m", &[KEY], "");
-    let text = read_all(fixture.send(addresses).await).await;
-    let entry = r#"{"address":"10.0.0.1:80","failure_domain":"z","instance":"e"}"#;
-    let expected = format!(r#"{{"addresses":[{entry}],"time_to_live_ms":4500}}"#);
-    assert_eq!(text, expected);
+    for (query, domain) in [
+        ("model=m", "z"),
+        ("model=m&failure_domain=zone-b", "zone-b"),
+    ] {
+        let addresses = request("GET", &format!("/v1/addresses?{query}"), &[KEY], "");
+        let text = read_all(fixture.send(addresses).await).await;
+        // The fake puts the caller's failure domain into its answer.
+        let entry =
+            format!(r#"{{"address":"10.0.0.1:80","failure_domain":"{domain}","instance":"e"}}"#);
+        let expected = format!(r#"{{"addresses":[{entry}],"time_to_live_ms":4500}}"#);
+        assert_eq!(text, expected);
+    }
     for path in ["/health", "/ready", "/metrics"] {
         let response = fixture.send(request("GET", path, &[], "")).await;
         assert_eq!(response.status(), 200, "{path}");
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,7 +8,7 @@
         AddressAnswer, AppendAnswer, Command, EntryAddress, Event, Holder, Identity, JournalAppend,
         OwnerStatus, Status, TakeAnswer,
     },
-    entry::{App, Control, Parts, Settings, handler, peer_handler},
+    entry::{AddressQuery, App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
     http_body_util::BodyExt,
     peer::{Changes, Error, PeerHandler, Peers},
@@ -156,11 +156,11 @@
 }
 
 impl Control for FakeControl {
-    fn addresses(&self, _: Option<Arc<str>>) -> BoxFuture<'static, Option<AddressAnswer>> {
+    fn addresses(&self, query: AddressQuery) -> BoxFuture<'static, Option<AddressAnswer>> {
         let answer = AddressAnswer {
             addresses: vec![EntryAddress {
                 address: SocketAddr::from(([10, 0, 0, 1], 80)),
-                failure_domain: "z".into(),
+                failure_domain: query.failure_domain.unwrap_or_else(|| "z".into()),
                 instance: "e".into(),
             }],
             time_to_live: Duration::from_millis(4_500),
@@ -183,8 +183,8 @@
     fn status(&self) -> BoxFuture<'static, Option<Status>> {
         let status = Status {
             config_version: 7,
-            in_force_count: 2,
-            instance_count: 3,
+            in_force_count: Some(2),
+            instance_count: Some(3),
             instances: Vec::new(),
             ready: true,
             targets: Vec::new(),
--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -234,7 +234,7 @@
                 bail!("{}", String::from_utf8_lossy(&reply.body));
             }
             let count = operator.status().await?.instance_count;
-            Ok((count == self.setup.entry_count).then_some(()))
+            Ok((count == Some(self.setup.entry_count)).then_some(()))
         })
         .await
         .with_context(|| entry.log_tail())
--- a/crates/suite/tests/edits.rs
+++ b/crates/suite/tests/edits.rs
@@ -102,7 +102,7 @@
     until("the version is in force everywhere", async || {
         cluster.observe().await?;
         let status = cluster.operator()?.status().await?;
-        Ok((status.in_force_count(version) == 2).then_some(()))
+        Ok((status.in_force_count(version) == Some(2)).then_some(()))
     })
     .await?;
     cluster.check().await
