Answer unreadable heads with a JSON error and limit connections per client

Cause: hyper answers a bad head without a body and closes slow ones silently; one client could hold all places. Change: wire answers a bad first head itself; limits.client_connection_count bounds one address.

--- a/crates/entry/src/settings_file.rs
+++ b/crates/entry/src/settings_file.rs
@@ -163,6 +163,17 @@
             "set it to at least the longest stream, so that no running stream loses its copy",
         );
         let count = "choose a count within the range";
+        let connections = self.limits.connection_count;
+        faults.range("limits.connection_count", connections, 1..=1 << 20, count);
+        let clients = self.limits.client_connection_count;
+        let most = connections.saturating_sub(1).max(1);
+        let path = "limits.client_connection_count";
+        faults.range(
+            path,
+            clients,
+            1..=most,
+            "choose fewer than `limits.connection_count`",
+        );
         let threads = self.traffic_thread_count;
         faults.range("traffic_thread_count", threads, 1..=256, count);
         let head_bytes = self.limits.head_bytes;
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -9,6 +9,7 @@
         sync::watch,
     },
     wire::Call,
+    yare::parameterized,
 };
 
 fn settings() -> Settings {
@@ -70,31 +71,43 @@
     running.ended().await;
 }
 
-/// Guards against input that is not HTTP, or too long, and against harm to other connections.
-#[tokio::test]
-async fn wrong_input_is_refused_and_harms_nobody() {
-    let (running, _shutdown) = started(settings()).await;
-    let long_head = format!("GET /health HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(40_000));
-    let long_body = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n{}",
-        "a".repeat(2_000)
+/// Guards against input that is not HTTP, too long or too slow and gets no typed fault, and against
+/// harm to other connections.
+#[parameterized(
+    long_body = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n", 2_000, "413", "body_too_long" },
+    long_head = { "GET /health HTTP/1.1\r\nx: ", 40_000, "431", "head_too_long" },
+    negative_length = { "GET / HTTP/1.1\r\ncontent-length: -1\r\n\r\n", 0, "400", "malformed_head" },
+    no_http = { "\u{0}\u{1}\r\n\r\n", 0, "400", "malformed_head" },
+    slow_body = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n", 1, "408", "body_too_slow" },
+    slow_head = { "GET /health HTTP/1.1\r\nx: ", 1, "408", "head_too_slow" },
+)]
+#[test_macro(tokio::test)]
+async fn wrong_input_is_refused_and_harms_nobody(
+    input: &str,
+    filler_bytes: usize,
+    status: &str,
+    kind: &str,
+) {
+    let mut settings = settings();
+    settings.limits.idle_ms = 100;
+    let (running, _shutdown) = started(settings).await;
+    let mut stream = TcpStream::connect(running.address).await.unwrap();
+    // The other side may close the connection before it has read everything.
+    let input = input.to_owned() + &"a".repeat(filler_bytes);
+    let _ = stream.write_all(input.as_bytes()).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
     );
-    for (input, status) in [
-        ("\u{0}\u{1}\r\n\r\n", "400"),
-        ("GET / HTTP/1.1\r\ncontent-length: -1\r\n\r\n", "400"),
-        (&*long_head, "431"),
-        (&*long_body, "413"),
-    ] {
-        let mut stream = TcpStream::connect(running.address).await.unwrap();
-        // The other side may close the connection before it has read everything.
-        let _ = stream.write_all(input.as_bytes()).await;
-        let mut head = [0; 12];
-        stream.read_exact(&mut head).await.unwrap();
-        let head = String::from_utf8_lossy(&head).into_owned();
-        assert_eq!(head, format!("HTTP/1.1 {status}"));
-        let reply = wire::call(running.address, &Call::get("/health")).await;
-        assert_eq!(reply.unwrap().status, 200);
-    }
+    assert!(
+        answer.contains(&format!("{{\"error\":{{\"kind\":\"{kind}\"")),
+        "{answer}"
+    );
+    let reply = wire::call(running.address, &Call::get("/health")).await;
+    assert_eq!(reply.unwrap().status, 200);
 }
 
 /// Guards against a message that does not say which setting is wrong.
--- a/crates/standin/src/engine_settings.rs
+++ b/crates/standin/src/engine_settings.rs
@@ -59,7 +59,11 @@
             crash_marker: String::new(),
             faults: EngineFaults::default(),
             forward_limit_ms: 5_000,
-            limits: Limits::default(),
+            limits: Limits {
+                // All instances of a test or demo may share one address.
+                client_connection_count: 4_096,
+                ..Limits::default()
+            },
             link_delay_us: 0,
             log: LogSettings::default(),
             log_entry_count: 1_000_000,
--- a/crates/standin/src/platform_settings.rs
+++ b/crates/standin/src/platform_settings.rs
@@ -27,7 +27,11 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             expiry_ms: 6_000,
             faults: PlatformFaults::default(),
-            limits: Limits::default(),
+            limits: Limits {
+                // All instances of a test or demo may share one address.
+                client_connection_count: 4_096,
+                ..Limits::default()
+            },
             log: LogSettings::default(),
             list_lag_ms: 1_000,
             seed: 1,
--- a/crates/standin/src/service_settings.rs
+++ b/crates/standin/src/service_settings.rs
@@ -34,7 +34,11 @@
         Self {
             crash_marker: String::new(),
             faults: ServiceFaults::default(),
-            limits: Limits::default(),
+            limits: Limits {
+                // All instances of a test or demo may share one address.
+                client_connection_count: 4_096,
+                ..Limits::default()
+            },
             log: LogSettings::default(),
             operations: vec![
                 operation("availability", OperationKind::Idempotent),
--- a/crates/wire/src/fault.rs
+++ b/crates/wire/src/fault.rs
@@ -60,6 +60,22 @@
         self
     }
 
+    /// Writes the fault as the last answer on a connection that hyper does not serve.
+    pub(crate) fn into_head_and_body(self) -> Vec<u8> {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let after = match self.retry_after_ms {
+            None => String::new(),
+            Some(after_ms) => format!("retry-after: {}\r\n", after_ms.div_ceil(1_000)),
+        };
+        let body = serde_json::to_string(&FaultBody { error: self }).unwrap_or_default();
+        let length = body.len();
+        format!(
+            "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\
+             {after}connection: close\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
+
     /// Turns the fault into a response with a JSON body and, if known, `Retry-After`.
     #[must_use]
     pub fn into_response(self) -> Response {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,9 +19,22 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{error::Error as StdError, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        error::Error as StdError,
+        io::{self, IoSlice},
+        net::{IpAddr, Ipv6Addr, SocketAddr},
+        pin::Pin,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        task::{self, Poll},
+        time::Duration,
+    },
     thiserror::Error,
     tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::{TcpListener, TcpStream},
         sync::{Semaphore, mpsc, watch},
         task::{AbortHandle, JoinSet},
@@ -30,10 +43,12 @@
 };
 
 mod call;
+mod clients;
 mod connection;
 mod error;
 mod fault;
 mod limits;
+mod opening;
 mod request;
 mod response;
 mod server;
@@ -52,3 +67,5 @@
     server::{Handler, serve},
     sse::{ServerEvent, ServerEventReader},
 };
+
+use {clients::Clients, opening::Opening};
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -14,6 +14,7 @@
     mut shutdown: watch::Receiver<bool>,
 ) {
     let connections = Arc::new(Semaphore::new(limits.connection_count));
+    let clients = Clients::new(limits.client_connection_count);
     let mut tasks = JoinSet::new();
     while !*shutdown.borrow() {
         let accepted = tokio::select! {
@@ -27,10 +28,15 @@
             continue;
         };
         while tasks.try_join_next().is_some() {}
+        let Some(client) = clients.admit(peer) else {
+            // The place is free again at once, and the answer fits into the socket's buffer.
+            let _ = stream.try_write(&too_many_connections(limits).into_head_and_body());
+            continue;
+        };
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         tasks.spawn(async move {
             serve_connection(stream, peer, handler, limits, shutdown).await;
-            drop(permit);
+            drop((client, permit));
         });
     }
     drop(listener);
@@ -63,7 +69,10 @@
     limits: Limits,
     mut shutdown: watch::Receiver<bool>,
 ) {
+    let is_served = Arc::new(AtomicBool::new(false));
+    let opening = Opening::new(stream, is_served.clone());
     let service = service_fn(move |request| {
+        is_served.store(true, Ordering::Relaxed);
         let handler = handler.clone();
         async move {
             let response = respond(request, peer, handler, limits).await;
@@ -73,23 +82,36 @@
             }
         }
     });
-    let connection = hyper::server::conn::http1::Builder::new()
+    let mut connection = hyper::server::conn::http1::Builder::new()
         .header_read_timeout(limits.idle())
         .max_buf_size(limits.head_bytes)
         .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        result = connection.as_mut() => {
-            if let Err(error) = result {
-                tracing::debug!(%peer, %error, "connection ended early");
-            }
-            return;
+        .serve_connection(TokioIo::new(opening), service);
+    let stopped = async move {
+        let _ = shutdown.wait_for(|stop| *stop).await;
+    };
+    let result = tokio::select! {
+        result = &mut connection => result,
+        () = stopped => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
-        _ = shutdown.wait_for(|stop| *stop) => {}
+    };
+    if let Err(error) = result {
+        tracing::debug!(%peer, %error, "connection ended early");
+        let opening = connection.into_parts().io.into_inner();
+        opening.refuse(&error, limits).await;
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+}
+
+fn too_many_connections(limits: Limits) -> Fault {
+    let message = format!(
+        "this address has {} connections open, as many as it may; close some, or use another entry \
+         address",
+        limits.client_connection_count
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Fault::new(status, "too_many_connections", message).retry_after(Duration::from_secs(1))
 }
 
 async fn respond(
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -8,12 +8,12 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         sync::watch,
     },
     wire::{
-        Call, Connection, Handler, Limits, Request, Response, ServerEvent, ServerEventReader, call,
-        hyper::StatusCode, serve, stream, text,
+        Call, Connection, FaultBody, Handler, Limits, Request, Response, ServerEvent,
+        ServerEventReader, call, hyper::StatusCode, serve, stream, text,
     },
     yare::parameterized,
 };
@@ -63,21 +63,23 @@
 fn limits() -> Limits {
     Limits {
         body_bytes: 100,
+        client_connection_count: 3,
+        connection_count: 4,
         head_bytes: 8_192,
         idle_ms: 100,
-        ..Limits::default()
     }
 }
 
 #[parameterized(
-    body_too_long = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\nconnection: close\r\n\r\n", 101, "413" },
-    head_too_long = { "GET / HTTP/1.1\r\nhost: a\r\nx: ", 9_000, "431" },
-    not_http = { "hello\r\n\r\n", 0, "400" },
-    slow_body = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\nconnection: close\r\n\r\n", 10, "408" },
-    slow_head = { "GET / HT", 0, "" },
+    body_too_long = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\nconnection: close\r\n\r\n", 101, "413", "body_too_long" },
+    head_too_long = { "GET / HTTP/1.1\r\nhost: a\r\nx: ", 9_000, "431", "head_too_long" },
+    nothing = { "", 0, "", "" },
+    not_http = { "hello\r\n\r\n", 0, "400", "malformed_head" },
+    slow_body = { "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\nconnection: close\r\n\r\n", 10, "408", "body_too_slow" },
+    slow_head = { "GET / HT", 0, "408", "head_too_slow" },
 )]
 #[test_macro(tokio::test)]
-async fn bad_input_is_refused(head: &str, filler_bytes: usize, status: &str) {
+async fn bad_input_is_refused(head: &str, filler_bytes: usize, status: &str, kind: &str) {
     let (address, _stop) = start(limits()).await;
     let mut bytes = head.as_bytes().to_vec();
     bytes.resize(bytes.len() + filler_bytes, b'x');
@@ -87,6 +89,12 @@
         status,
         "{answer}"
     );
+    let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+    let fault = serde_json::from_str::<FaultBody>(body);
+    assert_eq!(
+        fault.map_or_else(|_| body.into(), |body| body.error.kind),
+        kind
+    );
     let reply = call(
         address,
         &Call {
@@ -99,6 +107,44 @@
     assert_eq!(reply.body, "fine");
 }
 
+async fn is_served(address: SocketAddr) -> bool {
+    let reply = call(address, &Call::get("/")).await;
+    reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+}
+
+/// Guards against a client that keeps all others out with connections that send nothing.
+#[tokio::test]
+async fn one_address_cannot_use_up_all_connections() {
+    let (address, _stop) = start(Limits {
+        idle_ms: 3_600_000,
+        ..limits()
+    })
+    .await;
+    let mut slow = Vec::new();
+    for _ in 0..3 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"GET / HT").await.unwrap();
+        slow.push(stream);
+    }
+    let answer = send_raw(address, b"").await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("too_many_connections"), "{answer}");
+    // Loopback has many addresses, so this is another client.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.2:0".parse().unwrap()).unwrap();
+    let mut other = socket.connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    other.write_all(request).await.unwrap();
+    let mut answer = String::new();
+    other.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    // A place is free again when its connection ends.
+    slow.clear();
+    while !is_served(address).await {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn server_events_arrive_as_sent() {
     let (address, _stop) = start(limits()).await;
