Number attempts before dispatch and ignore late hand-overs

Cause: an instance that was paused handed a stream, after its thaw, to a taker that had given up, which stopped the stream for good; an attempt that delivered nothing was not in the copy, so its number could be used twice.

--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -169,25 +169,24 @@
         }
     }
 
-    /// Hands a journal over to the first taker that asks for it on behalf of its account. The same
-    /// taker gets it again, so a lost reply loses no stream.
-    pub fn take(
-        &mut self,
-        now: Duration,
-        request: &RequestId,
-        account: &AccountId,
-        taker: &Holder,
-    ) -> TakeAnswer {
+    /// Hands a journal over to the first taker that asks for it on behalf of its account and knows
+    /// its owner. The same taker gets it again, so a lost reply loses no stream.
+    pub fn take(&mut self, now: Duration, take: &TakeRequest) -> TakeAnswer {
         self.expire(now);
         let expires = now + self.retention();
-        let Some(entry) = self.entries.get_mut(request) else {
+        let Some(entry) = self.entries.get_mut(&take.request) else {
             return TakeAnswer::Unknown;
         };
-        if entry.journal.account != *account {
+        if entry.journal.account != take.account {
             return TakeAnswer::Unknown;
         }
-        let holder = entry.taker.get_or_insert_with(|| taker.clone());
-        if holder != taker {
+        if entry.taker.is_none() && entry.owner.instance != take.owner {
+            return TakeAnswer::Taken {
+                by: entry.owner.instance.clone(),
+            };
+        }
+        let holder = entry.taker.get_or_insert_with(|| take.taker.clone());
+        if *holder != take.taker {
             return TakeAnswer::Taken {
                 by: holder.instance.clone(),
             };
@@ -249,13 +248,14 @@
         let request = journal.request.clone();
         let next = token_count(&journal);
         let mut replaced = 0;
-        if let Some(entry) = self.entries.get(&request) {
+        if let Some(entry) = self.entries.get_mut(&request) {
             if let Some(by) = entry.successor(&owner, epoch) {
                 return AppendAnswer::Taken { by };
             }
             let kept = token_count(&entry.journal);
             // A delayed repeat of the first message must not drop tokens that came after it.
             if entry.owner == owner && kept >= next {
+                entry.journal.attempt = entry.journal.attempt.max(journal.attempt);
                 return AppendAnswer::Appended { next: kept };
             }
             replaced = entry.bytes;
--- a/crates/control/src/journal_message.rs
+++ b/crates/control/src/journal_message.rs
@@ -79,6 +79,22 @@
     pub nonce: Nonce,
 }
 
+/// Request for a journal, to go on with its stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TakeRequest {
+    /// Account of the caller.
+    pub account: AccountId,
+    /// Whether a stream that a caller is reading stays where it is.
+    pub only_idle: bool,
+    /// Instance that serves the stream as far as the taker knows. A request that is delivered late,
+    /// by an instance that was paused, names an earlier one, and must not stop the stream.
+    pub owner: InstanceId,
+    /// Request.
+    pub request: RequestId,
+    /// Who takes it.
+    pub taker: Holder,
+}
+
 /// Answer to a request for a journal.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TakeAnswer {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -127,7 +127,7 @@
     history::History,
     identity::Identity,
     journal::{JournalSettings, Journals},
-    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer},
+    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer, TakeRequest},
     life::{Requests, Scope},
     limit::Limits,
     link::{Links, default_ms},
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -1,7 +1,9 @@
 //! Journals: hand-over, repeated appends, retention and the bound on memory.
 
 use {
-    control::{AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer},
+    control::{
+        AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer, TakeRequest,
+    },
     proptest::{
         prelude::*,
         test_runner::{Config, RngAlgorithm, RngSeed},
@@ -54,6 +56,16 @@
     BTreeSet::from([instance.into()])
 }
 
+fn take_as(request: &str, account: &str, owner: &str, taker: &str) -> TakeRequest {
+    TakeRequest {
+        account: account.into(),
+        only_idle: false,
+        owner: owner.into(),
+        request: request.into(),
+        taker: holder(taker),
+    }
+}
+
 fn holder(instance: &str) -> Holder {
     Holder {
         instance: instance.into(),
@@ -122,9 +134,8 @@
                 2 => { journals.append(now, end(&request)); }
                 3 => journals.keep_owners(now, &live("b")),
                 _ => {
-                    let answer = journals.take(
-                        now, &request.as_str().into(), &"lagoon".into(), &holder(&instance),
-                    );
+                    let take = take_as(&request, "lagoon", "a", &instance);
+                    let answer = journals.take(now, &take);
                     if matches!(answer, TakeAnswer::Given { .. }) {
                         let holder = holders.entry(request).or_insert(instance.clone());
                         prop_assert_eq!(&*holder, &instance);
@@ -141,10 +152,10 @@
 #[test]
 fn hand_over_stops_the_old_owner_and_may_be_repeated() {
     let mut journals = Journals::new(JournalSettings::default());
-    let (now, request) = (Duration::ZERO, "r".into());
+    let now = Duration::ZERO;
     journals.append(now, whole("r"));
     let take = |journals: &mut Journals, account: &str, instance| {
-        journals.take(now, &request, &account.into(), &holder(instance))
+        journals.take(now, &take_as("r", account, "a", instance))
     };
     assert_eq!(take(&mut journals, "other", "x"), TakeAnswer::Unknown);
     let first = take(&mut journals, "lagoon", "b");
@@ -185,15 +196,14 @@
 #[test]
 fn the_taker_replaces_the_owner_and_never_the_reverse() {
     let mut journals = Journals::new(JournalSettings::default());
-    let (now, request) = (Duration::ZERO, "r".into());
+    let now = Duration::ZERO;
     let adopt = |epoch, instance| JournalAppend::Whole {
         epoch,
         journal: journal("r", &answer(2)),
         owner: holder(instance),
     };
     journals.append(now, whole("r"));
-    let TakeAnswer::Given { epoch, .. } =
-        journals.take(now, &request, &"lagoon".into(), &holder("b"))
+    let TakeAnswer::Given { epoch, .. } = journals.take(now, &take_as("r", "lagoon", "a", "b"))
     else {
         panic!("the first taker gets the journal");
     };
@@ -206,7 +216,11 @@
     assert_eq!(journals.append(now, adopt(epoch, "b")), adopted);
     let by = "b".into();
     assert_eq!(journals.append(now, whole("r")), AppendAnswer::Taken { by });
-    let taken = journals.take(now, &request, &"lagoon".into(), &holder("e"));
+    // A request that an instance delivers after a pause names the owner of before.
+    let late = journals.take(now, &take_as("r", "lagoon", "a", "e"));
+    let by = "b".into();
+    assert_eq!(late, TakeAnswer::Taken { by });
+    let taken = journals.take(now, &take_as("r", "lagoon", "b", "e"));
     assert!(matches!(taken, TakeAnswer::Given { .. }));
     assert_eq!(journals.append(now, adopt(epoch + 2, "d")), adopted);
     let by = "d".into();
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -104,34 +104,26 @@
     /// Hands over a journal that this instance holds. The instance with the copy is asked first,
     /// so that two takers, one of which reaches only the copy, do not both get the stream. With
     /// `only_idle`, a stream that runs here stays.
-    pub(crate) async fn take(
-        &self,
-        request: &RequestId,
-        account: &AccountId,
-        taker: &Holder,
-        only_idle: bool,
-    ) -> TakeAnswer {
-        if only_idle && self.registry.has_stream(request) {
+    pub(crate) async fn take(&self, take: TakeRequest) -> TakeAnswer {
+        if take.only_idle && self.registry.has_stream(&take.request) {
             let by = self.identity.instance.clone();
             return TakeAnswer::Taken { by };
         }
-        let backup = lock(&self.backups).get(request).copied();
+        let backup = lock(&self.backups).get(&take.request).copied();
         if let Some(backup) = backup {
-            let answer = self.parts.peers.take_journal(
-                backup,
-                request.clone(),
-                account.clone(),
-                taker.clone(),
-                false,
-            );
+            let from_copy = TakeRequest {
+                only_idle: false,
+                ..take.clone()
+            };
+            let answer = self.parts.peers.take_journal(backup, from_copy);
             if let Ok(TakeAnswer::Taken { by }) = answer.await {
                 return TakeAnswer::Taken { by };
             }
         }
-        let answer = lock(&self.journals).take(self.now(), request, account, taker);
+        let answer = lock(&self.journals).take(self.now(), &take);
         if matches!(answer, TakeAnswer::Given { .. }) {
             // The earlier run must have reported its end before the stream is submitted again.
-            if let Some(run) = self.registry.take_over(request) {
+            if let Some(run) = self.registry.take_over(&take.request) {
                 run.closed().await;
             }
         }
--- a/crates/entry/src/copier.rs
+++ b/crates/entry/src/copier.rs
@@ -80,16 +80,21 @@
         }
     }
 
-    /// Uses the backup that the node chose, and gives it the whole journal unless it has it.
-    pub(crate) async fn set_backup(
+    /// Keeps the number of an attempt before any engine learns of it, here and at the backup that
+    /// the node chose. Without this, whoever takes the stream over could use the number again: its
+    /// tokens would be confused with those of the earlier run, and late cancels of that run would
+    /// stop its own. An instance that lost the stream while it was paused learns it here.
+    pub(crate) async fn start_attempt(
         &mut self,
+        attempt: Attempt,
         backup: Option<(InstanceId, SocketAddr)>,
     ) -> Result<(), End> {
-        let is_same = backup == self.backup;
+        // The earlier backup is told also when it is replaced, as it knows of a hand-over.
+        self.append(attempt, None, Vec::new()).await?;
         let is_failed = backup
             .as_ref()
             .is_some_and(|(instance, _)| self.failed.contains(instance));
-        if is_same || is_failed {
+        if backup == self.backup || is_failed {
             return Ok(());
         }
         self.backup = backup;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,7 @@
     control::{
         AddressAnswer, AppendAnswer, Assembly, AssemblyStep, Candidate, Command, Decision, Event,
         Holder, Identity, JournalAppend, JournalSettings, Journals, Node, NodeSettings,
-        OwnerStatus, Status, TakeAnswer,
+        OwnerStatus, Status, TakeAnswer, TakeRequest,
     },
     futures::{FutureExt, StreamExt, future::BoxFuture},
     hyper::{
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -47,14 +47,8 @@
         async {}.boxed()
     }
 
-    fn take_journal(
-        &self,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
-    ) -> BoxFuture<'static, TakeAnswer> {
+    fn take_journal(&self, take: TakeRequest) -> BoxFuture<'static, TakeAnswer> {
         let app = self.0.clone();
-        async move { app.take(&request, &account, &taker, only_idle).await }.boxed()
+        async move { app.take(take).await }.boxed()
     }
 }
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -47,15 +47,22 @@
 
 /// Asks the owner and then the backup for the journal.
 async fn find(app: &App, point: &ResumePoint, account: &AccountId, holder: &Holder) -> Found {
+    let take = TakeRequest {
+        account: account.clone(),
+        only_idle: false,
+        owner: point.owner.clone(),
+        request: point.request.clone(),
+        taker: holder.clone(),
+    };
     let mut found = Found::Nothing;
     for instance in [Some(&point.owner), point.backup.as_ref()] {
         let Some(instance) = instance else {
             continue;
         };
-        match ask(app, instance, point, account, holder, false).await {
+        match ask(app, instance, take.clone()).await {
             Err(()) => found = Found::Unreachable,
             Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
-            Ok(TakeAnswer::Taken { by }) => return follow(app, by, point, account, holder).await,
+            Ok(TakeAnswer::Taken { by }) => return follow(app, by, take).await,
             Ok(TakeAnswer::Unknown) => {}
         }
     }
@@ -65,15 +72,14 @@
 /// Asks the instances that took the stream over, one after another. They give it away only when no
 /// caller reads it there, which happens when a connection broke before its first event told the
 /// caller of the new place.
-async fn follow(
-    app: &App,
-    mut by: InstanceId,
-    point: &ResumePoint,
-    account: &AccountId,
-    holder: &Holder,
-) -> Found {
+async fn follow(app: &App, mut by: InstanceId, take: TakeRequest) -> Found {
     for _ in 0..HOP_COUNT {
-        match ask(app, &by, point, account, holder, true).await {
+        let take = TakeRequest {
+            only_idle: true,
+            owner: by.clone(),
+            ..take.clone()
+        };
+        match ask(app, &by, take).await {
             Ok(TakeAnswer::Given { epoch, journal }) => return Found::Given { epoch, journal },
             Ok(TakeAnswer::Taken { by: next }) if next != by => by = next,
             Err(()) | Ok(TakeAnswer::Taken { .. } | TakeAnswer::Unknown) => break,
@@ -82,26 +88,15 @@
     Found::Taken
 }
 
-async fn ask(
-    app: &App,
-    instance: &InstanceId,
-    point: &ResumePoint,
-    account: &AccountId,
-    holder: &Holder,
-    only_idle: bool,
-) -> Result<TakeAnswer, ()> {
-    let request = &point.request;
+async fn ask(app: &App, instance: &InstanceId, take: TakeRequest) -> Result<TakeAnswer, ()> {
     if *instance == app.identity.instance {
-        return Ok(app.take(request, account, holder, only_idle).await);
+        return Ok(app.take(take).await);
     }
     let address = app.roster.peer_address(instance).ok_or(())?;
-    let (request, account, holder) = (request.clone(), account.clone(), holder.clone());
-    let answer = app
-        .parts
-        .peers
-        .take_journal(address, request, account, holder, only_idle);
+    let request = take.request.clone();
+    let answer = app.parts.peers.take_journal(address, take);
     answer.await.map_err(|error| {
-        tracing::warn!(request = &*point.request, %error, "a journal was not handed over");
+        tracing::warn!(request = &*request, %error, "a journal was not handed over");
     })
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -146,8 +146,8 @@
                     priority,
                     route,
                 } => {
-                    self.copier.set_backup(backup).await?;
                     let attempt = self.base + attempt;
+                    self.copier.start_attempt(attempt, backup).await?;
                     if self
                         .attempt(&start.journal, attempt, priority, route)
                         .await?
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use {
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, Command, EntryAddress, Event, Holder, Identity, JournalAppend,
-        OwnerStatus, Status, TakeAnswer,
+        AddressAnswer, AppendAnswer, Command, EntryAddress, Event, Identity, JournalAppend,
+        OwnerStatus, Status, TakeAnswer, TakeRequest,
     },
     entry::{App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
@@ -22,11 +22,11 @@
     target::{Engines, RecordStream, Services},
     tokio::sync::{Mutex as AsyncMutex, mpsc},
     types::{
-        Account, AccountId, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord,
-        FailureKind, GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange,
-        Listing, ListingRole, Lists, LoadReport, Nonce, OperationKind, Order, Plan,
-        PriorityRequest, RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply,
-        StoreRequest, StreamRecord, TokenRecord, hash_key,
+        Account, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord, FailureKind,
+        GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange, Listing,
+        ListingRole, Lists, LoadReport, Nonce, OperationKind, Order, Plan, PriorityRequest,
+        RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest,
+        StreamRecord, TokenRecord, hash_key,
     },
     wire::{
         Request, Response,
@@ -234,14 +234,9 @@
     fn take_journal(
         &self,
         address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
+        take: TakeRequest,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, move |peer| {
-            peer.take_journal(request, account, taker, only_idle)
-        })
+        self.call(address, move |peer| peer.take_journal(take))
     }
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,7 +5,7 @@
 
 use {
     blake3::Hash,
-    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    control::{AppendAnswer, JournalAppend, OwnerStatus, TakeAnswer, TakeRequest},
     futures::{FutureExt, Stream, StreamExt, future::BoxFuture},
     serde::{Deserialize, Serialize},
     std::{
@@ -31,10 +31,7 @@
         task::JoinSet,
         time::{Instant, timeout},
     },
-    types::{
-        AccountId, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists, Nonce,
-        RequestId,
-    },
+    types::{ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists, Nonce},
 };
 
 mod changes;
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -46,15 +46,11 @@
         records: Vec<ChangeRecord>,
     ) -> BoxFuture<'static, Result<(), Error>>;
 
-    /// Asks for a journal, to go on with its stream. With `only_idle`, a stream that a caller is
-    /// reading stays where it is.
+    /// Asks for a journal, to go on with its stream.
     fn take_journal(
         &self,
         address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
+        take: TakeRequest,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>>;
 }
 
@@ -80,11 +76,5 @@
     fn push_changes(&self, records: Vec<ChangeRecord>) -> BoxFuture<'static, ()>;
 
     /// Serves `Peers::take_journal`.
-    fn take_journal(
-        &self,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
-    ) -> BoxFuture<'static, TakeAnswer>;
+    fn take_journal(&self, take: TakeRequest) -> BoxFuture<'static, TakeAnswer>;
 }
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -174,15 +174,10 @@
     fn take_journal(
         &self,
         address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
+        take: TakeRequest,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
         self.call(address, move |client, context, secret| async move {
-            client
-                .take_journal(context, secret, request, account, taker, only_idle)
-                .await
+            client.take_journal(context, secret, take).await
         })
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -167,15 +167,10 @@
         self,
         _: Context,
         secret: Secret,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
+        take: TakeRequest,
     ) -> Result<TakeAnswer, Rejection> {
         self.check(&secret)?;
-        let answer = self
-            .handler
-            .take_journal(request, account, taker, only_idle);
+        let answer = self.handler.take_journal(take);
         Ok(answer.await)
     }
 }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -29,11 +29,5 @@
 
     async fn push_changes(secret: Secret, records: Vec<ChangeRecord>) -> Result<(), Rejection>;
 
-    async fn take_journal(
-        secret: Secret,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
-    ) -> Result<TakeAnswer, Rejection>;
+    async fn take_journal(secret: Secret, take: TakeRequest) -> Result<TakeAnswer, Rejection>;
 }
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -1,7 +1,7 @@
 //! Calls between instances over loopback.
 
 use {
-    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    control::{AppendAnswer, Holder, JournalAppend, OwnerStatus, TakeAnswer, TakeRequest},
     futures::{FutureExt, future::BoxFuture},
     peer::{Changes, Error, PeerHandler, PeerSettings, Peers, Pool, Secret, serve},
     std::{
@@ -10,8 +10,8 @@
     },
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
     types::{
-        AccountId, Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
-        Nonce, RequestId, TargetDigest, TargetHealth,
+        Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists, Nonce,
+        TargetDigest, TargetHealth,
     },
 };
 
@@ -62,14 +62,8 @@
         async {}.boxed()
     }
 
-    fn take_journal(
-        &self,
-        _: RequestId,
-        _: AccountId,
-        taker: Holder,
-        _: bool,
-    ) -> BoxFuture<'static, TakeAnswer> {
-        let by = taker.instance;
+    fn take_journal(&self, take: TakeRequest) -> BoxFuture<'static, TakeAnswer> {
+        let by = take.taker.instance;
         async { TakeAnswer::Taken { by } }.boxed()
     }
 }
@@ -178,7 +172,14 @@
     pool.heartbeat(address, heartbeat()).await.unwrap();
     pool.push_changes(address, vec![record(1)]).await.unwrap();
     pool.leave(address, "a".into(), 9).await.unwrap();
-    let taken = pool.take_journal(address, "r".into(), "x".into(), holder(), true);
+    let take = TakeRequest {
+        account: "x".into(),
+        only_idle: true,
+        owner: "o".into(),
+        request: "r".into(),
+        taker: holder(),
+    };
+    let taken = pool.take_journal(address, take);
     let by = "a".into();
     assert_eq!(taken.await.unwrap(), TakeAnswer::Taken { by });
     let calls = server.fake.calls.lock().unwrap().clone();
--- a/crates/suite/src/caller.rs
+++ b/crates/suite/src/caller.rs
@@ -23,6 +23,17 @@
     pub last_event: String,
     /// Text so far.
     pub text: String,
+    /// Tokens so far.
+    pub token_count: usize,
+}
+
+impl Stream {
+    /// Request that the last event names; empty before the first.
+    #[must_use]
+    pub fn request(&self) -> RequestId {
+        let point = self.last_event.parse::<ResumePoint>();
+        point.map(|point| point.request).unwrap_or_default()
+    }
 }
 
 impl Caller {
@@ -62,7 +73,49 @@
     ///
     /// Returns an error when the answer does not end within the limit.
     pub async fn generate(&self, body: &Value) -> Result<Stream> {
-        let mut stream = Stream::default();
+        self.resume(body, Stream::default()).await
+    }
+
+    /// Reads one connection's part of an answer into `stream`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks or the request is refused.
+    pub async fn read(&self, entry: SocketAddr, body: &Value, stream: &mut Stream) -> Result<()> {
+        let mut events = self.open(entry, body, stream).await?;
+        while let Some(event) = events.next(SILENCE).await? {
+            self.note(&mut events, &event, stream)?;
+        }
+        Ok(())
+    }
+
+    /// Reads one connection's part of an answer until `is_enough`, and returns the open connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks before.
+    pub async fn read_until(
+        &self,
+        entry: SocketAddr,
+        body: &Value,
+        stream: &mut Stream,
+        is_enough: impl Fn(&Stream) -> bool,
+    ) -> Result<ServerEventReader> {
+        let mut events = self.open(entry, body, stream).await?;
+        while !is_enough(stream) {
+            let event = events.next(SILENCE).await?;
+            let event = event.with_context(|| format!("{entry} ended the stream early"))?;
+            self.note(&mut events, &event, stream)?;
+        }
+        Ok(events)
+    }
+
+    /// Goes on with an answer to its end, at one address after another.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer does not end within the limit.
+    pub async fn resume(&self, body: &Value, mut stream: Stream) -> Result<Stream> {
         let end = Instant::now() + LIMIT;
         let mut last = anyhow!("no entry address");
         while Instant::now() < end {
@@ -78,12 +131,21 @@
         Err(last.context("the answer did not end"))
     }
 
-    /// Reads one connection's part of an answer into `stream`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the connection breaks or the request is refused.
-    pub async fn read(&self, entry: SocketAddr, body: &Value, stream: &mut Stream) -> Result<()> {
+    /// The same caller with a record of its own.
+    #[must_use]
+    pub fn apart(&self) -> Self {
+        Self {
+            recorder: Recorder::default(),
+            ..self.clone()
+        }
+    }
+
+    async fn open(
+        &self,
+        entry: SocketAddr,
+        body: &Value,
+        stream: &Stream,
+    ) -> Result<ServerEventReader> {
         let call = match stream.last_event.parse::<ResumePoint>() {
             Err(_) => Call::post("/v1/completions", body)?,
             Ok(point) => Call::get(format!("/v1/completions/{}", point.request))
@@ -97,15 +159,20 @@
             let text = String::from_utf8_lossy(&text).into_owned();
             bail!("{entry} refused with {}: {text}", reply.status);
         }
-        let mut events = ServerEventReader::new(reply.lines());
-        while let Some(event) = events.next(SILENCE).await? {
-            if stream.last_event.is_empty() {
-                // The first event has an id and no data; it allows a resume before any token.
-                stream.last_event = events.last_id().into();
-            }
-            self.take(&event, stream)?;
+        Ok(ServerEventReader::new(reply.lines()))
+    }
+
+    fn note(
+        &self,
+        events: &mut ServerEventReader,
+        event: &ServerEvent,
+        stream: &mut Stream,
+    ) -> Result<()> {
+        if stream.last_event.is_empty() {
+            // The first event has an id and no data; it allows a resume before any token.
+            stream.last_event = events.last_id().into();
         }
-        Ok(())
+        self.take(event, stream)
     }
 
     fn take(&self, event: &ServerEvent, stream: &mut Stream) -> Result<()> {
@@ -132,6 +199,7 @@
         self.recorder
             .token(&first.request, &point.request, index, text);
         stream.text.push_str(text);
+        stream.token_count += 1;
         Ok(())
     }
 
@@ -156,6 +224,9 @@
 fn told(reply: &Reply) -> Result<Told> {
     let text = String::from_utf8_lossy(&reply.body).into_owned();
     match reply.header("x-outcome") {
+        Some("not_run") if reply.header("retry-after").is_none() => {
+            bail!("not run, and no `Retry-After`: {text}")
+        }
         Some("not_run") => Ok(Told::NotRun),
         Some("ran") => Ok(Told::Ran(text)),
         Some("unknown") => Ok(Told::Unknown),
--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -1,4 +1,11 @@
-use super::*;
+use {super::*, setup::ACCOUNT};
+
+/// Clusters at once in one test process. More would keep the machine so busy that healthy
+/// processes look silent to each other.
+const CLUSTER_COUNT: usize = 2;
+
+/// Permits of the clusters of this test process.
+static PERMITS: Semaphore = Semaphore::const_new(CLUSTER_COUNT);
 
 /// Real processes on loopback: the platform, engines, services and entry instances. Dropping it
 /// ends them all.
@@ -16,8 +23,10 @@
     pub recorder: Recorder,
     /// Service targets, one in each failure domain.
     pub services: Vec<Process>,
-    folder: Folder,
-    setup: Setup,
+    pub(crate) folder: Folder,
+    pub(crate) setup: Setup,
+    /// Last, so that the next cluster starts when the processes of this one have ended.
+    _permit: SemaphorePermit<'static>,
 }
 
 impl Cluster {
@@ -27,6 +36,7 @@
     ///
     /// Returns an error that names the process or condition that failed.
     pub async fn start(setup: Setup) -> Result<Self> {
+        let permit = PERMITS.acquire().await?;
         let folder = Folder::new()?;
         let platform = Process::start(&folder, "standin-platform", "platform", &setup.platform)?;
         let mut cluster = Self {
@@ -38,6 +48,7 @@
             recorder: Recorder::default(),
             services: Vec::new(),
             setup,
+            _permit: permit,
         };
         for domain in 0..cluster.setup.domain_count {
             cluster.start_domain(domain)?;
@@ -119,20 +130,14 @@
         Ok(output)
     }
 
-    /// Records the version that each running instance shows.
+    /// Replaces the faults of all services.
     ///
     /// # Errors
     ///
-    /// Returns an error when an instance replies and its reply cannot be used.
-    pub async fn observe(&self) -> Result<()> {
-        for entry in &self.entries {
-            let call = Call::get("/admin/status");
-            let call = call.header("authorization", format!("Bearer {OPERATOR_KEY}"));
-            let Ok(reply) = wire::call(entry.address("address")?, &call).await else {
-                continue;
-            };
-            let version = reply.json::<ctl::Status>()?.config_version;
-            self.recorder.observed(&entry.id().to_string(), version);
+    /// Returns an error when a running one does not take them.
+    pub async fn set_service_faults(&self, faults: &ServiceFaults) -> Result<()> {
+        for service in &self.services {
+            self.set_faults(service, faults).await?;
         }
         Ok(())
     }
@@ -158,6 +163,7 @@
     ///
     /// Returns an error with every violation.
     pub async fn check(&self) -> Result<()> {
+        self.settle().await?;
         self.observe().await?;
         for engine in &self.engines {
             let Some(log) = engine_log(engine).await? else {
@@ -211,7 +217,7 @@
         Ok(())
     }
 
-    async fn start_entry(&mut self, number: usize) -> Result<()> {
+    pub(crate) async fn start_entry(&mut self, number: usize) -> Result<()> {
         let link = Relay::start(self.platform.address("address")?).await?;
         let settings = self.setup.entry(number, link.address());
         let name = settings.instance.clone();
@@ -222,7 +228,7 @@
     }
 
     /// Waits until an instance has a configuration and knows all peers.
-    async fn wait_ready(&self, entry: &Process) -> Result<()> {
+    pub(crate) async fn wait_ready(&self, entry: &Process) -> Result<()> {
         let address = entry.address("address")?;
         let operator = Client {
             entries: vec![address],
@@ -244,7 +250,9 @@
         let plan = json!({"models": [MODEL], "services": [SERVICE]});
         self.edit("/admin/plans/standard", plan).await?;
         let account = json!({"plan": "standard", "key_hashes": [hash_key(CALLER_KEY)]});
-        let version = self.edit("/admin/accounts/tester", account).await?;
+        let version = self
+            .edit(&format!("/admin/accounts/{ACCOUNT}"), account)
+            .await?;
         self.operator()?.wait(version, LIMIT).await?;
         Ok(())
     }
@@ -260,7 +268,7 @@
 }
 
 /// Reads a record of a stand-in; none when it has ended.
-async fn read<T: DeserializeOwned>(process: &Process, path: &str) -> Result<Option<T>> {
+pub(crate) async fn read<T: DeserializeOwned>(process: &Process, path: &str) -> Result<Option<T>> {
     match wire::call(process.address("address")?, &Call::get(path)).await {
         Err(error) if error.is_not_sent() => Ok(None),
         Err(error) => Err(error.into()),
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -7,7 +7,7 @@
     ctl::{Client, Edit, new_operation},
     serde::{Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
-    standin::{EngineLog, EngineSettings, Execution, Place, ServiceSettings},
+    standin::{EngineLog, EngineSettings, Execution, Place, ServiceFaults, ServiceSettings},
     std::{
         collections::{BTreeMap, BTreeSet},
         fs::{self, File},
@@ -28,20 +28,23 @@
             TcpListener, TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
-        sync::watch,
+        sync::{Semaphore, SemaphorePermit, watch},
         task::{JoinHandle, JoinSet},
         time::{Instant, sleep},
     },
     types::{
-        ConfigVersion, LayerRange, LoadedModel, OperationId, RequestId, ResumePoint, TokenIndex,
-        hash_key,
+        ConfigVersion, LayerRange, LoadedModel, OperationId, RequestId, ResumePoint, StoreReply,
+        StoreRequest, TokenIndex, hash_key,
     },
     wire::{Call, Connection, Reply, ServerEvent, ServerEventReader, hyper::Method},
 };
 
+mod answer;
 mod caller;
 mod cluster;
 mod folder;
+mod inspection;
+mod lifecycle;
 mod process;
 mod record;
 mod recorder;
@@ -51,6 +54,7 @@
 mod until;
 
 pub use {
+    answer::Answer,
     caller::{Caller, Stream},
     cluster::{Cluster, engine_log},
     folder::Folder,
--- a/crates/suite/src/process.rs
+++ b/crates/suite/src/process.rs
@@ -67,6 +67,15 @@
         Ok(text.parse()?)
     }
 
+    /// Whether the process accepts connections. A frozen one does, as the system accepts for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it announced no address.
+    pub async fn is_listening(&self) -> Result<bool> {
+        Ok(TcpStream::connect(self.address("address")?).await.is_ok())
+    }
+
     /// Lines on standard output so far, without the first one.
     #[must_use]
     pub fn output(&self) -> Vec<String> {
--- a/crates/suite/src/recorder.rs
+++ b/crates/suite/src/recorder.rs
@@ -70,6 +70,13 @@
             .sum()
     }
 
+    /// Newest version of an accepted edit.
+    #[must_use]
+    pub fn newest_version(&self) -> Option<ConfigVersion> {
+        let records = self.lock();
+        records.accepted.iter().map(|(_, version)| *version).max()
+    }
+
     /// Records the version that an instance showed.
     pub fn observed(&self, instance: &str, version: ConfigVersion) {
         let mut records = self.lock();
--- a/crates/suite/src/setup.rs
+++ b/crates/suite/src/setup.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Test account.
+pub(crate) const ACCOUNT: &str = "tester";
+
 /// Key of the test account.
 pub const CALLER_KEY: &str = "suite-caller-key";
 
