--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use {
     bytes::Bytes,
     control::{
-        AddressAnswer, AppendAnswer, CallQuery, Command, EntryAddress, Event, Holder, Identity,
-        JournalAppend, OwnerStatus, Status, TakeAnswer,
+        AddressAnswer, AppendAnswer, CallQuery, Command, EntryAddress, Event, Identity,
+        JournalAppend, OwnerStatus, Status, TakeAnswer, TakeRequest,
     },
     entry::{AddressQuery, App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
@@ -22,11 +22,11 @@
     target::{Engines, RecordStream, Services},
     tokio::sync::{Mutex as AsyncMutex, mpsc},
     types::{
-        Account, AccountId, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord,
-        FailureKind, GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange,
-        Listing, ListingRole, Lists, LoadReport, OperationKind, Order, Plan, PriorityRequest,
-        RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest,
-        StreamRecord, TokenRecord, hash_key,
+        Account, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord, FailureKind,
+        GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange, Listing,
+        ListingRole, Lists, LoadReport, OperationKind, Order, Plan, PriorityRequest, RequestId,
+        Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StreamRecord,
+        TokenRecord, hash_key,
     },
     wire::{
         Request, Response,
--- a/crates/entry/tests/support/network.rs
+++ b/crates/entry/tests/support/network.rs
@@ -82,13 +82,8 @@
     fn take_journal(
         &self,
         address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
+        take: TakeRequest,
     ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, move |peer| {
-            peer.take_journal(request, account, taker, only_idle)
-        })
+        self.call(address, move |peer| peer.take_journal(take))
     }
 }
