--- a/crates/control/src/edit.rs
+++ b/crates/control/src/edit.rs
@@ -55,7 +55,9 @@
     pub(crate) expires_at: Duration,
     /// Number of the range read that the edit waits for.
     pub(crate) read_number: u64,
-    /// Paced reads so far.
+    /// Time before which no read decides its next step, after a failed one.
+    pub(crate) retry_at: Duration,
+    /// Failed steps so far.
     pub(crate) retry_count: u32,
     pub(crate) send_count: u32,
     /// Version of the head row that its last write required.
@@ -87,6 +89,7 @@
             change,
             expires_at: context.now + Duration::from_millis(self.settings.edit_ms),
             read_number: 0,
+            retry_at: Duration::ZERO,
             retry_count: 0,
             send_count: 0,
             sent_head: None,
