--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -1,77 +1,13 @@
 use super::*;
 
-/// Bytes counted for a journal besides its texts.
-const FIXED_BYTES: usize = 512;
-
-/// Bytes counted for a token besides its text.
-const TOKEN_BYTES: usize = 32;
-
-/// Limits on the journals of one instance.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct JournalSettings {
-    /// Time after which a journal without new tokens is dropped, in milliseconds. At least the
-    /// longest stream; it ends copies whose owner lives on and whose last message was lost.
-    pub idle_ms: u64,
-    /// Most memory for journals and copies together, in bytes. Past it, ended journals are dropped,
-    /// oldest end first; if that is not enough, new ones are refused.
-    pub max_bytes: usize,
-    /// Time that a journal is kept after its stream ended or its owner was lost, in milliseconds.
-    pub retention_ms: u64,
-}
-
-impl Default for JournalSettings {
-    fn default() -> Self {
-        Self {
-            idle_ms: 30 * 60 * 1_000,
-            max_bytes: 8 * 1024 * 1024,
-            retention_ms: 60_000,
-        }
-    }
-}
-
-/// A journal with what decides how long it is kept and who may have it.
-#[derive(Clone, Debug)]
-struct Entry {
-    bytes: usize,
-    /// Hand-overs of the stream before `owner`.
-    epoch: u32,
-    /// When retention ends; none while the stream runs and its owner is heard from.
-    expires: Option<Duration>,
-    journal: Journal,
-    /// Who serves the stream.
-    owner: Holder,
-    /// Who took the stream over. Invariant: once set, only this holder, or one of a later epoch,
-    /// replaces the entry.
-    taker: Option<Holder>,
-    /// When the newest tokens came.
-    touched: Duration,
-}
-
-impl Entry {
-    /// Who holds the stream, if it is not `holder`.
-    fn other_holder(&self, holder: &Holder) -> Option<InstanceId> {
-        let current = self.taker.as_ref().unwrap_or(&self.owner);
-        (current != holder).then(|| current.instance.clone())
-    }
-
-    /// Who holds the stream, if `holder` of `epoch` may not replace it. A holder that took the
-    /// stream elsewhere later than the one known here has a higher epoch.
-    fn successor(&self, holder: &Holder, epoch: u32) -> Option<InstanceId> {
-        let known = self.epoch + u32::from(self.taker.is_some());
-        if epoch > known {
-            return None;
-        }
-        self.other_holder(holder)
-    }
-}
-
 /// Journals of the streams that this instance serves, and copies that it keeps for peers.
 #[derive(Debug)]
 pub struct Journals {
     bytes: usize,
+    /// Invariant: the sum of the entries' charges, at most `max_bytes`.
+    charged: usize,
     /// Invariant: `bytes` is the sum of the entries' bytes.
-    entries: BTreeMap<RequestId, Entry>,
+    entries: BTreeMap<RequestId, JournalEntry>,
     settings: JournalSettings,
 }
 
@@ -81,6 +17,7 @@
     pub fn new(settings: JournalSettings) -> Self {
         Self {
             bytes: 0,
+            charged: 0,
             entries: BTreeMap::new(),
             settings,
         }
@@ -111,8 +48,14 @@
                 }
                 let skipped = usize::try_from(next - from).unwrap_or(usize::MAX);
                 let fresh: Vec<Arc<str>> = tokens.into_iter().skip(skipped).collect();
-                let added = fresh.iter().map(token_bytes).sum();
-                if !self.make_room(added, &request) {
+                let added: usize = fresh.iter().map(token_bytes).sum();
+                let more = (entry.bytes + added).saturating_sub(entry.charge());
+                let eviction = if entry.is_own {
+                    Eviction::Copies
+                } else {
+                    Eviction::Ended
+                };
+                if !self.make_room(more, &request, eviction) {
                     return AppendAnswer::Full;
                 }
                 self.extend(now, &request, fresh, attempt, finish)
@@ -121,16 +64,45 @@
                 epoch,
                 journal,
                 owner,
-            } => self.insert(now, journal, epoch, owner),
+            } => self.insert(now, journal, epoch, owner, Purpose::Copy),
         }
     }
 
+    /// Opens the journal of a stream that this instance serves, and reserves memory for its longest
+    /// answer, so that a running stream does not end for want of memory. A resumed stream also takes
+    /// the place of copies, because its caller was accepted before.
+    pub fn open(
+        &mut self,
+        now: Duration,
+        journal: Journal,
+        epoch: u32,
+        owner: Holder,
+    ) -> AppendAnswer {
+        self.expire(now);
+        self.insert(now, journal, epoch, owner, Purpose::Serve)
+    }
+
+    /// Whether a stream with an answer of up to `max_tokens` could be resumed here. Asked before a
+    /// journal is taken, because a taker that cannot keep it would lose the stream.
+    pub fn can_resume(&mut self, now: Duration, request: &RequestId, max_tokens: u32) -> bool {
+        self.expire(now);
+        let need = reserved_bytes(FIXED_BYTES, max_tokens, &self.settings);
+        let held = self.entries.get(request).map_or(0, JournalEntry::charge);
+        self.has_room(need.saturating_sub(held), request, Eviction::Copies)
+    }
+
     /// Bytes counted for all journals.
     #[must_use]
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 
+    /// Bytes counted for all journals, with what is reserved for running streams.
+    #[must_use]
+    pub fn charged_bytes(&self) -> usize {
+        self.charged
+    }
+
     /// Journals held, of both kinds.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -140,16 +112,18 @@
     /// Drops journals whose retention is over.
     pub fn expire(&mut self, now: Duration) {
         let idle = Duration::from_millis(self.settings.idle_ms);
-        let mut freed = 0;
+        let (mut bytes, mut charged) = (0, 0);
         self.entries.retain(|_, entry| {
             let is_idle = now.saturating_sub(entry.touched) >= idle;
             let kept = !is_idle && entry.expires.is_none_or(|expires| expires > now);
             if !kept {
-                freed += entry.bytes;
+                bytes += entry.bytes;
+                charged += entry.charge();
             }
             kept
         });
-        self.bytes -= freed;
+        self.bytes -= bytes;
+        self.charged -= charged;
     }
 
     /// The journal of a request as far as it is held here.
@@ -192,10 +166,12 @@
             };
         }
         entry.expires = Some(expires);
-        TakeAnswer::Given {
+        let given = TakeAnswer::Given {
             epoch: entry.epoch + 1,
             journal: Box::new(entry.journal.clone()),
-        }
+        };
+        self.release(&take.request);
+        given
     }
 
     /// Starts the retention of a journal, unless it has started.
@@ -208,9 +184,9 @@
             return AppendAnswer::Taken { by };
         }
         entry.expires.get_or_insert(expires);
-        AppendAnswer::Appended {
-            next: token_count(&entry.journal),
-        }
+        let next = token_count(&entry.journal);
+        self.release(request);
+        AppendAnswer::Appended { next }
     }
 
     fn extend(
@@ -226,16 +202,20 @@
             return AppendAnswer::Incomplete { next: 0 };
         };
         let added: usize = tokens.iter().map(token_bytes).sum();
+        let charge = entry.charge();
         entry.bytes += added;
         self.bytes += added;
+        self.charged += entry.charge() - charge;
         entry.journal.attempt = entry.journal.attempt.max(attempt);
         entry.journal.tokens.extend(tokens);
         entry.journal.finish = entry.journal.finish.or(finish);
         entry.expires = entry.journal.finish.map(|_| expires);
         entry.touched = now;
-        AppendAnswer::Appended {
-            next: token_count(&entry.journal),
+        let next = token_count(&entry.journal);
+        if entry.journal.finish.is_some() {
+            self.release(request);
         }
+        AppendAnswer::Appended { next }
     }
 
     fn insert(
@@ -244,10 +224,10 @@
         journal: Journal,
         epoch: u32,
         owner: Holder,
+        purpose: Purpose,
     ) -> AppendAnswer {
         let request = journal.request.clone();
         let next = token_count(&journal);
-        let mut replaced = 0;
         if let Some(entry) = self.entries.get_mut(&request) {
             if let Some(by) = entry.successor(&owner, epoch) {
                 return AppendAnswer::Taken { by };
@@ -258,60 +238,102 @@
                 entry.journal.attempt = entry.journal.attempt.max(journal.attempt);
                 return AppendAnswer::Appended { next: kept };
             }
-            replaced = entry.bytes;
         }
         let bytes = journal_bytes(&journal);
-        if !self.make_room(bytes.saturating_sub(replaced), &request) {
-            return AppendAnswer::Full;
-        }
-        let entry = Entry {
+        let is_running = purpose == Purpose::Serve && journal.finish.is_none();
+        let missing = journal.max_tokens.saturating_sub(next);
+        let entry = JournalEntry {
             bytes,
             epoch,
             expires: journal.finish.map(|_| now + self.retention()),
+            is_own: purpose == Purpose::Serve,
             journal,
             owner,
+            reserved: match is_running {
+                false => 0,
+                true => reserved_bytes(bytes, missing, &self.settings),
+            },
             taker: None,
             touched: now,
         };
-        self.bytes = self.bytes - replaced + bytes;
+        let replaced = self.entries.get(&request).map_or(0, JournalEntry::charge);
+        let eviction = if purpose == Purpose::Serve && epoch > 0 {
+            Eviction::Copies
+        } else {
+            Eviction::Ended
+        };
+        let more = entry.charge().saturating_sub(replaced);
+        if !self.make_room(more, &request, eviction) {
+            return AppendAnswer::Full;
+        }
+        self.remove(&request);
+        self.bytes += entry.bytes;
+        self.charged += entry.charge();
         self.entries.insert(request, entry);
         AppendAnswer::Appended { next }
     }
 
-    /// Drops ended journals, oldest end first, until `added` bytes fit. Journals that were taken
-    /// over stay, because they turn later takers away.
-    fn make_room(&mut self, added: usize, kept: &RequestId) -> bool {
-        while self.bytes + added > self.settings.max_bytes {
-            let oldest = self
+    /// Drops what `eviction` allows until `added` bytes fit: ended journals, oldest end first, and
+    /// then the largest copies. Drops nothing when that is not enough.
+    fn make_room(&mut self, added: usize, kept: &RequestId, eviction: Eviction) -> bool {
+        if !self.has_room(added, kept, eviction) {
+            return false;
+        }
+        while self.charged + added > self.settings.max_bytes {
+            let evictable = self
                 .entries
                 .iter()
-                .filter(|(request, entry)| *request != kept && entry.taker.is_none())
-                .filter_map(|(request, entry)| Some((entry.expires?, request.clone())))
-                .min();
-            let Some((_, request)) = oldest else {
+                .filter(|(request, entry)| *request != kept && entry.is_evictable(eviction));
+            let next = evictable.min_by_key(|(_, entry)| {
+                let is_running = entry.expires.is_none();
+                (is_running, entry.expires, Reverse(entry.bytes))
+            });
+            let Some((request, _)) = next else {
                 return false;
             };
-            if let Some(entry) = self.entries.remove(&request) {
-                self.bytes -= entry.bytes;
-            }
+            let request = request.clone();
+            self.remove(&request);
         }
         true
     }
 
-    fn retention(&self) -> Duration {
-        Duration::from_millis(self.settings.retention_ms)
+    fn has_room(&self, added: usize, kept: &RequestId, eviction: Eviction) -> bool {
+        if self.charged.saturating_add(added) <= self.settings.max_bytes {
+            return true;
+        }
+        let evictable = self
+            .entries
+            .iter()
+            .filter(|(request, entry)| *request != kept && entry.is_evictable(eviction));
+        let freed: usize = evictable.map(|(_, entry)| entry.charge()).sum();
+        let needed = (self.charged - freed).saturating_add(added);
+        needed <= self.settings.max_bytes
     }
-}
 
-fn journal_bytes(journal: &Journal) -> usize {
-    let tokens: usize = journal.tokens.iter().map(token_bytes).sum();
-    FIXED_BYTES + journal.prompt.len() + tokens
-}
+    /// Gives back what was reserved for the rest of an answer.
+    fn release(&mut self, request: &RequestId) {
+        if let Some(entry) = self.entries.get_mut(request) {
+            let charge = entry.charge();
+            entry.reserved = 0;
+            self.charged -= charge - entry.charge();
+        }
+    }
+
+    fn remove(&mut self, request: &RequestId) {
+        if let Some(entry) = self.entries.remove(request) {
+            self.bytes -= entry.bytes;
+            self.charged -= entry.charge();
+        }
+    }
 
-fn token_bytes(token: &Arc<str>) -> usize {
-    TOKEN_BYTES + token.len()
+    fn retention(&self) -> Duration {
+        Duration::from_millis(self.settings.retention_ms)
+    }
 }
 
-fn token_count(journal: &Journal) -> TokenIndex {
-    TokenIndex::try_from(journal.tokens.len()).unwrap_or(TokenIndex::MAX)
+/// What an entry is for.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Purpose {
+    Copy,
+    Serve,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -54,6 +54,7 @@
 mod history;
 mod identity;
 mod journal;
+mod journal_entry;
 mod journal_message;
 mod life;
 mod limit;
@@ -100,6 +101,10 @@
     config_read::Reader,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
+    journal_entry::{
+        Eviction, FIXED_BYTES, JournalEntry, journal_bytes, reserved_bytes, token_bytes,
+        token_count,
+    },
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
@@ -129,7 +134,8 @@
     event::{CallQuery, Event, OwnerStatus},
     history::History,
     identity::Identity,
-    journal::{JournalSettings, Journals},
+    journal::Journals,
+    journal_entry::JournalSettings,
     journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer, TakeRequest},
     life::{Requests, Scope},
     limit::Limits,
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -115,7 +115,7 @@
     /// Guards against two instances that serve one stream, and against memory past the bound.
     #[test]
     fn one_taker_and_bounded_memory(
-        steps in prop::collection::vec((0u8..5, 0u8..6, 0u8..3, 0u64..30_000), 1..80),
+        steps in prop::collection::vec((0u8..6, 0u8..6, 0u8..3, 0u64..30_000), 1..80),
     ) {
         let settings = JournalSettings { max_bytes: 2_500, ..JournalSettings::default() };
         let mut journals = Journals::new(settings);
@@ -133,6 +133,7 @@
                 1 => { journals.append(now, tokens(&request, 0, &answer(5))); }
                 2 => { journals.append(now, end(&request)); }
                 3 => journals.keep_owners(now, &live("b")),
+                4 => { journals.open(now, journal(&request, &[]), 0, holder("a")); }
                 _ => {
                     let take = take_as(&request, "lagoon", "a", &instance);
                     let answer = journals.take(now, &take);
@@ -142,7 +143,8 @@
                     }
                 }
             }
-            prop_assert!(journals.bytes() <= settings.max_bytes);
+            prop_assert!(journals.bytes() <= journals.charged_bytes());
+            prop_assert!(journals.charged_bytes() <= settings.max_bytes);
         }
     }
 }
@@ -242,3 +244,39 @@
     journals.expire(minutes(50));
     assert_eq!((journals.count(), journals.bytes()), (0, 0));
 }
+
+/// Guards against a running stream that ends for want of memory: its longest answer is reserved,
+/// and tokens that are longer than that take the place of copies.
+#[test]
+fn an_accepted_stream_has_room_for_its_whole_answer() {
+    let settings = JournalSettings {
+        max_bytes: 2 * (512 + 6 + 100 * (32 + 16)),
+        ..JournalSettings::default()
+    };
+    let (now, mut journals) = (Duration::ZERO, Journals::new(settings));
+    journals.append(now, whole("copy"));
+    journals.append(now, tokens("copy", 0, &answer(100)));
+    let opened = AppendAnswer::Appended { next: 0 };
+    assert_eq!(
+        journals.open(now, journal("r", &[]), 0, holder("a")),
+        opened
+    );
+    // A copy does not make way for a new stream, only for one that was accepted before.
+    let second = journal("s", &[]);
+    assert_eq!(
+        journals.open(now, second.clone(), 0, holder("a")),
+        AppendAnswer::Full
+    );
+    assert!(journals.can_resume(now, &"s".into(), 100));
+    let long: Vec<Arc<str>> = vec!["x".repeat(60).into(); 100];
+    let appended = AppendAnswer::Appended { next: 100 };
+    assert_eq!(journals.append(now, tokens("r", 0, &long)), appended);
+    assert!(journals.get(&"copy".into()).is_none());
+    assert_eq!(
+        journals.open(now, second.clone(), 1, holder("a")),
+        AppendAnswer::Full
+    );
+    assert!(!journals.can_resume(now, &"s".into(), 100));
+    journals.append(now, end("r"));
+    assert_eq!(journals.open(now, second, 0, holder("a")), opened);
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -98,6 +98,7 @@
         journals.expire(self.now());
         lock(&self.backups).retain(|request, _| journals.get(request).is_some());
         metrics::gauge!("entry_journal_bytes").set(journals.bytes() as f64);
+        metrics::gauge!("entry_journal_charged_bytes").set(journals.charged_bytes() as f64);
         metrics::gauge!("entry_journals").set(journals.count() as f64);
     }
 
--- a/crates/entry/src/copier.rs
+++ b/crates/entry/src/copier.rs
@@ -22,12 +22,7 @@
         holder: Holder,
     ) -> Result<Self, Fault> {
         let request = journal.request.clone();
-        let append = JournalAppend::Whole {
-            epoch,
-            journal,
-            owner: holder.clone(),
-        };
-        let answer = lock(&app.journals).append(app.now(), append);
+        let answer = lock(&app.journals).open(app.now(), journal, epoch, holder.clone());
         match answer {
             AppendAnswer::Appended { next } => Ok(Self {
                 app,
@@ -101,13 +96,19 @@
         self.copy_whole().await
     }
 
-    /// Starts the retention of the journal and its copy.
-    pub(crate) async fn end(&mut self) {
+    /// Starts the retention of the journal here, unless another holder has it.
+    pub(crate) fn end_here(&self) -> JournalAppend {
         let append = JournalAppend::End {
             owner: self.holder.clone(),
             request: self.request.clone(),
         };
         self.keep(append.clone());
+        append
+    }
+
+    /// Starts the retention of the journal and its copy.
+    pub(crate) async fn end(&mut self) {
+        let append = self.end_here();
         if let Some((_, address)) = self.backup {
             // A copy that misses this is dropped after `journal.idle_ms`.
             let _ = self.app.parts.peers.append_journal(address, append).await;
@@ -179,7 +180,8 @@
     }
 }
 
-fn no_memory() -> Fault {
+/// Fault of a stream that the memory for journals has no place for.
+pub(crate) fn no_memory() -> Fault {
     let message = "the memory for streams of this instance is used up; use another address";
     Fault::new(StatusCode::SERVICE_UNAVAILABLE, "journal_memory", message)
         .retry_after(Duration::from_secs(1))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -98,7 +98,7 @@
     cache_move::CacheMove,
     calls::fingerprint,
     control_thread::ControlAddress,
-    copier::Copier,
+    copier::{Copier, no_memory},
     directory::{Directory, check_operator},
     drain::{drain, register},
     end::End,
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -14,6 +14,10 @@
 pub(crate) async fn resume(app: &Arc<App>, request: &Request, id: &str) -> Result<Response, Fault> {
     let caller = app.directory().sign_in(request)?;
     let point = read_point(request, id)?;
+    let max_tokens = app.settings.stream.max_tokens;
+    if !lock(&app.journals).can_resume(app.now(), &point.request, max_tokens) {
+        return Err(no_memory());
+    }
     let holder = Holder {
         instance: app.identity.instance.clone(),
         nonce: random_id(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -115,7 +115,12 @@
                 self.copier.end().await;
                 self.output.fail(Failure::Refused(refusal)).await;
             }
-            End::TakenOver => self.output.fail(Failure::Fault(taken_over())).await,
+            End::TakenOver => {
+                // A backup that this instance could not reach may have given the stream away, so
+                // nobody else ends the journal here.
+                self.copier.end_here();
+                self.output.fail(Failure::Fault(taken_over())).await;
+            }
         }
     }
 
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    control::{Command, Event},
+    control::{CallQuery, Command, Event, OwnerStatus},
     entry::Settings,
     serde_json::Value,
     settings::parse,
@@ -230,6 +230,31 @@
     }
 }
 
+/// Guards against a question about a key that a peer takes for one about a claim, or whose answer
+/// does not name the peer.
+#[parameterized(
+    key = { CallQuery::Key { body_hash: "h".into(), key: "call/lagoon/k".into() }, "b", OwnerStatus::Running },
+    lost_peer = { CallQuery::Nonce("n".into()), "z", OwnerStatus::NoReply },
+    nonce = { CallQuery::Nonce("n".into()), "b", OwnerStatus::UnknownClaim },
+)]
+#[test_macro(tokio::test)]
+async fn peers_are_asked_for_calls(query: CallQuery, owner: &str, status: OwnerStatus) {
+    let network = Network::default();
+    let (asking, _asked) = (Fixture::on(&network, "a"), Fixture::on(&network, "b"));
+    asking.app.execute(Command::AskOwner {
+        owner: owner.into(),
+        peer_address: peer_address(owner),
+        query,
+        request: "r".into(),
+    });
+    let answer = Event::OwnerAnswered {
+        owner: owner.into(),
+        request: "r".into(),
+        status,
+    };
+    assert_eq!(asking.event().await, answer);
+}
+
 fn edit_answers() -> [(EditAnswer, u16, &'static str); 5] {
     let retry_after = Duration::from_secs(1);
     [
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use {
     control::{Command, Event},
+    entry::Settings,
     support::*,
     types::{AttemptFailure, FailureKind, Refusal, RefusalKind, StreamRecord},
     wire::Response,
@@ -295,3 +296,84 @@
         assert_eq!(resumed.status(), 200);
     }
 }
+
+/// Room for the longest answers of two streams of 9 tokens.
+fn room_for_two(settings: &mut Settings) {
+    settings.stream.max_tokens = 9;
+    settings.journal.max_bytes = 2 * (512 + 1 + 9 * (32 + 16));
+}
+
+/// Guards against accepted streams that end in the middle because later ones used up the memory.
+#[tokio::test]
+async fn new_streams_are_refused_before_memory_runs_out() {
+    let fixture = Fixture::with_settings(&Network::default(), "a", room_for_two);
+    let streams = [fixture.stream(None).await, fixture.stream(None).await];
+    let refused = fixture.send(prompt(true)).await;
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["retry-after"], "1");
+    assert!(read_all(refused).await.contains("journal_memory"));
+    for (response, _, records) in streams {
+        for index in 0..9 {
+            records.send(token(1, index)).unwrap();
+        }
+        records.send(end(1, 9)).unwrap();
+        let text = read_all(response).await;
+        assert_eq!(parse_events(&text).0, "t0 t1 t2 t3 t4 t5 t6 t7 t8 ");
+        while !matches!(fixture.event().await, Event::GenerateCompleted { .. }) {}
+    }
+    // What the ended streams reserved is free again.
+    fixture.stream(None).await;
+}
+
+/// Guards against a resume that takes a journal which it has no memory for, so that nobody else
+/// gets it.
+#[tokio::test]
+async fn a_full_instance_takes_no_journal() {
+    let network = Network::default();
+    let (owner, other) = (
+        Fixture::on(&network, "a"),
+        Fixture::with_settings(&network, "c", room_for_two),
+    );
+    owner.read_listing().await;
+    other.read_listing().await;
+    let _streams = [other.stream(None).await, other.stream(None).await];
+    let (mut response, _, records) = owner.stream(None).await;
+    records.send(token(1, 0)).unwrap();
+    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let refused = other.send(resume(&id, "key-1")).await;
+    assert!(read_all(refused).await.contains("journal_memory"));
+    assert_eq!(owner.send(resume(&id, "key-1")).await.status(), 200);
+}
+
+/// Guards against a resumed stream that repeats, skips or mixes tokens when owner and backup, cut
+/// off from each other, each hand it to another resumer.
+#[tokio::test]
+async fn both_resumers_of_a_partition_deliver_a_right_stream() {
+    let network = Network::default();
+    let fixtures = ["a", "b", "c", "d"].map(|instance| Fixture::on(&network, instance));
+    for fixture in &fixtures {
+        fixture.read_listing().await;
+    }
+    let [owner, _, from_owner, from_backup] = &fixtures;
+    let (mut response, _, records) = owner.stream(Some("b")).await;
+    records.send(token(1, 0)).unwrap();
+    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    network.cut("a", "b");
+    network.cut("a", "d");
+    for resumer in [from_owner, from_backup] {
+        let resumed = resumer.send(resume(&id, "key-1")).await;
+        assert_eq!(resumed.status(), 200);
+        let Event::GenerateSubmitted(submission) = resumer.event().await else {
+            panic!("the rest is submitted");
+        };
+        resumer.app.execute(dispatch(&submission.request, 1, None));
+        let (generation, records) = resumer.generation().await;
+        assert_eq!(generation.delivered.len(), 1);
+        // Late output of the first run has its attempt number and is dropped.
+        for record in [token(1, 1), token(2, 1), token(2, 2), end(2, 3)] {
+            records.send(record).unwrap();
+        }
+        assert_eq!(parse_events(&read_all(resumed).await).0, "t1 t2 ");
+    }
+    assert!(read_all(response).await.contains("taken_over"));
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -39,9 +39,13 @@
 
 pub type Records = mpsc::UnboundedSender<Result<StreamRecord, AttemptFailure>>;
 
-/// Instances by peer address; a call to any other address fails.
+/// Instances by peer address, as one of them reaches them; a call to any other address fails.
 #[derive(Clone, Default)]
-pub struct Network(Arc<Mutex<HashMap<SocketAddr, Arc<dyn PeerHandler>>>>);
+pub struct Network {
+    cuts: Arc<Mutex<Vec<[SocketAddr; 2]>>>,
+    handlers: Arc<Mutex<HashMap<SocketAddr, Arc<dyn PeerHandler>>>>,
+    own: Option<SocketAddr>,
+}
 
 pub struct Fixture {
     pub app: Arc<App>,
@@ -78,16 +82,30 @@
 
     /// Instance that reaches engines with `engines` instead of the fake.
     pub fn with_engines(engines: Arc<dyn Engines>) -> Self {
-        Self::build(&Network::default(), "a", Some(engines))
+        Self::build(&Network::default(), "a", Some(engines), |_| {})
+    }
+
+    /// Instance with other settings.
+    pub fn with_settings(
+        network: &Network,
+        instance: &str,
+        adjust: impl FnOnce(&mut Settings),
+    ) -> Self {
+        Self::build(network, instance, None, adjust)
     }
 
     /// Instance on a network, with accounts `lagoon` (key `key-1`) and `other` (key `key-2`) and
     /// an operator's key `operator`.
     pub fn on(network: &Network, instance: &str) -> Self {
-        Self::build(network, instance, None)
+        Self::build(network, instance, None, |_| {})
     }
 
-    fn build(network: &Network, instance: &str, engines: Option<Arc<dyn Engines>>) -> Self {
+    fn build(
+        network: &Network,
+        instance: &str,
+        engines: Option<Arc<dyn Engines>>,
+        adjust: impl FnOnce(&mut Settings),
+    ) -> Self {
         let (event_sender, events) = mpsc::unbounded_channel();
         let (generation_sender, generations) = mpsc::unbounded_channel();
         let (cancels, canceled) = mpsc::unbounded_channel();
@@ -102,7 +120,7 @@
             control: Arc::new(FakeControl(event_sender)),
             engines: engines.unwrap_or_else(|| targets.clone()),
             listings: Arc::new(FakePlatform),
-            peers: Arc::new(network.clone()),
+            peers: Arc::new(network.seen_from(instance)),
             services: targets.clone(),
             table: Arc::new(FakePlatform),
         };
@@ -113,6 +131,7 @@
         };
         settings.stream.batch_ms = 0;
         settings.edit_limit_ms = 3_600_000;
+        adjust(&mut settings);
         let identity = Identity {
             address: settings.address,
             failure_domain: "zone".into(),
@@ -183,8 +202,12 @@
         async { Changes::Records(Vec::new()) }.boxed()
     }
 
-    fn owner_status(&self, _: CallQuery) -> BoxFuture<'static, OwnerStatus> {
-        async { OwnerStatus::Running }.boxed()
+    fn owner_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
+        let status = match query {
+            CallQuery::Key { .. } => OwnerStatus::Running,
+            CallQuery::Nonce(_) => OwnerStatus::UnknownClaim,
+        };
+        async { status }.boxed()
     }
 
     fn report(&self, event: Event) {
@@ -213,7 +236,7 @@
 impl Listings for FakePlatform {
     fn read(&self) -> BoxFuture<'static, Result<Vec<Listing>, StoreFailure>> {
         let mut listings = Vec::new();
-        for instance in ["a", "b", "c"] {
+        for instance in ["a", "b", "c", "d"] {
             let peer_address = peer_address(instance);
             listings.push(listing(instance, ListingRole::Entry { peer_address }));
         }
--- a/crates/entry/tests/support/network.rs
+++ b/crates/entry/tests/support/network.rs
@@ -2,18 +2,36 @@
 
 impl Network {
     pub fn join(&self, instance: &str, handler: Arc<dyn PeerHandler>) {
-        let mut handlers = self.0.lock().expect("no panic");
+        let mut handlers = self.handlers.lock().expect("no panic");
         handlers.insert(peer_address(instance), handler);
     }
 
     pub fn lose(&self, instance: &str) {
-        let mut handlers = self.0.lock().expect("no panic");
+        let mut handlers = self.handlers.lock().expect("no panic");
         handlers.remove(&peer_address(instance));
     }
 
+    /// Cuts two instances off from each other.
+    pub fn cut(&self, left: &str, right: &str) {
+        let pair = [left, right].map(peer_address);
+        self.cuts.lock().expect("no panic").push(pair);
+    }
+
+    pub fn seen_from(&self, instance: &str) -> Self {
+        Self {
+            own: Some(peer_address(instance)),
+            ..self.clone()
+        }
+    }
+
     fn at(&self, address: SocketAddr) -> Result<Arc<dyn PeerHandler>, Error> {
-        let handlers = self.0.lock().expect("no panic");
-        handlers.get(&address).cloned().ok_or(Error::Connect {
+        let cuts = self.cuts.lock().expect("no panic");
+        let is_cut = |pair: &[SocketAddr; 2]| {
+            pair.contains(&address) && self.own.is_some_and(|own| pair.contains(&own))
+        };
+        let handlers = self.handlers.lock().expect("no panic");
+        let handler = handlers.get(&address).filter(|_| !cuts.iter().any(is_cut));
+        handler.cloned().ok_or(Error::Connect {
             address,
             message: "lost".into(),
         })
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -17,7 +17,7 @@
     },
 };
 
-/// Writes down what it is asked and gives fixed answers; never answers `call_status`.
+/// Writes down what it is asked and gives fixed answers; never answers a question about a nonce.
 #[derive(Default)]
 struct Fake {
     calls: Mutex<Vec<String>>,
@@ -35,8 +35,12 @@
         async { AppendAnswer::Appended { next: 3 } }.boxed()
     }
 
-    fn call_status(&self, _: CallQuery) -> BoxFuture<'static, OwnerStatus> {
-        futures::future::pending().boxed()
+    fn call_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
+        let CallQuery::Key { key, .. } = query else {
+            return futures::future::pending().boxed();
+        };
+        self.record(format!("status {key}"));
+        async { OwnerStatus::Running }.boxed()
     }
 
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes> {
