--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -44,6 +44,8 @@
 mod config_settings;
 mod context;
 mod decision;
+mod departure;
+mod departure_settings;
 mod detector;
 mod dispatch;
 mod drain;
@@ -87,6 +89,7 @@
 mod status;
 mod store_gate;
 mod submit;
+mod survey;
 mod sweep;
 mod target;
 mod token_row;
@@ -99,6 +102,7 @@
     },
     config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
     config_read::Reader,
+    departure::Moving,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
     journal_entry::{
@@ -109,14 +113,15 @@
     member::TargetEntry,
     outcome::Outbox,
     owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
-    placement::Placements,
+    placement::{Placement, Placements, Shard},
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     store_gate::StoreGate,
     submit::refusal,
+    survey::{Scene, Survey, shard_of},
     sweep::Sweep,
-    token_row::{TOKENS, TokenRow},
+    token_row::{Move, TOKENS, TokenRow},
 };
 
 pub use {
@@ -130,6 +135,7 @@
     config_settings::ConfigSettings,
     context::Context,
     decision::{Candidate, Decision},
+    departure_settings::DepartureSettings,
     drain::Drain,
     event::{CallQuery, Event, OwnerStatus},
     history::History,
@@ -144,7 +150,7 @@
     member_settings::MemberSettings,
     node::Node,
     order::Orders,
-    order_settings::OrderSettings,
+    order_settings::{ModelShape, OrderSettings},
     peer::Peer,
     priority::generation_priority,
     quarantine::Quarantine,
