--- a/crates/entry/src/executor.rs
+++ b/crates/entry/src/executor.rs
@@ -84,20 +84,13 @@
                 to_address,
                 ..
             } => {
-                let copy = CacheMove {
+                self.move_cache(CacheMove {
                     attempt,
                     from,
                     from_address,
-                    request: request.clone(),
+                    request,
                     to_address,
-                };
-                if !self
-                    .registry
-                    .stream(&request, StreamStep::MoveCache(copy.clone()))
-                {
-                    // The stream has ended, so the cache is of no use.
-                    copy.report(self, Err(FailureKind::Refused));
-                }
+                });
                 return None;
             }
             Command::Refuse { refusal, request } => (request, StreamStep::Refuse(refusal)),
@@ -113,6 +106,14 @@
         None
     }
 
+    fn move_cache(&self, copy: CacheMove) {
+        let step = StreamStep::MoveCache(copy.clone());
+        if !self.registry.stream(&copy.request, step) {
+            // The stream has ended, so the cache is of no use.
+            copy.report(self, Err(FailureKind::Refused));
+        }
+    }
+
     /// Carries out a command that waits for the platform or a target.
     async fn exchange(&self, command: Command) {
         match command {
--- a/crates/entry/tests/caches.rs
+++ b/crates/entry/tests/caches.rs
@@ -78,13 +78,9 @@
     let (leaving, replacement) = (engine(20_000).await, engine(100).await);
     let fixture = Fixture::with_engines(Arc::new(EngineClient::default()));
     let body = r#"{"model":"m","prompt":"one two three","max_tokens":500,"seed":9,"stream":true}"#;
-    let headers = [("authorization", "Bearer key-1")];
-    let prompt = request("POST", "/v1/completions", &headers, body);
+    let prompt = request("POST", "/v1/completions", &[KEY], body);
     let response = tokio::spawn(fixture.send(prompt));
-    let Event::GenerateSubmitted(submission) = fixture.event().await else {
-        panic!("a prompt is submitted first");
-    };
-    let request = submission.request;
+    let request = fixture.submitted().await.request;
     fixture.app.execute(run_at(&leaving, &request, 1));
     let mut response = response.await.unwrap();
     let first = read_until(&mut response, "\"text\"").await;
@@ -109,11 +105,13 @@
 async fn moves_name_attempts_as_the_engines_do() {
     let (from, to) = (engine(500).await, engine(500).await);
     let fixture = Fixture::new();
-    let (mut response, request, records) = fixture.stream(None).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let (_response, id, _records) = fixture.begun(None).await;
     let resumed = fixture.send(resume(&id, "key-1")).await;
-    while !matches!(fixture.event().await, Event::GenerateSubmitted(_)) {}
+    let request = loop {
+        if let Event::GenerateSubmitted(submission) = fixture.event().await {
+            break submission.request;
+        }
+    };
     fixture.app.execute(dispatch(&request, 1, None));
     let (generation, _records) = fixture.generation().await;
     fixture.app.execute(move_cache(&request, &from, &to));
--- /dev/null
+++ b/crates/entry/tests/calls.rs
@@ -0,0 +1,157 @@
+//! Calls of services: keys, outcomes, and questions between instances about a call.
+
+mod support;
+
+use {
+    control::{CallQuery, Command, Event, OwnerStatus},
+    serde_json::Value,
+    std::time::Duration,
+    support::*,
+    types::{CallOutcome, CallReply, FailureKind, Refusal, RefusalKind},
+    wire::Request,
+    yare::parameterized,
+};
+
+fn call(operation: &str, headers: &[(&str, &str)]) -> Request {
+    let path = format!("/v1/services/travel/{operation}");
+    request("POST", &path, headers, "{\"seat\":1}")
+}
+
+/// Guards against a key that would reach into the row of another account or call.
+#[tokio::test]
+async fn keys_cannot_name_other_rows() {
+    let fixture = Fixture::new();
+    fixture.read_listing().await;
+    let long = "k".repeat(129);
+    for key in ["", "a/b", "a b", &long] {
+        let headers = [KEY, ("idempotency-key", key)];
+        let call = call("book", &headers);
+        fixture.expect_fault(call, 400, "invalid_key").await;
+    }
+}
+
+fn refused(kind: RefusalKind) -> CallOutcome {
+    let retry_after = Duration::from_secs(3);
+    CallOutcome::NotRun(Refusal { kind, retry_after })
+}
+
+fn reply() -> CallReply {
+    CallReply {
+        body: "{\"seat\":1}".into(),
+        status: 201,
+    }
+}
+
+/// Guards against an outcome that a caller can take for another one, and against a refusal without
+/// a look at the record that seems to speak of earlier submissions.
+#[parameterized(
+    mismatch = { CallOutcome::KeyMismatch, 422, None, "" },
+    not_run = { refused(RefusalKind::Limit), 503, Some("not_run"), "" },
+    ran = { CallOutcome::Ran(reply()), 201, Some("ran"), "" },
+    store_down = { refused(RefusalKind::StoreUnavailable), 503, Some("not_run"), "unknown" },
+    unknown = { CallOutcome::Unknown, 502, Some("unknown"), "" },
+)]
+#[test_macro(tokio::test)]
+async fn outcomes_are_told_apart(
+    outcome: CallOutcome,
+    status: u16,
+    header: Option<&str>,
+    earlier: &str,
+) {
+    let fixture = Fixture::new();
+    fixture.read_listing().await;
+    let headers = [KEY, ("idempotency-key", "k")];
+    let response = tokio::spawn(fixture.send(call("book", &headers)));
+    let request = fixture.submitted_call().await;
+    fixture
+        .app
+        .execute(Command::AnswerCall { outcome, request });
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), status);
+    let told = response.headers().get("x-outcome");
+    assert_eq!(told.and_then(|value| value.to_str().ok()), header);
+    assert_eq!(
+        response.headers().contains_key("retry-after"),
+        header == Some("not_run")
+    );
+    let body: Value = serde_json::from_str(&read_all(response).await).unwrap();
+    let told = body["error"].get("earlier_submissions");
+    assert_eq!(told.and_then(Value::as_str).unwrap_or_default(), earlier);
+    assert_eq!(told.is_some(), !earlier.is_empty());
+}
+
+/// Guards against a key that seems never to have run because the service left the list.
+#[parameterized(
+    with_key = { &[KEY, ("idempotency-key", "k")], true },
+    without_key = { &[KEY], false },
+)]
+#[test_macro(tokio::test)]
+async fn an_unlisted_service_tells_nothing_of_a_key(headers: &[(&str, &str)], is_told: bool) {
+    let fixture = Fixture::new();
+    fixture.read_listing().await;
+    let call = request("POST", "/v1/services/absent/y", headers, "");
+    let response = fixture.send(call).await;
+    assert_eq!(response.headers()["x-outcome"], "not_run");
+    let text = read_all(response).await;
+    assert_eq!(
+        text.contains("\"earlier_submissions\":\"unknown\""),
+        is_told,
+        "{text}"
+    );
+}
+
+/// Guards against a reply that is lost because its caller left or was told `unknown`, and against a
+/// failure that is not reported.
+#[tokio::test]
+async fn a_dispatched_call_is_reported_without_its_caller() {
+    let fixture = Fixture::new();
+    fixture.read_listing().await;
+    let headers = [KEY, ("idempotency-key", "k")];
+    let response = tokio::spawn(fixture.send(call("book", &headers)));
+    let request = fixture.submitted_call().await;
+    response.abort();
+    let gone = Event::CallerGone {
+        request: request.clone(),
+    };
+    assert_eq!(fixture.event().await, gone);
+    let replies = [Ok(reply()), Err(FailureKind::Broken)];
+    fixture.calls.replies.lock().unwrap().extend(replies);
+    for attempt in [1, 2] {
+        fixture.app.execute(Command::DispatchCall {
+            address: peer_address("s"),
+            attempt,
+            request: request.clone(),
+            target: "s".into(),
+        });
+        match fixture.event().await {
+            Event::AttemptFailed { failure, .. } => assert_eq!(failure.attempt, 1),
+            Event::CallCompleted { attempt, .. } => assert_eq!(attempt, 2),
+            event => panic!("{event:?}"),
+        }
+    }
+}
+
+/// Guards against a question about a key that a peer takes for one about a claim, or whose answer
+/// does not name the peer.
+#[parameterized(
+    key = { CallQuery::Key { body_hash: "h".into(), key: "call/lagoon/k".into() }, "b", OwnerStatus::Running },
+    lost_peer = { CallQuery::Nonce("n".into()), "z", OwnerStatus::NoReply },
+    nonce = { CallQuery::Nonce("n".into()), "b", OwnerStatus::UnknownClaim },
+)]
+#[test_macro(tokio::test)]
+async fn peers_are_asked_for_calls(query: CallQuery, owner: &str, status: OwnerStatus) {
+    let network = Network::default();
+    let (asking, _asked) = (Fixture::on(&network, "a"), Fixture::on(&network, "b"));
+    asking.app.execute(Command::AskOwner {
+        owner: owner.into(),
+        peer_address: peer_address(owner),
+        query,
+        request: "r".into(),
+    });
+    let answer = Event::OwnerAnswered {
+        owner: owner.into(),
+        request: "r".into(),
+        status,
+    };
+    assert_eq!(asking.event().await, answer);
+}
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -1,34 +1,12 @@
-//! The interface of callers and operators: sign-in, malformed input, calls, edits and probes.
+//! The interface of callers and operators: sign-in, malformed input, addresses, probes and settings.
 
 mod support;
 
 use {
-    control::{CallQuery, Command, Event, OwnerStatus},
-    entry::Settings,
-    serde_json::Value,
-    settings::parse,
-    std::time::Duration,
-    support::*,
-    types::{
-        CallOutcome, CallReply, Change, EditAnswer, FailureKind, Refusal, RefusalKind, hash_key,
-    },
-    wire::{Request, Response},
+    control::Command, entry::Settings, settings::parse, support::*, types::hash_key,
     yare::parameterized,
 };
 
-const KEY: (&str, &str) = ("authorization", "Bearer key-1");
-const OPERATOR: (&str, &str) = ("authorization", "Bearer operator");
-
-async fn kind(response: Response) -> String {
-    let body: Value = serde_json::from_str(&read_all(response).await).expect("a JSON body");
-    body["error"]["kind"].as_str().unwrap_or_default().into()
-}
-
-fn call(operation: &str, headers: &[(&str, &str)]) -> Request {
-    let path = format!("/v1/services/travel/{operation}");
-    request("POST", &path, headers, "{\"seat\":1}")
-}
-
 /// Guards against access without a key, with a key of another kind, or by a changed key.
 #[parameterized(
     changed = { &["Bearer key-3"] },
@@ -52,9 +30,8 @@
         ("GET", "/v1/completions/r"),
         ("POST", "/v1/services/travel/book"),
     ] {
-        let response = fixture.send(request(method, path, &headers, "{}")).await;
-        assert_eq!(response.status(), 401, "{path}");
-        assert_eq!(kind(response).await, "unknown_key");
+        let request = request(method, path, &headers, "{}");
+        fixture.expect_fault(request, 401, "unknown_key").await;
     }
 }
 
@@ -105,246 +82,8 @@
 ) {
     let fixture = Fixture::new();
     fixture.read_listing().await;
-    let response = fixture.send(request(method, path, &[KEY], body)).await;
-    assert_eq!(response.status(), status);
-    assert_eq!(kind(response).await, expected);
-}
-
-/// Guards against a key that would reach into the row of another account or call.
-#[tokio::test]
-async fn keys_cannot_name_other_rows() {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let long = "k".repeat(129);
-    for key in ["", "a/b", "a b", &long] {
-        let headers = [KEY, ("idempotency-key", key)];
-        let response = fixture.send(call("book", &headers)).await;
-        assert_eq!(kind(response).await, "invalid_key", "{key}");
-    }
-}
-
-fn refused(kind: RefusalKind) -> CallOutcome {
-    let retry_after = Duration::from_secs(3);
-    CallOutcome::NotRun(Refusal { kind, retry_after })
-}
-
-fn reply() -> CallReply {
-    CallReply {
-        body: "{\"seat\":1}".into(),
-        status: 201,
-    }
-}
-
-/// Guards against an outcome that a caller can take for another one, and against a refusal without
-/// a look at the record that seems to speak of earlier submissions.
-#[parameterized(
-    mismatch = { CallOutcome::KeyMismatch, 422, None, "" },
-    not_run = { refused(RefusalKind::Limit), 503, Some("not_run"), "" },
-    ran = { CallOutcome::Ran(reply()), 201, Some("ran"), "" },
-    store_down = { refused(RefusalKind::StoreUnavailable), 503, Some("not_run"), "unknown" },
-    unknown = { CallOutcome::Unknown, 502, Some("unknown"), "" },
-)]
-#[test_macro(tokio::test)]
-async fn outcomes_are_told_apart(
-    outcome: CallOutcome,
-    status: u16,
-    header: Option<&str>,
-    earlier: &str,
-) {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let headers = [KEY, ("idempotency-key", "k")];
-    let response = tokio::spawn(fixture.send(call("book", &headers)));
-    let Event::CallSubmitted(submission) = fixture.event().await else {
-        panic!("the call is submitted");
-    };
-    let request = submission.request;
-    fixture
-        .app
-        .execute(Command::AnswerCall { outcome, request });
-    let response = response.await.unwrap();
-    assert_eq!(response.status(), status);
-    let told = response.headers().get("x-outcome");
-    assert_eq!(told.and_then(|value| value.to_str().ok()), header);
-    assert_eq!(
-        response.headers().contains_key("retry-after"),
-        header == Some("not_run")
-    );
-    let body: Value = serde_json::from_str(&read_all(response).await).unwrap();
-    let told = body["error"].get("earlier_submissions");
-    assert_eq!(told.and_then(Value::as_str).unwrap_or_default(), earlier);
-    assert_eq!(told.is_some(), !earlier.is_empty());
-}
-
-/// Guards against a key that seems never to have run because the service left the list.
-#[parameterized(
-    with_key = { &[KEY, ("idempotency-key", "k")], true },
-    without_key = { &[KEY], false },
-)]
-#[test_macro(tokio::test)]
-async fn an_unlisted_service_tells_nothing_of_a_key(headers: &[(&str, &str)], is_told: bool) {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let call = request("POST", "/v1/services/absent/y", headers, "");
-    let response = fixture.send(call).await;
-    assert_eq!(response.headers()["x-outcome"], "not_run");
-    let text = read_all(response).await;
-    assert_eq!(
-        text.contains("\"earlier_submissions\":\"unknown\""),
-        is_told,
-        "{text}"
-    );
-}
-
-/// Guards against a reply that is lost because its caller left or was told `unknown`, and against a
-/// failure that is not reported.
-#[tokio::test]
-async fn a_dispatched_call_is_reported_without_its_caller() {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let headers = [KEY, ("idempotency-key", "k")];
-    let response = tokio::spawn(fixture.send(call("book", &headers)));
-    let Event::CallSubmitted(submission) = fixture.event().await else {
-        panic!("the call is submitted");
-    };
-    response.abort();
-    let request = submission.request;
-    let gone = Event::CallerGone {
-        request: request.clone(),
-    };
-    assert_eq!(fixture.event().await, gone);
-    let replies = [Ok(reply()), Err(FailureKind::Broken)];
-    fixture.calls.replies.lock().unwrap().extend(replies);
-    for attempt in [1, 2] {
-        fixture.app.execute(Command::DispatchCall {
-            address: peer_address("s"),
-            attempt,
-            request: request.clone(),
-            target: "s".into(),
-        });
-        match fixture.event().await {
-            Event::AttemptFailed { failure, .. } => assert_eq!(failure.attempt, 1),
-            Event::CallCompleted { attempt, .. } => assert_eq!(attempt, 2),
-            event => panic!("{event:?}"),
-        }
-    }
-}
-
-/// Guards against a question about a key that a peer takes for one about a claim, or whose answer
-/// does not name the peer.
-#[parameterized(
-    key = { CallQuery::Key { body_hash: "h".into(), key: "call/lagoon/k".into() }, "b", OwnerStatus::Running },
-    lost_peer = { CallQuery::Nonce("n".into()), "z", OwnerStatus::NoReply },
-    nonce = { CallQuery::Nonce("n".into()), "b", OwnerStatus::UnknownClaim },
-)]
-#[test_macro(tokio::test)]
-async fn peers_are_asked_for_calls(query: CallQuery, owner: &str, status: OwnerStatus) {
-    let network = Network::default();
-    let (asking, _asked) = (Fixture::on(&network, "a"), Fixture::on(&network, "b"));
-    asking.app.execute(Command::AskOwner {
-        owner: owner.into(),
-        peer_address: peer_address(owner),
-        query,
-        request: "r".into(),
-    });
-    let answer = Event::OwnerAnswered {
-        owner: owner.into(),
-        request: "r".into(),
-        status,
-    };
-    assert_eq!(asking.event().await, answer);
-}
-
-fn edit_answers() -> [(EditAnswer, u16, &'static str); 5] {
-    let retry_after = Duration::from_secs(1);
-    [
-        (EditAnswer::Accepted { version: 8 }, 200, "\"accepted\""),
-        (
-            EditAnswer::Conflict { current: 9 },
-            409,
-            "\"current_version\":9",
-        ),
-        (
-            EditAnswer::Invalid {
-                message: "no".into(),
-            },
-            422,
-            "invalid_edit",
-        ),
-        (EditAnswer::Unavailable { retry_after }, 503, "unavailable"),
-        (EditAnswer::Unknown { retry_after }, 202, "\"unknown\""),
-    ]
-}
-
-/// Guards against an operator who takes an edit for accepted, or for lost, when it is not.
-#[tokio::test]
-async fn edits_tell_what_became_of_them() {
-    for (answer, status, part) in edit_answers() {
-        let fixture = Fixture::new();
-        let headers = [OPERATOR, ("if-match", "\"7\""), ("operation-id", "op-1")];
-        let edit = request("DELETE", "/admin/accounts/other", &headers, "");
-        let response = tokio::spawn(fixture.send(edit));
-        let expected = Event::EditSubmitted {
-            base_version: Some(7),
-            change: Change::DeleteAccount { id: "other".into() },
-            operation: "op-1".into(),
-        };
-        assert_eq!(fixture.event().await, expected);
-        let operation = "op-1".into();
-        fixture
-            .app
-            .execute(Command::AnswerEdit { answer, operation });
-        let response = response.await.unwrap();
-        assert_eq!(response.status(), status);
-        assert_eq!(response.headers()["operation-id"], "op-1");
-        let text = read_all(response).await;
-        assert!(text.contains(part), "{text}");
-    }
-}
-
-/// Guards against entries that no key can sign in to, or whose id breaks paths and rows.
-#[parameterized(
-    hash = { "/admin/accounts/x", "{\"plan\":\"large\",\"key_hashes\":[\"key\"]}", &[], 422, "invalid_key_hash" },
-    id = { "/admin/plans/a%2Fb", "{}", &[], 400, "invalid_id" },
-    json = { "/admin/plans/p", "{\"x\":1}", &[], 400, "malformed" },
-    operation = { "/admin/plans/p", "{}", &[("operation-id", "a b")], 400, "invalid_operation_id" },
-    version = { "/admin/plans/p", "{}", &[("if-match", "*")], 400, "invalid_version" },
-)]
-#[test_macro(tokio::test)]
-async fn wrong_edits_are_refused(
-    path: &str,
-    body: &str,
-    headers: &[(&str, &str)],
-    status: u16,
-    expected: &str,
-) {
-    let fixture = Fixture::new();
-    let headers: Vec<(&str, &str)> = headers.iter().copied().chain([OPERATOR]).collect();
-    let response = fixture.send(request("PUT", path, &headers, body)).await;
-    assert_eq!(response.status(), status);
-    assert_eq!(kind(response).await, expected);
-}
-
-/// Guards against replies without the version that the next edit needs.
-#[tokio::test]
-async fn reads_carry_the_version() {
-    let fixture = Fixture::new();
-    for path in [
-        "/admin/accounts",
-        "/admin/accounts/lagoon",
-        "/admin/plans/small",
-    ] {
-        let response = fixture.send(request("GET", path, &[OPERATOR], "")).await;
-        assert_eq!(response.headers()["etag"], "\"7\"", "{path}");
-    }
-    let missing = request("GET", "/admin/plans/x", &[OPERATOR], "");
-    assert_eq!(fixture.send(missing).await.status(), 404);
-    let status = request("GET", "/admin/status", &[OPERATOR], "");
-    let text = read_all(fixture.send(status).await).await;
-    assert!(
-        text.contains("version 7 in force on 2 of 3 instances"),
-        "{text}"
-    );
+    let request = request(method, path, &[KEY], body);
+    fixture.expect_fault(request, status, expected).await;
 }
 
 /// Guards against callers who cannot read the addresses, whose failure domain is ignored, and
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -23,16 +23,17 @@
 async fn tokens_arrive_once_and_in_order() {
     let fixture = Fixture::new();
     let (response, request, records) = fixture.stream(None).await;
-    for record in [
-        token(1, 0),
-        token(1, 2),
-        token(1, 0),
-        token(0, 1),
-        token(1, 1),
-        token(1, 2),
-    ] {
-        records.send(record).unwrap();
-    }
+    feed(
+        &records,
+        [
+            token(1, 0),
+            token(1, 2),
+            token(1, 0),
+            token(0, 1),
+            token(1, 1),
+            token(1, 2),
+        ],
+    );
     records.send(end(1, 3)).unwrap();
     let text = read_all(response).await;
     assert_eq!(parse_events(&text).0, "t0 t1 t2 ");
@@ -49,14 +50,8 @@
 async fn whole_answers_are_one_object() {
     let fixture = Fixture::new();
     let response = tokio::spawn(fixture.send(prompt(false)));
-    let Event::GenerateSubmitted(submission) = fixture.event().await else {
-        panic!("a prompt is submitted first");
-    };
-    fixture.app.execute(dispatch(&submission.request, 1, None));
-    let (_, records) = fixture.generation().await;
-    for record in [token(1, 0), token(1, 1), end(1, 2)] {
-        records.send(record).unwrap();
-    }
+    let (_, _, records) = fixture.run_submitted(1).await;
+    feed(&records, [token(1, 0), token(1, 1), end(1, 2)]);
     let text = read_all(response.await.unwrap()).await;
     let body: serde_json::Value = serde_json::from_str(&text).unwrap();
     assert_eq!(body["choices"][0]["text"], "t0 t1 ");
@@ -85,9 +80,7 @@
     fixture.app.execute(dispatch(&request, 2, None));
     let (generation, records) = fixture.generation().await;
     assert_eq!((generation.attempt, generation.delivered.len()), (2, 1));
-    for record in [token(1, 1), token(2, 0), token(2, 1), end(2, 2)] {
-        records.send(record).unwrap();
-    }
+    feed(&records, [token(1, 1), token(2, 0), token(2, 1), end(2, 2)]);
     assert_eq!(parse_events(&read_all(response).await).0, "t0 t1 ");
 }
 
@@ -119,9 +112,7 @@
     };
     let fixture = Fixture::new();
     let response = tokio::spawn(fixture.send(prompt(true)));
-    let Event::GenerateSubmitted(submission) = fixture.event().await else {
-        panic!("a prompt is submitted first");
-    };
+    let submission = fixture.submitted().await;
     fixture.app.execute(refuse(&submission.request));
     let response = response.await.unwrap();
     assert_eq!(response.status(), 503);
@@ -153,12 +144,7 @@
 #[tokio::test]
 async fn a_lost_backup_is_replaced() {
     let network = Network::default();
-    let (fixture, _b, _c) = (
-        Fixture::on(&network, "a"),
-        Fixture::on(&network, "b"),
-        Fixture::on(&network, "c"),
-    );
-    fixture.read_listing().await;
+    let [fixture, _b, _c] = &Fixture::group(&network, ["a", "b", "c"]).await;
     let (mut response, request, records) = fixture.stream(Some("b")).await;
     records.send(token(1, 0)).unwrap();
     read_until(&mut response, &format!("id: {request}.a.b.1\n")).await;
@@ -172,12 +158,7 @@
 #[tokio::test]
 async fn any_instance_resumes_from_the_backup() {
     let network = Network::default();
-    let (owner, _backup, other) = (
-        Fixture::on(&network, "a"),
-        Fixture::on(&network, "b"),
-        Fixture::on(&network, "c"),
-    );
-    other.read_listing().await;
+    let [owner, _backup, other] = &Fixture::group(&network, ["a", "b", "c"]).await;
     let (mut response, _, records) = owner.stream(Some("b")).await;
     records.send(token(1, 0)).unwrap();
     records.send(token(1, 1)).unwrap();
@@ -187,12 +168,8 @@
     let first = id.replace(".2", ".1");
     let resumed = other.send(resume(&first, "key-1")).await;
     assert_eq!(resumed.status(), 200);
-    let Event::GenerateSubmitted(submission) = other.event().await else {
-        panic!("the rest is submitted");
-    };
+    let (submission, generation, records) = other.run_submitted(1).await;
     assert_eq!(submission.delivered_tokens, 2);
-    other.app.execute(dispatch(&submission.request, 1, None));
-    let (generation, records) = other.generation().await;
     assert_eq!((generation.attempt, generation.delivered.len()), (2, 2));
     records.send(token(2, 2)).unwrap();
     records.send(end(2, 3)).unwrap();
@@ -205,18 +182,9 @@
 async fn exactly_one_of_two_resumers_gets_the_stream() {
     for other in ["b", "c"] {
         let network = Network::default();
-        let (owner, backup, third) = (
-            Fixture::on(&network, "a"),
-            Fixture::on(&network, "b"),
-            Fixture::on(&network, "c"),
-        );
-        for fixture in [&owner, &backup, &third] {
-            fixture.read_listing().await;
-        }
-        let (mut response, _, records) = owner.stream(Some("b")).await;
-        records.send(token(1, 0)).unwrap();
-        let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
-        let rival = if other == "b" { &backup } else { &third };
+        let [owner, backup, third] = &Fixture::group(&network, ["a", "b", "c"]).await;
+        let (response, id, records) = owner.begun(Some("b")).await;
+        let rival = if other == "b" { backup } else { third };
         let first = tokio::spawn(third.send(resume(&id, "key-1")));
         let second = tokio::spawn(rival.send(resume(&id, "key-1")));
         let responses: [Response; 2] = [first.await.unwrap(), second.await.unwrap()];
@@ -240,9 +208,8 @@
 #[tokio::test]
 async fn the_owner_itself_resumes() {
     let fixture = Fixture::new();
-    let (mut response, request, records) = fixture.stream(None).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let (_response, id, _records) = fixture.begun(None).await;
+    let request = id.split('.').next().unwrap();
     let resumed = fixture.send(resume(&id, "key-1")).await;
     assert_eq!(resumed.status(), 200);
     let mut events = Vec::new();
@@ -250,7 +217,9 @@
         events.push(fixture.event().await);
     }
     assert!(
-        events.contains(&Event::CallerGone { request }),
+        events.contains(&Event::CallerGone {
+            request: request.into()
+        }),
         "{events:?}"
     );
 }
@@ -259,9 +228,8 @@
 #[tokio::test]
 async fn only_the_account_resumes() {
     let fixture = Fixture::new();
-    let (mut response, request, records) = fixture.stream(None).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let (mut response, id, records) = fixture.begun(None).await;
+    let request = id.split('.').next().unwrap();
     assert_eq!(fixture.send(resume(&id, "key-2")).await.status(), 404);
     assert_eq!(fixture.send(resume(&id, "key-9")).await.status(), 401);
     assert_eq!(fixture.send(resume("x.a.-.1", "key-1")).await.status(), 404);
@@ -277,14 +245,8 @@
 #[tokio::test]
 async fn a_broken_resume_can_be_repeated_anywhere() {
     let network = Network::default();
-    let fixtures = ["a", "b", "c"].map(|instance| Fixture::on(&network, instance));
-    for fixture in &fixtures {
-        fixture.read_listing().await;
-    }
-    let [owner, backup, other] = &fixtures;
-    let (mut response, _, records) = owner.stream(Some("b")).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let [owner, backup, other] = &Fixture::group(&network, ["a", "b", "c"]).await;
+    let (_response, id, _records) = owner.begun(Some("b")).await;
     drop(other.send(resume(&id, "key-1")).await);
     for place in [other, backup, owner] {
         let mut resumed = place.send(resume(&id, "key-1")).await;
@@ -337,9 +299,7 @@
     owner.read_listing().await;
     other.read_listing().await;
     let _streams = [other.stream(None).await, other.stream(None).await];
-    let (mut response, _, records) = owner.stream(None).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let (_response, id, _records) = owner.begun(None).await;
     let refused = other.send(resume(&id, "key-1")).await;
     assert!(read_all(refused).await.contains("journal_memory"));
     assert_eq!(owner.send(resume(&id, "key-1")).await.status(), 200);
@@ -350,29 +310,18 @@
 #[tokio::test]
 async fn both_resumers_of_a_partition_deliver_a_right_stream() {
     let network = Network::default();
-    let fixtures = ["a", "b", "c", "d"].map(|instance| Fixture::on(&network, instance));
-    for fixture in &fixtures {
-        fixture.read_listing().await;
-    }
-    let [owner, _, from_owner, from_backup] = &fixtures;
-    let (mut response, _, records) = owner.stream(Some("b")).await;
-    records.send(token(1, 0)).unwrap();
-    let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+    let group = Fixture::group(&network, ["a", "b", "c", "d"]).await;
+    let [owner, _, from_owner, from_backup] = &group;
+    let (response, id, _records) = owner.begun(Some("b")).await;
     network.cut("a", "b");
     network.cut("a", "d");
     for resumer in [from_owner, from_backup] {
         let resumed = resumer.send(resume(&id, "key-1")).await;
         assert_eq!(resumed.status(), 200);
-        let Event::GenerateSubmitted(submission) = resumer.event().await else {
-            panic!("the rest is submitted");
-        };
-        resumer.app.execute(dispatch(&submission.request, 1, None));
-        let (generation, records) = resumer.generation().await;
+        let (_, generation, records) = resumer.run_submitted(1).await;
         assert_eq!(generation.delivered.len(), 1);
         // Late output of the first run has its attempt number and is dropped.
-        for record in [token(1, 1), token(2, 1), token(2, 2), end(2, 3)] {
-            records.send(record).unwrap();
-        }
+        feed(&records, [token(1, 1), token(2, 1), token(2, 2), end(2, 3)]);
         assert_eq!(parse_events(&read_all(resumed).await).0, "t1 t2 ");
     }
     assert!(read_all(response).await.contains("taken_over"));
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,11 +3,11 @@
 #![allow(dead_code, reason = "each test binary uses a part")]
 
 use {
-    bytes::Bytes,
-    control::{
+    ::control::{
         AddressAnswer, AppendAnswer, CallQuery, Command, EntryAddress, Event, Identity,
         JournalAppend, OwnerStatus, Status, TakeAnswer, TakeRequest,
     },
+    bytes::Bytes,
     entry::{AddressQuery, App, Control, Parts, Settings, handler, peer_handler},
     futures::{FutureExt, StreamExt, future::BoxFuture},
     http_body_util::BodyExt,
@@ -23,10 +23,10 @@
     tokio::sync::{Mutex as AsyncMutex, mpsc},
     types::{
         Account, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord, FailureKind,
-        GenerateRequest, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange, Listing,
-        ListingRole, Lists, LoadReport, OperationKind, Order, Plan, PriorityRequest, RequestId,
-        Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StreamRecord,
-        TokenRecord, hash_key,
+        GenerateRequest, GenerateSubmission, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange,
+        Listing, ListingRole, Lists, LoadReport, OperationKind, Order, Plan, PriorityRequest,
+        RequestId, Route, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest,
+        StreamRecord, TokenRecord, hash_key,
     },
     wire::{
         Request, Response,
@@ -34,9 +34,13 @@
     },
 };
 
+mod control;
+mod data;
 mod network;
 mod targets;
 
+pub use data::*;
+
 pub type Records = mpsc::UnboundedSender<Result<StreamRecord, AttemptFailure>>;
 
 /// Instances by peer address, as one of them reaches them; a call to any other address fails.
@@ -162,6 +166,55 @@
         received.expect("a prompt at the engine")
     }
 
+    /// Instances that know each other from the platform's list.
+    pub async fn group<const COUNT: usize>(
+        network: &Network,
+        instances: [&str; COUNT],
+    ) -> [Self; COUNT] {
+        let fixtures = instances.map(|instance| Self::on(network, instance));
+        for fixture in &fixtures {
+            fixture.read_listing().await;
+        }
+        fixtures
+    }
+
+    /// Prompt that the next event submits.
+    pub async fn submitted(&self) -> GenerateSubmission {
+        match self.event().await {
+            Event::GenerateSubmitted(submission) => submission,
+            event => panic!("{event:?} instead of a prompt"),
+        }
+    }
+
+    /// Brings the prompt that the next event submits to the engine.
+    pub async fn run_submitted(
+        &self,
+        attempt: u32,
+    ) -> (GenerateSubmission, GenerateRequest, Records) {
+        let submission = self.submitted().await;
+        self.app
+            .execute(dispatch(&submission.request, attempt, None));
+        let (generation, records) = self.generation().await;
+        (submission, generation, records)
+    }
+
+    /// Call that the next event submits.
+    pub async fn submitted_call(&self) -> RequestId {
+        match self.event().await {
+            Event::CallSubmitted(submission) => submission.request,
+            event => panic!("{event:?} instead of a call"),
+        }
+    }
+
+    /// Checks status and kind of the fault that a request gets.
+    pub async fn expect_fault(&self, request: Request, status: u16, kind: &str) {
+        let response = self.send(request).await;
+        assert_eq!(response.status(), status);
+        let body: serde_json::Value =
+            serde_json::from_str(&read_all(response).await).expect("a JSON body");
+        assert_eq!(body["error"]["kind"], kind);
+    }
+
     /// Reads the platform's list, so that peers and services are known.
     pub async fn read_listing(&self) {
         self.app.execute(Command::ReadListing);
@@ -175,224 +228,19 @@
     /// Starts a stream and brings it to the engine.
     pub async fn stream(&self, backup: Option<&str>) -> (Response, RequestId, Records) {
         let response = tokio::spawn(self.send(prompt(true)));
-        let Event::GenerateSubmitted(submission) = self.event().await else {
-            panic!("a prompt is submitted first");
-        };
+        let submission = self.submitted().await;
         self.app.execute(dispatch(&submission.request, 1, backup));
         let (_, records) = self.generation().await;
         let response = response.await.expect("no panic");
         (response, submission.request, records)
     }
-}
-
-impl Control for FakeControl {
-    fn addresses(&self, query: AddressQuery) -> BoxFuture<'static, Option<AddressAnswer>> {
-        let answer = AddressAnswer {
-            addresses: vec![EntryAddress {
-                address: SocketAddr::from(([10, 0, 0, 1], 80)),
-                failure_domain: query.failure_domain.unwrap_or_else(|| "z".into()),
-                instance: "e".into(),
-            }],
-            time_to_live: Duration::from_millis(4_500),
-        };
-        async { Some(answer) }.boxed()
-    }
-
-    fn changes_since(&self, _: u64) -> BoxFuture<'static, Changes> {
-        async { Changes::Records(Vec::new()) }.boxed()
-    }
-
-    fn owner_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
-        let status = match query {
-            CallQuery::Key { .. } => OwnerStatus::Running,
-            CallQuery::Nonce(_) => OwnerStatus::UnknownClaim,
-        };
-        async { status }.boxed()
-    }
-
-    fn report(&self, event: Event) {
-        let _ = self.0.send(event);
-    }
-
-    fn status(&self) -> BoxFuture<'static, Option<Status>> {
-        let status = Status {
-            config_version: 7,
-            in_force_count: Some(2),
-            instance_count: Some(3),
-            instances: Vec::new(),
-            ready: true,
-            targets: Vec::new(),
-        };
-        async { Some(status) }.boxed()
-    }
-}
-
-impl Table for FakePlatform {
-    fn execute(&self, _: StoreRequest) -> BoxFuture<'static, Result<StoreReply, StoreFailure>> {
-        async { Err(StoreFailure::Unavailable) }.boxed()
-    }
-}
-
-impl Listings for FakePlatform {
-    fn read(&self) -> BoxFuture<'static, Result<Vec<Listing>, StoreFailure>> {
-        let mut listings = Vec::new();
-        for instance in ["a", "b", "c", "d"] {
-            let peer_address = peer_address(instance);
-            listings.push(listing(instance, ListingRole::Entry { peer_address }));
-        }
-        let operations = [
-            ("book", OperationKind::NonRepeatable),
-            ("price", OperationKind::Idempotent),
-        ];
-        let operations = operations.map(|(name, kind)| ServiceOperation {
-            kind,
-            name: name.into(),
-        });
-        let role = ListingRole::Service {
-            operations: operations.into(),
-            service: "travel".into(),
-        };
-        listings.push(listing("s", role));
-        async { Ok(listings) }.boxed()
-    }
-
-    fn register(&self, _: Listing) -> BoxFuture<'static, Result<(), StoreFailure>> {
-        async { Ok(()) }.boxed()
-    }
-}
-
-pub fn listing(id: &str, role: ListingRole) -> Listing {
-    Listing {
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: "zone".into(),
-        id: id.into(),
-        incarnation: 1,
-        leaving: false,
-        region: "region".into(),
-        role,
-    }
-}
 
-pub fn lists() -> Lists {
-    let plan = |models: &[&str], services: &[&str]| Plan {
-        models: models.iter().map(|name| Arc::from(*name)).collect(),
-        services: services.iter().map(|name| Arc::from(*name)).collect(),
-        ..Plan::default()
-    };
-    let account = |key, plan: &str| Account {
-        key_hashes: BTreeSet::from([hash_key(key)]),
-        plan: plan.into(),
-    };
-    Lists {
-        accounts: BTreeMap::from([
-            ("lagoon".into(), account("key-1", "large")),
-            ("other".into(), account("key-2", "small")),
-        ]),
-        plans: BTreeMap::from([
-            ("large".into(), plan(&["m"], &["travel", "absent"])),
-            ("small".into(), plan(&["n"], &[])),
-        ]),
-        version: 7,
-    }
-}
-
-pub fn dispatch(request: &RequestId, attempt: u32, backup: Option<&str>) -> Command {
-    let stage = |target: &str, start, end| Stage {
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        layers: LayerRange { start, end },
-        target: target.into(),
-    };
-    Command::DispatchGenerate {
-        attempt,
-        backup: backup.map(|instance| (instance.into(), peer_address(instance))),
-        priority: 5,
-        request: request.clone(),
-        route: Route {
-            layer_count: 4,
-            stages: vec![stage("e1", 0, 2), stage("e2", 2, 4)],
-        },
-    }
-}
-
-pub fn token(attempt: u32, index: u32) -> Result<StreamRecord, AttemptFailure> {
-    let layers = |start, end| LayerRange { start, end };
-    Ok(StreamRecord::Token(TokenRecord {
-        attempt,
-        index,
-        layers: vec![layers(0, 2), layers(2, 4)],
-        text: format!("t{index} ").into(),
-    }))
-}
-
-pub fn end(attempt: u32, token_count: u32) -> Result<StreamRecord, AttemptFailure> {
-    Ok(StreamRecord::End {
-        attempt,
-        reason: types::FinishReason::Stop,
-        token_count,
-    })
-}
-
-pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Request {
-    let (path, query) = path.split_once('?').unwrap_or((path, ""));
-    let mut map = HeaderMap::new();
-    for (name, value) in headers {
-        let name = HeaderName::try_from(*name).expect("a header name");
-        map.insert(name, value.parse().expect("a header value"));
-    }
-    Request {
-        body: Bytes::copy_from_slice(body.as_bytes()),
-        headers: map,
-        method: Method::from_bytes(method.as_bytes()).expect("a method"),
-        path: path.into(),
-        peer: SocketAddr::from(([127, 0, 0, 1], 9)),
-        query: query.into(),
-    }
-}
-
-pub fn prompt(is_stream: bool) -> Request {
-    let body = format!(r#"{{"model":"m","prompt":"p","max_tokens":9,"stream":{is_stream}}}"#);
-    let headers = [("authorization", "Bearer key-1")];
-    request("POST", "/v1/completions", &headers, &body)
-}
-
-pub fn resume(id: &str, key: &str) -> Request {
-    let path = format!("/v1/completions/{}", id.split('.').next().expect("an id"));
-    let key = format!("Bearer {key}");
-    let headers = [("authorization", &*key), ("last-event-id", id)];
-    request("GET", &path, &headers, "")
-}
-
-/// Reads pieces of a body until its text holds `part`, and returns what came so far.
-pub async fn read_until(response: &mut Response, part: &str) -> String {
-    let mut text = String::new();
-    while !text.contains(part) {
-        let Some(frame) = response.body_mut().frame().await else {
-            panic!("the body ended without `{part}`: {text}");
-        };
-        let data = frame.expect("no disconnect").into_data();
-        text.push_str(&String::from_utf8_lossy(&data.expect("data")));
-    }
-    text
-}
-
-pub async fn read_all(response: Response) -> String {
-    let bytes = response.into_body().collect().await.expect("a body");
-    String::from_utf8_lossy(&bytes.to_bytes()).into_owned()
-}
-
-/// Texts of the tokens in the events of a stream, and the last resume point.
-pub fn parse_events(text: &str) -> (String, String) {
-    let (mut tokens, mut id) = (String::new(), String::new());
-    for line in text.lines() {
-        if let Some(value) = line.strip_prefix("id: ") {
-            id = value.into();
-        }
-        let Some(data) = line.strip_prefix("data: ") else {
-            continue;
-        };
-        if let Ok(value) = serde_json::from_str::<serde_json::Value>(data) {
-            tokens.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
-        }
+    /// Starts a stream and reads its first token. Returns its connection, the resume point after
+    /// that token, and the engine's end.
+    pub async fn begun(&self, backup: Option<&str>) -> (Response, String, Records) {
+        let (mut response, _, records) = self.stream(backup).await;
+        feed(&records, [token(1, 0)]);
+        let (_, id) = parse_events(&read_until(&mut response, "t0 ").await);
+        (response, id, records)
     }
-    (tokens, id)
 }
--- a/crates/entry/tests/support/network.rs
+++ b/crates/entry/tests/support/network.rs
@@ -47,61 +47,27 @@
     }
 }
 
-impl Peers for Network {
-    fn append_journal(
-        &self,
-        address: SocketAddr,
-        append: JournalAppend,
-    ) -> BoxFuture<'static, Result<AppendAnswer, Error>> {
-        self.call(address, |peer| peer.append_journal(append))
-    }
-
-    fn call_status(
-        &self,
-        address: SocketAddr,
-        query: CallQuery,
-    ) -> BoxFuture<'static, Result<OwnerStatus, Error>> {
-        self.call(address, |peer| peer.call_status(query))
-    }
-
-    fn changes_since(
-        &self,
-        address: SocketAddr,
-        version: u64,
-    ) -> BoxFuture<'static, Result<Changes, Error>> {
-        self.call(address, move |peer| peer.changes_since(version))
-    }
-
-    fn heartbeat(
-        &self,
-        address: SocketAddr,
-        heartbeat: Heartbeat,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.heartbeat(heartbeat))
-    }
-
-    fn leave(
-        &self,
-        address: SocketAddr,
-        instance: InstanceId,
-        incarnation: u64,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, move |peer| peer.leave(instance, incarnation))
-    }
-
-    fn push_changes(
-        &self,
-        address: SocketAddr,
-        records: Vec<ChangeRecord>,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.push_changes(records))
-    }
+/// Passes each call on to the handler at the address.
+macro_rules! pass_on {
+    ($($call:ident($($argument:ident: $kind:ty),*) -> $answer:ty;)*) => {
+        impl Peers for Network {
+            $(fn $call(
+                &self,
+                address: SocketAddr,
+                $($argument: $kind),*
+            ) -> BoxFuture<'static, Result<$answer, Error>> {
+                self.call(address, move |peer| peer.$call($($argument),*))
+            })*
+        }
+    };
+}
 
-    fn take_journal(
-        &self,
-        address: SocketAddr,
-        take: TakeRequest,
-    ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, move |peer| peer.take_journal(take))
-    }
+pass_on! {
+    append_journal(append: JournalAppend) -> AppendAnswer;
+    call_status(query: CallQuery) -> OwnerStatus;
+    changes_since(version: u64) -> Changes;
+    heartbeat(heartbeat: Heartbeat) -> ();
+    leave(instance: InstanceId, incarnation: u64) -> ();
+    push_changes(records: Vec<ChangeRecord>) -> ();
+    take_journal(take: TakeRequest) -> TakeAnswer;
 }
