--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -56,6 +56,7 @@
 mod history;
 mod identity;
 mod journal;
+mod journal_entry;
 mod journal_message;
 mod life;
 mod limit;
@@ -104,6 +105,10 @@
     departure::Moving,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
+    journal_entry::{
+        Eviction, FIXED_BYTES, JournalEntry, journal_bytes, reserved_bytes, token_bytes,
+        token_count,
+    },
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
@@ -135,8 +140,9 @@
     event::{CallQuery, Event, OwnerStatus},
     history::History,
     identity::Identity,
-    journal::{JournalSettings, Journals},
-    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer},
+    journal::Journals,
+    journal_entry::JournalSettings,
+    journal_message::{AppendAnswer, Holder, JournalAppend, TakeAnswer, TakeRequest},
     life::{Requests, Scope},
     limit::Limits,
     link::{Links, default_ms},
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -1,7 +1,9 @@
 //! Journals: hand-over, repeated appends, retention and the bound on memory.
 
 use {
-    control::{AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer},
+    control::{
+        AppendAnswer, Holder, JournalAppend, JournalSettings, Journals, TakeAnswer, TakeRequest,
+    },
     proptest::{
         prelude::*,
         test_runner::{Config, RngAlgorithm, RngSeed},
@@ -54,6 +56,16 @@
     BTreeSet::from([instance.into()])
 }
 
+fn take_as(request: &str, account: &str, owner: &str, taker: &str) -> TakeRequest {
+    TakeRequest {
+        account: account.into(),
+        only_idle: false,
+        owner: owner.into(),
+        request: request.into(),
+        taker: holder(taker),
+    }
+}
+
 fn holder(instance: &str) -> Holder {
     Holder {
         instance: instance.into(),
@@ -103,7 +115,7 @@
     /// Guards against two instances that serve one stream, and against memory past the bound.
     #[test]
     fn one_taker_and_bounded_memory(
-        steps in prop::collection::vec((0u8..5, 0u8..6, 0u8..3, 0u64..30_000), 1..80),
+        steps in prop::collection::vec((0u8..6, 0u8..6, 0u8..3, 0u64..30_000), 1..80),
     ) {
         let settings = JournalSettings { max_bytes: 2_500, ..JournalSettings::default() };
         let mut journals = Journals::new(settings);
@@ -121,17 +133,18 @@
                 1 => { journals.append(now, tokens(&request, 0, &answer(5))); }
                 2 => { journals.append(now, end(&request)); }
                 3 => journals.keep_owners(now, &live("b")),
+                4 => { journals.open(now, journal(&request, &[]), 0, holder("a")); }
                 _ => {
-                    let answer = journals.take(
-                        now, &request.as_str().into(), &"lagoon".into(), &holder(&instance),
-                    );
+                    let take = take_as(&request, "lagoon", "a", &instance);
+                    let answer = journals.take(now, &take);
                     if matches!(answer, TakeAnswer::Given { .. }) {
                         let holder = holders.entry(request).or_insert(instance.clone());
                         prop_assert_eq!(&*holder, &instance);
                     }
                 }
             }
-            prop_assert!(journals.bytes() <= settings.max_bytes);
+            prop_assert!(journals.bytes() <= journals.charged_bytes());
+            prop_assert!(journals.charged_bytes() <= settings.max_bytes);
         }
     }
 }
@@ -141,10 +154,10 @@
 #[test]
 fn hand_over_stops_the_old_owner_and_may_be_repeated() {
     let mut journals = Journals::new(JournalSettings::default());
-    let (now, request) = (Duration::ZERO, "r".into());
+    let now = Duration::ZERO;
     journals.append(now, whole("r"));
     let take = |journals: &mut Journals, account: &str, instance| {
-        journals.take(now, &request, &account.into(), &holder(instance))
+        journals.take(now, &take_as("r", account, "a", instance))
     };
     assert_eq!(take(&mut journals, "other", "x"), TakeAnswer::Unknown);
     let first = take(&mut journals, "lagoon", "b");
@@ -185,15 +198,14 @@
 #[test]
 fn the_taker_replaces_the_owner_and_never_the_reverse() {
     let mut journals = Journals::new(JournalSettings::default());
-    let (now, request) = (Duration::ZERO, "r".into());
+    let now = Duration::ZERO;
     let adopt = |epoch, instance| JournalAppend::Whole {
         epoch,
         journal: journal("r", &answer(2)),
         owner: holder(instance),
     };
     journals.append(now, whole("r"));
-    let TakeAnswer::Given { epoch, .. } =
-        journals.take(now, &request, &"lagoon".into(), &holder("b"))
+    let TakeAnswer::Given { epoch, .. } = journals.take(now, &take_as("r", "lagoon", "a", "b"))
     else {
         panic!("the first taker gets the journal");
     };
@@ -206,7 +218,11 @@
     assert_eq!(journals.append(now, adopt(epoch, "b")), adopted);
     let by = "b".into();
     assert_eq!(journals.append(now, whole("r")), AppendAnswer::Taken { by });
-    let taken = journals.take(now, &request, &"lagoon".into(), &holder("e"));
+    // A request that an instance delivers after a pause names the owner of before.
+    let late = journals.take(now, &take_as("r", "lagoon", "a", "e"));
+    let by = "b".into();
+    assert_eq!(late, TakeAnswer::Taken { by });
+    let taken = journals.take(now, &take_as("r", "lagoon", "b", "e"));
     assert!(matches!(taken, TakeAnswer::Given { .. }));
     assert_eq!(journals.append(now, adopt(epoch + 2, "d")), adopted);
     let by = "d".into();
@@ -228,3 +244,39 @@
     journals.expire(minutes(50));
     assert_eq!((journals.count(), journals.bytes()), (0, 0));
 }
+
+/// Guards against a running stream that ends for want of memory: its longest answer is reserved,
+/// and tokens that are longer than that take the place of copies.
+#[test]
+fn an_accepted_stream_has_room_for_its_whole_answer() {
+    let settings = JournalSettings {
+        max_bytes: 2 * (512 + 6 + 100 * (32 + 16)),
+        ..JournalSettings::default()
+    };
+    let (now, mut journals) = (Duration::ZERO, Journals::new(settings));
+    journals.append(now, whole("copy"));
+    journals.append(now, tokens("copy", 0, &answer(100)));
+    let opened = AppendAnswer::Appended { next: 0 };
+    assert_eq!(
+        journals.open(now, journal("r", &[]), 0, holder("a")),
+        opened
+    );
+    // A copy does not make way for a new stream, only for one that was accepted before.
+    let second = journal("s", &[]);
+    assert_eq!(
+        journals.open(now, second.clone(), 0, holder("a")),
+        AppendAnswer::Full
+    );
+    assert!(journals.can_resume(now, &"s".into(), 100));
+    let long: Vec<Arc<str>> = vec!["x".repeat(60).into(); 100];
+    let appended = AppendAnswer::Appended { next: 100 };
+    assert_eq!(journals.append(now, tokens("r", 0, &long)), appended);
+    assert!(journals.get(&"copy".into()).is_none());
+    assert_eq!(
+        journals.open(now, second.clone(), 1, holder("a")),
+        AppendAnswer::Full
+    );
+    assert!(!journals.can_resume(now, &"s".into(), 100));
+    journals.append(now, end("r"));
+    assert_eq!(journals.open(now, second, 0, holder("a")), opened);
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -98,22 +98,17 @@
         journals.expire(self.now());
         lock(&self.backups).retain(|request, _| journals.get(request).is_some());
         metrics::gauge!("entry_journal_bytes").set(journals.bytes() as f64);
+        metrics::gauge!("entry_journal_charged_bytes").set(journals.charged_bytes() as f64);
         metrics::gauge!("entry_journals").set(journals.count() as f64);
     }
 
     /// Hands over a journal that this instance holds. The instance with the copy is asked first,
     /// so that two takers, one of which reaches only the copy, do not both get the stream. With
     /// `only_idle`, a stream that runs here stays.
-    pub(crate) async fn take(
-        &self,
-        request: &RequestId,
-        account: &AccountId,
-        taker: &Holder,
-        only_idle: bool,
-    ) -> TakeAnswer {
+    pub(crate) async fn take(&self, take: TakeRequest) -> TakeAnswer {
         // Read before the check: a backup of a run that the check misses is not asked.
-        let backup = lock(&self.backups).get(request).copied();
-        let stays = || only_idle && self.registry.has_stream(request);
+        let backup = lock(&self.backups).get(&take.request).copied();
+        let stays = || take.only_idle && self.registry.has_stream(&take.request);
         let here = TakeAnswer::Taken {
             by: self.identity.instance.clone(),
         };
@@ -121,14 +116,12 @@
             return here;
         }
         if let Some(backup) = backup {
-            let answer = self.parts.peers.take_journal(
-                backup,
-                request.clone(),
-                account.clone(),
-                taker.clone(),
+            let from_copy = TakeRequest {
                 // An instance that runs the stream has taken it over already.
-                true,
-            );
+                only_idle: true,
+                ..take.clone()
+            };
+            let answer = self.parts.peers.take_journal(backup, from_copy);
             if let Ok(TakeAnswer::Taken { by }) = answer.await {
                 return TakeAnswer::Taken { by };
             }
@@ -139,11 +132,11 @@
             if stays() {
                 return here;
             }
-            journals.take(self.now(), request, account, taker)
+            journals.take(self.now(), &take)
         };
         if matches!(answer, TakeAnswer::Given { .. }) {
             // The earlier run must have reported its end before the stream is submitted again.
-            if let Some(run) = self.registry.take_over(request) {
+            if let Some(run) = self.registry.take_over(&take.request) {
                 run.closed().await;
             }
         }
--- a/crates/entry/src/copier.rs
+++ b/crates/entry/src/copier.rs
@@ -22,12 +22,7 @@
         holder: Holder,
     ) -> Result<Self, Fault> {
         let request = journal.request.clone();
-        let append = JournalAppend::Whole {
-            epoch,
-            journal,
-            owner: holder.clone(),
-        };
-        let answer = lock(&app.journals).append(app.now(), append);
+        let answer = lock(&app.journals).open(app.now(), journal, epoch, holder.clone());
         match answer {
             AppendAnswer::Appended { next } => Ok(Self {
                 app,
@@ -80,29 +75,40 @@
         }
     }
 
-    /// Uses the backup that the node chose, and gives it the whole journal unless it has it.
-    pub(crate) async fn set_backup(
+    /// Keeps the number of an attempt before any engine learns of it, here and at the backup that
+    /// the node chose. Without this, whoever takes the stream over could use the number again: its
+    /// tokens would be confused with those of the earlier run, and late cancels of that run would
+    /// stop its own. An instance that lost the stream while it was paused learns it here.
+    pub(crate) async fn start_attempt(
         &mut self,
+        attempt: Attempt,
         backup: Option<(InstanceId, SocketAddr)>,
     ) -> Result<(), End> {
-        let is_same = backup == self.backup;
+        // The earlier backup is told also when it is replaced, as it knows of a hand-over.
+        self.append(attempt, None, Vec::new()).await?;
         let is_failed = backup
             .as_ref()
             .is_some_and(|(instance, _)| self.failed.contains(instance));
-        if is_same || is_failed {
+        if backup == self.backup || is_failed {
             return Ok(());
         }
         self.backup = backup;
         self.copy_whole().await
     }
 
-    /// Starts the retention of the journal and its copy.
-    pub(crate) async fn end(&mut self) {
+    /// Starts the retention of the journal here, unless another holder has it.
+    pub(crate) fn end_here(&self) -> JournalAppend {
         let append = JournalAppend::End {
             owner: self.holder.clone(),
             request: self.request.clone(),
         };
         self.keep(append.clone());
+        append
+    }
+
+    /// Starts the retention of the journal and its copy.
+    pub(crate) async fn end(&mut self) {
+        let append = self.end_here();
         if let Some((_, address)) = self.backup {
             // A copy that misses this is dropped after `journal.idle_ms`.
             let _ = self.app.parts.peers.append_journal(address, append).await;
@@ -174,7 +180,8 @@
     }
 }
 
-fn no_memory() -> Fault {
+/// Fault of a stream that the memory for journals has no place for.
+pub(crate) fn no_memory() -> Fault {
     let message = "the memory for streams of this instance is used up; use another address";
     Fault::new(StatusCode::SERVICE_UNAVAILABLE, "journal_memory", message)
         .retry_after(Duration::from_secs(1))
--- a/crates/entry/src/executor.rs
+++ b/crates/entry/src/executor.rs
@@ -76,6 +76,23 @@
                 };
                 (request, step)
             }
+            Command::MoveCache {
+                attempt,
+                from,
+                from_address,
+                request,
+                to_address,
+                ..
+            } => {
+                self.move_cache(CacheMove {
+                    attempt,
+                    from,
+                    from_address,
+                    request,
+                    to_address,
+                });
+                return None;
+            }
             Command::Refuse { refusal, request } => (request, StreamStep::Refuse(refusal)),
             Command::SetPriority {
                 attempt,
@@ -89,6 +106,14 @@
         None
     }
 
+    fn move_cache(&self, copy: CacheMove) {
+        let step = StreamStep::MoveCache(copy.clone());
+        if !self.registry.stream(&copy.request, step) {
+            // The stream has ended, so the cache is of no use.
+            copy.report(self, Err(FailureKind::Refused));
+        }
+    }
+
     /// Carries out a command that waits for the platform or a target.
     async fn exchange(&self, command: Command) {
         match command {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -115,7 +115,12 @@
                 self.copier.end().await;
                 self.output.fail(Failure::Refused(refusal)).await;
             }
-            End::TakenOver => self.output.fail(Failure::Fault(taken_over())).await,
+            End::TakenOver => {
+                // A backup that this instance could not reach may have given the stream away, so
+                // nobody else ends the journal here.
+                self.copier.end_here();
+                self.output.fail(Failure::Fault(taken_over())).await;
+            }
         }
     }
 
@@ -146,8 +151,8 @@
                     priority,
                     route,
                 } => {
-                    self.copier.set_backup(backup).await?;
                     let attempt = self.base + attempt;
+                    self.copier.start_attempt(attempt, backup).await?;
                     if self
                         .attempt(&start.journal, attempt, priority, route)
                         .await?
@@ -155,6 +160,7 @@
                         return Ok(());
                     }
                 }
+                StreamStep::MoveCache(copy) => copy.start(&self.app, self.base),
                 StreamStep::Refuse(refusal) => return Err(End::Refused(refusal)),
             }
         }
@@ -337,6 +343,10 @@
                 self.queued = Some(step);
                 Ok(true)
             }
+            StreamStep::MoveCache(copy) => {
+                copy.start(&self.app, self.base);
+                Ok(false)
+            }
             StreamStep::Refuse(refusal) => Err(End::Refused(refusal)),
             StreamStep::SetPriority {
                 attempt: meant,
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -1,34 +1,12 @@
-//! The interface of callers and operators: sign-in, malformed input, calls, edits and probes.
+//! The interface of callers and operators: sign-in, malformed input, addresses, probes and settings.
 
 mod support;
 
 use {
-    control::{Command, Event},
-    entry::Settings,
-    serde_json::Value,
-    settings::parse,
-    std::time::Duration,
-    support::*,
-    types::{
-        CallOutcome, CallReply, Change, EditAnswer, FailureKind, Refusal, RefusalKind, hash_key,
-    },
-    wire::{Request, Response},
+    control::Command, entry::Settings, settings::parse, support::*, types::hash_key,
     yare::parameterized,
 };
 
-const KEY: (&str, &str) = ("authorization", "Bearer key-1");
-const OPERATOR: (&str, &str) = ("authorization", "Bearer operator");
-
-async fn kind(response: Response) -> String {
-    let body: Value = serde_json::from_str(&read_all(response).await).expect("a JSON body");
-    body["error"]["kind"].as_str().unwrap_or_default().into()
-}
-
-fn call(operation: &str, headers: &[(&str, &str)]) -> Request {
-    let path = format!("/v1/services/travel/{operation}");
-    request("POST", &path, headers, "{\"seat\":1}")
-}
-
 /// Guards against access without a key, with a key of another kind, or by a changed key.
 #[parameterized(
     changed = { &["Bearer key-3"] },
@@ -52,9 +30,8 @@
         ("GET", "/v1/completions/r"),
         ("POST", "/v1/services/travel/book"),
     ] {
-        let response = fixture.send(request(method, path, &headers, "{}")).await;
-        assert_eq!(response.status(), 401, "{path}");
-        assert_eq!(kind(response).await, "unknown_key");
+        let request = request(method, path, &headers, "{}");
+        fixture.expect_fault(request, 401, "unknown_key").await;
     }
 }
 
@@ -105,203 +82,27 @@
 ) {
     let fixture = Fixture::new();
     fixture.read_listing().await;
-    let response = fixture.send(request(method, path, &[KEY], body)).await;
-    assert_eq!(response.status(), status);
-    assert_eq!(kind(response).await, expected);
-}
-
-/// Guards against a key that would reach into the row of another account or call.
-#[tokio::test]
-async fn keys_cannot_name_other_rows() {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let long = "k".repeat(129);
-    for key in ["", "a/b", "a b", &long] {
-        let headers = [KEY, ("idempotency-key", key)];
-        let response = fixture.send(call("book", &headers)).await;
-        assert_eq!(kind(response).await, "invalid_key", "{key}");
-    }
-}
-
-fn refused() -> CallOutcome {
-    CallOutcome::NotRun(Refusal {
-        kind: RefusalKind::StoreUnavailable,
-        retry_after: Duration::from_secs(3),
-    })
-}
-
-fn reply() -> CallReply {
-    CallReply {
-        body: "{\"seat\":1}".into(),
-        status: 201,
-    }
-}
-
-/// Guards against an outcome that a caller can take for another one.
-#[parameterized(
-    mismatch = { CallOutcome::KeyMismatch, 422, None },
-    not_run = { refused(), 503, Some("not_run") },
-    ran = { CallOutcome::Ran(reply()), 201, Some("ran") },
-    unknown = { CallOutcome::Unknown, 502, Some("unknown") },
-)]
-#[test_macro(tokio::test)]
-async fn outcomes_are_told_apart(outcome: CallOutcome, status: u16, header: Option<&str>) {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let headers = [KEY, ("idempotency-key", "k")];
-    let response = tokio::spawn(fixture.send(call("book", &headers)));
-    let Event::CallSubmitted(submission) = fixture.event().await else {
-        panic!("the call is submitted");
-    };
-    let request = submission.request;
-    fixture
-        .app
-        .execute(Command::AnswerCall { outcome, request });
-    let response = response.await.unwrap();
-    assert_eq!(response.status(), status);
-    let told = response.headers().get("x-outcome");
-    assert_eq!(told.and_then(|value| value.to_str().ok()), header);
-    assert_eq!(
-        response.headers().contains_key("retry-after"),
-        header == Some("not_run")
-    );
+    let request = request(method, path, &[KEY], body);
+    fixture.expect_fault(request, status, expected).await;
 }
 
-/// Guards against a reply that is lost because its caller left or was told `unknown`, and against a
-/// failure that is not reported.
+/// Guards against callers who cannot read the addresses, whose failure domain is ignored, and
+/// probes that need a key.
 #[tokio::test]
-async fn a_dispatched_call_is_reported_without_its_caller() {
-    let fixture = Fixture::new();
-    fixture.read_listing().await;
-    let headers = [KEY, ("idempotency-key", "k")];
-    let response = tokio::spawn(fixture.send(call("book", &headers)));
-    let Event::CallSubmitted(submission) = fixture.event().await else {
-        panic!("the call is submitted");
-    };
-    response.abort();
-    let request = submission.request;
-    let gone = Event::CallerGone {
-        request: request.clone(),
-    };
-    assert_eq!(fixture.event().await, gone);
-    let replies = [Ok(reply()), Err(FailureKind::Broken)];
-    fixture.calls.replies.lock().unwrap().extend(replies);
-    for attempt in [1, 2] {
-        fixture.app.execute(Command::DispatchCall {
-            address: peer_address("s"),
-            attempt,
-            request: request.clone(),
-            target: "s".into(),
-        });
-        match fixture.event().await {
-            Event::AttemptFailed { failure, .. } => assert_eq!(failure.attempt, 1),
-            Event::CallCompleted { attempt, .. } => assert_eq!(attempt, 2),
-            event => panic!("{event:?}"),
-        }
-    }
-}
-
-fn edit_answers() -> [(EditAnswer, u16, &'static str); 5] {
-    let retry_after = Duration::from_secs(1);
-    [
-        (EditAnswer::Accepted { version: 8 }, 200, "\"accepted\""),
-        (
-            EditAnswer::Conflict { current: 9 },
-            409,
-            "\"current_version\":9",
-        ),
-        (
-            EditAnswer::Invalid {
-                message: "no".into(),
-            },
-            422,
-            "invalid_edit",
-        ),
-        (EditAnswer::Unavailable { retry_after }, 503, "unavailable"),
-        (EditAnswer::Unknown { retry_after }, 202, "\"unknown\""),
-    ]
-}
-
-/// Guards against an operator who takes an edit for accepted, or for lost, when it is not.
-#[tokio::test]
-async fn edits_tell_what_became_of_them() {
-    for (answer, status, part) in edit_answers() {
-        let fixture = Fixture::new();
-        let headers = [OPERATOR, ("if-match", "\"7\""), ("operation-id", "op-1")];
-        let edit = request("DELETE", "/admin/accounts/other", &headers, "");
-        let response = tokio::spawn(fixture.send(edit));
-        let expected = Event::EditSubmitted {
-            base_version: Some(7),
-            change: Change::DeleteAccount { id: "other".into() },
-            operation: "op-1".into(),
-        };
-        assert_eq!(fixture.event().await, expected);
-        let operation = "op-1".into();
-        fixture
-            .app
-            .execute(Command::AnswerEdit { answer, operation });
-        let response = response.await.unwrap();
-        assert_eq!(response.status(), status);
-        assert_eq!(response.headers()["operation-id"], "op-1");
-        let text = read_all(response).await;
-        assert!(text.contains(part), "{text}");
-    }
-}
-
-/// Guards against entries that no key can sign in to, or whose id breaks paths and rows.
-#[parameterized(
-    hash = { "/admin/accounts/x", "{\"plan\":\"large\",\"key_hashes\":[\"key\"]}", &[], 422, "invalid_key_hash" },
-    id = { "/admin/plans/a%2Fb", "{}", &[], 400, "invalid_id" },
-    json = { "/admin/plans/p", "{\"x\":1}", &[], 400, "malformed" },
-    operation = { "/admin/plans/p", "{}", &[("operation-id", "a b")], 400, "invalid_operation_id" },
-    version = { "/admin/plans/p", "{}", &[("if-match", "*")], 400, "invalid_version" },
-)]
-#[test_macro(tokio::test)]
-async fn wrong_edits_are_refused(
-    path: &str,
-    body: &str,
-    headers: &[(&str, &str)],
-    status: u16,
-    expected: &str,
-) {
-    let fixture = Fixture::new();
-    let headers: Vec<(&str, &str)> = headers.iter().copied().chain([OPERATOR]).collect();
-    let response = fixture.send(request("PUT", path, &headers, body)).await;
-    assert_eq!(response.status(), status);
-    assert_eq!(kind(response).await, expected);
-}
-
-/// Guards against replies without the version that the next edit needs.
-#[tokio::test]
-async fn reads_carry_the_version() {
+async fn addresses_and_probes() {
     let fixture = Fixture::new();
-    for path in [
-        "/admin/accounts",
-        "/admin/accounts/lagoon",
-        "/admin/plans/small",
+    for (query, domain) in [
+        ("model=m", "z"),
+        ("model=m&failure_domain=zone-b", "zone-b"),
     ] {
-        let response = fixture.send(request("GET", path, &[OPERATOR], "")).await;
-        assert_eq!(response.headers()["etag"], "\"7\"", "{path}");
+        let addresses = request("GET", &format!("/v1/addresses?{query}"), &[KEY], "");
+        let text = read_all(fixture.send(addresses).await).await;
+        // The fake puts the caller's failure domain into its answer.
+        let entry =
+            format!(r#"{{"address":"10.0.0.1:80","failure_domain":"{domain}","instance":"e"}}"#);
+        let expected = format!(r#"{{"addresses":[{entry}],"time_to_live_ms":4500}}"#);
+        assert_eq!(text, expected);
     }
-    let missing = request("GET", "/admin/plans/x", &[OPERATOR], "");
-    assert_eq!(fixture.send(missing).await.status(), 404);
-    let status = request("GET", "/admin/status", &[OPERATOR], "");
-    let text = read_all(fixture.send(status).await).await;
-    assert!(
-        text.contains("version 7 in force on 2 of 3 instances"),
-        "{text}"
-    );
-}
-
-/// Guards against callers who cannot read the addresses, and probes that need a key.
-#[tokio::test]
-async fn addresses_and_probes() {
-    let fixture = Fixture::new();
-    let addresses = request("GET", "/v1/addresses?model=m", &[KEY], "");
-    let text = read_all(fixture.send(addresses).await).await;
-    let entry = r#"{"address":"10.0.0.1:80","failure_domain":"z","instance":"e"}"#;
-    let expected = format!(r#"{{"addresses":[{entry}],"time_to_live_ms":4500}}"#);
-    assert_eq!(text, expected);
     for path in ["/health", "/ready", "/metrics"] {
         let response = fixture.send(request("GET", path, &[], "")).await;
         assert_eq!(response.status(), 200, "{path}");
--- a/crates/entry/tests/support/network.rs
+++ b/crates/entry/tests/support/network.rs
@@ -2,18 +2,36 @@
 
 impl Network {
     pub fn join(&self, instance: &str, handler: Arc<dyn PeerHandler>) {
-        let mut handlers = self.0.lock().expect("no panic");
+        let mut handlers = self.handlers.lock().expect("no panic");
         handlers.insert(peer_address(instance), handler);
     }
 
     pub fn lose(&self, instance: &str) {
-        let mut handlers = self.0.lock().expect("no panic");
+        let mut handlers = self.handlers.lock().expect("no panic");
         handlers.remove(&peer_address(instance));
     }
 
+    /// Cuts two instances off from each other.
+    pub fn cut(&self, left: &str, right: &str) {
+        let pair = [left, right].map(peer_address);
+        self.cuts.lock().expect("no panic").push(pair);
+    }
+
+    pub fn seen_from(&self, instance: &str) -> Self {
+        Self {
+            own: Some(peer_address(instance)),
+            ..self.clone()
+        }
+    }
+
     fn at(&self, address: SocketAddr) -> Result<Arc<dyn PeerHandler>, Error> {
-        let handlers = self.0.lock().expect("no panic");
-        handlers.get(&address).cloned().ok_or(Error::Connect {
+        let cuts = self.cuts.lock().expect("no panic");
+        let is_cut = |pair: &[SocketAddr; 2]| {
+            pair.contains(&address) && self.own.is_some_and(|own| pair.contains(&own))
+        };
+        let handlers = self.handlers.lock().expect("no panic");
+        let handler = handlers.get(&address).filter(|_| !cuts.iter().any(is_cut));
+        handler.cloned().ok_or(Error::Connect {
             address,
             message: "lost".into(),
         })
@@ -29,66 +47,27 @@
     }
 }
 
-impl Peers for Network {
-    fn append_journal(
-        &self,
-        address: SocketAddr,
-        append: JournalAppend,
-    ) -> BoxFuture<'static, Result<AppendAnswer, Error>> {
-        self.call(address, |peer| peer.append_journal(append))
-    }
-
-    fn call_status(
-        &self,
-        address: SocketAddr,
-        query: CallQuery,
-    ) -> BoxFuture<'static, Result<OwnerStatus, Error>> {
-        self.call(address, |peer| peer.call_status(query))
-    }
-
-    fn changes_since(
-        &self,
-        address: SocketAddr,
-        version: u64,
-    ) -> BoxFuture<'static, Result<Changes, Error>> {
-        self.call(address, move |peer| peer.changes_since(version))
-    }
-
-    fn heartbeat(
-        &self,
-        address: SocketAddr,
-        heartbeat: Heartbeat,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.heartbeat(heartbeat))
-    }
-
-    fn leave(
-        &self,
-        address: SocketAddr,
-        instance: InstanceId,
-        incarnation: u64,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, move |peer| peer.leave(instance, incarnation))
-    }
-
-    fn push_changes(
-        &self,
-        address: SocketAddr,
-        records: Vec<ChangeRecord>,
-    ) -> BoxFuture<'static, Result<(), Error>> {
-        self.call(address, |peer| peer.push_changes(records))
-    }
+/// Passes each call on to the handler at the address.
+macro_rules! pass_on {
+    ($($call:ident($($argument:ident: $kind:ty),*) -> $answer:ty;)*) => {
+        impl Peers for Network {
+            $(fn $call(
+                &self,
+                address: SocketAddr,
+                $($argument: $kind),*
+            ) -> BoxFuture<'static, Result<$answer, Error>> {
+                self.call(address, move |peer| peer.$call($($argument),*))
+            })*
+        }
+    };
+}
 
-    fn take_journal(
-        &self,
-        address: SocketAddr,
-        request: RequestId,
-        account: AccountId,
-        taker: Holder,
-        only_idle: bool,
-    ) -> BoxFuture<'static, Result<TakeAnswer, Error>> {
-        self.call(address, move |peer| {
-            peer.take_journal(request, account, taker, only_idle)
-        })
-    }
+pass_on! {
+    append_journal(append: JournalAppend) -> AppendAnswer;
+    call_status(query: CallQuery) -> OwnerStatus;
+    changes_since(version: u64) -> Changes;
+    heartbeat(heartbeat: Heartbeat) -> ();
+    leave(instance: InstanceId, incarnation: u64) -> ();
+    push_changes(records: Vec<ChangeRecord>) -> ();
+    take_journal(take: TakeRequest) -> TakeAnswer;
 }
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -1,7 +1,9 @@
 //! Calls between instances over loopback.
 
 use {
-    control::{AppendAnswer, CallQuery, Holder, JournalAppend, OwnerStatus, TakeAnswer},
+    control::{
+        AppendAnswer, CallQuery, Holder, JournalAppend, OwnerStatus, TakeAnswer, TakeRequest,
+    },
     futures::{FutureExt, future::BoxFuture},
     peer::{Changes, Error, PeerHandler, PeerSettings, Peers, Pool, Secret, serve},
     std::{
@@ -10,12 +12,12 @@
     },
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
     types::{
-        AccountId, Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
-        RequestId, TargetDigest, TargetHealth,
+        Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, Lists,
+        TargetDigest, TargetHealth,
     },
 };
 
-/// Writes down what it is asked and gives fixed answers; never answers `call_status`.
+/// Writes down what it is asked and gives fixed answers; never answers a question about a nonce.
 #[derive(Default)]
 struct Fake {
     calls: Mutex<Vec<String>>,
@@ -33,8 +35,12 @@
         async { AppendAnswer::Appended { next: 3 } }.boxed()
     }
 
-    fn call_status(&self, _: CallQuery) -> BoxFuture<'static, OwnerStatus> {
-        futures::future::pending().boxed()
+    fn call_status(&self, query: CallQuery) -> BoxFuture<'static, OwnerStatus> {
+        let CallQuery::Key { key, .. } = query else {
+            return futures::future::pending().boxed();
+        };
+        self.record(format!("status {key}"));
+        async { OwnerStatus::Running }.boxed()
     }
 
     fn changes_since(&self, version: ConfigVersion) -> BoxFuture<'static, Changes> {
@@ -62,14 +68,8 @@
         async {}.boxed()
     }
 
-    fn take_journal(
-        &self,
-        _: RequestId,
-        _: AccountId,
-        taker: Holder,
-        _: bool,
-    ) -> BoxFuture<'static, TakeAnswer> {
-        let by = taker.instance;
+    fn take_journal(&self, take: TakeRequest) -> BoxFuture<'static, TakeAnswer> {
+        let by = take.taker.instance;
         async { TakeAnswer::Taken { by } }.boxed()
     }
 }
@@ -178,7 +178,14 @@
     pool.heartbeat(address, heartbeat()).await.unwrap();
     pool.push_changes(address, vec![record(1)]).await.unwrap();
     pool.leave(address, "a".into(), 9).await.unwrap();
-    let taken = pool.take_journal(address, "r".into(), "x".into(), holder(), true);
+    let take = TakeRequest {
+        account: "x".into(),
+        only_idle: true,
+        owner: "o".into(),
+        request: "r".into(),
+        taker: holder(),
+    };
+    let taken = pool.take_journal(address, take);
     let by = "a".into();
     assert_eq!(taken.await.unwrap(), TakeAnswer::Taken { by });
     let calls = server.fake.calls.lock().unwrap().clone();
