Leave engines alone that run own requests, and split the order module

Change: pass the targets of running requests to the placement decision; move the rows of orders to their own file.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -65,6 +65,7 @@
 mod node;
 mod observation;
 mod order;
+mod order_rows;
 mod order_settings;
 mod outcome;
 mod owned_engine;
@@ -106,6 +107,8 @@
     edit::{Edit, EditEvent, EditState},
     life::{Payload, plan},
     member::TargetEntry,
+    order::OrderFlight,
+    order_rows::{order_key, same_models},
     outcome::Outbox,
     owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
     placement::{Placement, Placements, Shard},
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -68,6 +68,11 @@
         self.entries.is_empty()
     }
 
+    /// Targets that run requests of this instance.
+    pub(crate) fn held(&self) -> BTreeSet<TargetId> {
+        self.entries.values().flat_map(Entry::targets).collect()
+    }
+
     /// Refuses new work from now on and lets the rest finish.
     pub fn drain(&mut self) {
         self.is_draining = true;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -238,7 +238,9 @@
         self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
         let lists = self.configs.is_ready().then(|| &**self.configs.lists());
-        self.orders.tick(&mut self.context, &self.members, lists);
+        let held = self.requests.held();
+        self.orders
+            .tick(&mut self.context, &self.members, lists, &held);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -7,21 +7,21 @@
 /// ignores fences reaches the state of the newest row all the same.
 #[derive(Clone, Debug)]
 pub struct Orders {
-    engines: BTreeMap<TargetId, OwnedEngine>,
-    flights: BTreeMap<StoreTicket, OrderFlight>,
+    pub(crate) engines: BTreeMap<TargetId, OwnedEngine>,
+    pub(crate) flights: BTreeMap<StoreTicket, OrderFlight>,
     /// Whether the last request to the store failed.
-    is_failing: bool,
+    pub(crate) is_failing: bool,
     /// Time before which no order starts.
-    not_before: Duration,
-    place_at: Duration,
-    placements: Placements,
-    reread_at: Duration,
-    settings: OrderSettings,
-    tokens: TokenRow,
+    pub(crate) not_before: Duration,
+    pub(crate) place_at: Duration,
+    pub(crate) placements: Placements,
+    pub(crate) reread_at: Duration,
+    pub(crate) settings: OrderSettings,
+    pub(crate) tokens: TokenRow,
 }
 
 #[derive(Clone, Debug)]
-enum OrderFlight {
+pub(crate) enum OrderFlight {
     /// Reads the rows of these engines, to find orders of earlier owners.
     Reread(Vec<TargetId>),
     Read(TargetId),
@@ -72,7 +72,14 @@
 
     /// Decides placements, repeats orders that a report does not show, and reads rows.
     /// Without lists nothing is placed, as it is not known which models are in use.
-    pub fn tick(&mut self, context: &mut Context, members: &Members, lists: Option<&Lists>) {
+    /// Targets in `held` run requests of this instance, which their reports may not show yet.
+    pub fn tick(
+        &mut self,
+        context: &mut Context,
+        members: &Members,
+        lists: Option<&Lists>,
+        held: &BTreeSet<TargetId>,
+    ) {
         let now = context.now;
         self.own(members);
         let targets: Vec<TargetId> = self.engines.keys().cloned().collect();
@@ -96,7 +103,7 @@
         }
         if let Some(lists) = lists.filter(|_| now >= self.place_at) {
             self.place_at = now + Duration::from_millis(self.settings.place_ms);
-            self.place(context, members, lists);
+            self.place(context, members, lists, held);
         }
     }
 
@@ -184,9 +191,16 @@
         }
     }
 
-    fn place(&mut self, context: &mut Context, members: &Members, lists: &Lists) {
+    fn place(
+        &mut self,
+        context: &mut Context,
+        members: &Members,
+        lists: &Lists,
+        held: &BTreeSet<TargetId>,
+    ) {
         let now = context.now;
         let scene = Scene {
+            held,
             members,
             named: lists.plans.values().flat_map(|plan| &plan.models).collect(),
             pending: self.pending(members),
@@ -234,7 +248,7 @@
         pending
     }
 
-    fn apply(&mut self, context: &mut Context, target: &TargetId, event: OrderEvent) {
+    pub(crate) fn apply(&mut self, context: &mut Context, target: &TargetId, event: OrderEvent) {
         let Some(engine) = self.engines.get_mut(target) else {
             return;
         };
@@ -286,112 +300,4 @@
             OrderAction::Write => self.write(context, target),
         }
     }
-
-    /// Notes the row of an engine; an order that this instance did not write is outstanding until
-    /// a report shows it or the wait is over.
-    fn take_row(&mut self, context: &mut Context, target: &TargetId, rows: &[Row]) -> bool {
-        let key = order_key(target);
-        let Some(engine) = self.engines.get_mut(target) else {
-            return false;
-        };
-        let Some(row) = rows.iter().find(|row| row.key == key) else {
-            engine.row = None;
-            engine.row_version = 0;
-            return false;
-        };
-        if engine.row_version == row.version || engine.state == OrderState::Writing {
-            return false;
-        }
-        let Ok(wanted) = serde_json::from_str::<WantedState>(&row.value) else {
-            context.log("order", target, "the row of this order is not readable");
-            return false;
-        };
-        engine.row = Some((wanted, row.version));
-        engine.row_version = row.version;
-        self.apply(context, target, OrderEvent::Foreign);
-        true
-    }
-
-    fn rows_read(&mut self, context: &mut Context, target: &TargetId, rows: &[Row]) {
-        if self.take_row(context, target, rows) {
-            return;
-        }
-        self.tokens = TokenRow::read(rows);
-        let wall_ms = wall_ms(context);
-        let gives_up = self.engines.get(target).map(|engine| &engine.gives_up[..]);
-        let has_conflict = (self.tokens).has_conflict(wall_ms, target, gives_up.unwrap_or(&[]));
-        let event = match self.tokens.has_one(wall_ms, &self.settings) && !has_conflict {
-            false => OrderEvent::NoToken,
-            true => OrderEvent::Ready,
-        };
-        self.apply(context, target, event);
-    }
-
-    fn write(&mut self, context: &mut Context, target: &TargetId) {
-        let Some(engine) = self.engines.get_mut(target) else {
-            return;
-        };
-        let wall_ms = wall_ms(context);
-        let own = Move {
-            shards: engine.gives_up.clone(),
-            target: target.clone(),
-            until_ms: wall_ms + self.settings.wait_ms,
-        };
-        let tokens = self.tokens.taken(wall_ms, own, &self.settings);
-        engine.written_at = context.now;
-        let key = order_key(target);
-        let ticket = context.store(StoreRequest::Transact {
-            conditions: vec![
-                Condition {
-                    key: key.clone(),
-                    version: engine.row_version,
-                },
-                Condition {
-                    key: TOKENS.into(),
-                    version: self.tokens.version,
-                },
-            ],
-            writes: vec![
-                Write {
-                    key,
-                    value: Some(to_value(&engine.wanted)),
-                },
-                Write {
-                    key: TOKENS.into(),
-                    value: Some(tokens),
-                },
-            ],
-        });
-        engine.flight = Some(ticket);
-        self.flights
-            .insert(ticket, OrderFlight::Write(target.clone()));
-    }
-
-    fn row_written(&mut self, context: &mut Context, target: &TargetId, version: RowVersion) {
-        let Some(engine) = self.engines.get_mut(target) else {
-            return;
-        };
-        engine.row = Some((engine.wanted.clone(), version));
-        engine.row_version = version;
-        let age = context.now.saturating_sub(engine.written_at);
-        let is_late = age > Duration::from_millis(self.settings.write_max_ms);
-        if let [loaded] = &engine.wanted.models[..] {
-            let wait = Duration::from_millis(self.settings.wait_ms);
-            self.placements.served(loaded, context.now + wait);
-        }
-        let event = match is_late {
-            false => OrderEvent::Committed,
-            true => OrderEvent::CommittedLate,
-        };
-        self.apply(context, target, event);
-    }
-}
-
-/// Whether two sets hold the same models, in any order.
-fn same_models(left: &[LoadedModel], right: &[LoadedModel]) -> bool {
-    left.len() == right.len() && left.iter().all(|model| right.contains(model))
-}
-
-fn order_key(target: &TargetId) -> Arc<str> {
-    format!("order/{target}").into()
 }
--- /dev/null
+++ b/crates/control/src/order_rows.rs
@@ -0,0 +1,121 @@
+use super::*;
+
+impl Orders {
+    /// Notes the row of an engine; an order that this instance did not write is outstanding until
+    /// a report shows it or the wait is over.
+    pub(crate) fn take_row(
+        &mut self,
+        context: &mut Context,
+        target: &TargetId,
+        rows: &[Row],
+    ) -> bool {
+        let key = order_key(target);
+        let Some(engine) = self.engines.get_mut(target) else {
+            return false;
+        };
+        let Some(row) = rows.iter().find(|row| row.key == key) else {
+            engine.row = None;
+            engine.row_version = 0;
+            return false;
+        };
+        if engine.row_version == row.version || engine.state == OrderState::Writing {
+            return false;
+        }
+        let Ok(wanted) = serde_json::from_str::<WantedState>(&row.value) else {
+            context.log("order", target, "the row of this order is not readable");
+            return false;
+        };
+        engine.row = Some((wanted, row.version));
+        engine.row_version = row.version;
+        self.apply(context, target, OrderEvent::Foreign);
+        true
+    }
+
+    pub(crate) fn rows_read(&mut self, context: &mut Context, target: &TargetId, rows: &[Row]) {
+        if self.take_row(context, target, rows) {
+            return;
+        }
+        self.tokens = TokenRow::read(rows);
+        let wall_ms = wall_ms(context);
+        let gives_up = self.engines.get(target).map(|engine| &engine.gives_up[..]);
+        let has_conflict = (self.tokens).has_conflict(wall_ms, target, gives_up.unwrap_or(&[]));
+        let event = match self.tokens.has_one(wall_ms, &self.settings) && !has_conflict {
+            false => OrderEvent::NoToken,
+            true => OrderEvent::Ready,
+        };
+        self.apply(context, target, event);
+    }
+
+    pub(crate) fn write(&mut self, context: &mut Context, target: &TargetId) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        let wall_ms = wall_ms(context);
+        let own = Move {
+            shards: engine.gives_up.clone(),
+            target: target.clone(),
+            until_ms: wall_ms + self.settings.wait_ms,
+        };
+        let tokens = self.tokens.taken(wall_ms, own, &self.settings);
+        engine.written_at = context.now;
+        let key = order_key(target);
+        let ticket = context.store(StoreRequest::Transact {
+            conditions: vec![
+                Condition {
+                    key: key.clone(),
+                    version: engine.row_version,
+                },
+                Condition {
+                    key: TOKENS.into(),
+                    version: self.tokens.version,
+                },
+            ],
+            writes: vec![
+                Write {
+                    key,
+                    value: Some(to_value(&engine.wanted)),
+                },
+                Write {
+                    key: TOKENS.into(),
+                    value: Some(tokens),
+                },
+            ],
+        });
+        engine.flight = Some(ticket);
+        self.flights
+            .insert(ticket, OrderFlight::Write(target.clone()));
+    }
+
+    pub(crate) fn row_written(
+        &mut self,
+        context: &mut Context,
+        target: &TargetId,
+        version: RowVersion,
+    ) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        engine.row = Some((engine.wanted.clone(), version));
+        engine.row_version = version;
+        let age = context.now.saturating_sub(engine.written_at);
+        let is_late = age > Duration::from_millis(self.settings.write_max_ms);
+        if let [loaded] = &engine.wanted.models[..] {
+            let wait = Duration::from_millis(self.settings.wait_ms);
+            self.placements.served(loaded, context.now + wait);
+        }
+        let event = match is_late {
+            false => OrderEvent::Committed,
+            true => OrderEvent::CommittedLate,
+        };
+        self.apply(context, target, event);
+    }
+}
+
+/// Whether two sets hold the same models, in any order.
+pub(crate) fn same_models(left: &[LoadedModel], right: &[LoadedModel]) -> bool {
+    left.len() == right.len() && left.iter().all(|model| right.contains(model))
+}
+
+pub(crate) fn order_key(target: &TargetId) -> Arc<str> {
+    format!("order/{target}").into()
+}
--- a/crates/control/src/survey.rs
+++ b/crates/control/src/survey.rs
@@ -2,6 +2,8 @@
 
 /// What one placement decision may look at.
 pub(crate) struct Scene<'a> {
+    /// Targets that run requests of this instance.
+    pub(crate) held: &'a BTreeSet<TargetId>,
     pub(crate) members: &'a Members,
     /// Models that plans name.
     pub(crate) named: BTreeSet<&'a ModelId>,
@@ -136,7 +138,8 @@
             has_places && one.domains_without(&engine.id).len() >= domain_count
         };
         let is_free = |loaded: &LoadedModel| !self.is_in_use(&loaded.model) || is_left(loaded);
-        work(engine) == 0 && models.iter().all(is_free)
+        let is_idle = work(engine) == 0 && !self.scene.held.contains(&engine.id);
+        is_idle && models.iter().all(is_free)
     }
 
     /// An engine that may reload a model with the adapters of the settings. One at a time, as an
--- a/crates/control/tests/placement.rs
+++ b/crates/control/tests/placement.rs
@@ -88,6 +88,9 @@
 /// Guards against an unload under running requests, and one of the last engine of a model in use.
 #[parameterized(
     busy = { &[("d1", "a", 0, "idle"), ("d2", "b", 0, "idle"), ("d3", "b", 1, "idle")], &["d2"] },
+    dispatched_since_the_report = {
+        &[("d1", "a", 0, "idle"), ("held", "b", 0, "idle"), ("d3", "b", 1, "idle")], &[]
+    },
     last = { &[("d1", "a", 0, "idle")], &[] },
     unnamed_and_idle = { &[("d1", "a", 0, "gone")], &["d1"] },
     unnamed_and_in_use = { &[("d1", "a", 0, "gone"), ("d2", "b", 1, "gone")], &[] },
@@ -99,6 +102,7 @@
     let mut engines = vec![("e1", "a", 20, "m"), ("e2", "b", 20, "m")];
     engines.extend(donors);
     let mut world = World::new(&engines, OrderSettings::default());
+    world.held.insert("held".into());
     world.run(60_000);
     let mut targets = world.targets();
     targets.dedup();
--- a/crates/control/tests/support/orders.rs
+++ b/crates/control/tests/support/orders.rs
@@ -3,7 +3,7 @@
 use {
     super::{context, engine_listing, mesh::Mesh, ms, peer_listing, table::Table},
     control::{Command, Context, Decision, OrderSettings, Orders},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     types::{LayerRange, Lists, LoadReport, LoadedModel, Order, Plan, StoreFailure, TargetId},
 };
 
@@ -18,6 +18,8 @@
 /// One instance, its engines, and the table.
 pub struct World {
     pub context: Context,
+    /// Engines that run requests of the instance.
+    pub held: BTreeSet<TargetId>,
     pub lists: Option<Lists>,
     pub logs: Vec<Decision>,
     pub mesh: Mesh,
@@ -49,6 +51,7 @@
         mesh.start("a", "a");
         Self {
             context: context(5),
+            held: BTreeSet::new(),
             lists: Some(lists_naming(&["m", "idle", "full"])),
             logs: Vec::new(),
             mesh,
@@ -67,7 +70,7 @@
             self.context.now += ms(50);
             self.context.wall += ms(50);
             self.orders
-                .tick(&mut self.context, members, self.lists.as_ref());
+                .tick(&mut self.context, members, self.lists.as_ref(), &self.held);
             while !self.context.commands.is_empty() {
                 for command in std::mem::take(&mut self.context.commands) {
                     self.take(command);
