--- a/crates/suite/src/caller.rs
+++ b/crates/suite/src/caller.rs
@@ -144,7 +144,14 @@
         while Instant::now() < end {
             for entry in self.entries.iter().chain(&self.earlier) {
                 match self.read(*entry, body, &mut stream).await {
-                    Err(error) => last = self.trouble(error),
+                    Err(error) => {
+                        let error = self.trouble(error);
+                        let text = format!("{error:#}");
+                        // Addresses of ended instances would hide the reason of the others.
+                        if !text.starts_with("no connection") {
+                            last = error.context(stream.last_event.clone());
+                        }
+                    }
                     Ok(()) if stream.is_complete => return Ok(stream),
                     Ok(()) => last = anyhow!("{entry} ended the stream early"),
                 }
--- a/crates/suite/src/load.rs
+++ b/crates/suite/src/load.rs
@@ -9,7 +9,8 @@
 /// Callers that ask for answers and make calls, one after another, until they are told to stop.
 #[derive(Debug)]
 pub struct Load {
-    done: Arc<AtomicU64>,
+    /// Answers and outcomes of each caller.
+    done: Arc<Vec<AtomicU64>>,
     stop: watch::Sender<bool>,
     tasks: JoinSet<Result<()>>,
 }
@@ -18,7 +19,11 @@
     /// Starts callers: some stream answers, the others make non-repeatable calls.
     #[must_use]
     pub fn start(caller: &Caller, stream_count: u32, call_count: u32) -> Self {
-        let (done, stop) = (Arc::new(AtomicU64::new(0)), watch::Sender::new(false));
+        let counts = (0..stream_count + call_count).map(|_| AtomicU64::new(0));
+        let (done, stop) = (
+            Arc::new(counts.collect::<Vec<_>>()),
+            watch::Sender::new(false),
+        );
         let mut tasks = JoinSet::new();
         for number in 0..stream_count {
             let (caller, done, stop) = (caller.clone(), done.clone(), stop.subscribe());
@@ -26,7 +31,7 @@
         }
         for number in 0..call_count {
             let (caller, done, stop) = (caller.clone(), done.clone(), stop.subscribe());
-            tasks.spawn(call(caller, number, done, stop));
+            tasks.spawn(call(caller, number + stream_count, done, stop));
         }
         Self { done, stop, tasks }
     }
@@ -34,7 +39,30 @@
     /// Answers and outcomes so far.
     #[must_use]
     pub fn done_count(&self) -> u64 {
-        self.done.load(Ordering::Relaxed)
+        self.counts().iter().sum()
+    }
+
+    /// Waits until each caller has this many more answers or outcomes, and so has asked for the
+    /// entry addresses again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when they do not come.
+    pub async fn progress_each(&self, count: u64) -> Result<()> {
+        let before = self.counts();
+        until("each caller makes progress", async || {
+            let counts = self.counts();
+            let mut pairs = counts.iter().zip(&before);
+            Ok(pairs
+                .all(|(now, before)| *now >= before + count)
+                .then_some(()))
+        })
+        .await
+    }
+
+    fn counts(&self) -> Vec<u64> {
+        let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.done.iter().map(load).collect()
     }
 
     /// Waits for this many more answers and outcomes.
@@ -67,7 +95,7 @@
 async fn stream(
     mut caller: Caller,
     number: u32,
-    done: Arc<AtomicU64>,
+    done: Arc<Vec<AtomicU64>>,
     stop: watch::Receiver<bool>,
 ) -> Result<()> {
     let mut seed = 0;
@@ -79,7 +107,7 @@
             token_count: 30,
         };
         answer.check(&caller.generate(&answer.body()).await?)?;
-        done.fetch_add(1, Ordering::Relaxed);
+        done[number as usize].fetch_add(1, Ordering::Relaxed);
         seed += 1;
     }
     Ok(())
@@ -88,7 +116,7 @@
 async fn call(
     mut caller: Caller,
     number: u32,
-    done: Arc<AtomicU64>,
+    done: Arc<Vec<AtomicU64>>,
     stop: watch::Receiver<bool>,
 ) -> Result<()> {
     let path = format!("/v1/services/{SERVICE}/confirm");
@@ -104,7 +132,7 @@
             sleep(AGAIN).await;
             caller.refresh_addresses().await;
         }
-        done.fetch_add(1, Ordering::Relaxed);
+        done[number as usize].fetch_add(1, Ordering::Relaxed);
         count += 1;
     }
     Ok(())
--- /dev/null
+++ b/crates/suite/tests/schedules.rs
@@ -0,0 +1,121 @@
+//! Guards against failures that are harmless alone and harmful together: failure domains lost under
+//! load, and schedules of faults drawn from a seed. `SUITE_SEED=N` repeats one schedule.
+
+use {
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    standin::{EngineSettings, Outage, PlatformFaults, ServiceFaults},
+    std::time::Duration,
+    suite::{Cluster, Link, Load, Process, Setup},
+    tokio::time::sleep,
+};
+
+/// Faults of one schedule.
+const FAULT_COUNT: usize = 5;
+
+fn setup() -> Setup {
+    Setup {
+        engine: EngineSettings {
+            step_us: 10_000,
+            ..EngineSettings::default()
+        },
+        entry_count: 4,
+        ..Setup::default()
+    }
+}
+
+/// A failure domain with half of everything is lost at once, comes back, and the other one is lost.
+#[tokio::test]
+async fn domains_lost_one_after_another() -> anyhow::Result<()> {
+    let mut cluster = Cluster::start(setup()).await?;
+    let load = Load::start(&cluster.caller()?, 4, 2);
+    load.progress(10).await?;
+    cluster.kill_domain(0)?;
+    load.progress(10).await?;
+    cluster.restart_domain(0).await?;
+    // A caller that knows only instances of the other domain could not find the new ones.
+    load.progress_each(3).await?;
+    cluster.kill_domain(1)?;
+    load.progress(10).await?;
+    load.finish().await?;
+    cluster.check().await
+}
+
+#[yare::parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
+#[test_macro(tokio::test)]
+async fn faults_drawn_from_a_seed(default_seed: u64) {
+    let named = std::env::var("SUITE_SEED").ok();
+    let seed = named.and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(default_seed);
+    println!("SUITE_SEED={seed}");
+    run(seed).await.unwrap();
+}
+
+async fn run(seed: u64) -> anyhow::Result<()> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let cluster = Cluster::start(setup()).await?;
+    let load = Load::start(&cluster.caller()?, 3, 3);
+    load.progress(5).await?;
+    for _ in 0..FAULT_COUNT {
+        fault(&cluster, &mut random).await?;
+        load.progress(3).await?;
+    }
+    load.finish().await?;
+    cluster.check().await
+}
+
+/// Causes one fault, and ends it after a while drawn from the seed.
+async fn fault(cluster: &Cluster, random: &mut ChaCha8Rng) -> anyhow::Result<()> {
+    let pause = Duration::from_millis(random.random_range(100..3_000));
+    let number = random.random_range(0..4);
+    let kind = random.random_range(0..6);
+    println!("fault {kind} of {number} for {pause:?}");
+    match kind {
+        0 => freeze(&cluster.entries[number], pause).await?,
+        1 => freeze(&cluster.engines[number], pause).await?,
+        2 => {
+            let down = PlatformFaults {
+                down: Some(Outage::Silent),
+                ..PlatformFaults::default()
+            };
+            platform(cluster, &down, pause).await?;
+        }
+        3 => {
+            let lossy = PlatformFaults {
+                lost_reply_fraction: 0.5,
+                ..PlatformFaults::default()
+            };
+            platform(cluster, &lossy, pause).await?;
+        }
+        4 => {
+            cluster.platform_links[number].set(Link::Cut);
+            sleep(pause).await;
+            cluster.platform_links[number].set(Link::Open);
+        }
+        _ => {
+            let lossy = ServiceFaults {
+                drop_reply_count: 3,
+                ..ServiceFaults::default()
+            };
+            cluster.set_service_faults(&lossy).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn freeze(process: &Process, pause: Duration) -> anyhow::Result<()> {
+    process.freeze()?;
+    sleep(pause).await;
+    process.thaw()
+}
+
+async fn platform(
+    cluster: &Cluster,
+    faults: &PlatformFaults,
+    pause: Duration,
+) -> anyhow::Result<()> {
+    cluster.set_faults(&cluster.platform, faults).await?;
+    sleep(pause).await;
+    let fine = PlatformFaults::default();
+    cluster.set_faults(&cluster.platform, &fine).await
+}
