--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -105,7 +105,7 @@
     /// Hands over a journal that this instance holds. The instance with the copy is asked first,
     /// so that two takers, one of which reaches only the copy, do not both get the stream. With
     /// `only_idle`, a stream that runs here stays.
-    pub(crate) async fn take(&self, take: TakeRequest) -> TakeAnswer {
+    pub(crate) async fn hand_over(&self, take: TakeRequest) -> TakeAnswer {
         // Read before the check: a backup of a run that the check misses is not asked.
         let backup = lock(&self.backups).get(&take.request).copied();
         let stays = || take.only_idle && self.registry.has_stream(&take.request);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,7 +2,7 @@
 
 /// An attempt of a stream under way.
 #[derive(Clone)]
-pub(crate) struct Run {
+pub(crate) struct RunningAttempt {
     pub(crate) app: Arc<App>,
     /// Number under which the engines know the attempt.
     pub(crate) attempt: Attempt,
@@ -11,18 +11,22 @@
     pub(crate) route: Route,
 }
 
-impl Run {
+impl RunningAttempt {
     /// Changes the importance of the attempt at its engines.
     pub(crate) fn set_priority(&self, priority: Priority) {
-        let run = self.clone();
+        let attempt = self.clone();
         tokio::spawn(async move {
-            let messages = run.route.stages.iter().map(|stage| {
+            let messages = attempt.route.stages.iter().map(|stage| {
                 let message = PriorityRequest {
-                    attempt: run.attempt,
+                    attempt: attempt.attempt,
                     priority,
-                    request: run.request.clone(),
+                    request: attempt.request.clone(),
                 };
-                run.app.parts.engines.set_priority(stage.address, message)
+                attempt
+                    .app
+                    .parts
+                    .engines
+                    .set_priority(stage.address, message)
             });
             // A stage that misses this runs the request with its earlier priority.
             futures::future::join_all(messages).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -94,7 +94,7 @@
 use {
     addresses::{ending, milliseconds},
     app::{SWEEP, random_id},
-    attempt::Run,
+    attempt::RunningAttempt,
     cache_move::CacheMove,
     calls::fingerprint,
     control_thread::ControlAddress,
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -49,6 +49,6 @@
 
     fn take_journal(&self, take: TakeRequest) -> BoxFuture<'static, TakeAnswer> {
         let app = self.0.clone();
-        async move { app.take(take).await }.boxed()
+        async move { app.hand_over(take).await }.boxed()
     }
 }
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -102,7 +102,7 @@
 
 async fn ask(app: &App, instance: &InstanceId, take: TakeRequest) -> Result<TakeAnswer, ()> {
     if *instance == app.identity.instance {
-        return Ok(app.take(take).await);
+        return Ok(app.hand_over(take).await);
     }
     let address = app.roster.peer_address(instance).ok_or(())?;
     let request = take.request.clone();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -27,7 +27,7 @@
     pub(crate) pending: Vec<Arc<str>>,
     /// A dispatch that came while another attempt ran.
     pub(crate) queued: Option<StreamStep>,
-    pub(crate) run: Option<Run>,
+    pub(crate) running: Option<RunningAttempt>,
     pub(crate) steps: mpsc::UnboundedReceiver<StreamStep>,
 }
 
@@ -62,16 +62,16 @@
         let kept = TokenIndex::try_from(start.journal.tokens.len()).unwrap_or(TokenIndex::MAX);
         let stream = Self {
             app,
+            assembly: None,
             base: start.journal.attempt,
             copier,
             delivered: start.skipped,
+            kept,
             nonce,
             output,
             pending: Vec::new(),
             queued: None,
-            run: None,
-            kept,
-            assembly: None,
+            running: None,
             steps,
         };
         tokio::spawn(stream.run(start, taken));
@@ -94,7 +94,7 @@
 
     async fn close(mut self, end: End, request: &RequestId) {
         if !matches!(end, End::Finished) {
-            self.stop_run();
+            self.stop_attempt();
         }
         if !matches!(end, End::Finished | End::Refused(_)) {
             let request = request.clone();
@@ -195,7 +195,7 @@
             route: route.clone(),
             seed: journal.seed,
         };
-        self.run = Some(Run {
+        self.running = Some(RunningAttempt {
             app: self.app.clone(),
             attempt,
             first: stage.target,
@@ -226,7 +226,7 @@
                 biased;
                 step = self.steps.recv() => {
                     if self.interrupt(step.ok_or(End::Gone)?, attempt)? {
-                        self.stop_run();
+                        self.stop_attempt();
                         return Ok(false);
                     }
                 }
@@ -236,7 +236,7 @@
                     flush_at = None;
                 }
                 record = records.next() => {
-                    if let Some(is_complete) = self.take(journal, attempt, record).await? {
+                    if let Some(is_complete) = self.take_record(journal, attempt, record).await? {
                         return Ok(is_complete);
                     }
                     if !self.pending.is_empty() {
@@ -248,7 +248,7 @@
     }
 
     /// Takes one record. Returns whether the answer is complete once the attempt has ended.
-    async fn take(
+    async fn take_record(
         &mut self,
         journal: &Journal,
         attempt: Attempt,
@@ -283,7 +283,7 @@
             }
         };
         self.flush(journal, attempt, None).await?;
-        self.stop_run();
+        self.stop_attempt();
         self.app.report(Event::AttemptFailed {
             delivered_tokens: self.delivered,
             failure: AttemptFailure {
@@ -352,8 +352,12 @@
                 attempt: meant,
                 priority,
             } => {
-                if let Some(run) = self.run.as_ref().filter(|_| self.base + meant == attempt) {
-                    run.set_priority(priority);
+                if let Some(running) = self
+                    .running
+                    .as_ref()
+                    .filter(|_| self.base + meant == attempt)
+                {
+                    running.set_priority(priority);
                 }
                 Ok(false)
             }
@@ -362,7 +366,7 @@
 
     /// Failure of the current attempt that is blamed on its first stage.
     fn fault(&self, attempt: Attempt, kind: FailureKind) -> AttemptFailure {
-        let target = self.run.as_ref().map(|run| run.first.clone());
+        let target = self.running.as_ref().map(|running| running.first.clone());
         AttemptFailure {
             attempt,
             kind,
@@ -371,9 +375,9 @@
     }
 
     /// Frees the engines of the attempt under way.
-    fn stop_run(&mut self) {
-        if let Some(run) = self.run.take() {
-            run.stop();
+    fn stop_attempt(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.stop();
         }
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -120,7 +120,7 @@
     /// Value of a header, if it is present and is text.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name)?.to_str().ok()
+        message::header(&self.headers, name)
     }
 
     /// Reads the body as JSON.
@@ -129,9 +129,7 @@
     ///
     /// Returns `Error::Json` when the body is not JSON of this type.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        serde_json::from_slice(&self.body).map_err(|error| Error::Json {
-            message: error.to_string(),
-        })
+        read_json(&self.body)
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -48,6 +48,7 @@
 mod error;
 mod fault;
 mod limits;
+mod message;
 mod opening;
 mod request;
 mod response;
@@ -68,4 +69,4 @@
     sse::{ServerEvent, ServerEventReader},
 };
 
-use {clients::Clients, opening::Opening};
+use {clients::Clients, message::read_json, opening::Opening};
