--- a/crates/demo/tests/demo.rs
+++ b/crates/demo/tests/demo.rs
@@ -12,6 +12,7 @@
     let mut demo = Process::start(&folder, "demo", "demo", &json!({"first_port": 0}))?;
     let entries = vec![demo.address("entry-1")?, demo.address("entry-2")?];
     let mut caller = Caller {
+        earlier: Vec::new(),
         entries: entries.clone(),
         key: "demo-caller-key".into(),
         recorder: Recorder::default(),
