Confirm freshness after a pause and after a partition

Cause: buffered heartbeats counted as heard after a pause, and a majority with later lists let an instance admit work on old ones.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Time without events from which the process counts as paused; ticks come every 50 ms.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// One entry instance's decisions: a deterministic state machine driven by one thread.
 #[derive(Debug)]
 pub struct Node {
@@ -12,6 +15,11 @@
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
+    /// Time up to which heartbeats may be from before a pause of this process, and do not show that
+    /// its peers are heard.
+    stale_until: Duration,
+    /// Time after a pause by which such heartbeats count as old.
+    stale_wait: Duration,
 }
 
 impl Node {
@@ -19,6 +27,7 @@
     #[must_use]
     pub fn new(settings: NodeSettings, identity: Identity, wall: SystemTime) -> Self {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let stale_wait_ms = settings.member.hearing_ms + settings.member.heartbeat_ms;
         Self {
             configs: Configs::new(settings.config.clone()),
             context: Context::new(random, wall),
@@ -28,6 +37,8 @@
             orders: Orders::new(settings.order.clone()),
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
+            stale_until: Duration::ZERO,
+            stale_wait: Duration::from_millis(stale_wait_ms),
             started: wall,
         }
     }
@@ -63,10 +74,19 @@
     }
 
     pub(crate) fn set_time(&mut self, now: Duration) {
+        if now.saturating_sub(self.context.now) > PAUSE {
+            self.stale_until = now + self.stale_wait;
+        }
         self.context.now = now;
         self.context.wall = self.started + now;
     }
 
+    /// Whether this instance hears from more than half of its view, by heartbeats that were sent
+    /// after its last pause.
+    pub(crate) fn hears_majority(&self, now: Duration) -> bool {
+        now >= self.stale_until && self.members.has_majority(now)
+    }
+
     fn drain(&mut self) {
         self.drain.start(self.context.now);
         self.requests.drain();
@@ -116,6 +136,7 @@
 
     /// Events about the operator lists.
     fn config_event(&mut self, event: Event) {
+        let has_majority = self.hears_majority(self.context.now);
         let context = &mut self.context;
         match event {
             Event::ChangesReceived { records } => self.configs.changes_received(context, &records),
@@ -124,7 +145,6 @@
                 change,
                 operation,
             } => {
-                let has_majority = self.members.has_majority(context.now);
                 self.configs
                     .edit(context, &operation, base_version, change, has_majority);
             }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -93,7 +93,16 @@
     /// design page).
     pub(crate) fn is_fresh(&self, now: Duration) -> bool {
         let is_confirmed = self.configs.confirmed_age(now) <= MAX_UNCONFIRMED;
-        self.configs.is_ready() && (is_confirmed || self.members.has_majority(now))
+        self.configs.is_ready()
+            && (is_confirmed || (self.hears_majority(now) && !self.is_behind_peers()))
+    }
+
+    /// Whether a peer has later lists. After a partition the majority is heard before its changes
+    /// are fetched.
+    fn is_behind_peers(&self) -> bool {
+        let version = self.configs.lists().version;
+        let mut present = self.members.peers().filter(|peer| peer.is_present());
+        present.any(|peer| peer.config_version > version)
     }
 
     /// Whether this instance admits new work.
