Add measurements of the decision code in virtual time

Cause: routing, admission and recovery had no figures. Change: bench crate with fakes at the interfaces, a naive version, and measures of short work, swings, recovery, overload and the cost of control, plus slopes for the capacity page.

--- /dev/null
+++ b/crates/bench/src/arguments.rs
@@ -0,0 +1,63 @@
+use super::*;
+
+const HELP: &str = "\
+Measures the decision code in virtual time.
+
+Usage: bench [NAME|all] [--scene island|region|scaled|all] [--seed N] [--json]
+
+NAME is control_cost, overload, recovery, short_work or swing. The exit status is 1 when a measure
+does not keep its limit. `bench capacity` prints the slopes of docs/CAPACITY.md.";
+
+/// Command line.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    pub(crate) json: bool,
+    pub(crate) name: String,
+    pub(crate) scene: String,
+    pub(crate) seed: u64,
+}
+
+impl Arguments {
+    /// Reads the command line; none after printing help or version.
+    pub(crate) fn parse() -> Result<Option<Self>> {
+        let mut arguments = pico_args::Arguments::from_env();
+        if arguments.contains("--help") {
+            println!("{HELP}");
+            return Ok(None);
+        }
+        if arguments.contains("--version") {
+            println!("bench {}", env!("CARGO_PKG_VERSION"));
+            return Ok(None);
+        }
+        let parsed = Self {
+            json: arguments.contains("--json"),
+            scene: arguments
+                .opt_value_from_str("--scene")?
+                .unwrap_or_else(|| "all".into()),
+            seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+            name: arguments
+                .opt_free_from_str()?
+                .unwrap_or_else(|| "all".into()),
+        };
+        let rest = arguments.finish();
+        if !rest.is_empty() {
+            bail!("unknown arguments {rest:?}; see --help");
+        }
+        let known = MEASUREMENTS.iter().any(|(name, _)| *name == parsed.name);
+        if !known && parsed.name != "all" && parsed.name != "capacity" {
+            bail!("unknown measurement `{}`; see --help", parsed.name);
+        }
+        if parsed.scenes().is_empty() {
+            bail!("unknown scene `{}`; see --help", parsed.scene);
+        }
+        Ok(Some(parsed))
+    }
+
+    pub(crate) fn scenes(&self) -> Vec<Scene> {
+        let scenes = [Scene::island(), Scene::region(), Scene::scaled(10)];
+        scenes
+            .into_iter()
+            .filter(|scene| self.scene == "all" || self.scene == scene.name)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/arrival.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Work {
+    /// Call of a service.
+    Call { kind: OperationKind },
+    /// Prompt whose answer has this many tokens.
+    Prompt { answer_tokens: u32, is_long: bool },
+}
+
+/// One request of one caller, at its time.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) account: usize,
+    pub(crate) at: Duration,
+    pub(crate) prefix: u64,
+    pub(crate) work: Work,
+}
+
+/// Demand over time: prompts per second at a time.
+pub(crate) type Demand = dyn Fn(Duration) -> f64;
+
+/// Draws Poisson arrivals from `start` to `end`. Two accounts make half of the demand.
+pub(crate) fn draw(
+    scene: &Scene,
+    demand: &Demand,
+    start: Duration,
+    end: Duration,
+    random: &mut ChaCha8Rng,
+) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    let mut at = start;
+    while at < end {
+        let rate_per_s = demand(at).max(0.1);
+        let gap_s = -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate_per_s;
+        at += Duration::from_secs_f64(gap_s);
+        let account = match random.random_bool(0.5) {
+            false => random.random_range(0..scene.account_count),
+            true => random.random_range(0..2),
+        };
+        let prefix = random.random_range(0..200);
+        arrivals.push(Arrival {
+            account,
+            at,
+            prefix,
+            work: draw_work(scene, random),
+        });
+    }
+    arrivals
+}
+
+fn draw_work(scene: &Scene, random: &mut ChaCha8Rng) -> Work {
+    let calls = scene.service_call_one_in;
+    if calls > 0 && random.random_ratio(1, calls) {
+        let kind = match random.random_bool(0.5) {
+            false => OperationKind::Idempotent,
+            true => OperationKind::NonRepeatable,
+        };
+        return Work::Call { kind };
+    }
+    let is_long = random.random_ratio(1, scene.long_one_in);
+    let mean = if is_long {
+        scene.long_tokens
+    } else {
+        scene.short_tokens
+    };
+    let answer_tokens = random.random_range(mean / 2..=mean * 3 / 2);
+    Work::Prompt {
+        answer_tokens,
+        is_long,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/caller.rs
@@ -0,0 +1,206 @@
+use super::*;
+
+/// Time a caller needs to notice a dead address and take another one.
+const NEXT_ADDRESS: Duration = Duration::from_millis(2);
+
+impl World {
+    /// A caller sends a request to one of the addresses that it knows.
+    pub(crate) fn submit(&mut self, arrival: usize, delivered_tokens: u32) {
+        let instance = self.random.random_range(0..self.instances.len());
+        if self.instances[instance].is_none() {
+            let happening = Happening::Submitted {
+                arrival,
+                delivered_tokens,
+            };
+            self.schedule(NEXT_ADDRESS, happening);
+            return;
+        }
+        let spec = self.arrivals[arrival].clone();
+        let left = (spec.at + DEADLINE).saturating_sub(self.now);
+        if left.is_zero() {
+            self.end(arrival, false, None);
+            return;
+        }
+        let request: RequestId = format!("r{arrival}-{}", self.now.as_micros()).into();
+        self.flights.insert(
+            request.clone(),
+            self.flight(arrival, delivered_tokens, instance),
+        );
+        let event = match spec.work {
+            Work::Call { kind } => Event::CallSubmitted(call(arrival, &spec, kind, left, request)),
+            Work::Prompt { .. } => {
+                let mut prompt = prompt(arrival, &spec, left, request);
+                prompt.delivered_tokens = delivered_tokens;
+                prompt.prompt_tokens = self.scene.prompt_tokens();
+                Event::GenerateSubmitted(prompt)
+            }
+        };
+        self.send_event(LINK, instance, event);
+    }
+
+    fn flight(&self, arrival: usize, delivered_tokens: u32, instance: usize) -> Flight {
+        Flight {
+            arrival,
+            attempt: 0,
+            delivered_tokens,
+            first_token_at: (delivered_tokens > 0).then_some(self.arrivals[arrival].at),
+            instance,
+            last_token_at: self.now,
+            place: Place::Instance,
+            priority: 0,
+            route: None,
+            warm: false,
+        }
+    }
+
+    /// A refused caller comes back when it was told to, until its deadline.
+    pub(crate) fn refused(&mut self, refusal: &Refusal, request: &RequestId) {
+        let Some(flight) = self.flights.remove(request) else {
+            return;
+        };
+        *self.tally.refusals.entry(refusal.kind).or_default() += 1;
+        let (arrival, delivered_tokens) = (flight.arrival, flight.delivered_tokens);
+        if self.now + refusal.retry_after >= self.arrivals[arrival].at + DEADLINE {
+            self.end(arrival, false, None);
+            return;
+        }
+        let happening = Happening::Submitted {
+            arrival,
+            delivered_tokens,
+        };
+        self.schedule(refusal.retry_after, happening);
+    }
+
+    pub(crate) fn end(&mut self, arrival: usize, complete: bool, first_at: Option<Duration>) {
+        let at = self.arrivals[arrival].at;
+        let complete = complete && self.now <= at + DEADLINE;
+        let first_after = first_at.map(|first_at| first_at.saturating_sub(at));
+        self.tally.ends.insert(
+            arrival,
+            End {
+                complete,
+                first_after,
+            },
+        );
+    }
+
+    pub(crate) fn answer_call(&mut self, outcome: &CallOutcome, request: &RequestId) {
+        if let CallOutcome::NotRun(refusal) = outcome {
+            self.refused(refusal, request);
+            return;
+        }
+        let Some(flight) = self.flights.remove(request) else {
+            return;
+        };
+        let complete = matches!(outcome, CallOutcome::Ran(_));
+        self.end(flight.arrival, complete, Some(self.now));
+    }
+
+    pub(crate) fn call_arrived(
+        &mut self,
+        attempt: Attempt,
+        request: &RequestId,
+        target: &TargetId,
+    ) {
+        let service = self
+            .services
+            .iter_mut()
+            .find(|service| service.listing.id == *target);
+        let Some(service) = service.filter(|service| service.alive) else {
+            self.attempt_failed(request, FailureKind::Unreachable, target.clone());
+            return;
+        };
+        *service.executions.entry(arrival_of(request)).or_default() += 1;
+        service.running_count += 1;
+        let delay = service.delay();
+        let (request, target) = (request.clone(), target.clone());
+        self.schedule(
+            delay,
+            Happening::CallEnded {
+                attempt,
+                request,
+                target,
+            },
+        );
+    }
+
+    pub(crate) fn call_ended(&mut self, attempt: Attempt, request: &RequestId, target: &TargetId) {
+        let service = self
+            .services
+            .iter_mut()
+            .find(|service| service.listing.id == *target);
+        let Some(service) = service else {
+            return;
+        };
+        service.running_count -= 1;
+        if !service.alive {
+            self.attempt_failed(request, FailureKind::Broken, target.clone());
+            return;
+        }
+        let Some(flight) = self.flights.get(request) else {
+            return;
+        };
+        let reply = CallReply {
+            body: "{}".into(),
+            status: 200,
+        };
+        let event = Event::CallCompleted {
+            attempt,
+            reply,
+            request: request.clone(),
+        };
+        self.send_event(LINK, flight.instance, event);
+    }
+}
+
+/// Arrival of a request; the id outlives the flight, so that an operation whose caller gave up is
+/// counted too.
+fn arrival_of(request: &RequestId) -> usize {
+    let digits = request.trim_start_matches('r').split('-').next();
+    digits
+        .and_then(|digits| digits.parse().ok())
+        .unwrap_or(usize::MAX)
+}
+
+fn prompt(
+    arrival: usize,
+    spec: &Arrival,
+    deadline: Duration,
+    request: RequestId,
+) -> GenerateSubmission {
+    GenerateSubmission {
+        account: Scene::account(spec.account),
+        deadline,
+        delivered_tokens: 0,
+        fingerprint: arrival as u64,
+        max_tokens: 4_096,
+        model: "model".into(),
+        prefix_hashes: vec![spec.prefix],
+        prompt_tokens: 0,
+        request,
+    }
+}
+
+fn call(
+    arrival: usize,
+    spec: &Arrival,
+    kind: OperationKind,
+    deadline: Duration,
+    request: RequestId,
+) -> CallSubmission {
+    let (key, operation) = match kind {
+        OperationKind::Idempotent => (None, "look"),
+        OperationKind::NonRepeatable => (Some(format!("key-{arrival}").into()), "book"),
+    };
+    CallSubmission {
+        account: Scene::account(spec.account),
+        body_hash: format!("body-{arrival}").into(),
+        deadline,
+        fingerprint: arrival as u64,
+        key,
+        kind,
+        operation: operation.into(),
+        request,
+        service: "orders".into(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,214 @@
+use super::*;
+
+/// Length of each run after the warm-up.
+const SPAN: Duration = Duration::from_secs(20);
+
+/// Nodes built at once to measure memory, so that pages of the allocator weigh little.
+const NODE_COUNT: usize = 16;
+
+/// One measured slope.
+#[derive(Debug, Serialize)]
+pub(crate) struct Slope {
+    /// Value at size zero.
+    pub(crate) base: f64,
+    pub(crate) name: &'static str,
+    /// Sizes and values as measured.
+    pub(crate) points: Vec<(f64, f64)>,
+    /// Growth of the value with one more.
+    pub(crate) slope: f64,
+    pub(crate) unit: &'static str,
+}
+
+impl Slope {
+    /// Least-squares line through the points.
+    fn fit(name: &'static str, unit: &'static str, points: Vec<(f64, f64)>) -> Self {
+        let count = points.len() as f64;
+        let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+        let (mean_size, mean_value) = (mean(|point| point.0), mean(|point| point.1));
+        let mut covariance = 0.0;
+        let mut variance = 0.0;
+        for (size, value) in &points {
+            covariance += (size - mean_size) * (value - mean_value);
+            variance += (size - mean_size).powi(2);
+        }
+        let slope = covariance / variance;
+        Self {
+            base: mean_value - slope * mean_size,
+            name,
+            points,
+            slope,
+            unit,
+        }
+    }
+
+    pub(crate) fn line(&self) -> String {
+        let mut points = String::new();
+        for (size, value) in &self.points {
+            points.push_str(&format!(" {size:.0}:{value:.3}"));
+        }
+        format!(
+            "{:<34} {:>12.4} {} a unit, base {:.3}; measured{points}",
+            self.name, self.slope, self.unit, self.base
+        )
+    }
+}
+
+/// Slopes from which docs/CAPACITY.md works out each role at the size to design for. Processor
+/// time and memory depend on the machine.
+pub(crate) fn slopes(seed: u64) -> Result<Vec<Slope>> {
+    let base = Scene {
+        service_call_one_in: 0,
+        ..Scene::island()
+    };
+    let targets = [20_usize, 40, 80, 160].map(|engine_count| Scene {
+        engine_count,
+        ..base.clone()
+    });
+    let peers = [2_usize, 4, 8, 16].map(|instance_count| Scene {
+        instance_count,
+        ..base.clone()
+    });
+    let accounts = [10_usize, 50, 100, 400].map(|account_count| Scene {
+        account_count,
+        ..base.clone()
+    });
+    let by_targets = |scene: &Scene| scene.engine_count as f64;
+    let by_peers = |scene: &Scene| scene.instance_count as f64;
+    let by_accounts = |scene: &Scene| scene.account_count as f64;
+    Ok(vec![
+        idle(
+            &targets,
+            seed,
+            "peer bytes/s by target",
+            "B/s",
+            by_targets,
+            peer_bytes_per_s,
+        )?,
+        idle(
+            &peers,
+            seed,
+            "peer bytes/s by peer",
+            "B/s",
+            by_peers,
+            peer_bytes_per_s,
+        )?,
+        idle(
+            &targets,
+            seed,
+            "idle core by target",
+            "us/s",
+            by_targets,
+            core_us_per_s,
+        )?,
+        idle(
+            &peers,
+            seed,
+            "idle core by peer",
+            "us/s",
+            by_peers,
+            core_us_per_s,
+        )?,
+        idle(
+            &peers,
+            seed,
+            "table reads/s by instance",
+            "1/s",
+            by_peers,
+            reads_per_s,
+        )?,
+        requests(&base, seed)?,
+        memory(&targets, "memory by target", by_targets)?,
+        memory(&accounts, "memory by account", by_accounts)?,
+    ])
+}
+
+fn idle(
+    scenes: &[Scene],
+    seed: u64,
+    name: &'static str,
+    unit: &'static str,
+    size: fn(&Scene) -> f64,
+    value: fn(&World) -> f64,
+) -> Result<Slope> {
+    let mut points = Vec::new();
+    for scene in scenes {
+        let mut world = World::new(scene.clone(), PolicyKind::Shipped, seed)?;
+        world.run(WARM_UP + SPAN);
+        points.push((size(scene), value(&world)));
+    }
+    Ok(Slope::fit(name, unit, points))
+}
+
+fn peer_bytes_per_s(world: &World) -> f64 {
+    world.tally.peer_bytes as f64 / world.now.as_secs_f64() / world.scene.instance_count as f64
+}
+
+fn core_us_per_s(world: &World) -> f64 {
+    1e6 * world.work.as_secs_f64() / world.now.as_secs_f64() / world.scene.instance_count as f64
+}
+
+fn reads_per_s(world: &World) -> f64 {
+    world.table.read_count as f64 / world.now.as_secs_f64()
+}
+
+/// Processor time by prompts a second and instance, from runs with growing demand.
+fn requests(scene: &Scene, seed: u64) -> Result<Slope> {
+    let mut points = Vec::new();
+    for load in [0.1, 0.2, 0.4, 0.6] {
+        let world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).finish()?;
+        let instances = scene.instance_count as f64;
+        let prompts_per_s = world.arrivals.len() as f64 / SPAN.as_secs_f64() / instances;
+        // Demand lasts only for part of the run; ticks without demand fall into the base.
+        let work_s = world.work.as_secs_f64() / instances;
+        points.push((prompts_per_s, 1e6 * work_s / SPAN.as_secs_f64()));
+    }
+    Ok(Slope::fit("core by prompts/s", "us/s", points))
+}
+
+fn memory(scenes: &[Scene], name: &'static str, size: fn(&Scene) -> f64) -> Result<Slope> {
+    let mut points = Vec::new();
+    let mut kept = Vec::new();
+    for scene in scenes {
+        let before = resident_bytes()?;
+        for _ in 0..NODE_COUNT {
+            kept.push(filled_node(scene));
+        }
+        points.push((
+            size(scene),
+            (resident_bytes()? - before) / NODE_COUNT as f64,
+        ));
+    }
+    drop(kept);
+    Ok(Slope::fit(name, "bytes", points))
+}
+
+/// A node that knows all targets and lists of a scene.
+fn filled_node(scene: &Scene) -> Node {
+    let identity = scene.identity(0);
+    let mut node = Node::new(NodeSettings::default(), identity, SystemTime::UNIX_EPOCH);
+    let mut engines = scene.engines();
+    let listings = engines
+        .iter()
+        .map(|engine| engine.listing.clone())
+        .collect();
+    // Copies the lists, so that each node holds its own.
+    let lists = Arc::new(scene.lists());
+    node.handle(Duration::ZERO, Event::ListsReceived(lists));
+    node.handle(Duration::ZERO, Event::ListingRead { listings });
+    for engine in &mut engines {
+        let target = engine.listing.id.clone();
+        let report = engine.report(Duration::ZERO, Duration::from_secs(1));
+        node.handle(
+            Duration::from_millis(1),
+            Event::LoadReceived { report, target },
+        );
+    }
+    node
+}
+
+fn resident_bytes() -> Result<f64> {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split_whitespace().nth(1).unwrap_or("0");
+    Ok(pages.parse::<f64>()? * PAGE_BYTES)
+}
--- /dev/null
+++ b/crates/bench/src/control_cost.rs
@@ -0,0 +1,59 @@
+use super::*;
+
+const LOAD: f64 = 0.6;
+
+const SPAN: Duration = Duration::from_secs(30);
+
+/// Stated limit for control messages, in bytes a second and instance.
+const CONTROL_BYTES_PER_S: f64 = 12_000.0;
+
+/// What the platform's table can do, in requests a second; several hundred writes.
+const STORE_READS_PER_S: f64 = 2_000.0;
+const STORE_WRITES_PER_S: f64 = 300.0;
+
+/// Stated limit for control, in percent of a core.
+const CORE_PERCENT: f64 = 2.3;
+
+/// Cost of control: messages between instances, the store, and processor time.
+pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
+    let world = Run::steady(scene, PolicyKind::Shipped, seed, LOAD, SPAN).finish()?;
+    let span_s = world.now.as_secs_f64();
+    let instances = scene.instance_count as f64;
+    let line = |name: &str, unit, value, limit| Measure {
+        bound: None,
+        limit,
+        name: format!("{}.{name}", scene.name),
+        naive: None,
+        unit,
+        value,
+    };
+    let reads_per_s = world.table.read_count as f64 / span_s;
+    let writes_per_s = world.table.write_count as f64 / span_s;
+    let peer_bytes_per_s = world.tally.peer_bytes as f64 / span_s / instances;
+    let core_percent = 100.0 * world.work.as_secs_f64() / span_s / instances;
+    let event_us = 1e6 * world.work.as_secs_f64() / world.event_count.max(1) as f64;
+    Ok(vec![
+        line(
+            "control_bytes",
+            "bytes/s",
+            peer_bytes_per_s,
+            Limit::AtMost(CONTROL_BYTES_PER_S),
+        ),
+        line(
+            "store_reads",
+            "reads/s",
+            reads_per_s,
+            Limit::AtMost(STORE_READS_PER_S),
+        ),
+        line(
+            "store_writes",
+            "writes/s",
+            writes_per_s,
+            Limit::AtMost(STORE_WRITES_PER_S),
+        ),
+        // Processor time depends on the machine, so it carries no verdict; the limit is 2.3%.
+        line("control_core", "% of core", core_percent, Limit::None),
+        line("control_core_limit", "% of core", CORE_PERCENT, Limit::None),
+        line("control_event", "us/event", event_us, Limit::None),
+    ])
+}
--- /dev/null
+++ b/crates/bench/src/engine.rs
@@ -0,0 +1,95 @@
+use super::*;
+
+/// Prompt prefixes that one engine keeps.
+const CACHED_PREFIX_COUNT: usize = 64;
+
+/// Growth of an engine's step time from an empty to a full batch.
+pub(crate) const FULL_BATCH_SLOWDOWN: f64 = 0.5;
+
+/// Fake engine: a number of slots, a time per token step and a prefix cache.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) alive: bool,
+    pub(crate) cached: VecDeque<u64>,
+    pub(crate) layers: LayerRange,
+    pub(crate) listing: Listing,
+    pub(crate) model: ModelId,
+    /// Requests that hold a slot. Invariant: at most `slot_count`.
+    pub(crate) running: BTreeSet<RequestId>,
+    pub(crate) slot_count: u32,
+    /// Time of one step with an empty batch.
+    pub(crate) step: Duration,
+    /// Tokens generated since the last report.
+    pub(crate) token_count: u64,
+    /// Requests that wait for slots at this engine as their first stage, in order of arrival.
+    pub(crate) waiting: Vec<Waiting>,
+}
+
+/// A request that waits at its first stage.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) attempt: Attempt,
+    pub(crate) priority: Priority,
+    pub(crate) request: RequestId,
+    pub(crate) route: Route,
+}
+
+impl Engine {
+    pub(crate) fn has_slot(&self) -> bool {
+        self.alive && self.running.len() < self.slot_count as usize
+    }
+
+    /// Time of one step with the batch as it is now.
+    pub(crate) fn step_now(&self) -> Duration {
+        let fill = self.running.len() as f64 / f64::from(self.slot_count);
+        self.step.mul_f64(1.0 + FULL_BATCH_SLOWDOWN * fill)
+    }
+
+    /// Whether the longest of `prefixes` is cached; keeps it as the most recently used.
+    pub(crate) fn touch_prefix(&mut self, prefixes: &[u64]) -> bool {
+        let Some(prefix) = prefixes.last() else {
+            return false;
+        };
+        let found = self.cached.iter().position(|cached| cached == prefix);
+        if let Some(position) = found {
+            self.cached.remove(position);
+        }
+        self.cached.push_back(*prefix);
+        if self.cached.len() > CACHED_PREFIX_COUNT {
+            self.cached.pop_front();
+        }
+        found.is_some()
+    }
+
+    pub(crate) fn report(&mut self, lag: Duration, span: Duration) -> LoadReport {
+        let rate_per_s = self.token_count as f64 / span.as_secs_f64();
+        self.token_count = 0;
+        LoadReport {
+            age_ms: lag.as_millis() as u64,
+            incarnation: self.listing.incarnation,
+            leaving: self.listing.leaving,
+            models: vec![LoadedModel {
+                adapters: Vec::new(),
+                layer_count: LAYER_COUNT,
+                layers: self.layers,
+                model: self.model.clone(),
+            }],
+            rate_per_s,
+            running_count: self.running.len() as u32,
+            slot_count: self.slot_count,
+            waiting_count: self.waiting.len() as u32,
+            ..LoadReport::default()
+        }
+    }
+
+    /// Highest priority first, then order of arrival.
+    pub(crate) fn next_waiting(&self) -> Option<usize> {
+        let mut best: Option<usize> = None;
+        for (index, waiting) in self.waiting.iter().enumerate() {
+            if best.is_none_or(|best| waiting.priority > self.waiting[best].priority) {
+                best = Some(index);
+            }
+        }
+        best
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,122 @@
-//! Measurements of the decision code in virtual time.
+//! Measurements of the decision code in virtual time, against a naive version in the same run.
+//!
+//! Small fakes stand at the interfaces: engines with slots and step times, services, the table and
+//! the instance list. The same seed gives the same figures, except for processor time.
 
-fn main() {}
+use {
+    anyhow::{Result, bail},
+    control::{Command, Event, Identity, Node, NodeSettings, OwnerStatus},
+    hdrhistogram::Histogram,
+    rand::{Rng, SeedableRng, seq::IndexedRandom, seq::IteratorRandom},
+    rand_chacha::ChaCha8Rng,
+    serde::Serialize,
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
+        net::SocketAddr,
+        process::ExitCode,
+        sync::Arc,
+        time::{Duration, Instant, SystemTime},
+    },
+    types::{
+        Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
+        ChangeRecord, Condition, ConfigVersion, FailureDomain, FailureKind, GenerateSubmission,
+        InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
+        Nonce, OperationKind, Plan, Priority, Refusal, RefusalKind, RequestId, Route, Row,
+        RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StoreTicket,
+        TargetId, Write,
+    },
+};
+
+mod arguments;
+mod arrival;
+mod caller;
+mod capacity;
+mod control_cost;
+mod delivery;
+mod engine;
+mod flight;
+mod generation;
+mod measure;
+mod naive;
+mod overload;
+mod policy;
+mod recovery;
+mod run;
+mod scene;
+mod service;
+mod short_work;
+mod swing;
+mod table;
+mod tally;
+mod world;
+
+use {
+    arguments::Arguments,
+    arrival::{Arrival, Demand, Work, draw},
+    delivery::STORE_LINK,
+    engine::{Engine, FULL_BATCH_SLOWDOWN, Waiting},
+    flight::{Flight, Place},
+    measure::{Limit, Measure},
+    naive::Naive,
+    policy::{Policy, PolicyKind},
+    run::{Run, WARM_UP, served_share, waits},
+    scene::{LAYER_COUNT, Scene},
+    service::Service,
+    table::Table,
+    tally::{BUCKET, End, Tally, quantile_ms},
+    world::{DEADLINE, Fault, Happening, LINK, REPORT_LAG, World},
+};
+
+type Measurement = fn(&Scene, u64) -> Result<Vec<Measure>>;
+
+/// Measurements by name.
+const MEASUREMENTS: [(&str, Measurement); 5] = [
+    ("control_cost", control_cost::measure),
+    ("overload", overload::measure),
+    ("recovery", recovery::measure),
+    ("short_work", short_work::measure),
+    ("swing", swing::measure),
+];
+
+fn main() -> Result<ExitCode> {
+    let Some(arguments) = Arguments::parse()? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let mut holds = true;
+    if arguments.name == "capacity" {
+        return print_slopes(&arguments);
+    }
+    if !arguments.json {
+        println!("{}", Measure::heading());
+    }
+    for scene in arguments.scenes() {
+        for (name, measurement) in MEASUREMENTS {
+            if arguments.name != "all" && arguments.name != name {
+                continue;
+            }
+            for measure in measurement(&scene, arguments.seed)? {
+                holds &= measure.holds();
+                match arguments.json {
+                    false => println!("{}", measure.line()),
+                    true => println!("{}", serde_json::to_string(&measure)?),
+                }
+            }
+        }
+    }
+    Ok(if holds {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn print_slopes(arguments: &Arguments) -> Result<ExitCode> {
+    for slope in capacity::slopes(arguments.seed)? {
+        match arguments.json {
+            false => println!("{}", slope.line()),
+            true => println!("{}", serde_json::to_string(&slope)?),
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/bench/src/measure.rs
@@ -0,0 +1,66 @@
+use super::*;
+
+/// Limit that a measured value must keep.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Limit {
+    AtLeast(f64),
+    AtMost(f64),
+    /// Shown for information, without a verdict.
+    None,
+}
+
+/// One line of the result.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Measure {
+    /// Best value that any policy could reach, if one was derived.
+    pub(crate) bound: Option<f64>,
+    pub(crate) limit: Limit,
+    pub(crate) name: String,
+    /// Value of the naive version in the same run, if it has one.
+    pub(crate) naive: Option<f64>,
+    pub(crate) unit: &'static str,
+    pub(crate) value: f64,
+}
+
+impl Measure {
+    pub(crate) fn holds(&self) -> bool {
+        match self.limit {
+            Limit::AtLeast(limit) => self.value >= limit,
+            Limit::AtMost(limit) => self.value <= limit,
+            Limit::None => true,
+        }
+    }
+
+    /// Value over the achievable bound.
+    pub(crate) fn ratio(&self) -> Option<f64> {
+        self.bound.map(|bound| self.value / bound)
+    }
+
+    pub(crate) fn heading() -> String {
+        format!(
+            "{:<42} {:>10} {:>11} {:>11} {:>11} {:>7} {:>13} {}",
+            "measure", "unit", "naive", "value", "bound", "ratio", "limit", "holds"
+        )
+    }
+
+    pub(crate) fn line(&self) -> String {
+        let number = |value: Option<f64>| value.map_or("-".into(), |value| format!("{value:.3}"));
+        let limit = match self.limit {
+            Limit::AtLeast(limit) => format!(">= {limit:.3}"),
+            Limit::AtMost(limit) => format!("<= {limit:.3}"),
+            Limit::None => "-".into(),
+        };
+        format!(
+            "{:<42} {:>10} {:>11} {:>11.3} {:>11} {:>7} {:>13} {}",
+            self.name,
+            self.unit,
+            number(self.naive),
+            self.value,
+            number(self.bound),
+            number(self.ratio()),
+            limit,
+            if self.holds() { "yes" } else { "NO" }
+        )
+    }
+}
--- /dev/null
+++ b/crates/bench/src/naive.rs
@@ -0,0 +1,184 @@
+use super::*;
+
+/// Time between reads of the platform's list.
+const LISTING_PERIOD: Duration = Duration::from_secs(1);
+
+/// Attempts per request.
+const ATTEMPT_COUNT: Attempt = 3;
+
+/// The simplest router: uniformly random targets out of the platform's list, first come first
+/// served, a fixed number of immediate retries, no record of calls.
+pub(crate) struct Naive {
+    attempts: BTreeMap<RequestId, Attempt>,
+    calls: BTreeMap<RequestId, CallSubmission>,
+    listings: Vec<Listing>,
+    next_listing: Duration,
+    prompts: BTreeMap<RequestId, GenerateSubmission>,
+    random: ChaCha8Rng,
+    reports: BTreeMap<TargetId, LoadReport>,
+}
+
+impl Naive {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            attempts: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            listings: Vec::new(),
+            next_listing: Duration::ZERO,
+            prompts: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            reports: BTreeMap::new(),
+        }
+    }
+
+    fn dispatch(&mut self, request: &RequestId) -> Vec<Command> {
+        let attempt = self.attempts.entry(request.clone()).or_insert(0);
+        *attempt += 1;
+        let attempt = *attempt;
+        let command = match attempt > ATTEMPT_COUNT {
+            true => None,
+            false => self.choose(request, attempt),
+        };
+        if let Some(command) = command {
+            return vec![command];
+        }
+        self.attempts.remove(request);
+        let refusal = Refusal {
+            kind: RefusalKind::RetriesExhausted,
+            retry_after: Duration::from_secs(1),
+        };
+        if self.calls.remove(request).is_some() {
+            let outcome = CallOutcome::NotRun(refusal);
+            return vec![Command::AnswerCall {
+                outcome,
+                request: request.clone(),
+            }];
+        }
+        self.prompts.remove(request);
+        vec![Command::Refuse {
+            refusal,
+            request: request.clone(),
+        }]
+    }
+
+    fn choose(&mut self, request: &RequestId, attempt: Attempt) -> Option<Command> {
+        if self.calls.contains_key(request) {
+            let services = self.listings.iter().filter(|row| is_service(row));
+            let row = services.choose(&mut self.random)?;
+            let (address, target) = (row.address, row.id.clone());
+            return Some(Command::DispatchCall {
+                address,
+                attempt,
+                request: request.clone(),
+                target,
+            });
+        }
+        let route = self.route(&self.prompts.get(request)?.model.clone())?;
+        let request = request.clone();
+        Some(Command::DispatchGenerate {
+            attempt,
+            backup: None,
+            priority: 0,
+            request,
+            route,
+        })
+    }
+
+    fn route(&mut self, model: &ModelId) -> Option<Route> {
+        let mut stages = Vec::new();
+        let mut next = 0;
+        while next < LAYER_COUNT {
+            let mut candidates = Vec::new();
+            for row in &self.listings {
+                let Some(report) = self.reports.get(&row.id) else {
+                    continue;
+                };
+                for loaded in &report.models {
+                    if loaded.model != *model || loaded.layers.start != next {
+                        continue;
+                    }
+                    let target = row.id.clone();
+                    candidates.push(Stage {
+                        address: row.address,
+                        layers: loaded.layers,
+                        target,
+                    });
+                }
+            }
+            let stage = candidates.choose(&mut self.random)?.clone();
+            next = stage.layers.end;
+            stages.push(stage);
+        }
+        Some(Route {
+            layer_count: LAYER_COUNT,
+            stages,
+        })
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Command> {
+        if now < self.next_listing {
+            return Vec::new();
+        }
+        self.next_listing = now + LISTING_PERIOD;
+        let mut commands = vec![Command::ReadListing];
+        for row in &self.listings {
+            let is_engine = matches!(row.role, ListingRole::Engine { .. });
+            if self.reports.contains_key(&row.id) || !is_engine {
+                continue;
+            }
+            let (address, target) = (row.address, row.id.clone());
+            commands.push(Command::Poll {
+                address,
+                cache_event_count: 0,
+                is_engine,
+                target,
+            });
+        }
+        commands
+    }
+}
+
+fn is_service(row: &Listing) -> bool {
+    matches!(row.role, ListingRole::Service { .. }) && !row.leaving
+}
+
+impl Policy for Naive {
+    fn handle(&mut self, now: Duration, event: Event) -> Vec<Command> {
+        match event {
+            Event::AttemptFailed { request, .. } => self.dispatch(&request),
+            Event::CallCompleted { reply, request, .. } => {
+                self.calls.remove(&request);
+                self.attempts.remove(&request);
+                vec![Command::AnswerCall {
+                    outcome: CallOutcome::Ran(reply),
+                    request,
+                }]
+            }
+            Event::CallSubmitted(submission) => {
+                let request = submission.request.clone();
+                self.calls.insert(request.clone(), submission);
+                self.dispatch(&request)
+            }
+            Event::GenerateCompleted { request, .. } => {
+                self.prompts.remove(&request);
+                self.attempts.remove(&request);
+                Vec::new()
+            }
+            Event::GenerateSubmitted(submission) => {
+                let request = submission.request.clone();
+                self.prompts.insert(request.clone(), submission);
+                self.dispatch(&request)
+            }
+            Event::ListingRead { listings } => {
+                self.listings = listings;
+                Vec::new()
+            }
+            Event::LoadReceived { report, target } => {
+                self.reports.insert(target, report);
+                Vec::new()
+            }
+            Event::Ticked => self.tick(now),
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/scene.rs
@@ -0,0 +1,237 @@
+use super::*;
+
+/// Layers of the fake model, split into two stages.
+pub(crate) const LAYER_COUNT: u32 = 32;
+
+/// Tokens in a prompt.
+const PROMPT_TOKENS: u32 = 200;
+
+/// Step times of the three kinds of accelerators in one stage with an empty batch, in
+/// milliseconds. Two slowest stages with full batches and links stay under 64 ms a token.
+const STEPS_MS: [f64; 3] = [10.0, 14.0, 19.0];
+
+/// Requests that one engine runs at once.
+const SLOT_COUNT: u32 = 8;
+
+/// A deployment: how many of everything, and who asks for how much.
+#[derive(Clone, Debug)]
+pub(crate) struct Scene {
+    pub(crate) account_count: usize,
+    pub(crate) domain_count: usize,
+    /// Engines over both stages. Invariant: even.
+    pub(crate) engine_count: usize,
+    pub(crate) instance_count: usize,
+    /// One in this many requests is long.
+    pub(crate) long_one_in: u32,
+    pub(crate) long_tokens: u32,
+    pub(crate) name: &'static str,
+    /// One in this many requests is a call of a service; 0 for none.
+    pub(crate) service_call_one_in: u32,
+    pub(crate) service_count: usize,
+    pub(crate) short_tokens: u32,
+}
+
+impl Default for Scene {
+    fn default() -> Self {
+        Self {
+            account_count: 10,
+            domain_count: 3,
+            engine_count: 40,
+            instance_count: 8,
+            long_one_in: 50,
+            long_tokens: 1_500,
+            name: "island",
+            service_call_one_in: 8,
+            service_count: 3,
+            short_tokens: 40,
+        }
+    }
+}
+
+impl Scene {
+    /// The island deployment: short drafts behind a few long documents.
+    pub(crate) fn island() -> Self {
+        Self::default()
+    }
+
+    /// The region deployment: bursts of short questions and orders.
+    pub(crate) fn region() -> Self {
+        Self {
+            long_one_in: 100,
+            name: "region",
+            service_call_one_in: 5,
+            ..Self::default()
+        }
+    }
+
+    /// Every count of the island deployment times `factor`, with more instances.
+    pub(crate) fn scaled(factor: usize) -> Self {
+        let scene = Self::default();
+        Self {
+            account_count: scene.account_count * factor,
+            engine_count: scene.engine_count * factor,
+            instance_count: scene.instance_count * 2,
+            name: "scaled",
+            service_count: scene.service_count * factor,
+            ..scene
+        }
+    }
+
+    pub(crate) fn account(index: usize) -> AccountId {
+        format!("account-{index}").into()
+    }
+
+    pub(crate) fn domain(&self, index: usize) -> FailureDomain {
+        format!("domain-{}", index % self.domain_count).into()
+    }
+
+    /// Lists under which every account may use everything.
+    pub(crate) fn lists(&self) -> Lists {
+        let mut lists = Lists {
+            version: 1,
+            ..Lists::default()
+        };
+        let plan = Plan {
+            deadline_ms: DEADLINE.as_millis() as u64,
+            max_concurrent_count: 10_000,
+            max_queued_count: 10_000,
+            models: ["model".into()].into(),
+            services: ["orders".into()].into(),
+            ..Plan::default()
+        };
+        lists.plans.insert("plan".into(), plan);
+        for index in 0..self.account_count {
+            let account = Account {
+                plan: "plan".into(),
+                ..Account::default()
+            };
+            lists.accounts.insert(Self::account(index), account);
+        }
+        lists
+    }
+
+    pub(crate) fn engines(&self) -> Vec<Engine> {
+        let mut engines = Vec::new();
+        for index in 0..self.engine_count {
+            let half = LAYER_COUNT / 2;
+            let first = index < self.engine_count / 2;
+            let kind = index % STEPS_MS.len();
+            engines.push(Engine {
+                alive: true,
+                cached: VecDeque::new(),
+                layers: match first {
+                    false => LayerRange {
+                        end: LAYER_COUNT,
+                        start: half,
+                    },
+                    true => LayerRange {
+                        end: half,
+                        start: 0,
+                    },
+                },
+                listing: self.listing(
+                    format!("engine-{index}"),
+                    20_000 + index,
+                    // Spreads each kind of accelerator over the failure domains.
+                    index / STEPS_MS.len(),
+                    ListingRole::Engine {
+                        accelerator: format!("kind-{kind}").into(),
+                        checks_fence: index % 2 == 0,
+                    },
+                ),
+                model: "model".into(),
+                running: BTreeSet::new(),
+                slot_count: SLOT_COUNT,
+                step: Duration::from_secs_f64(STEPS_MS[kind] / 1_000.0),
+                token_count: 0,
+                waiting: Vec::new(),
+            });
+        }
+        engines
+    }
+
+    pub(crate) fn services(&self) -> Vec<Service> {
+        let mut services = Vec::new();
+        for index in 0..self.service_count {
+            let operation = |kind, name: &str| ServiceOperation {
+                kind,
+                name: name.into(),
+            };
+            let role = ListingRole::Service {
+                operations: vec![
+                    operation(OperationKind::Idempotent, "look"),
+                    operation(OperationKind::NonRepeatable, "book"),
+                ],
+                service: "orders".into(),
+            };
+            services.push(Service {
+                alive: true,
+                executions: BTreeMap::new(),
+                listing: self.listing(format!("service-{index}"), 30_000 + index, index, role),
+                running_count: 0,
+                slot_count: 8,
+                work: Duration::from_millis(20),
+            });
+        }
+        services
+    }
+
+    pub(crate) fn identity(&self, index: usize) -> Identity {
+        Identity {
+            address: address(10_000 + index),
+            failure_domain: self.domain(index),
+            incarnation: 1,
+            instance: format!("entry-{index}").into(),
+            peer_address: address(11_000 + index),
+            region: "region".into(),
+        }
+    }
+
+    pub(crate) fn listing(
+        &self,
+        id: String,
+        port: usize,
+        domain: usize,
+        role: ListingRole,
+    ) -> Listing {
+        Listing {
+            address: address(port),
+            failure_domain: self.domain(domain),
+            id: id.into(),
+            incarnation: 1,
+            leaving: false,
+            region: "region".into(),
+            role,
+        }
+    }
+
+    /// Tokens of an average answer.
+    pub(crate) fn mean_tokens(&self) -> f64 {
+        let long = 1.0 / f64::from(self.long_one_in);
+        long * f64::from(self.long_tokens) + (1.0 - long) * f64::from(self.short_tokens)
+    }
+
+    /// Most tokens a second that any routing could reach: every slot busy, each stage paired with
+    /// one of its own kind, no prefill and no links.
+    pub(crate) fn token_bound_per_s(&self) -> f64 {
+        let mut total = 0.0;
+        for index in 0..self.engine_count / 2 {
+            let step_s = STEPS_MS[index % STEPS_MS.len()] / 1_000.0;
+            total += f64::from(SLOT_COUNT) / (2.0 * step_s * (1.0 + FULL_BATCH_SLOWDOWN));
+        }
+        total
+    }
+
+    /// Prompts a second that keep `load` of all slots busy, counting prefill.
+    pub(crate) fn prompts_per_s(&self, load: f64) -> f64 {
+        load * self.token_bound_per_s() / self.mean_tokens()
+    }
+
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        PROMPT_TOKENS
+    }
+}
+
+fn address(port: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port as u16))
+}
--- /dev/null
+++ b/crates/bench/src/short_work.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+/// Share of slots that the demand keeps busy.
+const LOAD: f64 = 0.7;
+
+const SPAN: Duration = Duration::from_secs(60);
+
+/// Stated target for the first token, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 310.0;
+
+/// Stated target between tokens, in milliseconds.
+const GAP_MS: f64 = 64.0;
+
+/// Wait of short work with and without long work beside it, and the pace of tokens.
+pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
+    let run = |kind, scene: &Scene| Run::steady(scene, kind, seed, LOAD, SPAN).finish();
+    let alone = Scene {
+        long_tokens: scene.short_tokens,
+        ..scene.clone()
+    };
+    let naive = run(PolicyKind::Naive, scene)?;
+    let shipped = run(PolicyKind::Shipped, scene)?;
+    let shipped_alone = run(PolicyKind::Shipped, &alone)?;
+    let mut measures = Vec::new();
+    for (share, limit) in [
+        (0.5, Limit::None),
+        (0.95, Limit::AtMost(FIRST_TOKEN_MS)),
+        (0.99, Limit::None),
+    ] {
+        let wait = |world: &World| quantile_ms(&waits(world, false), share);
+        measures.push(Measure {
+            bound: Some(wait(&shipped_alone)),
+            limit,
+            name: format!("{}.short_wait_p{:.0}", scene.name, share * 100.0),
+            naive: Some(wait(&naive)),
+            unit: "ms",
+            value: wait(&shipped),
+        });
+    }
+    measures.push(Measure {
+        bound: None,
+        limit: Limit::AtMost(DEADLINE.as_secs_f64() * 1_000.0),
+        name: format!("{}.long_wait_max", scene.name),
+        naive: Some(quantile_ms(&waits(&naive, true), 1.0)),
+        unit: "ms",
+        value: quantile_ms(&waits(&shipped, true), 1.0),
+    });
+    let gap_ms = |world: &World| world.tally.gaps_us.value_at_quantile(0.95) as f64 / 1_000.0;
+    measures.push(Measure {
+        bound: None,
+        limit: Limit::AtMost(GAP_MS),
+        name: format!("{}.token_gap_p95", scene.name),
+        naive: Some(gap_ms(&naive)),
+        unit: "ms",
+        value: gap_ms(&shipped),
+    });
+    Ok(measures)
+}
--- /dev/null
+++ b/crates/bench/src/swing.rs
@@ -0,0 +1,112 @@
+use super::*;
+
+/// Load before and after the swing; ten times as much at its peak.
+const BASE_LOAD: f64 = 0.3;
+
+const PEAK_FACTOR: f64 = 10.0;
+
+/// Start of the swing, after the warm-up.
+const PEAK_START: Duration = Duration::from_secs(20);
+
+/// Time in which the demand rises.
+const RISE: Duration = Duration::from_secs(2);
+
+const PEAK: Duration = Duration::from_secs(10);
+
+/// Wait for the first token after which a clerk's customer has gone.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Part of what is achievable that must be served: 95 in 100.
+const TARGET_SHARE: f64 = 0.95;
+
+/// Service while demand rises tenfold within two seconds.
+pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
+    let naive = run(scene, PolicyKind::Naive, seed)?;
+    let shipped = run(scene, PolicyKind::Shipped, seed)?;
+    let (from, to) = (WARM_UP + PEAK_START, WARM_UP + PEAK_START + RISE + PEAK);
+    let share = |world: &World| served_share(world, from, to, PATIENCE, |_| true);
+    let bound = achievable_share(&shipped, from, to);
+    let mut measures = vec![Measure {
+        bound: Some(bound),
+        limit: Limit::AtLeast(TARGET_SHARE * bound),
+        name: format!("{}.swing_served", scene.name),
+        naive: Some(share(&naive)),
+        unit: "share",
+        value: share(&shipped),
+    }];
+    let small = |world: &World| {
+        let shares = (2..scene.account_count).map(|account| {
+            served_share(world, from, to, PATIENCE, |arrival| {
+                arrival.account == account
+            })
+        });
+        shares.fold(1.0, f64::min)
+    };
+    measures.push(Measure {
+        bound: Some(1.0),
+        limit: Limit::AtLeast(TARGET_SHARE * bound),
+        name: format!("{}.swing_served_least_small_account", scene.name),
+        naive: Some(small(&naive)),
+        unit: "share",
+        value: small(&shipped),
+    });
+    let call = |arrival: &Arrival| matches!(arrival.work, Work::Call { .. });
+    let calls = |world: &World| served_share(world, from, to, Duration::from_secs(1), call);
+    measures.push(Measure {
+        bound: Some(1.0),
+        limit: Limit::AtLeast(TARGET_SHARE),
+        name: format!("{}.swing_calls_within_1s", scene.name),
+        naive: Some(calls(&naive)),
+        unit: "share",
+        value: calls(&shipped),
+    });
+    Ok(measures)
+}
+
+fn run(scene: &Scene, kind: PolicyKind, seed: u64) -> Result<World> {
+    let base_per_s = scene.prompts_per_s(BASE_LOAD);
+    let span = PEAK_START + RISE + PEAK + Duration::from_secs(20);
+    let demand = move |at: Duration| {
+        let since = at.saturating_sub(WARM_UP + PEAK_START).as_secs_f64();
+        let rise = (since / RISE.as_secs_f64()).min(1.0);
+        let over = since > (RISE + PEAK).as_secs_f64();
+        let factor = if over {
+            1.0
+        } else {
+            1.0 + (PEAK_FACTOR - 1.0) * rise
+        };
+        base_per_s * factor
+    };
+    Run {
+        demand: Box::new(demand),
+        ..Run::steady(scene, kind, seed, BASE_LOAD, span)
+    }
+    .finish()
+}
+
+/// Share of the swing's arrivals that could be served in time by a router that knew all lengths
+/// and served the shortest first at full capacity.
+fn achievable_share(world: &World, from: Duration, to: Duration) -> f64 {
+    let mut lengths = Vec::new();
+    for arrival in &world.arrivals {
+        if arrival.at < from || arrival.at >= to {
+            continue;
+        }
+        lengths.push(match arrival.work {
+            Work::Call { .. } => 0,
+            Work::Prompt { answer_tokens, .. } => answer_tokens,
+        });
+    }
+    lengths.sort_unstable();
+    let total = lengths.len();
+    let mut budget = world.scene.token_bound_per_s() * (to - from + PATIENCE).as_secs_f64();
+    let mut served = 0;
+    for length in lengths {
+        budget -= f64::from(length);
+        if budget < 0.0 {
+            break;
+        }
+        served += 1;
+    }
+    f64::from(served) / total.max(1) as f64
+}
--- /dev/null
+++ b/crates/bench/src/table.rs
@@ -0,0 +1,79 @@
+use super::*;
+
+/// Fake of the platform's table: rows with versions, counters, and outages.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) down: bool,
+    pub(crate) read_count: u64,
+    pub(crate) write_count: u64,
+    rows: BTreeMap<Arc<str>, Row>,
+    version: RowVersion,
+}
+
+impl Table {
+    pub(crate) fn execute(&mut self, request: &StoreRequest) -> Result<StoreReply, StoreFailure> {
+        if self.down {
+            return Err(StoreFailure::Unavailable);
+        }
+        match request {
+            StoreRequest::Read { keys } => {
+                self.read_count += 1;
+                Ok(StoreReply::Rows {
+                    rows: self.present(keys.iter()),
+                })
+            }
+            StoreRequest::Scan {
+                from,
+                limit_count,
+                to,
+            } => {
+                self.read_count += 1;
+                let range = self.rows.range(from.clone()..to.clone());
+                let rows = range
+                    .take(*limit_count as usize)
+                    .map(|(_, row)| row.clone())
+                    .collect();
+                Ok(StoreReply::Rows { rows })
+            }
+            StoreRequest::Transact { conditions, writes } => {
+                self.write_count += 1;
+                Ok(self.transact(conditions, writes))
+            }
+        }
+    }
+
+    fn present<'a>(&self, keys: impl Iterator<Item = &'a Arc<str>>) -> Vec<Row> {
+        keys.filter_map(|key| self.rows.get(key).cloned()).collect()
+    }
+
+    fn transact(&mut self, conditions: &[Condition], writes: &[Write]) -> StoreReply {
+        for condition in conditions {
+            let version = self.rows.get(&condition.key).map_or(0, |row| row.version);
+            if version != condition.version {
+                let keys = conditions.iter().map(|condition| &condition.key);
+                return StoreReply::Conflict {
+                    rows: self.present(keys),
+                };
+            }
+        }
+        self.version += 1;
+        for write in writes {
+            let key = write.key.clone();
+            let Some(value) = write.value.clone() else {
+                self.rows.remove(&key);
+                continue;
+            };
+            self.rows.insert(
+                key.clone(),
+                Row {
+                    key,
+                    value,
+                    version: self.version,
+                },
+            );
+        }
+        StoreReply::Committed {
+            version: self.version,
+        }
+    }
+}
