--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -39,7 +39,7 @@
     let mut measures = Vec::new();
     for (name, faults) in faults {
         let run = |kind| {
-            let faults = vec![(FAILURE_AT, fault.clone())];
+            let faults = faults.clone();
             Run {
                 faults,
                 ..Run::steady(scene, kind, seed, LOAD, SPAN)
