--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,46 +3,127 @@
 //! checkers drive exactly the code that ships.
 
 use {
-    rand::SeedableRng,
+    chart::Chart,
+    rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
     std::{
+        cmp::{Ordering, Reverse},
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, LazyLock},
         time::{Duration, SystemTime},
     },
     types::{
         AccountId, Attempt, AttemptFailure, CacheEvent, CallOutcome, CallReply, CallSubmission,
-        Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
-        GenerateSubmission, Heartbeat, Incarnation, InstanceId, Listing, ListingRole, Lists,
-        LoadReport, ModelId, Nonce, OperationId, Order, Priority, Refusal, RegionId, RequestId,
-        Route, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetHealth, TargetId,
+        Change, ChangeRecord, Condition, ConfigVersion, CrashReport, Demand, Departure, EditAnswer,
+        FailureDomain, FailureKind, Fingerprint, GenerateSubmission, Heartbeat, Incarnation,
+        InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
+        Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind, RegionId,
+        RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
     },
 };
 
 mod address;
+mod admission;
+mod belief;
+mod cache;
+mod call_entry;
+mod call_reply;
+mod call_row;
+mod claim;
+mod claims;
 mod command;
 mod context;
 mod decision;
+mod detector;
+mod dispatch;
+mod drain;
 mod event;
+mod failure;
+mod heartbeat;
+mod history;
 mod identity;
+mod life;
+mod limit;
+mod link;
+mod member;
+mod member_settings;
 mod node;
+mod observation;
+mod outcome;
+mod peer;
+mod priority;
+mod progress;
+mod quarantine;
+mod rate;
+mod record;
+mod record_settings;
+mod rendezvous;
+mod request;
+mod resource;
+mod retry;
+mod route;
+mod score;
 mod settings;
+mod slots;
 mod status;
+mod submit;
+mod sweep;
 mod target;
 
+use {
+    belief::{Belief, BeliefEvent, BeliefState},
+    call_entry::{CALL_CHART, CallAction, CallEntry, CallEvent, CallState},
+    call_row::{
+        CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
+    },
+    detector::{Detector, Silence},
+    life::{Payload, plan},
+    member::TargetEntry,
+    outcome::Outbox,
+    record::Flight,
+    request::{Entry, Job},
+    submit::refusal,
+    sweep::Sweep,
+};
+
 pub use {
     address::AddressAnswer,
+    admission::{Admission, Waiting},
+    cache::PrefixCaches,
+    claims::Claims,
     command::Command,
     context::Context,
     decision::{Candidate, Decision},
+    drain::Drain,
     event::{Event, OwnerStatus},
+    history::History,
     identity::Identity,
+    life::{Requests, Scope},
+    limit::Limits,
+    link::{Links, default_ms},
+    member::{Members, OwnState},
+    member_settings::MemberSettings,
     node::Node,
+    peer::Peer,
+    priority::generation_priority,
+    quarantine::Quarantine,
+    rate::Rates,
+    record::{RecordEffect, Records},
+    record_settings::RecordSettings,
+    request::{RequestAction, RequestEvent, RequestState},
+    resource::Resource,
+    retry::RetryBudget,
+    route::{Choice, Router},
+    score::{Blocked, Score, View, Wish},
     settings::{
         AdmissionSettings, DrainSettings, NodeSettings, QuarantineSettings, RetrySettings,
         RouteSettings,
     },
+    slots::Slots,
     status::{InstanceStatus, Status, TargetStatus},
     target::Target,
 };
