Take slopes from the time of demand only

Cause: processor time of the idle tail hid the cost per prompt (slope -8 us, fit meaningless), and memory of 16 nodes fell below the allocator's granularity. Change: measure work between the start and end of demand, and build 200 nodes a point.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -3,8 +3,8 @@
 /// Length of each run after the warm-up.
 const SPAN: Duration = Duration::from_secs(20);
 
-/// Nodes built at once to measure memory, so that pages of the allocator weigh little.
-const NODE_COUNT: usize = 16;
+/// Nodes built at once to measure memory, so that free memory of the allocator weighs little.
+const NODE_COUNT: usize = 200;
 
 /// One measured slope.
 #[derive(Debug, Serialize)]
@@ -155,12 +155,14 @@
 fn requests(scene: &Scene, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
     for load in [0.1, 0.2, 0.4, 0.6] {
-        let world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).finish()?;
         let instances = scene.instance_count as f64;
+        let mut world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        world.run(WARM_UP);
+        let before = world.work;
+        world.run(WARM_UP + SPAN);
+        let work_us = 1e6 * (world.work - before).as_secs_f64() / instances;
         let prompts_per_s = world.arrivals.len() as f64 / SPAN.as_secs_f64() / instances;
-        // Demand lasts only for part of the run; ticks without demand fall into the base.
-        let work_s = world.work.as_secs_f64() / instances;
-        points.push((prompts_per_s, 1e6 * work_s / SPAN.as_secs_f64()));
+        points.push((prompts_per_s, work_us / SPAN.as_secs_f64()));
     }
     Ok(Slope::fit("core by prompts/s", "us/s", points))
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -49,7 +49,8 @@
         Ok(world)
     }
 
-    fn start(&self) -> Result<World> {
+    /// Prepares the run without letting time pass.
+    pub(crate) fn start(&self) -> Result<World> {
         let mut world = World::new(self.scene.clone(), self.kind, self.seed)?;
         let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ 0x5EED);
         let end = WARM_UP + self.span;
