--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,7 +22,7 @@
         InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
         Nonce, OperationId, OperationKind, Order, Plan, Priority, Refusal, RefusalKind, RegionId,
         RequestId, Route, Row, RowVersion, ServiceId, Stage, StoreFailure, StoreReply,
-        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, Write,
+        StoreRequest, StoreTicket, TargetDigest, TargetHealth, TargetId, WantedState, Write,
     },
 };
 
@@ -36,11 +36,15 @@
 mod claim;
 mod claims;
 mod command;
+mod config;
+mod config_read;
+mod config_settings;
 mod context;
 mod decision;
 mod detector;
 mod dispatch;
 mod drain;
+mod edit;
 mod event;
 mod failure;
 mod heartbeat;
@@ -53,8 +57,12 @@
 mod member_settings;
 mod node;
 mod observation;
+mod order;
+mod order_settings;
 mod outcome;
+mod owned_engine;
 mod peer;
+mod placement;
 mod priority;
 mod progress;
 mod quarantine;
@@ -69,10 +77,12 @@
 mod score;
 mod settings;
 mod slots;
+mod snapshot;
 mod status;
 mod submit;
 mod sweep;
 mod target;
+mod token_row;
 
 use {
     belief::{Belief, BeliefEvent, BeliefState},
@@ -80,22 +90,31 @@
     call_row::{
         CallRow, CallRowState, EXPIRY_PREFIX, HOUR_MS, call_key, expiry_key, indexed_call, wall_ms,
     },
+    config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
+    config_read::Reader,
     detector::{Detector, Silence},
+    edit::{Edit, EditEvent, EditState},
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
+    owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
+    placement::Placements,
     record::Flight,
     request::{Entry, Job},
+    snapshot::{SnapshotStep, Snapshots},
     submit::refusal,
     sweep::Sweep,
+    token_row::{TOKENS, TokenRow},
 };
 
 pub use {
-    address::AddressAnswer,
+    address::{AddressAnswer, EntryAddress, MAX_TIME_TO_LIVE, addresses},
     admission::{Admission, Waiting},
     cache::PrefixCaches,
     claims::Claims,
     command::Command,
+    config::Configs,
+    config_settings::ConfigSettings,
     context::Context,
     decision::{Candidate, Decision},
     drain::Drain,
@@ -108,6 +127,8 @@
     member::{Members, OwnState},
     member_settings::MemberSettings,
     node::Node,
+    order::Orders,
+    order_settings::OrderSettings,
     peer::Peer,
     priority::generation_priority,
     quarantine::Quarantine,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,11 +3,12 @@
 /// One entry instance's decisions: a deterministic state machine driven by one thread.
 #[derive(Debug)]
 pub struct Node {
+    pub(crate) configs: Configs,
     pub(crate) context: Context,
     pub(crate) drain: Drain,
     pub(crate) identity: Identity,
-    pub(crate) lists: Arc<Lists>,
     pub(crate) members: Members,
+    pub(crate) orders: Orders,
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
@@ -19,11 +20,12 @@
     pub fn new(settings: NodeSettings, identity: Identity, wall: SystemTime) -> Self {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
         Self {
+            configs: Configs::new(settings.config.clone()),
             context: Context::new(random, wall),
             drain: Drain::new(settings.drain.clone()),
             identity: identity.clone(),
-            lists: Arc::default(),
             members: Members::new(identity.clone(), settings.member.clone()),
+            orders: Orders::new(settings.order.clone()),
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
             started: wall,
@@ -41,6 +43,11 @@
             | Event::GenerateCompleted { .. }
             | Event::GenerateSubmitted(_)
             | Event::Progressed { .. } => self.request_event(event),
+            Event::ChangesReceived { .. }
+            | Event::EditSubmitted { .. }
+            | Event::ListsReceived(_) => {
+                self.config_event(event);
+            }
             Event::DrainStarted => self.drain(),
             Event::Ticked => self.tick(),
             event => self.member_event(event),
@@ -63,6 +70,8 @@
     fn drain(&mut self) {
         self.drain.start(self.context.now);
         self.requests.drain();
+        // Answers to callers that ask for addresses leave this instance out from now on.
+        self.tick();
     }
 
     /// Events of one request.
@@ -105,7 +114,26 @@
         });
     }
 
-    /// Events about targets, peers, the store and the lists.
+    /// Events about the operator lists.
+    fn config_event(&mut self, event: Event) {
+        let context = &mut self.context;
+        match event {
+            Event::ChangesReceived { records } => self.configs.changes_received(context, &records),
+            Event::EditSubmitted {
+                base_version,
+                change,
+                operation,
+            } => {
+                let has_majority = self.members.has_majority(context.now);
+                self.configs
+                    .edit(context, &operation, base_version, change, has_majority);
+            }
+            Event::ListsReceived(lists) => self.configs.lists_received(context, &lists),
+            _ => {}
+        }
+    }
+
+    /// Events about targets, peers and the store.
     fn member_event(&mut self, event: Event) {
         let context = &mut self.context;
         match event {
@@ -116,11 +144,11 @@
             Event::HeartbeatFailed { peer } => self.members.heartbeat_failed(context, &peer),
             Event::HeartbeatReceived(heartbeat) => self.heartbeat_received(&heartbeat),
             Event::ListingRead { listings } => self.members.listing_read(context, listings),
-            Event::ListsReceived(lists) => self.lists = lists,
             Event::LoadFailed { kind, target } => self.members.load_failed(context, &target, kind),
             Event::LoadReceived { report, target } => {
                 self.load_received(&target, report);
             }
+            Event::OrderFailed { order, target } => self.orders.failed(context, &target, &order),
             Event::OwnerAnswered { request, status } => {
                 let effects = self.records.owner_answered(context, &request, status);
                 self.apply_effects(effects);
@@ -136,6 +164,8 @@
             // A new process has an empty cache, and its events start over.
             self.requests.router.caches.forget(target);
         }
+        self.orders
+            .load_received(&mut self.context, target, &report);
         self.members
             .load_received(&mut self.context, target, report);
         self.dispatch_ready();
@@ -147,6 +177,12 @@
         }
         self.members
             .heartbeat_received(&mut self.context, heartbeat);
+        if let Some(peer) = self.members.peer(&heartbeat.sender) {
+            let (id, address) = (peer.id.clone(), peer.peer_address);
+            let version = heartbeat.config_version;
+            self.configs
+                .peer_version(&mut self.context, &id, address, version);
+        }
         self.requests
             .heartbeat_received(self.context.now, heartbeat);
         self.dispatch_ready();
@@ -154,6 +190,11 @@
 
     fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
         let context = &mut self.context;
+        if self.configs.store_replied(context, ticket, result)
+            || self.orders.store_replied(context, ticket, result)
+        {
+            return;
+        }
         if let Some(effects) = self.records.store_replied(context, ticket, result) {
             self.apply_effects(effects);
         }
@@ -164,6 +205,8 @@
         self.members.tick(&mut self.context, &own);
         let commands = &mut self.context.commands;
         self.requests.fill_cache_positions(commands);
+        self.configs.tick(&mut self.context, &self.members);
+        self.orders.tick(&mut self.context, &self.members);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
@@ -190,8 +233,8 @@
     fn own_state(&self) -> OwnState {
         let now = self.context.now;
         OwnState {
-            config_version: self.lists.version,
-            confirmed_age: self.confirmed_age(now),
+            config_version: self.configs.lists().version,
+            confirmed_age: self.configs.confirmed_age(now),
             crashes: self.requests.quarantine.reports(now),
             demands: self.requests.limits.demands(),
             leaving: self.drain.is_started(),
@@ -222,7 +265,7 @@
             claims: &mut self.records,
             context: &mut self.context,
             is_fresh,
-            lists: &self.lists,
+            lists: self.configs.lists(),
             members: &self.members,
             view: View {
                 factor: self.requests.limits.factor(now),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -6,10 +6,14 @@
 pub struct NodeSettings {
     /// Queues, shares and limits.
     pub admission: AdmissionSettings,
+    /// Configuration.
+    pub config: ConfigSettings,
     /// Graceful shutdown.
     pub drain: DrainSettings,
     /// Membership.
     pub member: MemberSettings,
+    /// Orders to engines.
+    pub order: OrderSettings,
     /// Requests that crash targets.
     pub quarantine: QuarantineSettings,
     /// Record of non-repeatable calls.
--- a/crates/control/tests/request_model.rs
+++ b/crates/control/tests/request_model.rs
@@ -19,7 +19,10 @@
         time::Duration,
     },
     types::{FailureKind, OperationKind},
-    world::{World, call, generate},
+    world::{
+        World,
+        builder::{call, generate},
+    },
 };
 
 fn runner(cases: u32) -> TestRunner {
@@ -48,6 +51,19 @@
     answered.count() + completed.count()
 }
 
+fn fail(world: &mut World, kind: usize, pick: usize) {
+    let work = world.work.remove(pick % world.work.len());
+    let target = work.route[pick % work.route.len()].clone();
+    let kinds = [
+        FailureKind::Refused,
+        FailureKind::Unreachable,
+        FailureKind::Silent,
+        FailureKind::Broken,
+    ];
+    let kind = kinds[kind + pick % 2];
+    world.fail(&work, &target, kind, pick as u32 % 40);
+}
+
 fn act(world: &mut World, index: usize, action: u8, pick: usize) {
     let node = pick % world.nodes.len();
     match action {
@@ -63,21 +79,7 @@
             let submission = call("b", &format!("k{index}"), OperationKind::NonRepeatable);
             world.send(node, Event::CallSubmitted(submission));
         }
-        5..=7 if !world.work.is_empty() => {
-            let work = world.work.remove(pick % world.work.len());
-            let target = work.route[pick % work.route.len()].clone();
-            let kinds = [
-                FailureKind::Refused,
-                FailureKind::Unreachable,
-                FailureKind::Silent,
-            ];
-            world.fail(
-                &work,
-                &target,
-                kinds[usize::from(action) - 5],
-                pick as u32 % 40,
-            );
-        }
+        5..=7 if !world.work.is_empty() => fail(world, usize::from(action) - 5, pick),
         8 if !world.work.is_empty() => {
             let work = world.work[pick % world.work.len()].clone();
             let event = Event::Progressed {
@@ -90,6 +92,17 @@
             let victim = world.models.keys().nth(pick % world.models.len()).cloned();
             world.kill(&victim.expect("the world has engines"));
         }
+        10 if pick.is_multiple_of(4) => {
+            let work = world.work.first().cloned();
+            if let Some(work) = work {
+                let request = work.request.clone();
+                world.gone.insert(request.clone());
+                world.send(work.node, Event::CallerGone { request });
+            }
+        }
+        11 if pick.is_multiple_of(8) => {
+            world.send(1, Event::DrainStarted);
+        }
         _ => world.run(100),
     }
 }
@@ -113,6 +126,9 @@
                 _ => continue,
             };
             let request = format!("{kind}{index}");
+            if world.gone.contains(&*request) {
+                continue;
+            }
             prop_assert_eq!(finals(&world, &request), 1, "final answers of {}", request);
         }
         prop_assert!(world.work.is_empty(), "left at targets: {:?}", world.work);
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod builder;
+mod query;
+
 use {
     control::{Command, Event, Identity, Node, NodeSettings},
     std::{
@@ -12,10 +15,13 @@
     types::{
         Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
         GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
-        OperationKind, Plan, Refusal, RequestId, Route, ServiceOperation, StoreReply, TargetId,
+        OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation, StoreFailure,
+        StoreReply, StoreRequest, TargetId,
     },
 };
 
+use builder::{address, lists, node, service, targets};
+
 const STEP: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Debug)]
@@ -31,10 +37,15 @@
 pub struct World {
     /// Requests that crash the first target that runs them.
     pub crashers: BTreeSet<RequestId>,
+    /// Node whose heartbeats are lost in both directions.
+    pub cut_off: Option<usize>,
     pub dead: BTreeSet<TargetId>,
     /// Time that a request runs; 100 ms if not set.
     pub durations: BTreeMap<RequestId, Duration>,
     pub ended: Vec<(RequestId, Duration)>,
+    /// Requests whose callers disconnected.
+    pub gone: BTreeSet<RequestId>,
+    pub is_store_down: bool,
     pub listings: Vec<Listing>,
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
@@ -50,9 +61,12 @@
     pub fn new(node_count: usize, domains: usize, stages: u32) -> Self {
         let mut world = Self {
             crashers: BTreeSet::new(),
+            cut_off: None,
             dead: BTreeSet::new(),
             durations: BTreeMap::new(),
             ended: Vec::new(),
+            gone: BTreeSet::new(),
+            is_store_down: false,
             listings: Vec::new(),
             log: Vec::new(),
             models: BTreeMap::new(),
@@ -92,6 +106,11 @@
         commands
     }
 
+    /// Submits a prompt at a node.
+    pub fn submit(&mut self, node: usize, generate: GenerateSubmission) {
+        self.send(node, Event::GenerateSubmitted(generate));
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -133,55 +152,6 @@
         self.send(work.node, event);
     }
 
-    /// Refusals of a request, with the time of each.
-    pub fn refusals(&self, request: &str) -> Vec<(Duration, Refusal)> {
-        let mut found = Vec::new();
-        for (_, at, command) in &self.log {
-            match command {
-                Command::Refuse {
-                    refusal,
-                    request: id,
-                } if &**id == request => {
-                    found.push((*at, refusal.clone()));
-                }
-                Command::AnswerCall {
-                    outcome: CallOutcome::NotRun(refusal),
-                    request: id,
-                } if &**id == request => found.push((*at, refusal.clone())),
-                _ => {}
-            }
-        }
-        found
-    }
-
-    /// Routes of the attempts of a request.
-    pub fn routes(&self, request: &str) -> Vec<Vec<TargetId>> {
-        let mut routes = Vec::new();
-        for (_, _, command) in &self.log {
-            match command {
-                Command::DispatchCall {
-                    request: id,
-                    target,
-                    ..
-                } if &**id == request => {
-                    routes.push(vec![target.clone()]);
-                }
-                Command::DispatchGenerate {
-                    request: id, route, ..
-                } if &**id == request => {
-                    routes.push(targets(route));
-                }
-                _ => {}
-            }
-        }
-        routes
-    }
-
-    pub fn ended_at(&self, request: &str) -> Option<Duration> {
-        let mut ended = self.ended.iter().filter(|(id, _)| &**id == request);
-        ended.next().map(|(_, at)| *at)
-    }
-
     fn add_engine(&mut self, domain: usize, stage: u32, stages: u32) {
         let id = format!("e{domain}-{stage}");
         let layers = LayerRange {
@@ -251,12 +221,11 @@
                 let index: usize = peer[1..]
                     .parse()
                     .expect("peers are named n0, n1, and so on");
-                self.send(index, Event::HeartbeatReceived(heartbeat));
-            }
-            Command::Store { ticket, .. } => {
-                let result = Ok(StoreReply::Committed { version: 7 });
-                self.send(node, Event::StoreReplied { result, ticket });
+                if self.cut_off != Some(index) && self.cut_off != Some(node) {
+                    self.send(index, Event::HeartbeatReceived(heartbeat));
+                }
             }
+            Command::Store { request, ticket } => self.reply(node, ticket, &request),
             _ => {}
         }
     }
@@ -294,6 +263,27 @@
         }
     }
 
+    fn reply(&mut self, node: usize, ticket: u64, request: &StoreRequest) {
+        let result = match request {
+            _ if self.is_store_down => Err(StoreFailure::Unavailable),
+            StoreRequest::Transact { .. } => Ok(StoreReply::Committed { version: 7 }),
+            StoreRequest::Read { .. } => Ok(StoreReply::Rows { rows: Vec::new() }),
+            StoreRequest::Scan { .. } => Ok(StoreReply::Rows {
+                rows: vec![self.head(node)],
+            }),
+        };
+        self.send(node, Event::StoreReplied { result, ticket });
+    }
+
+    /// Head of the configuration, which confirms the node's own version.
+    fn head(&self, node: usize) -> Row {
+        Row {
+            key: "config/head".into(),
+            value: self.nodes[node].lists().version.to_string().into(),
+            version: 1,
+        }
+    }
+
     fn poll(&mut self, node: usize, target: &TargetId) {
         if self.dead.contains(target) {
             let event = Event::LoadFailed {
@@ -366,96 +356,3 @@
         }
     }
 }
-
-pub fn lists(max_concurrent_count: u32) -> Arc<Lists> {
-    let mut lists = Lists {
-        version: 1,
-        ..Lists::default()
-    };
-    for (account, weight) in [("a", 1), ("b", 3)] {
-        let plan = Plan {
-            max_concurrent_count,
-            max_queued_count: 200,
-            share_weight: weight,
-            ..Plan::default()
-        };
-        lists.plans.insert(account.into(), plan);
-        let account_entry = Account {
-            plan: account.into(),
-            ..Account::default()
-        };
-        lists.accounts.insert(account.into(), account_entry);
-    }
-    Arc::new(lists)
-}
-
-pub fn generate(account: &str, request: &str) -> GenerateSubmission {
-    GenerateSubmission {
-        account: account.into(),
-        deadline: Duration::from_secs(60),
-        delivered_tokens: 0,
-        fingerprint: request
-            .bytes()
-            .fold(7, |hash, byte| hash * 31 + u64::from(byte)),
-        max_tokens: 4_096,
-        model: "m".into(),
-        prefix_hashes: Vec::new(),
-        prompt_tokens: 20,
-        request: request.into(),
-    }
-}
-
-pub fn call(account: &str, request: &str, kind: OperationKind) -> CallSubmission {
-    CallSubmission {
-        account: account.into(),
-        body_hash: "hash".into(),
-        deadline: Duration::from_secs(10),
-        fingerprint: request
-            .bytes()
-            .fold(9, |hash, byte| hash * 31 + u64::from(byte)),
-        key: (kind == OperationKind::NonRepeatable).then(|| request.into()),
-        kind,
-        operation: "op".into(),
-        request: request.into(),
-        service: "s".into(),
-    }
-}
-
-fn targets(route: &Route) -> Vec<TargetId> {
-    route
-        .stages
-        .iter()
-        .map(|stage| stage.target.clone())
-        .collect()
-}
-
-fn address(index: usize) -> std::net::SocketAddr {
-    ([127, 0, 0, 1], 9_000 + index as u16).into()
-}
-
-fn service() -> ListingRole {
-    let operations = vec![ServiceOperation {
-        kind: OperationKind::Idempotent,
-        name: "op".into(),
-    }];
-    ListingRole::Service {
-        operations,
-        service: "s".into(),
-    }
-}
-
-fn node(index: usize, domain: usize) -> Node {
-    let settings = NodeSettings {
-        seed: index as u64 + 1,
-        ..NodeSettings::default()
-    };
-    let identity = Identity {
-        address: address(index),
-        failure_domain: format!("d{domain}").into(),
-        incarnation: 1,
-        instance: format!("n{index}").into(),
-        peer_address: address(200 + index),
-        region: "r".into(),
-    };
-    Node::new(settings, identity, SystemTime::UNIX_EPOCH)
-}
