Keep the lists in the fake table

Change: the fake table starts with both rows, and nodes read the lists from it instead of being handed them.

--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -11,7 +11,25 @@
 }
 
 impl Table {
-    pub(crate) fn execute(&mut self, request: &StoreRequest) -> Result<StoreReply, StoreFailure> {
+    /// A table that holds the operators' lists as a snapshot at their version.
+    pub(crate) fn with_lists(lists: &Lists) -> Result<Self> {
+        let mut table = Self::default();
+        let rows = [
+            ("config/head", lists.version.to_string()),
+            ("config/snapshot", serde_json::to_string(lists)?),
+        ];
+        let writes = rows.map(|(key, value)| Write {
+            key: key.into(),
+            value: Some(value.into()),
+        });
+        table.transact(&[], &writes);
+        Ok(table)
+    }
+
+    pub(crate) fn execute(
+        &mut self,
+        request: &StoreRequest,
+    ) -> std::result::Result<StoreReply, StoreFailure> {
         if self.down {
             return Err(StoreFailure::Unavailable);
         }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -135,7 +135,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
             services: scene.services(),
-            table: Table::default(),
+            table: Table::with_lists(&scene.lists())?,
             tally: Tally::new()?,
             work: Duration::ZERO,
             scene,
@@ -148,8 +148,6 @@
                 TICK / 16 * (index as u32 % 16),
                 Happening::Ticked { instance: index },
             );
-            let lists = Arc::new(world.scene.lists());
-            world.send_event(Duration::ZERO, index, Event::ListsReceived(lists));
         }
         world.note_listing();
         Ok(world)
