Let waiting requests pass one whose later stage is full

Change: engines start the oldest request of highest priority with slots at all stages; callers leave after 10 s without a first token and both versions cancel then; the bound counts two links a token, one cached prefill an answer and stages paired by speed.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -57,6 +57,7 @@
     delivery::STORE_LINK,
     engine::{Engine, FULL_BATCH_SLOWDOWN, Waiting},
     flight::{Flight, Place},
+    generation::{CACHED_PREFILL_FRACTION, PREFILL_PER_TOKEN},
     measure::{Limit, Measure},
     naive::Naive,
     policy::{Policy, PolicyKind},
@@ -65,7 +66,7 @@
     service::Service,
     table::Table,
     tally::{BUCKET, End, Tally, quantile_ms},
-    world::{DEADLINE, Fault, Happening, LINK, REPORT_LAG, World},
+    world::{DEADLINE, Fault, Happening, LINK, PATIENCE, REPORT_LAG, World},
 };
 
 type Measurement = fn(&Scene, u64) -> Result<Vec<Measure>>;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -6,6 +6,9 @@
 /// Time from a request's arrival to the end of its use.
 pub(crate) const DEADLINE: Duration = Duration::from_secs(120);
 
+/// Time without a first token after which a caller has gone, as in the plans' default.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
 /// Time by which the platform's list lags.
 pub(crate) const LISTING_LAG: Duration = Duration::from_secs(2);
 
@@ -41,6 +44,8 @@
     Event { event: Box<Event>, instance: usize },
     /// Something fails.
     Fault(Fault),
+    /// A caller without a first token loses patience.
+    GaveUp { request: RequestId },
     /// A poll reaches a target.
     PollArrived { instance: usize, target: TargetId },
     /// A store request reaches the table.
@@ -227,6 +232,7 @@
             }
             Happening::Event { event, instance } => self.handle(instance, *event),
             Happening::Fault(fault) => self.fail(&fault),
+            Happening::GaveUp { request } => self.give_up(&request),
             Happening::PollArrived { instance, target } => self.poll_arrived(instance, &target),
             Happening::StoreArrived {
                 instance,
