Bound the wait of a plan and queue short work at full targets

Change: plan field max_wait_ms (10 s): refused at once when the expected wait is half as long again, and when it has passed. Up to 4 short requests wait at each target once none has a free slot.

--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -174,8 +174,8 @@
         entry.is_some_and(|entry| entry.state == RequestState::Running && entry.attempt == attempt)
     }
 
-    /// Refuses waiting work as soon as its deadline, or the time in which its claim may be used,
-    /// has passed.
+    /// Refuses waiting work as soon as its deadline, the longest wait of its plan, or the time in
+    /// which its claim may be used, has passed. Work that started once is held to its deadline only.
     fn expire(&mut self, scope: &mut Scope, request: &RequestId) {
         let now = scope.context.now;
         let Some(entry) = self.entries.get(request) else {
@@ -183,6 +183,12 @@
         };
         let is_late = now >= entry.arrived_at + entry.deadline && !entry.is_accepted_stream();
         let is_claim_over = entry.is_non_repeatable() && !scope.claims.may_dispatch(now, request);
+        let has_started = entry.attempt > 0 || entry.is_accepted_stream();
+        if !has_started && now >= entry.arrived_at + entry.max_wait {
+            let retry_after = self.come_back_after_wait(scope, entry);
+            self.refuse_now(scope, request, refusal(RefusalKind::Deadline, retry_after));
+            return;
+        }
         if is_late || is_claim_over {
             let late = refusal(RefusalKind::Deadline, Duration::from_secs(1));
             self.refuse_now(scope, request, late);
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -110,6 +110,8 @@
     pub(crate) job: Job,
     /// Kind of work for the history.
     pub(crate) kind: Arc<str>,
+    /// Longest wait from arrival until the first attempt starts.
+    pub(crate) max_wait: Duration,
     pub(crate) may_have_run: bool,
     pub(crate) priority: Priority,
     /// When tokens were last delivered, or the attempt started.
@@ -162,6 +164,7 @@
             is_caller_gone: false,
             is_short: true,
             kind: job.kind(),
+            max_wait: deadline,
             may_have_run: false,
             priority: 0,
             progressed_at: now,
--- a/crates/control/src/route.rs
+++ b/crates/control/src/route.rs
@@ -54,8 +54,9 @@
 struct Scan {
     /// Whether work at the targets counts.
     counts_load: bool,
-    /// Whether full targets are left out.
-    needs_place: bool,
+    /// Requests that may wait at a target beyond its slots; fuller targets are left out. All
+    /// targets are weighed if it is not set.
+    queue_count: Option<u32>,
     /// Whether suspect targets are weighed too.
     with_suspects: bool,
 }
@@ -89,30 +90,21 @@
     ) -> Result<Choice, Blocked> {
         // Suspect targets get work only if the others make up no route; full ones are waited for.
         for with_suspects in [false, true] {
-            let pieces = self.pieces(
-                view,
-                wish,
-                Scan {
-                    counts_load: true,
-                    needs_place: true,
-                    with_suspects,
-                },
-            );
-            if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
-                return Ok(choice);
+            let mut scan = Scan {
+                counts_load: true,
+                queue_count: Some(0),
+                with_suspects,
+            };
+            let queue_count = self.target_queue_count;
+            for queue_count in BTreeSet::from([0, queue_count]) {
+                scan.queue_count = Some(queue_count);
+                let pieces = self.pieces(view, wish, scan);
+                if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
+                    return Ok(choice);
+                }
             }
-            if !self
-                .pieces(
-                    view,
-                    wish,
-                    Scan {
-                        counts_load: true,
-                        needs_place: false,
-                        with_suspects,
-                    },
-                )
-                .is_empty()
-            {
+            scan.queue_count = None;
+            if !self.pieces(view, wish, scan).is_empty() {
                 return Err(Blocked::Full);
             }
         }
@@ -128,7 +120,7 @@
             wish,
             Scan {
                 counts_load: false,
-                needs_place: false,
+                queue_count: None,
                 with_suspects: true,
             },
         );
@@ -167,7 +159,9 @@
             if !target.takes_work() || target.report.leaving || target.report.slot_count == 0 {
                 continue;
             }
-            if scan.needs_place && !self.has_place(view, wish, target) {
+            if let Some(queue_count) = scan.queue_count
+                && !self.has_place(view, wish, target, queue_count)
+            {
                 continue;
             }
             let load = if scan.counts_load {
@@ -268,7 +262,7 @@
         Some(choice)
     }
 
-    fn has_place(&self, view: &View, wish: &Wish, target: &Target) -> bool {
+    fn has_place(&self, view: &View, wish: &Wish, target: &Target, queue_count: u32) -> bool {
         if wish.is_suspect && self.slots.has_suspect(&target.id) {
             return false;
         }
@@ -280,7 +274,9 @@
         } else {
             (slots * self.short_slot_fraction).ceil()
         };
-        let limit = (ramped - kept).max(1.0) + f64::from(self.target_queue_count);
+        // Long work in an engine's queue would take the places that are kept for short work.
+        let queued = if wish.is_short { queue_count } else { 0 };
+        let limit = (ramped - kept).max(1.0) + f64::from(queued);
         let instance = &view.identity.instance;
         self.slots
             .has_place(view.now, target, view.factor, limit, instance)
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -43,7 +43,9 @@
     pub short_slot_fraction: f64,
     /// Expected answer length up to which work counts as short, in tokens.
     pub short_tokens: u32,
-    /// Requests that may wait at a target beyond its slots.
+    /// Requests that may wait at a target beyond its slots, once no target has a free one. They
+    /// fill slots that end unseen between two reports, and let the engine prefer them to work that
+    /// was demoted.
     pub target_queue_count: u32,
     /// Answer length assumed before any was observed, in tokens.
     pub unknown_tokens: u32,
@@ -58,7 +60,7 @@
             short_call_ms: 200,
             short_slot_fraction: 0.15,
             short_tokens: 128,
-            target_queue_count: 0,
+            target_queue_count: 4,
             unknown_tokens: 128,
         }
     }
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -9,12 +9,18 @@
 /// Time to come back when nothing can be computed: one poll of the targets.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Factor by which the expected wait must exceed the longest one for a refusal at once. The
+/// estimate counts whole answers ahead, also those that engines set back for younger work, and a
+/// needless refusal costs the caller its place in the queue.
+const WAIT_MARGIN: f64 = 1.5;
+
 impl Requests {
     /// Takes in a call. Non-repeatable calls go to their record first: a refusal before it is read
     /// could tell a caller "not run" about a key that has run.
     pub fn call_submitted(&mut self, scope: &mut Scope, call: &CallSubmission) {
         let request = call.request.clone();
-        let entry = self.sized(Entry::new(scope.context.now, Job::Call(call.clone())));
+        let entry = Entry::new(scope.context.now, Job::Call(call.clone()));
+        let entry = self.sized(scope.lists, entry);
         let is_non_repeatable = entry.is_non_repeatable();
         self.entries.insert(request.clone(), entry);
         self.budget.request(scope.context.now);
@@ -35,7 +41,8 @@
     /// Takes in a prompt, or a stream that another instance served.
     pub fn generate_submitted(&mut self, scope: &mut Scope, generate: GenerateSubmission) {
         let request = generate.request.clone();
-        let entry = self.sized(Entry::new(scope.context.now, Job::Generate(generate)));
+        let entry = Entry::new(scope.context.now, Job::Generate(generate));
+        let entry = self.sized(scope.lists, entry);
         let is_resumed = entry.is_accepted_stream();
         self.entries.insert(request.clone(), entry);
         self.budget.request(scope.context.now);
@@ -108,14 +115,19 @@
         self.late(entry, wait_ms, service_ms)
     }
 
-    /// Refusal of work that cannot meet its deadline. Work of a kind that was never observed, and
+    /// Refusal of work that cannot start within the longest wait of its plan or meet its deadline.
+    /// Work of a kind that was never observed, and
     /// work that finds nothing running, is let through: without it the estimate could not recover
     /// from a wrong value.
     fn late(&self, entry: &Entry, wait_ms: f64, service_ms: f64) -> Option<Refusal> {
         let is_known = self.history.expected(&entry.account, &entry.kind).is_some();
         let is_busy = wait_ms > 0.0 || self.limits.running_count() > 0;
         let expected_ms = wait_ms + if is_known { service_ms } else { 0.0 };
-        let excess_ms = expected_ms - entry.deadline.as_secs_f64() * 1_000.0;
+        let max_wait_ms = entry.max_wait.as_secs_f64() * 1_000.0;
+        let mut excess_ms = expected_ms - entry.deadline.as_secs_f64() * 1_000.0;
+        if wait_ms > WAIT_MARGIN * max_wait_ms {
+            excess_ms = excess_ms.max(wait_ms - max_wait_ms);
+        }
         (is_busy && excess_ms > 0.0).then(|| refusal(RefusalKind::Deadline, come_back(excess_ms)))
     }
 
@@ -136,8 +148,20 @@
         ahead * unit_ms * scope.view.factor / slots
     }
 
-    /// Fills in the expected size from the history.
-    fn sized(&self, mut entry: Entry) -> Entry {
+    /// Time until work like this one, which waited in vain, has a chance to start.
+    pub(crate) fn come_back_after_wait(&self, scope: &Scope, entry: &Entry) -> Duration {
+        let Some(service_ms) = self.router.best(&scope.view, &entry.wish(false)) else {
+            return DEFAULT_RETRY_AFTER;
+        };
+        let plan = plan(scope.lists, &entry.account);
+        let weight = f64::from(plan.share_weight.max(1));
+        let wait_ms = self.wait_ms(scope, entry, service_ms, weight);
+        come_back(wait_ms - entry.max_wait.as_secs_f64() * 1_000.0).max(DEFAULT_RETRY_AFTER)
+    }
+
+    /// Fills in the longest wait from the plan and the expected size from the history.
+    fn sized(&self, lists: &Lists, mut entry: Entry) -> Entry {
+        entry.max_wait = Duration::from_millis(plan(lists, &entry.account).max_wait_ms);
         let expected = self.history.expected(&entry.account, &entry.kind);
         let admission = &self.settings.admission;
         match &entry.job {
--- a/crates/types/src/list.rs
+++ b/crates/types/src/list.rs
@@ -23,6 +23,9 @@
     pub max_concurrent_count: u32,
     /// Requests of one account that may wait, at each instance.
     pub max_queued_count: u32,
+    /// Longest wait from arrival until work starts, in milliseconds; at least 1. Work whose wait is
+    /// expected to be longer is refused at once, and work that still waits by then is refused then.
+    pub max_wait_ms: u64,
     /// Models that the plan may use.
     pub models: BTreeSet<ModelId>,
     /// Services that the plan may call.
@@ -38,6 +41,7 @@
             max_answer_tokens: 4_096,
             max_concurrent_count: 64,
             max_queued_count: 256,
+            max_wait_ms: 10_000,
             models: BTreeSet::new(),
             services: BTreeSet::new(),
             share_weight: 1,
@@ -127,6 +131,12 @@
                 id: id.clone(),
             });
         }
+        if plan.max_wait_ms == 0 {
+            return Err(Error::ZeroField {
+                field: "max_wait_ms",
+                id: id.clone(),
+            });
+        }
         self.plans.insert(id.clone(), plan.clone());
         Ok(())
     }
