Send a digest only when it is new, and every 2 s

Cause: heartbeats carried each polled target twice a second, although loads are polled once a second. Change: a digest is left out when the peer was told the same report, belief and incarnation less than 2 s ago.

--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -132,33 +132,64 @@
     }
 }
 
-/// Digests of the polled targets for one peer. Models that the peer has are left out.
+/// What one peer was last told of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct SentDigest {
+    health: TargetHealth,
+    incarnation: Incarnation,
+    models: Vec<LoadedModel>,
+    models_at: Duration,
+    reported_at: Duration,
+    sent_at: Duration,
+}
+
+/// Digests of the polled targets for one peer: those with a new report or another belief than last
+/// time, and all of them now and then, as a heartbeat may be lost. Models that the peer has are
+/// left out.
 fn digests(
     targets: &BTreeMap<TargetId, TargetEntry>,
-    sent: &mut BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
+    sent: &mut BTreeMap<TargetId, SentDigest>,
     now: Duration,
     settings: &MemberSettings,
 ) -> Vec<TargetDigest> {
-    let refresh = Duration::from_millis(settings.models_refresh_ms);
+    let refresh = Duration::from_millis(settings.digest_refresh_ms);
+    let models_refresh = Duration::from_millis(settings.models_refresh_ms);
     sent.retain(|id, _| targets.get(id).is_some_and(|entry| entry.is_polled));
     let mut digests = Vec::new();
     for (id, entry) in targets {
         if !entry.is_polled || entry.belief.state() == BeliefState::Joining {
             continue;
         }
-        let report = &entry.target.report;
-        let is_known = sent.get(id).is_some_and(|(models, sent_at)| {
-            *models == report.models && now.saturating_sub(*sent_at) < refresh
+        let target = &entry.target;
+        let last = sent.get(id);
+        let is_repeated = last.is_some_and(|last| {
+            let is_same = (last.health, last.incarnation, last.reported_at)
+                == (target.health, target.incarnation, target.reported_at);
+            is_same && now.saturating_sub(last.sent_at) < refresh
         });
-        if !is_known {
-            sent.insert(id.clone(), (report.models.clone(), now));
+        if is_repeated {
+            continue;
         }
-        let age = now.saturating_sub(entry.target.reported_at);
+        let report = &target.report;
+        let models_at = last
+            .filter(|last| last.models == report.models)
+            .map(|last| last.models_at)
+            .filter(|models_at| now.saturating_sub(*models_at) < models_refresh);
+        let entry = SentDigest {
+            health: target.health,
+            incarnation: target.incarnation,
+            models: report.models.clone(),
+            models_at: models_at.unwrap_or(now),
+            reported_at: target.reported_at,
+            sent_at: now,
+        };
+        sent.insert(id.clone(), entry);
+        let age = now.saturating_sub(target.reported_at);
         digests.push(TargetDigest {
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            health: entry.target.health,
-            incarnation: entry.target.incarnation,
-            models: (!is_known).then(|| report.models.clone()),
+            health: target.health,
+            incarnation: target.incarnation,
+            models: models_at.is_none().then(|| report.models.clone()),
             rate_per_s: report.rate_per_s as f32,
             running_count: clip(report.running_count),
             slot_count: clip(report.slot_count),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -94,6 +94,7 @@
     config_read::Reader,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
+    heartbeat::SentDigest,
     life::{Payload, plan},
     member::TargetEntry,
     outcome::Outbox,
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -43,8 +43,8 @@
 pub(crate) struct PeerEntry {
     pub(crate) belief: Belief,
     pub(crate) peer: Peer,
-    /// Models last sent to the peer by target, with the time.
-    pub(crate) sent: BTreeMap<TargetId, (Vec<LoadedModel>, Duration)>,
+    /// What was last sent to the peer, by target.
+    pub(crate) sent: BTreeMap<TargetId, SentDigest>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/control/src/member_settings.rs
+++ b/crates/control/src/member_settings.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MemberSettings {
+    /// Interval after which the digest of an unchanged report is sent again, in milliseconds.
+    pub digest_refresh_ms: u64,
     /// Time for which a departure is repeated in heartbeats, in milliseconds.
     pub departure_memory_ms: u64,
     /// Time for which a flap doubles the steady interval, in milliseconds.
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             departure_memory_ms: 30_000,
+            digest_refresh_ms: 2_000,
             flap_memory_ms: 120_000,
             hearing_ms: 2_000,
             heartbeat_ms: 500,
--- a/crates/control/tests/member.rs
+++ b/crates/control/tests/member.rs
@@ -261,6 +261,48 @@
     assert_eq!(sent(9_000, true), 1);
 }
 
+/// Guards against heartbeats that repeat a load which the peer has, and against a load or a belief
+/// that the peer never gets.
+#[test]
+fn digests_are_sent_when_new_and_now_and_then() {
+    let (mut members, mut context) = (members("a", &["a", "b"], &["b"]), context(0));
+    let listings = vec![
+        peer_listing("a"),
+        peer_listing("b"),
+        engine_listing("t", "a"),
+    ];
+    members.listing_read(&mut context, listings);
+    let mut sent = |until: u64, interval: u128| {
+        let commands = run(&mut members, &mut context, ms(until), |members, context| {
+            members.heartbeat_received(context, &heartbeat("b"));
+            if context.now.as_millis().is_multiple_of(interval) {
+                let report = LoadReport {
+                    incarnation: 1,
+                    ..LoadReport::default()
+                };
+                members.load_received(context, &"t".into(), report);
+            }
+        });
+        let beats = commands.into_iter().filter_map(|command| match command {
+            Command::SendHeartbeat { heartbeat, .. } => Some(heartbeat.digests),
+            _ => None,
+        });
+        let digests: Vec<_> = beats.flatten().collect();
+        let ages: Vec<u32> = digests.iter().map(|digest| digest.age_ms).collect();
+        let healths: Vec<_> = digests.iter().map(|digest| digest.health).collect();
+        (ages, healths)
+    };
+    sent(10_000, 1_000);
+    let (ages, healths) = sent(20_000, 1_000);
+    assert_eq!(ages.len(), 10, "one for each report: {ages:?}");
+    assert!(ages.iter().all(|age| *age < 500), "late: {ages:?}");
+    assert!(healths.iter().all(|health| *health == Live));
+    let (ages, healths) = sent(32_000, 1_000_000);
+    assert!(ages.len() >= 5, "repeated too seldom: {ages:?}");
+    assert!(ages.len() <= 9, "repeated too often: {ages:?}");
+    assert!(healths.contains(&Suspect) && healths.contains(&Down));
+}
+
 /// Guards against a minority that takes itself for the majority, and leaving instances that count.
 #[parameterized(
     alone = { &["a"], &[], true },
