Run copies of an unproven request one at a time

Cause: identical copies that arrived together were all dispatched before the first crash was known, and queued copies were dispatched after the second. Change: at each instance, requests of one fingerprint run one at a time until one has delivered 4 tokens or ended, and after a crash; queued copies of a refused fingerprint are refused.

--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -37,8 +37,8 @@
             }
             let entry = self.entries.get(&waiting.request);
             let is_queued = entry.is_some_and(|entry| entry.state == RequestState::Queued);
-            if is_queued && self.is_suspect(now, &waiting.request) {
-                // Waits for another suspect, not for a place, and must not block its queue.
+            if is_queued && self.waits_for_another(now, &waiting.request) {
+                // Waits for another request, not for a place, and must not block its queue.
                 self.first.push_back(waiting.request);
             } else if is_queued {
                 self.admission.put_back(resource, waiting);
@@ -53,8 +53,14 @@
         let Some(entry) = self.entries.get(request) else {
             return true;
         };
+        if let Some(remaining) = self.quarantine.blocked_for(now, entry.fingerprint) {
+            let blocked = refusal(RefusalKind::Quarantined, remaining);
+            self.refuse_now(scope, request, blocked);
+            return true;
+        }
         let class = (entry.resource.clone(), entry.is_short, is_suspect);
-        if full.contains(&class) || !self.may_start_first(scope, entry) {
+        let must_wait = self.quarantine.must_wait(now, entry.fingerprint, request);
+        if must_wait || full.contains(&class) || !self.may_start_first(scope, entry) {
             return false;
         }
         if entry.is_non_repeatable() && !scope.claims.may_dispatch(now, request) {
@@ -116,6 +122,15 @@
         true
     }
 
+    /// Whether a request waits for a suspect, or for one of its own fingerprint, to end.
+    fn waits_for_another(&self, now: Duration, request: &RequestId) -> bool {
+        let entry = self.entries.get(request);
+        entry.is_some_and(|entry| {
+            self.quarantine.is_suspect(now, entry.fingerprint)
+                || self.quarantine.must_wait(now, entry.fingerprint, request)
+        })
+    }
+
     fn is_suspect(&self, now: Duration, request: &RequestId) -> bool {
         let entry = self.entries.get(request);
         entry.is_some_and(|entry| self.quarantine.is_suspect(now, entry.fingerprint))
@@ -145,6 +160,7 @@
             Duration::ZERO,
         );
         self.limits.change(&entry.account, 1, 0);
+        self.quarantine.dispatched(now, entry.fingerprint, request);
         let limit = self.settings.route.cache_prefix_count;
         for stage in &choice.route.stages {
             self.router
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -217,6 +217,7 @@
             .slots
             .end(scope.context.now, request, &entry.targets());
         self.limits.change(&entry.account, -1, 0);
+        self.quarantine.left(entry.fingerprint, request);
         entry.route = None;
     }
 
@@ -232,7 +233,8 @@
             Job::Generate(_) => f64::from(payload.tokens),
         };
         self.history.observe(&entry.account, &entry.kind, size);
-        self.quarantine.clear(entry.fingerprint);
+        self.quarantine
+            .ran(scope.context.now, entry.fingerprint, request);
     }
 
     fn refuse(
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -163,7 +163,7 @@
         }
         let since_failure = entry.delivered_tokens - entry.delivered_at_failure;
         if since_failure >= self.settings.quarantine.clear_tokens {
-            self.quarantine.clear(entry.fingerprint);
+            self.quarantine.ran(now, entry.fingerprint, request);
             self.router.slots.cleared(request);
         }
         self.set_priority(scope, request);
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Most fingerprints remembered as harmless; the older half is forgotten beyond it.
+const MAX_PROVEN: usize = 4_096;
+
 /// Requests, by content, that were running on targets when these crashed.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -7,7 +10,11 @@
     own: BTreeMap<Fingerprint, Entry>,
     /// Entries of each peer's last heartbeat.
     peers: BTreeMap<InstanceId, BTreeMap<Fingerprint, Entry>>,
+    /// Fingerprints that ran here without a crash, with the time of the last such run.
+    proven: BTreeMap<Fingerprint, Duration>,
     settings: QuarantineSettings,
+    /// Requests on trial: of each fingerprint that is not known to be harmless, one runs at a time.
+    trials: BTreeMap<Fingerprint, RequestId>,
 }
 
 #[derive(Clone, Debug)]
@@ -23,10 +30,52 @@
         Self {
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
+            proven: BTreeMap::new(),
             settings,
+            trials: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a request must wait because another one with its fingerprint is on trial.
+    #[must_use]
+    pub fn must_wait(&self, now: Duration, fingerprint: Fingerprint, request: &RequestId) -> bool {
+        let trial = self.trials.get(&fingerprint);
+        trial.is_some_and(|on_trial| on_trial != request) && self.needs_trial(now, fingerprint)
+    }
+
+    /// Notes that a request was dispatched. If nothing shows that its fingerprint is harmless, it
+    /// is on trial until it ends or has run for long enough.
+    pub fn dispatched(&mut self, now: Duration, fingerprint: Fingerprint, request: &RequestId) {
+        if self.needs_trial(now, fingerprint) {
+            self.trials.insert(fingerprint, request.clone());
         }
     }
 
+    /// Notes that a request left its targets.
+    pub fn left(&mut self, fingerprint: Fingerprint, request: &RequestId) {
+        if self.trials.get(&fingerprint) == Some(request) {
+            self.trials.remove(&fingerprint);
+        }
+    }
+
+    /// Notes that a request ran for long enough, or to its end, without a crash, and clears it if
+    /// it was a suspect. An entry that reached the limit stays.
+    pub fn ran(&mut self, now: Duration, fingerprint: Fingerprint, request: &RequestId) {
+        self.left(fingerprint, request);
+        self.clear(fingerprint);
+        self.proven.insert(fingerprint, now);
+        if self.proven.len() > MAX_PROVEN {
+            let mut times: Vec<Duration> = self.proven.values().copied().collect();
+            times.sort_unstable();
+            let middle = times[times.len() / 2];
+            self.proven.retain(|_, at| *at > middle);
+        }
+    }
+
+    fn needs_trial(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        !self.proven.contains_key(&fingerprint) || self.is_suspect(now, fingerprint)
+    }
+
     /// Time until requests with this fingerprint may come back, if they are refused now.
     #[must_use]
     pub fn blocked_for(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
@@ -59,6 +108,7 @@
         incarnation: Incarnation,
         was_suspect: bool,
     ) {
+        self.proven.remove(&fingerprint);
         let mut crashes = BTreeSet::new();
         if was_suspect {
             for entry in self.entries(now, fingerprint) {
@@ -127,6 +177,8 @@
 
     /// Forgets expired entries.
     pub fn tick(&mut self, now: Duration) {
+        let oldest = now.saturating_sub(Duration::from_millis(self.settings.expiry_ms));
+        self.proven.retain(|_, at| *at >= oldest);
         self.own.retain(|_, entry| entry.expires_at > now);
         for entries in self.peers.values_mut() {
             entries.retain(|_, entry| entry.expires_at > now);
--- a/crates/control/tests/request.rs
+++ b/crates/control/tests/request.rs
@@ -4,7 +4,10 @@
 
 use {
     control::{Command, Event},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     types::{CallOutcome, FailureKind, GenerateSubmission, OperationKind, RefusalKind},
     world::{
         World,
@@ -150,6 +153,62 @@
     }
 }
 
+/// Guards against copies of a crashing request that are all sent out before the first crash is
+/// known: each instance loses at most two targets to one fingerprint, and none once all know.
+#[test]
+fn copies_of_a_crashing_request_lose_two_targets_an_instance() {
+    for node_count in [1, 4] {
+        let mut world = World::new(node_count, 24, 1);
+        let copy = |id: &str| GenerateSubmission {
+            fingerprint: 1,
+            ..generate("a", id)
+        };
+        let mut ids = Vec::new();
+        for index in 0..10 * node_count {
+            let id = format!("copy{index}");
+            world.submit(index % node_count, copy(&id));
+            ids.push(id);
+        }
+        // A copy crashes its target 10 ms after it started there.
+        for _ in 0..500 {
+            world.run(10);
+            let running = world.work.iter().map(|work| work.route[0].clone());
+            for target in running.collect::<BTreeSet<_>>() {
+                world.kill(&target);
+            }
+        }
+        let lost = world.dead.len();
+        assert!(lost >= 2 && lost <= 2 * node_count, "{lost} targets lost");
+        for id in &ids {
+            let refusals = world.refusals(id);
+            assert_eq!(refusals.len(), 1, "{id}");
+            assert_eq!(refusals[0].1.kind, RefusalKind::Quarantined, "{id}");
+        }
+        for node in 0..node_count {
+            let id = format!("late{node}");
+            world.submit(node, copy(&id));
+            assert_eq!(world.refusals(&id).len(), 1, "{id}");
+        }
+        assert_eq!(world.dead.len(), lost);
+    }
+}
+
+/// Guards against copies of a harmless request that wait for each other for good.
+#[test]
+fn copies_of_a_harmless_request_run_together_after_the_first() {
+    let mut world = World::new(1, 2, 1);
+    for index in 0..10 {
+        let submission = GenerateSubmission {
+            fingerprint: 1,
+            ..generate("a", &format!("copy{index}"))
+        };
+        world.submit(0, submission);
+    }
+    assert_eq!(world.work.len(), 1);
+    world.run(400);
+    assert_eq!(world.ended.len(), 10);
+}
+
 /// Guards against suspects that rerun together, where one could take the others down again.
 #[test]
 fn suspects_rerun_apart() {
