--- a/crates/control/src/config_read.rs
+++ b/crates/control/src/config_read.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reader {
     at: Duration,
+    /// Reads that failed since the last one that succeeded.
+    failure_count: u32,
     /// First version whose change row is still to be read, while `recent` lacks rows that the
     /// table keeps. Edits wait for it, because their operation ids may be in those rows.
     fill_at: Option<ConfigVersion>,
@@ -60,6 +62,14 @@
         self.snapshot_tick(context, members);
     }
 
+    /// Time by which `tick` is due for the answers and the reads of edits.
+    pub(crate) fn wake_at(&self) -> Option<Duration> {
+        let answers = self.edits.values().map(|edit| edit.expires_at);
+        let is_reading = self.reader.in_flight || self.edits.is_empty();
+        let read = (!is_reading).then_some(self.reader.at);
+        answers.chain(read).min()
+    }
+
     /// Sends a read now, or after the one in flight.
     pub(crate) fn read_soon(&mut self, context: &mut Context) {
         if self.reader.in_flight {
@@ -80,13 +90,25 @@
         if self.reader.in_flight {
             self.reader.is_wanted = true;
         } else if self.reader.has_failed {
-            let retry = Duration::from_millis(self.settings.retry_ms);
-            self.reader.at = self.reader.at.min(context.now + retry);
+            self.read_again(context, self.reader.failure_count);
         } else {
             self.read(context);
         }
     }
 
+    /// Makes an edit whose last step failed wait for a read after a growing wait, also when reads
+    /// succeed: a store may take reads and refuse writes.
+    pub(crate) fn read_later(&mut self, context: &Context, operation: &OperationId) {
+        let Some(edit) = self.edits.get_mut(operation) else {
+            return;
+        };
+        edit.read_number = self.reader.number + 1;
+        edit.retry_count += 1;
+        let retry_count = edit.retry_count.max(self.reader.failure_count);
+        edit.retry_at = context.now + wait(&self.settings, retry_count);
+        self.reader.at = self.reader.at.min(edit.retry_at);
+    }
+
     fn read(&mut self, context: &mut Context) {
         self.reader.in_flight = true;
         self.reader.is_wanted = false;
@@ -123,6 +145,7 @@
         self.reader.in_flight = false;
         let Ok(StoreReply::Rows { rows }) = result else {
             self.reader.has_failed = true;
+            self.reader.failure_count += 1;
             return;
         };
         self.reader.has_base = true;
@@ -145,9 +168,11 @@
         self.reader.in_flight = false;
         self.reader.has_failed = result.is_err();
         let Ok(StoreReply::Rows { rows }) = result else {
+            self.reader.failure_count += 1;
             self.edits_read(context, number, Some(EditEvent::Unavailable));
             return;
         };
+        self.reader.failure_count = 0;
         let before = (self.lists.version, self.reader.fill_at);
         let head = self.take_rows(context, rows);
         let has_progress = before != (self.lists.version, self.reader.fill_at);
@@ -161,13 +186,13 @@
                 self.edits_read(context, number, None);
             }
             // A push overtook this read; a later one confirms.
-            Some(head) if head.0 < self.lists.version => self.read_again(context),
+            Some(head) if head.0 < self.lists.version => self.read_again(context, 0),
             // The limit cut rows off.
             _ if has_progress => self.reader.is_wanted = true,
             // Rows that follow the own version are trimmed; the snapshot has them.
             _ => {
                 self.reader.has_base = false;
-                self.read_again(context);
+                self.read_again(context, 0);
             }
         }
         if self.reader.is_wanted && !self.reader.in_flight {
@@ -175,10 +200,11 @@
         }
     }
 
-    /// Reads again after a wait, so that a table that lost rows is not read in a loop.
-    fn read_again(&mut self, context: &Context) {
-        let retry = Duration::from_millis(self.settings.retry_ms);
-        self.reader.at = self.reader.at.min(context.now + retry);
+    /// Reads again after a wait that doubles with `retry_count`, so that a table that fails or
+    /// lost rows is not read in a loop.
+    fn read_again(&mut self, context: &Context, retry_count: u32) {
+        let retry_at = context.now + wait(&self.settings, retry_count);
+        self.reader.at = self.reader.at.min(retry_at);
     }
 
     /// Applies change rows in order and returns the head, which is absent only when rows were
@@ -220,7 +246,7 @@
             .edits
             .iter()
             .filter(|(_, edit)| matches!(edit.state, EditState::Reading | EditState::Resolving))
-            .filter(|(_, edit)| edit.read_number <= number)
+            .filter(|(_, edit)| edit.read_number <= number && edit.retry_at <= context.now)
             .map(|(operation, _)| operation.clone())
             .collect();
         for operation in waiting {
@@ -230,6 +256,12 @@
             let event = event.unwrap_or_else(|| self.judge_edit(&operation, edit));
             self.apply_edit(context, &operation, event);
         }
+        // A read that came before the end of an edit's wait does not replace the one after it.
+        for edit in self.edits.values() {
+            if edit.retry_at > context.now {
+                self.reader.at = self.reader.at.min(edit.retry_at);
+            }
+        }
     }
 
     /// Becomes ready: with the store's version, or during an outage with the highest version of
@@ -275,3 +307,9 @@
         }
     }
 }
+
+/// Wait after failed steps.
+fn wait(settings: &ConfigSettings, failure_count: u32) -> Duration {
+    let wait_ms = settings.retry_ms << failure_count.min(12);
+    Duration::from_millis(wait_ms.min(settings.retry_max_ms))
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod address;
 mod admission;
+mod ask;
 mod assembly;
 mod belief;
 mod cache;
@@ -83,6 +84,7 @@
 mod slots;
 mod snapshot;
 mod status;
+mod store_gate;
 mod submit;
 mod sweep;
 mod target;
@@ -107,6 +109,7 @@
     record::Flight,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
+    store_gate::StoreGate,
     submit::refusal,
     sweep::Sweep,
     token_row::{TOKENS, TokenRow},
@@ -124,7 +127,7 @@
     context::Context,
     decision::{Candidate, Decision},
     drain::Drain,
-    event::{Event, OwnerStatus},
+    event::{CallQuery, Event, OwnerStatus},
     history::History,
     identity::Identity,
     journal::{JournalSettings, Journals},
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -20,6 +20,7 @@
     stale_until: Duration,
     /// Time after a pause by which such heartbeats count as old.
     stale_wait: Duration,
+    ticked_at: Duration,
 }
 
 impl Node {
@@ -40,6 +41,7 @@
             stale_until: Duration::ZERO,
             stale_wait: Duration::from_millis(stale_wait_ms),
             started: wall,
+            ticked_at: Duration::ZERO,
         }
     }
 
@@ -73,6 +75,16 @@
         self.context.unexpected_count
     }
 
+    /// Time by which the next `Event::Ticked` is due for any part, in the time of `handle`; none
+    /// when the regular tick every 50 ms is early enough. What the last tick left over waits for
+    /// the regular one, so a part that cannot act yet does not cause ticks in a loop.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Duration> {
+        let times = [self.configs.wake_at(), self.records.wake_at()];
+        let later = times.into_iter().flatten();
+        later.filter(|at| *at > self.ticked_at).min()
+    }
+
     pub(crate) fn set_time(&mut self, now: Duration) {
         if now.saturating_sub(self.context.now) > PAUSE {
             self.stale_until = now + self.stale_wait;
@@ -136,7 +148,7 @@
 
     /// Events about the operator lists.
     fn config_event(&mut self, event: Event) {
-        let has_majority = self.hears_majority(self.context.now);
+        self.note_majority();
         let context = &mut self.context;
         match event {
             Event::ChangesReceived { records } => self.configs.changes_received(context, &records),
@@ -145,8 +157,8 @@
                 change,
                 operation,
             } => {
-                self.configs
-                    .edit(context, &operation, base_version, change, has_majority);
+                let configs = &mut self.configs;
+                configs.edit(context, &operation, base_version, change);
             }
             Event::ListsReceived(lists) => self.configs.lists_received(context, &lists),
             _ => {}
@@ -169,8 +181,13 @@
                 self.load_received(&target, report);
             }
             Event::OrderFailed { order, target } => self.orders.failed(context, &target, &order),
-            Event::OwnerAnswered { request, status } => {
-                let effects = self.records.owner_answered(context, &request, status);
+            Event::OwnerAnswered {
+                owner,
+                request,
+                status,
+            } => {
+                let records = &mut self.records;
+                let effects = records.owner_answered(context, &owner, &request, status);
                 self.apply_effects(effects);
             }
             Event::StoreReplied { result, ticket } => self.store_replied(ticket, &result),
@@ -209,6 +226,7 @@
     }
 
     fn store_replied(&mut self, ticket: StoreTicket, result: &Result<StoreReply, StoreFailure>) {
+        self.note_majority();
         let context = &mut self.context;
         if self.configs.store_replied(context, ticket, result)
             || self.orders.store_replied(context, ticket, result)
@@ -221,10 +239,12 @@
     }
 
     fn tick(&mut self) {
+        self.ticked_at = self.context.now;
         let own = self.own_state();
         self.members.tick(&mut self.context, &own);
         let commands = &mut self.context.commands;
         self.requests.fill_cache_positions(commands);
+        self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
         self.orders.tick(&mut self.context, &self.members);
         let effects = self.records.tick(&mut self.context, &self.members);
@@ -250,6 +270,11 @@
         }
     }
 
+    fn note_majority(&mut self) {
+        let has_majority = self.hears_majority(self.context.now);
+        self.configs.note_majority(has_majority);
+    }
+
     fn own_state(&self) -> OwnState {
         let now = self.context.now;
         OwnState {
--- a/crates/control/tests/fleet/deliver.rs
+++ b/crates/control/tests/fleet/deliver.rs
@@ -15,13 +15,12 @@
                 }
             }
             Command::AskOwner {
-                nonce,
                 owner,
+                query,
                 request,
                 ..
             } => {
-                let owner = number(&owner);
-                self.push(index, ms(2), Item::Ask(owner, nonce, request));
+                self.push(index, ms(2), Item::Ask(number(&owner), query, request));
             }
             Command::Cancel {
                 attempt, request, ..
@@ -86,6 +85,7 @@
                 self.push(index, ms(2), Item::Reply(ticket, request));
             }
             Command::Log(_)
+            | Command::MoveCache { .. }
             | Command::PublishLists(_)
             | Command::SendOrder { .. }
             | Command::SetPriority { .. }
@@ -116,15 +116,25 @@
         self.push(to, ms(delay), Item::Event(event));
     }
 
-    pub(super) fn ask(&mut self, index: usize, owner: usize, nonce: &Nonce, request: RequestId) {
+    pub(super) fn ask(
+        &mut self,
+        index: usize,
+        owner: usize,
+        query: &CallQuery,
+        request: RequestId,
+    ) {
         let is_linked = self.is_linked(index, owner) && !self.entries[owner].is_paused;
         let decide = self.entries[owner].decide.as_ref().filter(|_| is_linked);
-        let status = decide.map_or(OwnerStatus::NoReply, |decide| decide.owner_status(nonce));
+        let status = decide.map_or(OwnerStatus::NoReply, |decide| decide.owner_status(query));
         let delay = if is_linked { 2 } else { 500 };
         self.push(
             index,
             ms(delay),
-            Item::Event(Event::OwnerAnswered { request, status }),
+            Item::Event(Event::OwnerAnswered {
+                owner: format!("n{owner}").into(),
+                request,
+                status,
+            }),
         );
     }
 
--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
         support::table::Table,
         world::builder::{address, service, targets},
     },
-    control::{Assembly, Command, Event, Identity, Node, NodeSettings, OwnerStatus},
+    control::{Assembly, CallQuery, Command, Event, Identity, Node, NodeSettings, OwnerStatus},
     rand::Rng,
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
     std::{
@@ -21,8 +21,8 @@
     },
     types::{
         AttemptFailure, CallOutcome, CallReply, ChangeRecord, EditAnswer, FailureKind, LayerRange,
-        Listing, ListingRole, Lists, LoadReport, LoadedModel, Nonce, Refusal, RequestId,
-        StoreFailure, StoreRequest, StreamRecord, TargetId, TokenRecord,
+        Listing, ListingRole, Lists, LoadReport, LoadedModel, Refusal, RequestId, StoreFailure,
+        StoreRequest, StreamRecord, TargetId, TokenRecord,
     },
 };
 
@@ -37,7 +37,7 @@
     fn handle(&mut self, now: Duration, event: Event) -> Vec<Command>;
     fn is_ready(&self, now: Duration) -> bool;
     fn lists(&self) -> &Lists;
-    fn owner_status(&self, nonce: &Nonce) -> OwnerStatus;
+    fn owner_status(&self, query: &CallQuery) -> OwnerStatus;
     fn unexpected_count(&self) -> u64;
 }
 
@@ -62,8 +62,8 @@
         Node::lists(self)
     }
 
-    fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
-        Node::owner_status(self, nonce)
+    fn owner_status(&self, query: &CallQuery) -> OwnerStatus {
+        Node::owner_status(self, query)
     }
 
     fn unexpected_count(&self) -> u64 {
@@ -96,7 +96,7 @@
 pub enum Item {
     Act(Act),
     Arrive(Work),
-    Ask(usize, Nonce, RequestId),
+    Ask(usize, CallQuery, RequestId),
     End(Work),
     Event(Event),
     Fetch(usize, u64),
@@ -281,7 +281,7 @@
             return;
         }
         match item {
-            Item::Ask(owner, nonce, request) => self.ask(index, owner, &nonce, request),
+            Item::Ask(owner, query, request) => self.ask(index, owner, &query, request),
             Item::End(work) => self.end(work),
             Item::Event(event) => self.send(index, event),
             Item::Fetch(peer, after) => self.fetch(index, peer, after),
--- a/crates/control/tests/fleet/naive.rs
+++ b/crates/control/tests/fleet/naive.rs
@@ -74,7 +74,7 @@
         &self.lists
     }
 
-    fn owner_status(&self, _: &Nonce) -> OwnerStatus {
+    fn owner_status(&self, _: &CallQuery) -> OwnerStatus {
         OwnerStatus::UnknownClaim
     }
 
