--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -67,7 +67,7 @@
 }
 
 /// Journals of the streams that this instance serves, and copies that it keeps for peers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Journals {
     bytes: usize,
     /// Invariant: `bytes` is the sum of the entries' bytes.
