Keep faulty rows and absurd reports from stopping other work

Cause: an unreadable call row made its claim loop; huge counts overflowed in a sum of load, a change row of the highest version in the next version; a faulty token row ended orders; faulty heads and token rows were not logged.

--- a/crates/control/src/call_reply.rs
+++ b/crates/control/src/call_reply.rs
@@ -84,11 +84,16 @@
             return;
         };
         let row = found.and_then(|row| CallRow::parse(&row.value));
-        if found.is_some() && row.is_none() {
+        let is_unreadable = found.is_some() && row.is_none();
+        if is_unreadable {
             context.log("record", key, "the row of this call is not readable");
         }
         let version = found.map_or(0, |row| row.version);
-        let event = entry.judge(row.as_ref(), version);
+        // The call of an unreadable row may have run, so its key is never claimed again.
+        let event = match is_unreadable {
+            false => entry.judge(row.as_ref(), version),
+            true => CallEvent::RowUnknown,
+        };
         entry.row = row;
         entry.row_version = version;
         let event = self.in_time(context.now, key, event);
--- a/crates/control/src/config_read.rs
+++ b/crates/control/src/config_read.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Highest version that a snapshot may have; one edit per nanosecond reaches it in a century.
+const MAX_VERSION: ConfigVersion = 1 << 62;
+
 /// Range reads of the version series. At most one is in flight.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reader {
@@ -153,6 +156,9 @@
         match row.map(|row| serde_json::from_str::<Lists>(&row.value)) {
             None => {}
             Some(Err(error)) => context.log("config", SNAPSHOT, error.to_string()),
+            Some(Ok(lists)) if lists.version > MAX_VERSION => {
+                context.log("config", SNAPSHOT, "the version is beyond any series");
+            }
             Some(Ok(lists)) => self.lists_received(context, &Arc::new(lists)),
         }
         self.read(context);
@@ -217,10 +223,17 @@
         for row in rows {
             if &*row.key == HEAD {
                 self.reader.fill_at = None;
-                return Some((row.value.parse().unwrap_or_default(), row.version));
+                let version = row.value.parse().unwrap_or_else(|_| {
+                    context.log("config", HEAD, "the head does not hold a version");
+                    0
+                });
+                return Some((version, row.version));
             }
             match serde_json::from_str::<ChangeRecord>(&row.value) {
                 Err(error) => context.log("config", &row.key, error.to_string()),
+                Ok(record) if change_key(record.version) != row.key => {
+                    context.log("config", &row.key, "the row holds another version");
+                }
                 Ok(record) if record.version <= self.lists.version => {
                     self.reader.fill_at = Some(record.version + 1);
                     self.recent.insert(record.version, record);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -75,6 +75,7 @@
 mod record;
 mod record_settings;
 mod rendezvous;
+mod report;
 mod request;
 mod resource;
 mod retry;
@@ -107,6 +108,7 @@
     owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
     placement::Placements,
     record::Flight,
+    report::plausible,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     store_gate::StoreGate,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -196,6 +196,7 @@
     }
 
     fn load_received(&mut self, target: &TargetId, report: LoadReport) {
+        let report = plausible(report);
         let known = self.members.target(target);
         if known.is_some_and(|known| known.incarnation != report.incarnation) {
             // A new process has an empty cache, and its events start over.
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -294,7 +294,14 @@
         if self.take_row(context, target, rows) {
             return;
         }
-        self.tokens = TokenRow::read(rows);
+        self.tokens = TokenRow::read(rows, wall_ms(context));
+        if self.tokens.is_faulty {
+            context.log(
+                "order",
+                TOKENS,
+                "the row of load tokens is not usable; it starts anew",
+            );
+        }
         let event = match self.tokens.has_one(wall_ms(context), &self.settings) {
             false => OrderEvent::NoToken,
             true => OrderEvent::Ready,
--- /dev/null
+++ b/crates/control/src/report.rs
@@ -0,0 +1,27 @@
+use super::*;
+
+/// Most requests that a target is believed to hold or take.
+const MAX_COUNT: u32 = 100_000;
+
+/// Highest rate that a target is believed to have, per second.
+const MAX_RATE_PER_S: f64 = 1e6;
+
+/// Age from which a report says nothing more when it is older still.
+const MAX_AGE_MS: u64 = 3_600_000;
+
+/// Limits the numbers of a report to values with which routing can calculate, and leaves out models
+/// whose layers are empty or outside the model. A target can report anything.
+pub(crate) fn plausible(mut report: LoadReport) -> LoadReport {
+    report.age_ms = report.age_ms.min(MAX_AGE_MS);
+    report.running_count = report.running_count.min(MAX_COUNT);
+    report.slot_count = report.slot_count.min(MAX_COUNT);
+    report.waiting_count = report.waiting_count.min(MAX_COUNT);
+    report.rate_per_s = match report.rate_per_s.is_nan() {
+        false => report.rate_per_s.clamp(0.0, MAX_RATE_PER_S),
+        true => 0.0,
+    };
+    report.models.retain(|model| {
+        model.layers.start < model.layers.end && model.layers.end <= model.layer_count
+    });
+    report
+}
--- a/crates/control/src/token_row.rs
+++ b/crates/control/src/token_row.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TokenRow {
     bucket: Option<Bucket>,
+    /// Whether the row holds no bucket that an instance can have written.
+    pub(crate) is_faulty: bool,
     /// Version of the row; 0 for absent.
     pub(crate) version: RowVersion,
 }
@@ -15,12 +17,23 @@
     count: f64,
 }
 
+impl Bucket {
+    /// Whether an instance can have written it: a load takes one of at least one token, and clocks
+    /// differ by less than the limit.
+    fn is_plausible(&self, wall_ms: u64) -> bool {
+        self.at_ms <= wall_ms.saturating_add(MAX_AHEAD_MS) && self.count >= 0.0
+    }
+}
+
 impl TokenRow {
     /// Finds the row among those of a read.
-    pub(crate) fn read(rows: &[Row]) -> Self {
+    pub(crate) fn read(rows: &[Row], wall_ms: u64) -> Self {
         let row = rows.iter().find(|row| &*row.key == TOKENS);
+        let parsed = row.and_then(|row| serde_json::from_str::<Bucket>(&row.value).ok());
+        let bucket = parsed.filter(|bucket| bucket.is_plausible(wall_ms));
         Self {
-            bucket: row.and_then(|row| serde_json::from_str(&row.value).ok()),
+            is_faulty: row.is_some() && bucket.is_none(),
+            bucket,
             version: row.map_or(0, |row| row.version),
         }
     }
@@ -49,5 +62,8 @@
     }
 }
 
+/// Longest time by which the clock of the instance that wrote the row is ahead.
+const MAX_AHEAD_MS: u64 = 60_000;
+
 /// Row that spaces loads to the weight store's rate limit.
 pub(crate) const TOKENS: &str = "order-tokens";
