Stop the assembly of a failed attempt in the fleet, as the entry instance does

Cause: the simulated stream took tokens of a failed attempt before the next one was sent, which the entry instance does not. Change: the failure ends the attempt in the assembly.

--- a/crates/control/tests/fleet/backend.rs
+++ b/crates/control/tests/fleet/backend.rs
@@ -163,6 +163,11 @@
     }
 
     fn fail(&mut self, work: &Work, target: TargetId, kind: FailureKind) {
+        if let Some((_, current, assembly)) = self.assemblies.get_mut(&work.request)
+            && *current == u64::from(work.attempt)
+        {
+            assembly.stream_stopped();
+        }
         let failure = AttemptFailure {
             attempt: work.attempt,
             kind,
