--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -131,7 +131,7 @@
         })
     }
 
-    fn is_suspect(&self, now: Duration, request: &RequestId) -> bool {
+    pub(crate) fn is_suspect(&self, now: Duration, request: &RequestId) -> bool {
         let entry = self.entries.get(request);
         entry.is_some_and(|entry| self.quarantine.is_suspect(now, entry.fingerprint))
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -50,6 +50,7 @@
         self.set_time(now);
         match event {
             Event::AttemptFailed { .. }
+            | Event::CacheMoved { .. }
             | Event::CallCompleted { .. }
             | Event::CallSubmitted(_)
             | Event::CallerGone { .. }
@@ -80,7 +81,11 @@
     /// the regular one, so a part that cannot act yet does not cause ticks in a loop.
     #[must_use]
     pub fn wake_at(&self) -> Option<Duration> {
-        let times = [self.configs.wake_at(), self.records.wake_at()];
+        let times = [
+            self.configs.wake_at(),
+            self.records.wake_at(),
+            self.requests.wake_at(),
+        ];
         let later = times.into_iter().flatten();
         later.filter(|at| *at > self.ticked_at).min()
     }
@@ -121,6 +126,12 @@
                     failure,
                     request,
                 } => requests.attempt_failed(scope, &request, &failure, delivered_tokens),
+                Event::CacheMoved {
+                    attempt,
+                    from,
+                    request,
+                    result,
+                } => requests.cache_moved(scope, &request, attempt, &from, &result),
                 Event::CallCompleted {
                     attempt,
                     reply,
@@ -247,7 +258,10 @@
         self.requests.fill_cache_positions(commands);
         self.note_majority();
         self.configs.tick(&mut self.context, &self.members);
-        self.orders.tick(&mut self.context, &self.members);
+        let lists = self.configs.is_ready().then(|| &**self.configs.lists());
+        let held = self.requests.held();
+        self.orders
+            .tick(&mut self.context, &self.members, lists, &held);
         let effects = self.records.tick(&mut self.context, &self.members);
         self.apply_effects(effects);
         self.with_requests(|requests, scope| {
--- a/crates/control/tests/fleet_faults.rs
+++ b/crates/control/tests/fleet_faults.rs
@@ -43,7 +43,7 @@
     let next = AtomicU64::new(seeds.start);
     let breaches = Mutex::new(Breaches::new());
     std::thread::scope(|scope| {
-        for _ in 0..4 {
+        for _ in 0..6 {
             scope.spawn(|| {
                 loop {
                     let seed = next.fetch_add(1, Ordering::Relaxed);
--- a/crates/control/tests/hostile.rs
+++ b/crates/control/tests/hostile.rs
@@ -11,9 +11,14 @@
         prelude::*,
         test_runner::{Config, RngSeed},
     },
-    std::time::Duration,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     support::table::Table,
-    types::{LayerRange, Listing, ListingRole, LoadReport, LoadedModel, OperationKind, Row},
+    types::{
+        LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, OperationKind, Plan, Row,
+    },
     world::builder::{address, call, generate, node, service},
 };
 
@@ -30,10 +35,11 @@
 ];
 
 /// Rows with fields at their limits, which parse.
-const EXTREMES: [&str; 9] = [
+const EXTREMES: [&str; 10] = [
     "18446744073709551615",
     "{\"at_ms\":18446744073709551615,\"count\":1e308}",
     "{\"at_ms\":0,\"count\":-1e308}",
+    "{\"at_ms\":0,\"count\":4,\"moves\":[{\"shards\":[[\"m\",{\"start\":0,\"end\":8}]],\"target\":\"e9\",\"until_ms\":18446744073709551615}]}",
     "{\"accounts\":{},\"plans\":{},\"version\":18446744073709551615}",
     "{\"change\":{\"DeletePlan\":{\"id\":\"x\"}},\"operation\":\"o\",\"version\":18446744073709551615}",
     "{\"change\":{\"DeletePlan\":{\"id\":\"x\"}},\"operation\":\"o\",\"version\":1}",
@@ -302,13 +308,24 @@
 /// Guards against a faulty token row that ends all orders.
 #[test]
 fn faulty_token_row_does_not_stop_orders() {
-    for value in ["{", EXTREMES[1], EXTREMES[2]] {
+    for value in ["{", EXTREMES[1], EXTREMES[2], EXTREMES[3]] {
         let idle = LoadReport {
             incarnation: 1,
             slot_count: 4,
             ..LoadReport::default()
         };
         let mut bench = Bench::new(vec![idle; 2]);
+        let plan = Plan {
+            models: BTreeSet::from(["m".into()]),
+            ..Plan::default()
+        };
+        let lists = Lists {
+            plans: BTreeMap::from([("a".into(), plan)]),
+            version: 1,
+            ..Lists::default()
+        };
+        bench.put("config/head", "1");
+        bench.put("config/snapshot", &serde_json::to_string(&lists).unwrap());
         bench.put("order-tokens", value);
         bench.run(600);
         assert!(bench.dispatched.iter().any(|one| one == "order"), "{value}");
--- a/crates/control/tests/owners/mod.rs
+++ b/crates/control/tests/owners/mod.rs
@@ -7,11 +7,12 @@
     control::{Command, Context, MemberSettings, Members, OrderSettings, Orders},
     std::{
         collections::{BTreeMap, BTreeSet},
+        sync::Arc,
         time::Duration,
     },
     types::{
-        LayerRange, LoadReport, LoadedModel, Order, StoreFailure, StoreReply, StoreRequest,
-        StoreTicket, TargetId, WantedState,
+        LayerRange, Lists, LoadReport, LoadedModel, Order, Plan, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, TargetId, WantedState,
     },
 };
 
@@ -51,6 +52,7 @@
     fences: BTreeSet<u64>,
     pub is_healed: bool,
     late: Vec<StoreRequest>,
+    lists: Arc<Lists>,
     now: Duration,
     orders: Vec<(usize, TargetId, Order)>,
     owners: Vec<(Context, Orders)>,
@@ -72,6 +74,17 @@
     }
 }
 
+/// Lists with a plan that uses both models.
+fn lists() -> Lists {
+    let plan = Plan {
+        models: ["m", "p"].map(Into::into).into(),
+        ..Plan::default()
+    };
+    let mut lists = Lists::default();
+    lists.plans.insert("plan".into(), plan);
+    lists
+}
+
 fn loaded(model: &str) -> LoadedModel {
     LoadedModel {
         adapters: Vec::new(),
@@ -97,6 +110,7 @@
             fences: BTreeSet::new(),
             is_healed: false,
             late: Vec::new(),
+            lists: lists().into(),
             now,
             orders: Vec::new(),
             owners: vec![owner(0), owner(1)],
@@ -147,7 +161,7 @@
     fn tick(&mut self, index: usize, need: Option<Need>) -> Result<(), String> {
         let members = self.view(index, need);
         let (context, orders) = &mut self.owners[index];
-        orders.tick(context, &members);
+        orders.tick(context, &members, Some(&self.lists), &BTreeSet::new());
         self.settle(index)
     }
 
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -6,7 +6,7 @@
 mod query;
 
 use {
-    control::{AdmissionSettings, Command, Event, Identity, Node, NodeSettings},
+    control::{AdmissionSettings, CallQuery, Command, Event, Identity, Node, NodeSettings},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -14,9 +14,9 @@
     },
     types::{
         Account, AttemptFailure, CallOutcome, CallReply, CallSubmission, FailureKind,
-        GenerateSubmission, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel,
-        OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation, StoreFailure,
-        StoreReply, StoreRequest, TargetId,
+        GenerateSubmission, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport,
+        LoadedModel, OperationKind, Plan, Refusal, RequestId, Route, Row, ServiceOperation,
+        StoreFailure, StoreReply, StoreRequest, TargetId,
     },
 };
 
@@ -52,6 +52,8 @@
     pub log: Vec<(usize, Duration, Command)>,
     pub models: BTreeMap<TargetId, LoadedModel>,
     pub nodes: Vec<Node>,
+    /// Regions of the failure domains in turn.
+    regions: &'static [&'static str],
     pub now: Duration,
     pub slots: u32,
     /// Whether a store that is down still answers reads.
@@ -69,7 +71,7 @@
             target_queue_count: 0,
             ..AdmissionSettings::default()
         };
-        Self::with_admission(node_count, domains, stages, &admission)
+        Self::build(node_count, domains, stages, &admission, &["r"])
     }
 
     pub fn with_admission(
@@ -77,6 +79,29 @@
         domains: usize,
         stages: u32,
         admission: &AdmissionSettings,
+    ) -> Self {
+        Self::build(node_count, domains, stages, admission, &["r"])
+    }
+
+    pub fn with_regions(
+        node_count: usize,
+        domains: usize,
+        stages: u32,
+        regions: &'static [&'static str],
+    ) -> Self {
+        let admission = AdmissionSettings {
+            target_queue_count: 0,
+            ..AdmissionSettings::default()
+        };
+        Self::build(node_count, domains, stages, &admission, regions)
+    }
+
+    fn build(
+        node_count: usize,
+        domains: usize,
+        stages: u32,
+        admission: &AdmissionSettings,
+        regions: &'static [&'static str],
     ) -> Self {
         let mut world = Self {
             crashers: BTreeSet::new(),
@@ -91,6 +116,7 @@
             log: Vec::new(),
             models: BTreeMap::new(),
             nodes: Vec::new(),
+            regions,
             now: Duration::ZERO,
             slots: 8,
             takes_reads: false,
@@ -203,7 +229,7 @@
             id: id.into(),
             incarnation: 1,
             leaving: false,
-            region: "r".into(),
+            region: self.regions[domain % self.regions.len()].into(),
             role,
         });
     }
@@ -215,15 +241,7 @@
                 query,
                 request,
                 ..
-            } => {
-                let status = self.nodes[index_of(&owner)].owner_status(&query);
-                let event = Event::OwnerAnswered {
-                    owner,
-                    request,
-                    status,
-                };
-                self.send(node, event);
-            }
+            } => self.ask(node, owner, &query, request),
             Command::Cancel {
                 attempt, request, ..
             } => {
@@ -265,6 +283,16 @@
         }
     }
 
+    fn ask(&mut self, node: usize, owner: InstanceId, query: &CallQuery, request: RequestId) {
+        let status = self.nodes[index_of(&owner)].owner_status(query);
+        let event = Event::OwnerAnswered {
+            owner,
+            request,
+            status,
+        };
+        self.send(node, event);
+    }
+
     fn start(
         &mut self,
         node: usize,
