Follow the new commands of control in the bench

Change: the bench passes the question on, names the peer that answers, and ignores moves of a cache.

--- a/crates/bench/src/delivery.rs
+++ b/crates/bench/src/delivery.rs
@@ -8,13 +8,21 @@
         match command {
             Command::AnswerCall { outcome, request } => self.answer_call(&outcome, &request),
             Command::AskOwner {
-                nonce,
                 owner,
+                query,
                 request,
                 ..
             } => {
-                let status = self.owner_status(&owner, &nonce);
-                self.send_event(LINK * 2, instance, Event::OwnerAnswered { request, status });
+                let status = self.owner_status(&owner, &query);
+                self.send_event(
+                    LINK * 2,
+                    instance,
+                    Event::OwnerAnswered {
+                        owner,
+                        request,
+                        status,
+                    },
+                );
             }
             Command::Cancel { request, route, .. } => self.release(&request, &route),
             Command::DispatchCall {
@@ -89,6 +97,7 @@
             }
             Command::AnswerEdit { .. }
             | Command::Log(_)
+            | Command::MoveCache { .. }
             | Command::PublishLists(_)
             | Command::SendOrder { .. }
             | Command::Stop => {}
@@ -101,11 +110,11 @@
         Some(index)
     }
 
-    fn owner_status(&self, owner: &InstanceId, nonce: &Nonce) -> OwnerStatus {
+    fn owner_status(&self, owner: &InstanceId, query: &CallQuery) -> OwnerStatus {
         let policy = self
             .peer_index(owner)
             .and_then(|index| self.instances[index].as_ref());
-        policy.map_or(OwnerStatus::NoReply, |policy| policy.owner_status(nonce))
+        policy.map_or(OwnerStatus::NoReply, |policy| policy.owner_status(query))
     }
 
     fn changes_since(&self, peer: &InstanceId, after: ConfigVersion) -> Option<Vec<ChangeRecord>> {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,7 +5,7 @@
 
 use {
     anyhow::{Result, bail},
-    control::{Command, Event, Identity, Node, NodeSettings, OwnerStatus},
+    control::{CallQuery, Command, Event, Identity, Node, NodeSettings, OwnerStatus},
     hdrhistogram::Histogram,
     rand::{Rng, SeedableRng, seq::IndexedRandom, seq::IteratorRandom},
     rand_chacha::ChaCha8Rng,
@@ -22,9 +22,9 @@
         Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
         ChangeRecord, Condition, ConfigVersion, FailureDomain, FailureKind, GenerateSubmission,
         InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
-        Nonce, OperationKind, Plan, Priority, Refusal, RefusalKind, RequestId, Route, Row,
-        RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StoreTicket,
-        TargetId, Write,
+        OperationKind, Plan, Priority, Refusal, RefusalKind, RequestId, Route, Row, RowVersion,
+        ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StoreTicket, TargetId,
+        Write,
     },
 };
 
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -8,7 +8,7 @@
 
     fn handle(&mut self, now: Duration, event: Event) -> Vec<Command>;
 
-    fn owner_status(&self, _nonce: &Nonce) -> OwnerStatus {
+    fn owner_status(&self, _query: &CallQuery) -> OwnerStatus {
         OwnerStatus::UnknownClaim
     }
 }
@@ -22,8 +22,8 @@
         Node::handle(self, now, event)
     }
 
-    fn owner_status(&self, nonce: &Nonce) -> OwnerStatus {
-        Node::owner_status(self, nonce)
+    fn owner_status(&self, query: &CallQuery) -> OwnerStatus {
+        Node::owner_status(self, query)
     }
 }
 
