--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Journals of the streams that this instance serves, and copies that it keeps for peers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Journals {
     bytes: usize,
     /// Invariant: the sum of the entries' charges, at most `max_bytes`.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -79,6 +79,7 @@
 mod record;
 mod record_settings;
 mod rendezvous;
+mod report;
 mod request;
 mod resource;
 mod retry;
@@ -106,6 +107,7 @@
     departure::Moving,
     detector::{Detector, Silence},
     edit::{Edit, EditEvent, EditState},
+    heartbeat::SentDigest,
     journal_entry::{
         Eviction, FIXED_BYTES, JournalEntry, journal_bytes, reserved_bytes, token_bytes,
         token_count,
@@ -118,6 +120,7 @@
     owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
     placement::{Placement, Placements, Shard},
     record::Flight,
+    report::plausible,
     request::{Entry, Job},
     snapshot::{SnapshotStep, Snapshots},
     store_gate::StoreGate,
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -224,6 +224,7 @@
         self.limits.change(&entry.account, -1, 0);
         entry.move_at = None;
         entry.moving = None;
+        self.quarantine.left(entry.fingerprint, request);
         entry.route = None;
     }
 
@@ -239,7 +240,8 @@
             Job::Generate(_) => f64::from(payload.tokens),
         };
         self.history.observe(&entry.account, &entry.kind, size);
-        self.quarantine.clear(entry.fingerprint);
+        self.quarantine
+            .ran(scope.context.now, entry.fingerprint, request);
     }
 
     fn refuse(
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Time without events from which the process counts as paused; ticks come every 50 ms.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// One entry instance's decisions: a deterministic state machine driven by one thread.
 #[derive(Debug)]
 pub struct Node {
@@ -12,6 +15,11 @@
     pub(crate) records: Records,
     pub(crate) requests: Requests,
     started: SystemTime,
+    /// Time up to which heartbeats may be from before a pause of this process, and do not show that
+    /// its peers are heard.
+    stale_until: Duration,
+    /// Time after a pause by which such heartbeats count as old.
+    stale_wait: Duration,
     ticked_at: Duration,
 }
 
@@ -20,6 +28,7 @@
     #[must_use]
     pub fn new(settings: NodeSettings, identity: Identity, wall: SystemTime) -> Self {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let stale_wait_ms = settings.member.hearing_ms + settings.member.heartbeat_ms;
         Self {
             configs: Configs::new(settings.config.clone()),
             context: Context::new(random, wall),
@@ -29,6 +38,8 @@
             orders: Orders::new(settings.order.clone()),
             records: Records::new(identity, settings.record.clone()),
             requests: Requests::new(settings),
+            stale_until: Duration::ZERO,
+            stale_wait: Duration::from_millis(stale_wait_ms),
             started: wall,
             ticked_at: Duration::ZERO,
         }
@@ -80,10 +91,19 @@
     }
 
     pub(crate) fn set_time(&mut self, now: Duration) {
+        if now.saturating_sub(self.context.now) > PAUSE {
+            self.stale_until = now + self.stale_wait;
+        }
         self.context.now = now;
         self.context.wall = self.started + now;
     }
 
+    /// Whether this instance hears from more than half of its view, by heartbeats that were sent
+    /// after its last pause.
+    pub(crate) fn hears_majority(&self, now: Duration) -> bool {
+        now >= self.stale_until && self.members.has_majority(now)
+    }
+
     fn drain(&mut self) {
         self.drain.start(self.context.now);
         self.requests.drain();
@@ -187,6 +207,7 @@
     }
 
     fn load_received(&mut self, target: &TargetId, report: LoadReport) {
+        let report = plausible(report);
         let known = self.members.target(target);
         if known.is_some_and(|known| known.incarnation != report.incarnation) {
             // A new process has an empty cache, and its events start over.
@@ -265,7 +286,7 @@
     }
 
     fn note_majority(&mut self) {
-        let has_majority = self.members.has_majority(self.context.now);
+        let has_majority = self.hears_majority(self.context.now);
         self.configs.note_majority(has_majority);
     }
 
--- a/crates/control/src/order_rows.rs
+++ b/crates/control/src/order_rows.rs
@@ -35,8 +35,15 @@
         if self.take_row(context, target, rows) {
             return;
         }
-        self.tokens = TokenRow::read(rows);
         let wall_ms = wall_ms(context);
+        self.tokens = TokenRow::read(rows, wall_ms);
+        if self.tokens.is_faulty {
+            context.log(
+                "order",
+                TOKENS,
+                "the row of load tokens is not usable; it starts anew",
+            );
+        }
         let gives_up = self.engines.get(target).map(|engine| &engine.gives_up[..]);
         let has_conflict = (self.tokens).has_conflict(wall_ms, target, gives_up.unwrap_or(&[]));
         let event = match self.tokens.has_one(wall_ms, &self.settings) && !has_conflict {
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -104,6 +104,8 @@
     /// Delivered tokens at the last failure.
     pub(crate) delivered_at_failure: u32,
     pub(crate) delivered_tokens: u32,
+    /// Answer length expected on arrival, in tokens.
+    pub(crate) expected_tokens: f64,
     /// Failures since the last progress.
     pub(crate) failure_count: u32,
     pub(crate) fingerprint: Fingerprint,
@@ -112,6 +114,8 @@
     pub(crate) job: Job,
     /// Kind of work for the history.
     pub(crate) kind: Arc<str>,
+    /// Longest wait from arrival until the first attempt starts.
+    pub(crate) max_wait: Duration,
     /// Time from which the attempt may be replaced, while an engine of it is leaving.
     pub(crate) move_at: Option<Duration>,
     pub(crate) may_have_run: bool,
@@ -163,11 +167,13 @@
             deadline,
             delivered_at_failure: delivered_tokens,
             delivered_tokens,
+            expected_tokens: f64::INFINITY,
             failure_count: 0,
             fingerprint,
             is_caller_gone: false,
             is_short: true,
             kind: job.kind(),
+            max_wait: deadline,
             move_at: None,
             may_have_run: false,
             moving: None,
