--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -191,7 +191,7 @@
         .unwrap_or(usize::MAX)
 }
 
-fn prompt(
+pub(crate) fn prompt(
     arrival: usize,
     spec: &Arrival,
     deadline: Duration,
@@ -210,7 +210,7 @@
     }
 }
 
-fn call(
+pub(crate) fn call(
     arrival: usize,
     spec: &Arrival,
     kind: OperationKind,
--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -3,9 +3,6 @@
 /// Length of each run after the warm-up.
 const SPAN: Duration = Duration::from_secs(20);
 
-/// Nodes built at once to measure memory, so that free memory of the allocator weighs little.
-const NODE_COUNT: usize = 200;
-
 /// One measured slope.
 #[derive(Debug, Serialize)]
 pub(crate) struct Slope {
@@ -21,7 +18,7 @@
 
 impl Slope {
     /// Least-squares line through the points.
-    fn fit(name: &'static str, unit: &'static str, points: Vec<(f64, f64)>) -> Self {
+    pub(crate) fn fit(name: &'static str, unit: &'static str, points: Vec<(f64, f64)>) -> Self {
         let count = points.len() as f64;
         let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
         let (mean_size, mean_value) = (mean(|point| point.0), mean(|point| point.1));
@@ -74,8 +71,9 @@
     });
     let by_targets = |scene: &Scene| scene.engine_count as f64;
     let by_peers = |scene: &Scene| scene.instance_count as f64;
-    let by_accounts = |scene: &Scene| scene.account_count as f64;
-    Ok(vec![
+    // Memory first: later runs leave free memory behind, in which growth would not show.
+    let mut slopes = memory_slopes(&targets, &accounts)?;
+    slopes.extend([
         idle(
             &targets,
             seed,
@@ -117,9 +115,10 @@
             reads_per_s,
         )?,
         requests(&base, seed)?,
-        memory(&targets, "memory by target", by_targets)?,
-        memory(&accounts, "memory by account", by_accounts)?,
-    ])
+        writes(&Scene::region(), seed)?,
+        changes(&base, seed)?,
+    ]);
+    Ok(slopes)
 }
 
 fn idle(
@@ -167,50 +166,56 @@
     Ok(Slope::fit("core by prompts/s", "us/s", points))
 }
 
-fn memory(scenes: &[Scene], name: &'static str, size: fn(&Scene) -> f64) -> Result<Slope> {
+/// Table writes a second by non-repeatable calls a second, over all instances.
+fn writes(scene: &Scene, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
-    let mut kept = Vec::new();
-    for scene in scenes {
-        let before = resident_bytes()?;
-        for _ in 0..NODE_COUNT {
-            kept.push(filled_node(scene));
-        }
-        points.push((
-            size(scene),
-            (resident_bytes()? - before) / NODE_COUNT as f64,
-        ));
+    for load in [0.1, 0.2, 0.4, 0.6] {
+        let mut world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        world.run(WARM_UP);
+        let before = world.table.write_count;
+        world.run(WARM_UP + SPAN);
+        let kind = OperationKind::NonRepeatable;
+        let calls = world
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.work == Work::Call { kind });
+        let span_s = SPAN.as_secs_f64();
+        let write_count = world.table.write_count - before;
+        points.push((calls.count() as f64 / span_s, write_count as f64 / span_s));
     }
-    drop(kept);
-    Ok(Slope::fit(name, "bytes", points))
+    Ok(Slope::fit("table writes/s by calls/s", "1/s", points))
 }
 
-/// A node that knows all targets and lists of a scene.
-fn filled_node(scene: &Scene) -> Node {
-    let identity = scene.identity(0);
-    let mut node = Node::new(NodeSettings::default(), identity, SystemTime::UNIX_EPOCH);
-    let mut engines = scene.engines();
-    let listings = engines
-        .iter()
-        .map(|engine| engine.listing.clone())
-        .collect();
-    // Copies the lists, so that each node holds its own.
-    let lists = Arc::new(scene.lists());
-    node.handle(Duration::ZERO, Event::ListsReceived(lists));
-    node.handle(Duration::ZERO, Event::ListingRead { listings });
-    for engine in &mut engines {
-        let target = engine.listing.id.clone();
-        let report = engine.report(Duration::ZERO, Duration::from_secs(1));
-        node.handle(
-            Duration::from_millis(1),
-            Event::LoadReceived { report, target },
-        );
+/// Bytes between peers, of each instance, by configuration changes.
+fn changes(scene: &Scene, seed: u64) -> Result<Slope> {
+    let mut points = Vec::new();
+    for change_count in [5_u64, 10, 20, 40] {
+        let mut world = World::new(scene.clone(), PolicyKind::Shipped, seed)?;
+        world.run(WARM_UP);
+        let before = world.tally.peer_bytes;
+        for index in 0..change_count {
+            let delay = SPAN.mul_f64(index as f64 / change_count as f64);
+            let event = Event::EditSubmitted {
+                base_version: None,
+                change: Change::PutAccount {
+                    account: account("plan", index),
+                    id: format!("added-{index}").into(),
+                },
+                operation: format!("operation-{index}").into(),
+            };
+            world.send_event(delay, 0, event);
+        }
+        world.run(WARM_UP + SPAN);
+        let bytes = (world.tally.peer_bytes - before) as f64 / scene.instance_count as f64;
+        points.push((change_count as f64, bytes));
     }
-    node
+    Ok(Slope::fit("peer bytes by change", "bytes", points))
 }
 
-fn resident_bytes() -> Result<f64> {
-    const PAGE_BYTES: f64 = 4_096.0;
-    let text = std::fs::read_to_string("/proc/self/statm")?;
-    let pages = text.split_whitespace().nth(1).unwrap_or("0");
-    Ok(pages.parse::<f64>()? * PAGE_BYTES)
+/// Account with one key.
+pub(crate) fn account(plan: &str, index: u64) -> Account {
+    Account {
+        key_hashes: [hash_key(&format!("key of account {index}"))].into(),
+        plan: plan.into(),
+    }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -20,11 +20,11 @@
     },
     types::{
         Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
-        ChangeRecord, Condition, ConfigVersion, FailureDomain, FailureKind, GenerateSubmission,
-        InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport, LoadedModel, ModelId,
-        Nonce, OperationKind, Plan, Priority, Refusal, RefusalKind, RequestId, Route, Row,
-        RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest, StoreTicket,
-        TargetId, Write,
+        Change, ChangeRecord, Condition, ConfigVersion, FailureDomain, FailureKind,
+        GenerateSubmission, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport,
+        LoadedModel, ModelId, Nonce, OperationKind, Plan, Priority, Refusal, RefusalKind,
+        RequestId, Route, Row, RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, TargetId, Write, hash_key,
     },
 };
 
@@ -38,6 +38,7 @@
 mod flight;
 mod generation;
 mod measure;
+mod memory;
 mod naive;
 mod overload;
 mod policy;
@@ -54,11 +55,13 @@
 use {
     arguments::Arguments,
     arrival::{Arrival, Demand, Work, draw},
+    capacity::Slope,
     delivery::STORE_LINK,
     engine::{Engine, FULL_BATCH_SLOWDOWN, Waiting},
     flight::{Flight, Place},
     generation::{CACHED_PREFILL_FRACTION, PREFILL_PER_TOKEN},
     measure::{Limit, Measure},
+    memory::memory_slopes,
     naive::Naive,
     policy::{Policy, PolicyKind},
     run::{Run, WARM_UP, served_share, waits},
--- /dev/null
+++ b/crates/bench/src/memory.rs
@@ -0,0 +1,148 @@
+use super::*;
+
+/// Nodes built at once, so that free memory of the allocator weighs little.
+const NODE_COUNT: usize = 50;
+
+/// Slots that each target reports, so that all requests of a measurement run.
+const SLOT_COUNT: u32 = 1_000;
+
+/// Memory of one node by targets, accounts, requests in progress and claimed calls.
+pub(crate) fn memory_slopes(targets: &[Scene], accounts: &[Scene]) -> Result<Vec<Slope>> {
+    let mut kept = Vec::new();
+    let mut slopes = Vec::new();
+    let base = Scene::island();
+    for (name, scenes) in [
+        ("memory by target", targets),
+        ("memory by account", accounts),
+    ] {
+        let mut points = Vec::new();
+        for scene in scenes {
+            let size = match name {
+                "memory by target" => scene.engine_count,
+                _ => scene.account_count,
+            };
+            let bytes = growth(&mut kept, || Ok(node(scene)))?;
+            points.push((size as f64, bytes));
+        }
+        slopes.push(Slope::fit(name, "bytes", points));
+    }
+    for (name, is_call) in [("memory by request", false), ("memory by call", true)] {
+        let mut points = Vec::new();
+        for count in [100_usize, 200, 400, 800] {
+            let bytes = growth(&mut kept, || busy_node(&base, count, is_call))?;
+            points.push((count as f64, bytes));
+        }
+        slopes.push(Slope::fit(name, "bytes", points));
+    }
+    Ok(slopes)
+}
+
+/// Growth of resident memory with each further node. Earlier nodes are kept, as their memory would
+/// be used again.
+fn growth(kept: &mut Vec<Node>, build: impl Fn() -> Result<Node>) -> Result<f64> {
+    let before = resident_bytes()?;
+    for _ in 0..NODE_COUNT {
+        kept.push(build()?);
+    }
+    Ok((resident_bytes()? - before) / NODE_COUNT as f64)
+}
+
+/// A node that knows all targets and has its own copy of the lists of a scene.
+fn node(scene: &Scene) -> Node {
+    let identity = scene.identity(0);
+    let mut node = Node::new(NodeSettings::default(), identity, SystemTime::UNIX_EPOCH);
+    let mut lists = scene.lists();
+    for (index, entry) in lists.accounts.values_mut().enumerate() {
+        *entry = capacity::account("plan", index as u64);
+    }
+    node.handle(Duration::ZERO, Event::ListsReceived(Arc::new(lists)));
+    let mut listings = Vec::new();
+    listings.extend(scene.engines().into_iter().map(|engine| engine.listing));
+    let services = scene.services().into_iter();
+    listings.extend(services.map(|service| service.listing));
+    node.handle(Duration::ZERO, Event::ListingRead { listings });
+    report(&mut node, scene, Duration::ZERO);
+    node
+}
+
+/// Reports of all targets, with enough slots for all requests of a measurement.
+fn report(node: &mut Node, scene: &Scene, now: Duration) {
+    for mut engine in scene.engines() {
+        let mut report = engine.report(Duration::ZERO, Duration::from_secs(1));
+        report.slot_count = SLOT_COUNT;
+        let target = engine.listing.id;
+        node.handle(now, Event::LoadReceived { report, target });
+    }
+    for service in scene.services() {
+        let mut report = service.report();
+        report.slot_count = SLOT_COUNT;
+        let target = service.listing.id;
+        node.handle(now, Event::LoadReceived { report, target });
+    }
+}
+
+/// A node with requests in progress.
+fn busy_node(scene: &Scene, count: usize, is_call: bool) -> Result<Node> {
+    let mut node = node(scene);
+    let mut table = Table::with_lists(&scene.lists())?;
+    let mut now = Duration::ZERO;
+    while now < WARM_UP {
+        now += Duration::from_millis(50);
+        if now.subsec_millis() == 0 {
+            report(&mut node, scene, now);
+        }
+        send(&mut node, &mut table, now, Event::Ticked);
+    }
+    let mut dispatch_count = 0;
+    for index in 0..count {
+        let spec = Arrival {
+            account: index % scene.account_count,
+            at: now,
+            prefix: index as u64,
+            work: Work::Prompt {
+                answer_tokens: 40,
+                is_long: false,
+            },
+        };
+        let request: RequestId = format!("r{index}-0").into();
+        let event = if is_call {
+            let kind = OperationKind::NonRepeatable;
+            Event::CallSubmitted(caller::call(index, &spec, kind, DEADLINE, request))
+        } else {
+            Event::GenerateSubmitted(caller::prompt(index, &spec, DEADLINE, request))
+        };
+        dispatch_count += send(&mut node, &mut table, now, event);
+    }
+    if dispatch_count != count {
+        bail!("{dispatch_count} of {count} requests were dispatched");
+    }
+    Ok(node)
+}
+
+/// Sends an event and answers everything that the node asks the table. Returns the dispatches.
+fn send(node: &mut Node, table: &mut Table, now: Duration, event: Event) -> usize {
+    let mut dispatch_count = 0;
+    let mut events = VecDeque::from([event]);
+    while let Some(event) = events.pop_front() {
+        for command in node.handle(now, event) {
+            match command {
+                Command::DispatchCall { .. } | Command::DispatchGenerate { .. } => {
+                    dispatch_count += 1;
+                }
+                Command::Store { request, ticket } => {
+                    let result = table.execute(&request);
+                    events.push_back(Event::StoreReplied { result, ticket });
+                }
+                _ => {}
+            }
+        }
+    }
+    dispatch_count
+}
+
+fn resident_bytes() -> Result<f64> {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split_whitespace().nth(1).unwrap_or("0");
+    Ok(pages.parse::<f64>()? * PAGE_BYTES)
+}
