--- /dev/null
+++ b/crates/bench/tests/measures.rs
@@ -0,0 +1,38 @@
+//! Guards against a measure that no longer keeps its limit, and against runs that differ at one seed.
+//! Processor time carries no verdict.
+
+use {std::process::Command, yare::parameterized};
+
+fn bench(name: &str, scene: &str, seed: &str) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_bench"))
+        .args([name, "--scene", scene, "--seed", seed])
+        .output()
+        .expect("the program is built with its tests");
+    let text = String::from_utf8(output.stdout).expect("the table is text");
+    (output.status.success(), text)
+}
+
+#[parameterized(
+    island_control_cost = { "control_cost", "island" },
+    island_overload = { "overload", "island" },
+    island_recovery = { "recovery", "island" },
+    island_short_work = { "short_work", "island" },
+    island_swing = { "swing", "island" },
+    region_control_cost = { "control_cost", "region" },
+    region_overload = { "overload", "region" },
+    region_recovery = { "recovery", "region" },
+    region_short_work = { "short_work", "region" },
+    region_swing = { "swing", "region" },
+)]
+fn measures_keep_their_limits(name: &str, scene: &str) {
+    let (holds, table) = bench(name, scene, "1");
+    assert!(holds, "\n{table}");
+}
+
+#[test]
+fn equal_seeds_give_equal_tables() {
+    let (_, first) = bench("short_work", "region", "2");
+    let (_, second) = bench("short_work", "region", "2");
+    assert!(first.lines().count() > 5, "{first}");
+    assert_eq!(first, second);
+}
