--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -115,6 +115,7 @@
             reads_per_s,
         )?,
         requests(&base, seed)?,
+        demands(&base, seed)?,
         writes(&Scene::region(), seed)?,
         changes(&base, seed)?,
     ]);
@@ -166,6 +167,34 @@
     Ok(Slope::fit("core by prompts/s", "us/s", points))
 }
 
+/// Bytes between peers, a second and instance, by requests in progress at an instance, each of
+/// about as many accounts.
+fn demands(scene: &Scene, seed: u64) -> Result<Slope> {
+    let scene = Scene {
+        account_count: 400,
+        ..scene.clone()
+    };
+    let mut points = Vec::new();
+    for load in [0.1, 0.2, 0.4, 0.6] {
+        let mut world = Run::steady(&scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        let start = WARM_UP + Duration::from_secs(5);
+        world.run(start);
+        let (bytes_before, mut request_count) = (world.tally.peer_bytes, 0);
+        let mut now = start;
+        while now < WARM_UP + SPAN {
+            now += Duration::from_millis(100);
+            world.run(now);
+            request_count += world.flights.len();
+        }
+        let span_s = (now - start).as_secs_f64();
+        let instances = scene.instance_count as f64;
+        let mean_count = request_count as f64 / (span_s * 10.0) / instances;
+        let bytes = (world.tally.peer_bytes - bytes_before) as f64 / span_s / instances;
+        points.push((mean_count, bytes));
+    }
+    Ok(Slope::fit("peer bytes/s by request", "B/s", points))
+}
+
 /// Table writes a second by non-repeatable calls a second, over all instances.
 fn writes(scene: &Scene, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
