--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -69,13 +69,25 @@
         account_count,
         ..base.clone()
     });
-    let by_targets = |scene: &Scene| scene.engine_count as f64;
-    let by_peers = |scene: &Scene| scene.instance_count as f64;
     // Memory first: later runs leave free memory behind, in which growth would not show.
     let mut slopes = memory_slopes(&targets, &accounts)?;
+    slopes.extend(idle_slopes(&targets, &peers, seed)?);
     slopes.extend([
+        requests(&base, seed)?,
+        demands(&base, seed)?,
+        writes(&Scene::region(), seed)?,
+        changes(&base, seed)?,
+    ]);
+    Ok(slopes)
+}
+
+/// Slopes of instances without demand.
+fn idle_slopes(targets: &[Scene], peers: &[Scene], seed: u64) -> Result<Vec<Slope>> {
+    let by_targets = |scene: &Scene| scene.engine_count as f64;
+    let by_peers = |scene: &Scene| scene.instance_count as f64;
+    Ok(vec![
         idle(
-            &targets,
+            targets,
             seed,
             "peer bytes/s by target",
             "B/s",
@@ -83,7 +95,7 @@
             peer_bytes_per_s,
         )?,
         idle(
-            &peers,
+            peers,
             seed,
             "peer bytes/s by peer",
             "B/s",
@@ -91,7 +103,7 @@
             peer_bytes_per_s,
         )?,
         idle(
-            &targets,
+            targets,
             seed,
             "idle core by target",
             "us/s",
@@ -99,7 +111,7 @@
             core_us_per_s,
         )?,
         idle(
-            &peers,
+            peers,
             seed,
             "idle core by peer",
             "us/s",
@@ -107,19 +119,14 @@
             core_us_per_s,
         )?,
         idle(
-            &peers,
+            peers,
             seed,
             "table reads/s by instance",
             "1/s",
             by_peers,
             reads_per_s,
         )?,
-        requests(&base, seed)?,
-        demands(&base, seed)?,
-        writes(&Scene::region(), seed)?,
-        changes(&base, seed)?,
-    ]);
-    Ok(slopes)
+    ])
 }
 
 fn idle(
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -239,8 +239,7 @@
                 request,
                 ticket,
             } => {
-                let result = self.table.execute(&request);
-                self.send_event(STORE_LINK, instance, Event::StoreReplied { result, ticket });
+                self.store_arrived(instance, &request, ticket);
             }
             Happening::Submitted {
                 arrival,
@@ -259,6 +258,11 @@
         }
     }
 
+    fn store_arrived(&mut self, instance: usize, request: &StoreRequest, ticket: StoreTicket) {
+        let result = self.table.execute(request);
+        self.send_event(STORE_LINK, instance, Event::StoreReplied { result, ticket });
+    }
+
     fn handle(&mut self, instance: usize, event: Event) {
         let Some(policy) = &mut self.instances[instance] else {
             return;
--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -143,6 +143,14 @@
     sent_at: Duration,
 }
 
+impl SentDigest {
+    /// Whether the peer knows the present report and belief.
+    fn tells(&self, target: &Target) -> bool {
+        (self.health, self.incarnation, self.reported_at)
+            == (target.health, target.incarnation, target.reported_at)
+    }
+}
+
 /// Digests of the polled targets for one peer: those with a new report or another belief than last
 /// time, and all of them now and then, as a heartbeat may be lost. Models that the peer has are
 /// left out.
@@ -162,12 +170,8 @@
         }
         let target = &entry.target;
         let last = sent.get(id);
-        let is_repeated = last.is_some_and(|last| {
-            let is_same = (last.health, last.incarnation, last.reported_at)
-                == (target.health, target.incarnation, target.reported_at);
-            is_same && now.saturating_sub(last.sent_at) < refresh
-        });
-        if is_repeated {
+        if last.is_some_and(|last| last.tells(target) && now.saturating_sub(last.sent_at) < refresh)
+        {
             continue;
         }
         let report = &target.report;
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -148,10 +148,7 @@
                 &generate.request,
             ),
         };
-        let delivered_tokens = match &job {
-            Job::Call(_) => 0,
-            Job::Generate(generate) => generate.delivered_tokens,
-        };
+        let delivered_tokens = job.delivered_tokens();
         Self {
             account: account.clone(),
             arrived_at: now,
@@ -231,6 +228,14 @@
 }
 
 impl Job {
+    /// Tokens that the caller had when the request arrived.
+    fn delivered_tokens(&self) -> u32 {
+        match self {
+            Self::Call(_) => 0,
+            Self::Generate(generate) => generate.delivered_tokens,
+        }
+    }
+
     /// Model with the magnitude of the prompt, or operation.
     fn kind(&self) -> Arc<str> {
         match self {
