Wait for the views of all instances before a second domain is lost

Cause: a stream that began while one failure domain was live has owner and backup in it, so the test lost both at once, which is not promised.

--- a/crates/suite/src/inspection.rs
+++ b/crates/suite/src/inspection.rs
@@ -20,6 +20,28 @@
         Ok(())
     }
 
+    /// Waits until every entry instance takes all of them for live.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when one of them does not.
+    pub async fn wait_views(&self) -> Result<()> {
+        for entry in &self.entries {
+            let operator = Client {
+                entries: vec![entry.address("address")?],
+                ..self.operator()?
+            };
+            until("the instance takes all others for live", async || {
+                let instances = operator.status().await?.instances;
+                let live = instances.iter().filter(|one| one.health == "live").count();
+                Ok((live == self.entries.len()).then_some(()))
+            })
+            .await
+            .with_context(|| entry.log_tail())?;
+        }
+        Ok(())
+    }
+
     /// Reads the record of a call as the platform holds it; none when there is none.
     ///
     /// # Errors
--- a/crates/suite/tests/schedules.rs
+++ b/crates/suite/tests/schedules.rs
@@ -33,6 +33,8 @@
     cluster.kill_domain(0)?;
     load.progress(10).await?;
     cluster.restart_domain(0).await?;
+    // Until then, streams may have owner and backup in one domain, and would be lost with it.
+    cluster.wait_views().await?;
     // A caller that knows only instances of the other domain could not find the new ones.
     load.progress_each(3).await?;
     cluster.kill_domain(1)?;
