--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -122,9 +122,8 @@
             }
             if Instant::now() >= end {
                 return Err(Error::Wait {
-                    in_force: count(in_force),
+                    in_force: in_force_text(in_force, total),
                     limit,
-                    total: count(total),
                     version,
                 });
             }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -76,16 +76,14 @@
     },
     /// The change is accepted but was not seen in force everywhere.
     #[error(
-        "version {version} is accepted but was in force on only {in_force} of {total} instances \
-         after {limit:?}; run `ctl status` to see which instances are behind"
+        "version {version} is accepted but was {in_force} after {limit:?}; run `ctl status` \
+         to see which instances are behind"
     )]
     Wait {
-        /// Instances where it is in force.
+        /// Where it is in force, as `in_force_text` says it.
         in_force: String,
         /// Time waited.
         limit: Duration,
-        /// Instances.
-        total: String,
         /// Version.
         version: ConfigVersion,
     },
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -48,4 +48,4 @@
     table::table,
 };
 
-use run::count;
+use run::in_force_text;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -149,15 +149,17 @@
             &instance.config_version,
         ]));
     }
-    let (version, in_force) = (status.config_version, count(status.in_force_count));
-    let total = count(status.instance_count);
-    let summary = format!("version {version} is in force on {in_force} of {total} instances\n");
+    let in_force = in_force_text(status.in_force_count, status.instance_count);
+    let summary = format!("version {} is {in_force}\n", status.config_version);
     summary + &table(&rows)
 }
 
-/// Text of a count that the replying instance may not know.
-pub(crate) fn count(count: Option<usize>) -> String {
-    count.map_or_else(|| "an unknown number".into(), |count| count.to_string())
+/// Says on how many instances a version is in force, if the replying instance knows.
+pub(crate) fn in_force_text(in_force: Option<usize>, total: Option<usize>) -> String {
+    match (in_force, total) {
+        (Some(in_force), Some(total)) => format!("in force on {in_force} of {total} instances"),
+        _ => "in force on a number of instances that is not known yet".into(),
+    }
 }
 
 fn new_key(options: &Options) -> Result<String, Error> {
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -216,6 +216,9 @@
     assert_eq!(text.unwrap(), "{\n  \"plan\": \"p\"\n}\n");
     let text = run(&files.options(&[instance.0], "status")).await.unwrap();
     assert!(text.starts_with("version 8 is in force on 1 of 2 instances\n"));
+    let instance = start(Edits::AcceptAtStart).await;
+    let text = run(&files.options(&[instance.0], "status")).await.unwrap();
+    assert!(text.contains("is not known yet"), "{text}");
 }
 
 #[parameterized(
