Group the modules of control by area

Cause: 70 files in one folder gave a newcomer no way in. Change: folders for configs, limits, members, orders, records, requests, routes and streams, each with one line on its job; only moves and paths.

--- a/crates/control/src/edit.rs
+++ b/crates/control/src/configs/edit.rs
@@ -43,7 +43,7 @@
 }
 
 static CHART: LazyLock<Chart<EditState, EditEvent, EditAction>> = LazyLock::new(|| {
-    Chart::parse(include_str!("../../../charts/edit.json"))
+    Chart::parse(include_str!("../../../../charts/edit.json"))
         .expect("charts/edit.json names what this file names")
 });
 
--- a/crates/control/src/belief.rs
+++ b/crates/control/src/members/belief.rs
@@ -34,7 +34,7 @@
 }
 
 static CHART: LazyLock<Chart<BeliefState, BeliefEvent, BeliefAction>> = LazyLock::new(|| {
-    Chart::parse(include_str!("../../../charts/member.json"))
+    Chart::parse(include_str!("../../../../charts/member.json"))
         .expect("charts/member.json names what this file names")
 });
 
--- /dev/null
+++ b/crates/control/src/orders/mod.rs
@@ -0,0 +1,11 @@
+//! Orders to engines: what each is to hold, and who may tell it so.
+
+use super::*;
+
+pub(crate) mod order;
+pub(crate) mod order_rows;
+pub(crate) mod order_settings;
+pub(crate) mod owned_engine;
+pub(crate) mod placement;
+pub(crate) mod survey;
+pub(crate) mod token_row;
--- a/crates/control/src/owned_engine.rs
+++ b/crates/control/src/orders/owned_engine.rs
@@ -37,7 +37,7 @@
 
 pub(crate) static ORDER_CHART: LazyLock<Chart<OrderState, OrderEvent, OrderAction>> =
     LazyLock::new(|| {
-        Chart::parse(include_str!("../../../charts/order.json"))
+        Chart::parse(include_str!("../../../../charts/order.json"))
             .expect("charts/order.json names what this file names")
     });
 
--- a/crates/control/src/call_entry.rs
+++ b/crates/control/src/records/call_entry.rs
@@ -71,7 +71,7 @@
 
 pub(crate) static CALL_CHART: LazyLock<Chart<CallState, CallEvent, CallAction>> =
     LazyLock::new(|| {
-        Chart::parse(include_str!("../../../charts/call.json"))
+        Chart::parse(include_str!("../../../../charts/call.json"))
             .expect("charts/call.json names what this file names")
     });
 
--- a/crates/control/src/request.rs
+++ b/crates/control/src/requests/request.rs
@@ -2,7 +2,7 @@
 
 /// Chart of the life of a request. A wrong chart is a defect of the build, which every test meets.
 static CHART: LazyLock<Chart<RequestState, RequestEvent, RequestAction>> = LazyLock::new(|| {
-    Chart::parse(include_str!("../../../charts/request.json"))
+    Chart::parse(include_str!("../../../../charts/request.json"))
         .expect("charts/request.json names only known states, events and actions")
 });
 
--- a/crates/control/src/assembly.rs
+++ b/crates/control/src/streams/assembly.rs
@@ -45,7 +45,7 @@
 }
 
 static CHART: LazyLock<Chart<AssemblyState, AssemblyEvent, AssemblyAction>> = LazyLock::new(|| {
-    Chart::parse(include_str!("../../../charts/assembly.json"))
+    Chart::parse(include_str!("../../../../charts/assembly.json"))
         .expect("charts/assembly.json names what this file names")
 });
 
