--- a/crates/bench/src/flight.rs
+++ b/crates/bench/src/active_request.rs
@@ -2,7 +2,7 @@
 
 /// One request in progress, as its caller and the engines see it.
 #[derive(Debug)]
-pub(crate) struct Flight {
+pub(crate) struct ActiveRequest {
     /// Index of the arrival.
     pub(crate) arrival: usize,
     pub(crate) attempt: Attempt,
--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -3,7 +3,7 @@
 const HELP: &str = "\
 Measures the decision code in virtual time.
 
-Usage: bench [NAME|all] [--scene island|region|scaled|all] [--seed N] [--json]
+Usage: bench [NAME|all] [--scenario island|region|scaled|all] [--seed N] [--json]
 
 NAME is control_cost, overload, recovery, short_work or swing. The exit status is 1 when a measure
 does not keep its limit. `bench capacity` prints the slopes of docs/CAPACITY.md.";
@@ -13,7 +13,7 @@
 pub(crate) struct Arguments {
     pub(crate) json: bool,
     pub(crate) name: String,
-    pub(crate) scene: String,
+    pub(crate) scenario: String,
     pub(crate) seed: u64,
 }
 
@@ -31,8 +31,8 @@
         }
         let parsed = Self {
             json: arguments.contains("--json"),
-            scene: arguments
-                .opt_value_from_str("--scene")?
+            scenario: arguments
+                .opt_value_from_str("--scenario")?
                 .unwrap_or_else(|| "all".into()),
             seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
             name: arguments
@@ -47,17 +47,17 @@
         if !known && parsed.name != "all" && parsed.name != "capacity" {
             bail!("unknown measurement `{}`; see --help", parsed.name);
         }
-        if parsed.scenes().is_empty() {
-            bail!("unknown scene `{}`; see --help", parsed.scene);
+        if parsed.scenarios().is_empty() {
+            bail!("unknown scenario `{}`; see --help", parsed.scenario);
         }
         Ok(Some(parsed))
     }
 
-    pub(crate) fn scenes(&self) -> Vec<Scene> {
-        let scenes = [Scene::island(), Scene::region(), Scene::scaled(10)];
-        scenes
+    pub(crate) fn scenarios(&self) -> Vec<Scenario> {
+        let scenarios = [Scenario::island(), Scenario::region(), Scenario::scaled(10)];
+        scenarios
             .into_iter()
-            .filter(|scene| self.scene == "all" || self.scene == scene.name)
+            .filter(|scenario| self.scenario == "all" || self.scenario == scenario.name)
             .collect()
     }
 }
--- a/crates/bench/src/arrival.rs
+++ b/crates/bench/src/arrival.rs
@@ -23,7 +23,7 @@
 
 /// Draws Poisson arrivals from `start` to `end`. Two accounts make half of the demand.
 pub(crate) fn draw(
-    scene: &Scene,
+    scenario: &Scenario,
     demand: &Demand,
     start: Duration,
     end: Duration,
@@ -36,7 +36,7 @@
         let gap_s = -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate_per_s;
         at += Duration::from_secs_f64(gap_s);
         let account = match random.random_bool(0.5) {
-            false => random.random_range(0..scene.account_count),
+            false => random.random_range(0..scenario.account_count),
             true => random.random_range(0..2),
         };
         let prefix = random.random_range(0..200);
@@ -44,14 +44,14 @@
             account,
             at,
             prefix,
-            work: draw_work(scene, random),
+            work: draw_work(scenario, random),
         });
     }
     arrivals
 }
 
-fn draw_work(scene: &Scene, random: &mut ChaCha8Rng) -> Work {
-    let calls = scene.service_call_one_in;
+fn draw_work(scenario: &Scenario, random: &mut ChaCha8Rng) -> Work {
+    let calls = scenario.service_call_one_in;
     if calls > 0 && random.random_ratio(1, calls) {
         let kind = match random.random_bool(0.5) {
             false => OperationKind::Idempotent,
@@ -59,11 +59,11 @@
         };
         return Work::Call { kind };
     }
-    let is_long = random.random_ratio(1, scene.long_one_in);
+    let is_long = random.random_ratio(1, scenario.long_one_in);
     let mean = if is_long {
-        scene.long_tokens
+        scenario.long_tokens
     } else {
-        scene.short_tokens
+        scenario.short_tokens
     };
     let answer_tokens = random.random_range(mean / 2..=mean * 3 / 2);
     Work::Prompt {
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -8,11 +8,11 @@
     pub(crate) fn submit(&mut self, arrival: usize, delivered_tokens: u32) {
         let instance = self.random.random_range(0..self.instances.len());
         if self.instances[instance].is_none() {
-            let happening = Happening::Submitted {
+            let occurrence = Occurrence::Submitted {
                 arrival,
                 delivered_tokens,
             };
-            self.schedule(NEXT_ADDRESS, happening);
+            self.schedule(NEXT_ADDRESS, occurrence);
             return;
         }
         let spec = self.arrivals[arrival].clone();
@@ -25,28 +25,33 @@
             return;
         }
         let request: RequestId = format!("r{arrival}-{}", self.now.as_micros()).into();
-        self.flights.insert(
+        self.active.insert(
             request.clone(),
-            self.flight(arrival, delivered_tokens, instance),
+            self.request_state(arrival, delivered_tokens, instance),
         );
         if patience < left {
             let request = request.clone();
-            self.schedule(patience, Happening::GaveUp { request });
+            self.schedule(patience, Occurrence::GaveUp { request });
         }
         let event = match spec.work {
             Work::Call { kind } => Event::CallSubmitted(call(arrival, &spec, kind, left, request)),
             Work::Prompt { .. } => {
                 let mut prompt = prompt(arrival, &spec, left, request);
                 prompt.delivered_tokens = delivered_tokens;
-                prompt.prompt_tokens = self.scene.prompt_tokens();
+                prompt.prompt_tokens = self.scenario.prompt_tokens();
                 Event::GenerateSubmitted(prompt)
             }
         };
         self.send_event(LINK, instance, event);
     }
 
-    fn flight(&self, arrival: usize, delivered_tokens: u32, instance: usize) -> Flight {
-        Flight {
+    fn request_state(
+        &self,
+        arrival: usize,
+        delivered_tokens: u32,
+        instance: usize,
+    ) -> ActiveRequest {
+        ActiveRequest {
             arrival,
             attempt: 0,
             delivered_tokens,
@@ -62,13 +67,13 @@
 
     /// A caller that has no first token disconnects when its patience is over.
     pub(crate) fn give_up(&mut self, request: &RequestId) {
-        let Some(flight) = self.flights.get(request) else {
+        let Some(request_state) = self.active.get(request) else {
             return;
         };
-        if flight.first_token_at.is_some() {
+        if request_state.first_token_at.is_some() {
             return;
         }
-        let (arrival, instance) = (flight.arrival, flight.instance);
+        let (arrival, instance) = (request_state.arrival, request_state.instance);
         let request = request.clone();
         self.send_event(LINK, instance, Event::CallerGone { request });
         self.end(arrival, false, None);
@@ -76,20 +81,20 @@
 
     /// A refused caller comes back when it was told to, while its patience lasts.
     pub(crate) fn refused(&mut self, refusal: &Refusal, request: &RequestId) {
-        let Some(flight) = self.flights.remove(request) else {
+        let Some(request_state) = self.active.remove(request) else {
             return;
         };
-        *self.tally.refusals.entry(refusal.kind).or_default() += 1;
-        let (arrival, delivered_tokens) = (flight.arrival, flight.delivered_tokens);
+        *self.results.refusals.entry(refusal.kind).or_default() += 1;
+        let (arrival, delivered_tokens) = (request_state.arrival, request_state.delivered_tokens);
         if self.now + refusal.retry_after >= self.patience_end(arrival, delivered_tokens) {
             self.end(arrival, false, None);
             return;
         }
-        let happening = Happening::Submitted {
+        let occurrence = Occurrence::Submitted {
             arrival,
             delivered_tokens,
         };
-        self.schedule(refusal.retry_after, happening);
+        self.schedule(refusal.retry_after, occurrence);
     }
 
     /// Time until which a caller comes back: the caller of a call, or of an answer that has begun,
@@ -104,7 +109,7 @@
         let at = self.arrivals[arrival].at;
         let complete = complete && self.now <= at + DEADLINE;
         let first_after = first_at.map(|first_at| first_at.saturating_sub(at));
-        self.tally.ends.insert(
+        self.results.ends.insert(
             arrival,
             End {
                 complete,
@@ -118,11 +123,11 @@
             self.refused(refusal, request);
             return;
         }
-        let Some(flight) = self.flights.remove(request) else {
+        let Some(request_state) = self.active.remove(request) else {
             return;
         };
         let complete = matches!(outcome, CallOutcome::Ran(_));
-        self.end(flight.arrival, complete, Some(self.now));
+        self.end(request_state.arrival, complete, Some(self.now));
     }
 
     pub(crate) fn call_arrived(
@@ -145,7 +150,7 @@
         let (request, target) = (request.clone(), target.clone());
         self.schedule(
             delay,
-            Happening::CallEnded {
+            Occurrence::CallEnded {
                 attempt,
                 request,
                 target,
@@ -166,7 +171,7 @@
             self.attempt_failed(request, FailureKind::Broken, target.clone());
             return;
         }
-        let Some(flight) = self.flights.get(request) else {
+        let Some(request_state) = self.active.get(request) else {
             return;
         };
         let reply = CallReply {
@@ -178,11 +183,11 @@
             reply,
             request: request.clone(),
         };
-        self.send_event(LINK, flight.instance, event);
+        self.send_event(LINK, request_state.instance, event);
     }
 }
 
-/// Arrival of a request; the id outlives the flight, so that an operation whose caller gave up is
+/// Arrival of a request; the id outlives the request_state, so that an operation whose caller gave up is
 /// counted too.
 fn arrival_of(request: &RequestId) -> usize {
     let digits = request.trim_start_matches('r').split('-').next();
@@ -198,7 +203,7 @@
     request: RequestId,
 ) -> GenerateSubmission {
     GenerateSubmission {
-        account: Scene::account(spec.account),
+        account: Scenario::account(spec.account),
         deadline,
         delivered_tokens: 0,
         fingerprint: arrival as u64,
@@ -222,7 +227,7 @@
         OperationKind::NonRepeatable => (Some(format!("key-{arrival}").into()), "book"),
     };
     CallSubmission {
-        account: Scene::account(spec.account),
+        account: Scenario::account(spec.account),
         body_hash: format!("body-{arrival}").into(),
         deadline,
         fingerprint: arrival as u64,
--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -53,19 +53,19 @@
 /// Slopes from which docs/CAPACITY.md works out each role at the size to design for. Processor
 /// time and memory depend on the machine.
 pub(crate) fn slopes(seed: u64) -> Result<Vec<Slope>> {
-    let base = Scene {
+    let base = Scenario {
         service_call_one_in: 0,
-        ..Scene::island()
+        ..Scenario::island()
     };
-    let targets = [20_usize, 40, 80, 160].map(|engine_count| Scene {
+    let targets = [20_usize, 40, 80, 160].map(|engine_count| Scenario {
         engine_count,
         ..base.clone()
     });
-    let peers = [2_usize, 4, 8, 16].map(|instance_count| Scene {
+    let peers = [2_usize, 4, 8, 16].map(|instance_count| Scenario {
         instance_count,
         ..base.clone()
     });
-    let accounts = [10_usize, 50, 100, 400].map(|account_count| Scene {
+    let accounts = [10_usize, 50, 100, 400].map(|account_count| Scenario {
         account_count,
         ..base.clone()
     });
@@ -75,16 +75,16 @@
     slopes.extend([
         requests(&base, seed)?,
         demands(&base, seed)?,
-        writes(&Scene::region(), seed)?,
+        writes(&Scenario::region(), seed)?,
         changes(&base, seed)?,
     ]);
     Ok(slopes)
 }
 
 /// Slopes of instances without demand.
-fn idle_slopes(targets: &[Scene], peers: &[Scene], seed: u64) -> Result<Vec<Slope>> {
-    let by_targets = |scene: &Scene| scene.engine_count as f64;
-    let by_peers = |scene: &Scene| scene.instance_count as f64;
+fn idle_slopes(targets: &[Scenario], peers: &[Scenario], seed: u64) -> Result<Vec<Slope>> {
+    let by_targets = |scenario: &Scenario| scenario.engine_count as f64;
+    let by_peers = |scenario: &Scenario| scenario.instance_count as f64;
     Ok(vec![
         idle(
             targets,
@@ -130,28 +130,28 @@
 }
 
 fn idle(
-    scenes: &[Scene],
+    scenarios: &[Scenario],
     seed: u64,
     name: &'static str,
     unit: &'static str,
-    size: fn(&Scene) -> f64,
+    size: fn(&Scenario) -> f64,
     value: fn(&World) -> f64,
 ) -> Result<Slope> {
     let mut points = Vec::new();
-    for scene in scenes {
-        let mut world = World::new(scene.clone(), PolicyKind::Shipped, seed)?;
+    for scenario in scenarios {
+        let mut world = World::new(scenario.clone(), PolicyKind::Shipped, seed)?;
         world.run(WARM_UP + SPAN);
-        points.push((size(scene), value(&world)));
+        points.push((size(scenario), value(&world)));
     }
     Ok(Slope::fit(name, unit, points))
 }
 
 fn peer_bytes_per_s(world: &World) -> f64 {
-    world.tally.peer_bytes as f64 / world.now.as_secs_f64() / world.scene.instance_count as f64
+    world.results.peer_bytes as f64 / world.now.as_secs_f64() / world.scenario.instance_count as f64
 }
 
 fn core_us_per_s(world: &World) -> f64 {
-    1e6 * world.work.as_secs_f64() / world.now.as_secs_f64() / world.scene.instance_count as f64
+    1e6 * world.work.as_secs_f64() / world.now.as_secs_f64() / world.scenario.instance_count as f64
 }
 
 fn reads_per_s(world: &World) -> f64 {
@@ -159,11 +159,11 @@
 }
 
 /// Processor time by prompts a second and instance, from runs with growing demand.
-fn requests(scene: &Scene, seed: u64) -> Result<Slope> {
+fn requests(scenario: &Scenario, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
     for load in [0.1, 0.2, 0.4, 0.6] {
-        let instances = scene.instance_count as f64;
-        let mut world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        let instances = scenario.instance_count as f64;
+        let mut world = Run::steady(scenario, PolicyKind::Shipped, seed, load, SPAN).start()?;
         world.run(WARM_UP);
         let before = world.work;
         world.run(WARM_UP + SPAN);
@@ -176,37 +176,37 @@
 
 /// Bytes between peers, a second and instance, by requests in progress at an instance, each of
 /// about as many accounts.
-fn demands(scene: &Scene, seed: u64) -> Result<Slope> {
-    let scene = Scene {
+fn demands(scenario: &Scenario, seed: u64) -> Result<Slope> {
+    let scenario = Scenario {
         account_count: 400,
-        ..scene.clone()
+        ..scenario.clone()
     };
     let mut points = Vec::new();
     for load in [0.1, 0.2, 0.4, 0.6] {
-        let mut world = Run::steady(&scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        let mut world = Run::steady(&scenario, PolicyKind::Shipped, seed, load, SPAN).start()?;
         let start = WARM_UP + Duration::from_secs(5);
         world.run(start);
-        let (bytes_before, mut request_count) = (world.tally.peer_bytes, 0);
+        let (bytes_before, mut request_count) = (world.results.peer_bytes, 0);
         let mut now = start;
         while now < WARM_UP + SPAN {
             now += Duration::from_millis(100);
             world.run(now);
-            request_count += world.flights.len();
+            request_count += world.active.len();
         }
         let span_s = (now - start).as_secs_f64();
-        let instances = scene.instance_count as f64;
+        let instances = scenario.instance_count as f64;
         let mean_count = request_count as f64 / (span_s * 10.0) / instances;
-        let bytes = (world.tally.peer_bytes - bytes_before) as f64 / span_s / instances;
+        let bytes = (world.results.peer_bytes - bytes_before) as f64 / span_s / instances;
         points.push((mean_count, bytes));
     }
     Ok(Slope::fit("peer bytes/s by request", "B/s", points))
 }
 
 /// Table writes a second by non-repeatable calls a second, over all instances.
-fn writes(scene: &Scene, seed: u64) -> Result<Slope> {
+fn writes(scenario: &Scenario, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
     for load in [0.1, 0.2, 0.4, 0.6] {
-        let mut world = Run::steady(scene, PolicyKind::Shipped, seed, load, SPAN).start()?;
+        let mut world = Run::steady(scenario, PolicyKind::Shipped, seed, load, SPAN).start()?;
         world.run(WARM_UP);
         let before = world.table.write_count;
         world.run(WARM_UP + SPAN);
@@ -223,12 +223,12 @@
 }
 
 /// Bytes between peers, of each instance, by configuration changes.
-fn changes(scene: &Scene, seed: u64) -> Result<Slope> {
+fn changes(scenario: &Scenario, seed: u64) -> Result<Slope> {
     let mut points = Vec::new();
     for change_count in [5_u64, 10, 20, 40] {
-        let mut world = World::new(scene.clone(), PolicyKind::Shipped, seed)?;
+        let mut world = World::new(scenario.clone(), PolicyKind::Shipped, seed)?;
         world.run(WARM_UP);
-        let before = world.tally.peer_bytes;
+        let before = world.results.peer_bytes;
         for index in 0..change_count {
             let delay = SPAN.mul_f64(index as f64 / change_count as f64);
             let event = Event::EditSubmitted {
@@ -242,7 +242,7 @@
             world.send_event(delay, 0, event);
         }
         world.run(WARM_UP + SPAN);
-        let bytes = (world.tally.peer_bytes - before) as f64 / scene.instance_count as f64;
+        let bytes = (world.results.peer_bytes - before) as f64 / scenario.instance_count as f64;
         points.push((change_count as f64, bytes));
     }
     Ok(Slope::fit("peer bytes by change", "bytes", points))
--- a/crates/bench/src/control_cost.rs
+++ b/crates/bench/src/control_cost.rs
@@ -15,21 +15,21 @@
 const CORE_PERCENT: f64 = 2.3;
 
 /// Cost of control: messages between instances, the store, and processor time.
-pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
-    let world = Run::steady(scene, PolicyKind::Shipped, seed, LOAD, SPAN).finish()?;
+pub(crate) fn measure(scenario: &Scenario, seed: u64) -> Result<Vec<Measure>> {
+    let world = Run::steady(scenario, PolicyKind::Shipped, seed, LOAD, SPAN).finish()?;
     let span_s = world.now.as_secs_f64();
-    let instances = scene.instance_count as f64;
+    let instances = scenario.instance_count as f64;
     let line = |name: &str, unit, value, limit| Measure {
         bound: None,
         limit,
-        name: format!("{}.{name}", scene.name),
+        name: format!("{}.{name}", scenario.name),
         naive: None,
         unit,
         value,
     };
     let reads_per_s = world.table.read_count as f64 / span_s;
     let writes_per_s = world.table.write_count as f64 / span_s;
-    let peer_bytes_per_s = world.tally.peer_bytes as f64 / span_s / instances;
+    let peer_bytes_per_s = world.results.peer_bytes as f64 / span_s / instances;
     let core_percent = 100.0 * world.work.as_secs_f64() / span_s / instances;
     let event_us = 1e6 * world.work.as_secs_f64() / world.event_count.max(1) as f64;
     Ok(vec![
--- a/crates/bench/src/delivery.rs
+++ b/crates/bench/src/delivery.rs
@@ -7,23 +7,6 @@
     pub(crate) fn carry_out(&mut self, instance: usize, command: Command) {
         match command {
             Command::AnswerCall { outcome, request } => self.answer_call(&outcome, &request),
-            Command::AskOwner {
-                owner,
-                query,
-                request,
-                ..
-            } => {
-                let status = self.owner_status(&owner, &query);
-                self.send_event(
-                    LINK * 2,
-                    instance,
-                    Event::OwnerAnswered {
-                        owner,
-                        request,
-                        status,
-                    },
-                );
-            }
             Command::Cancel { request, route, .. } => self.release(&request, &route),
             Command::DispatchCall {
                 attempt,
@@ -32,14 +15,12 @@
                 ..
             } => {
                 self.start_attempt(attempt, &request);
-                self.schedule(
-                    LINK,
-                    Happening::CallArrived {
-                        attempt,
-                        request,
-                        target,
-                    },
-                );
+                let occurrence = Occurrence::CallArrived {
+                    attempt,
+                    request,
+                    target,
+                };
+                self.schedule(LINK, occurrence);
             }
             Command::DispatchGenerate {
                 attempt,
@@ -49,13 +30,38 @@
                 ..
             } => {
                 self.start_attempt(attempt, &request);
-                let happening = Happening::DispatchArrived {
+                let occurrence = Occurrence::DispatchArrived {
                     attempt,
                     priority,
                     request,
                     route,
                 };
-                self.schedule(LINK, happening);
+                self.schedule(LINK, occurrence);
+            }
+            Command::Refuse { refusal, request } => self.refused(&refusal, &request),
+            Command::SetPriority {
+                priority, request, ..
+            } => self.set_priority(&request, priority),
+            command => self.carry_out_control(instance, command),
+        }
+    }
+
+    /// Commands that are not about the work of one request at targets.
+    fn carry_out_control(&mut self, instance: usize, command: Command) {
+        match command {
+            Command::AskOwner {
+                owner,
+                query,
+                request,
+                ..
+            } => {
+                let status = self.owner_status(&owner, &query);
+                let event = Event::OwnerAnswered {
+                    owner,
+                    request,
+                    status,
+                };
+                self.send_event(LINK * 2, instance, event);
             }
             Command::FetchChanges { after, peer, .. } => {
                 if let Some(records) = self.changes_since(&peer, after) {
@@ -63,44 +69,36 @@
                 }
             }
             Command::Poll { target, .. } => {
-                self.schedule(LINK, Happening::PollArrived { instance, target });
+                self.schedule(LINK, Occurrence::PollArrived { instance, target });
             }
             Command::PushChanges { peer, records, .. } => {
-                self.tally.peer_bytes += encoded_bytes(&records);
+                self.results.peer_bytes += encoded_bytes(&records);
                 self.send_to_peer(&peer, Event::ChangesReceived { records });
             }
             Command::ReadListing => {
                 let listings = self.lagging_listing();
                 self.send_event(LINK * 2, instance, Event::ListingRead { listings });
             }
-            Command::Refuse { refusal, request } => self.refused(&refusal, &request),
             Command::SendHeartbeat {
                 heartbeat, peer, ..
-            } => {
-                self.tally.peer_bytes += encoded_bytes(&heartbeat);
-                if !self.send_to_peer(&peer, Event::HeartbeatReceived(heartbeat)) {
-                    self.send_event(LINK * 2, instance, Event::HeartbeatFailed { peer });
-                }
-            }
-            Command::SetPriority {
-                priority, request, ..
-            } => {
-                self.set_priority(&request, priority);
-            }
+            } => self.send_heartbeat(instance, heartbeat, peer),
             Command::Store { request, ticket } => {
-                let happening = Happening::StoreArrived {
+                let occurrence = Occurrence::StoreArrived {
                     instance,
                     request,
                     ticket,
                 };
-                self.schedule(STORE_LINK, happening);
+                self.schedule(STORE_LINK, occurrence);
             }
-            Command::AnswerEdit { .. }
-            | Command::Log(_)
-            | Command::MoveCache { .. }
-            | Command::PublishLists(_)
-            | Command::SendOrder { .. }
-            | Command::Stop => {}
+            // Nothing here edits lists, orders engines or drains.
+            _ => {}
+        }
+    }
+
+    fn send_heartbeat(&mut self, instance: usize, heartbeat: Heartbeat, peer: InstanceId) {
+        self.results.peer_bytes += encoded_bytes(&heartbeat);
+        if !self.send_to_peer(&peer, Event::HeartbeatReceived(heartbeat)) {
+            self.send_event(LINK * 2, instance, Event::HeartbeatFailed { peer });
         }
     }
 
@@ -162,7 +160,7 @@
 
     fn kill_domain(&mut self, domain: &FailureDomain) {
         for index in 0..self.instances.len() {
-            if self.scene.domain(index) == *domain {
+            if self.scenario.domain(index) == *domain {
                 self.kill_instance(index);
             }
         }
--- a/crates/bench/src/generation.rs
+++ b/crates/bench/src/generation.rs
@@ -27,8 +27,8 @@
     }
 
     pub(crate) fn start_attempt(&mut self, attempt: Attempt, request: &RequestId) {
-        if let Some(flight) = self.flights.get_mut(request) {
-            flight.attempt = attempt;
+        if let Some(request_state) = self.active.get_mut(request) {
+            request_state.attempt = attempt;
         }
     }
 
@@ -44,10 +44,10 @@
             .iter()
             .find(|index| !self.engines[**index].alive)
             .copied();
-        let Some(flight) = self.flights.get_mut(request) else {
+        let Some(request_state) = self.active.get_mut(request) else {
             return;
         };
-        if flight.attempt != attempt {
+        if request_state.attempt != attempt {
             return;
         }
         if let Some(dead) = dead {
@@ -55,10 +55,10 @@
             self.attempt_failed(request, FailureKind::Unreachable, target);
             return;
         }
-        flight.place = Place::Waiting;
-        flight.priority = priority;
-        flight.route = Some(route.clone());
-        flight.warm = false;
+        request_state.place = Place::Waiting;
+        request_state.priority = priority;
+        request_state.route = Some(route.clone());
+        request_state.warm = false;
         let request = request.clone();
         self.engines[indexes[0]].waiting.push(Waiting {
             attempt,
@@ -99,27 +99,27 @@
                 self.engines[*index].running.insert(waiting.request.clone());
             }
             let delay = self.first_delay(&waiting.request, &indexes);
-            let Some(flight) = self.flights.get_mut(&waiting.request) else {
+            let Some(request_state) = self.active.get_mut(&waiting.request) else {
                 continue;
             };
-            flight.place = Place::Running;
-            flight.warm = true;
+            request_state.place = Place::Running;
+            request_state.warm = true;
             let (attempt, request) = (waiting.attempt, waiting.request);
-            self.schedule(delay, Happening::Token { attempt, request });
+            self.schedule(delay, Occurrence::Token { attempt, request });
         }
     }
 
     /// Time until the first token after a request got its slots.
     fn first_delay(&mut self, request: &RequestId, indexes: &[usize]) -> Duration {
         let step = self.interval(indexes);
-        let Some(flight) = self.flights.get(request) else {
+        let Some(request_state) = self.active.get(request) else {
             return step;
         };
-        if flight.warm {
+        if request_state.warm {
             return step;
         }
-        let prefix = self.arrivals[flight.arrival].prefix;
-        let tokens = self.scene.prompt_tokens() + flight.delivered_tokens;
+        let prefix = self.arrivals[request_state.arrival].prefix;
+        let tokens = self.scenario.prompt_tokens() + request_state.delivered_tokens;
         let mut prefill = PREFILL_PER_TOKEN * tokens;
         if self.engines[indexes[0]].touch_prefix(&[prefix]) {
             prefill = prefill.mul_f64(CACHED_PREFILL_FRACTION);
@@ -138,21 +138,23 @@
 
     pub(crate) fn token_arrived(&mut self, attempt: Attempt, request: &RequestId) {
         let now = self.now;
-        let Some(flight) = self.flights.get_mut(request) else {
+        let Some(request_state) = self.active.get_mut(request) else {
             return;
         };
-        if flight.attempt != attempt || flight.place != Place::Running {
+        if request_state.attempt != attempt || request_state.place != Place::Running {
             return;
         }
-        let Some(route) = flight.route.clone() else {
+        let Some(route) = request_state.route.clone() else {
             return;
         };
-        let gap = flight.first_token_at.map(|_| now - flight.last_token_at);
-        flight.first_token_at.get_or_insert(now);
-        flight.last_token_at = now;
-        flight.delivered_tokens += 1;
-        let (delivered_tokens, instance) = (flight.delivered_tokens, flight.instance);
-        self.tally.token(now, gap);
+        let gap = request_state
+            .first_token_at
+            .map(|_| now - request_state.last_token_at);
+        request_state.first_token_at.get_or_insert(now);
+        request_state.last_token_at = now;
+        request_state.delivered_tokens += 1;
+        let (delivered_tokens, instance) = (request_state.delivered_tokens, request_state.instance);
+        self.results.token(now, gap);
         for index in self.indexes(&route) {
             self.engines[index].token_count += 1;
         }
@@ -178,10 +180,10 @@
     fn continue_or_yield(&mut self, attempt: Attempt, request: &RequestId, route: &Route) {
         let indexes = self.indexes(route);
         let first = indexes[0];
-        let Some(flight) = self.flights.get_mut(request) else {
+        let Some(request_state) = self.active.get_mut(request) else {
             return;
         };
-        let priority = flight.priority;
+        let priority = request_state.priority;
         let engine = &self.engines[first];
         let outranked = engine
             .next_waiting()
@@ -190,14 +192,14 @@
             let delay = self.interval(&indexes);
             self.schedule(
                 delay,
-                Happening::Token {
+                Occurrence::Token {
                     attempt,
                     request: request.clone(),
                 },
             );
             return;
         }
-        flight.place = Place::Waiting;
+        request_state.place = Place::Waiting;
         let (request, route) = (request.clone(), route.clone());
         for index in &indexes {
             self.engines[*index].running.remove(&request);
@@ -212,7 +214,10 @@
     }
 
     fn answer_tokens(&self, request: &RequestId) -> u32 {
-        let arrival = self.flights.get(request).map(|flight| flight.arrival);
+        let arrival = self
+            .active
+            .get(request)
+            .map(|request_state| request_state.arrival);
         match arrival.map(|arrival| self.arrivals[arrival].work) {
             Some(Work::Prompt { answer_tokens, .. }) => answer_tokens,
             _ => 0,
@@ -221,17 +226,17 @@
 
     fn complete(&mut self, request: &RequestId, route: &Route) {
         self.release(request, route);
-        let Some(flight) = self.flights.remove(request) else {
+        let Some(request_state) = self.active.remove(request) else {
             return;
         };
-        let (attempt, token_count) = (flight.attempt, flight.delivered_tokens);
+        let (attempt, token_count) = (request_state.attempt, request_state.delivered_tokens);
         let event = Event::GenerateCompleted {
             attempt,
             request: request.clone(),
             token_count,
         };
-        self.send_event(LINK, flight.instance, event);
-        self.end(flight.arrival, true, flight.first_token_at);
+        self.send_event(LINK, request_state.instance, event);
+        self.end(request_state.arrival, true, request_state.first_token_at);
     }
 
     /// Frees whatever a request holds at the engines of a route.
@@ -242,9 +247,9 @@
                 .waiting
                 .retain(|waiting| waiting.request != *request);
         }
-        if let Some(flight) = self.flights.get_mut(request) {
-            flight.place = Place::Instance;
-            flight.route = None;
+        if let Some(request_state) = self.active.get_mut(request) {
+            request_state.place = Place::Instance;
+            request_state.route = None;
         }
         self.slots_freed();
     }
@@ -258,11 +263,11 @@
     }
 
     pub(crate) fn set_priority(&mut self, request: &RequestId, priority: Priority) {
-        let Some(flight) = self.flights.get_mut(request) else {
+        let Some(request_state) = self.active.get_mut(request) else {
             return;
         };
-        flight.priority = priority;
-        let first = flight
+        request_state.priority = priority;
+        let first = request_state
             .route
             .as_ref()
             .and_then(|route| route.stages.first())
@@ -283,15 +288,15 @@
         kind: FailureKind,
         target: TargetId,
     ) {
-        let Some(flight) = self.flights.get(request) else {
+        let Some(request_state) = self.active.get(request) else {
             return;
         };
         let failure = AttemptFailure {
-            attempt: flight.attempt,
+            attempt: request_state.attempt,
             kind,
             target,
         };
-        let (delivered_tokens, instance) = (flight.delivered_tokens, flight.instance);
+        let (delivered_tokens, instance) = (request_state.delivered_tokens, request_state.instance);
         let request = request.clone();
         let event = Event::AttemptFailed {
             delivered_tokens,
@@ -308,17 +313,17 @@
         self.engines[index].alive = false;
         let target = self.engines[index].listing.id.clone();
         let mut hit = Vec::new();
-        for (request, flight) in &self.flights {
-            let route = flight.route.iter().flat_map(|route| &route.stages);
+        for (request, request_state) in &self.active {
+            let route = request_state.route.iter().flat_map(|route| &route.stages);
             if route.into_iter().any(|stage| stage.target == target) {
                 hit.push(request.clone());
             }
         }
         for request in hit {
             if let Some(route) = self
-                .flights
+                .active
                 .get(&request)
-                .and_then(|flight| flight.route.clone())
+                .and_then(|request_state| request_state.route.clone())
             {
                 self.release(&request, &route);
             }
@@ -331,31 +336,31 @@
             return;
         }
         let mut hit = Vec::new();
-        for (request, flight) in &self.flights {
-            if flight.instance == index {
+        for (request, request_state) in &self.active {
+            if request_state.instance == index {
                 hit.push(request.clone());
             }
         }
         for request in hit {
             if let Some(route) = self
-                .flights
+                .active
                 .get(&request)
-                .and_then(|flight| flight.route.clone())
+                .and_then(|request_state| request_state.route.clone())
             {
                 self.release(&request, &route);
             }
-            let Some(flight) = self.flights.remove(&request) else {
+            let Some(request_state) = self.active.remove(&request) else {
                 continue;
             };
             // The naive version keeps no journal, so its callers start over.
             let delivered_tokens = match self.kind {
                 PolicyKind::Naive => 0,
-                PolicyKind::Shipped => flight.delivered_tokens,
+                PolicyKind::Shipped => request_state.delivered_tokens,
             };
-            let arrival = flight.arrival;
+            let arrival = request_state.arrival;
             self.schedule(
                 RECONNECT,
-                Happening::Submitted {
+                Occurrence::Submitted {
                     arrival,
                     delivered_tokens,
                 },
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,13 +21,14 @@
     types::{
         Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
         Change, ChangeRecord, Condition, ConfigVersion, FailureDomain, FailureKind,
-        GenerateSubmission, InstanceId, LayerRange, Listing, ListingRole, Lists, LoadReport,
-        LoadedModel, ModelId, OperationKind, Plan, Priority, Refusal, RefusalKind, RequestId,
-        Route, Row, RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply, StoreRequest,
-        StoreTicket, TargetId, Write, hash_key,
+        GenerateSubmission, Heartbeat, InstanceId, LayerRange, Listing, ListingRole, Lists,
+        LoadReport, LoadedModel, ModelId, OperationKind, Plan, Priority, Refusal, RefusalKind,
+        RequestId, Route, Row, RowVersion, ServiceOperation, Stage, StoreFailure, StoreReply,
+        StoreRequest, StoreTicket, TargetId, Write, hash_key,
     },
 };
 
+mod active_request;
 mod arguments;
 mod arrival;
 mod caller;
@@ -35,7 +36,6 @@
 mod control_cost;
 mod delivery;
 mod engine;
-mod flight;
 mod generation;
 mod measure;
 mod memory;
@@ -43,36 +43,36 @@
 mod overload;
 mod policy;
 mod recovery;
+mod results;
 mod run;
-mod scene;
+mod scenario;
 mod service;
 mod short_work;
 mod swing;
 mod table;
-mod tally;
 mod world;
 
 use {
+    active_request::{ActiveRequest, Place},
     arguments::Arguments,
     arrival::{Arrival, Demand, Work, draw},
     capacity::Slope,
     delivery::STORE_LINK,
     engine::{Engine, FULL_BATCH_SLOWDOWN, Waiting},
-    flight::{Flight, Place},
     generation::{CACHED_PREFILL_FRACTION, PREFILL_PER_TOKEN},
     measure::{Limit, Measure},
     memory::memory_slopes,
     naive::Naive,
     policy::{Policy, PolicyKind},
+    results::{BUCKET, End, Results, quantile_ms},
     run::{Run, WARM_UP, served_share, waits},
-    scene::{LAYER_COUNT, Scene},
+    scenario::{LAYER_COUNT, Scenario},
     service::Service,
     table::Table,
-    tally::{BUCKET, End, Tally, quantile_ms},
-    world::{DEADLINE, Fault, Happening, LINK, PATIENCE, REPORT_LAG, World},
+    world::{DEADLINE, Fault, LINK, Occurrence, PATIENCE, REPORT_LAG, World},
 };
 
-type Measurement = fn(&Scene, u64) -> Result<Vec<Measure>>;
+type Measurement = fn(&Scenario, u64) -> Result<Vec<Measure>>;
 
 /// Measurements by name.
 const MEASUREMENTS: [(&str, Measurement); 5] = [
@@ -94,12 +94,12 @@
     if !arguments.json {
         println!("{}", Measure::heading());
     }
-    for scene in arguments.scenes() {
+    for scenario in arguments.scenarios() {
         for (name, measurement) in MEASUREMENTS {
             if arguments.name != "all" && arguments.name != name {
                 continue;
             }
-            for measure in measurement(&scene, arguments.seed)? {
+            for measure in measurement(&scenario, arguments.seed)? {
                 holds &= measure.holds();
                 match arguments.json {
                     false => println!("{}", measure.line()),
--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -7,21 +7,21 @@
 const SLOT_COUNT: u32 = 1_000;
 
 /// Memory of one node by targets, accounts, requests in progress and claimed calls.
-pub(crate) fn memory_slopes(targets: &[Scene], accounts: &[Scene]) -> Result<Vec<Slope>> {
+pub(crate) fn memory_slopes(targets: &[Scenario], accounts: &[Scenario]) -> Result<Vec<Slope>> {
     let mut kept = Vec::new();
     let mut slopes = Vec::new();
-    let base = Scene::island();
-    for (name, scenes) in [
+    let base = Scenario::island();
+    for (name, scenarios) in [
         ("memory by target", targets),
         ("memory by account", accounts),
     ] {
         let mut points = Vec::new();
-        for scene in scenes {
+        for scenario in scenarios {
             let size = match name {
-                "memory by target" => scene.engine_count,
-                _ => scene.account_count,
+                "memory by target" => scenario.engine_count,
+                _ => scenario.account_count,
             };
-            let bytes = growth(&mut kept, || Ok(node(scene)))?;
+            let bytes = growth(&mut kept, || Ok(node(scenario)))?;
             points.push((size as f64, bytes));
         }
         slopes.push(Slope::fit(name, "bytes", points));
@@ -47,33 +47,33 @@
     Ok((resident_bytes()? - before) / NODE_COUNT as f64)
 }
 
-/// A node that knows all targets and has its own copy of the lists of a scene.
-fn node(scene: &Scene) -> Node {
-    let identity = scene.identity(0);
+/// A node that knows all targets and has its own copy of the lists of a scenario.
+fn node(scenario: &Scenario) -> Node {
+    let identity = scenario.identity(0);
     let mut node = Node::new(NodeSettings::default(), identity, SystemTime::UNIX_EPOCH);
-    let mut lists = scene.lists();
+    let mut lists = scenario.lists();
     for (index, entry) in lists.accounts.values_mut().enumerate() {
         *entry = capacity::account("plan", index as u64);
     }
     node.handle(Duration::ZERO, Event::ListsReceived(Arc::new(lists)));
     let mut listings = Vec::new();
-    listings.extend(scene.engines().into_iter().map(|engine| engine.listing));
-    let services = scene.services().into_iter();
+    listings.extend(scenario.engines().into_iter().map(|engine| engine.listing));
+    let services = scenario.services().into_iter();
     listings.extend(services.map(|service| service.listing));
     node.handle(Duration::ZERO, Event::ListingRead { listings });
-    report(&mut node, scene, Duration::ZERO);
+    report(&mut node, scenario, Duration::ZERO);
     node
 }
 
 /// Reports of all targets, with enough slots for all requests of a measurement.
-fn report(node: &mut Node, scene: &Scene, now: Duration) {
-    for mut engine in scene.engines() {
+fn report(node: &mut Node, scenario: &Scenario, now: Duration) {
+    for mut engine in scenario.engines() {
         let mut report = engine.report(Duration::ZERO, Duration::from_secs(1));
         report.slot_count = SLOT_COUNT;
         let target = engine.listing.id;
         node.handle(now, Event::LoadReceived { report, target });
     }
-    for service in scene.services() {
+    for service in scenario.services() {
         let mut report = service.report();
         report.slot_count = SLOT_COUNT;
         let target = service.listing.id;
@@ -82,21 +82,21 @@
 }
 
 /// A node with requests in progress.
-fn busy_node(scene: &Scene, count: usize, is_call: bool) -> Result<Node> {
-    let mut node = node(scene);
-    let mut table = Table::with_lists(&scene.lists())?;
+fn busy_node(scenario: &Scenario, count: usize, is_call: bool) -> Result<Node> {
+    let mut node = node(scenario);
+    let mut table = Table::with_lists(&scenario.lists())?;
     let mut now = Duration::ZERO;
     while now < WARM_UP {
         now += Duration::from_millis(50);
         if now.subsec_millis() == 0 {
-            report(&mut node, scene, now);
+            report(&mut node, scenario, now);
         }
         send(&mut node, &mut table, now, Event::Ticked);
     }
     let mut dispatch_count = 0;
     for index in 0..count {
         let spec = Arrival {
-            account: index % scene.account_count,
+            account: index % scenario.account_count,
             at: now,
             prefix: index as u64,
             work: Work::Prompt {
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -6,19 +6,19 @@
 const SPAN: Duration = Duration::from_secs(60);
 
 /// Tokens delivered under steady overload, against what the engines could do.
-pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
-    let run = |kind| Run::steady(scene, kind, seed, LOAD, SPAN).finish();
+pub(crate) fn measure(scenario: &Scenario, seed: u64) -> Result<Vec<Measure>> {
+    let run = |kind| Run::steady(scenario, kind, seed, LOAD, SPAN).finish();
     let (naive, shipped) = (run(PolicyKind::Naive)?, run(PolicyKind::Shipped)?);
     let rate = |world: &World| {
         world
-            .tally
+            .results
             .rate_per_s(WARM_UP + Duration::from_secs(10), WARM_UP + SPAN)
     };
     let naive_rate = rate(&naive);
     Ok(vec![Measure {
-        bound: Some(scene.token_bound_per_s()),
+        bound: Some(scenario.token_bound_per_s()),
         limit: Limit::AtLeast(naive_rate),
-        name: format!("{}.overload_tokens", scene.name),
+        name: format!("{}.overload_tokens", scenario.name),
         naive: Some(naive_rate),
         unit: "tokens/s",
         value: rate(&shipped),
--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -19,82 +19,70 @@
 /// Width of the sliding window over which the level is taken.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Name, unit, limit and value of one measure.
+type Line = (&'static str, &'static str, Limit, fn(&World) -> f64);
+
 /// Time from a failure to the level of service before it, by kind of failure.
-pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
-    let faults = [
-        ("stage", vec![(FAILURE_AT, Fault::KillEngine(0))]),
-        ("instance", vec![(FAILURE_AT, Fault::KillInstance(0))]),
-        (
-            "failure_domain",
-            vec![(FAILURE_AT, Fault::KillDomain(scene.domain(1)))],
-        ),
-        (
-            "store",
-            vec![
-                (FAILURE_AT, Fault::StoreDown(true)),
-                (FAILURE_AT + OUTAGE, Fault::StoreDown(false)),
-            ],
-        ),
-    ];
+pub(crate) fn measure(scenario: &Scenario, seed: u64) -> Result<Vec<Measure>> {
     let mut measures = Vec::new();
-    for (name, faults) in faults {
+    for (name, faults) in failures(scenario) {
         let run = |kind| {
             let faults = faults.clone();
             Run {
                 faults,
-                ..Run::steady(scene, kind, seed, LOAD, SPAN)
+                ..Run::steady(scenario, kind, seed, LOAD, SPAN)
             }
             .finish()
         };
         let (naive, shipped) = (run(PolicyKind::Naive)?, run(PolicyKind::Shipped)?);
-        measures.push(Measure {
-            bound: None,
-            limit: Limit::AtMost(RECOVERY_S),
-            name: format!("{}.recovery_{name}", scene.name),
-            naive: Some(recovery_s(&naive)),
-            unit: "s",
-            value: recovery_s(&shipped),
-        });
-        let lost = |world: &World| {
-            served_share(world, Duration::ZERO, FAILURE_AT + SPAN, DEADLINE, |_| true)
-        };
-        measures.push(Measure {
-            bound: Some(1.0),
-            limit: Limit::AtLeast(0.999),
-            name: format!("{}.complete_{name}", scene.name),
-            naive: Some(lost(&naive)),
-            unit: "share",
-            value: lost(&shipped),
-        });
-        measures.push(Measure {
-            bound: None,
-            limit: Limit::AtMost(0.0),
-            name: format!("{}.repeated_{name}", scene.name),
-            naive: Some(repeated_count(&naive)),
-            unit: "operations",
-            value: repeated_count(&shipped),
-        });
-        measures.push(Measure {
-            bound: None,
-            limit: Limit::AtMost(RECOVERY_S),
-            name: format!("{}.longest_gap_{name}", scene.name),
-            naive: Some(longest_gap_s(&naive)),
-            unit: "s",
-            value: longest_gap_s(&shipped),
-        });
+        let lines: [Line; 4] = [
+            ("recovery", "s", Limit::AtMost(RECOVERY_S), recovery_s),
+            ("complete", "share", Limit::AtLeast(0.999), complete_share),
+            ("repeated", "operations", Limit::AtMost(0.0), repeated_count),
+            ("longest_gap", "s", Limit::AtMost(RECOVERY_S), longest_gap_s),
+        ];
+        for (what, unit, limit, value) in lines {
+            measures.push(Measure {
+                bound: (what == "complete").then_some(1.0),
+                limit,
+                name: format!("{}.{what}_{name}", scenario.name),
+                naive: Some(value(&naive)),
+                unit,
+                value: value(&shipped),
+            });
+        }
     }
     Ok(measures)
 }
 
+fn failures(scenario: &Scenario) -> [(&'static str, Vec<(Duration, Fault)>); 4] {
+    let outage = vec![
+        (FAILURE_AT, Fault::StoreDown(true)),
+        (FAILURE_AT + OUTAGE, Fault::StoreDown(false)),
+    ];
+    let domain = Fault::KillDomain(scenario.domain(1));
+    [
+        ("stage", vec![(FAILURE_AT, Fault::KillEngine(0))]),
+        ("instance", vec![(FAILURE_AT, Fault::KillInstance(0))]),
+        ("failure_domain", vec![(FAILURE_AT, domain)]),
+        ("store", outage),
+    ]
+}
+
+/// Share of all requests whose whole answer arrived before the deadline.
+fn complete_share(world: &World) -> f64 {
+    served_share(world, Duration::ZERO, FAILURE_AT + SPAN, DEADLINE, |_| true)
+}
+
 /// Time until a window of one second reaches the level before the failure and no later window
 /// within the demand falls far below it.
 fn recovery_s(world: &World) -> f64 {
     let before = world
-        .tally
+        .results
         .rate_per_s(FAILURE_AT - Duration::from_secs(10), FAILURE_AT);
     let mut start = FAILURE_AT;
     while start + WINDOW <= WARM_UP + SPAN {
-        let level = world.tally.rate_per_s(start, start + WINDOW);
+        let level = world.results.rate_per_s(start, start + WINDOW);
         if level >= before * RECOVERED_FRACTION {
             return (start - FAILURE_AT).as_secs_f64();
         }
@@ -123,5 +111,5 @@
 
 /// Longest time that a caller waited between two tokens.
 fn longest_gap_s(world: &World) -> f64 {
-    world.tally.gaps_us.max() as f64 / 1e6
+    world.results.gaps_us.max() as f64 / 1e6
 }
--- a/crates/bench/src/tally.rs
+++ b/crates/bench/src/results.rs
@@ -2,7 +2,7 @@
 
 /// What callers received in one run.
 #[derive(Debug)]
-pub(crate) struct Tally {
+pub(crate) struct Results {
     /// Gaps between tokens, in microseconds.
     pub(crate) gaps_us: Histogram<u64>,
     /// End of each request, by arrival.
@@ -24,10 +24,10 @@
     pub(crate) first_after: Option<Duration>,
 }
 
-/// Width of a bucket of `Tally::tokens`.
+/// Width of a bucket of `Results::tokens`.
 pub(crate) const BUCKET: Duration = Duration::from_millis(100);
 
-impl Tally {
+impl Results {
     pub(crate) fn new() -> Result<Self> {
         Ok(Self {
             ends: BTreeMap::new(),
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -3,12 +3,12 @@
 /// Time for instances to learn of each other and of all targets before demand begins.
 pub(crate) const WARM_UP: Duration = Duration::from_secs(15);
 
-/// One run of a scene under a policy.
+/// One run of a scenario under a policy.
 pub(crate) struct Run {
     pub(crate) demand: Box<Demand>,
     pub(crate) faults: Vec<(Duration, Fault)>,
     pub(crate) kind: PolicyKind,
-    pub(crate) scene: Scene,
+    pub(crate) scenario: Scenario,
     pub(crate) seed: u64,
     /// Length of the demand, after the warm-up.
     pub(crate) span: Duration,
@@ -17,18 +17,18 @@
 impl Run {
     /// Steady demand that keeps `load` of all slots busy for `span`.
     pub(crate) fn steady(
-        scene: &Scene,
+        scenario: &Scenario,
         kind: PolicyKind,
         seed: u64,
         load: f64,
         span: Duration,
     ) -> Self {
-        let rate_per_s = scene.prompts_per_s(load);
+        let rate_per_s = scenario.prompts_per_s(load);
         Self {
             demand: Box::new(move |_| rate_per_s),
             faults: Vec::new(),
             kind,
-            scene: scene.clone(),
+            scenario: scenario.clone(),
             seed,
             span,
         }
@@ -44,20 +44,20 @@
                 complete: false,
                 first_after: None,
             };
-            world.tally.ends.entry(arrival).or_insert(unfinished);
+            world.results.ends.entry(arrival).or_insert(unfinished);
         }
         Ok(world)
     }
 
     /// Prepares the run without letting time pass.
     pub(crate) fn start(&self) -> Result<World> {
-        let mut world = World::new(self.scene.clone(), self.kind, self.seed)?;
+        let mut world = World::new(self.scenario.clone(), self.kind, self.seed)?;
         let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ 0x5EED);
         let end = WARM_UP + self.span;
-        let arrivals = draw(&self.scene, &self.demand, WARM_UP, end, &mut random);
+        let arrivals = draw(&self.scenario, &self.demand, WARM_UP, end, &mut random);
         world.add_arrivals(arrivals);
         for (at, fault) in &self.faults {
-            world.schedule(*at, Happening::Fault(fault.clone()));
+            world.schedule(*at, Occurrence::Fault(fault.clone()));
         }
         Ok(world)
     }
@@ -71,7 +71,13 @@
             continue;
         };
         if is_long == long {
-            waits.push(world.tally.ends.get(&index).and_then(|end| end.first_after));
+            waits.push(
+                world
+                    .results
+                    .ends
+                    .get(&index)
+                    .and_then(|end| end.first_after),
+            );
         }
     }
     waits
@@ -91,7 +97,7 @@
             continue;
         }
         total += 1;
-        let Some(end) = world.tally.ends.get(&index) else {
+        let Some(end) = world.results.ends.get(&index) else {
             continue;
         };
         let in_time = end.first_after.is_some_and(|after| after <= within);
--- a/crates/bench/src/scene.rs
+++ b/crates/bench/src/scenario.rs
@@ -15,7 +15,7 @@
 
 /// A deployment: how many of everything, and who asks for how much.
 #[derive(Clone, Debug)]
-pub(crate) struct Scene {
+pub(crate) struct Scenario {
     pub(crate) account_count: usize,
     pub(crate) domain_count: usize,
     /// Engines over both stages. Invariant: even.
@@ -31,7 +31,7 @@
     pub(crate) short_tokens: u32,
 }
 
-impl Default for Scene {
+impl Default for Scenario {
     fn default() -> Self {
         Self {
             account_count: 10,
@@ -48,7 +48,7 @@
     }
 }
 
-impl Scene {
+impl Scenario {
     /// The island deployment: short drafts behind a few long documents.
     pub(crate) fn island() -> Self {
         Self::default()
@@ -66,14 +66,14 @@
 
     /// Every count of the island deployment times `factor`, with more instances.
     pub(crate) fn scaled(factor: usize) -> Self {
-        let scene = Self::default();
+        let scenario = Self::default();
         Self {
-            account_count: scene.account_count * factor,
-            engine_count: scene.engine_count * factor,
-            instance_count: scene.instance_count * 2,
+            account_count: scenario.account_count * factor,
+            engine_count: scenario.engine_count * factor,
+            instance_count: scenario.instance_count * 2,
             name: "scaled",
-            service_count: scene.service_count * factor,
-            ..scene
+            service_count: scenario.service_count * factor,
+            ..scenario
         }
     }
 
--- a/crates/bench/src/short_work.rs
+++ b/crates/bench/src/short_work.rs
@@ -12,14 +12,14 @@
 const GAP_MS: f64 = 64.0;
 
 /// Wait of short work with and without long work beside it, and the pace of tokens.
-pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
-    let run = |kind, scene: &Scene| Run::steady(scene, kind, seed, LOAD, SPAN).finish();
-    let alone = Scene {
-        long_tokens: scene.short_tokens,
-        ..scene.clone()
+pub(crate) fn measure(scenario: &Scenario, seed: u64) -> Result<Vec<Measure>> {
+    let run = |kind, scenario: &Scenario| Run::steady(scenario, kind, seed, LOAD, SPAN).finish();
+    let alone = Scenario {
+        long_tokens: scenario.short_tokens,
+        ..scenario.clone()
     };
-    let naive = run(PolicyKind::Naive, scene)?;
-    let shipped = run(PolicyKind::Shipped, scene)?;
+    let naive = run(PolicyKind::Naive, scenario)?;
+    let shipped = run(PolicyKind::Shipped, scenario)?;
     let shipped_alone = run(PolicyKind::Shipped, &alone)?;
     let mut measures = Vec::new();
     for (share, limit) in [
@@ -31,7 +31,7 @@
         measures.push(Measure {
             bound: Some(wait(&shipped_alone)),
             limit,
-            name: format!("{}.short_wait_p{:.0}", scene.name, share * 100.0),
+            name: format!("{}.short_wait_p{:.0}", scenario.name, share * 100.0),
             naive: Some(wait(&naive)),
             unit: "ms",
             value: wait(&shipped),
@@ -40,16 +40,16 @@
     measures.push(Measure {
         bound: None,
         limit: Limit::AtMost(DEADLINE.as_secs_f64() * 1_000.0),
-        name: format!("{}.long_wait_max", scene.name),
+        name: format!("{}.long_wait_max", scenario.name),
         naive: Some(quantile_ms(&waits(&naive, true), 1.0)),
         unit: "ms",
         value: quantile_ms(&waits(&shipped, true), 1.0),
     });
-    let gap_ms = |world: &World| world.tally.gaps_us.value_at_quantile(0.95) as f64 / 1_000.0;
+    let gap_ms = |world: &World| world.results.gaps_us.value_at_quantile(0.95) as f64 / 1_000.0;
     measures.push(Measure {
         bound: None,
         limit: Limit::AtMost(GAP_MS),
-        name: format!("{}.token_gap_p95", scene.name),
+        name: format!("{}.token_gap_p95", scenario.name),
         naive: Some(gap_ms(&naive)),
         unit: "ms",
         value: gap_ms(&shipped),
--- a/crates/bench/src/swing.rs
+++ b/crates/bench/src/swing.rs
@@ -17,22 +17,22 @@
 const TARGET_SHARE: f64 = 0.95;
 
 /// Service while demand rises tenfold within two seconds.
-pub(crate) fn measure(scene: &Scene, seed: u64) -> Result<Vec<Measure>> {
-    let naive = run(scene, PolicyKind::Naive, seed)?;
-    let shipped = run(scene, PolicyKind::Shipped, seed)?;
+pub(crate) fn measure(scenario: &Scenario, seed: u64) -> Result<Vec<Measure>> {
+    let naive = run(scenario, PolicyKind::Naive, seed)?;
+    let shipped = run(scenario, PolicyKind::Shipped, seed)?;
     let (from, to) = (WARM_UP + PEAK_START, WARM_UP + PEAK_START + RISE + PEAK);
     let share = |world: &World| served_share(world, from, to, PATIENCE, |_| true);
     let bound = achievable_share(&shipped, from, to);
     let mut measures = vec![Measure {
         bound: Some(bound),
         limit: Limit::AtLeast(TARGET_SHARE * bound),
-        name: format!("{}.swing_served", scene.name),
+        name: format!("{}.swing_served", scenario.name),
         naive: Some(share(&naive)),
         unit: "share",
         value: share(&shipped),
     }];
     let small = |world: &World| {
-        let shares = (2..scene.account_count).map(|account| {
+        let shares = (2..scenario.account_count).map(|account| {
             served_share(world, from, to, PATIENCE, |arrival| {
                 arrival.account == account
             })
@@ -42,7 +42,7 @@
     measures.push(Measure {
         bound: Some(1.0),
         limit: Limit::AtLeast(TARGET_SHARE * bound),
-        name: format!("{}.swing_served_least_small_account", scene.name),
+        name: format!("{}.swing_served_least_small_account", scenario.name),
         naive: Some(small(&naive)),
         unit: "share",
         value: small(&shipped),
@@ -52,7 +52,7 @@
     measures.push(Measure {
         bound: Some(1.0),
         limit: Limit::AtLeast(TARGET_SHARE),
-        name: format!("{}.swing_calls_within_1s", scene.name),
+        name: format!("{}.swing_calls_within_1s", scenario.name),
         naive: Some(calls(&naive)),
         unit: "share",
         value: calls(&shipped),
@@ -60,8 +60,8 @@
     Ok(measures)
 }
 
-fn run(scene: &Scene, kind: PolicyKind, seed: u64) -> Result<World> {
-    let base_per_s = scene.prompts_per_s(BASE_LOAD);
+fn run(scenario: &Scenario, kind: PolicyKind, seed: u64) -> Result<World> {
+    let base_per_s = scenario.prompts_per_s(BASE_LOAD);
     let span = PEAK_START + RISE + PEAK + Duration::from_secs(20);
     let demand = move |at: Duration| {
         let since = at.saturating_sub(WARM_UP + PEAK_START).as_secs_f64();
@@ -76,7 +76,7 @@
     };
     Run {
         demand: Box::new(demand),
-        ..Run::steady(scene, kind, seed, BASE_LOAD, span)
+        ..Run::steady(scenario, kind, seed, BASE_LOAD, span)
     }
     .finish()
 }
@@ -86,10 +86,10 @@
 /// a long prompt from a short one before it has outrun the longest short answer, so each prompt
 /// holds a slot for up to that much before it can be set back.
 fn achievable_share(world: &World, from: Duration, to: Duration) -> f64 {
-    let scene = &world.scene;
-    let slot_count = scene.slot_count();
-    let token = Duration::from_secs_f64(slot_count as f64 / scene.token_bound_per_s());
-    let longest_short = scene.short_tokens * 3 / 2;
+    let scenario = &world.scenario;
+    let slot_count = scenario.slot_count();
+    let token = Duration::from_secs_f64(slot_count as f64 / scenario.token_bound_per_s());
+    let longest_short = scenario.short_tokens * 3 / 2;
     let mut free_at: BinaryHeap<Reverse<Duration>> =
         std::iter::repeat_n(Reverse(Duration::ZERO), slot_count).collect();
     let (mut served, mut total) = (0_u32, 0_u32);
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -20,7 +20,7 @@
 
 /// What happens at a time of its own.
 #[derive(Clone, Debug)]
-pub(crate) enum Happening {
+pub(crate) enum Occurrence {
     /// A call reaches a service.
     CallArrived {
         attempt: Attempt,
@@ -80,7 +80,7 @@
 #[derive(Debug)]
 struct Entry {
     at: Duration,
-    happening: Happening,
+    occurrence: Occurrence,
     sequence: u64,
 }
 
@@ -109,16 +109,16 @@
     pub(crate) arrivals: Vec<Arrival>,
     pub(crate) engines: Vec<Engine>,
     pub(crate) event_count: u64,
-    pub(crate) flights: BTreeMap<RequestId, Flight>,
+    pub(crate) active: BTreeMap<RequestId, ActiveRequest>,
     pub(crate) instances: Vec<Option<Box<dyn Policy>>>,
     pub(crate) kind: PolicyKind,
     pub(crate) listings: Vec<(Duration, Vec<Listing>)>,
     pub(crate) now: Duration,
     pub(crate) random: ChaCha8Rng,
-    pub(crate) scene: Scene,
+    pub(crate) scenario: Scenario,
     pub(crate) services: Vec<Service>,
     pub(crate) table: Table,
-    pub(crate) tally: Tally,
+    pub(crate) results: Results,
     /// Processor time of all policies together.
     pub(crate) work: Duration,
     agenda: BinaryHeap<Entry>,
@@ -126,32 +126,32 @@
 }
 
 impl World {
-    pub(crate) fn new(scene: Scene, kind: PolicyKind, seed: u64) -> Result<Self> {
+    pub(crate) fn new(scenario: Scenario, kind: PolicyKind, seed: u64) -> Result<Self> {
         let mut world = Self {
             agenda: BinaryHeap::new(),
             arrivals: Vec::new(),
-            engines: scene.engines(),
+            engines: scenario.engines(),
             event_count: 0,
-            flights: BTreeMap::new(),
+            active: BTreeMap::new(),
             instances: Vec::new(),
             kind,
             listings: Vec::new(),
             now: Duration::ZERO,
             random: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
-            services: scene.services(),
-            table: Table::with_lists(&scene.lists())?,
-            tally: Tally::new()?,
+            services: scenario.services(),
+            table: Table::with_lists(&scenario.lists())?,
+            results: Results::new()?,
             work: Duration::ZERO,
-            scene,
+            scenario,
         };
-        for index in 0..world.scene.instance_count {
-            let policy = kind.build(world.scene.identity(index), seed + index as u64);
+        for index in 0..world.scenario.instance_count {
+            let policy = kind.build(world.scenario.identity(index), seed + index as u64);
             world.instances.push(Some(policy));
             // Spreads the ticks of the instances over the period.
             world.schedule(
                 TICK / 16 * (index as u32 % 16),
-                Happening::Ticked { instance: index },
+                Occurrence::Ticked { instance: index },
             );
         }
         world.note_listing();
@@ -166,7 +166,7 @@
             self.arrivals.push(arrival);
             self.schedule(
                 delay,
-                Happening::Submitted {
+                Occurrence::Submitted {
                     arrival: index,
                     delivered_tokens: 0,
                 },
@@ -174,12 +174,12 @@
         }
     }
 
-    pub(crate) fn schedule(&mut self, delay: Duration, happening: Happening) {
+    pub(crate) fn schedule(&mut self, delay: Duration, occurrence: Occurrence) {
         self.sequence += 1;
         let at = self.now + delay;
         self.agenda.push(Entry {
             at,
-            happening,
+            occurrence,
             sequence: self.sequence,
         });
     }
@@ -187,7 +187,7 @@
     pub(crate) fn send_event(&mut self, delay: Duration, instance: usize, event: Event) {
         self.schedule(
             delay,
-            Happening::Event {
+            Occurrence::Event {
                 event: Box::new(event),
                 instance,
             },
@@ -201,28 +201,28 @@
                 return;
             };
             self.now = entry.at;
-            self.happen(entry.happening);
+            self.apply(entry.occurrence);
         }
         self.now = end;
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::CallArrived {
+    fn apply(&mut self, occurrence: Occurrence) {
+        match occurrence {
+            Occurrence::CallArrived {
                 attempt,
                 request,
                 target,
             } => {
                 self.call_arrived(attempt, &request, &target);
             }
-            Happening::CallEnded {
+            Occurrence::CallEnded {
                 attempt,
                 request,
                 target,
             } => {
                 self.call_ended(attempt, &request, &target);
             }
-            Happening::DispatchArrived {
+            Occurrence::DispatchArrived {
                 attempt,
                 priority,
                 request,
@@ -230,31 +230,31 @@
             } => {
                 self.dispatch_arrived(attempt, priority, &request, route);
             }
-            Happening::Event { event, instance } => self.handle(instance, *event),
-            Happening::Fault(fault) => self.fail(&fault),
-            Happening::GaveUp { request } => self.give_up(&request),
-            Happening::PollArrived { instance, target } => self.poll_arrived(instance, &target),
-            Happening::StoreArrived {
+            Occurrence::Event { event, instance } => self.handle(instance, *event),
+            Occurrence::Fault(fault) => self.fail(&fault),
+            Occurrence::GaveUp { request } => self.give_up(&request),
+            Occurrence::PollArrived { instance, target } => self.poll_arrived(instance, &target),
+            Occurrence::StoreArrived {
                 instance,
                 request,
                 ticket,
             } => {
                 self.store_arrived(instance, &request, ticket);
             }
-            Happening::Submitted {
+            Occurrence::Submitted {
                 arrival,
                 delivered_tokens,
             } => {
                 self.submit(arrival, delivered_tokens);
             }
-            Happening::Ticked { instance } => {
+            Occurrence::Ticked { instance } => {
                 if self.instances[instance].is_none() {
                     return;
                 }
                 self.handle(instance, Event::Ticked);
-                self.schedule(TICK, Happening::Ticked { instance });
+                self.schedule(TICK, Occurrence::Ticked { instance });
             }
-            Happening::Token { attempt, request } => self.token_arrived(attempt, &request),
+            Occurrence::Token { attempt, request } => self.token_arrived(attempt, &request),
         }
     }
 
@@ -283,7 +283,7 @@
             if instance.is_none() {
                 continue;
             }
-            let identity = self.scene.identity(index);
+            let identity = self.scenario.identity(index);
             rows.push(Listing {
                 address: identity.address,
                 failure_domain: identity.failure_domain,
--- a/crates/bench/tests/measures.rs
+++ b/crates/bench/tests/measures.rs
@@ -3,9 +3,9 @@
 
 use {std::process::Command, yare::parameterized};
 
-fn bench(name: &str, scene: &str, seed: &str) -> (bool, String) {
+fn bench(name: &str, scenario: &str, seed: &str) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_bench"))
-        .args([name, "--scene", scene, "--seed", seed])
+        .args([name, "--scenario", scenario, "--seed", seed])
         .output()
         .expect("the program is built with its tests");
     let text = String::from_utf8(output.stdout).expect("the table is text");
@@ -24,8 +24,8 @@
     region_short_work = { "short_work", "region" },
     region_swing = { "swing", "region" },
 )]
-fn measures_keep_their_limits(name: &str, scene: &str) {
-    let (holds, table) = bench(name, scene, "1");
+fn measures_keep_their_limits(name: &str, scenario: &str) {
+    let (holds, table) = bench(name, scenario, "1");
     assert!(holds, "\n{table}");
 }
 
--- a/crates/control/src/configs/config.rs
+++ b/crates/control/src/configs/config.rs
@@ -9,7 +9,7 @@
     /// When the read was sent that last showed no later version; none before the first.
     pub(crate) confirmed_at: Option<Duration>,
     pub(crate) edits: BTreeMap<OperationId, Edit>,
-    pub(crate) flights: BTreeMap<StoreTicket, ConfigFlight>,
+    pub(crate) store_calls: BTreeMap<StoreTicket, ConfigStoreCall>,
     /// Whether more than half of the view was heard at the current event.
     pub(crate) has_majority: bool,
     /// Version that the head row names, and the version of that row.
@@ -27,7 +27,7 @@
 
 /// Request to the store that waits for its reply.
 #[derive(Clone, Debug)]
-pub(crate) enum ConfigFlight {
+pub(crate) enum ConfigStoreCall {
     /// Writes an edit.
     Edit(ChangeRecord),
     /// Reads the snapshot, to join or to close a gap.
@@ -45,7 +45,7 @@
         Self {
             confirmed_at: None,
             edits: BTreeMap::new(),
-            flights: BTreeMap::new(),
+            store_calls: BTreeMap::new(),
             has_majority: false,
             head: None,
             is_ready: false,
@@ -167,16 +167,16 @@
         ticket: StoreTicket,
         result: &Result<StoreReply, StoreFailure>,
     ) -> bool {
-        let Some(flight) = self.flights.remove(&ticket) else {
+        let Some(flight) = self.store_calls.remove(&ticket) else {
             return false;
         };
         match flight {
-            ConfigFlight::Edit(record) => self.edit_replied(context, &record, result),
-            ConfigFlight::Lists => self.snapshot_read(context, result),
-            ConfigFlight::Range { number, sent_at } => {
+            ConfigStoreCall::Edit(record) => self.edit_replied(context, &record, result),
+            ConfigStoreCall::Lists => self.snapshot_read(context, result),
+            ConfigStoreCall::Range { number, sent_at } => {
                 self.range_read(context, number, sent_at, result);
             }
-            ConfigFlight::Snapshot(step) => self.snapshot_replied(context, &step, result),
+            ConfigStoreCall::Snapshot(step) => self.snapshot_replied(context, &step, result),
         }
         true
     }
--- a/crates/control/src/configs/config_read.rs
+++ b/crates/control/src/configs/config_read.rs
@@ -126,18 +126,18 @@
             limit_count: self.settings.read_max_count,
             to: format!("{HEAD}~").into(),
         });
-        let flight = ConfigFlight::Range {
+        let flight = ConfigStoreCall::Range {
             number: self.reader.number,
             sent_at: context.now,
         };
-        self.flights.insert(ticket, flight);
+        self.store_calls.insert(ticket, flight);
     }
 
     fn read_snapshot(&mut self, context: &mut Context) {
         let ticket = context.store(StoreRequest::Read {
             keys: vec![SNAPSHOT.into()],
         });
-        self.flights.insert(ticket, ConfigFlight::Lists);
+        self.store_calls.insert(ticket, ConfigStoreCall::Lists);
     }
 
     pub(crate) fn snapshot_read(
--- a/crates/control/src/configs/edit.rs
+++ b/crates/control/src/configs/edit.rs
@@ -237,7 +237,8 @@
                 },
             ],
         });
-        self.flights.insert(ticket, ConfigFlight::Edit(record));
+        self.store_calls
+            .insert(ticket, ConfigStoreCall::Edit(record));
     }
 }
 
--- a/crates/control/src/configs/snapshot.rs
+++ b/crates/control/src/configs/snapshot.rs
@@ -110,6 +110,7 @@
     fn send_step(&mut self, context: &mut Context, request: StoreRequest, step: SnapshotStep) {
         self.snapshots.is_running = true;
         let ticket = context.store(request);
-        self.flights.insert(ticket, ConfigFlight::Snapshot(step));
+        self.store_calls
+            .insert(ticket, ConfigStoreCall::Snapshot(step));
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -48,7 +48,7 @@
 
 use {
     configs::{
-        config::{CHANGE_PREFIX, ConfigFlight, HEAD, SNAPSHOT, change_key, to_value},
+        config::{CHANGE_PREFIX, ConfigStoreCall, HEAD, SNAPSHOT, change_key, to_value},
         config_read::Reader,
         edit::{Edit, EditEvent, EditState},
         snapshot::{SnapshotStep, Snapshots},
@@ -61,7 +61,7 @@
         report::plausible,
     },
     orders::{
-        order::OrderFlight,
+        order::OrderStoreCall,
         order_rows::{order_key, same_models},
         owned_engine::{ORDER_CHART, OrderAction, OrderEvent, OrderState, OwnedEngine},
         placement::{Placement, Placements, Shard},
@@ -75,7 +75,7 @@
             wall_ms,
         },
         outcome::Outbox,
-        record::Flight,
+        record::StoreCall,
         sweep::Sweep,
     },
     requests::{
@@ -135,7 +135,7 @@
         link::{Links, default_ms},
         rate::Rates,
         route::{Choice, Router},
-        score::{Blocked, Score, View, Wish},
+        score::{Blocked, RouteQuery, Score, View},
         slots::Slots,
     },
     settings::{
--- a/crates/control/src/members/heartbeat.rs
+++ b/crates/control/src/members/heartbeat.rs
@@ -45,7 +45,7 @@
         let memory = Duration::from_millis(self.settings.departure_memory_ms);
         let listed = self.listed.clone().unwrap_or_default();
         let is_old = |at: Duration| now.saturating_sub(at) > horizon;
-        self.strangers.retain(|_, heard_at| !is_old(*heard_at));
+        self.unlisted.retain(|_, heard_at| !is_old(*heard_at));
         self.peers.retain(|id, entry| {
             let is_silent = entry.peer.heard_at.is_none_or(is_old);
             listed.contains(id) || !is_silent
--- a/crates/control/src/members/member.rs
+++ b/crates/control/src/members/member.rs
@@ -34,7 +34,7 @@
     pub(crate) peers: BTreeMap<InstanceId, PeerEntry>,
     pub(crate) settings: MemberSettings,
     /// Senders of heartbeats that no list has named yet, and when they were heard.
-    pub(crate) strangers: BTreeMap<InstanceId, Duration>,
+    pub(crate) unlisted: BTreeMap<InstanceId, Duration>,
     pub(crate) targets: BTreeMap<TargetId, TargetEntry>,
     pub(crate) ticked_at: Duration,
 }
@@ -69,7 +69,7 @@
             own: OwnState::default(),
             peers: BTreeMap::new(),
             settings,
-            strangers: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             targets: BTreeMap::new(),
             ticked_at: Duration::ZERO,
         }
@@ -133,7 +133,7 @@
             view += 1;
             heard += usize::from(silence.is_some_and(|silence| silence <= hearing));
         }
-        for heard_at in self.strangers.values() {
+        for heard_at in self.unlisted.values() {
             let silence = now.saturating_sub(*heard_at);
             view += usize::from(silence <= horizon);
             heard += usize::from(silence <= hearing);
@@ -257,7 +257,7 @@
         peer_address: SocketAddr,
         is_first: bool,
     ) {
-        self.strangers.remove(&listing.id);
+        self.unlisted.remove(&listing.id);
         let interval = Duration::from_millis(self.settings.heartbeat_ms);
         if let Some(entry) = self.peers.get_mut(&listing.id)
             && entry.peer.incarnation >= listing.incarnation
--- a/crates/control/src/members/observation.rs
+++ b/crates/control/src/members/observation.rs
@@ -74,9 +74,9 @@
     fn peer_heard(&mut self, context: &mut Context, heartbeat: &Heartbeat) -> bool {
         let Some(entry) = self.peers.get_mut(&heartbeat.sender) else {
             if heartbeat.leaving {
-                self.strangers.remove(&heartbeat.sender);
+                self.unlisted.remove(&heartbeat.sender);
             } else {
-                self.strangers.insert(heartbeat.sender.clone(), context.now);
+                self.unlisted.insert(heartbeat.sender.clone(), context.now);
             }
             return true;
         };
--- a/crates/control/src/orders/order.rs
+++ b/crates/control/src/orders/order.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub struct Orders {
     pub(crate) engines: BTreeMap<TargetId, OwnedEngine>,
-    pub(crate) flights: BTreeMap<StoreTicket, OrderFlight>,
+    pub(crate) store_calls: BTreeMap<StoreTicket, OrderStoreCall>,
     /// Whether the last request to the store failed.
     pub(crate) is_failing: bool,
     /// Time before which no order starts.
@@ -21,7 +21,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) enum OrderFlight {
+pub(crate) enum OrderStoreCall {
     /// Reads the rows of these engines, to find orders of earlier owners.
     Reread(Vec<TargetId>),
     Read(TargetId),
@@ -34,7 +34,7 @@
     pub fn new(settings: OrderSettings) -> Self {
         Self {
             engines: BTreeMap::new(),
-            flights: BTreeMap::new(),
+            store_calls: BTreeMap::new(),
             is_failing: false,
             not_before: Duration::ZERO,
             place_at: Duration::ZERO,
@@ -99,7 +99,8 @@
             self.reread_at = now + Duration::from_millis(self.settings.reread_ms);
             let keys = targets.iter().map(order_key).collect();
             let ticket = context.store(StoreRequest::Read { keys });
-            self.flights.insert(ticket, OrderFlight::Reread(targets));
+            self.store_calls
+                .insert(ticket, OrderStoreCall::Reread(targets));
         }
         if let Some(lists) = lists.filter(|_| now >= self.place_at) {
             self.place_at = now + Duration::from_millis(self.settings.place_ms);
@@ -114,14 +115,14 @@
         ticket: StoreTicket,
         result: &Result<StoreReply, StoreFailure>,
     ) -> bool {
-        let Some(flight) = self.flights.remove(&ticket) else {
+        let Some(flight) = self.store_calls.remove(&ticket) else {
             return false;
         };
         self.is_failing = result.is_err();
         if self.is_failing {
             self.not_before = context.now + Duration::from_millis(self.settings.back_off_ms);
         }
-        if let OrderFlight::Read(target) | OrderFlight::Write(target) = &flight {
+        if let OrderStoreCall::Read(target) | OrderStoreCall::Write(target) = &flight {
             let engine = self.engines.get_mut(target);
             let own = engine.and_then(|one| one.flight.take_if(|own| *own == ticket));
             if own.is_none() {
@@ -130,20 +131,20 @@
             }
         }
         match (flight, result) {
-            (OrderFlight::Reread(targets), Ok(StoreReply::Rows { rows })) => {
+            (OrderStoreCall::Reread(targets), Ok(StoreReply::Rows { rows })) => {
                 for target in targets {
                     self.take_row(context, &target, rows);
                 }
             }
-            (OrderFlight::Reread(_), _) => {}
-            (OrderFlight::Read(target), Ok(StoreReply::Rows { rows })) => {
+            (OrderStoreCall::Reread(_), _) => {}
+            (OrderStoreCall::Read(target), Ok(StoreReply::Rows { rows })) => {
                 self.rows_read(context, &target, rows);
             }
-            (OrderFlight::Write(target), Ok(StoreReply::Committed { version })) => {
+            (OrderStoreCall::Write(target), Ok(StoreReply::Committed { version })) => {
                 self.row_written(context, &target, *version);
             }
             // After a lost reply the next read shows whether the write took effect.
-            (OrderFlight::Read(target) | OrderFlight::Write(target), _) => {
+            (OrderStoreCall::Read(target) | OrderStoreCall::Write(target), _) => {
                 self.apply(context, &target, OrderEvent::StoreFailed);
             }
         }
@@ -280,8 +281,8 @@
                 let keys = vec![order_key(target), TOKENS.into()];
                 let ticket = context.store(StoreRequest::Read { keys });
                 engine.flight = Some(ticket);
-                let flight = OrderFlight::Read(target.clone());
-                self.flights.insert(ticket, flight);
+                let flight = OrderStoreCall::Read(target.clone());
+                self.store_calls.insert(ticket, flight);
             }
             OrderAction::Send => {
                 let fence = engine.row_version;
--- a/crates/control/src/orders/order_rows.rs
+++ b/crates/control/src/orders/order_rows.rs
@@ -89,8 +89,8 @@
             ],
         });
         engine.flight = Some(ticket);
-        self.flights
-            .insert(ticket, OrderFlight::Write(target.clone()));
+        self.store_calls
+            .insert(ticket, OrderStoreCall::Write(target.clone()));
     }
 
     pub(crate) fn row_written(
--- a/crates/control/src/records/call_reply.rs
+++ b/crates/control/src/records/call_reply.rs
@@ -14,11 +14,11 @@
         {
             return Some(Vec::new());
         }
-        let flight = self.flights.remove(&ticket)?;
+        let flight = self.store_calls.remove(&ticket)?;
         self.gate.replied(context.now, result, &self.settings);
         let mut effects = Vec::new();
         match flight {
-            Flight::Change {
+            StoreCall::Change {
                 event,
                 key,
                 nonce,
@@ -28,8 +28,8 @@
                     self.changed(context, &key, event, row, result, &mut effects);
                 }
             }
-            Flight::Outcomes(rows) => self.outcomes_replied(context, rows, result, &mut effects),
-            Flight::Read { key, nonce } => {
+            StoreCall::Outcomes(rows) => self.outcomes_replied(context, rows, result, &mut effects),
+            StoreCall::Read { key, nonce } => {
                 if self.landed(&key, &nonce) {
                     self.read(context, &key, result, &mut effects);
                 }
--- a/crates/control/src/records/claim.rs
+++ b/crates/control/src/records/claim.rs
@@ -191,13 +191,13 @@
             writes: index.into_iter().chain([change]).collect(),
         });
         entry.in_flight = true;
-        let flight = Flight::Change {
+        let flight = StoreCall::Change {
             event,
             key: key.clone(),
             nonce: entry.nonce.clone(),
             row,
         };
-        self.flights.insert(ticket, flight);
+        self.store_calls.insert(ticket, flight);
     }
 
     /// Reads the row: at once the first time, later after growing waits.
@@ -231,6 +231,7 @@
             keys: vec![key.clone()],
         });
         let (key, nonce) = (key.clone(), entry.nonce.clone());
-        self.flights.insert(ticket, Flight::Read { key, nonce });
+        self.store_calls
+            .insert(ticket, StoreCall::Read { key, nonce });
     }
 }
--- a/crates/control/src/records/outcome.rs
+++ b/crates/control/src/records/outcome.rs
@@ -179,6 +179,6 @@
             });
         }
         let ticket = context.store(StoreRequest::Transact { conditions, writes });
-        self.flights.insert(ticket, Flight::Outcomes(rows));
+        self.store_calls.insert(ticket, StoreCall::Outcomes(rows));
     }
 }
--- a/crates/control/src/records/record.rs
+++ b/crates/control/src/records/record.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Records {
     pub(crate) entries: BTreeMap<Arc<str>, CallEntry>,
-    pub(crate) flights: BTreeMap<StoreTicket, Flight>,
+    pub(crate) store_calls: BTreeMap<StoreTicket, StoreCall>,
     pub(crate) gate: StoreGate,
     pub(crate) identity: Identity,
     pub(crate) nonces: BTreeMap<Nonce, Arc<str>>,
@@ -39,7 +39,7 @@
 
 /// Request to the store that waits for its reply.
 #[derive(Clone, Debug)]
-pub(crate) enum Flight {
+pub(crate) enum StoreCall {
     /// Writes the row of one key; holds the row that it writes.
     Change {
         event: CallEvent,
@@ -60,7 +60,7 @@
     pub fn new(identity: Identity, settings: RecordSettings) -> Self {
         Self {
             entries: BTreeMap::new(),
-            flights: BTreeMap::new(),
+            store_calls: BTreeMap::new(),
             gate: StoreGate::default(),
             identity,
             nonces: BTreeMap::new(),
--- a/crates/control/src/requests/departure.rs
+++ b/crates/control/src/requests/departure.rs
@@ -90,16 +90,17 @@
         let Some(entry) = self.entries.get(request) else {
             return;
         };
-        let wish = entry.wish(is_suspect);
+        let query = entry.query(is_suspect);
         let random = &mut scope.context.random;
-        let (Ok(mut choice), Some(old)) =
-            (self.router.choose(&scope.view, &wish, random), &entry.route)
-        else {
+        let (Ok(mut choice), Some(old)) = (
+            self.router.choose(&scope.view, &query, random),
+            &entry.route,
+        ) else {
             return;
         };
         keep_stages(&mut choice.route, old, leaving);
         let moves = moves(&choice.route, old, leaving);
-        let tokens = wish.prompt_tokens;
+        let tokens = query.prompt_tokens;
         let prefill_ms = self.prefill_ms(scope.members, &choice.route, tokens);
         let move_ms = moves.as_ref().map(|moves| {
             let times = moves.iter().map(|one| self.move_ms(scope, one, tokens));
--- a/crates/control/src/requests/dispatch.rs
+++ b/crates/control/src/requests/dispatch.rs
@@ -68,10 +68,10 @@
             self.refuse_now(scope, request, late);
             return true;
         }
-        let wish = entry.wish(is_suspect);
+        let query = entry.query(is_suspect);
         match self
             .router
-            .choose(&scope.view, &wish, &mut scope.context.random)
+            .choose(&scope.view, &query, &mut scope.context.random)
         {
             Ok(choice) => {
                 let payload = Payload {
@@ -167,7 +167,7 @@
             self.router
                 .slots
                 .start(now, request, &stage.target, is_suspect);
-            let hashes = entry.wish(false).prefix_hashes;
+            let hashes = entry.query(false).prefix_hashes;
             self.router
                 .caches
                 .dispatched(now, &stage.target, hashes, limit);
--- a/crates/control/src/requests/request.rs
+++ b/crates/control/src/requests/request.rs
@@ -213,7 +213,7 @@
     }
 
     /// What the request asks of a route.
-    pub(crate) fn wish(&self, is_suspect: bool) -> Wish<'_> {
+    pub(crate) fn query(&self, is_suspect: bool) -> RouteQuery<'_> {
         let (answer_tokens, prefix_hashes, prompt_tokens) = match &self.job {
             Job::Call(_) => (1.0, &[][..], 0),
             Job::Generate(generate) => (
@@ -222,7 +222,7 @@
                 generate.prompt_tokens + self.delivered_tokens,
             ),
         };
-        Wish {
+        RouteQuery {
             answer_tokens,
             avoid_domain: self.avoid_domain.as_ref(),
             avoid_targets: &self.avoid_targets,
--- a/crates/control/src/requests/submit.rs
+++ b/crates/control/src/requests/submit.rs
@@ -104,7 +104,7 @@
         }
         let plan = plan(scope.lists, &entry.account);
         let is_suspect = self.quarantine.is_suspect(now, entry.fingerprint);
-        let Some(service_ms) = self.router.best(&scope.view, &entry.wish(is_suspect)) else {
+        let Some(service_ms) = self.router.best(&scope.view, &entry.query(is_suspect)) else {
             return Some(refusal(RefusalKind::NoTarget, DEFAULT_RETRY_AFTER));
         };
         let weight = f64::from(plan.share_weight.max(1));
@@ -150,7 +150,7 @@
 
     /// Time until work like this one, which waited in vain, has a chance to start.
     pub(crate) fn come_back_after_wait(&self, scope: &Scope, entry: &Entry) -> Duration {
-        let Some(service_ms) = self.router.best(&scope.view, &entry.wish(false)) else {
+        let Some(service_ms) = self.router.best(&scope.view, &entry.query(false)) else {
             return DEFAULT_RETRY_AFTER;
         };
         let plan = plan(scope.lists, &entry.account);
--- a/crates/control/src/routes/route.rs
+++ b/crates/control/src/routes/route.rs
@@ -44,7 +44,7 @@
 }
 
 /// One target in the place of one stage.
-struct Piece<'a> {
+struct StageCandidate<'a> {
     layer_count: u32,
     layers: LayerRange,
     own: Score,
@@ -89,7 +89,7 @@
     pub fn choose(
         &self,
         view: &View,
-        wish: &Wish,
+        query: &RouteQuery,
         random: &mut ChaCha8Rng,
     ) -> Result<Choice, Blocked> {
         // Suspect targets get work only if the others make up no route; full ones are waited for.
@@ -102,13 +102,13 @@
             let queue_count = self.target_queue_count;
             for queue_count in BTreeSet::from([0, queue_count]) {
                 scan.queue_count = Some(queue_count);
-                let pieces = self.pieces(view, wish, scan);
-                if let Some(choice) = self.draw_route(view, wish, &pieces, random) {
+                let pieces = self.pieces(view, query, scan);
+                if let Some(choice) = self.draw_route(view, query, &pieces, random) {
                     return Ok(choice);
                 }
             }
             scan.queue_count = None;
-            if !self.pieces(view, wish, scan).is_empty() {
+            if !self.pieces(view, query, scan).is_empty() {
                 return Err(Blocked::Full);
             }
         }
@@ -118,10 +118,10 @@
     /// Expected time of the best route, full or not, in milliseconds, without waiting for a place
     /// and without the work of others, whose effect is in the observed speeds.
     #[must_use]
-    pub fn best(&self, view: &View, wish: &Wish) -> Option<f64> {
+    pub fn best(&self, view: &View, query: &RouteQuery) -> Option<f64> {
         let pieces = self.pieces(
             view,
-            wish,
+            query,
             Scan {
                 counts_load: false,
                 queue_count: None,
@@ -154,7 +154,12 @@
     }
 
     /// Targets that are part of a complete route, once per layer range; empty if there is none.
-    fn pieces<'a>(&self, view: &View<'a>, wish: &Wish, scan: Scan) -> Vec<Piece<'a>> {
+    fn pieces<'a>(
+        &self,
+        view: &View<'a>,
+        query: &RouteQuery,
+        scan: Scan,
+    ) -> Vec<StageCandidate<'a>> {
         let mut pieces = Vec::new();
         for target in view.targets {
             if target.health == TargetHealth::Suspect && !scan.with_suspects {
@@ -164,7 +169,7 @@
                 continue;
             }
             if let Some(queue_count) = scan.queue_count
-                && !self.has_place(view, wish, target, queue_count)
+                && !self.has_place(view, query, target, queue_count)
             {
                 continue;
             }
@@ -173,18 +178,18 @@
             } else {
                 0.0
             };
-            for (layers, layer_count) in wish.resource.pieces(target) {
-                pieces.push(Piece {
+            for (layers, layer_count) in query.resource.pieces(target) {
+                pieces.push(StageCandidate {
                     layer_count,
                     layers,
-                    own: self.own_score(view, wish, target, load, (layers, layer_count)),
+                    own: self.own_score(view, query, target, load, (layers, layer_count)),
                     target,
                     to_go: Score::MAX,
                 });
             }
         }
         pieces.sort_by_key(|piece| Reverse(piece.layers.start));
-        self.fill_to_go(view, wish, &mut pieces);
+        self.fill_to_go(view, query, &mut pieces);
         pieces.retain(|piece| piece.to_go != Score::MAX);
         if pieces.iter().all(|piece| piece.layers.start > 0) {
             pieces.clear();
@@ -194,7 +199,7 @@
 
     /// Computes the best score to the end from each piece, last layers first: the shortest path
     /// over all complete chains.
-    fn fill_to_go(&self, view: &View, wish: &Wish, pieces: &mut [Piece]) {
+    fn fill_to_go(&self, view: &View, query: &RouteQuery, pieces: &mut [StageCandidate]) {
         for index in 0..pieces.len() {
             let (later, rest) = pieces.split_at_mut(index);
             let piece = &mut rest[0];
@@ -210,7 +215,7 @@
                 if next.to_go == Score::MAX {
                     continue;
                 }
-                let link = self.link(view, wish, Some(piece.target), next.target);
+                let link = self.link(view, query, Some(piece.target), next.target);
                 let total = link.plus(&next.to_go);
                 if total.compare(&best).is_lt() {
                     best = total;
@@ -225,8 +230,8 @@
     fn draw_route(
         &self,
         view: &View,
-        wish: &Wish,
-        pieces: &[Piece],
+        query: &RouteQuery,
+        pieces: &[StageCandidate],
         random: &mut ChaCha8Rng,
     ) -> Option<Choice> {
         let mut choice = Choice {
@@ -238,7 +243,7 @@
             },
             token_ms: 0.0,
         };
-        let mut previous: Option<&Piece> = None;
+        let mut previous: Option<&StageCandidate> = None;
         while previous.is_none_or(|piece| piece.layers.end < piece.layer_count) {
             let mut scored = Vec::new();
             for piece in pieces {
@@ -248,14 +253,14 @@
                 });
                 if is_next {
                     let from = previous.map(|previous| previous.target);
-                    let link = self.link(view, wish, from, piece.target);
+                    let link = self.link(view, query, from, piece.target);
                     let mut total = link.plus(&piece.to_go);
-                    total.expected_ms += self.pairing_ms(view, wish, previous, piece);
+                    total.expected_ms += self.pairing_ms(view, query, previous, piece);
                     scored.push((total, link, piece));
                 }
             }
             let (link, piece) = draw(&mut scored, &mut choice, random)?;
-            choice.token_ms += link.expected_ms / wish.answer_tokens.max(1.0);
+            choice.token_ms += link.expected_ms / query.answer_tokens.max(1.0);
             choice.token_ms += self.step_ms(piece.target, piece.layers, piece.layer_count);
             choice.route.layer_count = piece.layer_count;
             choice.route.stages.push(Stage {
@@ -270,37 +275,50 @@
 
     /// Cost of unequal speeds: the slot at the faster engine idles while the slower one works, which
     /// matters in so far as there is other work for it.
-    fn pairing_ms(&self, view: &View, wish: &Wish, previous: Option<&Piece>, next: &Piece) -> f64 {
+    fn pairing_ms(
+        &self,
+        view: &View,
+        query: &RouteQuery,
+        previous: Option<&StageCandidate>,
+        next: &StageCandidate,
+    ) -> f64 {
         let Some(previous) = previous else {
             return 0.0;
         };
-        let step_ms = |piece: &Piece| self.step_ms(piece.target, piece.layers, piece.layer_count);
-        let idle_ms = (step_ms(previous) - step_ms(next)).abs() * wish.answer_tokens.max(1.0);
+        let step_ms =
+            |piece: &StageCandidate| self.step_ms(piece.target, piece.layers, piece.layer_count);
+        let idle_ms = (step_ms(previous) - step_ms(next)).abs() * query.answer_tokens.max(1.0);
         let load = self.slots.load(view.now, next.target, view.factor);
         PAIRING_WEIGHT * idle_ms * load / f64::from(next.target.report.slot_count.max(1))
     }
 
-    fn has_place(&self, view: &View, wish: &Wish, target: &Target, queue_count: u32) -> bool {
-        if wish.is_suspect && self.slots.has_suspect(&target.id) {
+    fn has_place(
+        &self,
+        view: &View,
+        query: &RouteQuery,
+        target: &Target,
+        queue_count: u32,
+    ) -> bool {
+        if query.is_suspect && self.slots.has_suspect(&target.id) {
             return false;
         }
         let slots = f64::from(target.report.slot_count);
         let ramped = (slots * target.ramp_fraction).ceil();
         // Below four slots a kept place would take too much from long work.
-        let kept = if wish.is_short || slots < 4.0 {
+        let kept = if query.is_short || slots < 4.0 {
             0.0
         } else {
             (slots * self.short_slot_fraction).ceil()
         };
         // Long work in an engine's queue would take the places that are kept for short work.
-        let queued = if wish.is_short { queue_count } else { 0 };
+        let queued = if query.is_short { queue_count } else { 0 };
         let limit = (ramped - kept).max(1.0) + f64::from(queued);
         let instance = &view.identity.instance;
         self.slots
             .has_place(view.now, target, view.factor, limit, instance)
     }
 
-    fn link(&self, view: &View, wish: &Wish, from: Option<&Target>, to: &Target) -> Score {
+    fn link(&self, view: &View, query: &RouteQuery, from: Option<&Target>, to: &Target) -> Score {
         let token_ms = match from {
             None => default_ms(
                 (&view.identity.failure_domain, &view.identity.region),
@@ -311,31 +329,31 @@
         };
         Score {
             avoidance: 0,
-            expected_ms: token_ms * wish.answer_tokens.max(1.0),
+            expected_ms: token_ms * query.answer_tokens.max(1.0),
         }
     }
 
     fn own_score(
         &self,
         view: &View,
-        wish: &Wish,
+        query: &RouteQuery,
         target: &Target,
         load: f64,
         (layers, layer_count): (LayerRange, u32),
     ) -> Score {
         let step_ms = self.step_ms(target, layers, layer_count);
         let busy = load / f64::from(target.report.slot_count.max(1));
-        let answer_ms = step_ms * wish.answer_tokens.max(1.0);
+        let answer_ms = step_ms * query.answer_tokens.max(1.0);
         let wait_ms = busy * answer_ms;
-        let prefill_ms = step_ms * f64::from(wish.prompt_tokens) / self.settings.prefill_speedup;
+        let prefill_ms = step_ms * f64::from(query.prompt_tokens) / self.settings.prefill_speedup;
         let half_life = Duration::from_millis(self.settings.cache_half_life_ms);
         let saved = self
             .caches
-            .saved_fraction(view.now, &target.id, wish.prefix_hashes, half_life)
+            .saved_fraction(view.now, &target.id, query.prefix_hashes, half_life)
             // A busy engine evicts soon, and affinity must not pile work on one engine.
             * (1.0 - busy).max(0.0);
         Score {
-            avoidance: wish.avoidance(target),
+            avoidance: query.avoidance(target),
             expected_ms: wait_ms + prefill_ms * (1.0 - saved) + answer_ms,
         }
     }
@@ -349,10 +367,10 @@
 
 /// Draws two of the good candidates, takes the better and logs the others.
 fn draw<'a, 'b>(
-    scored: &mut [(Score, Score, &'a Piece<'b>)],
+    scored: &mut [(Score, Score, &'a StageCandidate<'b>)],
     choice: &mut Choice,
     random: &mut ChaCha8Rng,
-) -> Option<(Score, &'a Piece<'b>)> {
+) -> Option<(Score, &'a StageCandidate<'b>)> {
     // Equal scores, as of idle targets, must not all lead to the first of them.
     for index in (1..scored.len()).rev() {
         scored.swap(index, random.random_range(0..=index));
--- a/crates/control/src/routes/score.rs
+++ b/crates/control/src/routes/score.rs
@@ -35,7 +35,7 @@
 
 /// What a request asks of a route.
 #[derive(Clone, Debug)]
-pub struct Wish<'a> {
+pub struct RouteQuery<'a> {
     /// Expected rest of the answer, in tokens; 1 for a call.
     pub answer_tokens: f64,
     /// Failure domain of the last failure.
@@ -54,7 +54,7 @@
     pub resource: &'a Resource,
 }
 
-impl Wish<'_> {
+impl RouteQuery<'_> {
     /// Reasons to avoid a target: it failed this request, it is suspect, or it shares the failure
     /// domain of the last failure.
     #[must_use]
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -106,7 +106,7 @@
             in_force += u32::from(is_known && peer.config_version >= version);
         }
         // The version of a sender that no list has named yet is not kept.
-        total += self.members.strangers.len() as u32;
+        total += self.members.unlisted.len() as u32;
         Some((in_force, total))
     }
 
--- a/crates/control/src/streams/journal.rs
+++ b/crates/control/src/streams/journal.rs
@@ -239,28 +239,11 @@
                 return AppendAnswer::Appended { next: kept };
             }
         }
-        let bytes = journal_bytes(&journal);
-        let is_running = purpose == Purpose::Serve && journal.finish.is_none();
-        let missing = journal.max_tokens.saturating_sub(next);
-        let entry = JournalEntry {
-            bytes,
-            epoch,
-            expires: journal.finish.map(|_| now + self.retention()),
-            is_own: purpose == Purpose::Serve,
-            journal,
-            owner,
-            reserved: match is_running {
-                false => 0,
-                true => reserved_bytes(bytes, missing, &self.settings),
-            },
-            taker: None,
-            touched: now,
-        };
+        let entry = self.new_entry(now, journal, epoch, owner, purpose);
         let replaced = self.entries.get(&request).map_or(0, JournalEntry::charge);
-        let eviction = if purpose == Purpose::Serve && epoch > 0 {
-            Eviction::Copies
-        } else {
-            Eviction::Ended
+        let eviction = match (purpose, epoch) {
+            (Purpose::Serve, 1..) => Eviction::Copies,
+            _ => Eviction::Ended,
         };
         let more = entry.charge().saturating_sub(replaced);
         if !self.make_room(more, &request, eviction) {
@@ -273,6 +256,34 @@
         AppendAnswer::Appended { next }
     }
 
+    fn new_entry(
+        &self,
+        now: Duration,
+        journal: Journal,
+        epoch: u32,
+        owner: Holder,
+        purpose: Purpose,
+    ) -> JournalEntry {
+        let bytes = journal_bytes(&journal);
+        let is_own = purpose == Purpose::Serve;
+        let missing = journal.max_tokens.saturating_sub(token_count(&journal));
+        let reserved = match is_own && journal.finish.is_none() {
+            false => 0,
+            true => reserved_bytes(bytes, missing, &self.settings),
+        };
+        JournalEntry {
+            bytes,
+            epoch,
+            expires: journal.finish.map(|_| now + self.retention()),
+            is_own,
+            journal,
+            owner,
+            reserved,
+            taker: None,
+            touched: now,
+        }
+    }
+
     /// Drops what `eviction` allows until `added` bytes fit: ended journals, oldest end first, and
     /// then the largest copies. Drops nothing when that is not enough.
     fn make_room(&mut self, added: usize, kept: &RequestId, eviction: Eviction) -> bool {
--- a/crates/control/tests/engines/mod.rs
+++ b/crates/control/tests/engines/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use {
-    control::{Identity, Resource, Target, Wish},
+    control::{Identity, Resource, RouteQuery, Target},
     std::{collections::BTreeSet, time::Duration},
     types::{LayerRange, ListingRole, LoadReport, LoadedModel, TargetHealth, TargetId},
 };
@@ -48,12 +48,12 @@
     }
 }
 
-pub fn wish<'a>(
+pub fn query<'a>(
     resource: &'a Resource,
     avoid_targets: &'a BTreeSet<TargetId>,
     prefix_hashes: &'a [u64],
-) -> Wish<'a> {
-    Wish {
+) -> RouteQuery<'a> {
+    RouteQuery {
         answer_tokens: 10.0,
         avoid_domain: None,
         avoid_targets,
--- a/crates/control/tests/policy.rs
+++ b/crates/control/tests/policy.rs
@@ -7,7 +7,7 @@
         Admission, AdmissionSettings, Quarantine, QuarantineSettings, Resource, RouteSettings,
         Router, Target, View, Waiting,
     },
-    engines::{engine, identity, wish},
+    engines::{engine, identity, query},
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -35,12 +35,12 @@
     };
     let resource = Resource::Model("m".into());
     let avoided = BTreeSet::new();
-    let wish = wish(&resource, &avoided, prefix_hashes);
+    let query = query(&resource, &avoided, prefix_hashes);
     let mut counts = BTreeMap::new();
     for seed in 0..100 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let choice = router
-            .choose(&view, &wish, &mut random)
+            .choose(&view, &query, &mut random)
             .expect("a place is free");
         *counts
             .entry(choice.route.stages[0].target.clone())
--- a/crates/control/tests/request_model.rs
+++ b/crates/control/tests/request_model.rs
@@ -8,7 +8,7 @@
         Admission, AdmissionSettings, Blocked, Command, Event, Resource, RouteSettings, Router,
         Target, View, Waiting,
     },
-    engines::{engine, identity, wish},
+    engines::{engine, identity, query},
     proptest::{
         prelude::*,
         test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -185,9 +185,9 @@
         };
         let resource = Resource::Model("m".into());
         let avoided = BTreeSet::new();
-        let wish = wish(&resource, &avoided, &[]);
+        let query = query(&resource, &avoided, &[]);
         let router = Router::new(RouteSettings::default(), &AdmissionSettings::default());
-        match router.choose(&view, &wish, &mut ChaCha8Rng::seed_from_u64(1)) {
+        match router.choose(&view, &query, &mut ChaCha8Rng::seed_from_u64(1)) {
             Ok(choice) => {
                 prop_assert!(choice.route.is_complete());
                 let limit = if has_chain(&targets, 0, 8) { 8 } else { 12 };
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -128,13 +128,7 @@
             services: targets.clone(),
             table: Arc::new(FakePlatform),
         };
-        let mut settings = Settings {
-            instance: instance.into(),
-            operator_key_hashes: BTreeSet::from([hash_key("operator")]),
-            ..Settings::default()
-        };
-        settings.stream.batch_ms = 0;
-        settings.edit_limit_ms = 3_600_000;
+        let mut settings = settings(instance);
         adjust(&mut settings);
         let identity = Identity {
             address: settings.address,
@@ -145,8 +139,8 @@
             region: "region".into(),
         };
         let app = App::new(settings, identity, parts);
-        network.join(instance, peer_handler(app.clone()));
         app.execute(Command::PublishLists(Arc::new(lists())));
+        network.join(instance, peer_handler(app.clone()));
         Self {
             calls: targets,
             events: AsyncMutex::new(events),
@@ -244,3 +238,14 @@
         (response, id, records)
     }
 }
+
+fn settings(instance: &str) -> Settings {
+    let mut settings = Settings {
+        instance: instance.into(),
+        operator_key_hashes: BTreeSet::from([hash_key("operator")]),
+        ..Settings::default()
+    };
+    settings.stream.batch_ms = 0;
+    settings.edit_limit_ms = 3_600_000;
+    settings
+}
