--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -84,6 +84,7 @@
         request::{Entry, Job},
         submit::refusal,
     },
+    routes::route::StageCandidate,
     store_gate::StoreGate,
     streams::journal_entry::{
         Eviction, FIXED_BYTES, JournalEntry, journal_bytes, reserved_bytes, token_bytes,
--- a/crates/control/src/requests/resource.rs
+++ b/crates/control/src/requests/resource.rs
@@ -18,13 +18,13 @@
     /// Layer ranges of this resource that a target can run, each with the layers of the whole. A
     /// service runs its operations as one layer.
     #[must_use]
-    pub fn pieces(&self, target: &Target) -> Vec<(LayerRange, u32)> {
-        let mut pieces = Vec::new();
+    pub fn layer_ranges(&self, target: &Target) -> Vec<(LayerRange, u32)> {
+        let mut ranges = Vec::new();
         match (self, &target.role) {
             (Self::Model(model), ListingRole::Engine { .. }) => {
                 for loaded in &target.report.models {
                     if loaded.model == *model && loaded.layers.start < loaded.layers.end {
-                        pieces.push((loaded.layers, loaded.layer_count));
+                        ranges.push((loaded.layers, loaded.layer_count));
                     }
                 }
             }
@@ -37,11 +37,11 @@
             ) => {
                 let has_operation = operations.iter().any(|entry| entry.name == *operation);
                 if offered == service && has_operation {
-                    pieces.push((LayerRange { start: 0, end: 1 }, 1));
+                    ranges.push((LayerRange { start: 0, end: 1 }, 1));
                 }
             }
             _ => {}
         }
-        pieces
+        ranges
     }
 }
--- /dev/null
+++ b/crates/control/src/routes/draw.rs
@@ -0,0 +1,129 @@
+use super::*;
+
+/// Targets whose score is at most this much above the best are good; the draw is among them. It
+/// must be wide enough that instances with the same view spread over several targets.
+const GOOD_FACTOR: f64 = 1.5;
+
+/// Absolute width of the good scores, in milliseconds: differences below it are noise.
+const GOOD_MARGIN_MS: f64 = 5.0;
+
+/// Most alternatives logged per stage.
+const LOGGED_ALTERNATIVES: usize = 8;
+
+/// Weight of idle time against waiting time. Measured at 1, 4, 8, 16 and 32: throughput in overload
+/// rises up to 8.
+const PAIRING_WEIGHT: f64 = 8.0;
+
+impl Router {
+    pub(crate) fn draw_route(
+        &self,
+        view: &View,
+        query: &RouteQuery,
+        stage_candidates: &[StageCandidate],
+        random: &mut ChaCha8Rng,
+    ) -> Option<Choice> {
+        let mut choice = Choice {
+            alternatives: Vec::new(),
+            chosen: Vec::new(),
+            route: Route {
+                layer_count: 0,
+                stages: Vec::new(),
+            },
+            token_ms: 0.0,
+        };
+        let mut previous: Option<&StageCandidate> = None;
+        while previous
+            .is_none_or(|stage_candidate| stage_candidate.layers.end < stage_candidate.layer_count)
+        {
+            let mut scored = Vec::new();
+            for stage_candidate in stage_candidates {
+                let is_next = previous.map_or(stage_candidate.layers.start == 0, |previous| {
+                    stage_candidate.layers.start == previous.layers.end
+                        && stage_candidate.layer_count == previous.layer_count
+                });
+                if is_next {
+                    let from = previous.map(|previous| previous.target);
+                    let link = self.link(view, query, from, stage_candidate.target);
+                    let mut total = link.plus(&stage_candidate.to_go);
+                    total.expected_ms += self.pairing_ms(view, query, previous, stage_candidate);
+                    scored.push((total, link, stage_candidate));
+                }
+            }
+            let (link, stage_candidate) = draw(&mut scored, &mut choice, random)?;
+            choice.token_ms += link.expected_ms / query.answer_tokens.max(1.0);
+            choice.token_ms += self.step_ms(
+                stage_candidate.target,
+                stage_candidate.layers,
+                stage_candidate.layer_count,
+            );
+            choice.route.layer_count = stage_candidate.layer_count;
+            choice.route.stages.push(Stage {
+                address: stage_candidate.target.address,
+                layers: stage_candidate.layers,
+                target: stage_candidate.target.id.clone(),
+            });
+            previous = Some(stage_candidate);
+        }
+        Some(choice)
+    }
+
+    /// Cost of unequal speeds: the slot at the faster engine idles while the slower one works, which
+    /// matters in so far as there is other work for it.
+    fn pairing_ms(
+        &self,
+        view: &View,
+        query: &RouteQuery,
+        previous: Option<&StageCandidate>,
+        next: &StageCandidate,
+    ) -> f64 {
+        let Some(previous) = previous else {
+            return 0.0;
+        };
+        let step_ms = |stage_candidate: &StageCandidate| {
+            self.step_ms(
+                stage_candidate.target,
+                stage_candidate.layers,
+                stage_candidate.layer_count,
+            )
+        };
+        let idle_ms = (step_ms(previous) - step_ms(next)).abs() * query.answer_tokens.max(1.0);
+        let load = self.slots.load(view.now, next.target, view.factor);
+        PAIRING_WEIGHT * idle_ms * load / f64::from(next.target.report.slot_count.max(1))
+    }
+}
+
+/// Draws two of the good candidates, takes the better and logs the others.
+fn draw<'a, 'b>(
+    scored: &mut [(Score, Score, &'a StageCandidate<'b>)],
+    choice: &mut Choice,
+    random: &mut ChaCha8Rng,
+) -> Option<(Score, &'a StageCandidate<'b>)> {
+    // Equal scores, as of idle targets, must not all lead to the first of them.
+    for index in (1..scored.len()).rev() {
+        scored.swap(index, random.random_range(0..=index));
+    }
+    scored.sort_by(|left, right| left.0.compare(&right.0));
+    let best = scored.first()?.0;
+    let limit_ms = best.expected_ms * GOOD_FACTOR + GOOD_MARGIN_MS;
+    let good_count = scored
+        .iter()
+        .filter(|(score, ..)| score.avoidance == best.avoidance && score.expected_ms <= limit_ms)
+        .count();
+    // Drawn with replacement, so that of two targets the worse gets a part too: the better one is
+    // the same for all instances. The candidates are sorted, so the lower index is the better.
+    let first = random.random_range(0..good_count);
+    let index = first.min(random.random_range(0..good_count));
+    for (position, (score, _, stage_candidate)) in scored.iter().enumerate() {
+        let candidate = Candidate {
+            score_ms: score.expected_ms,
+            target: stage_candidate.target.id.clone(),
+        };
+        if position == index {
+            choice.chosen.push(candidate);
+        } else if position <= LOGGED_ALTERNATIVES {
+            choice.alternatives.push(candidate);
+        }
+    }
+    let (_, link, stage_candidate) = &scored[index];
+    Some((*link, stage_candidate))
+}
--- a/crates/control/src/routes/mod.rs
+++ b/crates/control/src/routes/mod.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 pub(crate) mod cache;
+pub(crate) mod draw;
 pub(crate) mod history;
 pub(crate) mod link;
 pub(crate) mod rate;
--- a/crates/control/src/routes/route.rs
+++ b/crates/control/src/routes/route.rs
@@ -1,19 +1,5 @@
 use super::*;
 
-/// Targets whose score is at most this much above the best are good; the draw is among them. It
-/// must be wide enough that instances with the same view spread over several targets.
-const GOOD_FACTOR: f64 = 1.5;
-
-/// Absolute width of the good scores, in milliseconds: differences below it are noise.
-const GOOD_MARGIN_MS: f64 = 5.0;
-
-/// Weight of idle time against waiting time. Measured at 1, 4, 8, 16 and 32: throughput in overload
-/// rises up to 8.
-const PAIRING_WEIGHT: f64 = 8.0;
-
-/// Most alternatives logged per stage.
-const LOGGED_ALTERNATIVES: usize = 8;
-
 /// A chosen route with the numbers behind it.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -44,13 +30,13 @@
 }
 
 /// One target in the place of one stage.
-struct StageCandidate<'a> {
-    layer_count: u32,
-    layers: LayerRange,
-    own: Score,
-    target: &'a Target,
+pub(crate) struct StageCandidate<'a> {
+    pub(crate) layer_count: u32,
+    pub(crate) layers: LayerRange,
+    pub(crate) own: Score,
+    pub(crate) target: &'a Target,
     /// Score from here to the end of the route, `own` included.
-    to_go: Score,
+    pub(crate) to_go: Score,
 }
 
 /// Which targets are weighed, and how.
@@ -102,13 +88,13 @@
             let queue_count = self.target_queue_count;
             for queue_count in BTreeSet::from([0, queue_count]) {
                 scan.queue_count = Some(queue_count);
-                let pieces = self.pieces(view, query, scan);
-                if let Some(choice) = self.draw_route(view, query, &pieces, random) {
+                let stage_candidates = self.stage_candidates(view, query, scan);
+                if let Some(choice) = self.draw_route(view, query, &stage_candidates, random) {
                     return Ok(choice);
                 }
             }
             scan.queue_count = None;
-            if !self.pieces(view, query, scan).is_empty() {
+            if !self.stage_candidates(view, query, scan).is_empty() {
                 return Err(Blocked::Full);
             }
         }
@@ -119,7 +105,7 @@
     /// and without the work of others, whose effect is in the observed speeds.
     #[must_use]
     pub fn best(&self, view: &View, query: &RouteQuery) -> Option<f64> {
-        let pieces = self.pieces(
+        let stage_candidates = self.stage_candidates(
             view,
             query,
             Scan {
@@ -128,8 +114,12 @@
                 with_suspects: true,
             },
         );
-        let first = pieces.iter().filter(|piece| piece.layers.start == 0);
-        let best = first.map(|piece| piece.to_go).min_by(Score::compare)?;
+        let first = stage_candidates
+            .iter()
+            .filter(|stage_candidate| stage_candidate.layers.start == 0);
+        let best = first
+            .map(|stage_candidate| stage_candidate.to_go)
+            .min_by(Score::compare)?;
         (best != Score::MAX).then_some(best.expected_ms)
     }
 
@@ -142,7 +132,7 @@
             if !target.takes_work() {
                 continue;
             }
-            for (layers, _) in resource.pieces(target) {
+            for (layers, _) in resource.layer_ranges(target) {
                 *by_start.entry(layers.start).or_default() += f64::from(target.report.slot_count);
             }
         }
@@ -154,13 +144,13 @@
     }
 
     /// Targets that are part of a complete route, once per layer range; empty if there is none.
-    fn pieces<'a>(
+    fn stage_candidates<'a>(
         &self,
         view: &View<'a>,
         query: &RouteQuery,
         scan: Scan,
     ) -> Vec<StageCandidate<'a>> {
-        let mut pieces = Vec::new();
+        let mut stage_candidates = Vec::new();
         for target in view.targets {
             if target.health == TargetHealth::Suspect && !scan.with_suspects {
                 continue;
@@ -178,8 +168,8 @@
             } else {
                 0.0
             };
-            for (layers, layer_count) in query.resource.pieces(target) {
-                pieces.push(StageCandidate {
+            for (layers, layer_count) in query.resource.layer_ranges(target) {
+                stage_candidates.push(StageCandidate {
                     layer_count,
                     layers,
                     own: self.own_score(view, query, target, load, (layers, layer_count)),
@@ -188,108 +178,48 @@
                 });
             }
         }
-        pieces.sort_by_key(|piece| Reverse(piece.layers.start));
-        self.fill_to_go(view, query, &mut pieces);
-        pieces.retain(|piece| piece.to_go != Score::MAX);
-        if pieces.iter().all(|piece| piece.layers.start > 0) {
-            pieces.clear();
+        stage_candidates.sort_by_key(|stage_candidate| Reverse(stage_candidate.layers.start));
+        self.fill_to_go(view, query, &mut stage_candidates);
+        stage_candidates.retain(|stage_candidate| stage_candidate.to_go != Score::MAX);
+        if stage_candidates
+            .iter()
+            .all(|stage_candidate| stage_candidate.layers.start > 0)
+        {
+            stage_candidates.clear();
         }
-        pieces
+        stage_candidates
     }
 
-    /// Computes the best score to the end from each piece, last layers first: the shortest path
+    /// Computes the best score to the end from each stage_candidate, last layers first: the shortest path
     /// over all complete chains.
-    fn fill_to_go(&self, view: &View, query: &RouteQuery, pieces: &mut [StageCandidate]) {
-        for index in 0..pieces.len() {
-            let (later, rest) = pieces.split_at_mut(index);
-            let piece = &mut rest[0];
-            if piece.layers.end == piece.layer_count {
-                piece.to_go = piece.own;
+    fn fill_to_go(&self, view: &View, query: &RouteQuery, stage_candidates: &mut [StageCandidate]) {
+        for index in 0..stage_candidates.len() {
+            let (later, rest) = stage_candidates.split_at_mut(index);
+            let stage_candidate = &mut rest[0];
+            if stage_candidate.layers.end == stage_candidate.layer_count {
+                stage_candidate.to_go = stage_candidate.own;
                 continue;
             }
             let mut best = Score::MAX;
             for next in later.iter() {
-                if next.layers.start != piece.layers.end || next.layer_count != piece.layer_count {
+                if next.layers.start != stage_candidate.layers.end
+                    || next.layer_count != stage_candidate.layer_count
+                {
                     continue;
                 }
                 if next.to_go == Score::MAX {
                     continue;
                 }
-                let link = self.link(view, query, Some(piece.target), next.target);
+                let link = self.link(view, query, Some(stage_candidate.target), next.target);
                 let total = link.plus(&next.to_go);
                 if total.compare(&best).is_lt() {
                     best = total;
                 }
             }
             if best != Score::MAX {
-                piece.to_go = piece.own.plus(&best);
-            }
-        }
-    }
-
-    fn draw_route(
-        &self,
-        view: &View,
-        query: &RouteQuery,
-        pieces: &[StageCandidate],
-        random: &mut ChaCha8Rng,
-    ) -> Option<Choice> {
-        let mut choice = Choice {
-            alternatives: Vec::new(),
-            chosen: Vec::new(),
-            route: Route {
-                layer_count: 0,
-                stages: Vec::new(),
-            },
-            token_ms: 0.0,
-        };
-        let mut previous: Option<&StageCandidate> = None;
-        while previous.is_none_or(|piece| piece.layers.end < piece.layer_count) {
-            let mut scored = Vec::new();
-            for piece in pieces {
-                let is_next = previous.map_or(piece.layers.start == 0, |previous| {
-                    piece.layers.start == previous.layers.end
-                        && piece.layer_count == previous.layer_count
-                });
-                if is_next {
-                    let from = previous.map(|previous| previous.target);
-                    let link = self.link(view, query, from, piece.target);
-                    let mut total = link.plus(&piece.to_go);
-                    total.expected_ms += self.pairing_ms(view, query, previous, piece);
-                    scored.push((total, link, piece));
-                }
+                stage_candidate.to_go = stage_candidate.own.plus(&best);
             }
-            let (link, piece) = draw(&mut scored, &mut choice, random)?;
-            choice.token_ms += link.expected_ms / query.answer_tokens.max(1.0);
-            choice.token_ms += self.step_ms(piece.target, piece.layers, piece.layer_count);
-            choice.route.layer_count = piece.layer_count;
-            choice.route.stages.push(Stage {
-                address: piece.target.address,
-                layers: piece.layers,
-                target: piece.target.id.clone(),
-            });
-            previous = Some(piece);
         }
-        Some(choice)
-    }
-
-    /// Cost of unequal speeds: the slot at the faster engine idles while the slower one works, which
-    /// matters in so far as there is other work for it.
-    fn pairing_ms(
-        &self,
-        view: &View,
-        query: &RouteQuery,
-        previous: Option<&StageCandidate>,
-        next: &StageCandidate,
-    ) -> f64 {
-        let Some(previous) = previous else {
-            return 0.0;
-        };
-        let step_ms =
-            |piece: &StageCandidate| self.step_ms(piece.target, piece.layers, piece.layer_count);
-        let idle_ms = (step_ms(previous) - step_ms(next)).abs() * query.answer_tokens.max(1.0);
-        let load = self.slots.load(view.now, next.target, view.factor);
-        PAIRING_WEIGHT * idle_ms * load / f64::from(next.target.report.slot_count.max(1))
     }
 
     fn has_place(
@@ -318,7 +248,13 @@
             .has_place(view.now, target, view.factor, limit, instance)
     }
 
-    fn link(&self, view: &View, query: &RouteQuery, from: Option<&Target>, to: &Target) -> Score {
+    pub(crate) fn link(
+        &self,
+        view: &View,
+        query: &RouteQuery,
+        from: Option<&Target>,
+        to: &Target,
+    ) -> Score {
         let token_ms = match from {
             None => default_ms(
                 (&view.identity.failure_domain, &view.identity.region),
@@ -358,45 +294,9 @@
         }
     }
 
-    fn step_ms(&self, target: &Target, layers: LayerRange, layer_count: u32) -> f64 {
+    pub(crate) fn step_ms(&self, target: &Target, layers: LayerRange, layer_count: u32) -> f64 {
         let held = layers.end.saturating_sub(layers.start);
         let default_rate = self.settings.default_rate_per_s;
         self.rates.step_ms(target, held, layer_count, default_rate)
     }
 }
-
-/// Draws two of the good candidates, takes the better and logs the others.
-fn draw<'a, 'b>(
-    scored: &mut [(Score, Score, &'a StageCandidate<'b>)],
-    choice: &mut Choice,
-    random: &mut ChaCha8Rng,
-) -> Option<(Score, &'a StageCandidate<'b>)> {
-    // Equal scores, as of idle targets, must not all lead to the first of them.
-    for index in (1..scored.len()).rev() {
-        scored.swap(index, random.random_range(0..=index));
-    }
-    scored.sort_by(|left, right| left.0.compare(&right.0));
-    let best = scored.first()?.0;
-    let limit_ms = best.expected_ms * GOOD_FACTOR + GOOD_MARGIN_MS;
-    let good_count = scored
-        .iter()
-        .filter(|(score, ..)| score.avoidance == best.avoidance && score.expected_ms <= limit_ms)
-        .count();
-    // Drawn with replacement, so that of two targets the worse gets a part too: the better one is
-    // the same for all instances. The candidates are sorted, so the lower index is the better.
-    let first = random.random_range(0..good_count);
-    let index = first.min(random.random_range(0..good_count));
-    for (position, (score, _, piece)) in scored.iter().enumerate() {
-        let candidate = Candidate {
-            score_ms: score.expected_ms,
-            target: piece.target.id.clone(),
-        };
-        if position == index {
-            choice.chosen.push(candidate);
-        } else if position <= LOGGED_ALTERNATIVES {
-            choice.alternatives.push(candidate);
-        }
-    }
-    let (_, link, piece) = &scored[index];
-    Some((*link, piece))
-}
