Refer to queued requests by typed handles

Cause: slotmap was declared and not used, and the queue of accepted requests held ids that may name an ended request. Change: Entries keeps requests in a slot map with RequestKey and an index by id; the queue holds keys.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
+    slotmap::{SlotMap, new_key_type},
     std::{
         cmp::{Ordering, Reverse},
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -80,6 +81,7 @@
     },
     requests::{
         departure::Moving,
+        entries::{Entries, RequestKey},
         life::{Payload, plan},
         request::{Entry, Job},
         submit::refusal,
--- a/crates/control/src/requests/dispatch.rs
+++ b/crates/control/src/requests/dispatch.rs
@@ -11,7 +11,10 @@
     /// the queues of the accounts.
     pub fn dispatch_ready(&mut self, scope: &mut Scope) {
         let mut full = Full::new();
-        for request in self.first.clone() {
+        for key in self.first.clone() {
+            let Some(request) = self.entries.request(key).cloned() else {
+                continue;
+            };
             self.try_dispatch(scope, &request, &mut full);
         }
         for resource in self.admission.resources() {
@@ -39,7 +42,7 @@
             let is_queued = entry.is_some_and(|entry| entry.state == RequestState::Queued);
             if is_queued && self.waits_for_another(now, &waiting.request) {
                 // Waits for another request, not for a place, and must not block its queue.
-                self.first.push_back(waiting.request);
+                self.first.extend(self.entries.key(&waiting.request));
             } else if is_queued {
                 self.admission.put_back(resource, waiting);
             }
@@ -95,7 +98,9 @@
     /// Whether the concurrency limit lets a request start that did not come from the queue of its
     /// account. A request that ran before keeps its place.
     fn may_start_first(&self, scope: &Scope, entry: &Entry) -> bool {
-        if entry.attempt > 0 || entry.is_accepted_stream() || !self.first.contains(&entry.request) {
+        let key = self.entries.key(&entry.request);
+        let is_first = key.is_some_and(|key| self.first.contains(&key));
+        if entry.attempt > 0 || entry.is_accepted_stream() || !is_first {
             return true;
         }
         let limit = plan(scope.lists, &entry.account).max_concurrent_count;
--- /dev/null
+++ b/crates/control/src/requests/entries.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+new_key_type! {
+    /// Handle of one request. Stays invalid after the request has ended, also when its place is
+    /// used again.
+    pub(crate) struct RequestKey;
+}
+
+/// Requests of this instance, by handle and by id.
+#[derive(Debug, Default)]
+pub(crate) struct Entries {
+    /// Invariant: holds exactly the keys of `slots`.
+    keys: BTreeMap<RequestId, RequestKey>,
+    slots: SlotMap<RequestKey, Entry>,
+}
+
+impl Entries {
+    pub(crate) fn contains_key(&self, request: &RequestId) -> bool {
+        self.keys.contains_key(request)
+    }
+
+    pub(crate) fn get(&self, request: &RequestId) -> Option<&Entry> {
+        self.slots.get(*self.keys.get(request)?)
+    }
+
+    pub(crate) fn get_mut(&mut self, request: &RequestId) -> Option<&mut Entry> {
+        self.slots.get_mut(*self.keys.get(request)?)
+    }
+
+    pub(crate) fn insert(&mut self, request: RequestId, entry: Entry) {
+        self.remove(&request);
+        let key = self.slots.insert(entry);
+        self.keys.insert(request, key);
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    pub(crate) fn key(&self, request: &RequestId) -> Option<RequestKey> {
+        self.keys.get(request).copied()
+    }
+
+    /// Ids in order, so that equal runs act in equal order.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = &RequestId> {
+        self.keys.keys()
+    }
+
+    pub(crate) fn remove(&mut self, request: &RequestId) -> Option<Entry> {
+        self.slots.remove(self.keys.remove(request)?)
+    }
+
+    /// Id of a request that has not ended.
+    pub(crate) fn request(&self, key: RequestKey) -> Option<&RequestId> {
+        self.slots.get(key).map(|entry| &entry.request)
+    }
+
+    /// Requests in order of their ids.
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Entry> {
+        self.keys.values().filter_map(|key| self.slots.get(*key))
+    }
+}
--- a/crates/control/src/requests/life.rs
+++ b/crates/control/src/requests/life.rs
@@ -5,9 +5,9 @@
 pub struct Requests {
     pub(crate) admission: Admission,
     pub(crate) budget: RetryBudget,
-    pub(crate) entries: BTreeMap<RequestId, Entry>,
+    pub(crate) entries: Entries,
     /// Queued requests that were accepted earlier, in order of their return.
-    pub(crate) first: VecDeque<RequestId>,
+    pub(crate) first: VecDeque<RequestKey>,
     pub(crate) history: History,
     pub(crate) is_draining: bool,
     pub(crate) limits: Limits,
@@ -50,7 +50,7 @@
         Self {
             admission: Admission::new(settings.admission.clone()),
             budget: RetryBudget::new(settings.retry.clone()),
-            entries: BTreeMap::new(),
+            entries: Entries::default(),
             first: VecDeque::new(),
             history: History::default(),
             is_draining: false,
@@ -185,7 +185,8 @@
             return;
         };
         self.limits.change(&entry.account, 0, -1);
-        self.first.retain(|queued| queued != request);
+        let key = self.entries.key(request);
+        self.first.retain(|queued| Some(*queued) != key);
         self.admission
             .remove(&entry.resource, &entry.account, request);
     }
@@ -211,7 +212,7 @@
             return;
         };
         self.limits.change(&entry.account, 0, 1);
-        self.first.push_back(request.clone());
+        self.first.extend(self.entries.key(request));
     }
 
     fn free(&mut self, scope: &Scope, request: &RequestId) {
--- a/crates/control/src/requests/mod.rs
+++ b/crates/control/src/requests/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod departure_settings;
 pub(crate) mod dispatch;
 pub(crate) mod drain;
+pub(crate) mod entries;
 pub(crate) mod failure;
 pub(crate) mod life;
 pub(crate) mod priority;
