--- a/crates/entry/src/executor.rs
+++ b/crates/entry/src/executor.rs
@@ -236,10 +236,13 @@
             .map(|candidate| format!("{}={:.3}ms", candidate.target, candidate.score_ms));
         scores.collect::<Vec<_>>().join(",")
     };
+    // Decisions about a target or peer name it in place of the request.
+    let field = |is_shown: bool| is_shown.then_some(&*decision.subject);
     tracing::info!(
-        request = &*decision.subject,
+        request = field(decision.account.is_some()),
+        subject = field(decision.account.is_none()),
         kind = decision.kind,
-        account = decision.account.as_deref().unwrap_or_default(),
+        account = decision.account.as_deref(),
         chosen = candidates(&decision.chosen),
         reason = &*decision.reason,
         alternatives = candidates(&decision.alternatives),
