--- a/crates/suite/tests/examples.rs
+++ b/crates/suite/tests/examples.rs
@@ -27,6 +27,7 @@
     demo = { "demo" },
     engine = { "standin-engine" },
     entry = { "entry" },
+    load = { "load" },
     platform = { "standin-platform" },
     service = { "standin-service" },
 )]
