Free a request's current route in one place

Cause: killing an engine and killing an instance each looked up a request's route and released it. Change: World::release_current serves both.

--- a/crates/bench/src/generation.rs
+++ b/crates/bench/src/generation.rs
@@ -306,6 +306,14 @@
         self.send_event(LINK, instance, event);
     }
 
+    /// Frees whatever a request holds at the engines of its current route.
+    fn release_current(&mut self, request: &RequestId) {
+        let active = self.active.get(request);
+        if let Some(route) = active.and_then(|active| active.route.clone()) {
+            self.release(request, &route);
+        }
+    }
+
     pub(crate) fn kill_engine(&mut self, index: usize) {
         if !self.engines[index].alive {
             return;
@@ -320,13 +328,7 @@
             }
         }
         for request in hit {
-            if let Some(route) = self
-                .active
-                .get(&request)
-                .and_then(|request_state| request_state.route.clone())
-            {
-                self.release(&request, &route);
-            }
+            self.release_current(&request);
             self.attempt_failed(&request, FailureKind::Broken, target.clone());
         }
     }
@@ -342,13 +344,7 @@
             }
         }
         for request in hit {
-            if let Some(route) = self
-                .active
-                .get(&request)
-                .and_then(|request_state| request_state.route.clone())
-            {
-                self.release(&request, &route);
-            }
+            self.release_current(&request);
             let Some(request_state) = self.active.remove(&request) else {
                 continue;
             };
