--- /dev/null
+++ b/crates/catalog/src/catalog.rs
@@ -0,0 +1,130 @@
+use super::*;
+
+/// Limits on what callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest request head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time in which a head may arrive.
+    pub head_time: Duration,
+    /// Longest time that a connection may be idle.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 * 1024 * 1024,
+            head_bytes: 16 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Content of a catalog.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CatalogParts {
+    /// Client accounts; none where requests need no key.
+    pub accounts: Option<Vec<Account>>,
+    /// Limits for callers.
+    pub limits: Limits,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Version. Invariant: grows with each change.
+    pub version: u64,
+}
+
+/// One version of the configuration, with its indices.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    accounts_by_key: HashMap<Arc<str>, usize>,
+    parts: CatalogParts,
+    /// Positions of the routes of a host, longest prefix first.
+    routes_by_host: HashMap<Arc<str>, Vec<usize>>,
+    services_by_name: HashMap<ServiceName, usize>,
+}
+
+impl Catalog {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(parts: CatalogParts) -> Self {
+        let mut accounts_by_key = HashMap::new();
+        for (position, account) in parts.accounts.iter().flatten().enumerate() {
+            for key in &account.keys {
+                accounts_by_key.insert(key.clone(), position);
+            }
+        }
+        let mut routes_by_host: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
+        for (position, route) in parts.routes.iter().enumerate() {
+            let positions = routes_by_host.entry(route.host.clone()).or_default();
+            positions.push(position);
+        }
+        for positions in routes_by_host.values_mut() {
+            positions.sort_by_key(|at| std::cmp::Reverse(parts.routes[*at].path_prefix.len()));
+        }
+        let mut services_by_name = HashMap::new();
+        for (position, service) in parts.services.iter().enumerate() {
+            services_by_name.insert(service.name.clone(), position);
+        }
+        Self {
+            accounts_by_key,
+            parts,
+            routes_by_host,
+            services_by_name,
+        }
+    }
+
+    /// Account that holds a key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        let position = *self.accounts_by_key.get(key)?;
+        self.parts.accounts.as_ref()?.get(position)
+    }
+
+    /// Whether requests need a key, unless their route is public.
+    #[must_use]
+    pub fn needs_key(&self) -> bool {
+        self.parts.accounts.is_some()
+    }
+
+    /// Limits for callers.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        self.parts.limits
+    }
+
+    /// Route of a request: the one of its host with the longest prefix that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        for position in self.routes_by_host.get(host)? {
+            let route = &self.parts.routes[*position];
+            if path.starts_with(&*route.path_prefix) {
+                return Some(route);
+            }
+        }
+        None
+    }
+
+    /// Service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.parts.services.get(*self.services_by_name.get(name)?)
+    }
+
+    /// Services.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.parts.services
+    }
+
+    /// Version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.parts.version
+    }
+}
--- a/crates/demo/src/entries.rs
+++ b/crates/demo/src/entries.rs
@@ -18,9 +18,9 @@
             operator_key_hashes: [hash_key(OPERATOR_KEY)].into(),
             peer: peer_settings(),
             peer_address: settings.address(11 + number),
-            platform: platform::PlatformSettings {
+            platform: storage::PlatformSettings {
                 addresses: vec![platform],
-                ..platform::PlatformSettings::default()
+                ..storage::PlatformSettings::default()
             },
             region: "local".into(),
             ..entry::Settings::default()
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -15,7 +15,7 @@
     },
     /// The platform client cannot be made.
     #[error("the platform settings cannot be used: {0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] storage::Error),
     /// The control thread cannot be started.
     #[error("the control thread cannot be started: {message}; check the limits of the process")]
     Thread {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,6 @@
     },
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     peer::{Changes, PeerHandler, PeerSettings, Peers, Pool},
-    platform::{Listings, PlatformClient, PlatformSettings, Table},
     rand::seq::IndexedRandom,
     serde::{Deserialize, Serialize},
     settings::{Check, Faults, LogSettings},
@@ -33,6 +32,7 @@
         },
         time::{Duration, Instant, SystemTime},
     },
+    storage::{Listings, PlatformClient, PlatformSettings, Table},
     target::{EngineClient, Engines, RecordStream, ServiceClient, Services, TargetSettings},
     thiserror::Error,
     tokio::{
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -12,13 +12,13 @@
     futures::{FutureExt, StreamExt, future::BoxFuture},
     http_body_util::BodyExt,
     peer::{Changes, Error, PeerHandler, Peers},
-    platform::{Listings, Table},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::Duration,
     },
+    storage::{Listings, Table},
     target::{Engines, RecordStream, Services},
     tokio::sync::{Mutex as AsyncMutex, mpsc},
     types::{
--- /dev/null
+++ b/crates/fleet/src/demand.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+/// What a request needs of its targets.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// Expected tokens of the answer; 0 for plain services.
+    pub answer_tokens: f64,
+    /// Targets that must not be used, because they failed this request.
+    pub excluded: Vec<TargetKey>,
+    /// Tokens of the prompt; 0 for plain services.
+    pub prompt_tokens: f64,
+}
+
+impl Demand {
+    /// Tokens that take memory at the end of the answer.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.prompt_tokens + self.answer_tokens
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/entry.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+/// A listed target with what this instance observed of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) health: Health,
+    /// Requests of this instance that it serves.
+    pub(crate) in_flight_count: u32,
+    /// Last reported load, and when it arrived.
+    pub(crate) load: Option<(Load, Duration)>,
+    pub(crate) target: Target,
+    /// Tokens times layers that requests of this instance take.
+    pub(crate) token_layers: f64,
+}
+
+impl Entry {
+    pub(crate) fn new(target: Target) -> Self {
+        Self {
+            health: Health::default(),
+            in_flight_count: 0,
+            load: None,
+            target,
+            token_layers: 0.0,
+        }
+    }
+
+    /// Expected requests at a plain target, as a share of what it runs at once.
+    pub(crate) fn plain_load(&self, now: Duration, peers: f64, settings: &FleetSettings) -> f64 {
+        let slots = f64::from(self.target.slot_count.max(1));
+        let own = f64::from(self.in_flight_count);
+        let estimate = match self.load {
+            Some((load, at)) if now.saturating_sub(at) < settings.report_limit => {
+                let reported = f64::from(load.running_count + load.waiting_count);
+                reported.max(own)
+            }
+            _ => own * peers,
+        };
+        estimate / slots
+    }
+
+    /// Memory for requests, in tokens times layers.
+    pub(crate) fn token_layer_capacity(&self, profile: &EngineProfile) -> f64 {
+        let Some(hardware) = self.hardware(profile) else {
+            return 0.0;
+        };
+        let held = f64::from(self.target.held.map_or(0, LayerRange::count));
+        let free_mb = hardware.memory_mb - held * profile.layer_mb;
+        (free_mb / profile.kv_mb_per_token_layer()).max(0.0)
+    }
+
+    pub(crate) fn hardware<'a>(&self, profile: &'a EngineProfile) -> Option<&'a HardwareKind> {
+        profile.kind(self.target.hardware.as_deref()?)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/finder.rs
@@ -0,0 +1,154 @@
+use super::*;
+
+/// Finds the cheapest path through the layers, as the shortest way through positions between layers.
+pub(crate) struct Finder<'a> {
+    pub(crate) demand: &'a Demand,
+    /// Usable engines with the cost of one layer, in milliseconds.
+    pub(crate) engines: Vec<(TargetKey, &'a Entry, f64)>,
+    pub(crate) home: &'a str,
+    pub(crate) profile: &'a EngineProfile,
+    pub(crate) settings: &'a FleetSettings,
+}
+
+/// Cheapest known way to a position whose last stage is one engine.
+#[derive(Clone, Copy)]
+struct Step {
+    cost_ms: f64,
+    engine: usize,
+    /// Step before this one; none at the first layer.
+    previous: Option<usize>,
+    range: LayerRange,
+}
+
+impl Finder<'_> {
+    /// Cheapest stages as positions in `engines` and ranges, with the cost in milliseconds.
+    pub(crate) fn find(&self) -> Option<(Vec<(usize, LayerRange)>, f64)> {
+        let layer_count = self.profile.layer_count;
+        let positions = self.positions();
+        let mut steps: Vec<Step> = Vec::new();
+        // Steps that end at each position: the cheapest of each failure domain.
+        let mut ends: HashMap<u32, Vec<usize>> = HashMap::new();
+        for (index, start) in positions.iter().enumerate() {
+            let before = ends.get(start).cloned().unwrap_or_default();
+            if *start > 0 && before.is_empty() {
+                continue;
+            }
+            for engine in 0..self.engines.len() {
+                let Some((previous, arrival_ms)) = self.arrive(engine, &steps, &before) else {
+                    continue;
+                };
+                for end in &positions[index + 1..] {
+                    let Some(range) = self.range(engine, *start, *end) else {
+                        break;
+                    };
+                    let cost_ms = arrival_ms + f64::from(range.count()) * self.engines[engine].2;
+                    let step = Step {
+                        cost_ms,
+                        engine,
+                        previous,
+                        range,
+                    };
+                    self.keep(step, &mut steps, ends.entry(*end).or_default());
+                }
+            }
+        }
+        let ends = ends.get(&layer_count)?.iter().copied();
+        let best =
+            ends.min_by(|one, other| steps[*one].cost_ms.total_cmp(&steps[*other].cost_ms))?;
+        Some((trace(&steps, best), steps[best].cost_ms))
+    }
+
+    /// Positions at which a held range begins or ends, ascending.
+    fn positions(&self) -> Vec<u32> {
+        let mut positions = BTreeSet::from([0, self.profile.layer_count]);
+        for (_, entry, _) in &self.engines {
+            let Some(range) = entry.target.held else {
+                continue;
+            };
+            positions.insert(range.start);
+            positions.insert(range.end);
+        }
+        positions.into_iter().collect()
+    }
+
+    fn range(&self, engine: usize, start: u32, end: u32) -> Option<LayerRange> {
+        let held = self.engines[engine].1.target.held?;
+        if start < held.start || end > held.end {
+            return None;
+        }
+        LayerRange::new(start, end)
+    }
+
+    /// Cheapest way to reach an engine from the steps that end where it starts.
+    fn arrive(
+        &self,
+        engine: usize,
+        steps: &[Step],
+        before: &[usize],
+    ) -> Option<(Option<usize>, f64)> {
+        let domain = &*self.engines[engine].1.target.domain;
+        if before.is_empty() {
+            return Some((None, self.transfer_ms(self.home, domain, false)));
+        }
+        let mut best: Option<(Option<usize>, f64)> = None;
+        for position in before {
+            if trace(steps, *position)
+                .iter()
+                .any(|(used, _)| *used == engine)
+            {
+                continue;
+            }
+            let step = &steps[*position];
+            let from = &*self.engines[step.engine].1.target.domain;
+            let cost_ms = step.cost_ms + self.transfer_ms(from, domain, true);
+            if best.is_none_or(|(_, least_ms)| cost_ms < least_ms) {
+                best = Some((Some(*position), cost_ms));
+            }
+        }
+        best
+    }
+
+    /// Time that a hop adds to the whole answer. The last stage sends its tokens to the instance
+    /// itself, and the instance sends text and not activations to the first stage.
+    fn transfer_ms(&self, from: &str, to: &str, is_between_stages: bool) -> f64 {
+        let (demand, settings) = (self.demand, self.settings);
+        let mut cost_ms = settings.hop_ms * demand.answer_tokens;
+        if from == to {
+            return cost_ms;
+        }
+        cost_ms += settings.domain_change_ms * demand.answer_tokens;
+        if is_between_stages {
+            let bits = demand.tokens() * self.profile.activation_bytes * 8.0;
+            cost_ms += bits / (self.profile.pipe_mbps.max(1.0) * 1_000.0);
+        }
+        cost_ms
+    }
+
+    /// Keeps a step if it is the cheapest of its failure domain that ends there.
+    fn keep(&self, step: Step, steps: &mut Vec<Step>, ends: &mut Vec<usize>) {
+        let domain = &self.engines[step.engine].1.target.domain;
+        for end in ends.iter_mut() {
+            if self.engines[steps[*end].engine].1.target.domain != *domain {
+                continue;
+            }
+            if step.cost_ms < steps[*end].cost_ms {
+                steps.push(step);
+                *end = steps.len() - 1;
+            }
+            return;
+        }
+        steps.push(step);
+        ends.push(steps.len() - 1);
+    }
+}
+
+fn trace(steps: &[Step], last: usize) -> Vec<(usize, LayerRange)> {
+    let mut stages = Vec::new();
+    let mut position = Some(last);
+    while let Some(at) = position {
+        stages.push((steps[at].engine, steps[at].range));
+        position = steps[at].previous;
+    }
+    stages.reverse();
+    stages
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,261 @@
+use super::*;
+
+/// Targets, as one instance knows them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    by_id: HashMap<TargetId, TargetKey>,
+    by_service: HashMap<ServiceName, Vec<TargetKey>>,
+    /// Instances that share the targets. Invariant: at least 1 once it was set.
+    instance_count: usize,
+    settings: FleetSettings,
+    targets: SlotMap<TargetKey, Entry>,
+}
+
+impl Fleet {
+    /// Creates an empty fleet.
+    #[must_use]
+    pub fn new(settings: FleetSettings) -> Self {
+        Self {
+            instance_count: 1,
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Sets how many instances share the targets.
+    pub fn set_instance_count(&mut self, count: usize) {
+        self.instance_count = count.max(1);
+    }
+
+    /// Replaces the listing. What was observed of targets that are still listed is kept.
+    pub fn list(&mut self, listing: &[Target]) {
+        let listed: BTreeSet<&str> = listing.iter().map(|target| &*target.id).collect();
+        let targets = &mut self.targets;
+        self.by_id.retain(|id, key| {
+            let is_listed = listed.contains(&**id);
+            if !is_listed {
+                targets.remove(*key);
+            }
+            is_listed
+        });
+        for target in listing {
+            let known = self
+                .by_id
+                .get(&target.id)
+                .and_then(|key| targets.get_mut(*key));
+            if let Some(entry) = known {
+                entry.target.clone_from(target);
+                continue;
+            }
+            let key = targets.insert(Entry::new(target.clone()));
+            self.by_id.insert(target.id.clone(), key);
+        }
+        self.by_service.clear();
+        for (key, entry) in &self.targets {
+            let keys = self.by_service.entry(entry.target.service.clone());
+            keys.or_default().push(key);
+        }
+    }
+
+    /// Chooses a target of a plain service: the least loaded one, those that failed last.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NoPath::NoTarget` when none is listed that is not excluded.
+    pub fn choose_target(
+        &self,
+        now: Duration,
+        service: &str,
+        demand: &Demand,
+        rng: &mut impl Rng,
+    ) -> Result<Path, NoPath> {
+        let mut best: Option<(bool, f64, TargetKey)> = None;
+        for (key, entry) in self.usable(service, demand) {
+            let jitter = rng.random_range(0.0..self.settings.spread_share);
+            let load = entry.plain_load(now, self.peer_factor(), &self.settings) + jitter;
+            let rank = (entry.health.is_avoided(now), load, key);
+            if best.is_none_or(|least| (rank.0, rank.1) < (least.0, least.1)) {
+                best = Some(rank);
+            }
+        }
+        let (_, _, key) = best.ok_or(NoPath::NoTarget)?;
+        Ok(Path {
+            cost_ms: 0.0,
+            stages: vec![self.stage(key, None)],
+            tokens: 0.0,
+        })
+    }
+
+    /// Chooses a path through the layers of a model.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NoPath::NoTarget` when no engine is listed, `NoPath::Incomplete` when some layers
+    /// are held by no usable engine and `NoPath::Full` when those that hold them have no room.
+    pub fn choose_path(
+        &self,
+        now: Duration,
+        service: &str,
+        profile: &EngineProfile,
+        demand: &Demand,
+        home: &str,
+        rng: &mut impl Rng,
+    ) -> Result<Path, NoPath> {
+        let mut engines = Vec::new();
+        let mut held_count = 0;
+        for (key, entry) in self.usable(service, demand) {
+            let is_usable = entry.target.held.is_some() && !entry.health.is_avoided(now);
+            let Some(hardware) = entry.hardware(profile).filter(|_| is_usable) else {
+                continue;
+            };
+            held_count += 1;
+            let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
+            let Some(layer_ms) = self.layer_ms(entry, profile, hardware, demand) else {
+                continue;
+            };
+            engines.push((key, entry, layer_ms * jitter));
+        }
+        let is_any_full = engines.len() < held_count;
+        let finder = Finder {
+            demand,
+            engines,
+            home,
+            profile,
+            settings: &self.settings,
+        };
+        let Some((stages, cost_ms)) = finder.find() else {
+            return Err(match (held_count, is_any_full) {
+                (0, _) => NoPath::NoTarget,
+                (_, false) => NoPath::Incomplete,
+                (_, true) => NoPath::Full,
+            });
+        };
+        let stages = stages.into_iter();
+        let stages = stages.map(|(at, range)| self.stage(finder.engines[at].0, Some(range)));
+        Ok(Path {
+            cost_ms,
+            stages: stages.collect(),
+            tokens: demand.tokens(),
+        })
+    }
+
+    /// Counts a request that is sent along a path.
+    pub fn begin(&mut self, path: &Path) {
+        for stage in &path.stages {
+            let Some(entry) = self.targets.get_mut(stage.key) else {
+                continue;
+            };
+            entry.in_flight_count += 1;
+            entry.token_layers += stage_token_layers(path, stage);
+        }
+    }
+
+    /// Ends the count of a request.
+    pub fn end(&mut self, path: &Path) {
+        for stage in &path.stages {
+            let Some(entry) = self.targets.get_mut(stage.key) else {
+                continue;
+            };
+            entry.in_flight_count = entry.in_flight_count.saturating_sub(1);
+            entry.token_layers = (entry.token_layers - stage_token_layers(path, stage)).max(0.0);
+        }
+    }
+
+    /// Notes how a request ended at a target. Returns whether the target is avoided from now on
+    /// and was not before.
+    pub fn note(&mut self, now: Duration, key: TargetKey, outcome: Outcome) -> bool {
+        let Some(entry) = self.targets.get_mut(key) else {
+            return false;
+        };
+        let before = entry.health.is_avoided(now);
+        entry.health.note(now, outcome, &self.settings);
+        !before && entry.health.is_avoided(now)
+    }
+
+    /// Notes the load that a target reported.
+    pub fn note_load(&mut self, now: Duration, key: TargetKey, load: Load) {
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.load = Some((load, now));
+        }
+    }
+
+    /// Handle of the target at an address, among those of a path.
+    #[must_use]
+    pub fn stage_at<'a>(&self, path: &'a Path, address: SocketAddr) -> Option<&'a Stage> {
+        path.stages.iter().find(|stage| stage.address == address)
+    }
+
+    /// Whether a target is listed and takes new requests.
+    #[must_use]
+    pub fn is_listed(&self, key: TargetKey) -> bool {
+        let entry = self.targets.get(key);
+        entry.is_some_and(|entry| !entry.target.is_leaving)
+    }
+
+    /// Targets that are avoided, with the time until then.
+    pub fn avoided(&self, now: Duration) -> impl Iterator<Item = (&Target, Duration)> {
+        let entries = self.targets.values();
+        let avoided = entries.filter(move |entry| entry.health.is_avoided(now));
+        avoided.map(|entry| (&entry.target, entry.health.avoided_until()))
+    }
+
+    fn peer_factor(&self) -> f64 {
+        self.instance_count as f64
+    }
+
+    fn usable(&self, service: &str, demand: &Demand) -> Vec<(TargetKey, &Entry)> {
+        let mut usable = Vec::new();
+        for key in self.by_service.get(service).into_iter().flatten() {
+            let Some(entry) = self.targets.get(*key) else {
+                continue;
+            };
+            if entry.target.is_leaving || demand.excluded.contains(key) {
+                continue;
+            }
+            usable.push((*key, entry));
+        }
+        usable
+    }
+
+    /// Time that one layer of an engine adds to an answer, in milliseconds; none if the engine has
+    /// no room for it.
+    fn layer_ms(
+        &self,
+        entry: &Entry,
+        profile: &EngineProfile,
+        hardware: &HardwareKind,
+        demand: &Demand,
+    ) -> Option<f64> {
+        let capacity = entry.token_layer_capacity(profile) * self.settings.fill_share;
+        let used = entry.token_layers * self.peer_factor();
+        let held = f64::from(entry.target.held.map_or(0, LayerRange::count));
+        // A request that takes the whole range is the most that may come.
+        let filled = (used + demand.tokens() * held) / capacity.max(1.0);
+        if filled > 1.0 {
+            return None;
+        }
+        let running = f64::from(entry.in_flight_count) * self.peer_factor();
+        let context = demand.tokens() / 1_000.0 * profile.context_ms_per_thousand;
+        let step_ms = profile.step_ms + running * (profile.step_ms_per_request + context);
+        let step_ms = demand.answer_tokens * step_ms * hardware.pace;
+        let read_ms = demand.prompt_tokens * hardware.read_factor * 1_000.0;
+        let read_ms = read_ms / profile.read_tokens_per_s.max(1.0);
+        let layers = f64::from(profile.layer_count.max(1));
+        // Waiting grows as the memory fills.
+        Some((step_ms + read_ms) / layers * (1.0 + filled * filled))
+    }
+
+    fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
+        let target = &self.targets[key].target;
+        Stage {
+            address: target.address,
+            id: target.id.clone(),
+            key,
+            range,
+        }
+    }
+}
+
+fn stage_token_layers(path: &Path, stage: &Stage) -> f64 {
+    path.tokens * f64::from(stage.range.map_or(0, LayerRange::count))
+}
--- /dev/null
+++ b/crates/fleet/src/health.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+/// How a request ended at a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The target answered.
+    Answered,
+    /// The target was not reached, broke off or was silent.
+    Failed,
+    /// The target refused because it has no room.
+    Full,
+}
+
+/// Whether a target is avoided because of what it did.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Health {
+    avoided_until: Duration,
+    /// Failures without an answer between them.
+    failure_count: u32,
+}
+
+impl Health {
+    pub(crate) fn note(&mut self, now: Duration, outcome: Outcome, settings: &FleetSettings) {
+        match outcome {
+            Outcome::Answered => *self = Self::default(),
+            Outcome::Failed => {
+                // Failures of requests that were sent before the first one count once.
+                if self.failure_count > 0 && now < self.avoided_until {
+                    return;
+                }
+                let factor = 2_u32.saturating_pow(self.failure_count.min(16));
+                let avoidance = settings.first_avoidance.saturating_mul(factor);
+                self.failure_count += 1;
+                self.avoided_until = now + avoidance.min(settings.longest_avoidance);
+            }
+            Outcome::Full => {}
+        }
+    }
+
+    pub(crate) fn is_avoided(&self, now: Duration) -> bool {
+        now < self.avoided_until
+    }
+
+    pub(crate) fn avoided_until(&self) -> Duration {
+        self.avoided_until
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,51 @@
+//! What an instance knows of targets, and the choice of targets for each request.
+//!
+//! Plain services are served by one target. A model whose layers are spread over engines is served
+//! by a path: stages that hold adjacent ranges and together each layer once.
+
+use {
+    catalog::{DomainName, EngineProfile, HardwareKind, ServiceName},
+    layout::LayerRange,
+    rand::Rng,
+    slotmap::{SlotMap, new_key_type},
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+mod budget;
+mod demand;
+mod entry;
+mod finder;
+mod fleet;
+mod health;
+mod load;
+mod path;
+mod roster;
+mod settings;
+mod target;
+
+pub use {
+    budget::RetryBudget,
+    demand::Demand,
+    fleet::Fleet,
+    health::Outcome,
+    load::Load,
+    path::{NoPath, Path, Stage},
+    roster::Roster,
+    settings::FleetSettings,
+    target::Target,
+};
+
+use {entry::Entry, finder::Finder, health::Health};
+
+/// Id of one start of a target.
+pub type TargetId = Arc<str>;
+
+new_key_type! {
+    /// Handle of a target.
+    pub struct TargetKey;
+}
--- /dev/null
+++ b/crates/fleet/src/path.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+/// One target of a path.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stage {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Id of this start of it.
+    pub id: TargetId,
+    /// Handle.
+    pub key: TargetKey,
+    /// Layers that it runs; none for plain services.
+    pub range: Option<LayerRange>,
+}
+
+/// Targets of one request, in the order in which they run it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Path {
+    /// Expected time of the whole answer, in milliseconds; 0 for plain services.
+    pub cost_ms: f64,
+    /// Stages. Invariants: at least one; ranges are adjacent and cover each layer once; no target
+    /// comes twice.
+    pub stages: Vec<Stage>,
+    /// Tokens for which memory is counted.
+    pub tokens: f64,
+}
+
+impl Path {
+    /// Target that the request is sent to.
+    #[must_use]
+    pub fn first(&self) -> &Stage {
+        &self.stages[0]
+    }
+
+    /// Handles of its targets.
+    pub fn keys(&self) -> impl Iterator<Item = TargetKey> + '_ {
+        self.stages.iter().map(|stage| stage.key)
+    }
+}
+
+/// Why no targets were chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoPath {
+    /// Targets are there, but have no room.
+    Full,
+    /// Some layers are held by no usable engine.
+    Incomplete,
+    /// No usable target is listed.
+    NoTarget,
+}
+
+impl NoPath {
+    /// Name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Incomplete => "incomplete",
+            Self::NoTarget => "no_target",
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// Settings of the choice of targets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Share of an engine's memory for requests that is filled, leaving room for requests that
+    /// other instances dispatched in the meantime and for answers longer than expected.
+    pub fill_share: f64,
+    /// First time for which a target that failed is avoided. Doubles with each further failure.
+    pub first_avoidance: Duration,
+    /// Time that one stage adds to each token, in milliseconds: a transfer within a failure domain
+    /// and the wait for the pass in progress.
+    pub hop_ms: f64,
+    /// Time that a change of the failure domain adds to each token, in milliseconds.
+    pub domain_change_ms: f64,
+    /// Longest time for which a target that failed is avoided.
+    pub longest_avoidance: Duration,
+    /// Age at which a load report no longer says anything.
+    pub report_limit: Duration,
+    /// Random share by which costs differ between instances, so that they do not all choose the
+    /// same targets from the same reports.
+    pub spread_share: f64,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            domain_change_ms: 1.5,
+            fill_share: 0.9,
+            first_avoidance: Duration::from_millis(500),
+            hop_ms: 0.5,
+            longest_avoidance: Duration::from_secs(8),
+            report_limit: Duration::from_millis(500),
+            spread_share: 0.15,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/target.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+/// A target as it is listed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Kind of hardware; engines only.
+    pub hardware: Option<Arc<str>>,
+    /// Layers that it holds; engines only.
+    pub held: Option<LayerRange>,
+    /// Id of this start of it.
+    pub id: TargetId,
+    /// Whether it is leaving and takes no new requests.
+    pub is_leaving: bool,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Requests that it runs at once.
+    pub slot_count: u32,
+}
--- /dev/null
+++ b/crates/forward/src/deliver.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+/// Passes on an answer that is read whole first. Returns none if it broke off and the request is to
+/// be sent again.
+pub(crate) async fn respond(exchange: &mut Exchange, attempt: Attempt) -> Option<Response> {
+    let status = attempt.reply.status;
+    let headers = headers::end_to_end(&attempt.reply.headers);
+    let target = attempt.path.first().clone();
+    let router = exchange.router.clone();
+    let left = exchange.admitted.time_left();
+    let id = exchange.admitted.facts.id.clone();
+    let body = match timeout(left, attempt.read(&router)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            let is_new = router
+                .fleet()
+                .note(clock::now(), target.key, Outcome::Failed);
+            tracing::info!(
+                request = &*id,
+                target = &*target.id,
+                is_avoided_now = is_new,
+                %error,
+                "answer broke off"
+            );
+            exchange.demand.excluded.push(target.key);
+            if exchange.may_try_again() && exchange.take_repeat() {
+                return None;
+            }
+            return Some(exchange.refuse(Refusal::AnswerLost));
+        }
+        Err(_) => return Some(exchange.refuse(Refusal::TimeOver)),
+    };
+    let is_promise = matches!(
+        status,
+        StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+    );
+    // The target does not promise that the request has not run, so the caller must not be told so.
+    if is_promise && !exchange.admitted.route.repeat.may_run_again() {
+        return Some(exchange.refuse(Refusal::AnswerLost));
+    }
+    tracing::info!(
+        request = &*id,
+        target = &*target.id,
+        status = status.as_u16(),
+        attempts = exchange.attempt_count,
+        bytes = body.len(),
+        "answered"
+    );
+    let mut response = wire::text(status, body);
+    *response.headers_mut() = headers;
+    Some(response)
+}
--- /dev/null
+++ b/crates/forward/src/dialect.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+/// What the head of a request says to the router.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestFacts {
+    /// Most tokens of the answer.
+    pub answer_tokens: f64,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// Tokens of the answer that the caller expects.
+    pub expected_tokens: Option<f64>,
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Key of the client account.
+    pub key: Option<Arc<str>>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: f64,
+}
+
+/// What the head of an answer says to the router.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReplyFacts {
+    /// Target on the path that caused a refusal.
+    pub fault_at: Option<SocketAddr>,
+    /// Whether the answer is signed by the target that made it.
+    pub has_signature: bool,
+    /// Id of the request that it answers.
+    pub id: Option<Arc<str>>,
+    /// Whether the target promises that the request has not run and never will.
+    pub is_not_run: bool,
+    /// Load of the target.
+    pub load: Option<Load>,
+}
+
+/// What a target is told with a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Dispatch<'a> {
+    /// Client account.
+    pub account: Option<&'a str>,
+    /// Time left for the answer.
+    pub deadline: Duration,
+    /// Id of the last event that the caller has; none unless a stream is resumed.
+    pub last_event: Option<&'a str>,
+    /// Path whose first stage receives the request.
+    pub path: &'a Path,
+}
+
+/// Reads and writes the wire names of heads.
+pub trait Dialect: Send + Sync {
+    /// Reads the head of a request.
+    fn request(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Reads the head of an answer.
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> ReplyFacts;
+
+    /// Replaces the headers that the router sets itself.
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch);
+}
--- /dev/null
+++ b/crates/forward/src/exchange.rs
@@ -0,0 +1,216 @@
+use super::*;
+
+/// Sends that reached no target, after which a request is refused. Each costs a connection attempt.
+const UNSENT_COUNT: u32 = 4;
+
+/// One request of a caller, from its admission to its final answer.
+pub(crate) struct Exchange {
+    pub(crate) admitted: Admitted,
+    /// Sends that reached a target.
+    pub(crate) attempt_count: u32,
+    pub(crate) demand: Demand,
+    /// Whether a target may have run the request.
+    pub(crate) may_have_run: bool,
+    pub(crate) request: Request,
+    pub(crate) router: Arc<Router>,
+    unsent_count: u32,
+}
+
+/// Answers one request.
+pub(crate) async fn respond(router: Arc<Router>, request: Request) -> Response {
+    let admitted = match Admitted::check(&router, &request) {
+        Err(refusal) => {
+            let facts = router.dialect.request(&request.headers);
+            log_refusal(&facts.id, &request.path, refusal);
+            return refusal.response(router.settings.return_after);
+        }
+        Ok(admitted) => admitted,
+    };
+    router.note_request(&admitted.service);
+    let exchange = Exchange {
+        attempt_count: 0,
+        demand: admitted.demand(),
+        admitted,
+        may_have_run: false,
+        request,
+        router,
+        unsent_count: 0,
+    };
+    exchange.run().await
+}
+
+impl Exchange {
+    async fn run(mut self) -> Response {
+        loop {
+            let attempt = match self.attempt(None).await {
+                Err(refusal) => return self.refuse(refusal),
+                Ok(attempt) => attempt,
+            };
+            let status = attempt.reply.status;
+            if status.is_server_error() && self.may_try_again() && self.take_repeat() {
+                tracing::info!(
+                    request = &*self.admitted.facts.id,
+                    target = &*attempt.path.first().id,
+                    status = status.as_u16(),
+                    "failed at target, sent again"
+                );
+                self.demand.excluded.push(attempt.path.first().key);
+                let _ = attempt.read(&self.router).await;
+                continue;
+            }
+            if status.is_success() && self.admitted.route.repeat.is_stream() {
+                return stream::respond(self, attempt);
+            }
+            match deliver::respond(&mut self, attempt).await {
+                None => {}
+                Some(response) => return response,
+            }
+        }
+    }
+
+    /// Sends the request to one target after another until one answers.
+    pub(crate) async fn attempt(&mut self, last_event: Option<&str>) -> Result<Attempt, Refusal> {
+        loop {
+            let left = self.admitted.time_left();
+            if left.is_zero() {
+                return Err(self.time_over());
+            }
+            let path = self.router.choose(&self.admitted, &self.demand);
+            let path = path.map_err(|reason| self.no_path(reason))?;
+            self.log_path(&path);
+            let send = Attempt::send(
+                &self.router,
+                &self.admitted,
+                &self.request,
+                path,
+                last_event,
+                self.head_limit(left),
+            );
+            let (failure, path) = match send.await {
+                Err(failure) => failure,
+                Ok(attempt) => {
+                    self.attempt_count += 1;
+                    self.may_have_run = true;
+                    return Ok(attempt);
+                }
+            };
+            self.failed(failure, &path)?;
+        }
+    }
+
+    /// Notes a failed send, and returns a refusal if there must not be another one.
+    fn failed(&mut self, failure: AttemptFailure, path: &Path) -> Result<(), Refusal> {
+        tracing::info!(
+            request = &*self.admitted.facts.id,
+            target = &*path.first().id,
+            failure = failure.name(),
+            attempts = self.attempt_count,
+            "no answer from target"
+        );
+        if failure == AttemptFailure::NotSent {
+            self.unsent_count += 1;
+            if self.unsent_count >= UNSENT_COUNT {
+                return Err(self.no_path(NoPath::NoTarget));
+            }
+            return Ok(());
+        }
+        self.attempt_count += 1;
+        self.demand.excluded.push(path.first().key);
+        if failure == AttemptFailure::Unknown {
+            self.may_have_run = true;
+        }
+        if self.may_try_again() && self.take_repeat() {
+            return Ok(());
+        }
+        if self.may_have_run {
+            return Err(self.lost());
+        }
+        Err(Refusal::RepeatsUsedUp)
+    }
+
+    /// Whether the request may be sent once more.
+    pub(crate) fn may_try_again(&self) -> bool {
+        let route = &self.admitted.route;
+        let is_allowed = !self.may_have_run || route.repeat.may_run_again();
+        is_allowed
+            && self.attempt_count < route.attempt_count
+            && !self.admitted.time_left().is_zero()
+    }
+
+    pub(crate) fn take_repeat(&self) -> bool {
+        self.router.take_repeat(&self.admitted.service)
+    }
+
+    pub(crate) fn refuse(&self, refusal: Refusal) -> Response {
+        log_refusal(&self.admitted.facts.id, &self.request.path, refusal);
+        refusal.response(self.router.settings.return_after)
+    }
+
+    /// Longest wait for the head of an answer. Streams that do not start are given up in time for
+    /// another target to start them before the caller leaves.
+    fn head_limit(&self, left: Duration) -> Duration {
+        let route = &self.admitted.route;
+        let has_another = self.attempt_count + 1 < route.attempt_count;
+        if route.repeat == Repeat::ResumableStream && has_another {
+            return left.min(self.router.settings.stall_limit);
+        }
+        left
+    }
+
+    fn no_path(&self, reason: NoPath) -> Refusal {
+        if self.may_have_run && !self.admitted.route.repeat.may_run_again() {
+            return Refusal::AnswerLost;
+        }
+        Refusal::NotNow(reason)
+    }
+
+    fn lost(&self) -> Refusal {
+        if self.admitted.time_left().is_zero() {
+            return Refusal::TimeOver;
+        }
+        Refusal::AnswerLost
+    }
+
+    fn time_over(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::TimeOver;
+        }
+        Refusal::TimeOverUnsent
+    }
+
+    fn log_path(&self, path: &Path) {
+        let mut stages = String::new();
+        for stage in &path.stages {
+            if !stages.is_empty() {
+                stages.push(',');
+            }
+            stages.push_str(&stage.id);
+            if let Some(range) = stage.range {
+                stages.push_str(&format!("={range}"));
+            }
+        }
+        tracing::info!(
+            request = &*self.admitted.facts.id,
+            route = &*self.admitted.route.name,
+            service = &*self.admitted.service,
+            version = self.admitted.version,
+            attempt = self.attempt_count + 1,
+            left_ms = self.admitted.time_left().as_millis() as u64,
+            cost_ms = path.cost_ms as u64,
+            stages,
+            "routed"
+        );
+    }
+}
+
+fn log_refusal(id: &str, path: &str, refusal: Refusal) {
+    metrics::counter!("forward_refusals_total", "reason" => refusal.name()).increment(1);
+    let status = refusal.status().as_u16();
+    tracing::info!(
+        request = id,
+        path,
+        status,
+        reason = refusal.name(),
+        "refused"
+    );
+}
--- /dev/null
+++ b/crates/forward/src/gate.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+/// A request that the configuration allows.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    pub(crate) account: Option<Account>,
+    pub(crate) facts: RequestFacts,
+    pub(crate) profile: Option<Arc<EngineProfile>>,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceName,
+    /// When the final answer is due.
+    pub(crate) ends_at: Duration,
+    pub(crate) version: u64,
+}
+
+impl Admitted {
+    /// Checks a request against the configuration.
+    pub(crate) fn check(router: &Router, request: &Request) -> Result<Self, Refusal> {
+        let now = clock::now();
+        let facts = router.dialect.request(&request.headers);
+        let (catalog, is_fresh) = {
+            let holder = router.catalog();
+            let catalog = holder.catalog().cloned();
+            (catalog, holder.is_fresh(now, router.settings.catalog_limit))
+        };
+        let catalog = catalog.ok_or(Refusal::NoConfiguration)?;
+        // A stale configuration does not prove that something is unknown.
+        let unknown = |refusal| {
+            if is_fresh {
+                refusal
+            } else {
+                Refusal::NoConfiguration
+            }
+        };
+        let host = request.header(HOST.as_str()).unwrap_or_default();
+        let route = catalog
+            .route(host, &request.path)
+            .ok_or(unknown(Refusal::UnknownRoute))?;
+        let mut account = None;
+        if catalog.needs_key() && !route.is_public {
+            if !is_fresh {
+                return Err(Refusal::NoConfiguration);
+            }
+            let key = facts.key.as_deref().unwrap_or_default();
+            account = Some(catalog.account(key).ok_or(Refusal::UnknownKey)?.clone());
+        }
+        let service = route.service(router.draw());
+        let service = service.ok_or(Refusal::NotNow(NoPath::NoTarget))?.clone();
+        let profile = catalog.service(&service).and_then(|one| one.engine.clone());
+        let limit = route
+            .time_limit
+            .min(facts.deadline.unwrap_or(Duration::MAX));
+        Ok(Self {
+            account,
+            ends_at: now + limit,
+            facts,
+            profile,
+            route: route.clone(),
+            service,
+            version: catalog.version(),
+        })
+    }
+
+    /// Model whose layers are spread over engines; none if a single target serves the request.
+    pub(crate) fn pipeline(&self) -> Option<&EngineProfile> {
+        let profile = self.profile.as_deref()?;
+        (profile.layer_count > 0).then_some(profile)
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        self.ends_at.saturating_sub(clock::now())
+    }
+
+    pub(crate) fn demand(&self) -> Demand {
+        let facts = &self.facts;
+        let expected = match facts.expected_tokens {
+            Some(tokens) => tokens.min(facts.answer_tokens),
+            None => facts.answer_tokens,
+        };
+        Demand {
+            answer_tokens: expected,
+            excluded: Vec::new(),
+            prompt_tokens: facts.prompt_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,69 @@
+//! Serves requests of callers by forwarding them to targets.
+//!
+//! The wire names of ids, deadlines and paths are not known here: a `Dialect` reads and writes
+//! them. Path, query and body of a request, and status, headers and body of an answer, pass
+//! unchanged.
+
+use {
+    bytes::{Bytes, BytesMut},
+    catalog::{Account, EngineProfile, Holder, Repeat, Route, ServiceName},
+    fleet::{
+        Demand, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget, Stage, Target,
+        TargetId,
+    },
+    futures::{FutureExt, future::BoxFuture},
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, StatusCode,
+        header::{
+            self, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+            TRANSFER_ENCODING,
+        },
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
+    wire::{BodySender, Connection, ReplyStream, Request, Response},
+};
+
+mod attempt;
+mod deliver;
+mod dialect;
+mod directory;
+mod events;
+mod exchange;
+mod gate;
+mod headers;
+mod in_flight;
+mod instance;
+mod pool;
+mod refusal;
+mod router;
+mod settings;
+mod stream;
+
+pub use {
+    dialect::{Dialect, Dispatch, ReplyFacts, RequestFacts},
+    directory::{Directory, Readiness},
+    events::EventSplitter,
+    instance::Instance,
+    pool::Pool,
+    refusal::Refusal,
+    router::Router,
+    settings::ForwardSettings,
+};
+
+use {
+    attempt::{Attempt, AttemptFailure},
+    exchange::Exchange,
+    gate::Admitted,
+    in_flight::InFlight,
+};
--- /dev/null
+++ b/crates/forward/src/router.rs
@@ -0,0 +1,141 @@
+use super::*;
+
+/// What the traffic threads share: configuration, targets and connections.
+pub struct Router {
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    catalog: Mutex<Holder>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    fleet: Mutex<Fleet>,
+    instances: Mutex<Vec<Instance>>,
+    is_leaving: AtomicBool,
+    pub(crate) pool: Pool,
+    rng: Mutex<SmallRng>,
+    pub(crate) settings: ForwardSettings,
+}
+
+impl Router {
+    /// Creates a router that knows no configuration and no targets. `seed` sets its random draws.
+    #[must_use]
+    pub fn new(settings: ForwardSettings, dialect: Arc<dyn Dialect>, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            budgets: Mutex::default(),
+            catalog: Mutex::default(),
+            dialect,
+            fleet: Mutex::new(Fleet::new(settings.fleet.clone())),
+            instances: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            pool: Pool::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            settings,
+        })
+    }
+
+    /// Targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Configuration.
+    pub fn catalog(&self) -> MutexGuard<'_, Holder> {
+        lock(&self.catalog)
+    }
+
+    /// Takes the instances that callers may use.
+    pub fn set_instances(&self, instances: Vec<Instance>) {
+        self.fleet().set_instance_count(instances.len());
+        *lock(&self.instances) = instances;
+    }
+
+    /// Instances that callers may use.
+    pub fn instances(&self) -> Vec<Instance> {
+        lock(&self.instances).clone()
+    }
+
+    /// Closes idle connections to targets that are not listed any more.
+    pub fn keep_connections(&self, listing: &[Target]) {
+        let ids: HashSet<&str> = listing.iter().map(|target| &*target.id).collect();
+        self.pool.keep_only(|id| ids.contains(&**id));
+    }
+
+    /// Notes that this instance is asked to stop.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this instance is asked to stop.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether this instance can serve: it knows a configuration and is not leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.catalog().catalog().is_some()
+    }
+
+    /// Handler of the requests of callers.
+    #[must_use]
+    pub fn handler(self: &Arc<Self>) -> Arc<dyn wire::Handler> {
+        Arc::new(Ingress(self.clone()))
+    }
+
+    pub(crate) fn draw(&self) -> f64 {
+        lock(&self.rng).random_range(0.0..1.0)
+    }
+
+    pub(crate) fn choose(&self, admitted: &Admitted, demand: &Demand) -> Result<Path, NoPath> {
+        let now = clock::now();
+        let service = &*admitted.service;
+        let rng = &mut *lock(&self.rng);
+        let fleet = self.fleet();
+        let Some(profile) = admitted.pipeline() else {
+            return fleet.choose_target(now, service, demand, rng);
+        };
+        fleet.choose_path(now, service, profile, demand, &self.settings.home, rng)
+    }
+
+    pub(crate) fn note_request(&self, service: &ServiceName) {
+        self.with_budget(service, |budget| budget.requested(clock::now()));
+    }
+
+    /// Takes one repeat from the budget of a service.
+    pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
+        let count = lock(&self.instances).len();
+        self.with_budget(service, |budget| budget.take(clock::now(), count))
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let settings = &self.settings;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(
+                settings.repeat_ratio,
+                settings.extra_repeats,
+                settings.repeat_window,
+            )
+        });
+        act(budget)
+    }
+}
+
+struct Ingress(Arc<Router>);
+
+impl wire::Handler for Ingress {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        let router = self.0.clone();
+        async move {
+            let mut response = exchange::respond(router.clone(), request).await;
+            if router.is_leaving() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
+        }
+        .boxed()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+/// Settings of the forwarding of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ForwardSettings {
+    /// Longest answer that is kept until it is complete, in bytes. Longer ones are passed on as
+    /// they arrive.
+    pub answer_bytes: usize,
+    /// Longest age of the configuration with which keys are still accepted. Below the time within
+    /// which a withdrawn key must be refused everywhere.
+    pub catalog_limit: Duration,
+    /// Time to make a connection to a target in the same region.
+    pub connect_limit: Duration,
+    /// Repeated sends of one window that all instances together may add to the share of the
+    /// requests.
+    pub extra_repeats: f64,
+    /// Choice of targets.
+    pub fleet: FleetSettings,
+    /// Failure domain of this instance.
+    pub home: Arc<str>,
+    /// Longest time that a connection to a target is kept without use, where the target states no
+    /// limit of its own.
+    pub idle_limit: Duration,
+    /// Time in which an answer is on its way back to the caller; passed-on deadlines end earlier by
+    /// this.
+    pub return_time: Duration,
+    /// Share of the requests that may be sent a second time.
+    pub repeat_ratio: f64,
+    /// Window in which repeated sends are counted.
+    pub repeat_window: Duration,
+    /// Shortest time after which a refused caller is asked to come back.
+    pub return_after: Duration,
+    /// Time without a byte of a stream after which it is resumed elsewhere. Callers leave after
+    /// twice this time.
+    pub stall_limit: Duration,
+}
+
+impl Default for ForwardSettings {
+    fn default() -> Self {
+        Self {
+            answer_bytes: 256 * 1024,
+            catalog_limit: Duration::from_millis(4_500),
+            connect_limit: Duration::from_millis(300),
+            extra_repeats: 100.0,
+            fleet: FleetSettings::default(),
+            home: Arc::from(""),
+            idle_limit: Duration::from_secs(10),
+            repeat_ratio: 0.2,
+            repeat_window: Duration::from_secs(10),
+            return_after: Duration::from_millis(500),
+            return_time: Duration::from_millis(10),
+            stall_limit: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/stream.rs
@@ -0,0 +1,167 @@
+use super::*;
+
+/// Answers with a stream of events that a task of its own passes on.
+pub(crate) fn respond(exchange: Exchange, attempt: Attempt) -> Response {
+    let headers = headers::end_to_end(&attempt.reply.headers);
+    let (sender, mut response) = wire::stream(attempt.reply.status, "text/event-stream");
+    *response.headers_mut() = headers;
+    let pump = Pump {
+        event_bytes: 0,
+        events: EventSplitter::default(),
+        exchange,
+        sender,
+    };
+    tokio::spawn(pump.run(attempt));
+    response
+}
+
+/// Passes on the events of a stream, and resumes it elsewhere when it breaks off.
+pub(crate) struct Pump {
+    event_bytes: usize,
+    events: EventSplitter,
+    exchange: Exchange,
+    sender: BodySender,
+}
+
+/// How the part of a stream that one target made has ended.
+enum PartEnd {
+    /// The caller has left.
+    CallerLeft,
+    /// The stream is complete.
+    Complete,
+    /// The target broke off or fell silent.
+    Failed,
+    /// The final answer is due.
+    TimeOver,
+}
+
+impl Pump {
+    async fn run(mut self, attempt: Attempt) {
+        let mut attempt = attempt;
+        loop {
+            let stage = attempt.path.first().clone();
+            let path = attempt.path.clone();
+            match self.pass_on(&mut attempt).await {
+                PartEnd::CallerLeft => return self.log("caller_left", &stage),
+                PartEnd::Complete => {
+                    let router = self.exchange.router.clone();
+                    attempt.release(&router);
+                    return self.log("complete", &stage);
+                }
+                PartEnd::TimeOver => {
+                    self.log("time_over", &stage);
+                    return self.sender.disconnect().await;
+                }
+                PartEnd::Failed => {}
+            }
+            drop(attempt);
+            self.events.discard();
+            let Some(next) = self.resume(&path).await else {
+                self.log("broken_off", &stage);
+                return self.sender.disconnect().await;
+            };
+            attempt = next;
+        }
+    }
+
+    /// Passes on whole events until the part of this target ends.
+    async fn pass_on(&mut self, attempt: &mut Attempt) -> PartEnd {
+        loop {
+            let left = self.exchange.admitted.time_left();
+            if left.is_zero() {
+                return PartEnd::TimeOver;
+            }
+            let limit = self.silence_limit(left);
+            let chunk = tokio::select! {
+                chunk = attempt.reply.chunk(limit) => chunk,
+                () = self.sender.closed() => return PartEnd::CallerLeft,
+            };
+            let bytes = match chunk {
+                Ok(None) if self.events.is_inside_event() => return PartEnd::Failed,
+                Ok(None) => return PartEnd::Complete,
+                Ok(Some(bytes)) => bytes,
+                Err(wire::Error::Silent { .. }) if limit == left => return PartEnd::TimeOver,
+                Err(error) => {
+                    self.log_failure(attempt, &error);
+                    return PartEnd::Failed;
+                }
+            };
+            let whole = self.events.push(&bytes);
+            if whole.is_empty() {
+                continue;
+            }
+            self.event_bytes += whole.len();
+            if !self.sender.send(whole).await {
+                return PartEnd::CallerLeft;
+            }
+        }
+    }
+
+    /// Sends the request elsewhere, to go on after the last whole event.
+    async fn resume(&mut self, failed: &Path) -> Option<Attempt> {
+        let exchange = &mut self.exchange;
+        if exchange.admitted.route.repeat != Repeat::ResumableStream {
+            return None;
+        }
+        exchange.demand.excluded.push(failed.first().key);
+        if !exchange.may_try_again() || !exchange.take_repeat() {
+            return None;
+        }
+        let last = self.events.last_id().cloned();
+        let attempt = exchange.attempt(last.as_deref()).await;
+        let attempt = match attempt {
+            Ok(attempt) => attempt,
+            Err(refusal) => {
+                let reason = refusal.name();
+                tracing::info!(
+                    request = &*exchange.admitted.facts.id,
+                    reason,
+                    "not resumed"
+                );
+                return None;
+            }
+        };
+        if !attempt.reply.status.is_success() {
+            return None;
+        }
+        tracing::info!(
+            request = &*exchange.admitted.facts.id,
+            target = &*attempt.path.first().id,
+            last_event = last.as_deref().unwrap_or("none"),
+            "resumed"
+        );
+        Some(attempt)
+    }
+
+    fn silence_limit(&self, left: Duration) -> Duration {
+        let exchange = &self.exchange;
+        let is_resumable = exchange.admitted.route.repeat == Repeat::ResumableStream;
+        if is_resumable && exchange.attempt_count < exchange.admitted.route.attempt_count {
+            return left.min(exchange.router.settings.stall_limit);
+        }
+        left
+    }
+
+    fn log_failure(&self, attempt: &Attempt, error: &wire::Error) {
+        let stage = attempt.path.first();
+        tracing::info!(
+            request = &*self.exchange.admitted.facts.id,
+            target = &*stage.id,
+            last_event = self.events.last_id().map_or("none", |id| id),
+            %error,
+            "stream broke off"
+        );
+    }
+
+    fn log(&self, end: &'static str, stage: &Stage) {
+        metrics::counter!("forward_streams_total", "end" => end).increment(1);
+        tracing::info!(
+            request = &*self.exchange.admitted.facts.id,
+            target = &*stage.id,
+            end,
+            attempts = self.exchange.attempt_count,
+            bytes = self.event_bytes,
+            "stream ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/layout/src/engine.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// Sizes of a model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ModelShape {
+    /// KV cache for one token in one layer, in MB.
+    pub kv_mb_per_token_layer: f64,
+    /// Layers.
+    pub layer_count: u32,
+    /// Size of one layer, in MB.
+    pub layer_mb: f64,
+}
+
+/// An engine that can hold layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Layers that it holds or is loading.
+    pub held: Option<LayerRange>,
+    /// Id.
+    pub id: EngineId,
+    /// Memory for layers and requests, in MB.
+    pub memory_mb: f64,
+    /// Time of a token step, relative to other engines.
+    pub pace: f64,
+}
+
+impl Engine {
+    /// Most layers that leave memory for `tokens` tokens in each of them.
+    #[must_use]
+    pub fn capacity(&self, shape: &ModelShape, tokens: f64) -> u32 {
+        let mb = shape.layer_mb + tokens * shape.kv_mb_per_token_layer;
+        let count = (self.memory_mb / mb).floor().max(0.0) as u32;
+        count.min(shape.layer_count)
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// Longest wait for a change in one read. A read confirms the configuration as of its start, so the
+/// wait is a part of the age at which keys are no longer accepted.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Keeps the configuration of a router current.
+pub async fn follow_catalog(router: Arc<Router>, mut source: Box<dyn CatalogSource>) {
+    let mut link = Link::new("configuration");
+    let mut wait = Duration::ZERO;
+    loop {
+        match source.read(wait).await {
+            Err(error) => {
+                link.failed(clock::now(), &error);
+                // The next read confirms at once.
+                wait = Duration::ZERO;
+                sleep(PAUSE).await;
+            }
+            Ok(read) => {
+                link.answered(clock::now());
+                take(&router, &read);
+                wait = WAIT;
+            }
+        }
+    }
+}
+
+fn take(router: &Router, read: &CatalogRead) {
+    let mut holder = router.catalog();
+    if let Some(catalog) = &read.catalog {
+        let version = catalog.version();
+        let before = holder.catalog().map_or(0, |held| held.version());
+        let is_taken = holder.offer(catalog.clone());
+        let age_ms = clock::now().saturating_sub(read.sent_at).as_millis() as u64;
+        tracing::info!(version, before, is_taken, age_ms, "configuration read");
+    }
+    if !read.is_current {
+        return;
+    }
+    if let Some(version) = holder.catalog().map(|held| held.version()) {
+        holder.confirm(version, read.sent_at);
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/leadership.rs
@@ -0,0 +1,145 @@
+use super::*;
+
+/// Settings of the choice of a leader.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeadershipSettings {
+    /// Time without a change of the leader's row after which another instance takes over.
+    pub lease: Duration,
+    /// Time after the last confirmed renewal for which the leader gives orders. Below `lease`, so
+    /// that it stops before another one starts.
+    pub term: Duration,
+}
+
+impl Default for LeadershipSettings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(3_000),
+            term: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// Row of the leader.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaderRow {
+    /// Number that grows with each change of the leader; engines refuse lower ones.
+    pub fence: u64,
+    /// Instance that leads.
+    pub holder: Arc<str>,
+}
+
+/// What to do about the leader's row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LeaseStep {
+    /// Nothing.
+    Wait,
+    /// Write the row, on the condition that its version is still the expected one.
+    Write {
+        /// Version that the row must have; 0 if it must not exist.
+        expected_version: u64,
+        /// New row.
+        row: LeaderRow,
+    },
+}
+
+/// Decides which instance leads, by a row that its holder writes again and again.
+///
+/// Ages are measured on this instance's own clock from when it first saw a version, so that clocks
+/// need not agree.
+#[derive(Clone, Debug)]
+pub struct Leadership {
+    instance: Arc<str>,
+    /// Fence of this instance's own term, and when the write that began or renewed it was sent.
+    own: Option<(u64, Duration)>,
+    row: Option<(LeaderRow, u64)>,
+    seen_at: Option<Duration>,
+    settings: LeadershipSettings,
+}
+
+impl Leadership {
+    /// Creates the state of an instance, which must not use its id again after a restart.
+    #[must_use]
+    pub fn new(instance: Arc<str>, settings: LeadershipSettings) -> Self {
+        Self {
+            instance,
+            own: None,
+            row: None,
+            seen_at: None,
+            settings,
+        }
+    }
+
+    /// Notes the row and its version.
+    pub fn observe(&mut self, now: Duration, row: Option<(LeaderRow, u64)>) {
+        let version = |row: &Option<(LeaderRow, u64)>| row.as_ref().map(|(_, version)| *version);
+        if self.seen_at.is_none() || version(&row) != version(&self.row) {
+            self.seen_at = Some(now);
+        }
+        let is_other = row
+            .as_ref()
+            .is_none_or(|(row, _)| row.holder != self.instance);
+        if is_other && self.own.take().is_some() {
+            tracing::info!(
+                instance = &*self.instance,
+                "leadership lost to another instance"
+            );
+        }
+        self.row = row;
+    }
+
+    /// What to do now.
+    #[must_use]
+    pub fn step(&self, now: Duration) -> LeaseStep {
+        let Some(seen_at) = self.seen_at else {
+            return LeaseStep::Wait;
+        };
+        let Some((row, version)) = &self.row else {
+            return self.write(1, 0);
+        };
+        if row.holder == self.instance && self.own.is_some() {
+            return self.write(row.fence, *version);
+        }
+        if now.saturating_sub(seen_at) < self.settings.lease {
+            return LeaseStep::Wait;
+        }
+        self.write(row.fence + 1, *version)
+    }
+
+    /// Notes that a write sent at `sent_at` was accepted.
+    pub fn written(&mut self, sent_at: Duration, row: LeaderRow, version: u64) {
+        if self.own.is_none_or(|(fence, _)| fence != row.fence) {
+            tracing::info!(
+                instance = &*self.instance,
+                fence = row.fence,
+                "leadership taken"
+            );
+        }
+        self.own = Some((row.fence, sent_at));
+        self.row = Some((row, version));
+        self.seen_at = Some(sent_at);
+    }
+
+    /// Notes that an engine has seen an order of a newer leader.
+    pub fn fenced(&mut self) {
+        if self.own.take().is_some() {
+            tracing::warn!(instance = &*self.instance, "an engine knows a newer leader");
+        }
+    }
+
+    /// Fence of this instance's orders; none if it does not lead.
+    #[must_use]
+    pub fn fence(&self, now: Duration) -> Option<u64> {
+        let (fence, renewed_at) = self.own?;
+        (now.saturating_sub(renewed_at) < self.settings.term).then_some(fence)
+    }
+
+    fn write(&self, fence: u64, expected_version: u64) -> LeaseStep {
+        LeaseStep::Write {
+            expected_version,
+            row: LeaderRow {
+                fence,
+                holder: self.instance.clone(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/reconcile/src/lib.rs
@@ -0,0 +1,48 @@
+//! Keeps an instance in step with what is shared: configuration, targets, other instances, and the
+//! layout of layers, which one instance at a time brings about.
+//!
+//! The shared stores are reached through traits. The decisions, `Leadership`, `Membership` and
+//! `LayoutKeeper`, do no I/O.
+
+use {
+    catalog::{Catalog, EngineProfile},
+    fleet::{Roster, Target},
+    forward::{Instance, Router},
+    futures::future::BoxFuture,
+    layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::time::sleep,
+};
+
+mod catalog_loop;
+mod error;
+mod instance_loop;
+mod layout_keeper;
+mod leadership;
+mod link;
+mod membership;
+mod order_loop;
+mod sources;
+mod target_loop;
+
+pub use {
+    catalog_loop::follow_catalog,
+    error::Error,
+    instance_loop::follow_instances,
+    layout_keeper::{LayoutKeeper, Order},
+    leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
+    link::Link,
+    membership::{InstanceRow, Membership},
+    order_loop::keep_layout,
+    sources::{
+        CatalogRead, CatalogSource, EngineState, Engines, InstanceTable, InstanceView, OrderReply,
+        TargetChange, TargetSource,
+    },
+    target_loop::follow_targets,
+};
--- /dev/null
+++ b/crates/reconcile/src/order_loop.rs
@@ -0,0 +1,90 @@
+use super::*;
+
+/// Time between looks at the layout.
+const INTERVAL: Duration = Duration::from_millis(300);
+
+/// Brings the engines to the planned layout while this instance leads.
+pub async fn keep_layout(
+    router: Arc<Router>,
+    engines: Arc<dyn Engines>,
+    shared: Arc<Mutex<Vec<Target>>>,
+    leadership: Arc<Mutex<Leadership>>,
+) {
+    let mut keepers: HashMap<Arc<str>, LayoutKeeper> = HashMap::new();
+    loop {
+        sleep(INTERVAL).await;
+        let Some(catalog) = router.catalog().catalog().cloned() else {
+            continue;
+        };
+        if lock(&leadership).fence(clock::now()).is_none() {
+            keepers.clear();
+            continue;
+        }
+        let targets = lock(&shared).clone();
+        for service in catalog.services() {
+            let Some(profile) = service.engine.as_deref() else {
+                continue;
+            };
+            if profile.layer_count == 0 {
+                continue;
+            }
+            let keeper = keepers.entry(service.name.clone()).or_default();
+            let orders = keeper.orders(clock::now(), &service.name, profile, &targets);
+            let sends = orders
+                .iter()
+                .map(|order| give(&*engines, order, &leadership));
+            let results = futures::future::join_all(sends).await;
+            for (order, is_given) in orders.iter().zip(results) {
+                if is_given {
+                    keeper.ordered(clock::now(), &order.placement);
+                }
+            }
+        }
+    }
+}
+
+/// Gives one order. Returns whether it is or may be carried out.
+async fn give(engines: &dyn Engines, order: &Order, leadership: &Mutex<Leadership>) -> bool {
+    let Order { address, placement } = order;
+    let state = match engines.state(*address).await {
+        Err(error) => {
+            tracing::info!(target = &*placement.engine, %error, "engine state not known");
+            return false;
+        }
+        Ok(state) => state,
+    };
+    if state.is_busy {
+        return false;
+    }
+    let Some(fence) = lock(leadership).fence(clock::now()) else {
+        return false;
+    };
+    let reply = engines.place(*address, placement.range, fence, state.order_count);
+    let reply = reply.await;
+    let outcome = match &reply {
+        Err(_) => "unknown",
+        Ok(OrderReply::Accepted) => "accepted",
+        Ok(OrderReply::Conflict) => "conflict",
+        Ok(OrderReply::Fenced) => "fenced",
+    };
+    tracing::info!(
+        target = &*placement.engine,
+        range = %placement.range,
+        fence,
+        orders = state.order_count,
+        outcome,
+        "layers ordered"
+    );
+    match reply {
+        Err(_) | Ok(OrderReply::Accepted) => true,
+        Ok(OrderReply::Conflict) => false,
+        Ok(OrderReply::Fenced) => {
+            lock(leadership).fenced();
+            false
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/reconcile/src/target_loop.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+/// Longest wait for a change in one read.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Time between reads, which bounds their number when targets change all the time. A target that
+/// leaves takes requests for two seconds after it said so.
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// Keeps the targets of a router current.
+pub async fn follow_targets(
+    router: Arc<Router>,
+    mut source: Box<dyn TargetSource>,
+    shared: Arc<Mutex<Vec<Target>>>,
+) {
+    let mut link = Link::new("target list");
+    let mut roster = Roster::default();
+    loop {
+        match source.read(WAIT).await {
+            Err(error) => link.failed(clock::now(), &error),
+            Ok(change) => {
+                let now = clock::now();
+                link.answered(now);
+                roster.answered(now);
+                apply(&mut roster, now, change);
+            }
+        }
+        let listing = roster.listing(clock::now());
+        take(&router, &shared, listing);
+        sleep(INTERVAL).await;
+    }
+}
+
+fn apply(roster: &mut Roster, now: Duration, change: TargetChange) {
+    match change {
+        TargetChange::All(targets) => roster.replace(now, targets),
+        TargetChange::Some(changed, removed) => {
+            for target in changed {
+                roster.put(target);
+            }
+            for id in removed {
+                roster.remove(now, &id);
+            }
+        }
+    }
+}
+
+fn take(router: &Router, shared: &Mutex<Vec<Target>>, listing: Vec<Target>) {
+    let mut known = shared.lock().unwrap_or_else(PoisonError::into_inner);
+    if *known == listing {
+        return;
+    }
+    log_changes(&known, &listing);
+    router.fleet().list(&listing);
+    router.keep_connections(&listing);
+    *known = listing;
+}
+
+fn log_changes(before: &[Target], after: &[Target]) {
+    let known: HashMap<&str, &Target> = before.iter().map(|one| (&*one.id, one)).collect();
+    let listed: HashMap<&str, &Target> = after.iter().map(|one| (&*one.id, one)).collect();
+    for target in after {
+        let held = target
+            .held
+            .map(|range| range.to_string())
+            .unwrap_or_default();
+        let change = match known.get(&*target.id) {
+            None => "listed",
+            Some(old) if **old == *target => continue,
+            Some(_) => "changed",
+        };
+        tracing::info!(
+            target = &*target.id,
+            address = %target.address,
+            domain = &*target.domain,
+            held,
+            is_leaving = target.is_leaving,
+            change,
+            "target list"
+        );
+    }
+    for target in before {
+        if !listed.contains_key(&*target.id) {
+            tracing::info!(target = &*target.id, change = "gone", "target list");
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,6 +14,7 @@
         path::Path,
     },
     thiserror::Error,
+    tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard},
     tracing_subscriber::EnvFilter,
 };
 
@@ -33,6 +34,6 @@
     error::Error,
     fault::{Fault, Faults},
     load::{load, parse},
-    log::{LogFormat, LogSettings, start_log},
+    log::{LogFormat, LogSettings, start_log, start_output_log},
     program::Program,
 };
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -58,3 +58,34 @@
     };
     result.map_err(|error| fault(error.to_string()))
 }
+
+/// Lines that wait for the reader of standard output before further ones are dropped and counted.
+const WAITING_LINE_COUNT: usize = 4_096;
+
+/// Sets up a log on standard output that never blocks: lines that its reader does not take in time
+/// are dropped. The log is written until the guard is dropped.
+///
+/// # Errors
+///
+/// Returns `Error::Log` when the filter cannot be read or a log is already set up.
+pub fn start_output_log(log: &LogSettings) -> Result<WorkerGuard, Error> {
+    let fault = |message: String| Error::Log { message };
+    let filter = EnvFilter::try_new(&log.filter).map_err(|error| fault(error.to_string()))?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINE_COUNT)
+        .lossy(true)
+        .finish(io::stdout());
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer);
+    let result = match log.format {
+        LogFormat::Json => builder
+            .json()
+            .flatten_event(true)
+            .with_target(false)
+            .try_init(),
+        LogFormat::Text => builder.with_ansi(false).try_init(),
+    };
+    result.map_err(|error| fault(error.to_string()))?;
+    Ok(guard)
+}
--- a/crates/platform/tests/client.rs
+++ b/crates/storage/tests/client.rs
@@ -3,10 +3,10 @@
 #![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
 
 use {
-    platform::{Listings, Objects, PlatformClient, PlatformSettings, Table},
     serde_json::{Value, json},
     standin::{Outage, Platform, Standin},
     std::{net::SocketAddr, sync::Arc},
+    storage::{Listings, Objects, PlatformClient, PlatformSettings, Table},
     types::{Condition, Listing, ListingRole, StoreFailure, StoreReply, StoreRequest, Write},
     wire::{Call, hyper::Method},
     yare::parameterized,
--- a/crates/platform/tests/metrics.rs
+++ b/crates/storage/tests/metrics.rs
@@ -4,9 +4,9 @@
 #![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
 
 use {
-    platform::{PlatformClient, PlatformSettings, Table},
     serde_json::{Value, json},
     standin::Platform,
+    storage::{PlatformClient, PlatformSettings, Table},
     types::{StoreFailure, StoreRequest},
     wire::Call,
 };
--- a/crates/suite/src/setup.rs
+++ b/crates/suite/src/setup.rs
@@ -84,7 +84,7 @@
                 ..self.entry.peer.clone()
             },
             peer_address: loopback(),
-            platform: platform::PlatformSettings {
+            platform: storage::PlatformSettings {
                 addresses: vec![platform],
                 ..self.entry.platform.clone()
             },
--- a/crates/target/src/classify.rs
+++ b/crates/target/src/classify.rs
@@ -7,7 +7,9 @@
         | wire::Error::Json { .. }
         | wire::Error::Malformed { .. } => FailureKind::Protocol,
         wire::Error::Broken { .. } => FailureKind::Broken,
-        wire::Error::Connect { .. } | wire::Error::Request { .. } => FailureKind::Unreachable,
+        wire::Error::Closed { .. } | wire::Error::Connect { .. } | wire::Error::Request { .. } => {
+            FailureKind::Unreachable
+        }
         wire::Error::Silent { .. } => FailureKind::Silent,
     }
 }
--- a/crates/target/tests/service.rs
+++ b/crates/target/tests/service.rs
@@ -4,10 +4,10 @@
 #![expect(clippy::unwrap_used, reason = "a fault in a helper fails its test")]
 
 use {
-    platform::{Listings, PlatformClient},
     serde_json::{Value, json},
     standin::{Ending, Execution, Place, Platform, Service, ServiceSettings, Standin},
     std::time::Duration,
+    storage::{Listings, PlatformClient},
     target::{ServiceClient, Services},
     types::{CallReply, FailureKind},
     wire::Call,
@@ -86,9 +86,9 @@
         ..standin::PlatformSettings::default()
     };
     let platform = Platform::start(settings).await.unwrap();
-    let client = PlatformClient::new(platform::PlatformSettings {
+    let client = PlatformClient::new(storage::PlatformSettings {
         addresses: vec![platform.address()],
-        ..platform::PlatformSettings::default()
+        ..storage::PlatformSettings::default()
     })
     .unwrap();
     let settings = ServiceSettings {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -63,20 +63,59 @@
     /// Returns `Error::Request` when nothing was sent, `Error::Broken` when the connection broke,
     /// and `Error::Silent` when no head came within the call's limit.
     pub async fn send(&mut self, call: &Call) -> Result<ReplyStream, Error> {
+        let request = call.request(self.address)?;
+        self.exchange(request, call.limit).await
+    }
+
+    /// Sends a request and reads the whole reply, after which the connection may be used again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `send` and `ReplyStream::read`, and `Error::Silent` when the whole
+    /// reply takes longer than the call's limit.
+    pub async fn call(&mut self, call: &Call) -> Result<Reply, Error> {
         let address = self.address;
-        let request = call.request(address)?;
         let exchange = async {
-            self.sender.ready().await?;
-            self.sender.send_request(request).await
+            let mut reply = self.send(call).await?;
+            let body = reply.read(call.limit, call.limit_bytes).await?;
+            Ok(Reply {
+                body,
+                headers: reply.headers,
+                status: reply.status,
+            })
         };
-        let response = match timeout(call.limit, exchange).await {
-            Err(_) => {
-                return Err(Error::Silent {
-                    address,
-                    limit: call.limit,
-                });
+        match timeout(call.limit, exchange).await {
+            Err(_) => Err(Error::Silent {
+                address,
+                limit: call.limit,
+            }),
+            Ok(result) => result,
+        }
+    }
+
+    /// Sends a request that is complete with its `Host`, and waits at most `limit` for the head of
+    /// the reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::Closed` when nothing was sent, `Error::Broken` or `Error::Malformed` when
+    /// the exchange failed, and `Error::Silent` when no head came within `limit`.
+    pub async fn exchange(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<ReplyStream, Error> {
+        let address = self.address;
+        let exchange = async {
+            if self.sender.ready().await.is_err() {
+                return Err(Error::Closed { address });
             }
-            Ok(result) => result.map_err(|error| exchange_error(address, &error))?,
+            let result = self.sender.send_request(request).await;
+            result.map_err(|error| exchange_error(address, &error))
+        };
+        let response = match timeout(limit, exchange).await {
+            Err(_) => return Err(Error::Silent { address, limit }),
+            Ok(result) => result?,
         };
         let (head, body) = response.into_parts();
         Ok(ReplyStream {
@@ -192,6 +231,9 @@
 
 fn exchange_error(address: SocketAddr, error: &hyper::Error) -> Error {
     let message = error.to_string();
+    if error.is_canceled() {
+        return Error::Closed { address };
+    }
     if error.is_parse() {
         return Error::Malformed { address, message };
     }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -17,6 +17,12 @@
         /// Cause.
         message: String,
     },
+    /// A kept connection was closed before the request, so nothing was sent.
+    #[error("{address} closed the connection before the request; send it on a new one")]
+    Closed {
+        /// Other side.
+        address: SocketAddr,
+    },
     /// No connection could be made, so nothing was sent.
     #[error("no connection to {address}: {message}; check the address and that a process listens")]
     Connect {
@@ -59,6 +65,9 @@
     /// Whether it is certain that no byte of the request was sent.
     #[must_use]
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::Request { .. })
+        matches!(
+            self,
+            Self::Closed { .. } | Self::Connect { .. } | Self::Request { .. }
+        )
     }
 }
