Move streams off engines that fail or turn slow

Cause: a stream whose path contained a dead engine was silent for a second, was sent again through the same dead engine when only the first stage was excluded, and broke off after two attempts. Ruled out: excluding the whole path, which leaves too few engines in a failure domain. Change: silent streams ask the stages of their path how they are; engines that do not answer are avoided, slow ones cost more, and the running request is moved to another path with the same first stage. Answers with a server error are kept for the caller when no other target does better.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,12 +1,14 @@
 use super::*;
 
 /// What a request needs of its targets.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
     /// Expected tokens of the answer; 0 for plain services.
     pub answer_tokens: f64,
     /// Targets that must not be used, because they failed this request.
     pub excluded: Vec<TargetKey>,
+    /// First stage, where the request is already there and cannot be sent to another one.
+    pub first: Option<Stage>,
     /// Tokens of the prompt; 0 for plain services.
     pub prompt_tokens: f64,
 }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -3,11 +3,15 @@
 /// A listed target with what this instance observed of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
+    /// When the last sign of life arrived.
+    pub(crate) alive_at: Duration,
     pub(crate) health: Health,
     /// Requests of this instance that it serves.
     pub(crate) in_flight_count: u32,
     /// Last reported load, and when it arrived.
     pub(crate) load: Option<(Load, Duration)>,
+    /// Factor by which it is slower than its hardware, as it last said. Invariant: at least 1.
+    pub(crate) slowness: f64,
     pub(crate) target: Target,
     /// Tokens times layers that requests of this instance take.
     pub(crate) token_layers: f64,
@@ -16,9 +20,11 @@
 impl Entry {
     pub(crate) fn new(target: Target) -> Self {
         Self {
+            alive_at: Duration::ZERO,
             health: Health::default(),
             in_flight_count: 0,
             load: None,
+            slowness: 1.0,
             target,
             token_layers: 0.0,
         }
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -29,6 +29,10 @@
         // Steps that end at each position: the cheapest of each failure domain.
         let mut ends: HashMap<u32, Vec<usize>> = HashMap::new();
         for (index, start) in positions.iter().enumerate() {
+            if *start == 0 && self.demand.first.is_some() {
+                self.begin_fixed(&mut steps, &mut ends);
+                continue;
+            }
             let before = ends.get(start).cloned().unwrap_or_default();
             if *start > 0 && before.is_empty() {
                 continue;
@@ -58,9 +62,29 @@
         Some((trace(&steps, best), steps[best].cost_ms))
     }
 
+    /// Begins with the stage that the request is already at.
+    fn begin_fixed(&self, steps: &mut Vec<Step>, ends: &mut HashMap<u32, Vec<usize>>) {
+        let Some(Stage { key, range: Some(range), .. }) = &self.demand.first else {
+            return;
+        };
+        let Some(engine) = self.engines.iter().position(|(at, ..)| at == key) else {
+            return;
+        };
+        steps.push(Step {
+            cost_ms: 0.0,
+            engine,
+            previous: None,
+            range: *range,
+        });
+        ends.entry(range.end).or_default().push(steps.len() - 1);
+    }
+
     /// Positions at which a held range begins or ends, ascending.
     fn positions(&self) -> Vec<u32> {
         let mut positions = BTreeSet::from([0, self.profile.layer_count]);
+        if let Some(range) = self.demand.first.as_ref().and_then(|stage| stage.range) {
+            positions.insert(range.end);
+        }
         for (_, entry, _) in &self.engines {
             let Some(range) = entry.target.held else {
                 continue;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -110,7 +110,10 @@
             };
             held_count += 1;
             let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
-            let Some(layer_ms) = self.layer_ms(entry, profile, hardware, demand) else {
+            let is_first = demand.first.as_ref().is_some_and(|first| first.key == key);
+            let layer_ms = self.layer_ms(entry, profile, hardware, demand);
+            // A request that is already there has its memory.
+            let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
                 continue;
             };
             engines.push((key, entry, layer_ms * jitter));
@@ -179,24 +182,83 @@
         }
     }
 
-    /// Handle of the target at an address, among those of a path.
+    /// Notes that all targets of a path took part in an event that arrived.
+    pub fn note_alive(&mut self, now: Duration, path: &Path) {
+        for key in path.keys() {
+            if let Some(entry) = self.targets.get_mut(key) {
+                entry.alive_at = now;
+            }
+        }
+    }
+
+    /// Notes what an engine said of itself. Returns whether it became slow or is no longer slow.
+    pub fn note_state(
+        &mut self,
+        now: Duration,
+        key: TargetKey,
+        held: Option<LayerRange>,
+        slowness: f64,
+    ) -> bool {
+        let limit = self.settings.slow_factor;
+        let Some(entry) = self.targets.get_mut(key) else {
+            return false;
+        };
+        let was_slow = entry.slowness >= limit;
+        entry.alive_at = now;
+        entry.health = Health::default();
+        entry.slowness = slowness.max(1.0);
+        entry.target.held = held;
+        was_slow != (entry.slowness >= limit)
+    }
+
+    /// Stages of a path that gave no sign of life since `since`.
     #[must_use]
-    pub fn stage_at<'a>(&self, path: &'a Path, address: SocketAddr) -> Option<&'a Stage> {
-        path.stages.iter().find(|stage| stage.address == address)
+    pub fn silent<'a>(&self, path: &'a Path, since: Duration) -> Vec<&'a Stage> {
+        let mut silent = Vec::new();
+        for stage in &path.stages {
+            if self.targets.get(stage.key).is_none_or(|entry| entry.alive_at < since) {
+                silent.push(stage);
+            }
+        }
+        silent
     }
 
-    /// Whether a target is listed and takes new requests.
+    /// Whether a stage of a path must be replaced: it is gone, avoided, or does not hold its layers.
     #[must_use]
-    pub fn is_listed(&self, key: TargetKey) -> bool {
-        let entry = self.targets.get(key);
-        entry.is_some_and(|entry| !entry.target.is_leaving)
+    pub fn is_lost(&self, now: Duration, stage: &Stage) -> bool {
+        let Some(entry) = self.targets.get(stage.key) else {
+            return true;
+        };
+        let holds = |held: LayerRange, range: LayerRange| {
+            held.start <= range.start && range.end <= held.end
+        };
+        let is_held = match (stage.range, entry.target.held) {
+            (None, _) => true,
+            (Some(range), Some(held)) => holds(held, range),
+            (Some(_), None) => false,
+        };
+        !is_held || entry.health.is_avoided(now)
     }
 
-    /// Targets that are avoided, with the time until then.
-    pub fn avoided(&self, now: Duration) -> impl Iterator<Item = (&Target, Duration)> {
-        let entries = self.targets.values();
-        let avoided = entries.filter(move |entry| entry.health.is_avoided(now));
-        avoided.map(|entry| (&entry.target, entry.health.avoided_until()))
+    /// Whether a stage is much slower than its hardware.
+    #[must_use]
+    pub fn is_slow(&self, stage: &Stage) -> bool {
+        let entry = self.targets.get(stage.key);
+        entry.is_some_and(|entry| entry.slowness >= self.settings.slow_factor)
+    }
+
+    /// Engines that are avoided or slow, to be asked how they are.
+    #[must_use]
+    pub fn ailing(&self, now: Duration) -> Vec<Stage> {
+        let mut ailing = Vec::new();
+        for (key, entry) in &self.targets {
+            let is_engine = entry.target.hardware.is_some();
+            let is_slow = entry.slowness >= self.settings.slow_factor;
+            if is_engine && (is_slow || entry.health.is_avoided(now)) {
+                ailing.push(self.stage(key, entry.target.held));
+            }
+        }
+        ailing
     }
 
     fn peer_factor(&self) -> f64 {
@@ -237,8 +299,8 @@
         let running = f64::from(entry.in_flight_count) * self.peer_factor();
         let context = demand.tokens() / 1_000.0 * profile.context_ms_per_thousand;
         let step_ms = profile.step_ms + running * (profile.step_ms_per_request + context);
-        let step_ms = demand.answer_tokens * step_ms * hardware.pace;
-        let read_ms = demand.prompt_tokens * hardware.read_factor * 1_000.0;
+        let step_ms = demand.answer_tokens * step_ms * hardware.pace * entry.slowness;
+        let read_ms = demand.prompt_tokens * hardware.read_factor * entry.slowness * 1_000.0;
         let read_ms = read_ms / profile.read_tokens_per_s.max(1.0);
         let layers = f64::from(profile.layer_count.max(1));
         // Waiting grows as the memory fills.
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -40,8 +40,4 @@
     pub(crate) fn is_avoided(&self, now: Duration) -> bool {
         now < self.avoided_until
     }
-
-    pub(crate) fn avoided_until(&self) -> Duration {
-        self.avoided_until
-    }
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -17,6 +17,8 @@
     pub longest_avoidance: Duration,
     /// Age at which a load report no longer says anything.
     pub report_limit: Duration,
+    /// Factor from which an engine that is slower than its hardware counts as slow.
+    pub slow_factor: f64,
     /// Random share by which costs differ between instances, so that they do not all choose the
     /// same targets from the same reports.
     pub spread_share: f64,
@@ -31,6 +33,7 @@
             hop_ms: 0.5,
             longest_avoidance: Duration::from_secs(8),
             report_limit: Duration::from_millis(500),
+            slow_factor: 1.5,
             spread_share: 0.15,
         }
     }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -4,7 +4,7 @@
 pub(crate) struct Attempt {
     pub(crate) facts: ReplyFacts,
     /// Counts the request at its targets as long as the attempt lives.
-    _in_flight: InFlight,
+    in_flight: InFlight,
     pub(crate) path: Path,
     pub(crate) connection: Connection,
     pub(crate) reply: ReplyStream,
@@ -68,17 +68,21 @@
             }
             Ok(message) => message,
         };
-        let reply = match connection.exchange(message, limit).await {
-            Err(error) => {
+        let mut watched = Watched { in_flight, path };
+        let exchange = connection.exchange(message, limit);
+        let reply = match watched.wait(router, admitted, exchange).await {
+            None => return Err((AttemptFailure::Unknown, watched.path)),
+            Some(Err(error)) => {
                 let failure = failed(router, admitted, &first, &error);
-                return Err((failure, path));
+                return Err((failure, watched.path));
             }
-            Ok(reply) => reply,
+            Some(Ok(reply)) => reply,
         };
+        let Watched { in_flight, path } = watched;
         let facts = router.dialect.reply(reply.status, &reply.headers);
         let attempt = Self {
             facts,
-            _in_flight: in_flight,
+            in_flight,
             path,
             connection,
             reply,
@@ -155,6 +159,12 @@
         Ok(body)
     }
 
+    /// Counts the request along another path.
+    pub(crate) fn move_to(&mut self, router: &Arc<Router>, path: Path) {
+        self.in_flight = InFlight::begin(router, &path);
+        self.path = path;
+    }
+
     /// Keeps the connection after its answer was read to the end.
     pub(crate) fn release(self, router: &Router) {
         if headers::closes(&self.reply.headers) {
@@ -167,6 +177,40 @@
     }
 }
 
+/// A request that waits for the head of its answer.
+struct Watched {
+    in_flight: InFlight,
+    path: Path,
+}
+
+impl Watched {
+    /// Waits for the head, and inspects the path while there is none. Returns none if the request
+    /// cannot go on where it is.
+    async fn wait(
+        &mut self,
+        router: &Arc<Router>,
+        admitted: &Admitted,
+        exchange: impl Future<Output = Result<ReplyStream, wire::Error>>,
+    ) -> Option<Result<ReplyStream, wire::Error>> {
+        let mut exchange = std::pin::pin!(exchange);
+        loop {
+            let since = clock::now();
+            let limit = router.settings.start_limit;
+            if let Ok(result) = timeout(limit, &mut exchange).await {
+                return Some(result);
+            }
+            match watchdog::inspect(router, admitted, &self.path, since).await {
+                Verdict::Lost if admitted.route.repeat.may_run_again() => return None,
+                Verdict::Lost | Verdict::Sound => {}
+                Verdict::Moved(path) => {
+                    self.in_flight = InFlight::begin(router, &path);
+                    self.path = path;
+                }
+            }
+        }
+    }
+}
+
 /// Notes a failed send.
 fn failed(
     router: &Router,
--- a/crates/reconcile/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Failures of shared stores and engines.
+/// Failures of shared stores and engines that others keep.
 #[derive(Clone, Debug, Error)]
 pub enum Error {
     /// Nothing was done.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -9,6 +9,8 @@
     /// Sends that reached a target.
     pub(crate) attempt_count: u32,
     pub(crate) demand: Demand,
+    /// Failure that a target answered, for the caller if no other target does better.
+    kept: Option<Response>,
     /// Whether a target may have run the request.
     pub(crate) may_have_run: bool,
     pub(crate) request: Request,
@@ -30,6 +32,7 @@
     let exchange = Exchange {
         attempt_count: 0,
         demand: admitted.demand(),
+        kept: None,
         admitted,
         may_have_run: false,
         request,
@@ -43,31 +46,34 @@
     async fn run(mut self) -> Response {
         loop {
             let attempt = match self.attempt(None).await {
-                Err(refusal) => return self.refuse(refusal),
+                Err(refusal) => return self.give_up(refusal),
                 Ok(attempt) => attempt,
             };
             let status = attempt.reply.status;
-            if status.is_server_error() && self.may_try_again() && self.take_repeat() {
-                tracing::info!(
-                    request = &*self.admitted.facts.id,
-                    target = &*attempt.path.first().id,
-                    status = status.as_u16(),
-                    "failed at target, sent again"
-                );
-                self.demand.excluded.push(attempt.path.first().key);
-                let _ = attempt.read(&self.router).await;
-                continue;
-            }
             if status.is_success() && self.admitted.route.repeat.is_stream() {
                 return stream::respond(self, attempt);
             }
-            match deliver::respond(&mut self, attempt).await {
-                None => {}
-                Some(response) => return response,
+            let target = attempt.path.first().clone();
+            let Some(response) = deliver::respond(&mut self, attempt).await else {
+                continue;
+            };
+            if !status.is_server_error() || !self.may_try_again() || !self.take_repeat() {
+                return response;
             }
+            let status = status.as_u16();
+            let request = &*self.admitted.facts.id;
+            tracing::info!(request, target = &*target.id, status, "failed at target, sent again");
+            self.demand.excluded.push(target.key);
+            self.kept = Some(response);
         }
     }
 
+    /// Final answer when no target answers: the failure that one answered before, if any.
+    fn give_up(mut self, refusal: Refusal) -> Response {
+        let refused = self.refuse(refusal);
+        self.kept.take().unwrap_or(refused)
+    }
+
     /// Sends the request to one target after another until one answers.
     pub(crate) async fn attempt(&mut self, last_event: Option<&str>) -> Result<Attempt, Refusal> {
         loop {
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Admitted {
     pub(crate) account: Option<Account>,
+    /// When the request had arrived whole.
+    pub(crate) arrived_at: Duration,
     pub(crate) facts: RequestFacts,
     pub(crate) profile: Option<Arc<EngineProfile>>,
     pub(crate) route: Route,
@@ -52,6 +54,7 @@
             .min(facts.deadline.unwrap_or(Duration::MAX));
         Ok(Self {
             account,
+            arrived_at: now,
             ends_at: now + limit,
             facts,
             profile,
@@ -80,6 +83,7 @@
         Demand {
             answer_tokens: expected,
             excluded: Vec::new(),
+            first: None,
             prompt_tokens: facts.prompt_tokens,
         }
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
             TRANSFER_ENCODING,
         },
     },
+    layout::LayerRange,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         collections::{HashMap, HashSet},
@@ -30,7 +31,8 @@
         },
         time::Duration,
     },
-    tokio::time::timeout,
+    thiserror::Error,
+    tokio::time::{sleep, timeout},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
 
@@ -38,6 +40,8 @@
 mod deliver;
 mod dialect;
 mod directory;
+mod engines;
+mod error;
 mod events;
 mod exchange;
 mod gate;
@@ -45,17 +49,23 @@
 mod in_flight;
 mod instance;
 mod pool;
+mod probes;
 mod refusal;
 mod router;
 mod settings;
 mod stream;
+mod stream_pace;
+mod watchdog;
 
 pub use {
     dialect::{Dialect, Dispatch, ReplyFacts, RequestFacts},
     directory::{Directory, Readiness},
+    engines::{EngineState, Engines, OrderReply},
+    error::Error,
     events::EventSplitter,
     instance::Instance,
     pool::Pool,
+    probes::watch_engines,
     refusal::Refusal,
     router::Router,
     settings::ForwardSettings,
@@ -66,4 +76,7 @@
     exchange::Exchange,
     gate::Admitted,
     in_flight::InFlight,
+    probes::Probes,
+    stream_pace::StreamPace,
+    watchdog::Verdict,
 };
--- /dev/null
+++ b/crates/forward/src/probes.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+/// Time for an engine's answer; they answer within some milliseconds unless they are gone.
+const ANSWER_LIMIT: Duration = Duration::from_millis(100);
+/// Time for which an answer counts, so that many silent streams ask each engine once.
+const ANSWER_AGE: Duration = Duration::from_millis(150);
+/// Time between questions to engines that are avoided or slow.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Asks engines how they are when streams through them are silent.
+pub(crate) struct Probes {
+    /// When engines were last asked. Locked while they are, so that others wait for the answers.
+    asked_at: tokio::sync::Mutex<HashMap<TargetId, Duration>>,
+    engines: Arc<dyn Engines>,
+}
+
+impl Probes {
+    pub(crate) fn new(engines: Arc<dyn Engines>) -> Self {
+        Self {
+            asked_at: tokio::sync::Mutex::default(),
+            engines,
+        }
+    }
+
+    pub(crate) fn engines(&self) -> &dyn Engines {
+        &*self.engines
+    }
+
+    /// Asks the stages of a path that gave no sign of life since `since`, and notes what they say.
+    pub(crate) async fn ask(&self, router: &Router, path: &Path, since: Duration) {
+        let mut asked_at = self.asked_at.lock().await;
+        let now = clock::now();
+        asked_at.retain(|_, at| now.saturating_sub(*at) < ANSWER_AGE);
+        let mut stages = Vec::new();
+        for stage in router.fleet().silent(path, since) {
+            if !asked_at.contains_key(&stage.id) {
+                stages.push(stage.clone());
+            }
+        }
+        self.ask_stages(router, &stages).await;
+        let now = clock::now();
+        for stage in stages {
+            asked_at.insert(stage.id, now);
+        }
+    }
+
+    /// Asks engines and notes what they say. If none of several answers, the fault is taken to be on
+    /// this side, and no engine is blamed.
+    async fn ask_stages(&self, router: &Router, stages: &[Stage]) {
+        let questions = stages.iter().map(|stage| {
+            let state = self.engines.state(stage.address);
+            timeout(ANSWER_LIMIT, state)
+        });
+        let answers = futures::future::join_all(questions).await;
+        let answered = answers.iter().filter(|answer| matches!(answer, Ok(Ok(_))));
+        let is_own_fault = stages.len() > 1 && answered.count() == 0;
+        let now = clock::now();
+        let mut fleet = router.fleet();
+        for (stage, answer) in stages.iter().zip(answers) {
+            let Ok(Ok(state)) = answer else {
+                if !is_own_fault && fleet.note(now, stage.key, Outcome::Failed) {
+                    tracing::info!(target = &*stage.id, "engine does not answer, avoided");
+                }
+                continue;
+            };
+            if fleet.note_state(now, stage.key, state.held, state.slowness) {
+                let slowness = state.slowness;
+                tracing::info!(target = &*stage.id, slowness, "engine changed its speed");
+            }
+        }
+    }
+}
+
+/// Asks engines that are avoided or slow until they are well again.
+pub async fn watch_engines(router: Arc<Router>) {
+    loop {
+        sleep(INTERVAL).await;
+        let ailing = router.fleet().ailing(clock::now());
+        if !ailing.is_empty() {
+            router.probes.ask_stages(&router, &ailing).await;
+        }
+    }
+}
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -9,6 +9,7 @@
     instances: Mutex<Vec<Instance>>,
     is_leaving: AtomicBool,
     pub(crate) pool: Pool,
+    pub(crate) probes: Probes,
     rng: Mutex<SmallRng>,
     pub(crate) settings: ForwardSettings,
 }
@@ -16,7 +17,12 @@
 impl Router {
     /// Creates a router that knows no configuration and no targets. `seed` sets its random draws.
     #[must_use]
-    pub fn new(settings: ForwardSettings, dialect: Arc<dyn Dialect>, seed: u64) -> Arc<Self> {
+    pub fn new(
+        settings: ForwardSettings,
+        dialect: Arc<dyn Dialect>,
+        engines: Arc<dyn Engines>,
+        seed: u64,
+    ) -> Arc<Self> {
         Arc::new(Self {
             budgets: Mutex::default(),
             catalog: Mutex::default(),
@@ -25,6 +31,7 @@
             instances: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             pool: Pool::default(),
+            probes: Probes::new(engines),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             settings,
         })
@@ -85,14 +92,24 @@
     }
 
     pub(crate) fn choose(&self, admitted: &Admitted, demand: &Demand) -> Result<Path, NoPath> {
-        let now = clock::now();
-        let service = &*admitted.service;
+        if let Some(profile) = admitted.pipeline() {
+            return self.choose_with(admitted, profile, demand);
+        }
+        let rng = &mut *lock(&self.rng);
+        let fleet = self.fleet();
+        fleet.choose_target(clock::now(), &admitted.service, demand, rng)
+    }
+
+    pub(crate) fn choose_with(
+        &self,
+        admitted: &Admitted,
+        profile: &EngineProfile,
+        demand: &Demand,
+    ) -> Result<Path, NoPath> {
+        let home = &self.settings.home;
         let rng = &mut *lock(&self.rng);
         let fleet = self.fleet();
-        let Some(profile) = admitted.pipeline() else {
-            return fleet.choose_target(now, service, demand, rng);
-        };
-        fleet.choose_path(now, service, profile, demand, &self.settings.home, rng)
+        fleet.choose_path(clock::now(), &admitted.service, profile, demand, home, rng)
     }
 
     pub(crate) fn note_request(&self, service: &ServiceName) {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -30,6 +30,13 @@
     pub repeat_window: Duration,
     /// Shortest time after which a refused caller is asked to come back.
     pub return_after: Duration,
+    /// Time without an event of a running stream after which its engines are asked how they are.
+    /// Above twice the usual time between events, and low enough to move the stream within the
+    /// longest pause that callers find acceptable.
+    pub silence_limit: Duration,
+    /// Time without the first event after which engines are asked how they are: half of the usual
+    /// goal.
+    pub start_limit: Duration,
     /// Time without a byte of a stream after which it is resumed elsewhere. Callers leave after
     /// twice this time.
     pub stall_limit: Duration,
@@ -49,6 +56,8 @@
             repeat_window: Duration::from_secs(10),
             return_after: Duration::from_millis(500),
             return_time: Duration::from_millis(10),
+            silence_limit: Duration::from_millis(110),
+            start_limit: Duration::from_millis(250),
             stall_limit: Duration::from_secs(1),
         }
     }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -7,6 +7,7 @@
     *response.headers_mut() = headers;
     let pump = Pump {
         event_bytes: 0,
+        pace: StreamPace::start(exchange.admitted.arrived_at),
         events: EventSplitter::default(),
         exchange,
         sender,
@@ -20,6 +21,7 @@
     event_bytes: usize,
     events: EventSplitter,
     exchange: Exchange,
+    pace: StreamPace,
     sender: BodySender,
 }
 
@@ -66,12 +68,14 @@
 
     /// Passes on whole events until the part of this target ends.
     async fn pass_on(&mut self, attempt: &mut Attempt) -> PartEnd {
+        let router = self.exchange.router.clone();
+        let mut silent_since = clock::now();
         loop {
             let left = self.exchange.admitted.time_left();
             if left.is_zero() {
                 return PartEnd::TimeOver;
             }
-            let limit = self.silence_limit(left);
+            let limit = left.min(router.settings.silence_limit);
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return PartEnd::CallerLeft,
@@ -80,23 +84,48 @@
                 Ok(None) if self.events.is_inside_event() => return PartEnd::Failed,
                 Ok(None) => return PartEnd::Complete,
                 Ok(Some(bytes)) => bytes,
-                Err(wire::Error::Silent { .. }) if limit == left => return PartEnd::TimeOver,
+                Err(wire::Error::Silent { .. }) => {
+                    if !self.inspect(attempt, silent_since).await {
+                        return PartEnd::Failed;
+                    }
+                    continue;
+                }
                 Err(error) => {
                     self.log_failure(attempt, &error);
                     return PartEnd::Failed;
                 }
             };
+            silent_since = clock::now();
             let whole = self.events.push(&bytes);
             if whole.is_empty() {
                 continue;
             }
             self.event_bytes += whole.len();
+            self.pace.arrived(silent_since);
+            router.fleet().note_alive(silent_since, &attempt.path);
             if !self.sender.send(whole).await {
                 return PartEnd::CallerLeft;
             }
         }
     }
 
+    /// Finds out why the stream is silent. Returns whether to wait on.
+    async fn inspect(&mut self, attempt: &mut Attempt, silent_since: Duration) -> bool {
+        let Exchange { admitted, router, .. } = &self.exchange;
+        let is_resumable = self.exchange.may_try_again();
+        match watchdog::inspect(router, admitted, &attempt.path, silent_since).await {
+            Verdict::Lost => !is_resumable,
+            Verdict::Moved(path) => {
+                attempt.move_to(router, path);
+                true
+            }
+            Verdict::Sound => {
+                let silence = clock::now().saturating_sub(silent_since);
+                !is_resumable || silence < router.settings.stall_limit
+            }
+        }
+    }
+
     /// Sends the request elsewhere, to go on after the last whole event.
     async fn resume(&mut self, failed: &Path) -> Option<Attempt> {
         let exchange = &mut self.exchange;
@@ -133,15 +162,6 @@
         Some(attempt)
     }
 
-    fn silence_limit(&self, left: Duration) -> Duration {
-        let exchange = &self.exchange;
-        let is_resumable = exchange.admitted.route.repeat == Repeat::ResumableStream;
-        if is_resumable && exchange.attempt_count < exchange.admitted.route.attempt_count {
-            return left.min(exchange.router.settings.stall_limit);
-        }
-        left
-    }
-
     fn log_failure(&self, attempt: &Attempt, error: &wire::Error) {
         let stage = attempt.path.first();
         tracing::info!(
@@ -155,12 +175,19 @@
 
     fn log(&self, end: &'static str, stage: &Stage) {
         metrics::counter!("forward_streams_total", "end" => end).increment(1);
+        if let Some(first) = self.pace.first {
+            metrics::histogram!("forward_first_event_seconds").record(first.as_secs_f64());
+            let gap = self.pace.longest_gap.as_secs_f64();
+            metrics::histogram!("forward_longest_gap_seconds").record(gap);
+        }
         tracing::info!(
             request = &*self.exchange.admitted.facts.id,
             target = &*stage.id,
             end,
             attempts = self.exchange.attempt_count,
             bytes = self.event_bytes,
+            first_ms = self.pace.first.map_or(-1, |first| first.as_millis() as i64),
+            longest_gap_ms = self.pace.longest_gap.as_millis() as u64,
             "stream ended"
         );
     }
--- /dev/null
+++ b/crates/forward/src/stream_pace.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+/// Times between the events of a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamPace {
+    /// Time from the arrival of the request to the first event.
+    pub(crate) first: Option<Duration>,
+    last_at: Duration,
+    /// Longest time between two events.
+    pub(crate) longest_gap: Duration,
+}
+
+impl StreamPace {
+    pub(crate) fn start(arrived_at: Duration) -> Self {
+        Self {
+            first: None,
+            last_at: arrived_at,
+            longest_gap: Duration::ZERO,
+        }
+    }
+
+    /// Notes that events arrived.
+    pub(crate) fn arrived(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.last_at);
+        self.last_at = now;
+        match self.first {
+            None => self.first = Some(gap),
+            Some(_) => self.longest_gap = self.longest_gap.max(gap),
+        }
+    }
+}
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -7,7 +7,7 @@
 use {
     catalog::{Catalog, EngineProfile},
     fleet::{Roster, Target},
-    forward::{Instance, Router},
+    forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
     std::{
@@ -16,12 +16,10 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    thiserror::Error,
     tokio::time::sleep,
 };
 
 mod catalog_loop;
-mod error;
 mod instance_loop;
 mod layout_keeper;
 mod leadership;
@@ -33,16 +31,12 @@
 
 pub use {
     catalog_loop::follow_catalog,
-    error::Error,
     instance_loop::follow_instances,
     layout_keeper::{LayoutKeeper, Order},
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
     link::Link,
     membership::{InstanceRow, Membership},
     order_loop::keep_layout,
-    sources::{
-        CatalogRead, CatalogSource, EngineState, Engines, InstanceTable, InstanceView, OrderReply,
-        TargetChange, TargetSource,
-    },
+    sources::{CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource},
     target_loop::follow_targets,
 };
