--- /dev/null
+++ b/crates/catalog/tests/catalog.rs
@@ -0,0 +1,116 @@
+//! Guards against requests that reach a service, or run for an account, that no configuration names.
+
+use {
+    catalog::{Account, Backend, Catalog, CatalogParts, Holder, Repeat, Route},
+    std::{sync::Arc, time::Duration},
+    yare::parameterized,
+};
+
+fn route(name: &str, path_prefix: &str) -> Route {
+    Route {
+        attempt_count: 2,
+        backends: vec![Backend {
+            service: name.into(),
+            weight: 1,
+        }],
+        gap_goal: None,
+        host: "a.example".into(),
+        is_public: false,
+        latency_goal: Duration::from_millis(100),
+        name: name.into(),
+        path_prefix: path_prefix.into(),
+        rank: 0,
+        repeat: Repeat::Once,
+        time_limit: Duration::from_secs(1),
+    }
+}
+
+fn catalog(version: u64) -> Catalog {
+    Catalog::new(CatalogParts {
+        accounts: Some(vec![Account {
+            keys: vec!["old".into(), "new".into()],
+            name: "office".into(),
+            rank: Some(1),
+        }]),
+        routes: vec![route("wide", "/a/"), route("narrow", "/a/b/")],
+        version,
+        ..CatalogParts::default()
+    })
+}
+
+#[parameterized(
+    longest = { "a.example", "/a/b/c", Some("narrow") },
+    shorter = { "a.example", "/a/x", Some("wide") },
+    prefix_without_slash = { "a.example", "/ab", None },
+    other_host = { "b.example", "/a/x", None },
+    other_path = { "a.example", "/x", None },
+)]
+fn longest_prefix_of_the_host_wins(host: &str, path: &str, expected: Option<&str>) {
+    let catalog = catalog(1);
+    let route = catalog.route(host, path).map(|route| &*route.name);
+    assert_eq!(route, expected);
+}
+
+#[test]
+fn any_key_in_force_names_the_account() {
+    let catalog = catalog(1);
+    for key in ["old", "new"] {
+        assert_eq!(&*catalog.account(key).unwrap().name, "office");
+    }
+    assert!(catalog.account("gone").is_none());
+}
+
+#[parameterized(
+    first = { 0.0, "a" },
+    within_first = { 0.89, "a" },
+    second = { 0.91, "b" },
+    end = { 1.0, "b" },
+)]
+fn split_follows_the_weights(draw: f64, expected: &str) {
+    let backend = |service: &str, weight| Backend {
+        service: service.into(),
+        weight,
+    };
+    let route = Route {
+        backends: vec![backend("a", 90), backend("b", 10), backend("off", 0)],
+        ..route("split", "/")
+    };
+    assert_eq!(&**route.service(draw).unwrap(), expected);
+}
+
+#[test]
+fn configuration_never_goes_backwards() {
+    let mut holder = Holder::default();
+    assert!(holder.offer(Arc::new(catalog(7))));
+    assert!(!holder.offer(Arc::new(catalog(6))), "a stale read was taken over");
+    assert!(!holder.offer(Arc::new(catalog(7))));
+    assert_eq!(holder.catalog().unwrap().version(), 7);
+}
+
+#[test]
+fn freshness_counts_from_the_sending_of_the_read() {
+    let (limit, sent_at) = (Duration::from_secs(5), Duration::from_secs(100));
+    let mut holder = Holder::default();
+    holder.offer(Arc::new(catalog(7)));
+    assert!(!holder.is_fresh(sent_at, limit), "never confirmed");
+    holder.confirm(7, sent_at);
+    assert!(holder.is_fresh(sent_at + Duration::from_millis(4_999), limit));
+    assert!(!holder.is_fresh(sent_at + limit, limit));
+}
+
+#[test]
+fn read_of_an_older_version_does_not_make_a_newer_one_fresh() {
+    let mut holder = Holder::default();
+    holder.offer(Arc::new(catalog(7)));
+    holder.confirm(6, Duration::from_secs(100));
+    assert_eq!(holder.confirmed_at(), None);
+}
+
+#[test]
+fn late_answer_does_not_shorten_freshness() {
+    let mut holder = Holder::default();
+    holder.offer(Arc::new(catalog(7)));
+    holder.confirm(7, Duration::from_secs(100));
+    holder.confirm(7, Duration::from_secs(90));
+    assert_eq!(holder.confirmed_at(), Some(Duration::from_secs(100)));
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -211,12 +211,12 @@
         was_slow != (entry.slowness >= limit)
     }
 
-    /// Stages of a path that gave no sign of life since `since`.
+    /// Stages of a path that gave no sign of life after `since`.
     #[must_use]
     pub fn silent<'a>(&self, path: &'a Path, since: Duration) -> Vec<&'a Stage> {
         let mut silent = Vec::new();
         for stage in &path.stages {
-            if self.targets.get(stage.key).is_none_or(|entry| entry.alive_at < since) {
+            if self.targets.get(stage.key).is_none_or(|entry| entry.alive_at <= since) {
                 silent.push(stage);
             }
         }
--- /dev/null
+++ b/crates/fleet/tests/budget.rs
@@ -0,0 +1,49 @@
+//! Guards against more repeated sends than all instances together may make.
+
+use {fleet::RetryBudget, std::time::Duration, yare::parameterized};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Repeats in the worst window when each instance takes all that it gets.
+fn worst_window(instance_count: usize, requests_per_s: u64) -> usize {
+    let budget = RetryBudget::new(0.2, 200.0, WINDOW);
+    let mut budgets = vec![budget; instance_count];
+    let mut taken_at = Vec::new();
+    for step in 0..3_000_u64 {
+        let now = Duration::from_millis(step * 10);
+        for budget in &mut budgets {
+            if step * requests_per_s / 100 != (step + 1) * requests_per_s / 100 {
+                budget.requested(now);
+            }
+            while budget.take(now, instance_count) {
+                taken_at.push(now);
+            }
+        }
+    }
+    let in_window = |start: &Duration| {
+        let end = *start + WINDOW * 9 / 10;
+        taken_at.iter().filter(|at| (*start..end).contains(at)).count()
+    };
+    taken_at.iter().map(in_window).max().unwrap_or_default()
+}
+
+#[parameterized(
+    one_idle = { 1, 0 },
+    eight_idle = { 8, 0 },
+    eight_busy = { 8, 20 },
+    many = { 76, 5 },
+)]
+fn all_instances_together_stay_within_the_limit(instance_count: usize, requests_per_s: u64) {
+    let requests = instance_count as f64 * requests_per_s as f64 * 10.0;
+    let limit = 0.2 * requests + 200.0;
+    let worst = worst_window(instance_count, requests_per_s) as f64;
+    assert!(worst <= limit, "{worst} repeats, {limit} allowed");
+}
+
+#[test]
+fn budget_comes_back_when_the_window_has_passed() {
+    let mut budget = RetryBudget::new(0.0, 1.0, WINDOW);
+    assert!(budget.take(Duration::from_secs(1), 1));
+    assert!(!budget.take(Duration::from_secs(10), 1));
+    assert!(budget.take(Duration::from_secs(12), 1));
+}
--- /dev/null
+++ b/crates/fleet/tests/path.rs
@@ -0,0 +1,240 @@
+//! Guards against paths that miss a layer, run one twice, or lead through targets that must not be
+//! used.
+
+mod support;
+
+use {
+    fleet::{NoPath, Outcome, Path, Target, TargetKey},
+    proptest::{prelude::*, test_runner::RngSeed},
+    rand::Rng,
+    std::{collections::BTreeSet, time::Duration},
+    support::{LAYER_COUNT, demand, engine, fleet, profile, rng},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn path(fleet: &fleet::Fleet, demand: &fleet::Demand) -> Result<Path, NoPath> {
+    fleet.choose_path(NOW, "model", &profile(), demand, "a", &mut rng())
+}
+
+fn ids(path: &Path) -> Vec<&str> {
+    path.stages.iter().map(|stage| &*stage.id).collect()
+}
+
+fn key(path: &Path, id: &str) -> TargetKey {
+    path.stages.iter().find(|stage| &*stage.id == id).unwrap().key
+}
+
+fn check(path: &Path) {
+    let mut next = 0;
+    let mut used = BTreeSet::new();
+    for stage in &path.stages {
+        let range = stage.range.unwrap();
+        assert_eq!(range.start, next, "layers are skipped or repeated: {path:?}");
+        assert!(used.insert(stage.key), "a target comes twice: {path:?}");
+        next = range.end;
+    }
+    assert_eq!(next, LAYER_COUNT, "layers are missing: {path:?}");
+}
+
+#[test]
+fn path_stays_in_the_failure_domain_of_the_instance() {
+    let fleet = fleet(&[
+        engine("a1", "a", 0, 4),
+        engine("a2", "a", 4, 8),
+        engine("b1", "b", 0, 4),
+        engine("b2", "b", 4, 8),
+    ]);
+    assert_eq!(ids(&path(&fleet, &demand()).unwrap()), ["a1", "a2"]);
+}
+
+#[test]
+fn part_of_a_range_replaces_a_lost_neighbour() {
+    let fleet = fleet(&[engine("a1", "a", 0, 5), engine("a2", "a", 3, 8)]);
+    let path = path(&fleet, &demand()).unwrap();
+    check(&path);
+    assert_eq!(ids(&path), ["a1", "a2"]);
+}
+
+#[test]
+fn other_domain_serves_layers_that_are_missing_here() {
+    let fleet = fleet(&[
+        engine("a1", "a", 0, 4),
+        engine("b1", "b", 0, 4),
+        engine("b2", "b", 4, 8),
+    ]);
+    check(&path(&fleet, &demand()).unwrap());
+}
+
+#[test]
+fn missing_layer_is_told_from_missing_room() {
+    let incomplete = fleet(&[engine("a1", "a", 0, 4)]);
+    assert_eq!(path(&incomplete, &demand()), Err(NoPath::Incomplete));
+    assert_eq!(path(&fleet(&[]), &demand()), Err(NoPath::NoTarget));
+    let huge = fleet::Demand {
+        prompt_tokens: 1e9,
+        ..demand()
+    };
+    let whole = fleet(&[engine("a1", "a", 0, 8)]);
+    assert_eq!(path(&whole, &huge), Err(NoPath::Full));
+}
+
+#[test]
+fn room_is_taken_by_requests_and_given_back() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    // 200 MB hold 25,000 tokens in all layers, nine tenths of which are filled: 37 of 600 tokens.
+    let mut begun = Vec::new();
+    while let Ok(path) = path(&fleet, &demand()) {
+        fleet.begin(&path);
+        begun.push(path);
+        assert!(begun.len() < 100, "the engine never fills");
+    }
+    assert_eq!(begun.len(), 37);
+    for path in &begun {
+        fleet.end(path);
+    }
+    assert!(path(&fleet, &demand()).is_ok());
+}
+
+#[test]
+fn leaving_excluded_and_failed_engines_get_no_requests() {
+    let spare = engine("a2", "a", 0, 8);
+    let leaving = Target {
+        is_leaving: true,
+        ..engine("a1", "a", 0, 8)
+    };
+    assert_eq!(ids(&path(&fleet(&[leaving, spare.clone()]), &demand()).unwrap()), ["a2"]);
+
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8), engine("b1", "b", 0, 8)]);
+    let near = path(&fleet, &demand()).unwrap();
+    assert_eq!(ids(&near), ["a1"]);
+    let excluding = fleet::Demand {
+        excluded: vec![key(&near, "a1")],
+        ..demand()
+    };
+    assert_eq!(ids(&path(&fleet, &excluding).unwrap()), ["b1"]);
+    assert!(fleet.note(NOW, key(&near, "a1"), Outcome::Failed));
+    assert_eq!(ids(&path(&fleet, &demand()).unwrap()), ["b1"]);
+}
+
+#[test]
+fn slow_engine_is_left_for_one_that_is_farther_away() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8), engine("b1", "b", 0, 8)]);
+    let near = path(&fleet, &demand()).unwrap();
+    let held = near.first().range;
+    assert!(fleet.note_state(NOW, near.first().key, held, 12.0));
+    assert_eq!(ids(&path(&fleet, &demand()).unwrap()), ["b1"]);
+    assert!(fleet.note_state(NOW, near.first().key, held, 1.0));
+    assert_eq!(ids(&path(&fleet, &demand()).unwrap()), ["a1"]);
+}
+
+#[test]
+fn moved_request_keeps_its_first_stage() {
+    let fleet = fleet(&[
+        engine("a1", "a", 0, 4),
+        engine("a2", "a", 4, 8),
+        engine("b1", "b", 0, 4),
+        engine("b2", "b", 4, 8),
+    ]);
+    let old = path(&fleet, &demand()).unwrap();
+    let moved = fleet::Demand {
+        excluded: vec![key(&old, "a2")],
+        first: Some(old.first().clone()),
+        ..demand()
+    };
+    let new = path(&fleet, &moved).unwrap();
+    check(&new);
+    assert_eq!(ids(&new), ["a1", "b2"]);
+}
+
+#[test]
+fn stage_that_lost_its_layers_is_lost() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    let path = path(&fleet, &demand()).unwrap();
+    assert!(!fleet.is_lost(NOW, path.first()));
+    fleet.note_state(NOW, path.first().key, None, 1.0);
+    assert!(fleet.is_lost(NOW, path.first()), "it started again and is empty");
+}
+
+#[test]
+fn signs_of_life_spare_questions() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 4), engine("a2", "a", 4, 8)]);
+    let path = path(&fleet, &demand()).unwrap();
+    assert_eq!(fleet.silent(&path, NOW).len(), 2);
+    fleet.note_alive(NOW, &path);
+    // The event that began the silence is not a sign of life during it.
+    assert_eq!(fleet.silent(&path, NOW).len(), 2);
+    fleet.note_alive(NOW + Duration::from_millis(1), &path);
+    assert_eq!(fleet.silent(&path, NOW).len(), 0);
+}
+
+/// Cheapest path without regard to load, by trying all of them.
+fn cheapest_hops(targets: &[Target], position: u32, used: &mut Vec<usize>) -> Option<usize> {
+    if position == LAYER_COUNT {
+        return Some(0);
+    }
+    let mut best = None;
+    for (index, target) in targets.iter().enumerate() {
+        let range = target.held.unwrap();
+        if used.contains(&index) || !range.contains(position) {
+            continue;
+        }
+        used.push(index);
+        for end in position + 1..=range.end {
+            if let Some(rest) = cheapest_hops(targets, end, used) {
+                best = Some(best.unwrap_or(usize::MAX).min(rest + 1));
+            }
+        }
+        used.pop();
+    }
+    best
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// A path exists exactly when trying all combinations finds one, and it is a proper one.
+    #[test]
+    fn path_agrees_with_an_exhaustive_search(
+        ranges in proptest::collection::vec((0..LAYER_COUNT, 1..=LAYER_COUNT, 0..3_usize), 1..6),
+    ) {
+        let domains = ["a", "b", "c"];
+        let mut targets = Vec::new();
+        for (index, (start, count, domain)) in ranges.iter().enumerate() {
+            let end = (start + count).min(LAYER_COUNT);
+            targets.push(engine(&format!("e{index}"), domains[*domain], *start, end));
+        }
+        let found = path(&fleet(&targets), &demand());
+        let hops = cheapest_hops(&targets, 0, &mut Vec::new());
+        prop_assert_eq!(found.is_ok(), hops.is_some());
+        if let Ok(path) = found {
+            check(&path);
+            prop_assert!(path.stages.len() >= hops.unwrap());
+        }
+    }
+}
+
+#[test]
+fn large_fleet_gets_proper_paths_under_random_load() {
+    let mut rng = rng();
+    let mut targets = Vec::new();
+    for index in 0..60 {
+        let start = rng.random_range(0..LAYER_COUNT);
+        let end = rng.random_range(start..LAYER_COUNT) + 1;
+        let domain = ["a", "b", "c"][rng.random_range(0..3)];
+        targets.push(engine(&format!("e{index}"), domain, start, end));
+    }
+    let mut fleet = fleet(&targets);
+    for _ in 0..200 {
+        let Ok(path) = fleet.choose_path(NOW, "model", &profile(), &demand(), "b", &mut rng) else {
+            break;
+        };
+        check(&path);
+        fleet.begin(&path);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/plain.rs
@@ -0,0 +1,97 @@
+//! Guards against plain targets that are chosen although others are free or sound.
+
+mod support;
+
+use {
+    fleet::{Demand, Fleet, Load, NoPath, Outcome, Target},
+    std::{collections::BTreeMap, time::Duration},
+    support::{fleet, rng, target},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn chosen(fleet: &Fleet, demand: &Demand) -> Result<String, NoPath> {
+    let path = fleet.choose_target(NOW, "booking", demand, &mut rng())?;
+    Ok(path.first().id.to_string())
+}
+
+fn three() -> Fleet {
+    fleet(&["x", "y", "z"].map(|id| target(id, "booking")))
+}
+
+#[test]
+fn requests_spread_over_equal_targets() {
+    let mut fleet = three();
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..30 {
+        let path = fleet.choose_target(NOW, "booking", &Demand::default(), &mut rng());
+        let path = path.unwrap();
+        *counts.entry(path.first().id.to_string()).or_default() += 1;
+        fleet.begin(&path);
+    }
+    assert!(counts.values().all(|count| *count == 10), "{counts:?}");
+}
+
+#[test]
+fn reported_load_of_other_instances_counts() {
+    let mut fleet = three();
+    let path = fleet.choose_target(NOW, "booking", &Demand::default(), &mut rng());
+    let busy = path.unwrap().first().clone();
+    let load = Load {
+        running_count: 6,
+        slot_count: 6,
+        waiting_count: 20,
+    };
+    fleet.note_load(NOW, busy.key, load);
+    assert_ne!(chosen(&fleet, &Demand::default()).unwrap(), &*busy.id);
+}
+
+#[test]
+fn failed_target_is_the_last_resort() {
+    let mut fleet = fleet(&[target("x", "booking")]);
+    let path = fleet.choose_target(NOW, "booking", &Demand::default(), &mut rng()).unwrap();
+    fleet.note(NOW, path.first().key, Outcome::Failed);
+    assert_eq!(chosen(&fleet, &Demand::default()).unwrap(), "x");
+    let excluding = Demand {
+        excluded: vec![path.first().key],
+        ..Demand::default()
+    };
+    assert_eq!(chosen(&fleet, &excluding), Err(NoPath::NoTarget));
+}
+
+#[test]
+fn failures_sent_before_the_first_one_count_once() {
+    let mut fleet = three();
+    let path = fleet.choose_target(NOW, "booking", &Demand::default(), &mut rng()).unwrap();
+    let key = path.first().key;
+    assert!(fleet.note(NOW, key, Outcome::Failed));
+    for _ in 0..10 {
+        assert!(!fleet.note(NOW, key, Outcome::Failed));
+    }
+    // After the first avoidance of half a second it is tried again.
+    let stage = path.first();
+    assert!(!fleet.is_lost(NOW + Duration::from_millis(500), stage));
+}
+
+#[test]
+fn targets_of_other_services_and_leaving_ones_are_not_used() {
+    let leaving = Target {
+        is_leaving: true,
+        ..target("x", "booking")
+    };
+    let fleet = fleet(&[leaving, target("y", "model")]);
+    assert_eq!(chosen(&fleet, &Demand::default()), Err(NoPath::NoTarget));
+}
+
+#[test]
+fn what_was_observed_survives_a_new_listing() {
+    let mut fleet = three();
+    let path = fleet.choose_target(NOW, "booking", &Demand::default(), &mut rng()).unwrap();
+    fleet.begin(&path);
+    fleet.note(NOW, path.first().key, Outcome::Failed);
+    fleet.list(&["x", "y", "z"].map(|id| target(id, "booking")));
+    assert!(fleet.is_lost(NOW, path.first()));
+    fleet.list(&[]);
+    assert!(fleet.is_lost(NOW + Duration::from_secs(60), path.first()));
+    fleet.end(&path);
+}
--- /dev/null
+++ b/crates/forward/tests/answers.rs
@@ -0,0 +1,295 @@
+//! Guards against requests that are changed, run too often, or get an answer that is not theirs.
+
+mod support;
+
+use {
+    catalog::Repeat,
+    forward::ForwardSettings,
+    std::{net::SocketAddr, time::Duration},
+    support::{Sending, Setup, TestTarget, ready, signed, target},
+    wire::hyper::{StatusCode, header::HeaderValue},
+    yare::parameterized,
+};
+
+fn good(body: &'static str) -> impl Fn(&wire::Request) -> wire::Response {
+    move |request| signed(request, wire::text(StatusCode::OK, body))
+}
+
+async fn sound() -> TestTarget {
+    target(|request| ready(good("sound")(request))).await
+}
+
+async fn breaking() -> TestTarget {
+    target(|_| ready(wire::disconnect())).await
+}
+
+async fn answering(status: u16, header: Option<&'static str>) -> TestTarget {
+    target(move |request| {
+        let mut response = wire::text(StatusCode::from_u16(status).unwrap(), "no");
+        if let Some(header) = header {
+            response.headers_mut().insert(header, HeaderValue::from_static("1"));
+        }
+        let id = HeaderValue::from_str(request.header("x-id").unwrap_or_default()).unwrap();
+        response.headers_mut().insert("x-id", id);
+        ready(response)
+    })
+    .await
+}
+
+fn setup(repeat: Repeat, targets: &[&TestTarget]) -> Setup {
+    Setup {
+        repeat,
+        targets: targets.iter().map(|target| target.address).collect(),
+        ..Setup::default()
+    }
+}
+
+#[tokio::test]
+async fn request_passes_unchanged_but_for_the_key() {
+    let target = sound().await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    let (status, _, body) = router
+        .send(Sending {
+            body: "{\"room\":12}",
+            headers: vec![
+                ("host", "h"),
+                ("x-key", "key"),
+                ("x-other", "kept"),
+                ("connection", "x-hop"),
+                ("x-hop", "dropped"),
+            ],
+            method: "POST",
+            path: "/r/a%20b/?q=1&r",
+            ..Sending::default()
+        })
+        .await;
+    assert_eq!((status, &*body.unwrap()), (StatusCode::OK, &b"sound"[..]));
+    let requests = target.requests.lock().unwrap();
+    let request = &requests[0];
+    assert_eq!((&*request.path, &*request.query), ("/r/a%20b/", "q=1&r"));
+    assert_eq!(&*request.body, b"{\"room\":12}");
+    assert_eq!(request.method.as_str(), "POST");
+    assert_eq!(request.header("host"), Some("h"));
+    assert_eq!(request.header("x-other"), Some("kept"));
+    assert_eq!(request.header("x-account"), Some("office"));
+    assert_eq!(request.header("x-key"), None, "the key was passed on");
+    assert_eq!(request.header("x-hop"), None);
+}
+
+#[tokio::test]
+async fn deadline_that_is_passed_on_is_what_is_left() {
+    let target = sound().await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    router.send(Sending::default()).await;
+    let requests = target.requests.lock().unwrap();
+    let deadline_ms: u64 = requests[0].header("x-deadline-ms").unwrap().parse().unwrap();
+    assert!(deadline_ms <= 9_990, "{deadline_ms}");
+}
+
+#[parameterized(
+    unknown_key = { vec![("host", "h"), ("x-key", "stolen")], 401 },
+    no_key = { vec![("host", "h")], 401 },
+    unknown_host = { vec![("host", "g"), ("x-key", "key")], 404 },
+)]
+#[test_macro(tokio::test)]
+async fn what_no_configuration_allows_is_refused(
+    headers: Vec<(&'static str, &'static str)>,
+    expected: u16,
+) {
+    let target = sound().await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    let (status, ..) = router.send(Sending { headers, ..Sending::default() }).await;
+    assert_eq!(status, expected);
+    assert_eq!(target.ids(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn key_is_not_accepted_when_it_may_have_been_withdrawn() {
+    let target = sound().await;
+    let router = Setup {
+        settings: ForwardSettings {
+            catalog_limit: Duration::ZERO,
+            ..ForwardSettings::default()
+        },
+        ..setup(Repeat::Once, &[&target])
+    };
+    let router = router.start().await;
+    let (status, headers, _) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(headers.contains_key("retry-after"));
+    assert_eq!(target.ids(), Vec::<String>::new());
+    let unknown = Sending {
+        headers: vec![("host", "g")],
+        ..Sending::default()
+    };
+    let (status, ..) = router.send(unknown).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "a stale list proves nothing unknown");
+}
+
+#[parameterized(
+    once = { Repeat::Once, 502, 1 },
+    stream = { Repeat::Stream, 502, 1 },
+    idempotent = { Repeat::Idempotent, 502, 2 },
+)]
+#[test_macro(tokio::test)]
+async fn lost_answer_is_repeated_only_where_allowed(repeat: Repeat, status: u16, sends: usize) {
+    let (one, other) = (breaking().await, breaking().await);
+    let router = setup(repeat, &[&one, &other]).start().await;
+    let (got, headers, _) = router.send(Sending::default()).await;
+    assert_eq!(got, status);
+    assert!(!headers.contains_key("retry-after"), "nothing says that it has not run");
+    assert_eq!(one.ids().len() + other.ids().len(), sends);
+}
+
+#[parameterized(
+    promise = { Some("x-not-run"), 503, 2 },
+    no_promise = { None, 502, 1 },
+)]
+#[test_macro(tokio::test)]
+async fn refusal_of_a_target_is_believed_only_with_its_promise(
+    header: Option<&'static str>,
+    status: u16,
+    sends: usize,
+) {
+    let (one, other) = (answering(503, header).await, answering(503, header).await);
+    let router = setup(Repeat::Once, &[&one, &other]).start().await;
+    let (got, headers, _) = router.send(Sending::default()).await;
+    assert_eq!(got, status);
+    assert_eq!(headers.contains_key("retry-after"), status == 503);
+    assert_eq!(one.ids().len() + other.ids().len(), sends);
+}
+
+#[tokio::test]
+async fn refused_request_is_served_by_another_target() {
+    let (one, other) = (answering(503, Some("x-not-run")).await, sound().await);
+    let router = setup(Repeat::Once, &[&one, &other]).start().await;
+    for _ in 0..4 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+}
+
+#[parameterized(
+    unsigned = { 200, 502 },
+    not_found = { 404, 404 },
+)]
+#[test_macro(tokio::test)]
+async fn success_counts_only_with_a_signature(status: u16, expected: u16) {
+    let target = answering(status, None).await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    let (status, ..) = router.send(Sending::default()).await;
+    assert_eq!(status, expected);
+}
+
+#[tokio::test]
+async fn answer_to_another_request_reaches_nobody() {
+    let other = target(|request| {
+        let mut response = good("another's")(request);
+        response.headers_mut().insert("x-id", HeaderValue::from_static("id0"));
+        ready(response)
+    })
+    .await;
+    let router = setup(Repeat::Once, &[&other]).start().await;
+    let (status, _, body) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert!(!body.unwrap().starts_with(b"another"));
+}
+
+/// Seen in the recorded incident of fartuch-druk: the failure of a target was replaced by a refusal
+/// when no other target was left.
+#[tokio::test]
+async fn failure_of_the_only_target_reaches_the_caller() {
+    let target = target(|request| {
+        let error = wire::text(StatusCode::INTERNAL_SERVER_ERROR, "broken");
+        ready(signed(request, error))
+    })
+    .await;
+    let router = setup(Repeat::Idempotent, &[&target]).start().await;
+    let (status, headers, body) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(headers.contains_key("x-signature"));
+    assert_eq!(&*body.unwrap(), b"broken");
+}
+
+#[tokio::test]
+async fn idempotent_request_is_not_left_with_a_failing_target() {
+    let (one, other) = (answering(500, Some("x-signature")).await, sound().await);
+    let router = setup(Repeat::Idempotent, &[&one, &other]).start().await;
+    for _ in 0..4 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+}
+
+#[parameterized(
+    once = { Repeat::Once, 504 },
+    idempotent = { Repeat::Idempotent, 504 },
+)]
+#[test_macro(tokio::test)]
+async fn final_answer_comes_at_the_time_limit(repeat: Repeat, expected: u16) {
+    let silent = target(|_| Box::pin(std::future::pending())).await;
+    let router = Setup {
+        time_limit: Duration::from_millis(200),
+        ..setup(repeat, &[&silent])
+    };
+    let (status, ..) = router.start().await.send(Sending::default()).await;
+    assert_eq!(status, expected);
+}
+
+#[tokio::test]
+async fn used_up_repeats_end_in_a_refusal() {
+    let (one, other) = (answering(503, Some("x-not-run")).await, sound().await);
+    let router = Setup {
+        settings: ForwardSettings {
+            extra_repeats: 0.0,
+            repeat_ratio: 0.0,
+            ..ForwardSettings::default()
+        },
+        ..setup(Repeat::Once, &[&one])
+    };
+    let (status, headers, _) = router.start().await.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(headers.contains_key("retry-after"));
+    assert_eq!(one.ids().len() + other.ids().len(), 1);
+}
+
+#[tokio::test]
+async fn target_that_does_not_listen_is_passed_over() {
+    let closed: SocketAddr = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let sound = sound().await;
+    let router = Setup {
+        targets: vec![closed, sound.address],
+        ..setup(Repeat::Once, &[])
+    };
+    let router = router.start().await;
+    for _ in 0..4 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn connections_to_targets_are_kept() {
+    let target = sound().await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    for _ in 0..5 {
+        router.send(Sending::default()).await;
+    }
+    let requests = target.requests.lock().unwrap();
+    assert!(requests.iter().all(|one| one.peer == requests[0].peer));
+}
+
+#[tokio::test]
+async fn answers_close_the_connection_when_the_instance_leaves() {
+    let target = sound().await;
+    let router = setup(Repeat::Once, &[&target]).start().await;
+    assert!(router.router.is_ready());
+    router.router.leave();
+    let (status, headers, _) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(headers["connection"], "close");
+    assert!(!router.router.is_ready());
+}
--- /dev/null
+++ b/crates/forward/tests/streams.rs
@@ -0,0 +1,202 @@
+//! Guards against streams with missing, repeated or half events, and streams that stay with engines
+//! that are gone.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    catalog::Repeat,
+    forward::EngineState,
+    futures::{FutureExt, future::BoxFuture},
+    layout::LayerRange,
+    std::{sync::Arc, time::Duration},
+    support::{LIMIT, Sending, Setup, TestTarget, signed, target},
+    tokio::{sync::Notify, time::timeout},
+    wire::{BodySender, Request, Response, hyper::StatusCode},
+};
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+fn events(ids: std::ops::Range<u32>) -> Bytes {
+    ids.map(event).collect::<String>().into()
+}
+
+/// Answers with a stream that `write` fills.
+fn stream<W, F>(request: &Request, write: W) -> BoxFuture<'static, Response>
+where
+    W: FnOnce(BodySender, u32) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (sender, response) = wire::stream(StatusCode::OK, "text/event-stream");
+    let response = signed(request, response);
+    let last = request.header("last-event-id").and_then(|id| id.parse::<u32>().ok());
+    tokio::spawn(write(sender, last.map_or(0, |last| last + 1)));
+    async move { response }.boxed()
+}
+
+/// Breaks off in the middle of event 3, or goes on to event 9 if it is resumed.
+async fn breaking() -> TestTarget {
+    target(|request| {
+        stream(request, |sender, first| async move {
+            if first > 0 {
+                sender.send(events(first..10)).await;
+                return;
+            }
+            sender.send(events(0..3)).await;
+            sender.send(event(3)[..7].to_owned()).await;
+            sender.disconnect().await;
+        })
+    })
+    .await
+}
+
+fn setup(repeat: Repeat, targets: &[&TestTarget]) -> Setup {
+    Setup {
+        repeat,
+        targets: targets.iter().map(|target| target.address).collect(),
+        ..Setup::default()
+    }
+}
+
+#[tokio::test]
+async fn stream_that_breaks_off_is_resumed_after_the_last_whole_event() {
+    let (one, other) = (breaking().await, breaking().await);
+    let router = setup(Repeat::ResumableStream, &[&one, &other]).start().await;
+    let (status, headers, body) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(headers.contains_key("x-signature"));
+    assert_eq!(body.unwrap(), events(0..10));
+    assert_eq!(one.ids().len() + other.ids().len(), 2);
+}
+
+#[tokio::test]
+async fn stream_that_must_not_be_repeated_ends_incomplete() {
+    let (one, other) = (breaking().await, breaking().await);
+    let router = setup(Repeat::Stream, &[&one, &other]).start().await;
+    let (status, _, body) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(body.is_err(), "a stream that broke off looks complete");
+    assert_eq!(one.ids().len() + other.ids().len(), 1);
+}
+
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_not_complete() {
+    let one = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..2)).await;
+            sender.send("id: 2\nda").await;
+        })
+    })
+    .await;
+    let router = setup(Repeat::Stream, &[&one]).start().await;
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert!(body.is_err());
+}
+
+#[tokio::test]
+async fn caller_that_leaves_frees_the_target() {
+    let left = Arc::new(Notify::new());
+    let seen = left.clone();
+    let one = target(move |request| {
+        let left = left.clone();
+        stream(request, |sender, _| async move {
+            sender.send(events(0..1)).await;
+            sender.closed().await;
+            left.notify_one();
+        })
+    })
+    .await;
+    let router = setup(Repeat::ResumableStream, &[&one]).start().await;
+    let mut reply = router.open(Sending::default()).await.unwrap();
+    assert_eq!(reply.chunk(LIMIT).await.unwrap(), Some(events(0..1)));
+    drop(reply);
+    timeout(LIMIT, seen.notified()).await.expect("the target still works");
+}
+
+fn range(start: u32, end: u32) -> LayerRange {
+    LayerRange::new(start, end).unwrap()
+}
+
+fn state(held: LayerRange, slowness: f64) -> EngineState {
+    EngineState {
+        held: Some(held),
+        slowness,
+        ..EngineState::default()
+    }
+}
+
+/// Three engines: one with the first layers, one near and one far with the others.
+async fn pipeline(first: &TestTarget) -> support::TestRouter {
+    let layers = [range(0, 4), range(4, 8), range(4, 8)];
+    let setup = Setup {
+        domains: vec!["a", "a", "b"],
+        held: layers.to_vec(),
+        repeat: Repeat::ResumableStream,
+        targets: vec![first.address, ([127, 0, 0, 2], 1).into(), ([127, 0, 0, 3], 1).into()],
+        ..Setup::default()
+    };
+    let settings = forward::ForwardSettings {
+        home: "a".into(),
+        ..forward::ForwardSettings::default()
+    };
+    Setup { settings, ..setup }.start().await
+}
+
+#[yare::parameterized(
+    lost = { None },
+    slow = { Some(12.0) },
+)]
+#[test_macro(tokio::test)]
+async fn silent_stream_moves_off_the_stage_that_failed(slowness: Option<f64>) {
+    let moved = Arc::new(Notify::new());
+    let go_on = moved.clone();
+    let first = target(move |request| {
+        let moved = moved.clone();
+        stream(request, |sender, _| async move {
+            sender.send(events(0..2)).await;
+            moved.notified().await;
+            sender.send(events(2..5)).await;
+        })
+    })
+    .await;
+    let router = pipeline(&first).await;
+    {
+        let mut states = router.engines.states.lock().unwrap();
+        states.insert(first.address, state(range(0, 4), 1.0));
+        states.insert(([127, 0, 0, 3], 1).into(), state(range(4, 8), 1.0));
+        if let Some(slowness) = slowness {
+            states.insert(([127, 0, 0, 2], 1).into(), state(range(4, 8), slowness));
+        }
+    }
+    let engines = router.engines.clone();
+    let release = async {
+        while engines.moved.lock().unwrap().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        go_on.notify_one();
+    };
+    let ((_, _, body), ()) = tokio::join!(router.send(Sending::default()), release);
+    assert_eq!(body.unwrap(), events(0..5));
+    let moved = engines.moved.lock().unwrap();
+    assert_eq!(moved[0], ("id1".into(), ([127, 0, 0, 3], 1).into()));
+    assert_eq!(first.ids().len(), 1, "moved, not sent again");
+}
+
+#[tokio::test]
+async fn no_engine_is_blamed_when_none_answers() {
+    let first = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..2)).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            sender.send(events(2..5)).await;
+        })
+    })
+    .await;
+    let router = pipeline(&first).await;
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert_eq!(body.unwrap(), events(0..5));
+    assert_eq!(router.engines.moved.lock().unwrap().len(), 0);
+    assert!(router.router.fleet().ailing(clock::now()).is_empty());
+}
--- /dev/null
+++ b/crates/forward/tests/support/mod.rs
@@ -0,0 +1,345 @@
+//! Stand-ins for targets and engines, and a router before them, over loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    catalog::{Account, Backend, Catalog, CatalogParts, EngineProfile, HardwareKind, Repeat, Route, Service},
+    fleet::{Path, Target},
+    forward::{
+        Dialect, Dispatch, EngineState, Engines, Error, ForwardSettings, OrderReply, ReplyFacts,
+        RequestFacts, Router,
+    },
+    bytes::Bytes,
+    futures::{FutureExt, future::BoxFuture},
+    http_body_util::Full,
+    layout::LayerRange,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, sync::watch},
+    wire::{
+        Connection, Limits, ReplyStream, Request, Response,
+        hyper::{HeaderMap, StatusCode, header::HeaderValue},
+    },
+};
+
+/// Time after which a test fails.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Headers of the tests: `x-id`, `x-deadline-ms`, `x-key`, `x-tokens`; of answers `x-id`,
+/// `x-signature`, `x-not-run`.
+pub struct TestDialect;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+impl Dialect for TestDialect {
+    fn request(&self, headers: &HeaderMap) -> RequestFacts {
+        RequestFacts {
+            answer_tokens: 10.0,
+            deadline: text(headers, "x-deadline-ms")
+                .and_then(|value| value.parse().ok())
+                .map(Duration::from_millis),
+            expected_tokens: None,
+            id: text(headers, "x-id").unwrap_or_default().into(),
+            key: text(headers, "x-key").map(Arc::from),
+            prompt_tokens: 10.0,
+        }
+    }
+
+    fn reply(&self, _status: StatusCode, headers: &HeaderMap) -> ReplyFacts {
+        ReplyFacts {
+            fault_at: text(headers, "x-fault-at").and_then(|value| value.parse().ok()),
+            has_signature: headers.contains_key("x-signature"),
+            id: text(headers, "x-id").map(Arc::from),
+            is_not_run: headers.contains_key("x-not-run"),
+            load: None,
+        }
+    }
+
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch) {
+        headers.remove("x-key");
+        let mut set = |name: &'static str, value: &str| {
+            headers.insert(name, HeaderValue::from_str(value).unwrap());
+        };
+        set("x-account", dispatch.account.unwrap_or_default());
+        set("x-deadline-ms", &dispatch.deadline.as_millis().to_string());
+        set("x-target", &dispatch.path.first().id);
+        if let Some(event) = dispatch.last_event {
+            set("last-event-id", event);
+        }
+    }
+}
+
+/// Engines that answer questions as set, and take note of moved requests.
+#[derive(Default)]
+pub struct TestEngines {
+    pub moved: Mutex<Vec<(String, SocketAddr)>>,
+    pub states: Mutex<HashMap<SocketAddr, EngineState>>,
+}
+
+impl Engines for TestEngines {
+    fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<EngineState, Error>> {
+        let state = self.states.lock().unwrap().get(&address).cloned();
+        async move { state.ok_or_else(|| Error::Unknown("silent".into())) }.boxed()
+    }
+
+    fn place(
+        &self,
+        _address: SocketAddr,
+        _range: LayerRange,
+        _fence: u64,
+        _order_count: u64,
+    ) -> BoxFuture<'_, Result<OrderReply, Error>> {
+        async { Ok(OrderReply::Accepted) }.boxed()
+    }
+
+    fn repath(&self, request: &str, path: &Path) -> BoxFuture<'_, Result<bool, Error>> {
+        let last = path.stages.last().unwrap().address;
+        self.moved.lock().unwrap().push((request.into(), last));
+        async { Ok(true) }.boxed()
+    }
+}
+
+/// Target whose answers a test writes.
+pub struct TestTarget {
+    pub address: SocketAddr,
+    pub requests: Arc<Mutex<Vec<Request>>>,
+    _stop: watch::Sender<bool>,
+}
+
+impl TestTarget {
+    pub fn ids(&self) -> Vec<String> {
+        let requests = self.requests.lock().unwrap();
+        requests.iter().map(|one| one.header("x-id").unwrap_or_default().to_owned()).collect()
+    }
+}
+
+struct Script<F> {
+    answer: F,
+    requests: Arc<Mutex<Vec<Request>>>,
+}
+
+impl<F> wire::Handler for Script<F>
+where
+    F: Fn(&Request) -> BoxFuture<'static, Response> + Send + Sync + 'static,
+{
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        let response = (self.answer)(&request);
+        self.requests.lock().unwrap().push(request);
+        response
+    }
+}
+
+pub async fn target<F>(answer: F) -> TestTarget
+where
+    F: Fn(&Request) -> BoxFuture<'static, Response> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let script = Arc::new(Script {
+        answer,
+        requests: requests.clone(),
+    });
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(wire::serve(listener, script, Limits::default(), stopped));
+    TestTarget {
+        address,
+        requests,
+        _stop: stop,
+    }
+}
+
+/// Signs an answer to a request.
+pub fn signed(request: &Request, mut response: Response) -> Response {
+    let id = request.header("x-id").unwrap_or_default().to_owned();
+    response.headers_mut().insert("x-id", HeaderValue::from_str(&id).unwrap());
+    let signature = HeaderValue::from_static("signed");
+    response.headers_mut().insert("x-signature", signature);
+    response
+}
+
+pub fn ready(response: Response) -> BoxFuture<'static, Response> {
+    async move { response }.boxed()
+}
+
+/// Router with one route `/r/` of the host `h`.
+pub struct TestRouter {
+    pub address: SocketAddr,
+    pub engines: Arc<TestEngines>,
+    pub router: Arc<Router>,
+    _stop: watch::Sender<bool>,
+}
+
+/// What a test sets of its router.
+pub struct Setup {
+    pub attempt_count: u32,
+    pub repeat: Repeat,
+    pub settings: ForwardSettings,
+    pub targets: Vec<SocketAddr>,
+    /// Failure domains of the targets; `a` for the others.
+    pub domains: Vec<&'static str>,
+    /// Layers of each target; empty for a plain service.
+    pub held: Vec<LayerRange>,
+    pub time_limit: Duration,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            attempt_count: 2,
+            domains: Vec::new(),
+            held: Vec::new(),
+            repeat: Repeat::Idempotent,
+            settings: ForwardSettings::default(),
+            targets: Vec::new(),
+            time_limit: Duration::from_secs(20),
+        }
+    }
+}
+
+impl Setup {
+    pub async fn start(self) -> TestRouter {
+        let engines = Arc::new(TestEngines::default());
+        let settings = self.settings.clone();
+        let router = Router::new(settings, Arc::new(TestDialect), engines.clone(), 7);
+        {
+            let mut holder = router.catalog();
+            holder.offer(Arc::new(self.catalog()));
+            holder.confirm(1, clock::now());
+        }
+        router.fleet().list(&self.listing());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(wire::serve(listener, router.handler(), Limits::default(), stopped));
+        TestRouter {
+            address,
+            engines,
+            router,
+            _stop: stop,
+        }
+    }
+
+    fn catalog(&self) -> Catalog {
+        let engine = (!self.held.is_empty()).then(|| Arc::new(profile()));
+        Catalog::new(CatalogParts {
+            accounts: Some(vec![Account {
+                keys: vec!["key".into()],
+                name: "office".into(),
+                rank: None,
+            }]),
+            routes: vec![Route {
+                attempt_count: self.attempt_count,
+                backends: vec![Backend {
+                    service: "s".into(),
+                    weight: 1,
+                }],
+                gap_goal: None,
+                host: "h".into(),
+                is_public: false,
+                latency_goal: Duration::from_millis(100),
+                name: "r".into(),
+                path_prefix: "/r/".into(),
+                rank: 0,
+                repeat: self.repeat,
+                time_limit: self.time_limit,
+            }],
+            services: vec![Service {
+                engine,
+                name: "s".into(),
+                ..Service::default()
+            }],
+            version: 1,
+            ..CatalogParts::default()
+        })
+    }
+
+    fn listing(&self) -> Vec<Target> {
+        let mut listing = Vec::new();
+        for (index, address) in self.targets.iter().enumerate() {
+            listing.push(Target {
+                address: *address,
+                domain: self.domains.get(index).copied().unwrap_or("a").into(),
+                hardware: Some("card".into()),
+                held: self.held.get(index).copied(),
+                id: format!("t{index}").into(),
+                is_leaving: false,
+                service: "s".into(),
+                slot_count: 8,
+            });
+        }
+        listing
+    }
+}
+
+pub fn profile() -> EngineProfile {
+    EngineProfile {
+        activation_bytes: 1_000.0,
+        context_ms_per_thousand: 0.0,
+        kinds: vec![HardwareKind {
+            memory_mb: 10_000.0,
+            name: "card".into(),
+            pace: 1.0,
+            read_factor: 1.0,
+        }],
+        kv_bytes_per_token: 1_000.0,
+        layer_count: 8,
+        layer_mb: 100.0,
+        pipe_mbps: 1_000.0,
+        read_tokens_per_s: 100_000.0,
+        slot_count: 64,
+        step_ms: 1.0,
+        step_ms_per_request: 0.0,
+        usual_answer_tokens: 10.0,
+        usual_prompt_tokens: 10.0,
+    }
+}
+
+/// Request of a caller.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    pub body: &'static str,
+    pub headers: Vec<(&'static str, &'static str)>,
+    pub id: &'static str,
+    pub method: &'static str,
+    pub path: &'static str,
+}
+
+impl Default for Sending {
+    fn default() -> Self {
+        Self {
+            body: "",
+            headers: vec![("host", "h"), ("x-key", "key"), ("x-deadline-ms", "10000")],
+            id: "id1",
+            method: "GET",
+            path: "/r/x?y=1",
+        }
+    }
+}
+
+impl TestRouter {
+    pub async fn open(&self, send: Sending) -> Result<ReplyStream, wire::Error> {
+        let mut connection = Connection::open(self.address, LIMIT).await?;
+        let mut request = wire::hyper::Request::builder()
+            .method(send.method)
+            .uri(send.path)
+            .header("x-id", send.id);
+        for (name, value) in send.headers {
+            request = request.header(name, value);
+        }
+        let body = Full::new(Bytes::from_static(send.body.as_bytes()));
+        connection.exchange(request.body(body).unwrap(), LIMIT).await
+    }
+
+    pub async fn send(&self, send: Sending) -> (StatusCode, HeaderMap, Result<Bytes, wire::Error>) {
+        let mut reply = self.open(send).await.unwrap();
+        let body = reply.read(LIMIT, 1_000_000).await;
+        (reply.status, reply.headers, body)
+    }
+}
--- /dev/null
+++ b/crates/layout/tests/plan.rs
@@ -0,0 +1,145 @@
+//! Guards against layouts with missing layers, overfull engines, and loads that are not needed.
+
+use {
+    layout::{Engine, LayerRange, LayoutSettings, ModelShape, plan},
+    proptest::{prelude::*, test_runner::RngSeed},
+    yare::parameterized,
+};
+
+const SHAPE: ModelShape = ModelShape {
+    kv_mb_per_token_layer: 0.005,
+    layer_count: 80,
+    layer_mb: 1_750.0,
+};
+
+fn engine(id: usize, domain: &str, memory_mb: f64) -> Engine {
+    Engine {
+        domain: domain.into(),
+        held: None,
+        id: format!("e{id:03}").into(),
+        memory_mb,
+        pace: 400_000.0 / memory_mb,
+    }
+}
+
+fn apply(engines: &mut [Engine]) -> usize {
+    let placements = plan(engines, &SHAPE, &LayoutSettings::default());
+    for placement in &placements {
+        let engine = engines.iter_mut().find(|one| one.id == placement.engine);
+        engine.unwrap().held = Some(placement.range);
+    }
+    placements.len()
+}
+
+fn uncovered<'a>(engines: impl IntoIterator<Item = &'a Engine>) -> Vec<u32> {
+    let ranges: Vec<LayerRange> = engines.into_iter().filter_map(|one| one.held).collect();
+    let is_held = |layer: &u32| ranges.iter().any(|range| range.contains(*layer));
+    (0..SHAPE.layer_count).filter(|layer| !is_held(layer)).collect()
+}
+
+fn domain(name: &str, first: usize, count: usize) -> Vec<Engine> {
+    let memory = |id: usize| [36_000.0, 21_600.0, 14_400.0][id % 3];
+    (first..first + count).map(|id| engine(id, name, memory(id))).collect()
+}
+
+#[test]
+fn each_domain_that_can_holds_the_whole_model() {
+    let mut engines = domain("a", 0, 12);
+    engines.extend(domain("b", 20, 12));
+    apply(&mut engines);
+    for name in ["a", "b"] {
+        let held = engines.iter().filter(|engine| &*engine.domain == name);
+        assert_eq!(uncovered(held), Vec::<u32>::new(), "layers missing in {name}");
+    }
+}
+
+#[test]
+fn domains_that_cannot_hold_the_model_alone_share_one() {
+    let mut engines = domain("a", 0, 4);
+    engines.extend(domain("b", 20, 4));
+    engines.extend(domain("c", 40, 4));
+    apply(&mut engines);
+    assert_eq!(uncovered(&engines), Vec::<u32>::new());
+}
+
+#[test]
+fn memory_that_is_left_holds_layers_a_second_time() {
+    let mut engines = domain("a", 0, 21);
+    apply(&mut engines);
+    let held: u32 = engines.iter().filter_map(|one| one.held).map(LayerRange::count).sum();
+    assert!(held > SHAPE.layer_count + 40, "only {held} layers held");
+}
+
+#[test]
+fn complete_layout_is_left_alone() {
+    let mut engines = domain("a", 0, 15);
+    assert!(apply(&mut engines) > 0);
+    assert_eq!(apply(&mut engines), 0, "engines load layers for nothing");
+}
+
+#[test]
+fn restarted_engine_takes_the_layers_that_it_left_missing() {
+    let mut engines = domain("a", 0, 10);
+    apply(&mut engines);
+    let lost = engines.iter().position(|one| {
+        let others = engines.iter().filter(|other| other.id != one.id);
+        !uncovered(others).is_empty()
+    });
+    let lost = lost.unwrap();
+    engines[lost].held = None;
+    assert_eq!(apply(&mut engines), 1);
+    assert_eq!(uncovered(&engines), Vec::<u32>::new());
+}
+
+#[test]
+fn engine_lost_for_good_is_replaced_by_one_whose_layers_are_held_twice() {
+    let mut engines = domain("a", 0, 20);
+    apply(&mut engines);
+    for lost in 0..engines.len() {
+        let mut rest = engines.clone();
+        rest.remove(lost);
+        let loads = apply(&mut rest);
+        assert_eq!(uncovered(&rest), Vec::<u32>::new(), "without engine {lost}");
+        assert!(loads <= 3, "{loads} loads for one lost engine");
+    }
+}
+
+#[parameterized(none = { 0 }, one = { 1 }, few = { 3 })]
+fn too_few_engines_are_no_fault(count: usize) {
+    apply(&mut domain("a", 0, count));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// An engine that is ordered to hold more than its memory crashes.
+    #[test]
+    fn no_engine_is_overfull(
+        sizes in proptest::collection::vec((0_usize..3, 8_000.0..80_000.0_f64), 1..40),
+        lost in proptest::collection::vec(any::<prop::sample::Index>(), 0..6),
+    ) {
+        let names = ["a", "b", "c"];
+        let mut engines: Vec<Engine> = sizes
+            .iter()
+            .enumerate()
+            .map(|(id, (domain, memory_mb))| engine(id, names[*domain], *memory_mb))
+            .collect();
+        apply(&mut engines);
+        for index in &lost {
+            if engines.len() > 1 {
+                engines.remove(index.index(engines.len()));
+            }
+        }
+        apply(&mut engines);
+        for engine in &engines {
+            let Some(range) = engine.held else { continue };
+            prop_assert!(range.end <= SHAPE.layer_count);
+            prop_assert!(f64::from(range.count()) * SHAPE.layer_mb <= engine.memory_mb);
+        }
+    }
+}
--- /dev/null
+++ b/crates/reconcile/tests/layout_keeper.rs
@@ -0,0 +1,122 @@
+//! Guards against orders that repeat, cross, or plan with half of the engines.
+
+use {
+    catalog::{EngineProfile, HardwareKind},
+    fleet::Target,
+    layout::{LayerRange, LayoutSettings},
+    reconcile::{LayoutKeeper, Order},
+    std::time::Duration,
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn profile() -> EngineProfile {
+    EngineProfile {
+        activation_bytes: 20_000.0,
+        context_ms_per_thousand: 0.0,
+        kinds: vec![HardwareKind {
+            memory_mb: 30_000.0,
+            name: "card".into(),
+            pace: 1.0,
+            read_factor: 1.0,
+        }],
+        kv_bytes_per_token: 400_000.0,
+        layer_count: 20,
+        layer_mb: 1_750.0,
+        pipe_mbps: 10_000.0,
+        read_tokens_per_s: 200_000.0,
+        slot_count: 64,
+        step_ms: 1.0,
+        step_ms_per_request: 0.0,
+        usual_answer_tokens: 100.0,
+        usual_prompt_tokens: 500.0,
+    }
+}
+
+fn engines(count: u16) -> Vec<Target> {
+    let engine = |index: u16| Target {
+        address: ([10, 0, 0, 1], 8_000 + index).into(),
+        domain: "a".into(),
+        hardware: Some("card".into()),
+        held: None,
+        id: format!("e{index}").into(),
+        is_leaving: false,
+        service: "model".into(),
+        slot_count: 64,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn keeper() -> LayoutKeeper {
+    LayoutKeeper::new(LayoutSettings::default())
+}
+
+fn settled(keeper: &mut LayoutKeeper, targets: &[Target]) -> Vec<Order> {
+    keeper.orders(at(0), "model", &profile(), targets);
+    keeper.orders(at(1_000), "model", &profile(), targets)
+}
+
+#[test]
+fn engines_that_start_one_after_another_are_planned_together() {
+    let mut keeper = keeper();
+    for count in 1..6 {
+        let now = at(u64::from(count) * 400);
+        let orders = keeper.orders(now, "model", &profile(), &engines(count));
+        assert_eq!(orders, [], "planned with {count} engines of 5");
+    }
+    assert!(!keeper.orders(at(3_000), "model", &profile(), &engines(5)).is_empty());
+}
+
+#[test]
+fn order_is_not_repeated_while_its_effect_is_not_listed() {
+    let (mut keeper, targets) = (keeper(), engines(4));
+    let orders = settled(&mut keeper, &targets);
+    assert!(!orders.is_empty());
+    for order in &orders {
+        keeper.ordered(at(1_000), &order.placement);
+    }
+    assert_eq!(keeper.orders(at(1_300), "model", &profile(), &targets), []);
+}
+
+#[test]
+fn order_without_effect_is_given_again() {
+    let (mut keeper, targets) = (keeper(), engines(4));
+    let orders = settled(&mut keeper, &targets);
+    for order in &orders {
+        keeper.ordered(at(1_000), &order.placement);
+    }
+    assert_eq!(keeper.orders(at(8_000), "model", &profile(), &targets), orders);
+}
+
+#[test]
+fn leaving_engines_are_not_ordered() {
+    let mut targets = engines(4);
+    targets[0].is_leaving = true;
+    let orders = settled(&mut keeper(), &targets);
+    assert!(orders.iter().all(|order| &*order.placement.engine != "e0"));
+}
+
+#[test]
+fn layers_of_an_engine_that_leaves_move_before_it_is_gone() {
+    let mut keeper = keeper();
+    let mut targets = engines(4);
+    for order in settled(&mut keeper, &targets) {
+        let target = targets.iter_mut().find(|one| one.id == order.placement.engine);
+        target.unwrap().held = Some(order.placement.range);
+    }
+    assert_eq!(settled(&mut keeper, &targets), []);
+    targets[0].is_leaving = true;
+    settled(&mut keeper, &targets);
+    let mut covered = [false; 20];
+    for order in keeper.orders(at(3_000), "model", &profile(), &targets) {
+        let target = targets.iter_mut().find(|one| one.id == order.placement.engine);
+        target.unwrap().held = Some(order.placement.range);
+    }
+    for range in targets[1..].iter().filter_map(|one: &Target| one.held) {
+        let range: LayerRange = range;
+        covered[range.start as usize..range.end as usize].fill(true);
+    }
+    assert!(covered.iter().all(|is_covered| *is_covered));
+}
--- /dev/null
+++ b/crates/reconcile/tests/leadership.rs
@@ -0,0 +1,97 @@
+//! Guards against two leaders at once, and against none.
+
+use {
+    reconcile::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
+    std::time::Duration,
+    yare::parameterized,
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// One row with versions, as the store keeps it.
+#[derive(Default)]
+struct Table {
+    row: Option<(LeaderRow, u64)>,
+    version: u64,
+}
+
+impl Table {
+    fn write(&mut self, row: LeaderRow, expected_version: u64) -> Option<u64> {
+        let version = self.row.as_ref().map_or(0, |(_, version)| *version);
+        if version != expected_version {
+            return None;
+        }
+        self.version += 1;
+        self.row = Some((row, self.version));
+        Some(self.version)
+    }
+}
+
+fn instance(name: &str) -> Leadership {
+    Leadership::new(name.into(), LeadershipSettings::default())
+}
+
+fn round(now: Duration, table: &mut Table, leadership: &mut Leadership) {
+    leadership.observe(now, table.row.clone());
+    let LeaseStep::Write { expected_version, row } = leadership.step(now) else {
+        return;
+    };
+    if let Some(version) = table.write(row.clone(), expected_version) {
+        leadership.written(now, row, version);
+    }
+}
+
+#[test]
+fn one_of_two_leads_and_keeps_leading() {
+    let (mut table, mut one, mut other) = (Table::default(), instance("a"), instance("b"));
+    for second in 1..20 {
+        round(at(second * 1_000), &mut table, &mut one);
+        round(at(second * 1_000 + 1), &mut table, &mut other);
+        assert!(one.fence(at(second * 1_000 + 2)).is_some());
+        assert!(other.fence(at(second * 1_000 + 2)).is_none());
+    }
+}
+
+#[parameterized(killed = { false }, back_later = { true })]
+fn another_takes_over_with_a_higher_fence(comes_back: bool) {
+    let (mut table, mut one, mut other) = (Table::default(), instance("a"), instance("b"));
+    round(at(1_000), &mut table, &mut one);
+    let first = one.fence(at(1_000)).unwrap();
+    for ms in (1_500..6_000).step_by(500) {
+        round(at(ms), &mut table, &mut other);
+        let both = one.fence(at(ms)).is_some() && other.fence(at(ms)).is_some();
+        assert!(!both, "two leaders at {ms} ms");
+    }
+    assert!(other.fence(at(5_500)).unwrap() > first);
+    if comes_back {
+        round(at(6_000), &mut table, &mut one);
+        assert_eq!(one.fence(at(6_000)), None);
+    }
+}
+
+#[test]
+fn leader_without_the_store_stops_giving_orders() {
+    let (mut table, mut one) = (Table::default(), instance("a"));
+    round(at(1_000), &mut table, &mut one);
+    assert!(one.fence(at(3_400)).is_some());
+    assert!(one.fence(at(3_500)).is_none());
+}
+
+#[test]
+fn refused_order_ends_leadership() {
+    let (mut table, mut one) = (Table::default(), instance("a"));
+    round(at(1_000), &mut table, &mut one);
+    one.fenced();
+    assert_eq!(one.fence(at(1_001)), None);
+}
+
+#[test]
+fn restarted_leader_waits_for_the_lease_of_its_former_start() {
+    let (mut table, mut one) = (Table::default(), instance("a.1"));
+    round(at(1_000), &mut table, &mut one);
+    let mut again = instance("a.2");
+    round(at(1_500), &mut table, &mut again);
+    assert_eq!(again.fence(at(1_500)), None);
+}
