--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -5,7 +5,10 @@
     pub(crate) demand: &'a Demand,
     /// Usable engines with the cost of one layer, in milliseconds.
     pub(crate) engines: Vec<(TargetKey, &'a Entry, f64)>,
-    pub(crate) home: &'a str,
+    pub(crate) home: &'a DomainName,
+    pub(crate) now: Duration,
+    pub(crate) peer_factor: f64,
+    pub(crate) pipes: &'a Pipes,
     pub(crate) profile: &'a EngineProfile,
     pub(crate) settings: &'a FleetSettings,
 }
@@ -64,7 +67,12 @@
 
     /// Begins with the stage that the request is already at.
     fn begin_fixed(&self, steps: &mut Vec<Step>, ends: &mut HashMap<u32, Vec<usize>>) {
-        let Some(Stage { key, range: Some(range), .. }) = &self.demand.first else {
+        let Some(Stage {
+            key,
+            range: Some(range),
+            ..
+        }) = &self.demand.first
+        else {
             return;
         };
         let Some(engine) = self.engines.iter().position(|(at, ..)| at == key) else {
@@ -110,7 +118,7 @@
         steps: &[Step],
         before: &[usize],
     ) -> Option<(Option<usize>, f64)> {
-        let domain = &*self.engines[engine].1.target.domain;
+        let domain = &self.engines[engine].1.target.domain;
         if before.is_empty() {
             return Some((None, self.transfer_ms(self.home, domain, false)));
         }
@@ -123,7 +131,7 @@
                 continue;
             }
             let step = &steps[*position];
-            let from = &*self.engines[step.engine].1.target.domain;
+            let from = &self.engines[step.engine].1.target.domain;
             let cost_ms = step.cost_ms + self.transfer_ms(from, domain, true);
             if best.is_none_or(|(_, least_ms)| cost_ms < least_ms) {
                 best = Some((Some(*position), cost_ms));
@@ -134,7 +142,7 @@
 
     /// Time that a hop adds to the whole answer. The last stage sends its tokens to the instance
     /// itself, and the instance sends text and not activations to the first stage.
-    fn transfer_ms(&self, from: &str, to: &str, is_between_stages: bool) -> f64 {
+    fn transfer_ms(&self, from: &DomainName, to: &DomainName, is_between_stages: bool) -> f64 {
         let (demand, settings) = (self.demand, self.settings);
         let mut cost_ms = settings.hop_ms * demand.answer_tokens;
         if from == to {
@@ -142,8 +150,13 @@
         }
         cost_ms += settings.domain_change_ms * demand.answer_tokens;
         if is_between_stages {
+            let pipe_mbps = self.profile.pipe_mbps.max(1.0);
             let bits = demand.tokens() * self.profile.activation_bytes * 8.0;
-            cost_ms += bits / (self.profile.pipe_mbps.max(1.0) * 1_000.0);
+            let pair = (from, to);
+            let factor = self
+                .pipes
+                .delay_factor(self.now, pair, self.peer_factor, pipe_mbps);
+            cost_ms += bits / (pipe_mbps * 1_000.0) * factor;
         }
         cost_ms
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,6 +7,7 @@
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     /// Instances that share the targets. Invariant: at least 1 once it was set.
     instance_count: usize,
+    pipes: Pipes,
     settings: FleetSettings,
     targets: SlotMap<TargetKey, Entry>,
 }
@@ -81,6 +82,7 @@
         let (_, _, key) = best.ok_or(NoPath::NoTarget)?;
         Ok(Path {
             cost_ms: 0.0,
+            hop_bits: 0.0,
             stages: vec![self.stage(key, None)],
             tokens: 0.0,
         })
@@ -98,7 +100,7 @@
         service: &str,
         profile: &EngineProfile,
         demand: &Demand,
-        home: &str,
+        home: &DomainName,
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
         let mut engines = Vec::new();
@@ -123,6 +125,9 @@
             demand,
             engines,
             home,
+            now,
+            peer_factor: self.peer_factor(),
+            pipes: &self.pipes,
             profile,
             settings: &self.settings,
         };
@@ -137,13 +142,20 @@
         let stages = stages.map(|(at, range)| self.stage(finder.engines[at].0, Some(range)));
         Ok(Path {
             cost_ms,
+            hop_bits: demand.tokens() * profile.activation_bytes * 8.0,
             stages: stages.collect(),
             tokens: demand.tokens(),
         })
     }
 
     /// Counts a request that is sent along a path.
-    pub fn begin(&mut self, path: &Path) {
+    pub fn begin(&mut self, now: Duration, path: &Path) {
+        for pair in path.stages.windows(2) {
+            if pair[0].domain != pair[1].domain {
+                self.pipes
+                    .note(now, &pair[0].domain, &pair[1].domain, path.hop_bits);
+            }
+        }
         for stage in &path.stages {
             let Some(entry) = self.targets.get_mut(stage.key) else {
                 continue;
@@ -216,7 +228,11 @@
     pub fn silent<'a>(&self, path: &'a Path, since: Duration) -> Vec<&'a Stage> {
         let mut silent = Vec::new();
         for stage in &path.stages {
-            if self.targets.get(stage.key).is_none_or(|entry| entry.alive_at <= since) {
+            if self
+                .targets
+                .get(stage.key)
+                .is_none_or(|entry| entry.alive_at <= since)
+            {
                 silent.push(stage);
             }
         }
@@ -311,6 +327,7 @@
         let target = &self.targets[key].target;
         Stage {
             address: target.address,
+            domain: target.domain.clone(),
             id: target.id.clone(),
             key,
             range,
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -9,6 +9,8 @@
     Failed,
     /// The target refused because it has no room.
     Full,
+    /// The target did not answer a question; it is asked again until it does.
+    Silent,
 }
 
 /// Whether a target is avoided because of what it did.
@@ -17,6 +19,8 @@
     avoided_until: Duration,
     /// Failures without an answer between them.
     failure_count: u32,
+    /// Whether it did not answer when it was asked. Then it is avoided until it does.
+    is_silent: bool,
 }
 
 impl Health {
@@ -34,10 +38,11 @@
                 self.avoided_until = now + avoidance.min(settings.longest_avoidance);
             }
             Outcome::Full => {}
+            Outcome::Silent => self.is_silent = true,
         }
     }
 
     pub(crate) fn is_avoided(&self, now: Duration) -> bool {
-        now < self.avoided_until
+        self.is_silent || now < self.avoided_until
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod health;
 mod load;
 mod path;
+mod pipes;
 mod roster;
 mod settings;
 mod target;
@@ -40,7 +41,7 @@
     target::Target,
 };
 
-use {entry::Entry, finder::Finder, health::Health};
+use {entry::Entry, finder::Finder, health::Health, pipes::Pipes};
 
 /// Id of one start of a target.
 pub type TargetId = Arc<str>;
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -5,6 +5,8 @@
 pub struct Stage {
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
     /// Id of this start of it.
     pub id: TargetId,
     /// Handle.
@@ -18,6 +20,8 @@
 pub struct Path {
     /// Expected time of the whole answer, in milliseconds; 0 for plain services.
     pub cost_ms: f64,
+    /// Bits that each stage sends to the next one.
+    pub hop_bits: f64,
     /// Stages. Invariants: at least one; ranges are adjacent and cover each layer once; no target
     /// comes twice.
     pub stages: Vec<Stage>,
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -32,17 +32,19 @@
 }
 
 impl Attempt {
-    /// Sends a request along a path and waits at most `limit` for the head of the answer.
+    /// Sends a request along a path and waits for the head of the answer. `has_another` says whether
+    /// it may be sent again if there is none.
     pub(crate) async fn send(
         router: &Arc<Router>,
         admitted: &Admitted,
         request: &Request,
         path: Path,
         last_event: Option<&str>,
-        limit: Duration,
+        has_another: bool,
     ) -> Result<Self, (AttemptFailure, Path)> {
         let in_flight = InFlight::begin(router, &path);
         let first = path.first().clone();
+        let limit = admitted.time_left();
         let settings = &router.settings;
         let mut connection = match router
             .pool
@@ -70,7 +72,7 @@
         };
         let mut watched = Watched { in_flight, path };
         let exchange = connection.exchange(message, limit);
-        let reply = match watched.wait(router, admitted, exchange).await {
+        let reply = match watched.wait(router, admitted, has_another, exchange).await {
             None => return Err((AttemptFailure::Unknown, watched.path)),
             Some(Err(error)) => {
                 let failure = failed(router, admitted, &first, &error);
@@ -185,23 +187,29 @@
 
 impl Watched {
     /// Waits for the head, and inspects the path while there is none. Returns none if the request
-    /// cannot go on where it is.
+    /// is better sent again.
     async fn wait(
         &mut self,
         router: &Arc<Router>,
         admitted: &Admitted,
+        has_another: bool,
         exchange: impl Future<Output = Result<ReplyStream, wire::Error>>,
     ) -> Option<Result<ReplyStream, wire::Error>> {
         let mut exchange = std::pin::pin!(exchange);
+        let mut watchdog = Watchdog::default();
+        let sent_at = clock::now();
         loop {
             let since = clock::now();
-            let limit = router.settings.start_limit;
-            if let Ok(result) = timeout(limit, &mut exchange).await {
+            if let Ok(result) = timeout(router.settings.start_limit, &mut exchange).await {
                 return Some(result);
             }
-            match watchdog::inspect(router, admitted, &self.path, since).await {
-                Verdict::Lost if admitted.route.repeat.may_run_again() => return None,
-                Verdict::Lost | Verdict::Sound => {}
+            let silence = clock::now().saturating_sub(sent_at);
+            match watchdog.inspect(router, admitted, &self.path, since).await {
+                Verdict::Lost if has_another => return None,
+                Verdict::Sound if has_another && silence >= router.settings.stall_limit => {
+                    return None;
+                }
+                Verdict::Lost | Verdict::Slow | Verdict::Sound => {}
                 Verdict::Moved(path) => {
                     self.in_flight = InFlight::begin(router, &path);
                     self.path = path;
--- a/crates/forward/src/engines.rs
+++ b/crates/forward/src/engines.rs
@@ -52,9 +52,5 @@
     /// # Errors
     ///
     /// Returns an error when it is not known whether the request was moved.
-    fn repath(
-        &self,
-        request: &str,
-        path: &Path,
-    ) -> BoxFuture<'_, Result<bool, Error>>;
+    fn repath(&self, request: &str, path: &Path) -> BoxFuture<'_, Result<bool, Error>>;
 }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -62,7 +62,12 @@
             }
             let status = status.as_u16();
             let request = &*self.admitted.facts.id;
-            tracing::info!(request, target = &*target.id, status, "failed at target, sent again");
+            tracing::info!(
+                request,
+                target = &*target.id,
+                status,
+                "failed at target, sent again"
+            );
             self.demand.excluded.push(target.key);
             self.kept = Some(response);
         }
@@ -77,8 +82,7 @@
     /// Sends the request to one target after another until one answers.
     pub(crate) async fn attempt(&mut self, last_event: Option<&str>) -> Result<Attempt, Refusal> {
         loop {
-            let left = self.admitted.time_left();
-            if left.is_zero() {
+            if self.admitted.time_left().is_zero() {
                 return Err(self.time_over());
             }
             let path = self.router.choose(&self.admitted, &self.demand);
@@ -90,7 +94,7 @@
                 &self.request,
                 path,
                 last_event,
-                self.head_limit(left),
+                self.has_another_start(),
             );
             let (failure, path) = match send.await {
                 Err(failure) => failure,
@@ -152,15 +156,12 @@
         refusal.response(self.router.settings.return_after)
     }
 
-    /// Longest wait for the head of an answer. Streams that do not start are given up in time for
-    /// another target to start them before the caller leaves.
-    fn head_limit(&self, left: Duration) -> Duration {
+    /// Whether a stream that does not start may be sent again, in time for another target to start
+    /// it before the caller leaves.
+    fn has_another_start(&self) -> bool {
         let route = &self.admitted.route;
         let has_another = self.attempt_count + 1 < route.attempt_count;
-        if route.repeat == Repeat::ResumableStream && has_another {
-            return left.min(self.router.settings.stall_limit);
-        }
-        left
+        route.repeat == Repeat::ResumableStream && has_another
     }
 
     fn no_path(&self, reason: NoPath) -> Refusal {
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -8,7 +8,7 @@
 
 impl InFlight {
     pub(crate) fn begin(router: &Arc<Router>, path: &Path) -> Self {
-        router.fleet().begin(path);
+        router.fleet().begin(clock::now(), path);
         Self {
             path: path.clone(),
             router: router.clone(),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -78,5 +78,5 @@
     in_flight::InFlight,
     probes::Probes,
     stream_pace::StreamPace,
-    watchdog::Verdict,
+    watchdog::{Verdict, Watchdog},
 };
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -58,7 +58,7 @@
         let mut fleet = router.fleet();
         for (stage, answer) in stages.iter().zip(answers) {
             let Ok(Ok(state)) = answer else {
-                if !is_own_fault && fleet.note(now, stage.key, Outcome::Failed) {
+                if !is_own_fault && fleet.note(now, stage.key, Outcome::Silent) {
                     tracing::info!(target = &*stage.id, "engine does not answer, avoided");
                 }
                 continue;
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -37,8 +37,8 @@
     /// Time without the first event after which engines are asked how they are: half of the usual
     /// goal.
     pub start_limit: Duration,
-    /// Time without a byte of a stream after which it is resumed elsewhere. Callers leave after
-    /// twice this time.
+    /// Time without an event after which a stream whose engines are sound is sent again, as its
+    /// connection may be dead. Callers leave after two seconds.
     pub stall_limit: Duration,
 }
 
@@ -58,7 +58,7 @@
             return_time: Duration::from_millis(10),
             silence_limit: Duration::from_millis(110),
             start_limit: Duration::from_millis(250),
-            stall_limit: Duration::from_secs(1),
+            stall_limit: Duration::from_millis(1_200),
         }
     }
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -11,6 +11,7 @@
         events: EventSplitter::default(),
         exchange,
         sender,
+        watchdog: Watchdog::default(),
     };
     tokio::spawn(pump.run(attempt));
     response
@@ -23,6 +24,7 @@
     exchange: Exchange,
     pace: StreamPace,
     sender: BodySender,
+    watchdog: Watchdog,
 }
 
 /// How the part of a stream that one target made has ended.
@@ -111,10 +113,16 @@
 
     /// Finds out why the stream is silent. Returns whether to wait on.
     async fn inspect(&mut self, attempt: &mut Attempt, silent_since: Duration) -> bool {
-        let Exchange { admitted, router, .. } = &self.exchange;
+        let Exchange {
+            admitted, router, ..
+        } = &self.exchange;
         let is_resumable = self.exchange.may_try_again();
-        match watchdog::inspect(router, admitted, &attempt.path, silent_since).await {
+        let inspect = self
+            .watchdog
+            .inspect(router, admitted, &attempt.path, silent_since);
+        match inspect.await {
             Verdict::Lost => !is_resumable,
+            Verdict::Slow => true,
             Verdict::Moved(path) => {
                 attempt.move_to(router, path);
                 true
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -7,55 +7,81 @@
     Lost,
     /// The stream goes on along another path.
     Moved(Path),
+    /// A stage is slow; the stream goes on where it is.
+    Slow,
     /// No stage has failed.
     Sound,
 }
 
-/// Finds out why a stream is silent since `since`, and moves it off stages that failed or are slow.
-pub(crate) async fn inspect(
-    router: &Router,
-    admitted: &Admitted,
-    path: &Path,
-    since: Duration,
-) -> Verdict {
-    let Some(profile) = admitted.pipeline() else {
-        return Verdict::Sound;
-    };
-    router.probes.ask(router, path, since).await;
-    let now = clock::now();
-    let mut lost = Vec::new();
-    let mut slow = Vec::new();
-    {
-        let fleet = router.fleet();
-        for stage in &path.stages {
-            if fleet.is_lost(now, stage) {
-                lost.push(stage.clone());
-            } else if fleet.is_slow(stage) {
-                slow.push(stage.clone());
-            }
+/// Watches one request while it is silent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Watchdog {
+    /// Whether the request was moved because of slow stages. A move makes other engines read the
+    /// prompt again, so that more than one for this reason would slow down all requests.
+    has_left_slow: bool,
+}
+
+impl Watchdog {
+    /// Finds out why a request is silent since `since`, and moves it off stages that failed or are
+    /// slow.
+    pub(crate) async fn inspect(
+        &mut self,
+        router: &Router,
+        admitted: &Admitted,
+        path: &Path,
+        since: Duration,
+    ) -> Verdict {
+        let Some(profile) = admitted.pipeline() else {
+            return Verdict::Sound;
+        };
+        router.probes.ask(router, path, since).await;
+        let (lost, slow) = ailing_stages(router, path);
+        let unmoved = match (lost.is_empty(), slow.is_empty()) {
+            (false, _) => Verdict::Lost,
+            (true, false) => Verdict::Slow,
+            (true, true) => return Verdict::Sound,
+        };
+        let is_first_lost = lost.iter().any(|stage| stage.key == path.first().key);
+        if is_first_lost || (lost.is_empty() && self.has_left_slow) {
+            return unmoved;
         }
+        let Some(next) = other_path(router, admitted, profile, path, &lost, &slow) else {
+            return unmoved;
+        };
+        let moved = router
+            .probes
+            .engines()
+            .repath(&admitted.facts.id, &next)
+            .await;
+        let is_moved = matches!(moved, Ok(true));
+        tracing::info!(
+            request = &*admitted.facts.id,
+            lost = names(&lost),
+            slow = names(&slow),
+            is_moved,
+            "stream is silent"
+        );
+        if !is_moved {
+            return unmoved;
+        }
+        self.has_left_slow |= lost.is_empty();
+        Verdict::Moved(next)
     }
-    if lost.is_empty() && slow.is_empty() {
-        return Verdict::Sound;
-    }
-    let first = path.first();
-    let unmoved = if lost.is_empty() { Verdict::Sound } else { Verdict::Lost };
-    if lost.iter().any(|stage| stage.key == first.key) {
-        return Verdict::Lost;
+}
+
+/// Stages that are lost, and those that are slow.
+fn ailing_stages(router: &Router, path: &Path) -> (Vec<Stage>, Vec<Stage>) {
+    let (mut lost, mut slow) = (Vec::new(), Vec::new());
+    let now = clock::now();
+    let fleet = router.fleet();
+    for stage in &path.stages {
+        if fleet.is_lost(now, stage) {
+            lost.push(stage.clone());
+        } else if fleet.is_slow(stage) {
+            slow.push(stage.clone());
+        }
     }
-    let Some(next) = other_path(router, admitted, profile, path, &lost, &slow) else {
-        return unmoved;
-    };
-    let moved = router.probes.engines().repath(&admitted.facts.id, &next).await;
-    let is_moved = matches!(moved, Ok(true));
-    tracing::info!(
-        request = &*admitted.facts.id,
-        lost = names(&lost),
-        slow = names(&slow),
-        is_moved,
-        "stream is silent"
-    );
-    if is_moved { Verdict::Moved(next) } else { unmoved }
+    (lost, slow)
 }
 
 /// Another path with the same first stage.
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -37,6 +37,8 @@
     link::Link,
     membership::{InstanceRow, Membership},
     order_loop::keep_layout,
-    sources::{CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource},
+    sources::{
+        CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource,
+    },
     target_loop::follow_targets,
 };
--- a/crates/suite/src/process.rs
+++ b/crates/suite/src/process.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+/// State of a thread that a signal has stopped, as the system writes it.
+const STOPPED: char = 'T';
 /// Lines of the log that are printed when a test fails.
 const LOG_LINE_COUNT: usize = 40;
 
@@ -89,22 +91,41 @@
         self.child.id()
     }
 
-    /// Stops the process from running, as a paused machine would.
+    /// Stops the process from running, as a paused machine would, and returns when all its threads
+    /// have stopped. The signal alone takes effect later on a busy machine.
     ///
     /// # Errors
     ///
-    /// Returns an error when the system refuses.
+    /// Returns an error when the system refuses or a thread goes on running.
     pub fn freeze(&self) -> Result<()> {
-        signal::send(self.id(), Signal::Freeze)
+        signal::send(self.id(), Signal::Freeze)?;
+        self.wait_until_frozen(true)
     }
 
-    /// Lets a frozen process run again.
+    /// Lets a frozen process run again, and returns when all its threads do.
     ///
     /// # Errors
     ///
-    /// Returns an error when the system refuses.
+    /// Returns an error when the system refuses or a thread stays stopped.
     pub fn thaw(&self) -> Result<()> {
-        signal::send(self.id(), Signal::Continue)
+        signal::send(self.id(), Signal::Continue)?;
+        self.wait_until_frozen(false)
+    }
+
+    fn wait_until_frozen(&self, is_frozen: bool) -> Result<()> {
+        let end = Instant::now() + LIMIT;
+        while Instant::now() < end {
+            let states = thread_states(self.id())?;
+            if states.iter().all(|state| (*state == STOPPED) == is_frozen) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        bail!(
+            "{} does not stop or go on as asked: {}",
+            self.name,
+            self.log_tail()
+        );
     }
 
     /// Ends the process at once and waits for its end.
@@ -186,6 +207,24 @@
     }
 }
 
+/// States of the threads of a process, as the system writes them. Threads that end meanwhile are
+/// left out.
+fn thread_states(id: u32) -> Result<Vec<char>> {
+    let mut states = Vec::new();
+    let folder = format!("/proc/{id}/task");
+    for thread in fs::read_dir(&folder).with_context(|| format!("threads in {folder}"))? {
+        let Ok(text) = fs::read_to_string(thread?.path().join("stat")) else {
+            continue;
+        };
+        // The state follows the name, which is in parentheses and may contain any character.
+        let state = text
+            .rsplit_once(") ")
+            .and_then(|(_, rest)| rest.chars().next());
+        states.extend(state);
+    }
+    Ok(states)
+}
+
 /// Finds a binary of the workspace in the folder above the test executable.
 ///
 /// # Errors
