Let the leader read the store for the other instances

Ruled out: fewer reads by each instance, which makes withdrawn keys live longer. Change: the leader answers the other instances over tarpc with what is newer and its age; an instance without a leader reads the store itself; a leader that stops gives up its row.

--- a/crates/catalog/src/account.rs
+++ b/crates/catalog/src/account.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A client account, found by one of its keys.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Account {
     /// Keys in force.
     pub keys: Vec<Arc<str>>,
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Limits {
     /// Longest request body, in bytes.
     pub body_bytes: usize,
@@ -25,7 +25,7 @@
 }
 
 /// Content of a catalog.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct CatalogParts {
     /// Client accounts; none where requests need no key.
     pub accounts: Option<Vec<Account>>,
@@ -116,6 +116,12 @@
         self.parts.services.get(*self.services_by_name.get(name)?)
     }
 
+    /// Its content.
+    #[must_use]
+    pub fn parts(&self) -> &CatalogParts {
+        &self.parts
+    }
+
     /// Services.
     #[must_use]
     pub fn services(&self) -> &[Service] {
--- a/crates/catalog/src/engine_profile.rs
+++ b/crates/catalog/src/engine_profile.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Hardware of an engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HardwareKind {
     /// Memory for layers and requests, in MB of 1,000,000 bytes.
     pub memory_mb: f64,
@@ -14,7 +14,7 @@
 }
 
 /// Costs of a model on the engines of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineProfile {
     /// Bytes that each token sends from one stage to the next.
     pub activation_bytes: f64,
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -3,7 +3,10 @@
 //! A catalog is immutable. An operator replaces it as a whole; `Holder` keeps the newest one and
 //! says how long ago it was known to be the newest.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
 
 mod account;
 mod catalog;
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// How often a request may run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Repeat {
     /// Any number of times.
     Idempotent,
@@ -28,7 +28,7 @@
 }
 
 /// A service that takes a share of a route's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Backend {
     /// Name of the service.
     pub service: ServiceName,
@@ -37,7 +37,7 @@
 }
 
 /// Requests of one host below one path prefix.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Targets that one request may be sent to.
     pub attempt_count: u32,
--- a/crates/catalog/src/service.rs
+++ b/crates/catalog/src/service.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A group of targets that serve the same requests.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Service {
     /// Connections that one target accepts from all callers together.
     pub connection_count: Option<u32>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
     catalog::{DomainName, EngineProfile, HardwareKind, ServiceName},
     layout::LayerRange,
     rand::Rng,
+    serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::{BTreeSet, HashMap},
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A target as it is listed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Target {
     /// Where it takes requests.
     pub address: SocketAddr,
--- a/crates/forward/src/instance.rs
+++ b/crates/forward/src/instance.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// An instance of the router that callers may use.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
     /// Where it takes requests.
     pub address: SocketAddr,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,6 +22,7 @@
     },
     layout::LayerRange,
     rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde::{Deserialize, Serialize},
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
--- a/crates/layout/src/range.rs
+++ b/crates/layout/src/range.rs
@@ -1,7 +1,10 @@
-use std::fmt::{self, Display, Formatter};
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt::{self, Display, Formatter},
+};
 
 /// Adjacent layers.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct LayerRange {
     /// First layer after the range. Invariant: at least `start`.
     pub end: u32,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -50,7 +50,7 @@
     peers::{PeerHandler, Peers},
     pool::Pool,
     secret::Secret,
-    server::serve,
+    server::{serve, transport},
     settings::PeerSettings,
 };
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -66,7 +66,7 @@
 
 /// Frames with a length prefix, so that a frame past the limit ends the connection before it is
 /// read.
-pub(crate) fn transport<Item, SinkItem>(
+pub fn transport<Item, SinkItem>(
     stream: TcpStream,
     frame_bytes: usize,
 ) -> Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>
--- /dev/null
+++ b/crates/reconcile/src/board.rs
@@ -0,0 +1,146 @@
+use super::*;
+
+/// Age of relayed knowledge up to which an instance does not read the stores itself. A reader
+/// confirms the configuration about once a second.
+const RELAYED_AGE: Duration = Duration::from_millis(1_800);
+
+/// What the loops of one instance share.
+#[derive(Debug)]
+pub struct Board {
+    changed: watch::Sender<u64>,
+    state: Mutex<BoardState>,
+}
+
+#[derive(Debug, Default)]
+struct BoardState {
+    membership: Membership,
+    /// When the relayed knowledge was current; none while this instance reads itself.
+    relayed_at: Option<Duration>,
+    targets: Vec<Target>,
+    /// When the targets were read.
+    targets_at: Option<Duration>,
+}
+
+/// Question of an instance to the leader.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Query {
+    /// Version of the configuration that the asking instance has; 0 if none.
+    pub catalog_version: u64,
+    /// Whether the asking instance is leaving.
+    pub is_leaving: bool,
+    /// Number of the list of targets that it has from this leader; 0 if none.
+    pub revision: u64,
+    /// The asking instance.
+    pub row: InstanceRow,
+    /// Longest wait for a change.
+    pub wait: Duration,
+}
+
+/// Answer of the leader.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Answer {
+    /// Configuration, if it is newer than the one of the asking instance.
+    pub catalog: Option<CatalogParts>,
+    /// Time since the read that confirmed the configuration was sent.
+    pub catalog_age: Duration,
+    /// Instances that callers may use.
+    pub instances: Vec<Instance>,
+    /// Number of the list of targets.
+    pub revision: u64,
+    /// Targets, if they are others than those of the asking instance.
+    pub targets: Option<Vec<Target>>,
+    /// Time since the targets were read.
+    pub targets_age: Duration,
+}
+
+/// Calls an instance that reads the stores for others.
+pub trait Relay: Send + Sync {
+    /// Asks for what is newer than what this instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer in time, or the other one does not lead.
+    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>>;
+}
+
+impl Default for Board {
+    fn default() -> Self {
+        Self {
+            changed: watch::Sender::new(1),
+            state: Mutex::default(),
+        }
+    }
+}
+
+impl Board {
+    /// Targets.
+    pub fn targets(&self) -> Vec<Target> {
+        self.lock().targets.clone()
+    }
+
+    /// Number of the list of targets; changes with it.
+    pub fn revision(&self) -> u64 {
+        *self.changed.borrow()
+    }
+
+    /// Notes that the targets were read and have not changed.
+    pub fn confirm_targets(&self, now: Duration) {
+        self.lock().targets_at = Some(now);
+    }
+
+    /// Replaces the targets. Returns those before.
+    pub fn set_targets(&self, now: Duration, targets: Vec<Target>) -> Vec<Target> {
+        let mut state = self.lock();
+        state.targets_at = Some(now);
+        if state.targets == targets {
+            return targets;
+        }
+        let before = std::mem::replace(&mut state.targets, targets);
+        drop(state);
+        self.changed.send_modify(|revision| *revision += 1);
+        before
+    }
+
+    /// Wakes those who wait for a change.
+    pub fn wake(&self) {
+        self.changed.send_modify(|revision| *revision += 1);
+    }
+
+    /// Waits until the number differs from `revision`, for at most `wait`.
+    pub async fn wait(&self, revision: u64, wait: Duration) {
+        let mut changed = self.changed.subscribe();
+        let change = changed.wait_for(|current| *current != revision);
+        let _ = timeout(wait, change).await;
+    }
+
+    /// Age of the targets; none before the first read.
+    pub fn targets_age(&self, now: Duration) -> Option<Duration> {
+        self.lock().targets_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Members.
+    pub fn with_membership<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
+        act(&mut self.lock().membership)
+    }
+
+    /// Notes when relayed knowledge was current.
+    pub fn relayed(&self, at: Duration) {
+        let mut state = self.lock();
+        state.relayed_at = state.relayed_at.max(Some(at));
+    }
+
+    /// Forgets relayed knowledge, so that this instance reads the stores itself.
+    pub fn relay_lost(&self) {
+        self.lock().relayed_at = None;
+    }
+
+    /// Whether this instance knows what the leader knows and need not read the stores itself.
+    pub fn is_relayed(&self, now: Duration) -> bool {
+        let relayed_at = self.lock().relayed_at;
+        relayed_at.is_some_and(|at| now.saturating_sub(at) < RELAYED_AGE)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BoardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -3,14 +3,25 @@
 /// Longest wait for a change in one read. A read confirms the configuration as of its start, so the
 /// wait is a part of the age at which keys are no longer accepted.
 const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause while the leader reads for this instance.
+const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Keeps the configuration of a router current.
-pub async fn follow_catalog(router: Arc<Router>, mut source: Box<dyn CatalogSource>) {
+pub async fn follow_catalog(
+    router: Arc<Router>,
+    mut source: Box<dyn CatalogSource>,
+    board: Arc<Board>,
+) {
     let mut link = Link::new("configuration");
     let mut wait = Duration::ZERO;
     loop {
+        if board.is_relayed(clock::now()) {
+            wait = Duration::ZERO;
+            sleep(RELAYED_PAUSE).await;
+            continue;
+        }
         match source.read(wait).await {
             Err(error) => {
                 link.failed(clock::now(), &error);
@@ -20,26 +31,32 @@
             }
             Ok(read) => {
                 link.answered(clock::now());
-                take(&router, &read);
+                if take(&router, &read) {
+                    board.wake();
+                }
                 wait = WAIT;
             }
         }
     }
 }
 
-fn take(router: &Router, read: &CatalogRead) {
+/// Takes over what was read. Returns whether the configuration has changed.
+fn take(router: &Router, read: &CatalogRead) -> bool {
     let mut holder = router.catalog();
+    let mut has_changed = false;
     if let Some(catalog) = &read.catalog {
         let version = catalog.version();
         let before = holder.catalog().map_or(0, |held| held.version());
         let is_taken = holder.offer(catalog.clone());
+        has_changed = is_taken;
         let age_ms = clock::now().saturating_sub(read.sent_at).as_millis() as u64;
         tracing::info!(version, before, is_taken, age_ms, "configuration read");
     }
     if !read.is_current {
-        return;
+        return has_changed;
     }
     if let Some(version) = holder.catalog().map(|held| held.version()) {
         holder.confirm(version, read.sent_at);
     }
+    has_changed
 }
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -2,32 +2,45 @@
 
 /// Time between beats and reads.
 const INTERVAL: Duration = Duration::from_millis(1_000);
+/// Rounds of the leader between reads of the table; those who follow it call it.
+const LEADER_READ_ROUNDS: u32 = 3;
 
 /// Keeps this instance in the table, the instances of the router current, and the leader's row
-/// renewed.
+/// renewed. While this instance follows a leader, the leader does all that for it.
 pub async fn follow_instances(
     router: Arc<Router>,
     mut table: Box<dyn InstanceTable>,
-    mut row: InstanceRow,
+    row: InstanceRow,
+    board: Arc<Board>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
     let mut link = Link::new("instance table");
-    let mut membership = Membership::default();
-    let mut is_listed = false;
+    let mut own = OwnRow {
+        is_listed: false,
+        row,
+    };
+    let mut round_count = 0;
     loop {
         let started_at = clock::now();
-        let result = round(&router, &mut *table, &mut row, &mut is_listed).await;
-        match result {
-            Err(error) => link.failed(clock::now(), &error),
-            Ok(view) => {
-                let now = clock::now();
-                link.answered(now);
-                membership.observe(now, view.instances);
-                take(&router, membership.live(now));
-                lock(&leadership).observe(now, view.leader);
-                if let Err(error) = lead(&router, &mut *table, &leadership).await {
-                    link.failed(clock::now(), &error);
-                }
+        round_count += 1;
+        let is_leading = lock(&leadership).fence(started_at).is_some();
+        let is_relayed = board.is_relayed(started_at);
+        let must_leave = own.is_listed && !router.is_ready();
+        let is_spared = (is_relayed && own.is_listed)
+            || (is_leading && round_count % LEADER_READ_ROUNDS != 0);
+        if must_leave || !is_spared {
+            let result = round(&router, &mut *table, &mut own, &board, &leadership).await;
+            match result {
+                Err(error) => link.failed(clock::now(), &error),
+                Ok(()) => link.answered(clock::now()),
+            }
+        }
+        if !is_relayed {
+            let live = board.with_membership(|membership| membership.live(clock::now()));
+            let live = with_own(live, &router, &own.row);
+            take(&router, live);
+            if let Err(error) = lead(&router, &mut *table, &leadership).await {
+                link.failed(clock::now(), &error);
             }
         }
         let spent = clock::now().saturating_sub(started_at);
@@ -35,21 +48,51 @@
     }
 }
 
+/// Row of this instance.
+struct OwnRow {
+    is_listed: bool,
+    row: InstanceRow,
+}
+
 async fn round(
     router: &Router,
     table: &mut dyn InstanceTable,
-    row: &mut InstanceRow,
-    is_listed: &mut bool,
-) -> Result<InstanceView, Error> {
+    own: &mut OwnRow,
+    board: &Board,
+    leadership: &Mutex<Leadership>,
+) -> Result<(), Error> {
     if router.is_ready() {
-        row.beat_count += 1;
-        table.beat(row.clone()).await?;
-        *is_listed = true;
-    } else if *is_listed {
-        table.remove(row.id.clone()).await?;
-        *is_listed = false;
+        own.row.beat_count += 1;
+        table.beat(own.row.clone()).await?;
+        own.is_listed = true;
+    } else if own.is_listed {
+        table.remove(own.row.id.clone()).await?;
+        own.is_listed = false;
     }
-    table.read().await
+    let view = table.read().await?;
+    let now = clock::now();
+    board.with_membership(|membership| {
+        membership.observe(now, view.instances);
+        if let Some((leader, version)) = &view.leader {
+            membership.vouched(now, &leader.live, *version);
+        }
+    });
+    lock(leadership).observe(now, view.leader);
+    Ok(())
+}
+
+/// This instance knows of itself whether it takes requests.
+fn with_own(mut live: Vec<Instance>, router: &Router, row: &InstanceRow) -> Vec<Instance> {
+    live.retain(|instance| instance.id != row.id);
+    if router.is_ready() {
+        live.push(Instance {
+            address: row.address,
+            domain: row.domain.clone(),
+            id: row.id.clone(),
+        });
+        live.sort_by(|one, other| one.id.cmp(&other.id));
+    }
+    live
 }
 
 async fn lead(
@@ -57,8 +100,20 @@
     table: &mut dyn InstanceTable,
     leadership: &Mutex<Leadership>,
 ) -> Result<(), Error> {
+    if router.is_leaving() {
+        let released = lock(leadership).release();
+        if let Some((row, expected_version)) = released {
+            table.lead(row, expected_version).await?;
+        }
+        return Ok(());
+    }
     let now = clock::now();
-    let step = lock(leadership).step(now);
+    let ids = router.instances().into_iter().map(|instance| instance.id);
+    let step = {
+        let mut leadership = lock(leadership);
+        leadership.set_live(ids.collect());
+        leadership.step(now)
+    };
     let LeaseStep::Write {
         expected_version,
         row,
@@ -66,16 +121,15 @@
     else {
         return Ok(());
     };
-    if router.is_leaving() {
-        return Ok(());
-    }
-    if let Some(version) = table.lead(row.clone(), expected_version).await? {
-        lock(leadership).written(now, row, version);
+    match table.lead(row.clone(), expected_version).await? {
+        None => lock(leadership).outrun(),
+        Some(version) => lock(leadership).written(now, row, version),
     }
     Ok(())
 }
 
-fn take(router: &Router, live: Vec<Instance>) {
+/// Takes over the instances that callers may use.
+pub(crate) fn take(router: &Router, live: Vec<Instance>) {
     let known = router.instances();
     if known == live {
         return;
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -24,8 +24,10 @@
 pub struct LeaderRow {
     /// Number that grows with each change of the leader; engines refuse lower ones.
     pub fence: u64,
-    /// Instance that leads.
+    /// Instance that leads, as the id of its start; empty if it gave up the lead.
     pub holder: Arc<str>,
+    /// Ids of the instances that the leader knows to live.
+    pub live: Vec<Arc<str>>,
 }
 
 /// What to do about the leader's row.
@@ -49,6 +51,8 @@
 #[derive(Clone, Debug)]
 pub struct Leadership {
     instance: Arc<str>,
+    /// Instances that this one knows to live.
+    live: Vec<Arc<str>>,
     /// Fence of this instance's own term, and when the write that began or renewed it was sent.
     own: Option<(u64, Duration)>,
     row: Option<(LeaderRow, u64)>,
@@ -62,6 +66,7 @@
     pub fn new(instance: Arc<str>, settings: LeadershipSettings) -> Self {
         Self {
             instance,
+            live: Vec::new(),
             own: None,
             row: None,
             seen_at: None,
@@ -69,6 +74,17 @@
         }
     }
 
+    /// Sets which instances the row names as living.
+    pub fn set_live(&mut self, live: Vec<Arc<str>>) {
+        self.live = live;
+    }
+
+    /// Start id of the instance that leads, as far as is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Arc<str>> {
+        self.row.as_ref().map(|(row, _)| &row.holder)
+    }
+
     /// Notes the row and its version.
     pub fn observe(&mut self, now: Duration, row: Option<(LeaderRow, u64)>) {
         let version = |row: &Option<(LeaderRow, u64)>| row.as_ref().map(|(_, version)| *version);
@@ -99,7 +115,8 @@
         if row.holder == self.instance && self.own.is_some() {
             return self.write(row.fence, *version);
         }
-        if now.saturating_sub(seen_at) < self.settings.lease {
+        let is_released = row.holder.is_empty();
+        if !is_released && now.saturating_sub(seen_at) < self.settings.lease {
             return LeaseStep::Wait;
         }
         self.write(row.fence + 1, *version)
@@ -119,6 +136,27 @@
         self.seen_at = Some(sent_at);
     }
 
+    /// Gives up the lead, if this instance has it. Returns the row to write and its expected version.
+    pub fn release(&mut self) -> Option<(LeaderRow, u64)> {
+        let (fence, _) = self.own.take()?;
+        let (_, version) = self.row.as_ref()?;
+        let row = LeaderRow {
+            fence,
+            holder: Arc::from(""),
+            live: self.live.clone(),
+        };
+        tracing::info!(instance = &*self.instance, fence, "leadership given up");
+        Some((row, *version))
+    }
+
+    /// Notes that another write of the row came first, or an earlier one of this instance whose answer
+    /// was lost. What holds shows with the next read.
+    pub fn outrun(&mut self) {
+        if self.own.take().is_some() {
+            tracing::info!(instance = &*self.instance, "leadership not renewed");
+        }
+    }
+
     /// Notes that an engine has seen an order of a newer leader.
     pub fn fenced(&mut self) {
         if self.own.take().is_some() {
@@ -139,6 +177,7 @@
             row: LeaderRow {
                 fence,
                 holder: self.instance.clone(),
+                live: self.live.clone(),
             },
         }
     }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -1,24 +1,30 @@
 //! Keeps an instance in step with what is shared: configuration, targets, other instances, and the
 //! layout of layers, which one instance at a time brings about.
 //!
-//! The shared stores are reached through traits. The decisions, `Leadership`, `Membership` and
-//! `LayoutKeeper`, do no I/O.
+//! The instance that leads reads the shared stores, and the others ask it. An instance that has no
+//! leader to ask reads the stores itself. Stores and other instances are reached through traits. The
+//! decisions, `Leadership`, `Membership` and `LayoutKeeper`, do no I/O.
 
 use {
-    catalog::{Catalog, EngineProfile},
+    catalog::{Catalog, CatalogParts, EngineProfile},
     fleet::{Roster, Target},
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
+    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
+mod board;
 mod catalog_loop;
 mod instance_loop;
 mod layout_keeper;
@@ -26,10 +32,12 @@
 mod link;
 mod membership;
 mod order_loop;
+mod relay_loop;
 mod sources;
 mod target_loop;
 
 pub use {
+    board::{Answer, Board, Query, Relay},
     catalog_loop::follow_catalog,
     instance_loop::follow_instances,
     layout_keeper::{LayoutKeeper, Order},
@@ -37,6 +45,7 @@
     link::Link,
     membership::{InstanceRow, Membership},
     order_loop::keep_layout,
+    relay_loop::{Answerer, follow_leader},
     sources::{
         CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource,
     },
--- a/crates/reconcile/src/order_loop.rs
+++ b/crates/reconcile/src/order_loop.rs
@@ -7,7 +7,7 @@
 pub async fn keep_layout(
     router: Arc<Router>,
     engines: Arc<dyn Engines>,
-    shared: Arc<Mutex<Vec<Target>>>,
+    board: Arc<Board>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
     let mut keepers: HashMap<Arc<str>, LayoutKeeper> = HashMap::new();
@@ -20,7 +20,7 @@
             keepers.clear();
             continue;
         }
-        let targets = lock(&shared).clone();
+        let targets = board.targets();
         for service in catalog.services() {
             let Some(profile) = service.engine.as_deref() else {
                 continue;
@@ -85,6 +85,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
+    leadership.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/reconcile/src/relay_loop.rs
@@ -0,0 +1,176 @@
+use super::*;
+
+/// Longest wait of the leader for a change before it answers. A part of the age at which keys are no
+/// longer accepted.
+const WAIT: Duration = Duration::from_millis(600);
+/// Pause while there is no leader to ask, or after a failed question.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Questions without an answer after which this instance reads the stores itself.
+const FAILURE_COUNT: u32 = 2;
+
+/// Answers the questions of other instances while this one leads.
+pub struct Answerer {
+    board: Arc<Board>,
+    leadership: Arc<Mutex<Leadership>>,
+    router: Arc<Router>,
+}
+
+impl Answerer {
+    /// Creates the answering part of an instance.
+    #[must_use]
+    pub fn new(
+        router: Arc<Router>,
+        board: Arc<Board>,
+        leadership: Arc<Mutex<Leadership>>,
+    ) -> Self {
+        Self {
+            board,
+            leadership,
+            router,
+        }
+    }
+
+    /// Answers a question, or none if this instance does not lead or knows nothing yet.
+    pub async fn answer(&self, query: Query) -> Option<Answer> {
+        self.note_member(&query);
+        if !self.is_leading() {
+            return None;
+        }
+        let is_behind = {
+            let holder = self.router.catalog();
+            holder.catalog().map_or(0, |held| held.version()) > query.catalog_version
+        };
+        if !is_behind {
+            self.board.wait(query.revision, query.wait).await;
+        }
+        if !self.is_leading() {
+            return None;
+        }
+        let now = clock::now();
+        let (catalog, confirmed_at) = {
+            let holder = self.router.catalog();
+            (holder.catalog()?.clone(), holder.confirmed_at()?)
+        };
+        let targets_age = self.board.targets_age(now)?;
+        let revision = self.board.revision();
+        let is_newer = catalog.version() > query.catalog_version;
+        let has_other = revision != query.revision;
+        Some(Answer {
+            catalog: is_newer.then(|| catalog.parts().clone()),
+            catalog_age: now.saturating_sub(confirmed_at),
+            instances: self.router.instances(),
+            revision,
+            targets: has_other.then(|| self.board.targets()),
+            targets_age,
+        })
+    }
+
+    fn note_member(&self, query: &Query) {
+        let now = clock::now();
+        self.board.with_membership(|membership| {
+            if query.is_leaving {
+                membership.left(&query.row.id);
+            } else {
+                membership.contacted(now, query.row.clone());
+            }
+        });
+    }
+
+    fn is_leading(&self) -> bool {
+        lock(&self.leadership).fence(clock::now()).is_some()
+    }
+}
+
+/// Keeps this instance current with what the leader knows, while another instance leads.
+pub async fn follow_leader(
+    router: Arc<Router>,
+    relay: Arc<dyn Relay>,
+    row: InstanceRow,
+    board: Arc<Board>,
+    leadership: Arc<Mutex<Leadership>>,
+) {
+    let mut source: Option<(SocketAddr, u64)> = None;
+    let mut failure_count = 0;
+    loop {
+        let Some(address) = leader_address(&row, &board, &leadership) else {
+            board.relay_lost();
+            source = None;
+            sleep(PAUSE).await;
+            continue;
+        };
+        let known = source.filter(|(from, _)| *from == address);
+        let asked_at = clock::now();
+        let query = query(&router, &row, known.map_or(0, |(_, revision)| revision));
+        match relay.ask(address, query).await {
+            Ok(answer) => {
+                if failure_count >= FAILURE_COUNT || source.is_none() {
+                    tracing::info!(leader = %address, "follows the leader");
+                }
+                failure_count = 0;
+                source = Some((address, answer.revision));
+                take(&router, &board, asked_at, answer);
+            }
+            Err(error) => {
+                failure_count += 1;
+                if failure_count == FAILURE_COUNT {
+                    tracing::info!(leader = %address, %error, "leader lost, reads the stores itself");
+                    board.relay_lost();
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Address of the leader, if it is another instance.
+fn leader_address(
+    row: &InstanceRow,
+    board: &Board,
+    leadership: &Mutex<Leadership>,
+) -> Option<SocketAddr> {
+    let leader = lock(leadership).leader()?.clone();
+    if leader == row.start {
+        return None;
+    }
+    board.with_membership(|membership| membership.relay_address(&leader))
+}
+
+fn query(router: &Router, row: &InstanceRow, revision: u64) -> Query {
+    let catalog_version = router.catalog().catalog().map_or(0, |held| held.version());
+    Query {
+        catalog_version,
+        is_leaving: router.is_leaving(),
+        revision,
+        row: row.clone(),
+        wait: WAIT,
+    }
+}
+
+fn take(router: &Router, board: &Board, asked_at: Duration, answer: Answer) {
+    // All ages count from the sending of the question, which is the earlier end.
+    let confirmed_at = asked_at.saturating_sub(answer.catalog_age);
+    {
+        let mut holder = router.catalog();
+        let before = holder.catalog().map_or(0, |held| held.version());
+        if let Some(parts) = answer.catalog {
+            let version = parts.version;
+            let is_taken = holder.offer(Arc::new(Catalog::new(parts)));
+            let age_ms = answer.catalog_age.as_millis() as u64;
+            tracing::info!(version, before, is_taken, age_ms, "configuration relayed");
+        }
+        if let Some(version) = holder.catalog().map(|held| held.version()) {
+            holder.confirm(version, confirmed_at);
+        }
+    }
+    let read_at = asked_at.saturating_sub(answer.targets_age);
+    match answer.targets {
+        None => board.confirm_targets(read_at),
+        Some(targets) => target_loop::take(router, board, read_at, targets),
+    }
+    instance_loop::take(router, answer.instances);
+    board.relayed(confirmed_at.min(read_at));
+}
+
+fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
+    leadership.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -5,16 +5,31 @@
 /// Time between reads, which bounds their number when targets change all the time. A target that
 /// leaves takes requests for two seconds after it said so.
 const INTERVAL: Duration = Duration::from_millis(400);
+/// Pause while the leader reads for this instance.
+const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Keeps the targets of a router current.
+/// Keeps the targets of a router current while no leader does.
 pub async fn follow_targets(
     router: Arc<Router>,
     mut source: Box<dyn TargetSource>,
-    shared: Arc<Mutex<Vec<Target>>>,
+    board: Arc<Board>,
 ) {
     let mut link = Link::new("target list");
     let mut roster = Roster::default();
+    let mut was_relayed = false;
     loop {
+        let now = clock::now();
+        if board.is_relayed(now) {
+            was_relayed = true;
+            sleep(RELAYED_PAUSE).await;
+            continue;
+        }
+        if was_relayed {
+            // What the leader listed goes on from here.
+            roster.answered(now);
+            roster.replace(now, board.targets());
+            was_relayed = false;
+        }
         match source.read(WAIT).await {
             Err(error) => link.failed(clock::now(), &error),
             Ok(change) => {
@@ -22,10 +37,9 @@
                 link.answered(now);
                 roster.answered(now);
                 apply(&mut roster, now, change);
+                take(&router, &board, now, roster.listing(now));
             }
         }
-        let listing = roster.listing(clock::now());
-        take(&router, &shared, listing);
         sleep(INTERVAL).await;
     }
 }
@@ -44,25 +58,22 @@
     }
 }
 
-fn take(router: &Router, shared: &Mutex<Vec<Target>>, listing: Vec<Target>) {
-    let mut known = shared.lock().unwrap_or_else(PoisonError::into_inner);
-    if *known == listing {
+/// Takes over a list of targets that was read at `read_at`.
+pub(crate) fn take(router: &Router, board: &Board, read_at: Duration, listing: Vec<Target>) {
+    let before = board.set_targets(read_at, listing.clone());
+    if before == listing {
         return;
     }
-    log_changes(&known, &listing);
+    log_changes(&before, &listing);
     router.fleet().list(&listing);
     router.keep_connections(&listing);
-    *known = listing;
 }
 
 fn log_changes(before: &[Target], after: &[Target]) {
     let known: HashMap<&str, &Target> = before.iter().map(|one| (&*one.id, one)).collect();
     let listed: HashMap<&str, &Target> = after.iter().map(|one| (&*one.id, one)).collect();
     for target in after {
-        let held = target
-            .held
-            .map(|range| range.to_string())
-            .unwrap_or_default();
+        let held = target.held.map(|range| range.to_string()).unwrap_or_default();
         let change = match known.get(&*target.id) {
             None => "listed",
             Some(old) if **old == *target => continue,
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -99,3 +99,23 @@
     round(at(1_500), &mut table, &mut again);
     assert_eq!(again.fence(at(1_500)), None);
 }
+
+#[test]
+fn lead_that_is_given_up_is_taken_over_at_once() {
+    let (mut table, mut one, mut other) = (Table::default(), instance("a"), instance("b"));
+    round(at(1_000), &mut table, &mut one);
+    round(at(1_100), &mut table, &mut other);
+    let (row, version) = one.release().unwrap();
+    assert!(table.write(row, version).is_some());
+    assert_eq!(one.fence(at(1_200)), None);
+    round(at(1_200), &mut table, &mut other);
+    assert_eq!(other.fence(at(1_200)), Some(2));
+}
+
+#[test]
+fn renewal_that_another_write_outran_ends_leadership() {
+    let (mut table, mut one) = (Table::default(), instance("a"));
+    round(at(1_000), &mut table, &mut one);
+    one.outrun();
+    assert_eq!(one.fence(at(1_001)), None);
+}
--- /dev/null
+++ b/crates/relay/src/asker.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+/// Time to make a connection between instances.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time for an answer, beyond the wait that the question asks for.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Asks leaders, over one kept connection to each.
+#[derive(Default)]
+pub struct Asker {
+    clients: Mutex<HashMap<SocketAddr, RelayServiceClient>>,
+}
+
+impl Asker {
+    async fn client(&self, address: SocketAddr) -> Result<RelayServiceClient, Error> {
+        let mut clients = self.clients.lock().await;
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+            Err(_) => return Err(Error::Refused(format!("no connection to {address} in time"))),
+            Ok(Err(error)) => return Err(Error::Refused(error.to_string())),
+            Ok(Ok(stream)) => stream,
+        };
+        let _ = stream.set_nodelay(true);
+        let transport = peer::transport(stream, FRAME_BYTES);
+        let client = RelayServiceClient::new(client::Config::default(), transport).spawn();
+        // Connections to former leaders are not needed any more.
+        clients.clear();
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+
+    async fn ask_leader(&self, address: SocketAddr, query: Query) -> Result<Answer, Error> {
+        let client = self.client(address).await?;
+        let limit = query.wait + ANSWER_LIMIT;
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + limit;
+        let error = match timeout(limit, client.ask(context, query)).await {
+            Ok(Ok(Some(answer))) => return Ok(answer),
+            Ok(Ok(None)) => return Err(Error::Refused(format!("{address} does not lead"))),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("no answer of {address} in {limit:?}"),
+        };
+        // A connection that fell silent may never work again.
+        self.clients.lock().await.remove(&address);
+        Err(Error::Unknown(error))
+    }
+}
+
+impl Relay for Asker {
+    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>> {
+        self.ask_leader(address, query).boxed()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,30 @@
+//! Calls between instances, a `tarpc` service over TCP: the leader reads the shared stores, and the
+//! others ask it.
+
+use {
+    forward::Error,
+    futures::{FutureExt, StreamExt, future::BoxFuture},
+    reconcile::{Answer, Answerer, Query, Relay},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    tarpc::{
+        client,
+        context::{self, Context},
+        server::{BaseChannel, Channel},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Mutex,
+        time::{sleep, timeout},
+    },
+};
+
+mod asker;
+mod server;
+mod service;
+
+pub use {asker::Asker, server::serve};
+
+use service::{RelayServiceClient, Service};
+
+/// Longest message, in bytes: a configuration of some thousand routes with the targets.
+const FRAME_BYTES: usize = 16 * 1024 * 1024;
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,25 @@
+use {super::*, service::RelayService};
+
+/// Pause when no connection can be accepted, so that open ones can end.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves the questions of other instances.
+pub async fn serve(listener: TcpListener, answerer: Arc<Answerer>) {
+    loop {
+        let stream = match listener.accept().await {
+            Err(error) => {
+                tracing::warn!(%error, "no connection of an instance accepted");
+                sleep(PAUSE).await;
+                continue;
+            }
+            Ok((stream, _)) => stream,
+        };
+        let _ = stream.set_nodelay(true);
+        let service = Service(answerer.clone());
+        tokio::spawn(async move {
+            let channel = BaseChannel::with_defaults(peer::transport(stream, FRAME_BYTES));
+            let requests = channel.execute(service.serve());
+            requests.for_each_concurrent(None, |request| request).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/relay.rs
@@ -0,0 +1,223 @@
+//! Guards against instances that know less, or think that they know more, than the leader.
+
+use {
+    catalog::{Catalog, CatalogParts},
+    fleet::Target,
+    forward::{
+        Dialect, Dispatch, EngineState, Engines, Error, ForwardSettings, OrderReply, ReplyFacts,
+        RequestFacts, Router,
+    },
+    futures::{FutureExt, future::BoxFuture},
+    reconcile::{
+        Answerer, Board, InstanceRow, LeaderRow, Leadership, LeadershipSettings, Query, Relay,
+        follow_leader,
+    },
+    relay::Asker,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::TcpListener, task::AbortHandle},
+    wire::hyper::{HeaderMap, StatusCode},
+};
+
+struct Silent;
+
+impl Dialect for Silent {
+    fn request(&self, _: &HeaderMap) -> RequestFacts {
+        RequestFacts::default()
+    }
+
+    fn reply(&self, _: StatusCode, _: &HeaderMap) -> ReplyFacts {
+        ReplyFacts::default()
+    }
+
+    fn dispatch(&self, _: &mut HeaderMap, _: &Dispatch) {}
+}
+
+impl Engines for Silent {
+    fn state(&self, _: SocketAddr) -> BoxFuture<'_, Result<EngineState, Error>> {
+        async { Err(Error::Unknown("silent".into())) }.boxed()
+    }
+
+    fn place(
+        &self,
+        _: SocketAddr,
+        _: layout::LayerRange,
+        _: u64,
+        _: u64,
+    ) -> BoxFuture<'_, Result<OrderReply, Error>> {
+        async { Ok(OrderReply::Conflict) }.boxed()
+    }
+
+    fn repath(&self, _: &str, _: &fleet::Path) -> BoxFuture<'_, Result<bool, Error>> {
+        async { Ok(false) }.boxed()
+    }
+}
+
+/// One instance, as far as it relays.
+struct Node {
+    board: Arc<Board>,
+    leadership: Arc<Mutex<Leadership>>,
+    router: Arc<Router>,
+    row: InstanceRow,
+}
+
+fn node(id: &str, relay_address: SocketAddr) -> Node {
+    let start: Arc<str> = format!("{id}.1").into();
+    let leadership = Leadership::new(start.clone(), LeadershipSettings::default());
+    Node {
+        board: Arc::default(),
+        leadership: Arc::new(Mutex::new(leadership)),
+        router: Router::new(ForwardSettings::default(), Arc::new(Silent), Arc::new(Silent), 1),
+        row: InstanceRow {
+            address: ([10, 0, 0, 1], 80).into(),
+            beat_count: 1,
+            domain: "a".into(),
+            id: id.into(),
+            relay_address,
+            start,
+        },
+    }
+}
+
+fn leader_row(node: &Node) -> LeaderRow {
+    LeaderRow {
+        fence: 1,
+        holder: node.row.start.clone(),
+        live: Vec::new(),
+    }
+}
+
+fn target(id: &str) -> Target {
+    Target {
+        address: ([10, 0, 0, 2], 80).into(),
+        domain: "a".into(),
+        hardware: None,
+        held: None,
+        id: id.into(),
+        is_leaving: false,
+        service: "s".into(),
+        slot_count: 1,
+    }
+}
+
+fn publish(node: &Node, version: u64) {
+    let catalog = Catalog::new(CatalogParts {
+        version,
+        ..CatalogParts::default()
+    });
+    {
+        let mut holder = node.router.catalog();
+        holder.offer(Arc::new(catalog));
+        holder.confirm(version, clock::now());
+    }
+    node.board.set_targets(clock::now(), vec![target(&format!("t{version}"))]);
+}
+
+/// A leader that knows version 1, and the task that answers for it.
+async fn leader() -> (Node, AbortHandle) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let node = node("x", listener.local_addr().expect("an address"));
+    publish(&node, 1);
+    node.leadership
+        .lock()
+        .expect("the leadership")
+        .written(clock::now(), leader_row(&node), 1);
+    let answerer =
+        Answerer::new(node.router.clone(), node.board.clone(), node.leadership.clone());
+    let task = tokio::spawn(relay::serve(listener, Arc::new(answerer)));
+    (node, task.abort_handle())
+}
+
+fn query(asking: &Node) -> Query {
+    Query {
+        catalog_version: 0,
+        is_leaving: false,
+        revision: 0,
+        row: asking.row.clone(),
+        wait: Duration::from_secs(5),
+    }
+}
+
+fn follow(follower: &Node, leader: &Node) {
+    let now = clock::now();
+    follower.board.with_membership(|membership| {
+        membership.observe(now, vec![leader.row.clone()]);
+    });
+    follower
+        .leadership
+        .lock()
+        .expect("the leadership")
+        .observe(now, Some((leader_row(leader), 1)));
+    tokio::spawn(follow_leader(
+        follower.router.clone(),
+        Arc::new(Asker::default()),
+        follower.row.clone(),
+        follower.board.clone(),
+        follower.leadership.clone(),
+    ));
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..4_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("what is waited for does not come");
+}
+
+fn version(node: &Node) -> u64 {
+    node.router.catalog().catalog().map_or(0, |held| held.version())
+}
+
+#[tokio::test]
+async fn follower_knows_what_the_leader_knows() {
+    let (leader, _task) = leader().await;
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&follower, &leader);
+    until(|| version(&follower) == 1 && follower.board.targets().len() == 1).await;
+    assert!(follower.board.is_relayed(clock::now()));
+    publish(&leader, 2);
+    leader.board.wake();
+    until(|| version(&follower) == 2).await;
+    until(|| &*follower.board.targets()[0].id == "t2").await;
+    let live = leader.board.with_membership(|membership| membership.live(clock::now()));
+    assert!(live.iter().any(|instance| &*instance.id == "y"), "a caller is a living instance");
+}
+
+#[tokio::test]
+async fn relayed_configuration_is_no_fresher_than_the_leader_s() {
+    let (leader, _task) = leader().await;
+    let confirmed_at = leader.router.catalog().confirmed_at();
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&follower, &leader);
+    until(|| version(&follower) == 1).await;
+    let relayed_at = follower.router.catalog().confirmed_at();
+    assert!(relayed_at <= confirmed_at, "{relayed_at:?} after {confirmed_at:?}");
+}
+
+#[tokio::test]
+async fn instance_that_does_not_lead_answers_nothing() {
+    let (leader, _task) = leader().await;
+    leader.leadership.lock().expect("the leadership").fenced();
+    let asking = node("y", ([127, 0, 0, 1], 1).into());
+    let asker = Asker::default();
+    let answer = asker.ask(leader.row.relay_address, query(&asking)).await;
+    assert!(matches!(answer, Err(Error::Refused(_))), "{answer:?}");
+}
+
+#[tokio::test]
+async fn follower_of_a_lost_leader_reads_for_itself() {
+    let (leader, task) = leader().await;
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&follower, &leader);
+    until(|| follower.board.is_relayed(clock::now())).await;
+    leader.leadership.lock().expect("the leadership").fenced();
+    task.abort();
+    until(|| !follower.board.is_relayed(clock::now())).await;
+    assert_eq!(version(&follower), 1, "what is known stays");
+}
