Judge instances by the age of their last sign of life

Ruled out: a shorter silence, as the lists would still renew each other. Change: rows carry the store's time, so that their age is known at first sight; a leader does not take over its own list; relayed knowledge counts for 2.5 s and the leader confirms twice a second.

--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/board.rs
@@ -1,8 +1,8 @@
 use super::*;
 
 /// Age of relayed knowledge up to which an instance does not read the stores itself. A reader
-/// confirms the configuration about once a second.
-const RELAYED_AGE: Duration = Duration::from_millis(1_800);
+/// confirms the configuration twice a second and answers as often.
+const RELAYED_AGE: Duration = Duration::from_millis(2_500);
 
 /// What the loops of one instance share.
 #[derive(Debug)]
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -26,8 +26,8 @@
         let is_leading = lock(&leadership).fence(started_at).is_some();
         let is_relayed = board.is_relayed(started_at);
         let must_leave = own.is_listed && !router.is_ready();
-        let is_spared = (is_relayed && own.is_listed)
-            || (is_leading && round_count % LEADER_READ_ROUNDS != 0);
+        let is_spared =
+            (is_relayed && own.is_listed) || (is_leading && round_count % LEADER_READ_ROUNDS != 0);
         if must_leave || !is_spared {
             let result = round(&router, &mut *table, &mut own, &board, &leadership).await;
             match result {
@@ -62,7 +62,6 @@
     leadership: &Mutex<Leadership>,
 ) -> Result<(), Error> {
     if router.is_ready() {
-        own.row.beat_count += 1;
         table.beat(own.row.clone()).await?;
         own.is_listed = true;
     } else if own.is_listed {
@@ -73,8 +72,12 @@
     let now = clock::now();
     board.with_membership(|membership| {
         membership.observe(now, view.instances);
-        if let Some((leader, version)) = &view.leader {
-            membership.vouched(now, &leader.live, *version);
+        if let Some((leader, _)) = view
+            .leader
+            .as_ref()
+            .filter(|(row, _)| row.holder != own.row.start)
+        {
+            membership.vouched(now.saturating_sub(view.leader_age), &leader.live);
         }
     });
     lock(leadership).observe(now, view.leader);
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -1,13 +1,11 @@
 use super::*;
 
-/// Time without a change of its row after which an instance is taken as dead: three missed beats.
+/// Time without a sign of life after which an instance is taken as dead: three missed beats.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
 /// Row of an instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceRow {
-    /// Number of the beat.
-    pub beat_count: u64,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Failure domain.
@@ -20,24 +18,24 @@
     pub start: Arc<str>,
 }
 
-/// Instances whose rows change.
+/// Instances that showed a sign of life.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
-    /// Rows with the time at which their present content was first seen.
+    /// Rows with the time of the last sign of life.
     rows: HashMap<Arc<str>, (InstanceRow, Duration)>,
-    /// Version of the leader's row whose list was taken over last.
-    vouched_version: u64,
 }
 
 impl Membership {
-    /// Notes all rows.
-    pub fn observe(&mut self, now: Duration, rows: Vec<InstanceRow>) {
+    /// Notes all rows with the times since they were written.
+    pub fn observe(&mut self, now: Duration, rows: Vec<(InstanceRow, Duration)>) {
         let mut next = HashMap::new();
-        for row in rows {
-            let seen_at = match self.rows.remove(&row.id) {
-                Some((old, seen_at)) if old == row => seen_at,
-                _ => now,
-            };
+        for (row, age) in rows {
+            let mut seen_at = now.saturating_sub(age);
+            if let Some((known, known_at)) = self.rows.remove(&row.id)
+                && known.start == row.start
+            {
+                seen_at = seen_at.max(known_at);
+            }
             next.insert(row.id.clone(), (row, seen_at));
         }
         self.rows = next;
@@ -53,16 +51,13 @@
         self.rows.insert(row.id.clone(), (row, now));
     }
 
-    /// Notes the instances that the leader knows to live, by the version of its row. Instances that
-    /// the leader serves do not write rows of their own.
-    pub fn vouched(&mut self, now: Duration, live: &[Arc<str>], version: u64) {
-        if version == self.vouched_version {
-            return;
-        }
-        self.vouched_version = version;
+    /// Notes the instances that the leader knew to live at `at`. Those that it serves do not renew
+    /// their own rows. The leader must not take over its own list, or dead instances would live on
+    /// in it.
+    pub fn vouched(&mut self, at: Duration, live: &[Arc<str>]) {
         for id in live {
             if let Some((_, seen_at)) = self.rows.get_mut(id) {
-                *seen_at = now;
+                *seen_at = at.max(*seen_at);
             }
         }
     }
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -18,11 +18,7 @@
 impl Answerer {
     /// Creates the answering part of an instance.
     #[must_use]
-    pub fn new(
-        router: Arc<Router>,
-        board: Arc<Board>,
-        leadership: Arc<Mutex<Leadership>>,
-    ) -> Self {
+    pub fn new(router: Arc<Router>, board: Arc<Board>, leadership: Arc<Mutex<Leadership>>) -> Self {
         Self {
             board,
             leadership,
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -43,10 +43,12 @@
 /// Rows of the instances, and the row of the leader with its version.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceView {
-    /// Instances.
-    pub instances: Vec<InstanceRow>,
-    /// Leader.
+    /// Instances, with the time since each wrote its row.
+    pub instances: Vec<(InstanceRow, Duration)>,
+    /// Leader, with the version of its row.
     pub leader: Option<(LeaderRow, u64)>,
+    /// Time since the leader wrote its row.
+    pub leader_age: Duration,
 }
 
 /// Table in which instances find each other.
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -73,7 +73,10 @@
     let known: HashMap<&str, &Target> = before.iter().map(|one| (&*one.id, one)).collect();
     let listed: HashMap<&str, &Target> = after.iter().map(|one| (&*one.id, one)).collect();
     for target in after {
-        let held = target.held.map(|range| range.to_string()).unwrap_or_default();
+        let held = target
+            .held
+            .map(|range| range.to_string())
+            .unwrap_or_default();
         let change = match known.get(&*target.id) {
             None => "listed",
             Some(old) if **old == *target => continue,
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -5,10 +5,9 @@
     std::time::Duration,
 };
 
-fn row(id: &str, beat_count: u64) -> InstanceRow {
+fn row(id: &str) -> InstanceRow {
     InstanceRow {
         address: ([10, 0, 0, 1], 8_000).into(),
-        beat_count,
         domain: "a".into(),
         id: id.into(),
         relay_address: ([10, 0, 0, 1], 9_000).into(),
@@ -16,71 +15,95 @@
     }
 }
 
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Membership at 60 s that read rows of these ages in milliseconds.
+fn membership(rows: &[(&str, u64)]) -> Membership {
+    let mut membership = Membership::default();
+    let rows = rows.iter().map(|(id, age_ms)| (row(id), at(*age_ms)));
+    membership.observe(at(60_000), rows.collect());
+    membership
+}
+
 fn ids(membership: &Membership, ms: u64) -> Vec<String> {
-    let live = membership.live(Duration::from_millis(ms));
+    let live = membership.live(at(ms));
     live.iter()
         .map(|instance| instance.id.to_string())
         .collect()
 }
 
 #[test]
-fn instance_whose_row_stands_still_is_dead() {
-    let mut membership = Membership::default();
-    for beat in 0..10 {
-        let now = Duration::from_millis(beat * 1_000);
-        membership.observe(now, vec![row("x", beat), row("y", beat.min(3))]);
-    }
-    assert_eq!(ids(&membership, 9_000), ["x"]);
-}
-
-#[test]
-fn instance_that_is_back_is_listed_at_once() {
-    let mut membership = Membership::default();
-    membership.observe(Duration::ZERO, vec![row("x", 1)]);
-    assert_eq!(ids(&membership, 60_000), Vec::<String>::new());
-    membership.observe(Duration::from_secs(60), vec![row("x", 2)]);
+fn instance_whose_row_is_old_is_dead_at_the_first_sight() {
+    let membership = membership(&[("x", 100), ("y", 20_000)]);
     assert_eq!(ids(&membership, 60_000), ["x"]);
+    assert_eq!(ids(&membership, 64_000), Vec::<String>::new());
 }
 
 #[test]
 fn instance_that_left_is_gone_at_once() {
-    let mut membership = Membership::default();
-    membership.observe(Duration::ZERO, vec![row("x", 1), row("y", 1)]);
-    membership.observe(Duration::from_secs(1), vec![row("y", 2)]);
-    assert_eq!(ids(&membership, 1_000), ["y"]);
+    let mut membership = membership(&[("x", 0), ("y", 0)]);
+    membership.observe(at(61_000), vec![(row("y"), at(0))]);
+    assert_eq!(ids(&membership, 61_000), ["y"]);
+    membership.left("y");
+    assert_eq!(ids(&membership, 61_000), Vec::<String>::new());
 }
 
-/// Instances that the leader serves write no beats, so others must not take them as dead.
+/// Instances that the leader serves do not renew their rows, so others must not take them as dead.
 #[test]
 fn instances_that_the_leader_names_live_on() {
-    let mut membership = Membership::default();
-    membership.observe(Duration::ZERO, vec![row("x", 1), row("y", 1)]);
-    for second in 1..10 {
-        let now = Duration::from_secs(second);
-        membership.observe(now, vec![row("x", 1), row("y", 1)]);
-        membership.vouched(now, &["x".into()], second);
+    let mut membership = membership(&[("x", 0), ("y", 0)]);
+    for second in 61..70 {
+        let ages = vec![
+            (row("x"), at(second * 1_000 - 60_000)),
+            (row("y"), at(9_000)),
+        ];
+        membership.observe(at(second * 1_000), ages);
+        membership.vouched(at(second * 1_000), &["x".into()]);
     }
-    assert_eq!(ids(&membership, 9_000), ["x"]);
-    // A leader's row that stands still says nothing new.
-    membership.vouched(Duration::from_secs(60), &["x".into()], 9);
-    assert_eq!(ids(&membership, 60_000), Vec::<String>::new());
+    assert_eq!(ids(&membership, 69_000), ["x"]);
 }
 
+/// Seen on fartuch-druk trouble-3: the list of a dead leader, and then the leader's own list, kept
+/// dead instances in the answers to callers for as long as it was read.
 #[test]
-fn instance_that_calls_lives_and_one_that_says_goodbye_does_not() {
+fn list_of_a_dead_leader_does_not_keep_instances_alive() {
+    let mut membership = membership(&[("x", 9_000)]);
+    for second in 60..70 {
+        membership.observe(
+            at(second * 1_000),
+            vec![(row("x"), at(second * 1_000 - 51_000))],
+        );
+        membership.vouched(at(58_000), &["x".into()]);
+    }
+    assert_eq!(ids(&membership, 61_500), ["x"]);
+    assert_eq!(ids(&membership, 61_600), Vec::<String>::new());
+}
+
+#[test]
+fn instance_that_calls_lives() {
     let mut membership = Membership::default();
-    membership.contacted(Duration::from_secs(60), row("x", 1));
+    membership.contacted(at(60_000), row("x"));
     assert_eq!(ids(&membership, 60_000), ["x"]);
     assert!(membership.relay_address("1").is_some());
-    membership.left("x");
-    assert_eq!(ids(&membership, 60_000), Vec::<String>::new());
+    membership.observe(at(61_000), vec![(row("x"), at(30_000))]);
+    assert_eq!(
+        ids(&membership, 61_000),
+        ["x"],
+        "an old row does not undo a call"
+    );
+    assert_eq!(ids(&membership, 64_000), Vec::<String>::new());
 }
 
 #[test]
-fn row_that_stands_still_does_not_revive_an_instance_that_stopped_calling() {
-    let mut membership = Membership::default();
-    membership.observe(Duration::ZERO, vec![row("x", 7)]);
-    membership.contacted(Duration::from_secs(5), row("x", 0));
-    membership.observe(Duration::from_secs(6), vec![row("x", 7)]);
-    assert_eq!(ids(&membership, 9_000), Vec::<String>::new());
+fn restarted_instance_is_another_one() {
+    let mut membership = membership(&[("x", 0)]);
+    let again = InstanceRow {
+        start: "2".into(),
+        ..row("x")
+    };
+    membership.observe(at(61_000), vec![(again, at(0))]);
+    assert!(membership.relay_address("1").is_none());
+    assert!(membership.relay_address("2").is_some());
 }
--- a/crates/relay/src/asker.rs
+++ b/crates/relay/src/asker.rs
@@ -1,9 +1,9 @@
 use super::*;
 
 /// Time to make a connection between instances.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time for an answer, beyond the wait that the question asks for.
-const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 
 /// Asks leaders, over one kept connection to each.
 #[derive(Default)]
@@ -18,7 +18,11 @@
             return Ok(client.clone());
         }
         let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
-            Err(_) => return Err(Error::Refused(format!("no connection to {address} in time"))),
+            Err(_) => {
+                return Err(Error::Refused(format!(
+                    "no connection to {address} in time"
+                )));
+            }
             Ok(Err(error)) => return Err(Error::Refused(error.to_string())),
             Ok(Ok(stream)) => stream,
         };
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -70,10 +70,14 @@
     Node {
         board: Arc::default(),
         leadership: Arc::new(Mutex::new(leadership)),
-        router: Router::new(ForwardSettings::default(), Arc::new(Silent), Arc::new(Silent), 1),
+        router: Router::new(
+            ForwardSettings::default(),
+            Arc::new(Silent),
+            Arc::new(Silent),
+            1,
+        ),
         row: InstanceRow {
             address: ([10, 0, 0, 1], 80).into(),
-            beat_count: 1,
             domain: "a".into(),
             id: id.into(),
             relay_address,
@@ -113,7 +117,8 @@
         holder.offer(Arc::new(catalog));
         holder.confirm(version, clock::now());
     }
-    node.board.set_targets(clock::now(), vec![target(&format!("t{version}"))]);
+    node.board
+        .set_targets(clock::now(), vec![target(&format!("t{version}"))]);
 }
 
 /// A leader that knows version 1, and the task that answers for it.
@@ -125,8 +130,11 @@
         .lock()
         .expect("the leadership")
         .written(clock::now(), leader_row(&node), 1);
-    let answerer =
-        Answerer::new(node.router.clone(), node.board.clone(), node.leadership.clone());
+    let answerer = Answerer::new(
+        node.router.clone(),
+        node.board.clone(),
+        node.leadership.clone(),
+    );
     let task = tokio::spawn(relay::serve(listener, Arc::new(answerer)));
     (node, task.abort_handle())
 }
@@ -144,7 +152,7 @@
 fn follow(follower: &Node, leader: &Node) {
     let now = clock::now();
     follower.board.with_membership(|membership| {
-        membership.observe(now, vec![leader.row.clone()]);
+        membership.observe(now, vec![(leader.row.clone(), Duration::ZERO)]);
     });
     follower
         .leadership
@@ -171,7 +179,10 @@
 }
 
 fn version(node: &Node) -> u64 {
-    node.router.catalog().catalog().map_or(0, |held| held.version())
+    node.router
+        .catalog()
+        .catalog()
+        .map_or(0, |held| held.version())
 }
 
 #[tokio::test]
@@ -185,8 +196,13 @@
     leader.board.wake();
     until(|| version(&follower) == 2).await;
     until(|| &*follower.board.targets()[0].id == "t2").await;
-    let live = leader.board.with_membership(|membership| membership.live(clock::now()));
-    assert!(live.iter().any(|instance| &*instance.id == "y"), "a caller is a living instance");
+    let live = leader
+        .board
+        .with_membership(|membership| membership.live(clock::now()));
+    assert!(
+        live.iter().any(|instance| &*instance.id == "y"),
+        "a caller is a living instance"
+    );
 }
 
 #[tokio::test]
@@ -197,7 +213,10 @@
     follow(&follower, &leader);
     until(|| version(&follower) == 1).await;
     let relayed_at = follower.router.catalog().confirmed_at();
-    assert!(relayed_at <= confirmed_at, "{relayed_at:?} after {confirmed_at:?}");
+    assert!(
+        relayed_at <= confirmed_at,
+        "{relayed_at:?} after {confirmed_at:?}"
+    );
 }
 
 #[tokio::test]
