Leave a silent target only for another one that answers

Ruled out: waiting longer before the cut, as the target's own end is the only sound sign. Change: a silent stream is sent elsewhere only when another path is there and its target answers; the same holds while a request waits for the head of its answer.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -187,7 +187,7 @@
 
 impl Watched {
     /// Waits for the head, and inspects the path while there is none. Returns none if the request
-    /// is better sent again.
+    /// is better sent again, and another path is there.
     async fn wait(
         &mut self,
         router: &Arc<Router>,
@@ -204,21 +204,32 @@
                 return Some(result);
             }
             let silence = clock::now().saturating_sub(sent_at);
-            match watchdog.inspect(router, admitted, &self.path, since).await {
-                Verdict::Lost if has_another => return None,
-                Verdict::Sound if has_another && silence >= router.settings.stall_limit => {
-                    return None;
-                }
-                Verdict::Lost | Verdict::Slow | Verdict::Sound => {}
+            let is_lost = match watchdog.inspect(router, admitted, &self.path, since).await {
+                Verdict::Lost => true,
                 Verdict::Moved(path) => {
                     self.in_flight = InFlight::begin(router, &path);
                     self.path = path;
+                    false
                 }
+                Verdict::Slow => false,
+                Verdict::Sound => silence >= router.settings.stall_limit,
+            };
+            if is_lost && has_another && self.is_replaceable(router, admitted) {
+                return None;
             }
         }
     }
 }
 
+impl Watched {
+    /// Whether there is a path with another first stage.
+    fn is_replaceable(&self, router: &Router, admitted: &Admitted) -> bool {
+        let mut demand = admitted.demand();
+        demand.excluded.push(self.path.first().key);
+        router.choose(admitted, &demand).is_ok()
+    }
+}
+
 /// Notes a failed send.
 fn failed(
     router: &Router,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -27,111 +27,123 @@
     watchdog: Watchdog,
 }
 
-/// How the part of a stream that one target made has ended.
-enum PartEnd {
+/// How a stream has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamEnd {
+    /// The target broke off, and no other one goes on.
+    BrokenOff,
     /// The caller has left.
     CallerLeft,
     /// The stream is complete.
     Complete,
-    /// The target broke off or fell silent.
-    Failed,
     /// The final answer is due.
     TimeOver,
 }
 
+impl StreamEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::BrokenOff => "broken_off",
+            Self::CallerLeft => "caller_left",
+            Self::Complete => "complete",
+            Self::TimeOver => "time_over",
+        }
+    }
+}
+
 impl Pump {
-    async fn run(mut self, attempt: Attempt) {
-        let mut attempt = attempt;
-        loop {
-            let stage = attempt.path.first().clone();
-            let path = attempt.path.clone();
-            match self.pass_on(&mut attempt).await {
-                PartEnd::CallerLeft => return self.log("caller_left", &stage),
-                PartEnd::Complete => {
-                    let router = self.exchange.router.clone();
-                    attempt.release(&router);
-                    return self.log("complete", &stage);
-                }
-                PartEnd::TimeOver => {
-                    self.log("time_over", &stage);
-                    return self.sender.disconnect().await;
-                }
-                PartEnd::Failed => {}
-            }
-            drop(attempt);
-            self.events.discard();
-            let Some(next) = self.resume(&path).await else {
-                self.log("broken_off", &stage);
-                return self.sender.disconnect().await;
-            };
-            attempt = next;
+    async fn run(mut self, mut attempt: Attempt) {
+        let end = self.pass_on(&mut attempt).await;
+        self.log(end, attempt.path.first());
+        match end {
+            StreamEnd::BrokenOff | StreamEnd::TimeOver => self.sender.disconnect().await,
+            StreamEnd::CallerLeft => {}
+            StreamEnd::Complete => attempt.release(&self.exchange.router),
         }
     }
 
-    /// Passes on whole events until the part of this target ends.
-    async fn pass_on(&mut self, attempt: &mut Attempt) -> PartEnd {
+    /// Passes on whole events until the stream ends.
+    async fn pass_on(&mut self, attempt: &mut Attempt) -> StreamEnd {
         let router = self.exchange.router.clone();
         let mut silent_since = clock::now();
         loop {
             let left = self.exchange.admitted.time_left();
             if left.is_zero() {
-                return PartEnd::TimeOver;
+                return StreamEnd::TimeOver;
             }
             let limit = left.min(router.settings.silence_limit);
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
-                () = self.sender.closed() => return PartEnd::CallerLeft,
+                () = self.sender.closed() => return StreamEnd::CallerLeft,
             };
-            let bytes = match chunk {
-                Ok(None) if self.events.is_inside_event() => return PartEnd::Failed,
-                Ok(None) => return PartEnd::Complete,
-                Ok(Some(bytes)) => bytes,
-                Err(wire::Error::Silent { .. }) => {
-                    if !self.inspect(attempt, silent_since).await {
-                        return PartEnd::Failed;
+            let error = match chunk {
+                Ok(None) if !self.events.is_inside_event() => return StreamEnd::Complete,
+                Ok(None) => None,
+                Ok(Some(bytes)) => {
+                    silent_since = clock::now();
+                    if !self.send(&bytes, attempt, silent_since).await {
+                        return StreamEnd::CallerLeft;
                     }
                     continue;
                 }
-                Err(error) => {
-                    self.log_failure(attempt, &error);
-                    return PartEnd::Failed;
+                Err(wire::Error::Silent { .. }) => {
+                    if self.inspect(attempt, silent_since).await {
+                        silent_since = clock::now();
+                    }
+                    continue;
                 }
+                Err(error) => Some(error),
+            };
+            self.log_failure(attempt, error.as_ref());
+            let Some(next) = self.resume(&attempt.path).await else {
+                return StreamEnd::BrokenOff;
             };
+            *attempt = next;
             silent_since = clock::now();
-            let whole = self.events.push(&bytes);
-            if whole.is_empty() {
-                continue;
-            }
-            self.event_bytes += whole.len();
-            self.pace.arrived(silent_since);
-            router.fleet().note_alive(silent_since, &attempt.path);
-            if !self.sender.send(whole).await {
-                return PartEnd::CallerLeft;
-            }
         }
     }
 
-    /// Finds out why the stream is silent. Returns whether to wait on.
+    /// Passes on the whole events among what has arrived. Returns false when the caller has left.
+    async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> bool {
+        let whole = self.events.push(bytes);
+        if whole.is_empty() {
+            return true;
+        }
+        self.event_bytes += whole.len();
+        self.pace.arrived(now);
+        self.exchange.router.fleet().note_alive(now, &attempt.path);
+        self.sender.send(whole).await
+    }
+
+    /// Finds out why the stream is silent, and moves it or sends it elsewhere. The target is left
+    /// only for another one that answers, as it may still go on. Returns whether another target
+    /// answered.
     async fn inspect(&mut self, attempt: &mut Attempt, silent_since: Duration) -> bool {
         let Exchange {
             admitted, router, ..
         } = &self.exchange;
-        let is_resumable = self.exchange.may_try_again();
         let inspect = self
             .watchdog
             .inspect(router, admitted, &attempt.path, silent_since);
-        match inspect.await {
-            Verdict::Lost => !is_resumable,
-            Verdict::Slow => true,
+        let verdict = inspect.await;
+        let silence = clock::now().saturating_sub(silent_since);
+        let is_lost = match verdict {
+            Verdict::Lost => true,
             Verdict::Moved(path) => {
                 attempt.move_to(router, path);
-                true
-            }
-            Verdict::Sound => {
-                let silence = clock::now().saturating_sub(silent_since);
-                !is_resumable || silence < router.settings.stall_limit
+                false
             }
+            Verdict::Slow => false,
+            Verdict::Sound => silence >= router.settings.stall_limit,
+        };
+        if !is_lost {
+            return false;
         }
+        let Some(next) = self.resume(&attempt.path).await else {
+            return false;
+        };
+        *attempt = next;
+        true
     }
 
     /// Sends the request elsewhere, to go on after the last whole event.
@@ -140,10 +152,15 @@
         if exchange.admitted.route.repeat != Repeat::ResumableStream {
             return None;
         }
-        exchange.demand.excluded.push(failed.first().key);
-        if !exchange.may_try_again() || !exchange.take_repeat() {
+        if !exchange.may_try_again() {
+            return None;
+        }
+        let mut demand = exchange.demand.clone();
+        demand.excluded.push(failed.first().key);
+        if exchange.router.choose(&exchange.admitted, &demand).is_err() || !exchange.take_repeat() {
             return None;
         }
+        exchange.demand = demand;
         let last = self.events.last_id().cloned();
         let attempt = exchange.attempt(last.as_deref()).await;
         let attempt = match attempt {
@@ -161,6 +178,7 @@
         if !attempt.reply.status.is_success() {
             return None;
         }
+        self.events.discard();
         tracing::info!(
             request = &*exchange.admitted.facts.id,
             target = &*attempt.path.first().id,
@@ -170,18 +188,20 @@
         Some(attempt)
     }
 
-    fn log_failure(&self, attempt: &Attempt, error: &wire::Error) {
+    fn log_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
         let stage = attempt.path.first();
+        let error = error.map_or("ended inside an event".into(), ToString::to_string);
         tracing::info!(
             request = &*self.exchange.admitted.facts.id,
             target = &*stage.id,
             last_event = self.events.last_id().map_or("none", |id| id),
-            %error,
+            error,
             "stream broke off"
         );
     }
 
-    fn log(&self, end: &'static str, stage: &Stage) {
+    fn log(&self, end: StreamEnd, stage: &Stage) {
+        let end = end.name();
         metrics::counter!("forward_streams_total", "end" => end).increment(1);
         if let Some(first) = self.pace.first {
             metrics::histogram!("forward_first_event_seconds").record(first.as_secs_f64());
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -211,3 +211,31 @@
     assert_eq!(router.engines.moved.lock().unwrap().len(), 0);
     assert!(router.router.fleet().ailing(clock::now()).is_empty());
 }
+
+/// Found by a hunt: a stream whose engine was lost for a moment was cut, because no other engine had
+/// the layers, although its target went on a little later.
+#[tokio::test]
+async fn silent_stream_without_another_target_is_not_cut() {
+    let first = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..2)).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            sender.send(events(2..5)).await;
+        })
+    })
+    .await;
+    let router = Setup {
+        held: vec![range(0, 4), range(4, 8)],
+        repeat: Repeat::ResumableStream,
+        targets: vec![first.address, ([127, 0, 0, 2], 1).into()],
+        ..Setup::default()
+    };
+    let router = router.start().await;
+    {
+        let mut states = router.engines.states.lock().unwrap();
+        states.insert(first.address, state(range(0, 4), 1.0));
+    }
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert_eq!(body.unwrap(), events(0..5));
+    assert_eq!(first.ids().len(), 1);
+}
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -161,7 +161,7 @@
     let read_at = asked_at.saturating_sub(answer.targets_age);
     match answer.targets {
         None => board.confirm_targets(read_at),
-        Some(targets) => target_loop::take(router, board, read_at, targets),
+        Some(targets) => target_loop::take(router, board, read_at, &targets),
     }
     instance_loop::take(router, answer.instances);
     board.relayed(confirmed_at.min(read_at));
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -37,7 +37,7 @@
                 link.answered(now);
                 roster.answered(now);
                 apply(&mut roster, now, change);
-                take(&router, &board, now, roster.listing(now));
+                take(&router, &board, now, &roster.listing(now));
             }
         }
         sleep(INTERVAL).await;
@@ -59,14 +59,14 @@
 }
 
 /// Takes over a list of targets that was read at `read_at`.
-pub(crate) fn take(router: &Router, board: &Board, read_at: Duration, listing: Vec<Target>) {
-    let before = board.set_targets(read_at, listing.clone());
+pub(crate) fn take(router: &Router, board: &Board, read_at: Duration, listing: &[Target]) {
+    let before = board.set_targets(read_at, listing.to_vec());
     if before == listing {
         return;
     }
-    log_changes(&before, &listing);
-    router.fleet().list(&listing);
-    router.keep_connections(&listing);
+    log_changes(&before, listing);
+    router.fleet().list(listing);
+    router.keep_connections(listing);
 }
 
 fn log_changes(before: &[Target], after: &[Target]) {
