Read the stores when the leader's knowledge is over a second old

Ruled out: a loss in the feed of the leader itself, which is read within 0.4 s. Change: relayed knowledge counts for 1.3 s; leader and followers read and ask more often.

--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/board.rs
@@ -1,8 +1,8 @@
 use super::*;
 
-/// Age of relayed knowledge up to which an instance does not read the stores itself. A reader
-/// confirms the configuration twice a second and answers as often.
-const RELAYED_AGE: Duration = Duration::from_millis(2_500);
+/// Age of relayed knowledge up to which an instance does not read the stores itself. With a read of
+/// its own it stays below the two seconds after which a leaving target must get no new work.
+const RELAYED_AGE: Duration = Duration::from_millis(1_300);
 
 /// What the loops of one instance share.
 #[derive(Debug)]
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -2,7 +2,7 @@
 
 /// Longest wait of the leader for a change before it answers. A part of the age at which keys are no
 /// longer accepted.
-const WAIT: Duration = Duration::from_millis(600);
+const WAIT: Duration = Duration::from_millis(400);
 /// Pause while there is no leader to ask, or after a failed question.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Questions without an answer after which this instance reads the stores itself.
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -1,10 +1,10 @@
 use super::*;
 
 /// Longest wait for a change in one read.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(300);
 /// Time between reads, which bounds their number when targets change all the time. A target that
 /// leaves takes requests for two seconds after it said so.
-const INTERVAL: Duration = Duration::from_millis(400);
+const INTERVAL: Duration = Duration::from_millis(300);
 /// Pause while the leader reads for this instance.
 const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 
