Share what requests take of engines, and count relayed ages from the answer

Ruled out: a larger share of memory to fill, which only moves the wrong refusals. Change: questions carry the loads of the asking instance and answers those of all others; answers say how long they waited.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,6 +7,7 @@
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     /// Instances that share the targets. Invariant: at least 1 once it was set.
     instance_count: usize,
+    others: OtherLoads,
     pipes: Pipes,
     settings: FleetSettings,
     targets: SlotMap<TargetKey, Entry>,
@@ -113,7 +114,7 @@
             held_count += 1;
             let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
             let is_first = demand.first.as_ref().is_some_and(|first| first.key == key);
-            let layer_ms = self.layer_ms(entry, profile, hardware, demand);
+            let layer_ms = self.layer_ms(now, entry, profile, hardware, demand);
             // A request that is already there has its memory.
             let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
                 continue;
@@ -194,6 +195,28 @@
         }
     }
 
+    /// What the requests of this instance take of its targets.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<SharedLoad> {
+        let mut loads = Vec::new();
+        for entry in self.targets.values() {
+            if entry.in_flight_count == 0 {
+                continue;
+            }
+            loads.push(SharedLoad {
+                id: entry.target.id.clone(),
+                in_flight_count: entry.in_flight_count,
+                token_layers: entry.token_layers,
+            });
+        }
+        loads
+    }
+
+    /// Notes what the requests of all other instances take.
+    pub fn set_other_loads(&mut self, now: Duration, loads: &[SharedLoad]) {
+        self.others.set(now, loads);
+    }
+
     /// Notes that all targets of a path took part in an event that arrived.
     pub fn note_alive(&mut self, now: Duration, path: &Path) {
         for key in path.keys() {
@@ -299,20 +322,31 @@
     /// no room for it.
     fn layer_ms(
         &self,
+        now: Duration,
         entry: &Entry,
         profile: &EngineProfile,
         hardware: &HardwareKind,
         demand: &Demand,
     ) -> Option<f64> {
         let capacity = entry.token_layer_capacity(profile) * self.settings.fill_share;
-        let used = entry.token_layers * self.peer_factor();
+        let own_count = f64::from(entry.in_flight_count);
+        let (used, running) = match self.others.get(now, &entry.target.id) {
+            // The other instances are taken to send as much as this one.
+            None => (
+                entry.token_layers * self.peer_factor(),
+                own_count * self.peer_factor(),
+            ),
+            Some(others) => (
+                entry.token_layers + others.token_layers,
+                own_count + others.in_flight_count,
+            ),
+        };
         let held = f64::from(entry.target.held.map_or(0, LayerRange::count));
         // A request that takes the whole range is the most that may come.
         let filled = (used + demand.tokens() * held) / capacity.max(1.0);
         if filled > 1.0 {
             return None;
         }
-        let running = f64::from(entry.in_flight_count) * self.peer_factor();
         let context = demand.tokens() / 1_000.0 * profile.context_ms_per_thousand;
         let step_ms = profile.step_ms + running * (profile.step_ms_per_request + context);
         let step_ms = demand.answer_tokens * step_ms * hardware.pace * entry.slowness;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,7 @@
     serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -28,6 +28,7 @@
 mod pipes;
 mod roster;
 mod settings;
+mod shared_load;
 mod target;
 
 pub use {
@@ -39,10 +40,11 @@
     path::{NoPath, Path, Stage},
     roster::Roster,
     settings::FleetSettings,
+    shared_load::SharedLoad,
     target::Target,
 };
 
-use {entry::Entry, finder::Finder, health::Health, pipes::Pipes};
+use {entry::Entry, finder::Finder, health::Health, pipes::Pipes, shared_load::OtherLoads};
 
 /// Id of one start of a target.
 pub type TargetId = Arc<str>;
--- /dev/null
+++ b/crates/fleet/src/shared_load.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// Age at which the loads of other instances no longer say anything.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
+/// What the requests of some instances take of one target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SharedLoad {
+    /// Target.
+    pub id: TargetId,
+    /// Requests.
+    pub in_flight_count: u32,
+    /// Tokens times layers.
+    pub token_layers: f64,
+}
+
+impl SharedLoad {
+    /// Sum of the loads of several instances by target.
+    #[must_use]
+    pub fn sum<'a>(loads: impl IntoIterator<Item = &'a Self>) -> Vec<Self> {
+        let mut sums: BTreeMap<&TargetId, (u32, f64)> = BTreeMap::new();
+        for load in loads {
+            let sum = sums.entry(&load.id).or_default();
+            sum.0 += load.in_flight_count;
+            sum.1 += load.token_layers;
+        }
+        let sums = sums.into_iter();
+        sums.map(|(id, (in_flight_count, token_layers))| Self {
+            id: id.clone(),
+            in_flight_count,
+            token_layers,
+        })
+        .collect()
+    }
+}
+
+/// Loads of the other instances at one target, as they were last told.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OtherLoad {
+    pub(crate) in_flight_count: f64,
+    pub(crate) token_layers: f64,
+}
+
+/// Loads of the other instances.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OtherLoads {
+    /// When they were told; none if never.
+    at: Option<Duration>,
+    loads: HashMap<TargetId, OtherLoad>,
+}
+
+impl OtherLoads {
+    pub(crate) fn set(&mut self, now: Duration, loads: &[SharedLoad]) {
+        self.at = Some(now);
+        self.loads.clear();
+        for load in loads {
+            let other = OtherLoad {
+                in_flight_count: f64::from(load.in_flight_count),
+                token_layers: load.token_layers,
+            };
+            self.loads.insert(load.id.clone(), other);
+        }
+    }
+
+    /// Load at a target; none if nothing recent is known of the others.
+    pub(crate) fn get(&self, now: Duration, id: &TargetId) -> Option<OtherLoad> {
+        let at = self.at?;
+        if now.saturating_sub(at) > LOAD_AGE {
+            return None;
+        }
+        Some(self.loads.get(id).copied().unwrap_or_default())
+    }
+}
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use {
-    fleet::{NoPath, Outcome, Path, Target, TargetKey},
+    fleet::{NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::Rng,
     std::{collections::BTreeSet, time::Duration},
@@ -254,3 +254,29 @@
         fleet.begin(NOW, &path);
     }
 }
+
+/// Requests of one instance came in a clump, and its estimate for all instances refused requests
+/// although the engines had room.
+#[test]
+fn clump_at_one_instance_is_no_full_engine() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    fleet.set_instance_count(8);
+    let mut begun_count = 0;
+    while let Ok(path) = path(&fleet, &demand()) {
+        fleet.begin(NOW, &path);
+        begun_count += 1;
+    }
+    assert!(
+        begun_count < 10,
+        "without news of the others, they count as this one"
+    );
+    fleet.set_other_loads(NOW, &[]);
+    assert!(path(&fleet, &demand()).is_ok());
+    let others = SharedLoad {
+        id: "a1".into(),
+        in_flight_count: 30,
+        token_layers: 30.0 * 600.0 * 8.0,
+    };
+    fleet.set_other_loads(NOW, &SharedLoad::sum([&others, &others]));
+    assert_eq!(path(&fleet, &demand()), Err(NoPath::Full));
+}
--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/board.rs
@@ -4,6 +4,9 @@
 /// its own it stays below the two seconds after which a leaving target must get no new work.
 const RELAYED_AGE: Duration = Duration::from_millis(1_300);
 
+/// Age at which the load of an instance that no longer calls is forgotten.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
 /// What the loops of one instance share.
 #[derive(Debug)]
 pub struct Board {
@@ -13,6 +16,8 @@
 
 #[derive(Debug, Default)]
 struct BoardState {
+    /// Loads of the instances that call this one, with the time of the call.
+    loads: HashMap<Arc<str>, (Vec<SharedLoad>, Duration)>,
     membership: Membership,
     /// When the relayed knowledge was current; none while this instance reads itself.
     relayed_at: Option<Duration>,
@@ -26,6 +31,8 @@
 pub struct Query {
     /// Version of the configuration that the asking instance has; 0 if none.
     pub catalog_version: u64,
+    /// What the requests of the asking instance take.
+    pub loads: Vec<SharedLoad>,
     /// Whether the asking instance is leaving.
     pub is_leaving: bool,
     /// Number of the list of targets that it has from this leader; 0 if none.
@@ -45,12 +52,16 @@
     pub catalog_age: Duration,
     /// Instances that callers may use.
     pub instances: Vec<Instance>,
+    /// What the requests of all other instances take.
+    pub other_loads: Vec<SharedLoad>,
     /// Number of the list of targets.
     pub revision: u64,
     /// Targets, if they are others than those of the asking instance.
     pub targets: Option<Vec<Target>>,
     /// Time since the targets were read.
     pub targets_age: Duration,
+    /// Time from the arrival of the question to the answer.
+    pub waited: Duration,
 }
 
 /// Calls an instance that reads the stores for others.
@@ -118,6 +129,26 @@
         self.lock().targets_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Notes the loads of an instance.
+    pub fn set_loads(&self, now: Duration, id: &Arc<str>, loads: Vec<SharedLoad>) {
+        self.lock().loads.insert(id.clone(), (loads, now));
+    }
+
+    /// Loads of all instances that called lately, but for one, and of this instance.
+    pub fn loads_without(
+        &self,
+        now: Duration,
+        id: &Arc<str>,
+        own: &[SharedLoad],
+    ) -> Vec<SharedLoad> {
+        let mut state = self.lock();
+        state
+            .loads
+            .retain(|_, (_, at)| now.saturating_sub(*at) < LOAD_AGE);
+        let others = state.loads.iter().filter(|(from, _)| *from != id);
+        SharedLoad::sum(others.flat_map(|(_, (loads, _))| loads).chain(own))
+    }
+
     /// Members.
     pub fn with_membership<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
         act(&mut self.lock().membership)
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -7,7 +7,7 @@
 
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
-    fleet::{Roster, Target},
+    fleet::{Roster, SharedLoad, Target},
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -27,8 +27,10 @@
     }
 
     /// Answers a question, or none if this instance does not lead or knows nothing yet.
-    pub async fn answer(&self, query: Query) -> Option<Answer> {
+    pub async fn answer(&self, mut query: Query) -> Option<Answer> {
+        let arrived_at = clock::now();
         self.note_member(&query);
+        self.note_loads(&query.row.id, std::mem::take(&mut query.loads));
         if !self.is_leading() {
             return None;
         }
@@ -55,9 +57,14 @@
             catalog: is_newer.then(|| catalog.parts().clone()),
             catalog_age: now.saturating_sub(confirmed_at),
             instances: self.router.instances(),
+            other_loads: {
+                let own = self.router.fleet().own_loads();
+                self.board.loads_without(now, &query.row.id, &own)
+            },
             revision,
             targets: has_other.then(|| self.board.targets()),
             targets_age,
+            waited: now.saturating_sub(arrived_at),
         })
     }
 
@@ -72,6 +79,14 @@
         });
     }
 
+    fn note_loads(&self, id: &Arc<str>, loads: Vec<SharedLoad>) {
+        let now = clock::now();
+        self.board.set_loads(now, id, loads);
+        let nobody = Arc::from("");
+        let others = self.board.loads_without(now, &nobody, &[]);
+        self.router.fleet().set_other_loads(now, &others);
+    }
+
     fn is_leading(&self) -> bool {
         lock(&self.leadership).fence(clock::now()).is_some()
     }
@@ -136,6 +151,7 @@
     Query {
         catalog_version,
         is_leaving: router.is_leaving(),
+        loads: router.fleet().own_loads(),
         revision,
         row: row.clone(),
         wait: WAIT,
@@ -143,8 +159,9 @@
 }
 
 fn take(router: &Router, board: &Board, asked_at: Duration, answer: Answer) {
-    // All ages count from the sending of the question, which is the earlier end.
-    let confirmed_at = asked_at.saturating_sub(answer.catalog_age);
+    // The question arrived after it was sent, so that this is at or before the time of the answer.
+    let answered_at = asked_at + answer.waited;
+    let confirmed_at = answered_at.saturating_sub(answer.catalog_age);
     {
         let mut holder = router.catalog();
         let before = holder.catalog().map_or(0, |held| held.version());
@@ -158,11 +175,14 @@
             holder.confirm(version, confirmed_at);
         }
     }
-    let read_at = asked_at.saturating_sub(answer.targets_age);
+    let read_at = answered_at.saturating_sub(answer.targets_age);
     match answer.targets {
         None => board.confirm_targets(read_at),
         Some(targets) => target_loop::take(router, board, read_at, &targets),
     }
+    router
+        .fleet()
+        .set_other_loads(clock::now(), &answer.other_loads);
     instance_loop::take(router, answer.instances);
     board.relayed(confirmed_at.min(read_at));
 }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -143,6 +143,7 @@
     Query {
         catalog_version: 0,
         is_leaving: false,
+        loads: Vec::new(),
         revision: 0,
         row: asking.row.clone(),
         wait: Duration::from_secs(5),
