Go on from the leader's list when an instance reads the store again

An instance that had followed the leader took its own pause for an outage of the store, and targets that the leader had listed as gone for lapsed ones. Ruled out: entries that came back in the store, and the age of relayed lists. Change: the list is adopted as it is. Refused callers come back spread over a range of time. Result: the new test fails with the old calls and passes now.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -29,6 +29,18 @@
         }
     }
 
+    /// Starts anew from the list that another instance kept while this one did not read. What is not
+    /// in it is gone, however long ago this instance has read.
+    pub fn adopt(&mut self, now: Duration, targets: Vec<Target>) {
+        *self = Self {
+            answered_at: Some(now),
+            ..Self::default()
+        };
+        for target in targets {
+            self.put(target);
+        }
+    }
+
     /// Takes over an entry.
     pub fn put(&mut self, target: Target) {
         self.lapsed.remove(&target.id);
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -60,3 +60,14 @@
 fn targets_are_kept_while_the_service_is_away() {
     assert_eq!(ids(&mut roster(), 60_000), ["x", "y"]);
 }
+
+/// Found by a hunt on fartuch-druk: an instance that read the list itself again after some seconds took
+/// targets that the leader had listed as gone for lapsed ones, and sent requests to them.
+#[test]
+fn target_that_another_instance_saw_leave_does_not_come_back_as_lapsed() {
+    let mut roster = roster();
+    roster.adopt(at(9_000), vec![target("y", "booking")]);
+    assert_eq!(ids(&mut roster, 9_000), ["y"]);
+    roster.answered(at(9_100));
+    assert_eq!(ids(&mut roster, 9_100), ["y"]);
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -24,7 +24,7 @@
         Err(refusal) => {
             let facts = router.dialect.request(&request.headers);
             log_refusal(&facts.id, &request.path, refusal);
-            return refusal.response(router.settings.return_after);
+            return refusal.response(router.return_after());
         }
         Ok(admitted) => admitted,
     };
@@ -153,7 +153,7 @@
 
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response {
         log_refusal(&self.admitted.facts.id, &self.request.path, refusal);
-        refusal.response(self.router.settings.return_after)
+        refusal.response(self.router.return_after())
     }
 
     /// Whether a stream that does not start may be sent again, in time for another target to start
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -87,6 +87,12 @@
         Arc::new(Ingress(self.clone()))
     }
 
+    /// Time after which a refused caller may come back: spread over a range, so that callers that were
+    /// refused together do not come back together.
+    pub(crate) fn return_after(&self) -> Duration {
+        self.settings.return_after.mul_f64(1.0 + self.draw())
+    }
+
     pub(crate) fn draw(&self) -> f64 {
         lock(&self.rng).random_range(0.0..1.0)
     }
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -26,8 +26,7 @@
         }
         if was_relayed {
             // What the leader listed goes on from here.
-            roster.answered(now);
-            roster.replace(now, board.targets());
+            roster.adopt(now, board.targets());
             was_relayed = false;
         }
         match source.read(WAIT).await {
--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -251,7 +251,12 @@
     }
 
     async fn create_account(&self) -> Result<()> {
-        let plan = json!({"models": [MODEL], "services": [SERVICE]});
+        let plan = json!({
+            "deadline_ms": DEADLINE_MS,
+            "max_wait_ms": DEADLINE_MS,
+            "models": [MODEL],
+            "services": [SERVICE],
+        });
         self.edit("/admin/plans/standard", plan).await?;
         let account = json!({"plan": "standard", "key_hashes": [hash_key(CALLER_KEY)]});
         let version = self
