--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -4,6 +4,11 @@
 /// processes look silent to each other.
 const CLUSTER_COUNT: usize = 2;
 
+/// Time that the test account's requests have, in milliseconds. So long that admission, which
+/// estimates from measured speeds whether an answer will be complete in time, refuses nothing on a
+/// busy machine.
+const DEADLINE_MS: u64 = 600_000;
+
 /// Permits of the clusters of this test process.
 static PERMITS: Semaphore = Semaphore::const_new(CLUSTER_COUNT);
 
