--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/board.rs
@@ -124,6 +124,13 @@
         let _ = timeout(wait, change).await;
     }
 
+    /// Whether the targets were read later than `at`, for example by this instance itself.
+    pub fn is_newer_than(&self, at: Duration) -> bool {
+        self.lock()
+            .targets_at
+            .is_some_and(|targets_at| targets_at > at)
+    }
+
     /// Age of the targets; none before the first read.
     pub fn targets_age(&self, now: Duration) -> Option<Duration> {
         self.lock().targets_at.map(|at| now.saturating_sub(at))
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -118,8 +118,10 @@
                     tracing::info!(leader = %address, "follows the leader");
                 }
                 failure_count = 0;
-                source = Some((address, answer.revision));
-                take(&router, &board, asked_at, answer);
+                let revision = answer.revision;
+                let is_taken = take(&router, &board, asked_at, answer);
+                // Without the list of this answer, the next one must contain it again.
+                source = Some((address, if is_taken { revision } else { 0 }));
             }
             Err(error) => {
                 failure_count += 1;
@@ -158,7 +160,8 @@
     }
 }
 
-fn take(router: &Router, board: &Board, asked_at: Duration, answer: Answer) {
+/// Takes over an answer. Returns whether its list of targets was taken or is the present one.
+fn take(router: &Router, board: &Board, asked_at: Duration, answer: Answer) -> bool {
     // The question arrived after it was sent, so that this is at or before the time of the answer.
     let answered_at = asked_at + answer.waited;
     let confirmed_at = answered_at.saturating_sub(answer.catalog_age);
@@ -176,7 +179,10 @@
         }
     }
     let read_at = answered_at.saturating_sub(answer.targets_age);
+    // This instance may have read the list itself since the leader did.
+    let is_older = board.is_newer_than(read_at);
     match answer.targets {
+        _ if is_older => {}
         None => board.confirm_targets(read_at),
         Some(targets) => target_loop::take(router, board, read_at, &targets),
     }
@@ -185,6 +191,7 @@
         .set_other_loads(clock::now(), &answer.other_loads);
     instance_loop::take(router, answer.instances);
     board.relayed(confirmed_at.min(read_at));
+    !is_older
 }
 
 fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -241,3 +241,15 @@
     until(|| !follower.board.is_relayed(clock::now())).await;
     assert_eq!(version(&follower), 1, "what is known stays");
 }
+
+/// A leader that the store turns away goes on answering for a while with what it knows.
+#[tokio::test]
+async fn older_list_of_the_leader_does_not_replace_a_newer_one() {
+    let (leader, _task) = leader().await;
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    let read_at = clock::now() + Duration::from_secs(60);
+    follower.board.set_targets(read_at, vec![target("own")]);
+    follow(&follower, &leader);
+    until(|| version(&follower) == 1).await;
+    assert_eq!(&*follower.board.targets()[0].id, "own");
+}
