--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -29,6 +29,12 @@
         self.instance_count = count.max(1);
     }
 
+    /// Whether no target is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Replaces the listing. What was observed of targets that are still listed is kept.
     pub fn list(&mut self, listing: &[Target]) {
         let listed: BTreeSet<&str> = listing.iter().map(|target| &*target.id).collect();
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Time for an engine's answer; they answer within some milliseconds unless they are gone.
-const ANSWER_LIMIT: Duration = Duration::from_millis(100);
+const ANSWER_LIMIT: Duration = Duration::from_millis(40);
 /// Time for which an answer counts, so that many silent streams ask each engine once.
 const ANSWER_AGE: Duration = Duration::from_millis(150);
 /// Time between questions to engines that are avoided or slow.
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -30,10 +30,10 @@
     pub repeat_window: Duration,
     /// Shortest time after which a refused caller is asked to come back.
     pub return_after: Duration,
-    /// Time without an event of a running stream after which its engines are asked how they are.
-    /// Above twice the usual time between events, and low enough to move the stream within the
-    /// longest pause that callers find acceptable.
-    pub silence_limit: Duration,
+    /// Shortest and longest time without an event of a running stream after which its engines are
+    /// asked how they are. Low enough to move the stream within the usual longest pause that callers
+    /// find acceptable, 200 ms.
+    pub silence_limits: (Duration, Duration),
     /// Time without the first event after which engines are asked how they are: half of the usual
     /// goal.
     pub start_limit: Duration,
@@ -56,7 +56,7 @@
             repeat_window: Duration::from_secs(10),
             return_after: Duration::from_millis(500),
             return_time: Duration::from_millis(10),
-            silence_limit: Duration::from_millis(110),
+            silence_limits: (Duration::from_millis(90), Duration::from_millis(200)),
             start_limit: Duration::from_millis(250),
             stall_limit: Duration::from_millis(1_200),
         }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -71,7 +71,7 @@
             if left.is_zero() {
                 return StreamEnd::TimeOver;
             }
-            let limit = left.min(router.settings.silence_limit);
+            let limit = left.min(self.pace.silence_limit(router.settings.silence_limits));
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
--- a/crates/forward/src/stream_pace.rs
+++ b/crates/forward/src/stream_pace.rs
@@ -19,6 +19,12 @@
         }
     }
 
+    /// Time without an event from which the stream counts as silent: longer than its longest gap so
+    /// far by half, within limits.
+    pub(crate) fn silence_limit(&self, (least, most): (Duration, Duration)) -> Duration {
+        self.longest_gap.mul_f64(1.5).clamp(least, most)
+    }
+
     /// Notes that events arrived.
     pub(crate) fn arrived(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_at);
