--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -285,22 +285,6 @@
         !is_held || entry.health.is_avoided(now)
     }
 
-    /// Stages of a path after the first whose targets are leaving or no longer listed.
-    #[must_use]
-    pub fn leaving(&self, path: &Path) -> Vec<Stage> {
-        let mut leaving = Vec::new();
-        for stage in &path.stages[1..] {
-            if self
-                .targets
-                .get(stage.key)
-                .is_none_or(|entry| entry.target.is_leaving)
-            {
-                leaving.push(stage.clone());
-            }
-        }
-        leaving
-    }
-
     /// Whether a stage is much slower than its hardware.
     #[must_use]
     pub fn is_slow(&self, stage: &Stage) -> bool {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -84,7 +84,6 @@
                     if !self.send(&bytes, attempt, silent_since).await {
                         return StreamEnd::CallerLeft;
                     }
-                    self.depart(attempt).await;
                     continue;
                 }
                 Err(wire::Error::Silent { .. }) => {
@@ -104,16 +103,6 @@
         }
     }
 
-    /// Moves the stream off targets that are leaving.
-    async fn depart(&mut self, attempt: &mut Attempt) {
-        let Exchange {
-            admitted, router, ..
-        } = &self.exchange;
-        if let Some(path) = self.watchdog.depart(router, admitted, &attempt.path).await {
-            attempt.move_to(router, path);
-        }
-    }
-
     /// Passes on the whole events among what has arrived. Returns false when the caller has left.
     async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> bool {
         let whole = self.events.push(bytes);
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -16,50 +16,12 @@
 /// Watches one request while it is silent.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watchdog {
-    /// When the request was last to be moved off targets that are leaving.
-    departed_at: Option<Duration>,
     /// Whether the request was moved because of slow stages. A move makes other engines read the
     /// prompt again, so that more than one for this reason would slow down all requests.
     has_left_slow: bool,
 }
 
-/// Time between attempts to move a request off targets that are leaving.
-const DEPARTURE_INTERVAL: Duration = Duration::from_millis(500);
-
 impl Watchdog {
-    /// Moves a running request off stages whose targets are leaving, while they still serve it.
-    /// Returns the new path, if it was moved.
-    pub(crate) async fn depart(
-        &mut self,
-        router: &Router,
-        admitted: &Admitted,
-        path: &Path,
-    ) -> Option<Path> {
-        let profile = admitted.pipeline()?;
-        let leaving = router.fleet().leaving(path);
-        let now = clock::now();
-        let is_early = |at: Duration| now.saturating_sub(at) < DEPARTURE_INTERVAL;
-        if leaving.is_empty() || self.departed_at.is_some_and(is_early) {
-            return None;
-        }
-        self.departed_at = Some(now);
-        let next = other_path(router, admitted, profile, path, &leaving, &[])?;
-        let moved = router
-            .probes
-            .engines()
-            .repath(&admitted.facts.id, &next)
-            .await;
-        let is_moved = matches!(moved, Ok(true));
-        let request = &*admitted.facts.id;
-        tracing::info!(
-            request,
-            leaving = names(&leaving),
-            is_moved,
-            "stages are leaving"
-        );
-        is_moved.then_some(next)
-    }
-
     /// Finds out why a request is silent since `since`, and moves it off stages that failed or are
     /// slow.
     pub(crate) async fn inspect(
