Leave silent targets of idempotent requests after a third of their time

Cause: an idempotent request to a runner whose connection had fallen silent waited until its deadline; streams were moved off slow engines at the first silence, although a move takes as long as the silence. Ruled out: a fixed time for all routes, as their deadlines differ twentyfold. Change: idempotent requests go elsewhere after a third of the time left; streams leave slow engines after half a second. The sending of requests is split into message, wait and judgement; answers of plain services up to 8 MiB are kept whole.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -110,23 +110,7 @@
         home: &DomainName,
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
-        let mut engines = Vec::new();
-        let mut held_count = 0;
-        for (key, entry) in self.usable(service, demand) {
-            let is_usable = entry.target.held.is_some() && !entry.health.is_avoided(now);
-            let Some(hardware) = entry.hardware(profile).filter(|_| is_usable) else {
-                continue;
-            };
-            held_count += 1;
-            let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
-            let is_first = demand.first.as_ref().is_some_and(|first| first.key == key);
-            let layer_ms = self.layer_ms(now, entry, profile, hardware, demand);
-            // A request that is already there has its memory.
-            let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
-                continue;
-            };
-            engines.push((key, entry, layer_ms * jitter));
-        }
+        let (engines, held_count) = self.priced_engines(now, service, profile, demand, rng);
         let is_any_full = engines.len() < held_count;
         let finder = Finder {
             demand,
@@ -155,6 +139,36 @@
         })
     }
 
+    /// Usable engines with the cost of one layer in milliseconds, and how many hold layers with or
+    /// without room.
+    fn priced_engines(
+        &self,
+        now: Duration,
+        service: &str,
+        profile: &EngineProfile,
+        demand: &Demand,
+        rng: &mut impl Rng,
+    ) -> (Vec<(TargetKey, &Entry, f64)>, usize) {
+        let mut engines = Vec::new();
+        let mut held_count = 0;
+        for (key, entry) in self.usable(service, demand) {
+            let is_usable = entry.target.held.is_some() && !entry.health.is_avoided(now);
+            let Some(hardware) = entry.hardware(profile).filter(|_| is_usable) else {
+                continue;
+            };
+            held_count += 1;
+            let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
+            let is_first = demand.first.as_ref().is_some_and(|first| first.key == key);
+            let layer_ms = self.layer_ms(now, entry, profile, hardware, demand);
+            // A request that is already there has its memory.
+            let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
+                continue;
+            };
+            engines.push((key, entry, layer_ms * jitter));
+        }
+        (engines, held_count)
+    }
+
     /// Counts a request that is sent along a path.
     pub fn begin(&mut self, now: Duration, path: &Path) {
         for pair in path.stages.windows(2) {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,5 +1,10 @@
 use super::*;
 
+/// Time for the body of a refusal, so that the connection can be kept; a refusal counts without it.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(100);
+/// Longest pause in an answer that is read whole; above all deadlines of callers, which end it first.
+const SILENCE_LIMIT: Duration = Duration::from_secs(120);
+
 /// One send of a request to a target.
 pub(crate) struct Attempt {
     pub(crate) facts: ReplyFacts,
@@ -32,61 +37,46 @@
 }
 
 impl Attempt {
-    /// Sends a request along a path and waits for the head of the answer. `has_another` says whether
-    /// it may be sent again if there is none.
+    /// Sends a request along a path and waits for the head of the answer. After `patience` without
+    /// one, it may be left for another target; without patience it may not.
     pub(crate) async fn send(
         router: &Arc<Router>,
         admitted: &Admitted,
         request: &Request,
         path: Path,
         last_event: Option<&str>,
-        has_another: bool,
+        patience: Option<Duration>,
     ) -> Result<Self, (AttemptFailure, Path)> {
         let in_flight = InFlight::begin(router, &path);
         let first = path.first().clone();
         let limit = admitted.time_left();
-        let settings = &router.settings;
-        let mut connection = match router
-            .pool
-            .take(&first, settings.connect_limit.min(limit))
-            .await
-        {
-            Err(error) => {
-                let failure = failed(router, admitted, &first, &error);
-                return Err((failure, path));
-            }
-            Ok(connection) => connection,
-        };
-        let dispatch = Dispatch {
-            account: admitted.account.as_ref().map(|account| &*account.name),
-            deadline: admitted.time_left().saturating_sub(settings.return_time),
-            last_event,
-            path: &path,
-        };
-        let message = match message(router, request, &dispatch) {
+        let message = match message::form(router, admitted, request, &path, last_event) {
             Err(error) => {
                 tracing::warn!(request = &*admitted.facts.id, %error, "request cannot be formed");
                 return Err((AttemptFailure::NotSent, path));
             }
             Ok(message) => message,
         };
+        let connect_limit = router.settings.connect_limit.min(limit);
+        let mut connection = match router.pool.take(&first, connect_limit).await {
+            Err(error) => return Err((failed(router, admitted, &first, &error), path)),
+            Ok(connection) => connection,
+        };
         let mut watched = Watched { in_flight, path };
         let exchange = connection.exchange(message, limit);
-        let reply = match watched.wait(router, admitted, has_another, exchange).await {
+        let reply = match watched.wait(router, admitted, patience, exchange).await {
             None => return Err((AttemptFailure::Unknown, watched.path)),
             Some(Err(error)) => {
-                let failure = failed(router, admitted, &first, &error);
-                return Err((failure, watched.path));
+                return Err((failed(router, admitted, &first, &error), watched.path));
             }
             Some(Ok(reply)) => reply,
         };
         let Watched { in_flight, path } = watched;
-        let facts = router.dialect.reply(reply.status, &reply.headers);
         let attempt = Self {
-            facts,
+            connection,
+            facts: router.dialect.reply(reply.status, &reply.headers),
             in_flight,
             path,
-            connection,
             reply,
         };
         attempt.judge(router, admitted).await
@@ -99,43 +89,19 @@
         admitted: &Admitted,
     ) -> Result<Self, (AttemptFailure, Path)> {
         let now = clock::now();
-        let first = self.path.first().clone();
+        let first = self.path.first();
         if let Some(load) = self.facts.load {
             router.fleet().note_load(now, first.key, load);
         }
-        let status = self.reply.status;
         if self.facts.is_not_run {
-            let fault = self.facts.fault_at.and_then(|address| {
-                let stage = self
-                    .path
-                    .stages
-                    .iter()
-                    .find(|stage| stage.address == address);
-                stage.cloned()
-            });
-            let is_elsewhere = fault.as_ref().is_some_and(|stage| stage.key != first.key);
-            let blamed = fault.unwrap_or(first);
-            tracing::info!(
-                request = &*admitted.facts.id,
-                target = &*blamed.id,
-                status = status.as_u16(),
-                "refused by target"
-            );
-            let outcome = if is_elsewhere {
-                Outcome::Failed
-            } else {
-                Outcome::Full
-            };
-            router.fleet().note(now, blamed.key, outcome);
+            self.note_refusal(router, admitted);
             let path = self.path.clone();
-            let _ = self.read(router).await;
+            let _ = timeout(REFUSAL_LIMIT, self.read(router)).await;
             return Err((AttemptFailure::NotRun, path));
         }
-        let is_other = self
-            .facts
-            .id
-            .as_ref()
-            .is_some_and(|id| **id != *admitted.facts.id);
+        let status = self.reply.status;
+        let id = self.facts.id.as_deref();
+        let is_other = id.is_some_and(|id| *id != *admitted.facts.id);
         let is_unsigned = status.is_success() && !self.facts.has_signature;
         if is_other || is_unsigned {
             tracing::warn!(
@@ -152,11 +118,34 @@
         Ok(self)
     }
 
+    /// Notes which target refused the request. The first one may refuse for another one on the path.
+    fn note_refusal(&self, router: &Router, admitted: &Admitted) {
+        let first = self.path.first();
+        let fault_at = self.facts.fault_at;
+        let mut stages = self.path.stages.iter();
+        let blamed = stages.find(|stage| Some(stage.address) == fault_at);
+        let blamed = blamed.unwrap_or(first);
+        tracing::info!(
+            request = &*admitted.facts.id,
+            target = &*blamed.id,
+            status = self.reply.status.as_u16(),
+            "refused by target"
+        );
+        let is_first = blamed.key == first.key;
+        let outcome = if is_first {
+            Outcome::Full
+        } else {
+            Outcome::Failed
+        };
+        router.fleet().note(clock::now(), blamed.key, outcome);
+    }
+
     /// Reads the whole answer and keeps the connection for the next request.
     pub(crate) async fn read(mut self, router: &Router) -> Result<Bytes, wire::Error> {
-        let settings = &router.settings;
-        let limit = Duration::from_secs(60);
-        let body = self.reply.read(limit, settings.answer_bytes).await?;
+        let body = self
+            .reply
+            .read(SILENCE_LIMIT, router.settings.answer_bytes)
+            .await?;
         self.release(router);
         Ok(body)
     }
@@ -179,57 +168,6 @@
     }
 }
 
-/// A request that waits for the head of its answer.
-struct Watched {
-    in_flight: InFlight,
-    path: Path,
-}
-
-impl Watched {
-    /// Waits for the head, and inspects the path while there is none. Returns none if the request
-    /// is better sent again, and another path is there.
-    async fn wait(
-        &mut self,
-        router: &Arc<Router>,
-        admitted: &Admitted,
-        has_another: bool,
-        exchange: impl Future<Output = Result<ReplyStream, wire::Error>>,
-    ) -> Option<Result<ReplyStream, wire::Error>> {
-        let mut exchange = std::pin::pin!(exchange);
-        let mut watchdog = Watchdog::default();
-        let sent_at = clock::now();
-        loop {
-            let since = clock::now();
-            if let Ok(result) = timeout(router.settings.start_limit, &mut exchange).await {
-                return Some(result);
-            }
-            let silence = clock::now().saturating_sub(sent_at);
-            let is_lost = match watchdog.inspect(router, admitted, &self.path, since).await {
-                Verdict::Lost => true,
-                Verdict::Moved(path) => {
-                    self.in_flight = InFlight::begin(router, &path);
-                    self.path = path;
-                    false
-                }
-                Verdict::Slow => false,
-                Verdict::Sound => silence >= router.settings.stall_limit,
-            };
-            if is_lost && has_another && self.is_replaceable(router, admitted) {
-                return None;
-            }
-        }
-    }
-}
-
-impl Watched {
-    /// Whether there is a path with another first stage.
-    fn is_replaceable(&self, router: &Router, admitted: &Admitted) -> bool {
-        let mut demand = admitted.demand();
-        demand.excluded.push(self.path.first().key);
-        router.choose(admitted, &demand).is_ok()
-    }
-}
-
 /// Notes a failed send.
 fn failed(
     router: &Router,
@@ -255,27 +193,3 @@
     }
     AttemptFailure::Unknown
 }
-
-fn message(
-    router: &Router,
-    request: &Request,
-    dispatch: &Dispatch,
-) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
-    let mut uri = request.path.clone();
-    if !request.query.is_empty() {
-        uri.push('?');
-        uri.push_str(&request.query);
-    }
-    let mut headers = headers::end_to_end(&request.headers);
-    router.dialect.dispatch(&mut headers, dispatch);
-    let has_body = !request.body.is_empty() || request.headers.contains_key(CONTENT_LENGTH);
-    if has_body || request.headers.contains_key(TRANSFER_ENCODING) {
-        headers.insert(CONTENT_LENGTH, request.body.len().into());
-    }
-    let mut message = hyper::Request::builder()
-        .method(request.method.clone())
-        .uri(uri)
-        .body(Full::new(request.body.clone()))?;
-    *message.headers_mut() = headers;
-    Ok(message)
-}
--- a/crates/forward/src/deliver.rs
+++ b/crates/forward/src/deliver.rs
@@ -11,23 +11,11 @@
     let id = exchange.admitted.facts.id.clone();
     let body = match timeout(left, attempt.read(&router)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            let is_new = router
-                .fleet()
-                .note(clock::now(), target.key, Outcome::Failed);
-            tracing::info!(
-                request = &*id,
-                target = &*target.id,
-                is_avoided_now = is_new,
-                %error,
-                "answer broke off"
-            );
-            exchange.demand.excluded.push(target.key);
-            if exchange.may_try_again() && exchange.take_repeat() {
-                return None;
-            }
+        Ok(Err(error @ wire::Error::BodyTooLong { .. })) => {
+            tracing::warn!(request = &*id, target = &*target.id, %error, "answer is too long");
             return Some(exchange.refuse(Refusal::AnswerLost));
         }
+        Ok(Err(error)) => return broke_off(exchange, &target, &error),
         Err(_) => return Some(exchange.refuse(Refusal::TimeOver)),
     };
     let is_promise = matches!(
@@ -53,3 +41,24 @@
     *response.headers_mut() = headers;
     Some(response)
 }
+
+/// Notes an answer that broke off. Returns none if the request is to be sent again.
+fn broke_off(exchange: &mut Exchange, target: &Stage, error: &wire::Error) -> Option<Response> {
+    let now = clock::now();
+    let is_new = exchange
+        .router
+        .fleet()
+        .note(now, target.key, Outcome::Failed);
+    tracing::info!(
+        request = &*exchange.admitted.facts.id,
+        target = &*target.id,
+        is_avoided_now = is_new,
+        %error,
+        "answer broke off"
+    );
+    exchange.demand.excluded.push(target.key);
+    if exchange.may_try_again() && exchange.take_repeat() {
+        return None;
+    }
+    Some(exchange.refuse(Refusal::AnswerLost))
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -94,7 +94,7 @@
                 &self.request,
                 path,
                 last_event,
-                self.has_another_start(),
+                self.patience(),
             );
             let (failure, path) = match send.await {
                 Err(failure) => failure,
@@ -156,12 +156,18 @@
         refusal.response(self.router.return_after())
     }
 
-    /// Whether a stream that does not start may be sent again, in time for another target to start
-    /// it before the caller leaves.
-    fn has_another_start(&self) -> bool {
+    /// Time without an answer after which another target is tried, early enough for it to answer
+    /// before the caller leaves. None if no other one may be tried.
+    fn patience(&self) -> Option<Duration> {
         let route = &self.admitted.route;
-        let has_another = self.attempt_count + 1 < route.attempt_count;
-        route.repeat == Repeat::ResumableStream && has_another
+        if self.attempt_count + 1 >= route.attempt_count {
+            return None;
+        }
+        match route.repeat {
+            Repeat::Idempotent => Some(self.admitted.time_left() / 3),
+            Repeat::Once | Repeat::Stream => None,
+            Repeat::ResumableStream => Some(self.router.settings.stall_limit),
+        }
     }
 
     fn no_path(&self, reason: NoPath) -> Refusal {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -49,6 +49,7 @@
 mod headers;
 mod in_flight;
 mod instance;
+mod message;
 mod pool;
 mod probes;
 mod refusal;
@@ -57,6 +58,7 @@
 mod stream;
 mod stream_pace;
 mod watchdog;
+mod watched;
 
 pub use {
     dialect::{Dialect, Dispatch, ReplyFacts, RequestFacts},
@@ -80,4 +82,5 @@
     probes::Probes,
     stream_pace::StreamPace,
     watchdog::{Verdict, Watchdog},
+    watched::Watched,
 };
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -3,8 +3,8 @@
 /// Settings of the forwarding of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardSettings {
-    /// Longest answer that is kept until it is complete, in bytes. Longer ones are passed on as
-    /// they arrive.
+    /// Longest answer of a plain service, in bytes. Answers are kept until they are complete, so that
+    /// one that breaks off can be asked for again.
     pub answer_bytes: usize,
     /// Longest age of the configuration with which keys are still accepted. Below the time within
     /// which a withdrawn key must be refused everywhere.
@@ -45,7 +45,7 @@
 impl Default for ForwardSettings {
     fn default() -> Self {
         Self {
-            answer_bytes: 256 * 1024,
+            answer_bytes: 8 * 1024 * 1024,
             catalog_limit: Duration::from_millis(4_500),
             connect_limit: Duration::from_millis(300),
             extra_repeats: 100.0,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -122,11 +122,11 @@
         let Exchange {
             admitted, router, ..
         } = &self.exchange;
-        let inspect = self
-            .watchdog
-            .inspect(router, admitted, &attempt.path, silent_since);
-        let verdict = inspect.await;
         let silence = clock::now().saturating_sub(silent_since);
+        let watchdog = &mut self.watchdog;
+        let verdict = watchdog
+            .inspect(router, admitted, &attempt.path, silence)
+            .await;
         let is_lost = match verdict {
             Verdict::Lost => true,
             Verdict::Moved(path) => {
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -13,6 +13,12 @@
     Sound,
 }
 
+/// Age up to which a sign of life of an engine, in an event of another stream, spares a question.
+const SIGN_AGE: Duration = Duration::from_millis(250);
+/// Silence from which a request is moved off slow stages. A move makes other engines read its prompt
+/// again, which takes about as long.
+const SLOW_LIMIT: Duration = Duration::from_millis(500);
+
 /// Watches one request while it is silent.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watchdog {
@@ -22,18 +28,19 @@
 }
 
 impl Watchdog {
-    /// Finds out why a request is silent since `since`, and moves it off stages that failed or are
-    /// slow.
+    /// Finds out why a request has been silent for `silence`, and moves it off stages that failed or
+    /// are slow.
     pub(crate) async fn inspect(
         &mut self,
         router: &Router,
         admitted: &Admitted,
         path: &Path,
-        since: Duration,
+        silence: Duration,
     ) -> Verdict {
         let Some(profile) = admitted.pipeline() else {
             return Verdict::Sound;
         };
+        let since = clock::now().saturating_sub(silence.min(SIGN_AGE));
         router.probes.ask(router, path, since).await;
         let (lost, slow) = ailing_stages(router, path);
         let unmoved = match (lost.is_empty(), slow.is_empty()) {
@@ -42,7 +49,8 @@
             (true, true) => return Verdict::Sound,
         };
         let is_first_lost = lost.iter().any(|stage| stage.key == path.first().key);
-        if is_first_lost || (lost.is_empty() && self.has_left_slow) {
+        let is_bearable = self.has_left_slow || silence < SLOW_LIMIT;
+        if is_first_lost || (lost.is_empty() && is_bearable) {
             return unmoved;
         }
         let Some(next) = other_path(router, admitted, profile, path, &lost, &slow) else {
--- a/crates/forward/tests/answers.rs
+++ b/crates/forward/tests/answers.rs
@@ -314,3 +314,19 @@
     assert_eq!(headers["connection"], "close");
     assert!(!router.router.is_ready());
 }
+
+/// Connections may fall silent for good, while new ones work.
+#[tokio::test]
+async fn idempotent_request_does_not_wait_for_a_silent_target_until_its_deadline() {
+    let silent = target(|_| Box::pin(std::future::pending())).await;
+    let sound = sound().await;
+    let router = Setup {
+        time_limit: Duration::from_millis(1_500),
+        ..setup(Repeat::Idempotent, &[&silent, &sound])
+    };
+    let router = router.start().await;
+    for _ in 0..4 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+}
