--- a/crates/forward/tests/answers.rs
+++ b/crates/forward/tests/answers.rs
@@ -7,7 +7,7 @@
     catalog::Repeat,
     forward::ForwardSettings,
     std::{net::SocketAddr, time::Duration},
-    support::{Sending, Setup, TestTarget, ready, signed, target},
+    support::{Sending, Setup, TestTarget, ready, setup, signed, target},
     wire::hyper::{StatusCode, header::HeaderValue},
     yare::parameterized,
 };
@@ -39,14 +39,6 @@
     .await
 }
 
-fn setup(repeat: Repeat, targets: &[&TestTarget]) -> Setup {
-    Setup {
-        repeat,
-        targets: targets.iter().map(|target| target.address).collect(),
-        ..Setup::default()
-    }
-}
-
 #[tokio::test]
 async fn request_passes_unchanged_but_for_the_key() {
     let target = sound().await;
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -11,7 +11,7 @@
     futures::{FutureExt, future::BoxFuture},
     layout::LayerRange,
     std::{sync::Arc, time::Duration},
-    support::{LIMIT, Sending, Setup, TestTarget, signed, target},
+    support::{LIMIT, Sending, Setup, TestTarget, setup, signed, target},
     tokio::{sync::Notify, time::timeout},
     wire::{BodySender, Request, Response, hyper::StatusCode},
 };
@@ -55,14 +55,6 @@
     .await
 }
 
-fn setup(repeat: Repeat, targets: &[&TestTarget]) -> Setup {
-    Setup {
-        repeat,
-        targets: targets.iter().map(|target| target.address).collect(),
-        ..Setup::default()
-    }
-}
-
 #[tokio::test]
 async fn stream_that_breaks_off_is_resumed_after_the_last_whole_event() {
     let (one, other) = (breaking().await, breaking().await);
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -214,6 +214,15 @@
     pub time_limit: Duration,
 }
 
+/// Setup of targets of a plain service.
+pub fn setup(repeat: Repeat, targets: &[&TestTarget]) -> Setup {
+    Setup {
+        repeat,
+        targets: targets.iter().map(|target| target.address).collect(),
+        ..Setup::default()
+    }
+}
+
 impl Default for Setup {
     fn default() -> Self {
         Self {
--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/board.rs
@@ -4,6 +4,8 @@
 /// its own it stays below the two seconds after which a leaving target must get no new work.
 const RELAYED_AGE: Duration = Duration::from_millis(1_300);
 
+/// Pause of the reading loops while the leader reads for this instance.
+pub(crate) const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 /// Age at which the load of an instance that no longer calls is forgotten.
 const LOAD_AGE: Duration = Duration::from_secs(2);
 
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -3,8 +3,6 @@
 /// Longest wait for a change in one read. A read confirms the configuration as of its start, so the
 /// wait is a part of the age at which keys are no longer accepted.
 const WAIT: Duration = Duration::from_millis(300);
-/// Pause while the leader reads for this instance.
-const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -154,7 +154,3 @@
     tracing::info!(instances = ids.join(","), "instances changed");
     router.set_instances(live);
 }
-
-fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
-    leadership.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -182,3 +182,8 @@
         }
     }
 }
+
+/// Locks the state that the loops of an instance share.
+pub(crate) fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
+    leadership.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -51,3 +51,5 @@
     },
     target_loop::follow_targets,
 };
+
+use {board::RELAYED_PAUSE, leadership::lock};
--- a/crates/reconcile/src/order_loop.rs
+++ b/crates/reconcile/src/order_loop.rs
@@ -84,7 +84,3 @@
         }
     }
 }
-
-fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
-    leadership.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -193,7 +193,3 @@
     board.relayed(confirmed_at.min(read_at));
     !is_older
 }
-
-fn lock(leadership: &Mutex<Leadership>) -> MutexGuard<'_, Leadership> {
-    leadership.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -5,8 +5,6 @@
 /// Time between reads, which bounds their number when targets change all the time. A target that
 /// leaves takes requests for two seconds after it said so.
 const INTERVAL: Duration = Duration::from_millis(300);
-/// Pause while the leader reads for this instance.
-const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Keeps the targets of a router current while no leader does.
 pub async fn follow_targets(
