--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -3,8 +3,8 @@
 /// A listed target with what this instance observed of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
-    /// When the last sign of life arrived.
-    pub(crate) alive_at: Duration,
+    /// When the last sign of activity arrived.
+    pub(crate) active_at: Duration,
     pub(crate) health: Health,
     /// Requests of this instance that it serves.
     pub(crate) in_flight_count: u32,
@@ -20,7 +20,7 @@
 impl Entry {
     pub(crate) fn new(target: Target) -> Self {
         Self {
-            alive_at: Duration::ZERO,
+            active_at: Duration::ZERO,
             health: Health::default(),
             in_flight_count: 0,
             load: None,
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -5,7 +5,7 @@
     pub(crate) demand: &'a Demand,
     /// Usable engines with the cost of one layer, in milliseconds.
     pub(crate) engines: Vec<(TargetKey, &'a Entry, f64)>,
-    pub(crate) home: &'a DomainName,
+    pub(crate) local_domain: &'a DomainName,
     pub(crate) now: Duration,
     pub(crate) peer_factor: f64,
     pub(crate) pipes: &'a Pipes,
@@ -120,7 +120,7 @@
     ) -> Option<(Option<usize>, f64)> {
         let domain = &self.engines[engine].1.target.domain;
         if before.is_empty() {
-            return Some((None, self.transfer_ms(self.home, domain, false)));
+            return Some((None, self.transfer_ms(self.local_domain, domain, false)));
         }
         let mut best: Option<(Option<usize>, f64)> = None;
         for position in before {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -107,7 +107,7 @@
         service: &str,
         profile: &EngineProfile,
         demand: &Demand,
-        home: &DomainName,
+        local_domain: &DomainName,
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
         let (engines, held_count) = self.priced_engines(now, service, profile, demand, rng);
@@ -115,7 +115,7 @@
         let finder = Finder {
             demand,
             engines,
-            home,
+            local_domain,
             now,
             peer_factor: self.peer_factor(),
             pipes: &self.pipes,
@@ -238,10 +238,10 @@
     }
 
     /// Notes that all targets of a path took part in an event that arrived.
-    pub fn note_alive(&mut self, now: Duration, path: &Path) {
+    pub fn note_activity(&mut self, now: Duration, path: &Path) {
         for key in path.keys() {
             if let Some(entry) = self.targets.get_mut(key) {
-                entry.alive_at = now;
+                entry.active_at = now;
             }
         }
     }
@@ -259,14 +259,14 @@
             return false;
         };
         let was_slow = entry.slowness >= limit;
-        entry.alive_at = now;
+        entry.active_at = now;
         entry.health = Health::default();
         entry.slowness = slowness.max(1.0);
         entry.target.held = held;
         was_slow != (entry.slowness >= limit)
     }
 
-    /// Stages of a path that gave no sign of life after `since`.
+    /// Stages of a path that gave no sign of activity after `since`.
     #[must_use]
     pub fn silent<'a>(&self, path: &'a Path, since: Duration) -> Vec<&'a Stage> {
         let mut silent = Vec::new();
@@ -274,7 +274,7 @@
             if self
                 .targets
                 .get(stage.key)
-                .is_none_or(|entry| entry.alive_at <= since)
+                .is_none_or(|entry| entry.active_at <= since)
             {
                 silent.push(stage);
             }
@@ -308,16 +308,16 @@
 
     /// Engines that are avoided or slow, to be asked how they are.
     #[must_use]
-    pub fn ailing(&self, now: Duration) -> Vec<Stage> {
-        let mut ailing = Vec::new();
+    pub fn unhealthy(&self, now: Duration) -> Vec<Stage> {
+        let mut unhealthy = Vec::new();
         for (key, entry) in &self.targets {
             let is_engine = entry.target.hardware.is_some();
             let is_slow = entry.slowness >= self.settings.slow_factor;
             if is_engine && (is_slow || entry.health.is_avoided(now)) {
-                ailing.push(self.stage(key, entry.target.held));
+                unhealthy.push(self.stage(key, entry.target.held));
             }
         }
-        ailing
+        unhealthy
     }
 
     fn peer_factor(&self) -> f64 {
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -175,10 +175,10 @@
     let mut fleet = fleet(&[engine("a1", "a", 0, 4), engine("a2", "a", 4, 8)]);
     let path = path(&fleet, &demand()).unwrap();
     assert_eq!(fleet.silent(&path, NOW).len(), 2);
-    fleet.note_alive(NOW, &path);
-    // The event that began the silence is not a sign of life during it.
+    fleet.note_activity(NOW, &path);
+    // The event that began the silence is not a sign of activity during it.
     assert_eq!(fleet.silent(&path, NOW).len(), 2);
-    fleet.note_alive(NOW + Duration::from_millis(1), &path);
+    fleet.note_activity(NOW + Duration::from_millis(1), &path);
     assert_eq!(fleet.silent(&path, NOW).len(), 0);
 }
 
@@ -255,10 +255,10 @@
     }
 }
 
-/// Requests of one instance came in a clump, and its estimate for all instances refused requests
+/// Requests of one instance came in a burst, and its estimate for all instances refused requests
 /// although the engines had room.
 #[test]
-fn clump_at_one_instance_is_no_full_engine() {
+fn burst_at_one_instance_is_no_full_engine() {
     let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
     fleet.set_instance_count(8);
     let mut begun_count = 0;
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -37,15 +37,15 @@
 }
 
 impl Attempt {
-    /// Sends a request along a path and waits for the head of the answer. After `patience` without
-    /// one, it may be left for another target; without patience it may not.
+    /// Sends a request along a path and waits for the head of the answer. After `resend_after` without
+    /// one, it may be left for another target; without that time it may not.
     pub(crate) async fn send(
         router: &Arc<Router>,
         admitted: &Admitted,
         request: &Request,
         path: Path,
         last_event: Option<&str>,
-        patience: Option<Duration>,
+        resend_after: Option<Duration>,
     ) -> Result<Self, (AttemptFailure, Path)> {
         let in_flight = InFlight::begin(router, &path);
         let first = path.first().clone();
@@ -64,7 +64,7 @@
         };
         let mut watched = Watched { in_flight, path };
         let exchange = connection.exchange(message, limit);
-        let reply = match watched.wait(router, admitted, patience, exchange).await {
+        let reply = match watched.wait(router, admitted, resend_after, exchange).await {
             None => return Err((AttemptFailure::Unknown, watched.path)),
             Some(Err(error)) => {
                 return Err((failed(router, admitted, &first, &error), watched.path));
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -94,7 +94,7 @@
                 &self.request,
                 path,
                 last_event,
-                self.patience(),
+                self.resend_after(),
             );
             let (failure, path) = match send.await {
                 Err(failure) => failure,
@@ -158,7 +158,7 @@
 
     /// Time without an answer after which another target is tried, early enough for it to answer
     /// before the caller leaves. None if no other one may be tried.
-    fn patience(&self) -> Option<Duration> {
+    fn resend_after(&self) -> Option<Duration> {
         let route = &self.admitted.route;
         if self.attempt_count + 1 >= route.attempt_count {
             return None;
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -26,7 +26,7 @@
         &*self.engines
     }
 
-    /// Asks the stages of a path that gave no sign of life since `since`, and notes what they say.
+    /// Asks the stages of a path that gave no sign of activity since `since`, and notes what they say.
     pub(crate) async fn ask(&self, router: &Router, path: &Path, since: Duration) {
         let mut asked_at = self.asked_at.lock().await;
         let now = clock::now();
@@ -71,13 +71,13 @@
     }
 }
 
-/// Asks engines that are avoided or slow until they are well again.
+/// Asks engines that are avoided or slow until they are healthy again.
 pub async fn watch_engines(router: Arc<Router>) {
     loop {
         sleep(INTERVAL).await;
-        let ailing = router.fleet().ailing(clock::now());
-        if !ailing.is_empty() {
-            router.probes.ask_stages(&router, &ailing).await;
+        let unhealthy = router.fleet().unhealthy(clock::now());
+        if !unhealthy.is_empty() {
+            router.probes.ask_stages(&router, &unhealthy).await;
         }
     }
 }
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -112,10 +112,17 @@
         profile: &EngineProfile,
         demand: &Demand,
     ) -> Result<Path, NoPath> {
-        let home = &self.settings.home;
+        let local_domain = &self.settings.local_domain;
         let rng = &mut *lock(&self.rng);
         let fleet = self.fleet();
-        fleet.choose_path(clock::now(), &admitted.service, profile, demand, home, rng)
+        fleet.choose_path(
+            clock::now(),
+            &admitted.service,
+            profile,
+            demand,
+            local_domain,
+            rng,
+        )
     }
 
     pub(crate) fn note_request(&self, service: &ServiceName) {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -17,7 +17,7 @@
     /// Choice of targets.
     pub fleet: FleetSettings,
     /// Failure domain of this instance.
-    pub home: Arc<str>,
+    pub local_domain: Arc<str>,
     /// Longest time that a connection to a target is kept without use, where the target states no
     /// limit of its own.
     pub idle_limit: Duration,
@@ -50,7 +50,7 @@
             connect_limit: Duration::from_millis(300),
             extra_repeats: 100.0,
             fleet: FleetSettings::default(),
-            home: Arc::from(""),
+            local_domain: Arc::from(""),
             idle_limit: Duration::from_secs(10),
             repeat_ratio: 0.2,
             repeat_window: Duration::from_secs(10),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -111,7 +111,10 @@
         }
         self.event_bytes += whole.len();
         self.pace.arrived(now);
-        self.exchange.router.fleet().note_alive(now, &attempt.path);
+        self.exchange
+            .router
+            .fleet()
+            .note_activity(now, &attempt.path);
         self.sender.send(whole).await
     }
 
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -13,8 +13,8 @@
     Sound,
 }
 
-/// Age up to which a sign of life of an engine, in an event of another stream, spares a question.
-const SIGN_AGE: Duration = Duration::from_millis(250);
+/// Age up to which a sign of activity of an engine, in an event of another stream, spares a question.
+const ACTIVITY_AGE: Duration = Duration::from_millis(250);
 /// Silence from which a request is moved off slow stages. A move makes other engines read its prompt
 /// again, which takes about as long.
 const SLOW_LIMIT: Duration = Duration::from_millis(500);
@@ -40,17 +40,17 @@
         let Some(profile) = admitted.pipeline() else {
             return Verdict::Sound;
         };
-        let since = clock::now().saturating_sub(silence.min(SIGN_AGE));
+        let since = clock::now().saturating_sub(silence.min(ACTIVITY_AGE));
         router.probes.ask(router, path, since).await;
-        let (lost, slow) = ailing_stages(router, path);
+        let (lost, slow) = unhealthy_stages(router, path);
         let unmoved = match (lost.is_empty(), slow.is_empty()) {
             (false, _) => Verdict::Lost,
             (true, false) => Verdict::Slow,
             (true, true) => return Verdict::Sound,
         };
         let is_first_lost = lost.iter().any(|stage| stage.key == path.first().key);
-        let is_bearable = self.has_left_slow || silence < SLOW_LIMIT;
-        if is_first_lost || (lost.is_empty() && is_bearable) {
+        let stays_with_slow = self.has_left_slow || silence < SLOW_LIMIT;
+        if is_first_lost || (lost.is_empty() && stays_with_slow) {
             return unmoved;
         }
         let Some(next) = other_path(router, admitted, profile, path, &lost, &slow) else {
@@ -78,7 +78,7 @@
 }
 
 /// Stages that are lost, and those that are slow.
-fn ailing_stages(router: &Router, path: &Path) -> (Vec<Stage>, Vec<Stage>) {
+fn unhealthy_stages(router: &Router, path: &Path) -> (Vec<Stage>, Vec<Stage>) {
     let (mut lost, mut slow) = (Vec::new(), Vec::new());
     let now = clock::now();
     let fleet = router.fleet();
--- a/crates/forward/src/watched.rs
+++ b/crates/forward/src/watched.rs
@@ -8,12 +8,12 @@
 
 impl Watched {
     /// Waits for the head, and inspects the path while there is none. Returns none if the request is
-    /// better sent again: its path is lost, or `patience` is over, and another path is there.
+    /// better sent again: its path is lost, or `resend_after` is over, and another path is there.
     pub(crate) async fn wait(
         &mut self,
         router: &Arc<Router>,
         admitted: &Admitted,
-        patience: Option<Duration>,
+        resend_after: Option<Duration>,
         exchange: impl Future<Output = Result<ReplyStream, wire::Error>>,
     ) -> Option<Result<ReplyStream, wire::Error>> {
         let mut exchange = std::pin::pin!(exchange);
@@ -21,7 +21,7 @@
         let sent_at = clock::now();
         loop {
             let limit = router.settings.start_limit;
-            let limit = patience.map_or(limit, |patience| limit.min(patience));
+            let limit = resend_after.map_or(limit, |resend_after| limit.min(resend_after));
             if let Ok(result) = timeout(limit, &mut exchange).await {
                 return Some(result);
             }
@@ -37,9 +37,9 @@
                     false
                 }
                 Verdict::Slow => false,
-                Verdict::Sound => patience.is_some_and(|limit| silence >= limit),
+                Verdict::Sound => resend_after.is_some_and(|limit| silence >= limit),
             };
-            if is_lost && patience.is_some() && self.is_replaceable(router, admitted) {
+            if is_lost && resend_after.is_some() && self.is_replaceable(router, admitted) {
                 return None;
             }
         }
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -10,12 +10,12 @@
 pub async fn follow_catalog(
     router: Arc<Router>,
     mut source: Box<dyn CatalogSource>,
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
 ) {
     let mut link = Link::new("configuration");
     let mut wait = Duration::ZERO;
     loop {
-        if board.is_relayed(clock::now()) {
+        if shared.is_relayed(clock::now()) {
             wait = Duration::ZERO;
             sleep(RELAYED_PAUSE).await;
             continue;
@@ -30,7 +30,7 @@
             Ok(read) => {
                 link.answered(clock::now());
                 if take(&router, &read) {
-                    board.wake();
+                    shared.wake();
                 }
                 wait = WAIT;
             }
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -15,7 +15,7 @@
     router: Arc<Router>,
     mut table: Box<dyn InstanceTable>,
     row: InstanceRow,
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
     let mut link = Link::new("instance table");
@@ -28,19 +28,19 @@
         let started_at = clock::now();
         round_count += 1;
         let is_leading = lock(&leadership).fence(started_at).is_some();
-        let is_relayed = board.is_relayed(started_at);
+        let is_relayed = shared.is_relayed(started_at);
         let must_leave = own.is_listed && !router.is_ready();
         let is_round = !is_leading || round_count % LEADER_READ_ROUNDS == 0;
-        let is_spared = own.is_listed && (is_relayed || !is_round);
-        if must_leave || !is_spared {
-            let result = round(&router, &mut *table, &mut own, &board, &leadership).await;
+        let is_skipped = own.is_listed && (is_relayed || !is_round);
+        if must_leave || !is_skipped {
+            let result = round(&router, &mut *table, &mut own, &shared, &leadership).await;
             match result {
                 Err(error) => link.failed(clock::now(), &error),
                 Ok(()) => link.answered(clock::now()),
             }
         }
         if !is_relayed {
-            let live = board.with_membership(|membership| membership.live(clock::now()));
+            let live = shared.with_membership(|membership| membership.live(clock::now()));
             let live = with_own(live, &router, &own.row);
             take(&router, live);
             if let Err(error) = lead(&router, &mut *table, &leadership).await {
@@ -69,12 +69,12 @@
     router: &Router,
     table: &mut dyn InstanceTable,
     own: &mut OwnRow,
-    board: &Board,
+    shared: &SharedState,
     leadership: &Mutex<Leadership>,
 ) -> Result<(), Error> {
     // The row of the leader, which it renews, says that it lives.
-    let is_vouched = own.is_listed && lock(leadership).fence(clock::now()).is_some();
-    if router.is_ready() && !is_vouched {
+    let is_confirmed = own.is_listed && lock(leadership).fence(clock::now()).is_some();
+    if router.is_ready() && !is_confirmed {
         table.beat(own.row.clone()).await?;
         own.is_listed = true;
     } else if own.is_listed && !router.is_ready() {
@@ -83,14 +83,14 @@
     }
     let view = table.read().await?;
     let now = clock::now();
-    board.with_membership(|membership| {
+    shared.with_membership(|membership| {
         membership.observe(now, view.instances);
         if let Some((leader, _)) = view
             .leader
             .as_ref()
             .filter(|(row, _)| row.holder != own.row.start)
         {
-            membership.vouched(now.saturating_sub(view.leader_age), &leader.live);
+            membership.confirmed(now.saturating_sub(view.leader_age), &leader.live);
         }
     });
     lock(leadership).observe(now, view.leader);
@@ -138,7 +138,7 @@
         return Ok(());
     };
     match table.lead(row.clone(), expected_version).await? {
-        None => lock(leadership).outrun(),
+        None => lock(leadership).conflicted(),
         Some(version) => lock(leadership).written(now, row, version),
     }
     Ok(())
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -151,7 +151,7 @@
 
     /// Notes that another write of the row came first, or an earlier one of this instance whose answer
     /// was lost. What holds shows with the next read.
-    pub fn outrun(&mut self) {
+    pub fn conflicted(&mut self) {
         if self.own.take().is_some() {
             tracing::info!(instance = &*self.instance, "leadership not renewed");
         }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -24,7 +24,6 @@
     },
 };
 
-mod board;
 mod catalog_loop;
 mod instance_loop;
 mod layout_keeper;
@@ -33,11 +32,11 @@
 mod membership;
 mod order_loop;
 mod relay_loop;
+mod shared_state;
 mod sources;
 mod target_loop;
 
 pub use {
-    board::{Answer, Board, Query, Relay},
     catalog_loop::follow_catalog,
     instance_loop::follow_instances,
     layout_keeper::{LayoutKeeper, Order},
@@ -45,11 +44,12 @@
     link::Link,
     membership::{InstanceRow, Membership},
     order_loop::keep_layout,
-    relay_loop::{Answerer, follow_leader},
+    relay_loop::{RelayHandler, follow_leader},
+    shared_state::{Answer, Query, Relay, SharedState},
     sources::{
         CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource,
     },
     target_loop::follow_targets,
 };
 
-use {board::RELAYED_PAUSE, leadership::lock};
+use {leadership::lock, shared_state::RELAYED_PAUSE};
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Time without a sign of life after which an instance is taken as dead: three missed beats.
+/// Time without a sign of activity after which an instance is taken as dead: three missed beats.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
 /// Row of an instance.
@@ -18,10 +18,10 @@
     pub start: Arc<str>,
 }
 
-/// Instances that showed a sign of life.
+/// Instances that showed a sign of activity.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
-    /// Rows with the time of the last sign of life.
+    /// Rows with the time of the last sign of activity.
     rows: HashMap<Arc<str>, (InstanceRow, Duration)>,
 }
 
@@ -54,7 +54,7 @@
     /// Notes the instances that the leader knew to live at `at`. Those that it serves do not renew
     /// their own rows. The leader must not take over its own list, or dead instances would live on
     /// in it.
-    pub fn vouched(&mut self, at: Duration, live: &[Arc<str>]) {
+    pub fn confirmed(&mut self, at: Duration, live: &[Arc<str>]) {
         for id in live {
             if let Some((_, seen_at)) = self.rows.get_mut(id) {
                 *seen_at = at.max(*seen_at);
--- a/crates/reconcile/src/order_loop.rs
+++ b/crates/reconcile/src/order_loop.rs
@@ -7,7 +7,7 @@
 pub async fn keep_layout(
     router: Arc<Router>,
     engines: Arc<dyn Engines>,
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
     let mut keepers: HashMap<Arc<str>, LayoutKeeper> = HashMap::new();
@@ -20,7 +20,7 @@
             keepers.clear();
             continue;
         }
-        let targets = board.targets();
+        let targets = shared.targets();
         for service in catalog.services() {
             let Some(profile) = service.engine.as_deref() else {
                 continue;
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -9,18 +9,22 @@
 const FAILURE_COUNT: u32 = 2;
 
 /// Answers the questions of other instances while this one leads.
-pub struct Answerer {
-    board: Arc<Board>,
+pub struct RelayHandler {
+    shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
     router: Arc<Router>,
 }
 
-impl Answerer {
+impl RelayHandler {
     /// Creates the answering part of an instance.
     #[must_use]
-    pub fn new(router: Arc<Router>, board: Arc<Board>, leadership: Arc<Mutex<Leadership>>) -> Self {
+    pub fn new(
+        router: Arc<Router>,
+        shared: Arc<SharedState>,
+        leadership: Arc<Mutex<Leadership>>,
+    ) -> Self {
         Self {
-            board,
+            shared,
             leadership,
             router,
         }
@@ -39,7 +43,7 @@
             holder.catalog().map_or(0, |held| held.version()) > query.catalog_version
         };
         if !is_behind {
-            self.board.wait(query.revision, query.wait).await;
+            self.shared.wait(query.revision, query.wait).await;
         }
         if !self.is_leading() {
             return None;
@@ -49,8 +53,8 @@
             let holder = self.router.catalog();
             (holder.catalog()?.clone(), holder.confirmed_at()?)
         };
-        let targets_age = self.board.targets_age(now)?;
-        let revision = self.board.revision();
+        let targets_age = self.shared.targets_age(now)?;
+        let revision = self.shared.revision();
         let is_newer = catalog.version() > query.catalog_version;
         let has_other = revision != query.revision;
         Some(Answer {
@@ -59,10 +63,10 @@
             instances: self.router.instances(),
             other_loads: {
                 let own = self.router.fleet().own_loads();
-                self.board.loads_without(now, &query.row.id, &own)
+                self.shared.loads_without(now, &query.row.id, &own)
             },
             revision,
-            targets: has_other.then(|| self.board.targets()),
+            targets: has_other.then(|| self.shared.targets()),
             targets_age,
             waited: now.saturating_sub(arrived_at),
         })
@@ -70,7 +74,7 @@
 
     fn note_member(&self, query: &Query) {
         let now = clock::now();
-        self.board.with_membership(|membership| {
+        self.shared.with_membership(|membership| {
             if query.is_leaving {
                 membership.left(&query.row.id);
             } else {
@@ -81,9 +85,9 @@
 
     fn note_loads(&self, id: &Arc<str>, loads: Vec<SharedLoad>) {
         let now = clock::now();
-        self.board.set_loads(now, id, loads);
+        self.shared.set_loads(now, id, loads);
         let nobody = Arc::from("");
-        let others = self.board.loads_without(now, &nobody, &[]);
+        let others = self.shared.loads_without(now, &nobody, &[]);
         self.router.fleet().set_other_loads(now, &others);
     }
 
@@ -97,14 +101,14 @@
     router: Arc<Router>,
     relay: Arc<dyn Relay>,
     row: InstanceRow,
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
     let mut source: Option<(SocketAddr, u64)> = None;
     let mut failure_count = 0;
     loop {
-        let Some(address) = leader_address(&row, &board, &leadership) else {
-            board.relay_lost();
+        let Some(address) = leader_address(&row, &shared, &leadership) else {
+            shared.relay_lost();
             source = None;
             sleep(PAUSE).await;
             continue;
@@ -119,7 +123,7 @@
                 }
                 failure_count = 0;
                 let revision = answer.revision;
-                let is_taken = take(&router, &board, asked_at, answer);
+                let is_taken = take(&router, &shared, asked_at, answer);
                 // Without the list of this answer, the next one must contain it again.
                 source = Some((address, if is_taken { revision } else { 0 }));
             }
@@ -127,7 +131,7 @@
                 failure_count += 1;
                 if failure_count == FAILURE_COUNT {
                     tracing::info!(leader = %address, %error, "leader lost, reads the stores itself");
-                    board.relay_lost();
+                    shared.relay_lost();
                 }
                 sleep(PAUSE).await;
             }
@@ -138,14 +142,14 @@
 /// Address of the leader, if it is another instance.
 fn leader_address(
     row: &InstanceRow,
-    board: &Board,
+    shared: &SharedState,
     leadership: &Mutex<Leadership>,
 ) -> Option<SocketAddr> {
     let leader = lock(leadership).leader()?.clone();
     if leader == row.start {
         return None;
     }
-    board.with_membership(|membership| membership.relay_address(&leader))
+    shared.with_membership(|membership| membership.relay_address(&leader))
 }
 
 fn query(router: &Router, row: &InstanceRow, revision: u64) -> Query {
@@ -161,7 +165,7 @@
 }
 
 /// Takes over an answer. Returns whether its list of targets was taken or is the present one.
-fn take(router: &Router, board: &Board, asked_at: Duration, answer: Answer) -> bool {
+fn take(router: &Router, shared: &SharedState, asked_at: Duration, answer: Answer) -> bool {
     // The question arrived after it was sent, so that this is at or before the time of the answer.
     let answered_at = asked_at + answer.waited;
     let confirmed_at = answered_at.saturating_sub(answer.catalog_age);
@@ -180,16 +184,16 @@
     }
     let read_at = answered_at.saturating_sub(answer.targets_age);
     // This instance may have read the list itself since the leader did.
-    let is_older = board.is_newer_than(read_at);
+    let is_older = shared.is_newer_than(read_at);
     match answer.targets {
         _ if is_older => {}
-        None => board.confirm_targets(read_at),
-        Some(targets) => target_loop::take(router, board, read_at, &targets),
+        None => shared.confirm_targets(read_at),
+        Some(targets) => target_loop::take(router, shared, read_at, &targets),
     }
     router
         .fleet()
         .set_other_loads(clock::now(), &answer.other_loads);
     instance_loop::take(router, answer.instances);
-    board.relayed(confirmed_at.min(read_at));
+    shared.relayed(confirmed_at.min(read_at));
     !is_older
 }
--- a/crates/reconcile/src/board.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -11,13 +11,13 @@
 
 /// What the loops of one instance share.
 #[derive(Debug)]
-pub struct Board {
+pub struct SharedState {
     changed: watch::Sender<u64>,
-    state: Mutex<BoardState>,
+    state: Mutex<SharedContent>,
 }
 
 #[derive(Debug, Default)]
-struct BoardState {
+struct SharedContent {
     /// Loads of the instances that call this one, with the time of the call.
     loads: HashMap<Arc<str>, (Vec<SharedLoad>, Duration)>,
     membership: Membership,
@@ -76,7 +76,7 @@
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>>;
 }
 
-impl Default for Board {
+impl Default for SharedState {
     fn default() -> Self {
         Self {
             changed: watch::Sender::new(1),
@@ -85,7 +85,7 @@
     }
 }
 
-impl Board {
+impl SharedState {
     /// Targets.
     pub fn targets(&self) -> Vec<Target> {
         self.lock().targets.clone()
@@ -180,7 +180,7 @@
         relayed_at.is_some_and(|at| now.saturating_sub(at) < RELAYED_AGE)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BoardState> {
+    fn lock(&self) -> MutexGuard<'_, SharedContent> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -10,21 +10,21 @@
 pub async fn follow_targets(
     router: Arc<Router>,
     mut source: Box<dyn TargetSource>,
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
 ) {
     let mut link = Link::new("target list");
     let mut roster = Roster::default();
     let mut was_relayed = false;
     loop {
         let now = clock::now();
-        if board.is_relayed(now) {
+        if shared.is_relayed(now) {
             was_relayed = true;
             sleep(RELAYED_PAUSE).await;
             continue;
         }
         if was_relayed {
             // What the leader listed goes on from here.
-            roster.adopt(now, board.targets());
+            roster.adopt(now, shared.targets());
             was_relayed = false;
         }
         match source.read(WAIT).await {
@@ -34,7 +34,7 @@
                 link.answered(now);
                 roster.answered(now);
                 apply(&mut roster, now, change);
-                take(&router, &board, now, &roster.listing(now));
+                take(&router, &shared, now, &roster.listing(now));
             }
         }
         sleep(INTERVAL).await;
@@ -56,8 +56,8 @@
 }
 
 /// Takes over a list of targets that was read at `read_at`.
-pub(crate) fn take(router: &Router, board: &Board, read_at: Duration, listing: &[Target]) {
-    let before = board.set_targets(read_at, listing.to_vec());
+pub(crate) fn take(router: &Router, shared: &SharedState, read_at: Duration, listing: &[Target]) {
+    let before = shared.set_targets(read_at, listing.to_vec());
     if before == listing {
         return;
     }
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -116,6 +116,6 @@
 fn renewal_that_another_write_outran_ends_leadership() {
     let (mut table, mut one) = (Table::default(), instance("a"));
     round(at(1_000), &mut table, &mut one);
-    one.outrun();
+    one.conflicted();
     assert_eq!(one.fence(at(1_001)), None);
 }
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -60,7 +60,7 @@
             (row("y"), at(9_000)),
         ];
         membership.observe(at(second * 1_000), ages);
-        membership.vouched(at(second * 1_000), &["x".into()]);
+        membership.confirmed(at(second * 1_000), &["x".into()]);
     }
     assert_eq!(ids(&membership, 69_000), ["x"]);
 }
@@ -75,7 +75,7 @@
             at(second * 1_000),
             vec![(row("x"), at(second * 1_000 - 51_000))],
         );
-        membership.vouched(at(58_000), &["x".into()]);
+        membership.confirmed(at(58_000), &["x".into()]);
     }
     assert_eq!(ids(&membership, 61_500), ["x"]);
     assert_eq!(ids(&membership, 61_600), Vec::<String>::new());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 use {
     forward::Error,
     futures::{FutureExt, StreamExt, future::BoxFuture},
-    reconcile::{Answer, Answerer, Query, Relay},
+    reconcile::{Answer, Query, Relay, RelayHandler},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
         client,
@@ -18,11 +18,11 @@
     },
 };
 
-mod asker;
+mod relay_client;
 mod server;
 mod service;
 
-pub use {asker::Asker, server::serve};
+pub use {relay_client::RelayClient, server::serve};
 
 use service::{RelayServiceClient, Service};
 
--- a/crates/relay/src/asker.rs
+++ b/crates/relay/src/relay_client.rs
@@ -7,11 +7,11 @@
 
 /// Asks leaders, over one kept connection to each.
 #[derive(Default)]
-pub struct Asker {
+pub struct RelayClient {
     clients: Mutex<HashMap<SocketAddr, RelayServiceClient>>,
 }
 
-impl Asker {
+impl RelayClient {
     async fn client(&self, address: SocketAddr) -> Result<RelayServiceClient, Error> {
         let mut clients = self.clients.lock().await;
         if let Some(client) = clients.get(&address) {
@@ -52,7 +52,7 @@
     }
 }
 
-impl Relay for Asker {
+impl Relay for RelayClient {
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>> {
         self.ask_leader(address, query).boxed()
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -4,7 +4,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves the questions of other instances.
-pub async fn serve(listener: TcpListener, answerer: Arc<Answerer>) {
+pub async fn serve(listener: TcpListener, handler: Arc<RelayHandler>) {
     loop {
         let stream = match listener.accept().await {
             Err(error) => {
@@ -15,7 +15,7 @@
             Ok((stream, _)) => stream,
         };
         let _ = stream.set_nodelay(true);
-        let service = Service(answerer.clone());
+        let service = Service(handler.clone());
         tokio::spawn(async move {
             let channel = BaseChannel::with_defaults(peer::transport(stream, FRAME_BYTES));
             let requests = channel.execute(service.serve());
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -9,7 +9,7 @@
 }
 
 #[derive(Clone)]
-pub(crate) struct Service(pub(crate) Arc<Answerer>);
+pub(crate) struct Service(pub(crate) Arc<RelayHandler>);
 
 impl RelayService for Service {
     async fn ask(self, _context: Context, query: Query) -> Option<Answer> {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -9,10 +9,10 @@
     },
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
-        Answerer, Board, InstanceRow, LeaderRow, Leadership, LeadershipSettings, Query, Relay,
-        follow_leader,
+        InstanceRow, LeaderRow, Leadership, LeadershipSettings, Query, Relay, RelayHandler,
+        SharedState, follow_leader,
     },
-    relay::Asker,
+    relay::RelayClient,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -58,7 +58,7 @@
 
 /// One instance, as far as it relays.
 struct Node {
-    board: Arc<Board>,
+    shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
     router: Arc<Router>,
     row: InstanceRow,
@@ -68,7 +68,7 @@
     let start: Arc<str> = format!("{id}.1").into();
     let leadership = Leadership::new(start.clone(), LeadershipSettings::default());
     Node {
-        board: Arc::default(),
+        shared: Arc::default(),
         leadership: Arc::new(Mutex::new(leadership)),
         router: Router::new(
             ForwardSettings::default(),
@@ -117,7 +117,7 @@
         holder.offer(Arc::new(catalog));
         holder.confirm(version, clock::now());
     }
-    node.board
+    node.shared
         .set_targets(clock::now(), vec![target(&format!("t{version}"))]);
 }
 
@@ -130,12 +130,12 @@
         .lock()
         .expect("the leadership")
         .written(clock::now(), leader_row(&node), 1);
-    let answerer = Answerer::new(
+    let handler = RelayHandler::new(
         node.router.clone(),
-        node.board.clone(),
+        node.shared.clone(),
         node.leadership.clone(),
     );
-    let task = tokio::spawn(relay::serve(listener, Arc::new(answerer)));
+    let task = tokio::spawn(relay::serve(listener, Arc::new(handler)));
     (node, task.abort_handle())
 }
 
@@ -152,7 +152,7 @@
 
 fn follow(follower: &Node, leader: &Node) {
     let now = clock::now();
-    follower.board.with_membership(|membership| {
+    follower.shared.with_membership(|membership| {
         membership.observe(now, vec![(leader.row.clone(), Duration::ZERO)]);
     });
     follower
@@ -162,9 +162,9 @@
         .observe(now, Some((leader_row(leader), 1)));
     tokio::spawn(follow_leader(
         follower.router.clone(),
-        Arc::new(Asker::default()),
+        Arc::new(RelayClient::default()),
         follower.row.clone(),
-        follower.board.clone(),
+        follower.shared.clone(),
         follower.leadership.clone(),
     ));
 }
@@ -191,14 +191,14 @@
     let (leader, _task) = leader().await;
     let follower = node("y", ([127, 0, 0, 1], 1).into());
     follow(&follower, &leader);
-    until(|| version(&follower) == 1 && follower.board.targets().len() == 1).await;
-    assert!(follower.board.is_relayed(clock::now()));
+    until(|| version(&follower) == 1 && follower.shared.targets().len() == 1).await;
+    assert!(follower.shared.is_relayed(clock::now()));
     publish(&leader, 2);
-    leader.board.wake();
+    leader.shared.wake();
     until(|| version(&follower) == 2).await;
-    until(|| &*follower.board.targets()[0].id == "t2").await;
+    until(|| &*follower.shared.targets()[0].id == "t2").await;
     let live = leader
-        .board
+        .shared
         .with_membership(|membership| membership.live(clock::now()));
     assert!(
         live.iter().any(|instance| &*instance.id == "y"),
@@ -225,8 +225,10 @@
     let (leader, _task) = leader().await;
     leader.leadership.lock().expect("the leadership").fenced();
     let asking = node("y", ([127, 0, 0, 1], 1).into());
-    let asker = Asker::default();
-    let answer = asker.ask(leader.row.relay_address, query(&asking)).await;
+    let relay_client = RelayClient::default();
+    let answer = relay_client
+        .ask(leader.row.relay_address, query(&asking))
+        .await;
     assert!(matches!(answer, Err(Error::Refused(_))), "{answer:?}");
 }
 
@@ -235,10 +237,10 @@
     let (leader, task) = leader().await;
     let follower = node("y", ([127, 0, 0, 1], 1).into());
     follow(&follower, &leader);
-    until(|| follower.board.is_relayed(clock::now())).await;
+    until(|| follower.shared.is_relayed(clock::now())).await;
     leader.leadership.lock().expect("the leadership").fenced();
     task.abort();
-    until(|| !follower.board.is_relayed(clock::now())).await;
+    until(|| !follower.shared.is_relayed(clock::now())).await;
     assert_eq!(version(&follower), 1, "what is known stays");
 }
 
@@ -248,8 +250,8 @@
     let (leader, _task) = leader().await;
     let follower = node("y", ([127, 0, 0, 1], 1).into());
     let read_at = clock::now() + Duration::from_secs(60);
-    follower.board.set_targets(read_at, vec![target("own")]);
+    follower.shared.set_targets(read_at, vec![target("own")]);
     follow(&follower, &leader);
     until(|| version(&follower) == 1).await;
-    assert_eq!(&*follower.board.targets()[0].id, "own");
+    assert_eq!(&*follower.shared.targets()[0].id, "own");
 }
