Place layers while engines are being replaced one after another

Ruled out: slow loads; they took about a second once ordered. Change: while engines hold layers a plan waits 0.2 s after a change, and 0.8 s in all.

--- a/crates/reconcile/src/layout_keeper.rs
+++ b/crates/reconcile/src/layout_keeper.rs
@@ -1,8 +1,13 @@
 use super::*;
 
-/// Time for which the set of engines must not change before layers are placed, so that engines that
-/// start together are planned together.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Time for which the set of engines must not change before the first layers are placed, so that
+/// engines that start together are planned together.
+const START_SETTLE_TIME: Duration = Duration::from_millis(700);
+/// The same time while engines hold layers. Replacements that follow each other must not put off the
+/// loads of those that are there already.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// Longest time for which changes that follow each other put off a plan, in settle times.
+const MOST_SETTLE_TIMES: u32 = 4;
 /// Time after an order in which its effect must be listed: a heartbeat, a read and a load.
 const ORDER_TIME: Duration = Duration::from_secs(6);
 
@@ -22,7 +27,8 @@
     /// Orders whose effect is not listed yet, with the time of the order.
     ordered: HashMap<Arc<str>, (LayerRange, Duration)>,
     settings: LayoutSettings,
-    settled_at: Option<Duration>,
+    /// Times of the first and the last change since the last plan.
+    unsettled: Option<(Duration, Duration)>,
 }
 
 impl LayoutKeeper {
@@ -51,12 +57,15 @@
         let engines = self.engines(now, service, profile, targets);
         let ids: Vec<Arc<str>> = engines.iter().map(|engine| engine.id.clone()).collect();
         if ids != self.engines {
+            let first = self.unsettled.map_or(now, |(first, _)| first);
             self.engines = ids;
-            self.settled_at = Some(now + SETTLE_TIME);
+            self.unsettled = Some((first, now));
         }
-        if self.settled_at.is_none_or(|at| now < at) {
+        let is_running = engines.iter().any(|engine| engine.held.is_some());
+        if !self.is_settled(now, is_running) {
             return Vec::new();
         }
+        self.unsettled = None;
         let mut orders = Vec::new();
         for placement in layout::plan(&engines, &shape, &self.settings) {
             if self.ordered.contains_key(&placement.engine) {
@@ -73,6 +82,18 @@
         orders
     }
 
+    fn is_settled(&self, now: Duration, is_running: bool) -> bool {
+        let Some((first, last)) = self.unsettled else {
+            return true;
+        };
+        let time = if is_running {
+            SETTLE_TIME
+        } else {
+            START_SETTLE_TIME
+        };
+        now >= last + time || now >= first + time * MOST_SETTLE_TIMES
+    }
+
     /// Notes that an engine accepted an order, or may have.
     pub fn ordered(&mut self, now: Duration, placement: &Placement) {
         let order = (placement.range, now);
--- a/crates/reconcile/tests/layout_keeper.rs
+++ b/crates/reconcile/tests/layout_keeper.rs
@@ -131,3 +131,34 @@
     }
     assert!(covered.iter().all(|is_covered| *is_covered));
 }
+
+/// Seen in the recorded incident of lcv-head: engines that were replaced one after another stayed empty
+/// for four seconds, as each change put off the plan for all of them.
+#[test]
+fn replacements_that_follow_each_other_do_not_put_off_loads() {
+    let mut keeper = keeper();
+    let mut targets = engines(4);
+    for order in settled(&mut keeper, &targets) {
+        let target = targets
+            .iter_mut()
+            .find(|one| one.id == order.placement.engine);
+        target.unwrap().held = Some(order.placement.range);
+    }
+    assert_eq!(settled(&mut keeper, &targets), []);
+    let mut first_order = None;
+    for step in 0..20 {
+        let now = 10_000 + step * 150;
+        let mut added = engines(30).remove(5 + step as usize);
+        added.id = format!("new{step}").into();
+        targets.push(added);
+        let orders = keeper.orders(at(now), "model", &profile(), &targets);
+        if !orders.is_empty() && first_order.is_none() {
+            first_order = Some(now);
+        }
+    }
+    let first_order = first_order.expect("no load is ordered while engines are added");
+    assert!(
+        first_order <= 11_000,
+        "the first load is ordered at {first_order} ms"
+    );
+}
