Join logic that stood twice in forwarding and the adapter

A path found for a resumed stream was found a second time.

Ruled out: bounding `wire::call` by one limit for the whole reply. Its callers read long replies and rely on a limit for each piece.

Result: behaviour unchanged.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -288,12 +288,9 @@
         let Some(entry) = self.targets.get(stage.key) else {
             return true;
         };
-        let holds = |held: LayerRange, range: LayerRange| {
-            held.start <= range.start && range.end <= held.end
-        };
         let is_held = match (stage.range, entry.target.held) {
             (None, _) => true,
-            (Some(range), Some(held)) => holds(held, range),
+            (Some(range), Some(held)) => held.covers(range),
             (Some(_), None) => false,
         };
         !is_held || entry.health.is_avoided(now)
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -8,9 +8,7 @@
 /// One send of a request to a target.
 pub(crate) struct Attempt {
     pub(crate) facts: ReplyFacts,
-    /// Counts the request at its targets as long as the attempt lives.
-    in_flight: InFlight,
-    pub(crate) path: Path,
+    pub(crate) in_flight: InFlight,
     pub(crate) connection: Connection,
     pub(crate) reply: ReplyStream,
 }
@@ -46,37 +44,32 @@
         path: Path,
         last_event: Option<&str>,
         resend_after: Option<Duration>,
-    ) -> Result<Self, (AttemptFailure, Path)> {
-        let in_flight = InFlight::begin(router, &path);
+    ) -> Result<Self, (AttemptFailure, Stage)> {
         let first = path.first().clone();
         let limit = admitted.time_left();
         let message = match message::form(router, admitted, request, &path, last_event) {
             Err(error) => {
                 tracing::warn!(request = &*admitted.facts.id, %error, "request cannot be formed");
-                return Err((AttemptFailure::NotSent, path));
+                return Err((AttemptFailure::NotSent, first));
             }
             Ok(message) => message,
         };
+        let mut in_flight = InFlight::begin(router, path);
         let connect_limit = router.settings.connect_limit.min(limit);
         let mut connection = match router.pool.take(&first, connect_limit).await {
-            Err(error) => return Err((failed(router, admitted, &first, &error), path)),
+            Err(error) => return Err((failed(router, admitted, &first, &error), first)),
             Ok(connection) => connection,
         };
-        let mut watched = Watched { in_flight, path };
         let exchange = connection.exchange(message, limit);
-        let reply = match watched.wait(router, admitted, resend_after, exchange).await {
-            None => return Err((AttemptFailure::Unknown, watched.path)),
-            Some(Err(error)) => {
-                return Err((failed(router, admitted, &first, &error), watched.path));
-            }
+        let reply = match in_flight.wait(admitted, resend_after, exchange).await {
+            None => return Err((AttemptFailure::Unknown, first)),
+            Some(Err(error)) => return Err((failed(router, admitted, &first, &error), first)),
             Some(Ok(reply)) => reply,
         };
-        let Watched { in_flight, path } = watched;
         let attempt = Self {
             connection,
             facts: router.dialect.reply(reply.status, &reply.headers),
             in_flight,
-            path,
             reply,
         };
         attempt.judge(router, admitted).await
@@ -87,17 +80,16 @@
         self,
         router: &Arc<Router>,
         admitted: &Admitted,
-    ) -> Result<Self, (AttemptFailure, Path)> {
+    ) -> Result<Self, (AttemptFailure, Stage)> {
         let now = clock::now();
-        let first = self.path.first();
+        let first = self.first().clone();
         if let Some(load) = self.facts.load {
             router.fleet().note_load(now, first.key, load);
         }
         if self.facts.is_not_run {
             self.note_refusal(router, admitted);
-            let path = self.path.clone();
             let _ = timeout(REFUSAL_LIMIT, self.read(router)).await;
-            return Err((AttemptFailure::NotRun, path));
+            return Err((AttemptFailure::NotRun, first));
         }
         let status = self.reply.status;
         let id = self.facts.id.as_deref();
@@ -112,7 +104,7 @@
                 is_unsigned,
                 "not an answer to this request"
             );
-            return Err((AttemptFailure::Unknown, self.path));
+            return Err((AttemptFailure::Unknown, first));
         }
         router.fleet().note(now, first.key, Outcome::Answered);
         Ok(self)
@@ -120,9 +112,9 @@
 
     /// Notes which target refused the request. The first one may refuse for another one on the path.
     fn note_refusal(&self, router: &Router, admitted: &Admitted) {
-        let first = self.path.first();
+        let first = self.first();
         let fault_at = self.facts.fault_at;
-        let mut stages = self.path.stages.iter();
+        let mut stages = self.in_flight.path().stages.iter();
         let blamed = stages.find(|stage| Some(stage.address) == fault_at);
         let blamed = blamed.unwrap_or(first);
         tracing::info!(
@@ -150,10 +142,9 @@
         Ok(body)
     }
 
-    /// Counts the request along another path.
-    pub(crate) fn move_to(&mut self, router: &Arc<Router>, path: Path) {
-        self.in_flight = InFlight::begin(router, &path);
-        self.path = path;
+    /// Target that the request was sent to.
+    pub(crate) fn first(&self) -> &Stage {
+        self.in_flight.first()
     }
 
     /// Keeps the connection after its answer was read to the end.
@@ -163,8 +154,9 @@
         }
         let limit = headers::idle_limit(&self.reply.headers);
         let limit = limit.unwrap_or(router.settings.idle_limit);
-        let id = self.path.first().id.clone();
-        router.pool.put(&id, self.connection, limit);
+        router
+            .pool
+            .put(&self.in_flight.first().id, self.connection, limit);
     }
 }
 
@@ -177,16 +169,7 @@
 ) -> AttemptFailure {
     let is_closed = matches!(error, wire::Error::Closed { .. });
     if !is_closed {
-        let is_new = router
-            .fleet()
-            .note(clock::now(), stage.key, Outcome::Failed);
-        tracing::info!(
-            request = &*admitted.facts.id,
-            target = &*stage.id,
-            is_avoided_now = is_new,
-            %error,
-            "send failed"
-        );
+        router.note_failure(&admitted.facts.id, stage, error);
     }
     if error.is_not_sent() {
         return AttemptFailure::NotSent;
--- a/crates/forward/src/deliver.rs
+++ b/crates/forward/src/deliver.rs
@@ -5,7 +5,7 @@
 pub(crate) async fn respond(exchange: &mut Exchange, attempt: Attempt) -> Option<Response> {
     let status = attempt.reply.status;
     let headers = headers::end_to_end(&attempt.reply.headers);
-    let target = attempt.path.first().clone();
+    let target = attempt.first().clone();
     let router = exchange.router.clone();
     let left = exchange.admitted.time_left();
     let id = exchange.admitted.facts.id.clone();
@@ -44,18 +44,9 @@
 
 /// Notes an answer that broke off. Returns none if the request is to be sent again.
 fn broke_off(exchange: &mut Exchange, target: &Stage, error: &wire::Error) -> Option<Response> {
-    let now = clock::now();
-    let is_new = exchange
+    exchange
         .router
-        .fleet()
-        .note(now, target.key, Outcome::Failed);
-    tracing::info!(
-        request = &*exchange.admitted.facts.id,
-        target = &*target.id,
-        is_avoided_now = is_new,
-        %error,
-        "answer broke off"
-    );
+        .note_failure(&exchange.admitted.facts.id, target, error);
     exchange.demand.excluded.push(target.key);
     if exchange.may_try_again() && exchange.take_repeat() {
         return None;
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -10,3 +10,12 @@
     #[error("no answer: {0}; it is tried again")]
     Unknown(String),
 }
+
+impl From<wire::Error> for Error {
+    fn from(error: wire::Error) -> Self {
+        if error.is_not_sent() {
+            return Self::Refused(error.to_string());
+        }
+        Self::Unknown(error.to_string())
+    }
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -20,10 +20,11 @@
 
 /// Answers one request.
 pub(crate) async fn respond(router: Arc<Router>, request: Request) -> Response {
-    let admitted = match Admitted::check(&router, &request) {
+    let facts = router.dialect.request(&request.headers);
+    let id = facts.id.clone();
+    let admitted = match Admitted::check(&router, &request, facts) {
         Err(refusal) => {
-            let facts = router.dialect.request(&request.headers);
-            log_refusal(&facts.id, &request.path, refusal);
+            log_refusal(&id, &request.path, refusal);
             return refusal.response(router.return_after());
         }
         Ok(admitted) => admitted,
@@ -45,7 +46,7 @@
 impl Exchange {
     async fn run(mut self) -> Response {
         loop {
-            let attempt = match self.attempt(None).await {
+            let attempt = match self.attempt(None, None).await {
                 Err(refusal) => return self.give_up(refusal),
                 Ok(attempt) => attempt,
             };
@@ -53,7 +54,7 @@
             if status.is_success() && self.admitted.route.repeat.is_stream() {
                 return stream::respond(self, attempt);
             }
-            let target = attempt.path.first().clone();
+            let target = attempt.first().clone();
             let Some(response) = deliver::respond(&mut self, attempt).await else {
                 continue;
             };
@@ -79,13 +80,21 @@
         self.kept.take().unwrap_or(refused)
     }
 
-    /// Sends the request to one target after another until one answers.
-    pub(crate) async fn attempt(&mut self, last_event: Option<&str>) -> Result<Attempt, Refusal> {
+    /// Sends the request to one target after another until one answers, first along `path` if there is
+    /// one.
+    pub(crate) async fn attempt(
+        &mut self,
+        mut path: Option<Path>,
+        last_event: Option<&str>,
+    ) -> Result<Attempt, Refusal> {
         loop {
             if self.admitted.time_left().is_zero() {
                 return Err(self.time_over());
             }
-            let path = self.router.choose(&self.admitted, &self.demand);
+            let path = match path.take() {
+                None => self.router.choose(&self.admitted, &self.demand),
+                Some(path) => Ok(path),
+            };
             let path = path.map_err(|reason| self.no_path(reason))?;
             self.log_path(&path);
             let send = Attempt::send(
@@ -96,7 +105,7 @@
                 last_event,
                 self.resend_after(),
             );
-            let (failure, path) = match send.await {
+            let (failure, target) = match send.await {
                 Err(failure) => failure,
                 Ok(attempt) => {
                     self.attempt_count += 1;
@@ -104,15 +113,15 @@
                     return Ok(attempt);
                 }
             };
-            self.failed(failure, &path)?;
+            self.failed(failure, &target)?;
         }
     }
 
     /// Notes a failed send, and returns a refusal if there must not be another one.
-    fn failed(&mut self, failure: AttemptFailure, path: &Path) -> Result<(), Refusal> {
+    fn failed(&mut self, failure: AttemptFailure, target: &Stage) -> Result<(), Refusal> {
         tracing::info!(
             request = &*self.admitted.facts.id,
-            target = &*path.first().id,
+            target = &*target.id,
             failure = failure.name(),
             attempts = self.attempt_count,
             "no answer from target"
@@ -125,7 +134,7 @@
             return Ok(());
         }
         self.attempt_count += 1;
-        self.demand.excluded.push(path.first().key);
+        self.demand.excluded.push(target.key);
         if failure == AttemptFailure::Unknown {
             self.may_have_run = true;
         }
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -17,9 +17,12 @@
 
 impl Admitted {
     /// Checks a request against the configuration.
-    pub(crate) fn check(router: &Router, request: &Request) -> Result<Self, Refusal> {
+    pub(crate) fn check(
+        router: &Router,
+        request: &Request,
+        facts: RequestFacts,
+    ) -> Result<Self, Refusal> {
         let now = clock::now();
-        let facts = router.dialect.request(&request.headers);
         let (catalog, is_fresh) = {
             let holder = router.catalog();
             let catalog = holder.catalog().cloned();
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -1,19 +1,93 @@
 use super::*;
 
-/// Counts a request at its targets until it is dropped, also when the caller leaves.
+/// Path of a request, which is counted at its targets until this is dropped, also when the caller
+/// leaves.
 pub(crate) struct InFlight {
     path: Path,
     router: Arc<Router>,
 }
 
 impl InFlight {
-    pub(crate) fn begin(router: &Arc<Router>, path: &Path) -> Self {
-        router.fleet().begin(clock::now(), path);
+    pub(crate) fn begin(router: &Arc<Router>, path: Path) -> Self {
+        router.fleet().begin(clock::now(), &path);
         Self {
-            path: path.clone(),
+            path,
             router: router.clone(),
         }
     }
+
+    pub(crate) fn path(&self) -> &Path {
+        &self.path
+    }
+
+    pub(crate) fn first(&self) -> &Stage {
+        self.path.first()
+    }
+
+    /// Waits for the head of an answer, and inspects the path while there is none. Returns none if the
+    /// request is better sent again: its path is lost, or `resend_after` is over, and another path is
+    /// there.
+    pub(crate) async fn wait(
+        &mut self,
+        admitted: &Admitted,
+        resend_after: Option<Duration>,
+        exchange: impl Future<Output = Result<ReplyStream, wire::Error>>,
+    ) -> Option<Result<ReplyStream, wire::Error>> {
+        let router = self.router.clone();
+        let mut exchange = std::pin::pin!(exchange);
+        let mut watchdog = Watchdog::default();
+        let sent_at = clock::now();
+        loop {
+            let limit = router.settings.start_limit;
+            let limit = resend_after.map_or(limit, |resend_after| limit.min(resend_after));
+            if let Ok(result) = timeout(limit, &mut exchange).await {
+                return Some(result);
+            }
+            let silence = clock::now().saturating_sub(sent_at);
+            let verdict = watchdog
+                .inspect(&router, admitted, &self.path, silence)
+                .await;
+            let is_lost = self.follow(verdict, silence, resend_after);
+            if is_lost && resend_after.is_some() && self.is_replaceable(admitted) {
+                return None;
+            }
+        }
+    }
+
+    /// Follows what was found about a silent request. Returns whether the request is better sent
+    /// elsewhere: it cannot go on here, or its stages are sound and it was silent for `limit`.
+    pub(crate) fn follow(
+        &mut self,
+        verdict: Verdict,
+        silence: Duration,
+        limit: Option<Duration>,
+    ) -> bool {
+        match verdict {
+            Verdict::Lost => true,
+            Verdict::Moved(path) => {
+                self.move_to(path);
+                false
+            }
+            Verdict::Slow => false,
+            Verdict::Sound => limit.is_some_and(|limit| silence >= limit),
+        }
+    }
+
+    /// Counts the request along another path.
+    fn move_to(&mut self, path: Path) {
+        let mut fleet = self.router.fleet();
+        fleet.begin(clock::now(), &path);
+        fleet.end(&self.path);
+        drop(fleet);
+        self.path = path;
+    }
+
+    /// Whether there is a path with another first stage.
+    fn is_replaceable(&self, admitted: &Admitted) -> bool {
+        let mut demand = admitted.demand();
+        demand.excluded.push(self.first().key);
+        self.router.choose(admitted, &demand).is_ok()
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,7 @@
     catalog::{Account, EngineProfile, Holder, Repeat, Route, ServiceName},
     fleet::{
         Demand, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget, Stage, Target,
-        TargetId,
+        TargetId, TargetKey,
     },
     futures::{FutureExt, future::BoxFuture},
     http_body_util::Full,
@@ -58,7 +58,6 @@
 mod stream;
 mod stream_pace;
 mod watchdog;
-mod watched;
 
 pub use {
     dialect::{Dialect, Dispatch, ReplyFacts, RequestFacts},
@@ -82,5 +81,4 @@
     probes::Probes,
     stream_pace::StreamPace,
     watchdog::{Verdict, Watchdog},
-    watched::Watched,
 };
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -125,6 +125,18 @@
         )
     }
 
+    /// Notes a failure of a target.
+    pub(crate) fn note_failure(&self, request: &str, target: &Stage, error: &wire::Error) {
+        let is_avoided_now = self.fleet().note(clock::now(), target.key, Outcome::Failed);
+        tracing::info!(
+            request,
+            target = &*target.id,
+            is_avoided_now,
+            %error,
+            "target failed"
+        );
+    }
+
     pub(crate) fn note_request(&self, service: &ServiceName) {
         self.with_budget(service, |budget| budget.requested(clock::now()));
     }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -54,7 +54,7 @@
 impl Pump {
     async fn run(mut self, mut attempt: Attempt) {
         let end = self.pass_on(&mut attempt).await;
-        self.log(end, attempt.path.first());
+        self.log(end, attempt.first());
         match end {
             StreamEnd::BrokenOff | StreamEnd::TimeOver => self.sender.disconnect().await,
             StreamEnd::CallerLeft => {}
@@ -95,7 +95,7 @@
                 Err(error) => Some(error),
             };
             self.log_failure(attempt, error.as_ref());
-            let Some(next) = self.resume(&attempt.path).await else {
+            let Some(next) = self.resume(attempt.first().key).await else {
                 return StreamEnd::BrokenOff;
             };
             *attempt = next;
@@ -114,7 +114,7 @@
         self.exchange
             .router
             .fleet()
-            .note_activity(now, &attempt.path);
+            .note_activity(now, attempt.in_flight.path());
         self.sender.send(whole).await
     }
 
@@ -128,21 +128,13 @@
         let silence = clock::now().saturating_sub(silent_since);
         let watchdog = &mut self.watchdog;
         let verdict = watchdog
-            .inspect(router, admitted, &attempt.path, silence)
+            .inspect(router, admitted, attempt.in_flight.path(), silence)
             .await;
-        let is_lost = match verdict {
-            Verdict::Lost => true,
-            Verdict::Moved(path) => {
-                attempt.move_to(router, path);
-                false
-            }
-            Verdict::Slow => false,
-            Verdict::Sound => silence >= router.settings.stall_limit,
-        };
-        if !is_lost {
+        let limit = Some(router.settings.stall_limit);
+        if !attempt.in_flight.follow(verdict, silence, limit) {
             return false;
         }
-        let Some(next) = self.resume(&attempt.path).await else {
+        let Some(next) = self.resume(attempt.first().key).await else {
             return false;
         };
         *attempt = next;
@@ -150,7 +142,7 @@
     }
 
     /// Sends the request elsewhere, to go on after the last whole event.
-    async fn resume(&mut self, failed: &Path) -> Option<Attempt> {
+    async fn resume(&mut self, failed: TargetKey) -> Option<Attempt> {
         let exchange = &mut self.exchange;
         if exchange.admitted.route.repeat != Repeat::ResumableStream {
             return None;
@@ -159,13 +151,14 @@
             return None;
         }
         let mut demand = exchange.demand.clone();
-        demand.excluded.push(failed.first().key);
-        if exchange.router.choose(&exchange.admitted, &demand).is_err() || !exchange.take_repeat() {
+        demand.excluded.push(failed);
+        let path = exchange.router.choose(&exchange.admitted, &demand).ok()?;
+        if !exchange.take_repeat() {
             return None;
         }
         exchange.demand = demand;
         let last = self.events.last_id().cloned();
-        let attempt = exchange.attempt(last.as_deref()).await;
+        let attempt = exchange.attempt(Some(path), last.as_deref()).await;
         let attempt = match attempt {
             Ok(attempt) => attempt,
             Err(refusal) => {
@@ -184,7 +177,7 @@
         self.events.discard();
         tracing::info!(
             request = &*exchange.admitted.facts.id,
-            target = &*attempt.path.first().id,
+            target = &*attempt.first().id,
             last_event = last.as_deref().unwrap_or("none"),
             "resumed"
         );
@@ -192,7 +185,7 @@
     }
 
     fn log_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
-        let stage = attempt.path.first();
+        let stage = attempt.first();
         let error = error.map_or("ended inside an event".into(), ToString::to_string);
         tracing::info!(
             request = &*self.exchange.admitted.facts.id,
--- a/crates/layout/src/range.rs
+++ b/crates/layout/src/range.rs
@@ -25,6 +25,12 @@
         (self.start..self.end).contains(&layer)
     }
 
+    /// Whether all layers of another range are in this one.
+    #[must_use]
+    pub fn covers(self, other: Self) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
+
     /// Number of layers.
     #[must_use]
     pub fn count(self) -> u32 {
--- a/crates/reconcile/tests/layout_keeper.rs
+++ b/crates/reconcile/tests/layout_keeper.rs
@@ -58,6 +58,17 @@
     keeper.orders(at(1_000), "model", &profile(), targets)
 }
 
+/// Carries out orders as the engines would.
+fn carry_out(orders: &[Order], targets: &mut [Target]) {
+    for order in orders {
+        for target in targets.iter_mut() {
+            if target.id == order.placement.engine {
+                target.held = Some(order.placement.range);
+            }
+        }
+    }
+}
+
 #[test]
 fn engines_that_start_one_after_another_are_planned_together() {
     let mut keeper = keeper();
@@ -109,22 +120,14 @@
 fn layers_of_an_engine_that_leaves_move_before_it_is_gone() {
     let mut keeper = keeper();
     let mut targets = engines(4);
-    for order in settled(&mut keeper, &targets) {
-        let target = targets
-            .iter_mut()
-            .find(|one| one.id == order.placement.engine);
-        target.unwrap().held = Some(order.placement.range);
-    }
+    let orders = settled(&mut keeper, &targets);
+    carry_out(&orders, &mut targets);
     assert_eq!(settled(&mut keeper, &targets), []);
     targets[0].is_leaving = true;
     settled(&mut keeper, &targets);
     let mut covered = [false; 20];
-    for order in keeper.orders(at(3_000), "model", &profile(), &targets) {
-        let target = targets
-            .iter_mut()
-            .find(|one| one.id == order.placement.engine);
-        target.unwrap().held = Some(order.placement.range);
-    }
+    let orders = keeper.orders(at(3_000), "model", &profile(), &targets);
+    carry_out(&orders, &mut targets);
     for range in targets[1..].iter().filter_map(|one: &Target| one.held) {
         let range: LayerRange = range;
         covered[range.start as usize..range.end as usize].fill(true);
@@ -138,12 +141,8 @@
 fn replacements_that_follow_each_other_do_not_put_off_loads() {
     let mut keeper = keeper();
     let mut targets = engines(4);
-    for order in settled(&mut keeper, &targets) {
-        let target = targets
-            .iter_mut()
-            .find(|one| one.id == order.placement.engine);
-        target.unwrap().held = Some(order.placement.range);
-    }
+    let orders = settled(&mut keeper, &targets);
+    carry_out(&orders, &mut targets);
     assert_eq!(settled(&mut keeper, &targets), []);
     let mut first_order = None;
     for step in 0..20 {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,7 +5,7 @@
     forward::Error,
     futures::{FutureExt, StreamExt, future::BoxFuture},
     reconcile::{Answer, Query, Relay, RelayHandler},
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
         client,
         context::{self, Context},
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -5,16 +5,17 @@
 /// Time for an answer, beyond the wait that the question asks for.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 
-/// Asks leaders, over one kept connection to each.
+/// Asks the leader over one kept connection.
 #[derive(Default)]
 pub struct RelayClient {
-    clients: Mutex<HashMap<SocketAddr, RelayServiceClient>>,
+    /// Connection to the leader that was asked last.
+    client: Mutex<Option<(SocketAddr, RelayServiceClient)>>,
 }
 
 impl RelayClient {
     async fn client(&self, address: SocketAddr) -> Result<RelayServiceClient, Error> {
-        let mut clients = self.clients.lock().await;
-        if let Some(client) = clients.get(&address) {
+        let mut kept = self.client.lock().await;
+        if let Some((_, client)) = kept.as_ref().filter(|(known, _)| *known == address) {
             return Ok(client.clone());
         }
         let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
@@ -29,9 +30,7 @@
         let _ = stream.set_nodelay(true);
         let transport = peer::transport(stream, FRAME_BYTES);
         let client = RelayServiceClient::new(client::Config::default(), transport).spawn();
-        // Connections to former leaders are not needed any more.
-        clients.clear();
-        clients.insert(address, client.clone());
+        *kept = Some((address, client.clone()));
         Ok(client)
     }
 
@@ -47,7 +46,7 @@
             Err(_) => format!("no answer of {address} in {limit:?}"),
         };
         // A connection that fell silent may never work again.
-        self.clients.lock().await.remove(&address);
+        *self.client.lock().await = None;
         Err(Error::Unknown(error))
     }
 }
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -68,22 +68,10 @@
 }
 
 async fn attempt(address: SocketAddr, call: &Call) -> Result<Reply, Failure> {
-    let mut connection = Connection::open(address, call.connect_limit)
-        .await
-        .map_err(Failure::NotSent)?;
-    let exchange = async {
-        let mut reply = connection.send(call).await?;
-        let body = reply.read(call.limit, call.limit_bytes).await?;
-        Ok(Reply {
-            body,
-            headers: reply.headers.clone(),
-            status: reply.status,
-        })
+    let fault = |error: wire::Error| match error.is_not_sent() {
+        false => Failure::Unknown(error.to_string()),
+        true => Failure::NotSent(error),
     };
-    match timeout(call.limit, exchange).await {
-        Err(_) => Err(Failure::Unknown(format!("no reply for {:?}", call.limit))),
-        Ok(Err(error @ wire::Error::Request { .. })) => Err(Failure::NotSent(error)),
-        Ok(Err(error)) => Err(Failure::Unknown(error.to_string())),
-        Ok(Ok(reply)) => Ok(reply),
-    }
+    let connection = Connection::open(address, call.connect_limit).await;
+    connection.map_err(fault)?.call(call).await.map_err(fault)
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -18,7 +18,6 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::time::timeout,
     types::{Listing, StoreFailure, StoreReply, StoreRequest},
     wire::{
         Call, Connection, Reply,
