Refuse requests that crash one target after another

Cause: a request that ends each target that runs it was sent again as often as callers asked.

Ruled out: counting each broken connection. Links are reset and targets break off answers without ending, and a frequent request would be refused for it. Ruled out too: running suspects one at a time, as the own interface does; streams beside a lost engine would wait for each other.

Change: `Quarantine` moves from `control` to a crate of its own and is used by both interfaces; `CrashWatch` tells crashes from broken connections; `forward` refuses at three crashes with the time that is left; the relay carries crashes in both directions.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 
 use {
     chart::Chart,
+    quarantine::{Quarantine, QuarantineSettings},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     serde::{Deserialize, Serialize},
@@ -104,7 +105,6 @@
     limits::{
         admission::{Admission, Waiting},
         limit::Limits,
-        quarantine::Quarantine,
         retry::RetryBudget,
     },
     members::{
@@ -141,10 +141,7 @@
         score::{Blocked, RouteQuery, Score, View},
         slots::Slots,
     },
-    settings::{
-        AdmissionSettings, DrainSettings, NodeSettings, QuarantineSettings, RetrySettings,
-        RouteSettings,
-    },
+    settings::{AdmissionSettings, DrainSettings, NodeSettings, RetrySettings, RouteSettings},
     status::{InstanceStatus, Status, TargetStatus},
     streams::{
         assembly::{Assembly, AssemblyStep, Violation},
--- a/crates/control/src/limits/mod.rs
+++ b/crates/control/src/limits/mod.rs
@@ -1,8 +1,7 @@
-//! Who may run how much: queues, shares, concurrency, retries and quarantine.
+//! Who may run how much: queues, shares, concurrency and retries.
 
 use super::*;
 
 pub(crate) mod admission;
 pub(crate) mod limit;
-pub(crate) mod quarantine;
 pub(crate) mod retry;
--- a/crates/control/tests/policy.rs
+++ b/crates/control/tests/policy.rs
@@ -4,8 +4,7 @@
 
 use {
     control::{
-        Admission, AdmissionSettings, Quarantine, QuarantineSettings, Resource, RouteSettings,
-        Router, Target, View, Waiting,
+        Admission, AdmissionSettings, Resource, RouteSettings, Router, Target, View, Waiting,
     },
     engines::{engine, identity, query},
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
@@ -162,50 +161,3 @@
     }
     assert_eq!(order, ["short1", "short2", "long", "short3"]);
 }
-
-/// Guards against a quarantine entry that is lost with the instance that saw the crashes, that
-/// never ends because instances repeat it to each other, or that blocks a cleared bystander.
-#[test]
-fn quarantine_passes_on_and_ends() {
-    let new = || Quarantine::new(QuarantineSettings::default());
-    let (mut first, mut second, mut third) = (new(), new(), new());
-    first.crashed(START, 1, &"e0".into(), 1, false);
-    first.crashed(START, 2, &"e0".into(), 1, false);
-    second.heartbeat_received(START, &"first".into(), &first.reports(START));
-    assert!(second.is_suspect(START, 2) && second.blocked_for(START, 1).is_none());
-    first.crashed(START, 1, &"e0".into(), 2, true);
-    first.clear(2);
-    let mut now = START;
-    for _ in 0..1_198 {
-        let sent = now;
-        now += Duration::from_millis(500);
-        second.heartbeat_received(now, &"first".into(), &first.reports(sent));
-        first.heartbeat_received(now, &"second".into(), &second.reports(sent));
-    }
-    third.heartbeat_received(now, &"second".into(), &second.reports(now));
-    assert!(third.blocked_for(now, 1).is_some() && !third.is_suspect(now, 2));
-    now += Duration::from_secs(3);
-    for quarantine in [&mut first, &mut second, &mut third] {
-        quarantine.tick(now);
-        assert!(quarantine.blocked_for(now, 1).is_none());
-    }
-}
-
-/// Guards against a frequent request that is refused everywhere because its copies were running
-/// on several targets of a lost failure domain, at one instance or at two.
-#[test]
-fn targets_lost_together_do_not_quarantine_a_frequent_request() {
-    let new = || Quarantine::new(QuarantineSettings::default());
-    let (mut first, mut second) = (new(), new());
-    first.crashed(START, 1, &"e0".into(), 1, false);
-    first.crashed(START, 1, &"e1".into(), 1, false);
-    second.crashed(START, 1, &"e2".into(), 1, false);
-    second.heartbeat_received(START, &"first".into(), &first.reports(START));
-    assert!(first.blocked_for(START, 1).is_none() && second.blocked_for(START, 1).is_none());
-    second.crashed(START, 1, &"e3".into(), 1, true);
-    second.crashed(START, 1, &"e4".into(), 1, false);
-    assert!(
-        second.blocked_for(START, 1).is_some(),
-        "a late report lifts the refusal"
-    );
-}
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -220,15 +220,3 @@
     let message = format!("the service `{service}` has no operation `{operation}`; check its name");
     Fault::new(StatusCode::NOT_FOUND, "unknown_operation", message)
 }
-
-/// Hash of several texts. Their lengths are hashed too, so that moving a boundary changes it.
-pub(crate) fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut bytes = [0; 8];
-    hasher.finalize_xof().fill(&mut bytes);
-    Fingerprint::from_le_bytes(bytes)
-}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -107,6 +107,7 @@
             return Err((AttemptFailure::Unknown, first));
         }
         router.fleet().note(now, first.key, Outcome::Answered);
+        router.suspects().answered(&first.id);
         Ok(self)
     }
 
@@ -169,7 +170,7 @@
 ) -> AttemptFailure {
     let is_closed = matches!(error, wire::Error::Closed { .. });
     if !is_closed {
-        router.note_failure(&admitted.facts.id, stage, error);
+        router.note_failure(admitted, stage, error);
     }
     if error.is_not_sent() {
         return AttemptFailure::NotSent;
--- a/crates/forward/src/deliver.rs
+++ b/crates/forward/src/deliver.rs
@@ -29,6 +29,7 @@
     if is_promise && !exchange.admitted.route.repeat.may_run_again() {
         return Some(exchange.refuse(Refusal::AnswerLost));
     }
+    router.suspects().completed(exchange.admitted.fingerprint);
     tracing::info!(
         request = &*id,
         target = &*target.id,
@@ -46,7 +47,7 @@
 fn broke_off(exchange: &mut Exchange, target: &Stage, error: &wire::Error) -> Option<Response> {
     exchange
         .router
-        .note_failure(&exchange.admitted.facts.id, target, error);
+        .note_failure(&exchange.admitted, target, error);
     exchange.demand.excluded.push(target.key);
     if exchange.may_try_again() && exchange.take_repeat() {
         return None;
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -7,6 +7,8 @@
     /// When the request had arrived whole.
     pub(crate) arrived_at: Duration,
     pub(crate) facts: RequestFacts,
+    /// Path, account and body of the request.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) profile: Option<Arc<EngineProfile>>,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
@@ -49,6 +51,16 @@
             let key = facts.key.as_deref().unwrap_or_default();
             account = Some(catalog.account(key).ok_or(Refusal::UnknownKey)?.clone());
         }
+        let name = account.as_ref().map_or("", |account| &*account.name);
+        let fingerprint = fingerprint(&[
+            request.path.as_bytes(),
+            request.query.as_bytes(),
+            name.as_bytes(),
+            &request.body,
+        ]);
+        if let Some(blocked) = router.suspects().blocked_for(now, fingerprint) {
+            return Err(Refusal::Crashing(blocked));
+        }
         let service = route.service(router.draw());
         let service = service.ok_or(Refusal::NotNow(NoPath::NoTarget))?.clone();
         let profile = catalog.service(&service).and_then(|one| one.engine.clone());
@@ -60,6 +72,7 @@
             arrived_at: now,
             ends_at: now + limit,
             facts,
+            fingerprint,
             profile,
             route: route.clone(),
             service,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,9 +21,11 @@
         },
     },
     layout::LayerRange,
+    quarantine::{BrokenRun, CrashWatch, Quarantine, QuarantineSettings, fingerprint},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::{Deserialize, Serialize},
     std::{
+        cmp::Reverse,
         collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{
@@ -34,6 +36,7 @@
     },
     thiserror::Error,
     tokio::time::{sleep, timeout},
+    types::{CrashReport, Fingerprint},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
 
@@ -57,6 +60,7 @@
 mod settings;
 mod stream;
 mod stream_pace;
+mod suspects;
 mod watchdog;
 
 pub use {
@@ -71,6 +75,7 @@
     refusal::Refusal,
     router::Router,
     settings::ForwardSettings,
+    suspects::Suspects,
 };
 
 use {
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -60,9 +60,11 @@
             let Ok(Ok(state)) = answer else {
                 if !is_own_fault && fleet.note(now, stage.key, Outcome::Silent) {
                     tracing::info!(target = &*stage.id, "engine does not answer, avoided");
+                    router.suspects().ended(now, |id| *id == stage.id);
                 }
                 continue;
             };
+            router.suspects().answered(&stage.id);
             if fleet.note_state(now, stage.key, state.held, state.slowness) {
                 let slowness = state.slowness;
                 tracing::info!(target = &*stage.id, slowness, "engine changed its speed");
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -5,6 +5,8 @@
 pub enum Refusal {
     /// The request may have run, and its answer is lost.
     AnswerLost,
+    /// Targets that ran such a request ended. It may come back after this time.
+    Crashing(Duration),
     /// No configuration, or none that is fresh enough, is known here.
     NoConfiguration,
     /// No room or no target; the request has not run and will not run.
@@ -27,6 +29,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::AnswerLost => "answer_lost",
+            Self::Crashing(_) => "crashing",
             Self::NoConfiguration => "no_configuration",
             Self::NotNow(reason) => reason.name(),
             Self::RepeatsUsedUp => "repeats_used_up",
@@ -45,7 +48,8 @@
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
-            Self::NoConfiguration
+            Self::Crashing(_)
+            | Self::NoConfiguration
             | Self::NotNow(_)
             | Self::RepeatsUsedUp
             | Self::TimeOverUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -55,6 +59,7 @@
     fn message(self) -> &'static str {
         match self {
             Self::AnswerLost => "the answer was lost; check whether the request took effect",
+            Self::Crashing(_) => "targets that ran this request ended; change it or wait",
             Self::NoConfiguration => "no current configuration is known here; come back later",
             Self::NotNow(NoPath::Full) => "all targets are full; come back later",
             Self::NotNow(_) => "no target can serve this now; come back later",
@@ -70,6 +75,10 @@
     #[must_use]
     pub fn response(self, return_after: Duration) -> Response {
         let status = self.status();
+        let return_after = match self {
+            Self::Crashing(blocked) => blocked,
+            _ => return_after,
+        };
         let mut response = wire::text(status, format!("{}\n", self.message()));
         if status == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = format!("{:.2}", return_after.as_secs_f64());
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -12,6 +12,7 @@
     pub(crate) probes: Probes,
     rng: Mutex<SmallRng>,
     pub(crate) settings: ForwardSettings,
+    suspects: Mutex<Suspects>,
 }
 
 impl Router {
@@ -33,6 +34,7 @@
             pool: Pool::default(),
             probes: Probes::new(engines),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            suspects: Mutex::new(Suspects::new(settings.quarantine.clone())),
             settings,
         })
     }
@@ -42,6 +44,11 @@
         lock(&self.fleet)
     }
 
+    /// Requests that may crash targets.
+    pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
     /// Configuration.
     pub fn catalog(&self) -> MutexGuard<'_, Holder> {
         lock(&self.catalog)
@@ -58,10 +65,14 @@
         lock(&self.instances).clone()
     }
 
-    /// Closes idle connections to targets that are not listed any more.
-    pub fn keep_connections(&self, listing: &[Target]) {
+    /// Replaces the listing of targets, and closes idle connections to those that are not listed any
+    /// more.
+    pub fn set_targets(&self, listing: &[Target]) {
+        self.fleet().list(listing);
         let ids: HashSet<&str> = listing.iter().map(|target| &*target.id).collect();
         self.pool.keep_only(|id| ids.contains(&**id));
+        self.suspects()
+            .ended(clock::now(), |id| !ids.contains(&**id));
     }
 
     /// Notes that this instance is asked to stop.
@@ -126,10 +137,16 @@
     }
 
     /// Notes a failure of a target.
-    pub(crate) fn note_failure(&self, request: &str, target: &Stage, error: &wire::Error) {
-        let is_avoided_now = self.fleet().note(clock::now(), target.key, Outcome::Failed);
+    pub(crate) fn note_failure(&self, admitted: &Admitted, target: &Stage, error: &wire::Error) {
+        let now = clock::now();
+        let is_avoided_now = self.fleet().note(now, target.key, Outcome::Failed);
+        match error {
+            wire::Error::Broken { .. } => self.note_broken(admitted, target),
+            wire::Error::Connect { .. } => self.suspects().ended(now, |id| *id == target.id),
+            _ => {}
+        }
         tracing::info!(
-            request,
+            request = &*admitted.facts.id,
             target = &*target.id,
             is_avoided_now,
             %error,
@@ -137,6 +154,12 @@
         );
     }
 
+    /// Notes that the connection broke on which a target was to answer.
+    pub(crate) fn note_broken(&self, admitted: &Admitted, target: &Stage) {
+        let fingerprint = admitted.fingerprint;
+        self.suspects().broke_off(clock::now(), fingerprint, target);
+    }
+
     pub(crate) fn note_request(&self, service: &ServiceName) {
         self.with_budget(service, |budget| budget.requested(clock::now()));
     }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -21,6 +21,8 @@
     /// Longest time that a connection to a target is kept without use, where the target states no
     /// limit of its own.
     pub idle_limit: Duration,
+    /// Requests that crash targets.
+    pub quarantine: QuarantineSettings,
     /// Time in which an answer is on its way back to the caller; passed-on deadlines end earlier by
     /// this.
     pub return_time: Duration,
@@ -52,6 +54,12 @@
             fleet: FleetSettings::default(),
             local_domain: Arc::from(""),
             idle_limit: Duration::from_secs(10),
+            // A third crash shows that the first two were no coincidence; other failures also take away
+            // several targets in a row.
+            quarantine: QuarantineSettings {
+                crash_count: 3,
+                ..QuarantineSettings::default()
+            },
             repeat_ratio: 0.2,
             repeat_window: Duration::from_secs(10),
             return_after: Duration::from_millis(500),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -58,7 +58,13 @@
         match end {
             StreamEnd::BrokenOff | StreamEnd::TimeOver => self.sender.disconnect().await,
             StreamEnd::CallerLeft => {}
-            StreamEnd::Complete => attempt.release(&self.exchange.router),
+            StreamEnd::Complete => {
+                let router = &self.exchange.router;
+                router
+                    .suspects()
+                    .completed(self.exchange.admitted.fingerprint);
+                attempt.release(router);
+            }
         }
     }
 
@@ -94,7 +100,7 @@
                 }
                 Err(error) => Some(error),
             };
-            self.log_failure(attempt, error.as_ref());
+            self.note_failure(attempt, error.as_ref());
             let Some(next) = self.resume(attempt.first().key).await else {
                 return StreamEnd::BrokenOff;
             };
@@ -184,11 +190,13 @@
         Some(attempt)
     }
 
-    fn log_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
+    fn note_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
         let stage = attempt.first();
+        let exchange = &self.exchange;
+        exchange.router.note_broken(&exchange.admitted, stage);
         let error = error.map_or("ended inside an event".into(), ToString::to_string);
         tracing::info!(
-            request = &*self.exchange.admitted.facts.id,
+            request = &*exchange.admitted.facts.id,
             target = &*stage.id,
             last_event = self.events.last_id().map_or("none", |id| id),
             error,
--- /dev/null
+++ b/crates/forward/src/suspects.rs
@@ -0,0 +1,92 @@
+use super::*;
+
+/// Most crashes that one exchange with another instance carries.
+const REPORT_COUNT: usize = 64;
+
+/// Start number of targets, whose ids already name one start each.
+const INCARNATION: u64 = 0;
+
+/// Requests that may crash the targets that run them.
+#[derive(Debug)]
+pub struct Suspects {
+    crashes: CrashWatch,
+    quarantine: Quarantine,
+}
+
+impl Suspects {
+    pub(crate) fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            crashes: CrashWatch::default(),
+            quarantine: Quarantine::new(settings),
+        }
+    }
+
+    /// Time for which a request is refused; none if it may run.
+    pub(crate) fn blocked_for(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        self.quarantine.blocked_for(now, fingerprint)
+    }
+
+    /// Notes that the connection broke on which a target was to answer a request.
+    pub(crate) fn broke_off(&mut self, now: Duration, fingerprint: Fingerprint, target: &Stage) {
+        let run = BrokenRun {
+            fingerprint,
+            target: target.id.clone(),
+            was_suspect: self.quarantine.is_suspect(now, fingerprint),
+        };
+        self.crashes.broke_off(now, run);
+    }
+
+    /// Notes that a request was answered to its end.
+    pub(crate) fn completed(&mut self, fingerprint: Fingerprint) {
+        self.quarantine.clear(fingerprint);
+    }
+
+    /// Notes that a target answers.
+    pub(crate) fn answered(&mut self, target: &TargetId) {
+        self.crashes.answered(target);
+    }
+
+    /// Notes that targets have ended, so that the runs that broke there were crashes.
+    pub(crate) fn ended(&mut self, now: Duration, has_ended: impl Fn(&TargetId) -> bool) {
+        self.quarantine.tick(now);
+        for run in self.crashes.ended(now, has_ended) {
+            tracing::info!(
+                fingerprint = run.fingerprint,
+                target = &*run.target,
+                was_suspect = run.was_suspect,
+                "request ran on a target that ended"
+            );
+            self.quarantine.crashed(
+                now,
+                run.fingerprint,
+                &run.target,
+                INCARNATION,
+                run.was_suspect,
+            );
+        }
+    }
+
+    /// Crashes that this instance saw.
+    pub fn own_reports(&mut self, now: Duration) -> Vec<CrashReport> {
+        self.quarantine.tick(now);
+        most_important(self.quarantine.reports(now))
+    }
+
+    /// Crashes that this instance and all others but `peer` saw.
+    pub fn reports_for(&mut self, now: Duration, peer: &Arc<str>) -> Vec<CrashReport> {
+        self.quarantine.tick(now);
+        most_important(self.quarantine.reports_for(now, peer))
+    }
+
+    /// Takes over the crashes that another instance knows of.
+    pub fn take_reports(&mut self, now: Duration, peer: &Arc<str>, reports: &[CrashReport]) {
+        self.quarantine.heartbeat_received(now, peer, reports);
+    }
+}
+
+/// The reports that are closest to a refusal.
+fn most_important(mut reports: Vec<CrashReport>) -> Vec<CrashReport> {
+    reports.sort_by_key(|report| Reverse(report.crashes.len()));
+    reports.truncate(REPORT_COUNT);
+    reports
+}
--- /dev/null
+++ b/crates/forward/tests/crashes.rs
@@ -0,0 +1,138 @@
+//! Guards against a request that ends one target after another, and against innocent requests that
+//! are refused for it.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    catalog::Repeat,
+    fleet::Target,
+    std::time::Duration,
+    support::{Sending, TestRouter, TestTarget, ready, setup, signed, target},
+    wire::hyper::{StatusCode, header::RETRY_AFTER},
+};
+
+const CRASHING: &str = "{\"prompt\":\"crash\"}";
+
+/// Targets that break the connection on a crashing request.
+async fn crashing() -> TestTarget {
+    target(|request| {
+        if request.body == CRASHING {
+            return ready(wire::disconnect());
+        }
+        ready(signed(request, wire::text(StatusCode::OK, "sound")))
+    })
+    .await
+}
+
+async fn send(router: &TestRouter, body: &'static str) -> (StatusCode, Option<String>) {
+    let (status, headers, _) = router
+        .send(Sending {
+            body,
+            method: "POST",
+            ..Sending::default()
+        })
+        .await;
+    let after = headers.get(RETRY_AFTER);
+    (status, after.map(|value| value.to_str().unwrap().into()))
+}
+
+/// Targets end and start again under other ids.
+fn restart(router: &TestRouter, listing: &[Target]) {
+    let mut listing = listing.to_vec();
+    for target in &mut listing {
+        target.id = format!("{}.{}", target.id, clock::now().as_nanos()).into();
+    }
+    router.router.set_targets(&listing);
+}
+
+#[tokio::test]
+async fn request_that_ended_three_targets_is_refused() {
+    let target = crashing().await;
+    let setup = setup(Repeat::Once, &[&target]);
+    let listing = setup.listing();
+    let router = setup.start().await;
+    for _ in 0..3 {
+        let (status, _) = send(&router, CRASHING).await;
+        assert_eq!(status, StatusCode::BAD_GATEWAY);
+        restart(&router, &listing);
+    }
+    let (status, after) = send(&router, CRASHING).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(after.unwrap().parse::<f64>().unwrap() > 60.0);
+    assert_eq!(target.ids().len(), 3);
+    assert_eq!(send(&router, "other").await.0, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn broken_connection_to_a_target_that_lives_is_no_crash() {
+    let target = crashing().await;
+    let setup = setup(Repeat::Once, &[&target]);
+    let listing = setup.listing();
+    let router = setup.start().await;
+    for _ in 0..5 {
+        send(&router, CRASHING).await;
+        send(&router, "other").await;
+        restart(&router, &listing);
+    }
+    assert_eq!(send(&router, CRASHING).await.0, StatusCode::BAD_GATEWAY);
+}
+
+#[tokio::test]
+async fn request_that_succeeds_between_losses_is_not_refused() {
+    let target = target(|request| {
+        if request.header("x-id") == Some("lost") {
+            return ready(wire::disconnect());
+        }
+        ready(signed(request, wire::text(StatusCode::OK, "sound")))
+    })
+    .await;
+    let setup = setup(Repeat::Once, &[&target]);
+    let listing = setup.listing();
+    let router = setup.start().await;
+    let send = async |id| {
+        let send = router.send(Sending {
+            id,
+            ..Sending::default()
+        });
+        send.await.0
+    };
+    for _ in 0..5 {
+        assert_eq!(send("lost").await, StatusCode::BAD_GATEWAY);
+        restart(&router, &listing);
+        assert_eq!(send("good").await, StatusCode::OK);
+    }
+}
+
+/// A refusal at one instance does not stop a request that comes to all of them by turns.
+#[tokio::test]
+async fn crashes_seen_by_different_instances_add_up() {
+    let target = crashing().await;
+    let one = setup(Repeat::Once, &[&target]);
+    let listing = one.listing();
+    let (one, other) = (
+        one.start().await,
+        setup(Repeat::Once, &[&target]).start().await,
+    );
+    for round in 0..3 {
+        let (from, to) = if round % 2 == 0 {
+            (&one, &other)
+        } else {
+            (&other, &one)
+        };
+        assert_eq!(send(from, CRASHING).await.0, StatusCode::BAD_GATEWAY);
+        restart(from, &listing);
+        restart(to, &listing);
+        let now = clock::now();
+        let reports = from.router.suspects().own_reports(now);
+        to.router
+            .suspects()
+            .take_reports(now, &"peer".into(), &reports);
+    }
+    for router in [&one, &other] {
+        let status = send(router, CRASHING).await.0;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let later = clock::now() + Duration::from_secs(601);
+    assert_eq!(one.router.suspects().own_reports(later), []);
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -247,7 +247,7 @@
             holder.offer(Arc::new(self.catalog()));
             holder.confirm(1, clock::now());
         }
-        router.fleet().list(&self.listing());
+        router.set_targets(&self.listing());
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("the stand-in works");
@@ -301,7 +301,7 @@
         })
     }
 
-    fn listing(&self) -> Vec<Target> {
+    pub fn listing(&self) -> Vec<Target> {
         let mut listing = Vec::new();
         for (index, address) in self.targets.iter().enumerate() {
             listing.push(Target {
--- /dev/null
+++ b/crates/quarantine/src/fingerprint.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+/// Hash of several texts. Their lengths are hashed too, so that moving a boundary changes it.
+#[must_use]
+pub fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    Fingerprint::from_le_bytes(bytes)
+}
--- a/crates/control/src/limits/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -161,18 +161,25 @@
     /// Entries for heartbeats.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<CrashReport> {
-        let mut reports = Vec::new();
-        for (fingerprint, entry) in &self.own {
-            if entry.expires_at <= now {
+        reports(now, &self.own)
+    }
+
+    /// Entries for a peer that hears of the others only from this instance: those of this instance
+    /// and of all peers but that one.
+    #[must_use]
+    pub fn reports_for(&self, now: Duration, peer: &InstanceId) -> Vec<CrashReport> {
+        let mut all = self.own.clone();
+        for (other, entries) in &self.peers {
+            if other == peer {
                 continue;
             }
-            reports.push(CrashReport {
-                crashes: entry.crashes.clone(),
-                fingerprint: *fingerprint,
-                remaining_ms: (entry.expires_at - now).as_millis() as u64,
-            });
+            for (fingerprint, entry) in entries {
+                let known = all.entry(*fingerprint).or_insert_with(|| entry.clone());
+                known.crashes.extend(entry.crashes.iter().cloned());
+                known.expires_at = known.expires_at.max(entry.expires_at);
+            }
         }
-        reports
+        reports(now, &all)
     }
 
     /// Forgets expired entries.
@@ -210,3 +217,19 @@
         found.filter(move |entry| entry.expires_at > now)
     }
 }
+
+/// Entries that have not expired, in the form that peers take.
+fn reports(now: Duration, entries: &BTreeMap<Fingerprint, Entry>) -> Vec<CrashReport> {
+    let mut reports = Vec::new();
+    for (fingerprint, entry) in entries {
+        if entry.expires_at <= now {
+            continue;
+        }
+        reports.push(CrashReport {
+            crashes: entry.crashes.clone(),
+            fingerprint: *fingerprint,
+            remaining_ms: (entry.expires_at - now).as_millis() as u64,
+        });
+    }
+    reports
+}
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -22,6 +22,7 @@
         sync::watch,
         time::{sleep, timeout},
     },
+    types::CrashReport,
 };
 
 mod catalog_loop;
--- a/crates/reconcile/src/relay_loop.rs
+++ b/crates/reconcile/src/relay_loop.rs
@@ -8,6 +8,9 @@
 /// Questions without an answer after which this instance reads the stores itself.
 const FAILURE_COUNT: u32 = 2;
 
+/// Name under which a follower keeps what it hears of all other instances.
+const OTHERS: &str = "others";
+
 /// Answers the questions of other instances while this one leads.
 pub struct RelayHandler {
     shared: Arc<SharedState>,
@@ -35,6 +38,10 @@
         let arrived_at = clock::now();
         self.note_member(&query);
         self.note_loads(&query.row.id, std::mem::take(&mut query.loads));
+        let asking = query.row.id.clone();
+        self.router
+            .suspects()
+            .take_reports(arrived_at, &asking, &query.crashes);
         if !self.is_leading() {
             return None;
         }
@@ -60,6 +67,7 @@
         Some(Answer {
             catalog: is_newer.then(|| catalog.parts().clone()),
             catalog_age: now.saturating_sub(confirmed_at),
+            crashes: self.router.suspects().reports_for(now, &asking),
             instances: self.router.instances(),
             other_loads: {
                 let own = self.router.fleet().own_loads();
@@ -156,6 +164,7 @@
     let catalog_version = router.catalog().catalog().map_or(0, |held| held.version());
     Query {
         catalog_version,
+        crashes: router.suspects().own_reports(clock::now()),
         is_leaving: router.is_leaving(),
         loads: router.fleet().own_loads(),
         revision,
@@ -193,6 +202,9 @@
     router
         .fleet()
         .set_other_loads(clock::now(), &answer.other_loads);
+    router
+        .suspects()
+        .take_reports(clock::now(), &Arc::from(OTHERS), &answer.crashes);
     instance_loop::take(router, answer.instances);
     shared.relayed(confirmed_at.min(read_at));
     !is_older
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -33,6 +33,8 @@
 pub struct Query {
     /// Version of the configuration that the asking instance has; 0 if none.
     pub catalog_version: u64,
+    /// Crashes that the asking instance saw.
+    pub crashes: Vec<CrashReport>,
     /// What the requests of the asking instance take.
     pub loads: Vec<SharedLoad>,
     /// Whether the asking instance is leaving.
@@ -52,6 +54,8 @@
     pub catalog: Option<CatalogParts>,
     /// Time since the read that confirmed the configuration was sent.
     pub catalog_age: Duration,
+    /// Crashes that all other instances saw.
+    pub crashes: Vec<CrashReport>,
     /// Instances that callers may use.
     pub instances: Vec<Instance>,
     /// What the requests of all other instances take.
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -62,8 +62,7 @@
         return;
     }
     log_changes(&before, listing);
-    router.fleet().list(listing);
-    router.keep_connections(listing);
+    router.set_targets(listing);
 }
 
 fn log_changes(before: &[Target], after: &[Target]) {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -142,6 +142,7 @@
 fn query(asking: &Node) -> Query {
     Query {
         catalog_version: 0,
+        crashes: Vec::new(),
         is_leaving: false,
         loads: Vec::new(),
         revision: 0,
