Go on leading when the answer to a renewal was lost

Cause: a renewal that the store carried out without an answer made the next one fail on the version of the row. The leader then waited for its own lease to run out, up to 3 s without orders.

Ruled out: going on under the same fence. Another instance cannot have led in between, but a term that was given up must not come back.

Change: an instance that finds its own start as the holder begins a new term at once, with the next fence, on the condition of the row's version.

--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -112,8 +112,10 @@
         let Some((row, version)) = &self.row else {
             return self.write(1, 0);
         };
-        if row.holder == self.instance && self.own.is_some() {
-            return self.write(row.fence, *version);
+        if row.holder == self.instance {
+            // A renewal whose answer was lost has ended the term here, so a new one begins.
+            let fence = row.fence + u64::from(self.own.is_none());
+            return self.write(fence, *version);
         }
         let is_released = row.holder.is_empty();
         if !is_released && now.saturating_sub(seen_at) < self.settings.lease {
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -112,6 +112,34 @@
     assert_eq!(other.fence(at(1_200)), Some(2));
 }
 
+/// The platform does some writes without an answer. Without orders for a whole lease, engines that start
+/// meanwhile stay empty.
+#[test]
+fn leader_whose_renewal_was_done_without_an_answer_goes_on() {
+    let (mut table, mut one) = (Table::default(), instance("a"));
+    round(at(1_000), &mut table, &mut one);
+    let LeaseStep::Write {
+        expected_version,
+        row,
+    } = one.step(at(2_000))
+    else {
+        panic!("the leader renews its row");
+    };
+    assert!(table.write(row, expected_version).is_some());
+    // The leader does not know of the new version.
+    let LeaseStep::Write {
+        expected_version,
+        row,
+    } = one.step(at(2_700))
+    else {
+        panic!("the leader renews its row");
+    };
+    assert_eq!(table.write(row, expected_version), None);
+    one.conflicted();
+    round(at(3_000), &mut table, &mut one);
+    assert_eq!(one.fence(at(3_001)), Some(2), "with a fence of its own");
+}
+
 #[test]
 fn renewal_that_another_write_outran_ends_leadership() {
     let (mut table, mut one) = (Table::default(), instance("a"));
