Relay changes instead of lists, and let others stand in for the leader

A log line for each call showed three reasons. The leader sent all targets and all instances with each answer and summed the loads of all instances for each question, so that a machine with 0.12 cores answered after 300 ms and its knowledge was too old to rely on. Without a leader all instances read the store, 600 calls a second. The same happened while the store was silent, as the leader then stopped answering.

Ruled out: a longer age for relayed knowledge. Leaving targets must get no new work after two seconds.

Change: `TargetHistory` tells what has changed since a revision; `LoadTable` keeps sums up to date; instances are sent when they differ. Each instance answers with what it knows and its age, whether it leads or not. The leader names three stand-ins of different failure domains, which are asked when it does not answer or its knowledge is old; those that start together ask the first ones of the table. An instance whose store calls fail waits longer while others answer. The row of a leader that was old at first sight is not waited for.

The test that an instance which does not lead answers nothing is replaced: one that knows nothing answers nothing, and old knowledge does not count as current at the asking instance.

The new tests do not compile before the change; the first ones for the age of a row and for stand-ins failed on the way.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,7 @@
     serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -24,6 +24,7 @@
 mod fleet;
 mod health;
 mod load;
+mod load_table;
 mod path;
 mod pipes;
 mod roster;
@@ -37,6 +38,7 @@
     fleet::Fleet,
     health::Outcome,
     load::Load,
+    load_table::LoadTable,
     path::{NoPath, Path, Stage},
     roster::Roster,
     settings::FleetSettings,
--- a/crates/fleet/src/shared_load.rs
+++ b/crates/fleet/src/shared_load.rs
@@ -14,26 +14,6 @@
     pub token_layers: f64,
 }
 
-impl SharedLoad {
-    /// Sum of the loads of several instances by target.
-    #[must_use]
-    pub fn sum<'a>(loads: impl IntoIterator<Item = &'a Self>) -> Vec<Self> {
-        let mut sums: BTreeMap<&TargetId, (u32, f64)> = BTreeMap::new();
-        for load in loads {
-            let sum = sums.entry(&load.id).or_default();
-            sum.0 += load.in_flight_count;
-            sum.1 += load.token_layers;
-        }
-        let sums = sums.into_iter();
-        sums.map(|(id, (in_flight_count, token_layers))| Self {
-            id: id.clone(),
-            in_flight_count,
-            token_layers,
-        })
-        .collect()
-    }
-}
-
 /// Loads of the other instances at one target, as they were last told.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OtherLoad {
--- /dev/null
+++ b/crates/fleet/tests/load_table.rs
@@ -0,0 +1,56 @@
+//! Guards against loads that are counted twice, or that stay after their requests have ended.
+
+use {
+    fleet::{LoadTable, SharedLoad},
+    std::time::Duration,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn load(id: &str, in_flight_count: u32) -> SharedLoad {
+    SharedLoad {
+        id: id.into(),
+        in_flight_count,
+        token_layers: f64::from(in_flight_count) * 0.1,
+    }
+}
+
+fn counts(table: &LoadTable, instance: &str, own: &[SharedLoad]) -> Vec<(String, u32)> {
+    let loads = table.without(&instance.into(), own);
+    let counts = loads.iter();
+    let mut counts: Vec<(String, u32)> = counts
+        .map(|load| (load.id.to_string(), load.in_flight_count))
+        .collect();
+    counts.sort();
+    counts
+}
+
+#[test]
+fn instance_hears_of_all_others_but_not_of_itself() {
+    let mut table = LoadTable::default();
+    table.set(NOW, &"x".into(), vec![load("t1", 3), load("t2", 1)]);
+    table.set(NOW, &"y".into(), vec![load("t1", 4)]);
+    let own = [load("t3", 5)];
+    let expected = [("t1".to_owned(), 4), ("t3".to_owned(), 5)];
+    assert_eq!(counts(&table, "x", &own), expected);
+}
+
+#[test]
+fn newer_loads_replace_older_ones_without_a_rest() {
+    let mut table = LoadTable::default();
+    for round in 0..1_000 {
+        let loads = vec![load("t1", round % 7)];
+        table.set(NOW, &"x".into(), loads);
+    }
+    assert_eq!(counts(&table, "y", &[]), [("t1".to_owned(), 999 % 7)]);
+    table.set(NOW, &"x".into(), Vec::new());
+    assert_eq!(table.without(&"y".into(), &[]), []);
+}
+
+#[test]
+fn instance_that_no_longer_calls_is_forgotten() {
+    let mut table = LoadTable::default();
+    table.set(NOW, &"x".into(), vec![load("t1", 3)]);
+    table.set(NOW + Duration::from_secs(3), &"y".into(), Vec::new());
+    assert_eq!(counts(&table, "z", &[]), []);
+}
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use {
-    fleet::{NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
+    fleet::{LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::Rng,
     std::{collections::BTreeSet, time::Duration},
@@ -277,6 +277,10 @@
         in_flight_count: 30,
         token_layers: 30.0 * 600.0 * 8.0,
     };
-    fleet.set_other_loads(NOW, &SharedLoad::sum([&others, &others]));
+    let mut loads = LoadTable::default();
+    for instance in ["x", "y"] {
+        loads.set(NOW, &instance.into(), vec![others.clone()]);
+    }
+    fleet.set_other_loads(NOW, &loads.without(&"z".into(), &[]));
     assert_eq!(path(&fleet, &demand()), Err(NoPath::Full));
 }
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -3,8 +3,6 @@
 /// Longest wait for a change in one read. A read confirms the configuration as of its start, so the
 /// wait is a part of the age at which keys are no longer accepted.
 const WAIT: Duration = Duration::from_millis(300);
-/// Pause after a failed read.
-const PAUSE: Duration = Duration::from_millis(200);
 
 /// Keeps the configuration of a router current.
 pub async fn follow_catalog(
@@ -25,7 +23,7 @@
                 link.failed(clock::now(), &error);
                 // The next read confirms at once.
                 wait = Duration::ZERO;
-                sleep(PAUSE).await;
+                sleep(link.pause(shared.is_served(clock::now()))).await;
             }
             Ok(read) => {
                 link.answered(clock::now());
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -2,6 +2,8 @@
 
 /// Time between beats and reads.
 const INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between beats and reads while the table does not answer, but other instances do.
+const SERVED_INTERVAL: Duration = Duration::from_millis(3_000);
 /// Time between beats and reads right after the start, until there is a leader to follow.
 const START_INTERVAL: Duration = Duration::from_millis(300);
 /// Rounds after the start that are short.
@@ -39,7 +41,9 @@
                 Ok(()) => link.answered(clock::now()),
             }
         }
-        if !is_relayed {
+        // A table that does not answer takes no leader either.
+        let is_waiting = link.is_lost() && shared.is_served(clock::now());
+        if !is_relayed && !is_waiting {
             let live = shared.with_membership(|membership| membership.live(clock::now()));
             let live = with_own(live, &router, &own.row);
             take(&router, live);
@@ -50,10 +54,10 @@
         let spent = clock::now().saturating_sub(started_at);
         let is_starting =
             round_count <= START_ROUNDS && !(own.is_listed && (is_leading || is_relayed));
-        let interval = if is_starting {
-            START_INTERVAL
-        } else {
-            INTERVAL
+        let interval = match is_starting {
+            _ if is_waiting => SERVED_INTERVAL,
+            true => START_INTERVAL,
+            false => INTERVAL,
         };
         sleep(interval.saturating_sub(spent)).await;
     }
@@ -93,7 +97,7 @@
             membership.confirmed(now.saturating_sub(view.leader_age), &leader.live);
         }
     });
-    lock(leadership).observe(now, view.leader);
+    lock(leadership).observe(now, view.leader, view.leader_age);
     Ok(())
 }
 
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -1,5 +1,9 @@
 use super::*;
 
+/// Most by which the age of a row seems higher than it is: its holder dates it by an answer of the
+/// store that took up to 200 ms, and the write took as long.
+const AGE_ERROR: Duration = Duration::from_millis(500);
+
 /// Settings of the choice of a leader.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeadershipSettings {
@@ -47,7 +51,7 @@
 /// Decides which instance leads, by a row that its holder writes again and again.
 ///
 /// Ages are measured on this instance's own clock from when it first saw a version, so that clocks
-/// need not agree.
+/// need not agree. The age that a version had then counts as far as it is certain.
 #[derive(Clone, Debug)]
 pub struct Leadership {
     instance: Arc<str>,
@@ -85,11 +89,12 @@
         self.row.as_ref().map(|(row, _)| &row.holder)
     }
 
-    /// Notes the row and its version.
-    pub fn observe(&mut self, now: Duration, row: Option<(LeaderRow, u64)>) {
+    /// Notes the row, its version, and the time since it was written by the clock of the store.
+    pub fn observe(&mut self, now: Duration, row: Option<(LeaderRow, u64)>, age: Duration) {
         let version = |row: &Option<(LeaderRow, u64)>| row.as_ref().map(|(_, version)| *version);
         if self.seen_at.is_none() || version(&row) != version(&self.row) {
-            self.seen_at = Some(now);
+            let age = age.saturating_sub(AGE_ERROR);
+            self.seen_at = Some(now.saturating_sub(age));
         }
         let is_other = row
             .as_ref()
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -7,13 +7,14 @@
 
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
-    fleet::{Roster, SharedLoad, Target},
+    fleet::{LoadTable, Roster, SharedLoad, Target},
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
     serde::{Deserialize, Serialize},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
+        hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -26,31 +27,37 @@
 };
 
 mod catalog_loop;
+mod follow_loop;
 mod instance_loop;
 mod layout_keeper;
 mod leadership;
 mod link;
 mod membership;
 mod order_loop;
-mod relay_loop;
+mod relay_handler;
+mod relay_message;
 mod shared_state;
 mod sources;
+mod target_history;
 mod target_loop;
 
 pub use {
     catalog_loop::follow_catalog,
+    follow_loop::follow_leader,
     instance_loop::follow_instances,
     layout_keeper::{LayoutKeeper, Order},
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
     link::Link,
     membership::{InstanceRow, Membership},
     order_loop::keep_layout,
-    relay_loop::{RelayHandler, follow_leader},
-    shared_state::{Answer, Query, Relay, SharedState},
+    relay_handler::RelayHandler,
+    relay_message::{Answer, Query, Relay},
+    shared_state::{RelayedTargets, SharedState},
     sources::{
         CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource,
     },
+    target_history::TargetHistory,
     target_loop::follow_targets,
 };
 
-use {leadership::lock, shared_state::RELAYED_PAUSE};
+use {leadership::lock, relay_message::digest, shared_state::RELAYED_PAUSE};
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -3,6 +3,13 @@
 /// Time without a sign of activity after which an instance is taken as dead: three missed beats.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
+/// Instances that stand in for the leader. Three of different failure domains remain when two
+/// domains or the whole of a rolling restart's current batch are lost.
+const STAND_IN_COUNT: usize = 3;
+
+/// Instances that read the stores for those that start with them while there is no leader.
+const FIRST_COUNT: usize = 2;
+
 /// Row of an instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceRow {
@@ -75,19 +82,50 @@
         found.map(|(row, _)| row.relay_address)
     }
 
+    /// Where those take calls of others that stand in for the leader `own` when it is lost: other live
+    /// instances, as far as possible of different failure domains.
+    #[must_use]
+    pub fn stand_ins(&self, now: Duration, own: &InstanceRow) -> Vec<SocketAddr> {
+        let mut live = self.live_rows(now);
+        live.retain(|row| row.id != own.id);
+        let mut domains = HashSet::from([&own.domain]);
+        let (first, last): (Vec<&InstanceRow>, Vec<&InstanceRow>) = live
+            .into_iter()
+            .partition(|row| domains.insert(&row.domain));
+        let stand_ins = first.into_iter().chain(last).take(STAND_IN_COUNT);
+        stand_ins.map(|row| row.relay_address).collect()
+    }
+
+    /// Where the first live instances take calls of others, by the order of ids and only before `own`.
+    #[must_use]
+    pub fn first_before(&self, now: Duration, own: &InstanceRow) -> Vec<SocketAddr> {
+        let live = self.live_rows(now).into_iter();
+        let before = live.take_while(|row| row.id < own.id);
+        before
+            .take(FIRST_COUNT)
+            .map(|row| row.relay_address)
+            .collect()
+    }
+
     /// Instances that callers may use, in the order of their ids.
     #[must_use]
     pub fn live(&self, now: Duration) -> Vec<Instance> {
+        let live = self.live_rows(now).into_iter();
+        live.map(|row| Instance {
+            address: row.address,
+            domain: row.domain.clone(),
+            id: row.id.clone(),
+        })
+        .collect()
+    }
+
+    /// Rows of live instances, in the order of their ids.
+    fn live_rows(&self, now: Duration) -> Vec<&InstanceRow> {
         let mut live = Vec::new();
         for (row, seen_at) in self.rows.values() {
-            if now.saturating_sub(*seen_at) > SILENCE {
-                continue;
+            if now.saturating_sub(*seen_at) <= SILENCE {
+                live.push(row);
             }
-            live.push(Instance {
-                address: row.address,
-                domain: row.domain.clone(),
-                id: row.id.clone(),
-            });
         }
         live.sort_by(|one, other| one.id.cmp(&other.id));
         live
--- /dev/null
+++ b/crates/reconcile/src/relay_message.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+/// Question of an instance to one that reads the stores.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Query {
+    /// Version of the configuration that the asking instance has; 0 if none.
+    pub catalog_version: u64,
+    /// Crashes that the asking instance saw.
+    pub crashes: Vec<CrashReport>,
+    /// Digest of the list of instances that the asking instance has.
+    pub instances_digest: u64,
+    /// Whether the asking instance is leaving.
+    pub is_leaving: bool,
+    /// What the requests of the asking instance take.
+    pub loads: Vec<SharedLoad>,
+    /// Revision of the list of targets that it has from the asked instance; 0 if it has none or
+    /// another one.
+    pub revision: u64,
+    /// The asking instance.
+    pub row: InstanceRow,
+    /// Longest wait for a change.
+    pub wait: Duration,
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Answer {
+    /// Configuration, if it is newer than the one of the asking instance.
+    pub catalog: Option<CatalogParts>,
+    /// Time since the read that confirmed the configuration was sent.
+    pub catalog_age: Duration,
+    /// Crashes that all other instances saw.
+    pub crashes: Vec<CrashReport>,
+    /// Instances that callers may use, if they are others than those of the asking instance.
+    pub instances: Option<Vec<Instance>>,
+    /// What the requests of all other instances take.
+    pub other_loads: Vec<SharedLoad>,
+    /// Revision of the list of targets.
+    pub revision: u64,
+    /// Where to ask, in this order: the leader, then those that stand in for it.
+    pub sources: Vec<SocketAddr>,
+    /// Targets, if they are others than those of the asking instance.
+    pub targets: Option<TargetChange>,
+    /// Time since the targets were read.
+    pub targets_age: Duration,
+    /// Time from the arrival of the question to the answer.
+    pub waited: Duration,
+}
+
+/// Calls an instance that knows what the stores hold.
+pub trait Relay: Send + Sync {
+    /// Asks for what is newer than what this instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer in time, or the other one knows nothing yet.
+    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>>;
+}
+
+/// Digest of a list of instances.
+pub(crate) fn digest(instances: &[Instance]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for instance in instances {
+        instance.id.hash(&mut hasher);
+        instance.address.hash(&mut hasher);
+        instance.domain.hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -22,7 +22,7 @@
 }
 
 /// Change of the listed targets.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum TargetChange {
     /// All targets.
     All(Vec<Target>),
--- /dev/null
+++ b/crates/reconcile/src/target_history.rs
@@ -0,0 +1,107 @@
+use super::*;
+
+/// Most targets that are gone and still remembered. Those who are further behind get the whole list.
+const GONE_COUNT: usize = 1_024;
+
+/// List of targets that tells what has changed since an earlier state of it.
+#[derive(Clone, Debug)]
+pub struct TargetHistory {
+    /// Revision at which each target was listed or changed last, or was gone.
+    changed_at: HashMap<Arc<str>, u64>,
+    /// Revision from which on all changes are known.
+    complete_from: u64,
+    /// Revision of the list.
+    revision: u64,
+    /// Targets. Invariant: in the order of their ids.
+    targets: Vec<Target>,
+}
+
+impl TargetHistory {
+    /// Creates an empty list. Revisions of different processes are told apart by their `first` ones.
+    #[must_use]
+    pub fn new(first: u64) -> Self {
+        Self {
+            changed_at: HashMap::new(),
+            complete_from: first,
+            revision: first,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Targets.
+    #[must_use]
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    /// Revision of the list; grows with each change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Replaces the list. Returns the one before if it was another one.
+    pub fn replace(&mut self, mut targets: Vec<Target>) -> Option<Vec<Target>> {
+        targets.sort_by(|one, other| one.id.cmp(&other.id));
+        if targets == self.targets {
+            return None;
+        }
+        self.revision += 1;
+        let before = std::mem::replace(&mut self.targets, targets);
+        let known: HashMap<&str, &Target> = before.iter().map(|one| (&*one.id, one)).collect();
+        for target in &self.targets {
+            if known.get(&*target.id).is_none_or(|old| *old != target) {
+                self.changed_at.insert(target.id.clone(), self.revision);
+            }
+        }
+        let listed: HashSet<&str> = self.targets.iter().map(|one| &*one.id).collect();
+        for target in &before {
+            if !listed.contains(&*target.id) {
+                self.changed_at.insert(target.id.clone(), self.revision);
+            }
+        }
+        if self.changed_at.len() > self.targets.len() + GONE_COUNT {
+            self.changed_at.retain(|id, _| listed.contains(&**id));
+            self.complete_from = self.revision;
+        }
+        Some(before)
+    }
+
+    /// Changes a list that was told earlier. Returns the list before if it is another one now.
+    pub fn apply(&mut self, change: TargetChange) -> Option<Vec<Target>> {
+        let (changed, gone) = match change {
+            TargetChange::All(targets) => return self.replace(targets),
+            TargetChange::Some(changed, gone) => (changed, gone),
+        };
+        let replaced: HashSet<&str> = changed.iter().map(|one| &*one.id).collect();
+        let is_kept =
+            |target: &&Target| !replaced.contains(&*target.id) && !gone.contains(&target.id);
+        let kept = self.targets.iter().filter(is_kept).cloned();
+        let targets = kept.chain(changed.iter().cloned()).collect();
+        self.replace(targets)
+    }
+
+    /// Changes after a revision; the whole list if they are not known.
+    #[must_use]
+    pub fn since(&self, revision: u64) -> TargetChange {
+        if !(self.complete_from..=self.revision).contains(&revision) {
+            return TargetChange::All(self.targets.clone());
+        }
+        let is_later = |id: &Arc<str>| self.changed_at.get(id).is_some_and(|at| *at > revision);
+        let changed: Vec<Target> = self
+            .targets
+            .iter()
+            .filter(|target| is_later(&target.id))
+            .cloned()
+            .collect();
+        let listed: HashSet<&str> = self.targets.iter().map(|one| &*one.id).collect();
+        let mut gone = Vec::new();
+        for (id, at) in &self.changed_at {
+            if *at > revision && !listed.contains(&**id) {
+                gone.push(id.clone());
+            }
+        }
+        gone.sort_unstable();
+        TargetChange::Some(changed, gone)
+    }
+}
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -28,13 +28,19 @@
             was_relayed = false;
         }
         match source.read(WAIT).await {
-            Err(error) => link.failed(clock::now(), &error),
+            Err(error) => {
+                link.failed(clock::now(), &error);
+                sleep(link.pause(shared.is_served(clock::now()))).await;
+            }
             Ok(change) => {
                 let now = clock::now();
                 link.answered(now);
                 roster.answered(now);
                 apply(&mut roster, now, change);
-                take(&router, &shared, now, &roster.listing(now));
+                let listing = roster.listing(now);
+                if let Some(before) = shared.set_targets(now, listing.clone()) {
+                    publish(&router, &before, &listing);
+                }
             }
         }
         sleep(INTERVAL).await;
@@ -55,13 +61,9 @@
     }
 }
 
-/// Takes over a list of targets that was read at `read_at`.
-pub(crate) fn take(router: &Router, shared: &SharedState, read_at: Duration, listing: &[Target]) {
-    let before = shared.set_targets(read_at, listing.to_vec());
-    if before == listing {
-        return;
-    }
-    log_changes(&before, listing);
+/// Takes over a list of targets that has changed.
+pub(crate) fn publish(router: &Router, before: &[Target], listing: &[Target]) {
+    log_changes(before, listing);
     router.set_targets(listing);
 }
 
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -34,7 +34,7 @@
 }
 
 fn round(now: Duration, table: &mut Table, leadership: &mut Leadership) {
-    leadership.observe(now, table.row.clone());
+    leadership.observe(now, table.row.clone(), Duration::ZERO);
     let LeaseStep::Write {
         expected_version,
         row,
@@ -83,6 +83,22 @@
     assert!(one.fence(at(3_500)).is_none());
 }
 
+/// All instances were killed at once, and the engines got no orders until the first one had watched the
+/// row of the dead leader for a whole lease.
+#[parameterized(
+    long_dead = { 10_000, true },
+    dead_for_the_lease = { 3_500, true },
+    maybe_alive = { 3_400, false },
+)]
+fn row_that_was_old_at_first_sight_is_not_waited_for(age_ms: u64, leads: bool) {
+    let (mut table, mut one) = (Table::default(), instance("a.1"));
+    round(at(1_000), &mut table, &mut one);
+    let mut again = instance("a.2");
+    again.observe(at(60_000), table.row.clone(), at(age_ms));
+    let is_write = matches!(again.step(at(60_000)), LeaseStep::Write { .. });
+    assert_eq!(is_write, leads);
+}
+
 #[test]
 fn refused_order_ends_leadership() {
     let (mut table, mut one) = (Table::default(), instance("a"));
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use {
     reconcile::{InstanceRow, Membership},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 fn row(id: &str) -> InstanceRow {
@@ -50,6 +50,43 @@
     assert_eq!(ids(&membership, 61_000), Vec::<String>::new());
 }
 
+/// Instances that start together without a leader ask the first ones, which must not ask back.
+#[test]
+fn first_instances_ask_only_those_before_them() {
+    let membership = membership(&[("a", 60_000), ("b", 0), ("c", 0), ("d", 0), ("e", 0)]);
+    let count = |id| membership.first_before(at(60_000), &row(id)).len();
+    assert_eq!(["b", "c", "d", "e"].map(count), [0, 1, 2, 2]);
+}
+
+/// Stand-ins of one failure domain would be lost together.
+#[test]
+fn stand_ins_are_of_different_domains() {
+    let mut membership = Membership::default();
+    let mut rows = Vec::new();
+    for (index, domain) in ["a", "a", "b", "b", "c"].into_iter().enumerate() {
+        let id = format!("{domain}{index}");
+        rows.push((
+            InstanceRow {
+                domain: domain.into(),
+                relay_address: ([10, 0, 0, 1], 9_000 + index as u16).into(),
+                ..row(&id)
+            },
+            at(0),
+        ));
+    }
+    let own = rows[0].0.clone();
+    membership.observe(at(60_000), rows);
+    let ports = |membership: &Membership, ms| -> Vec<u16> {
+        let stand_ins = membership.stand_ins(at(ms), &own);
+        stand_ins.iter().map(SocketAddr::port).collect()
+    };
+    assert_eq!(ports(&membership, 60_000), [9_002, 9_004, 9_001]);
+    assert!(
+        ports(&membership, 70_000).is_empty(),
+        "dead ones stand in for nobody"
+    );
+}
+
 /// Instances that the leader serves do not renew their rows, so others must not take them as dead.
 #[test]
 fn instances_that_the_leader_names_live_on() {
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -1,17 +1,56 @@
 //! Guards against instances that rely on what a leader knew too long ago.
 
-use {reconcile::SharedState, std::time::Duration};
+use {
+    fleet::Target,
+    reconcile::{RelayedTargets, SharedState, TargetChange},
+    std::{net::SocketAddr, time::Duration},
+};
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+fn source() -> SocketAddr {
+    ([10, 0, 0, 9], 9_000).into()
+}
+
+/// An answer without a change whose knowledge was current at `ms`.
+fn relayed(shared: &SharedState, ms: u64) -> RelayedTargets {
+    let revision = shared.revision_of(source());
+    let is_first = revision == 0;
+    RelayedTargets {
+        asked_revision: revision,
+        change: is_first.then(|| TargetChange::All(Vec::new())),
+        confirmed_at: at(ms),
+        read_at: at(ms),
+        revision: revision.max(1),
+        source: source(),
+    }
+}
+
+fn take(shared: &SharedState, ms: u64) {
+    shared.take_relayed(relayed(shared, ms));
+}
+
+fn target(id: &str) -> Target {
+    Target {
+        address: ([10, 0, 0, 2], 80).into(),
+        domain: "a".into(),
+        hardware: None,
+        held: None,
+        id: id.into(),
+        is_leaving: false,
+        service: "s".into(),
+        slot_count: 1,
+    }
+}
+
 /// Found by a hunt on lcv-head: a leader that the store turned away went on answering, and the others
 /// sent requests to targets that had been leaving for more than two seconds.
 #[test]
 fn old_knowledge_of_the_leader_does_not_keep_an_instance_from_reading() {
     let shared = SharedState::default();
-    shared.relayed(at(10_000));
+    take(&shared, 10_000);
     assert!(shared.is_relayed(at(10_500)));
     // A read of its own takes up to half a second.
     assert!(!shared.is_relayed(at(11_500)));
@@ -20,13 +59,40 @@
 #[test]
 fn older_answer_does_not_shorten_what_a_newer_one_proved() {
     let shared = SharedState::default();
-    shared.relayed(at(10_000));
-    shared.relayed(at(9_000));
+    take(&shared, 10_000);
+    take(&shared, 9_000);
     assert!(shared.is_relayed(at(10_500)));
     shared.relay_lost();
     assert!(!shared.is_relayed(at(10_500)));
 }
 
+/// A change that was formed for another list would leave out targets or bring back those that are gone.
+#[test]
+fn change_of_a_list_that_was_replaced_meanwhile_is_not_taken() {
+    let shared = SharedState::default();
+    take(&shared, 10_000);
+    let answer = RelayedTargets {
+        change: Some(TargetChange::Some(vec![target("late")], Vec::new())),
+        revision: 2,
+        ..relayed(&shared, 10_800)
+    };
+    shared.set_targets(at(10_700), vec![target("own")]);
+    assert_eq!(shared.take_relayed(answer), None);
+    assert_eq!(shared.targets(), [target("own")]);
+    assert_eq!(shared.revision_of(source()), 0, "the whole list comes next");
+}
+
+/// Others ask those that stand in for the leader, so these must notice first that it is lost.
+#[test]
+fn stand_in_reads_earlier_than_the_others() {
+    let shared = SharedState::default();
+    let own = ([10, 0, 0, 1], 9_000).into();
+    take(&shared, 10_000);
+    assert!(shared.is_relayed(at(11_100)));
+    shared.set_sources(vec![source(), own], own);
+    assert!(!shared.is_relayed(at(11_100)));
+}
+
 #[test]
 fn revision_changes_only_with_the_targets() {
     let shared = SharedState::default();
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -10,7 +10,7 @@
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
         InstanceRow, LeaderRow, Leadership, LeadershipSettings, Query, Relay, RelayHandler,
-        SharedState, follow_leader,
+        SharedState, TargetChange, follow_leader,
     },
     relay::RelayClient,
     std::{
@@ -130,19 +130,26 @@
         .lock()
         .expect("the leadership")
         .written(clock::now(), leader_row(&node), 1);
+    let task = serve(&node, listener);
+    (node, task)
+}
+
+fn serve(node: &Node, listener: TcpListener) -> AbortHandle {
     let handler = RelayHandler::new(
         node.router.clone(),
+        node.row.clone(),
         node.shared.clone(),
         node.leadership.clone(),
     );
     let task = tokio::spawn(relay::serve(listener, Arc::new(handler)));
-    (node, task.abort_handle())
+    task.abort_handle()
 }
 
 fn query(asking: &Node) -> Query {
     Query {
         catalog_version: 0,
         crashes: Vec::new(),
+        instances_digest: 0,
         is_leaving: false,
         loads: Vec::new(),
         revision: 0,
@@ -156,11 +163,11 @@
     follower.shared.with_membership(|membership| {
         membership.observe(now, vec![(leader.row.clone(), Duration::ZERO)]);
     });
-    follower
-        .leadership
-        .lock()
-        .expect("the leadership")
-        .observe(now, Some((leader_row(leader), 1)));
+    follower.leadership.lock().expect("the leadership").observe(
+        now,
+        Some((leader_row(leader), 1)),
+        Duration::ZERO,
+    );
     tokio::spawn(follow_leader(
         follower.router.clone(),
         Arc::new(RelayClient::default()),
@@ -222,24 +229,87 @@
 }
 
 #[tokio::test]
-async fn instance_that_does_not_lead_answers_nothing() {
-    let (leader, _task) = leader().await;
-    leader.leadership.lock().expect("the leadership").fenced();
+async fn instance_that_knows_nothing_answers_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let empty = node("x", listener.local_addr().expect("an address"));
+    let _task = serve(&empty, listener);
     let asking = node("y", ([127, 0, 0, 1], 1).into());
-    let relay_client = RelayClient::default();
-    let answer = relay_client
-        .ask(leader.row.relay_address, query(&asking))
+    let answer = RelayClient::default()
+        .ask(empty.row.relay_address, query(&asking))
         .await;
     assert!(matches!(answer, Err(Error::Refused(_))), "{answer:?}");
 }
 
+/// A leader that the store turns away goes on answering. What it knows must not keep others from
+/// reading the store themselves.
+#[tokio::test]
+async fn old_knowledge_is_passed_on_with_its_age() {
+    let (leader, _task) = leader().await;
+    let read_at = clock::now().saturating_sub(Duration::from_secs(2));
+    leader.shared.set_targets(read_at, vec![target("t1")]);
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&follower, &leader);
+    until(|| follower.shared.targets().len() == 1).await;
+    assert!(!follower.shared.is_relayed(clock::now()));
+}
+
+/// Without stand-ins, all instances read the store when the leader is lost: 84 of them sent 600 calls
+/// in a second.
+#[tokio::test]
+async fn stand_in_serves_the_followers_of_a_lost_leader() {
+    let (leader, task) = leader().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let stand_in = node("a", listener.local_addr().expect("an address"));
+    let _stand_in_task = serve(&stand_in, listener);
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&stand_in, &leader);
+    until(|| version(&stand_in) == 1).await;
+    follow(&follower, &leader);
+    let sources = [&leader, &stand_in, &follower].map(|node| node.row.relay_address);
+    until(|| follower.shared.sources() == sources).await;
+    task.abort();
+    leader.leadership.lock().expect("the leadership").fenced();
+    until(|| {
+        // The stand-in reads the store again and again.
+        publish(&stand_in, 2);
+        version(&follower) == 2 && follower.shared.is_relayed(clock::now())
+    })
+    .await;
+    assert_eq!(&*follower.shared.targets()[0].id, "t2");
+}
+
+/// A change is told by itself, not with the whole list, which costs a leader of 84 instances all of its
+/// processor.
+#[tokio::test]
+async fn answers_hold_only_what_has_changed() {
+    let (leader, _task) = leader().await;
+    let asking = node("y", ([127, 0, 0, 1], 1).into());
+    let client = RelayClient::default();
+    let address = leader.row.relay_address;
+    let first = client
+        .ask(address, query(&asking))
+        .await
+        .expect("an answer");
+    assert_eq!(first.targets, Some(TargetChange::All(vec![target("t1")])));
+    let listing = vec![target("t1"), target("t2")];
+    leader.shared.set_targets(clock::now(), listing);
+    let next = Query {
+        catalog_version: 1,
+        revision: first.revision,
+        ..query(&asking)
+    };
+    let next = client.ask(address, next).await.expect("an answer");
+    let change = TargetChange::Some(vec![target("t2")], Vec::new());
+    assert_eq!(next.targets, Some(change));
+    assert!(next.catalog.is_none());
+}
+
 #[tokio::test]
 async fn follower_of_a_lost_leader_reads_for_itself() {
     let (leader, task) = leader().await;
     let follower = node("y", ([127, 0, 0, 1], 1).into());
     follow(&follower, &leader);
     until(|| follower.shared.is_relayed(clock::now())).await;
-    leader.leadership.lock().expect("the leadership").fenced();
     task.abort();
     until(|| !follower.shared.is_relayed(clock::now())).await;
     assert_eq!(version(&follower), 1, "what is known stays");
