Keep stand-ins from following each other

After the leader was lost, the first stand-in asked the first instance of the table, a later stand-in, which asked the first one. Both were current by each other's answers, so that none formed the list of instances anew or took the lead, and callers were given the address of a machine that had been off for six seconds.

Ruled out: the time after which an instance counts as dead, which did not come into play.

Change: the first instances of the table are asked only while no list of a leader is known. Answers tell their distance from the store; an answer that came through more than one instance does not count.

--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -73,20 +73,26 @@
 
 impl Follower {
     /// Addresses to ask: the sources before this instance in the list of the leader, the leader that
-    /// the table names, and the first instances of the table, so that those that start together
-    /// without a leader do not all read the stores. An instance that leads asks nobody.
+    /// the table names. While no list of a leader is known, the first instances of the table are asked
+    /// too, so that those that start together do not all read the stores. An instance that leads asks
+    /// nobody.
     fn candidates(&self) -> Vec<SocketAddr> {
         let leader = lock(&self.leadership).leader().cloned();
         if leader.as_ref() == Some(&self.row.start) {
             return Vec::new();
         }
         let sources = self.shared.sources();
+        let is_known = !sources.is_empty();
         let own = self.row.relay_address;
         let before = sources.into_iter().take_while(|source| *source != own);
         let mut candidates: Vec<SocketAddr> = before.collect();
         let listed = self.shared.with_membership(|membership| {
             let named = leader.and_then(|leader| membership.relay_address(&leader));
-            let first = membership.first_before(clock::now(), &self.row);
+            let first = if is_known {
+                Vec::new()
+            } else {
+                membership.first_before(clock::now(), &self.row)
+            };
             named.into_iter().chain(first)
         });
         for address in listed {
@@ -164,6 +170,7 @@
             asked_revision: revision,
             change: answer.targets,
             confirmed_at,
+            distance: answer.distance,
             read_at,
             revision: answer.revision,
             source,
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -61,6 +61,7 @@
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
             catalog_age: now.saturating_sub(confirmed_at),
             crashes: self.router.suspects().reports_for(now, &asking),
+            distance: self.shared.distance(now),
             instances: (digest(&instances) != query.instances_digest).then_some(instances),
             other_loads: self.shared.loads_without(&asking, &own_loads),
             revision,
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -31,6 +31,8 @@
     pub catalog_age: Duration,
     /// Crashes that all other instances saw.
     pub crashes: Vec<CrashReport>,
+    /// Number of instances between the stores and this answer; 0 if the answering one reads them.
+    pub distance: u32,
     /// Instances that callers may use, if they are others than those of the asking instance.
     pub instances: Option<Vec<Instance>>,
     /// What the requests of all other instances take.
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -7,6 +7,9 @@
 const STAND_IN_AGE: Duration = Duration::from_millis(1_000);
 /// Pause of the reading loops while another instance reads for this one.
 pub(crate) const RELAYED_PAUSE: Duration = Duration::from_millis(100);
+/// Largest distance of an answer that counts: that of a stand-in that follows the leader. More of it
+/// shows instances that follow each other in a circle, in which nobody reads the stores.
+const MOST_DISTANCE: u32 = 1;
 /// Time after an answer of another instance for which it is taken to go on answering.
 const ANSWER_AGE: Duration = Duration::from_secs(2);
 
@@ -22,6 +25,8 @@
 struct SharedContent {
     /// When another instance answered last, however old its knowledge was.
     answered_at: Option<Duration>,
+    /// Number of instances between the stores and the relayed knowledge.
+    distance: u32,
     /// Whether this instance stands in for the leader.
     is_stand_in: bool,
     /// Loads of the instances that call this one.
@@ -47,6 +52,8 @@
     pub asked_revision: u64,
     /// Change since that revision; none if there is none.
     pub change: Option<TargetChange>,
+    /// Number of instances between the stores and the answer.
+    pub distance: u32,
     /// When the configuration of the same answer was confirmed.
     pub confirmed_at: Duration,
     /// When the targets were read.
@@ -65,6 +72,7 @@
             changed: watch::Sender::new(1),
             state: Mutex::new(SharedContent {
                 answered_at: None,
+                distance: 0,
                 is_stand_in: false,
                 loads: LoadTable::default(),
                 loads_taken_at: Duration::ZERO,
@@ -125,6 +133,10 @@
     pub fn take_relayed(&self, relayed: RelayedTargets) -> Option<(Vec<Target>, Vec<Target>)> {
         let mut state = self.lock();
         state.answered_at = Some(clock::now());
+        if relayed.distance > MOST_DISTANCE {
+            return None;
+        }
+        state.distance = relayed.distance + 1;
         let current_at = relayed.confirmed_at.min(relayed.read_at);
         if state.targets_at.is_some_and(|at| at > relayed.read_at) {
             state.relayed_at = state.relayed_at.max(Some(current_at));
@@ -222,6 +234,14 @@
         !state.is_stand_in && state.answered_at.is_some_and(is_recent)
     }
 
+    /// Number of instances between the stores and what this instance knows.
+    pub fn distance(&self, now: Duration) -> u32 {
+        if !self.is_relayed(now) {
+            return 0;
+        }
+        self.lock().distance
+    }
+
     /// Forgets relayed knowledge, so that this instance reads the stores itself.
     pub fn relay_lost(&self) {
         self.lock().relayed_at = None;
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -22,6 +22,7 @@
         asked_revision: revision,
         change: is_first.then(|| TargetChange::All(Vec::new())),
         confirmed_at: at(ms),
+        distance: 0,
         read_at: at(ms),
         revision: revision.max(1),
         source: source(),
@@ -82,6 +83,25 @@
     assert_eq!(shared.revision_of(source()), 0, "the whole list comes next");
 }
 
+/// Found by a hunt on fartuch-druk: stand-ins of a lost leader followed each other, so that none led, and
+/// addresses of dead instances were given to callers for six seconds.
+#[test]
+fn instances_that_follow_each_other_are_not_current() {
+    let shared = SharedState::default();
+    shared.take_relayed(RelayedTargets {
+        distance: 1,
+        ..relayed(&shared, 10_000)
+    });
+    assert!(shared.is_relayed(at(10_500)));
+    assert_eq!(shared.distance(at(10_500)), 2);
+    shared.take_relayed(RelayedTargets {
+        distance: 2,
+        ..relayed(&shared, 12_000)
+    });
+    assert!(!shared.is_relayed(at(12_000)));
+    assert_eq!(shared.distance(at(12_000)), 0);
+}
+
 /// Others ask those that stand in for the leader, so these must notice first that it is lost.
 #[test]
 fn stand_in_reads_earlier_than_the_others() {
