Use the limits, goals and ranks of the configuration

Cause: several values were decoded and never used, and constants stood in for them: limits on heads, bodies and idle times, the longest acceptable pause, the goal for the first event, ranks, and the usual size of a request. A deployment with other values was served by those of the sites at hand.

Ruled out: a limit on the requests of an engine by its number of slots. It counts requests that come from outside, not those that pass through, and these are not counted apart.

Change: a handler names the limits of each new connection; engines of silent streams are asked by the goals of the route; ranks go to targets; a request without token counts is taken to be a usual one.

Tests: a body beyond the configured limit, a pause within the goal of the route (fails with the former 200 ms), a request of unknown size.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -7,9 +7,7 @@
     pub body_bytes: usize,
     /// Longest request head, in bytes.
     pub head_bytes: usize,
-    /// Longest time in which a head may arrive.
-    pub head_time: Duration,
-    /// Longest time that a connection may be idle.
+    /// Longest time that a connection may be idle, which bounds the arrival of a head too.
     pub idle_time: Duration,
 }
 
@@ -18,7 +16,6 @@
         Self {
             body_bytes: 4 * 1024 * 1024,
             head_bytes: 16 * 1024,
-            head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         }
     }
--- a/crates/catalog/src/engine_profile.rs
+++ b/crates/catalog/src/engine_profile.rs
@@ -32,8 +32,6 @@
     pub pipe_mbps: f64,
     /// Prompt tokens read in a second by hardware with a factor of 1 and all layers.
     pub read_tokens_per_s: f64,
-    /// Requests that an engine takes from outside at once.
-    pub slot_count: u32,
     /// Time of a step over all layers, in milliseconds.
     pub step_ms: f64,
     /// Step time for each writing request, in milliseconds.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -28,7 +28,6 @@
         layer_mb: 100.0,
         pipe_mbps: 10_000.0,
         read_tokens_per_s: 200_000.0,
-        slot_count: 64,
         step_ms: 1.0,
         step_ms_per_request: 0.003,
         usual_answer_tokens: 100.0,
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestFacts {
     /// Most tokens of the answer.
-    pub answer_tokens: f64,
+    pub answer_tokens: Option<f64>,
     /// How long the caller waits.
     pub deadline: Option<Duration>,
     /// Tokens of the answer that the caller expects.
@@ -14,7 +14,7 @@
     /// Key of the client account.
     pub key: Option<Arc<str>>,
     /// Tokens of the prompt.
-    pub prompt_tokens: f64,
+    pub prompt_tokens: Option<f64>,
 }
 
 /// What the head of an answer says to the router.
@@ -43,6 +43,8 @@
     pub last_event: Option<&'a str>,
     /// Path whose first stage receives the request.
     pub path: &'a Path,
+    /// Rank of the request; 0 comes first.
+    pub rank: u32,
 }
 
 /// Reads and writes the wire names of heads.
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -92,15 +92,42 @@
 
     pub(crate) fn demand(&self) -> Demand {
         let facts = &self.facts;
-        let expected = match facts.expected_tokens {
-            Some(tokens) => tokens.min(facts.answer_tokens),
-            None => facts.answer_tokens,
+        let usual = self.pipeline();
+        let answer_tokens = match (facts.expected_tokens, facts.answer_tokens) {
+            (Some(expected), Some(most)) => expected.min(most),
+            (Some(tokens), None) | (None, Some(tokens)) => tokens,
+            (None, None) => usual.map_or(0.0, |profile| profile.usual_answer_tokens),
         };
+        let prompt_tokens = facts.prompt_tokens;
         Demand {
-            answer_tokens: expected,
+            answer_tokens,
             excluded: Vec::new(),
             first: None,
-            prompt_tokens: facts.prompt_tokens,
+            prompt_tokens: prompt_tokens
+                .unwrap_or_else(|| usual.map_or(0.0, |profile| profile.usual_prompt_tokens)),
         }
     }
+
+    /// Rank of the request; 0 comes first.
+    pub(crate) fn rank(&self) -> u32 {
+        let account = self.account.as_ref();
+        let rank = account.and_then(|account| account.rank);
+        rank.unwrap_or(self.route.rank)
+    }
+
+    /// Time without the first event after which engines are asked how they are.
+    pub(crate) fn start_limit(&self, settings: &ForwardSettings) -> Duration {
+        let goal = self.route.latency_goal;
+        if goal.is_zero() {
+            return settings.start_limit;
+        }
+        goal.mul_f64(settings.start_share)
+    }
+
+    /// Shortest and longest time without an event after which engines are asked how they are.
+    pub(crate) fn silence_limits(&self, settings: &ForwardSettings) -> (Duration, Duration) {
+        let goal = self.route.gap_goal.filter(|goal| !goal.is_zero());
+        let longest = goal.unwrap_or(settings.gap_goal);
+        (longest.mul_f64(settings.silence_share), longest)
+    }
 }
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -38,7 +38,7 @@
         let mut watchdog = Watchdog::default();
         let sent_at = clock::now();
         loop {
-            let limit = router.settings.start_limit;
+            let limit = admitted.start_limit(&router.settings);
             let limit = resend_after.map_or(limit, |resend_after| limit.min(resend_after));
             if let Ok(result) = timeout(limit, &mut exchange).await {
                 return Some(result);
--- a/crates/forward/src/message.rs
+++ b/crates/forward/src/message.rs
@@ -25,6 +25,7 @@
             .saturating_sub(router.settings.return_time),
         last_event,
         path,
+        rank: admitted.rank(),
     };
     router.dialect.dispatch(&mut headers, &dispatch);
     let has_body = !request.body.is_empty() || request.headers.contains_key(CONTENT_LENGTH);
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -186,7 +186,23 @@
 
 struct Ingress(Arc<Router>);
 
+/// Least limit on the length of heads that the server takes, in bytes.
+const LEAST_HEAD_BYTES: usize = 8_192;
+
 impl wire::Handler for Ingress {
+    fn limits(&self, limits: wire::Limits) -> wire::Limits {
+        let Some(catalog) = self.0.catalog().catalog().cloned() else {
+            return limits;
+        };
+        let configured = catalog.limits();
+        wire::Limits {
+            body_bytes: configured.body_bytes,
+            head_bytes: configured.head_bytes.max(LEAST_HEAD_BYTES),
+            idle_ms: configured.idle_time.as_millis() as u64,
+            ..limits
+        }
+    }
+
     fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
         let router = self.0.clone();
         async move {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -16,6 +16,8 @@
     pub extra_repeats: f64,
     /// Choice of targets.
     pub fleet: FleetSettings,
+    /// Longest acceptable pause between two events, where the route names none.
+    pub gap_goal: Duration,
     /// Failure domain of this instance.
     pub local_domain: Arc<str>,
     /// Longest time that a connection to a target is kept without use, where the target states no
@@ -32,13 +34,14 @@
     pub repeat_window: Duration,
     /// Shortest time after which a refused caller is asked to come back.
     pub return_after: Duration,
-    /// Shortest and longest time without an event of a running stream after which its engines are
-    /// asked how they are. Low enough to move the stream within the usual longest pause that callers
-    /// find acceptable, 200 ms.
-    pub silence_limits: (Duration, Duration),
-    /// Time without the first event after which engines are asked how they are: half of the usual
+    /// Share of the longest acceptable pause after which the engines of a stream that is usually
+    /// faster are asked how they are. Low enough to move the stream within that pause.
+    pub silence_share: f64,
+    /// Time without the first event after which engines are asked how they are, where the route has no
     /// goal.
     pub start_limit: Duration,
+    /// Share of the route's goal for the first event after which engines are asked how they are.
+    pub start_share: f64,
     /// Time without an event after which a stream whose engines are sound is sent again, as its
     /// connection may be dead. Callers leave after two seconds.
     pub stall_limit: Duration,
@@ -52,6 +55,7 @@
             connect_limit: Duration::from_millis(300),
             extra_repeats: 100.0,
             fleet: FleetSettings::default(),
+            gap_goal: Duration::from_millis(200),
             local_domain: Arc::from(""),
             idle_limit: Duration::from_secs(10),
             // A third crash shows that the first two were no coincidence; other failures also take away
@@ -64,8 +68,9 @@
             repeat_window: Duration::from_secs(10),
             return_after: Duration::from_millis(500),
             return_time: Duration::from_millis(10),
-            silence_limits: (Duration::from_millis(90), Duration::from_millis(200)),
+            silence_share: 0.45,
             start_limit: Duration::from_millis(250),
+            start_share: 0.5,
             stall_limit: Duration::from_millis(1_200),
         }
     }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -77,7 +77,8 @@
             if left.is_zero() {
                 return StreamEnd::TimeOver;
             }
-            let limit = left.min(self.pace.silence_limit(router.settings.silence_limits));
+            let limits = self.exchange.admitted.silence_limits(&router.settings);
+            let limit = left.min(self.pace.silence_limit(limits));
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
--- a/crates/forward/tests/answers.rs
+++ b/crates/forward/tests/answers.rs
@@ -322,3 +322,27 @@
         assert_eq!(status, StatusCode::OK);
     }
 }
+
+#[tokio::test]
+async fn body_beyond_the_configured_limit_is_refused() {
+    let target = sound().await;
+    let router = Setup {
+        limits: catalog::Limits {
+            body_bytes: 8,
+            ..catalog::Limits::default()
+        },
+        ..setup(Repeat::Once, &[&target])
+    };
+    let router = router.start().await;
+    let send = async |body| {
+        let send = router.send(Sending {
+            body,
+            method: "POST",
+            ..Sending::default()
+        });
+        send.await.0
+    };
+    assert_eq!(send("12345678").await, StatusCode::OK);
+    assert_eq!(send("123456789").await, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(target.ids().len(), 1);
+}
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -128,6 +128,10 @@
 
 /// Three engines: one with the first layers, one near and one far with the others.
 async fn pipeline(first: &TestTarget) -> support::TestRouter {
+    pipeline_setup(first).start().await
+}
+
+fn pipeline_setup(first: &TestTarget) -> Setup {
     let layers = [range(0, 4), range(4, 8), range(4, 8)];
     let setup = Setup {
         domains: vec!["a", "a", "b"],
@@ -144,7 +148,7 @@
         local_domain: "a".into(),
         ..forward::ForwardSettings::default()
     };
-    Setup { settings, ..setup }.start().await
+    Setup { settings, ..setup }
 }
 
 #[yare::parameterized(
@@ -231,3 +235,50 @@
     assert_eq!(body.unwrap(), events(0..5));
     assert_eq!(first.ids().len(), 1);
 }
+
+/// Callers that accept long pauses are not served better by a move, which costs engines a second reading
+/// of the prompt.
+#[tokio::test]
+async fn pause_within_the_goal_of_the_route_moves_nothing() {
+    let first = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..2)).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            sender.send(events(2..5)).await;
+        })
+    })
+    .await;
+    let router = Setup {
+        gap_goal: Some(Duration::from_secs(60)),
+        ..pipeline_setup(&first)
+    };
+    let router = router.start().await;
+    let sound = state(range(0, 4), 1.0);
+    let states = router.engines.clone();
+    states.states.lock().unwrap().insert(first.address, sound);
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert_eq!(body.unwrap(), events(0..5));
+    assert!(router.engines.moved.lock().unwrap().is_empty());
+}
+
+/// A request without token counts is taken to be a usual one, as one that takes no memory would overfill
+/// engines.
+#[tokio::test]
+async fn request_of_unknown_size_is_taken_to_be_usual() {
+    let first = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..5)).await;
+        })
+    })
+    .await;
+    let router = Setup {
+        usual_tokens: 1e12,
+        ..pipeline_setup(&first)
+    };
+    let router = router.start().await;
+    assert_eq!(router.send(Sending::default()).await.0, StatusCode::OK);
+    let mut unknown = Sending::default();
+    unknown.headers.push(("x-tokens-unknown", "1"));
+    let (status, _, _) = router.send(unknown).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -32,7 +32,7 @@
 /// Time after which a test fails.
 pub const LIMIT: Duration = Duration::from_secs(20);
 
-/// Headers of the tests: `x-id`, `x-deadline-ms`, `x-key`, `x-tokens`; of answers `x-id`,
+/// Headers of the tests: `x-id`, `x-deadline-ms`, `x-key`, `x-tokens-unknown`; of answers `x-id`,
 /// `x-signature`, `x-not-run`.
 pub struct TestDialect;
 
@@ -42,15 +42,16 @@
 
 impl Dialect for TestDialect {
     fn request(&self, headers: &HeaderMap) -> RequestFacts {
+        let known_tokens = (!headers.contains_key("x-tokens-unknown")).then_some(10.0);
         RequestFacts {
-            answer_tokens: 10.0,
+            answer_tokens: known_tokens,
             deadline: text(headers, "x-deadline-ms")
                 .and_then(|value| value.parse().ok())
                 .map(Duration::from_millis),
             expected_tokens: None,
             id: text(headers, "x-id").unwrap_or_default().into(),
             key: text(headers, "x-key").map(Arc::from),
-            prompt_tokens: 10.0,
+            prompt_tokens: known_tokens,
         }
     }
 
@@ -204,9 +205,12 @@
 /// What a test sets of its router.
 pub struct Setup {
     pub attempt_count: u32,
+    pub gap_goal: Option<Duration>,
+    pub limits: catalog::Limits,
     pub repeat: Repeat,
     pub settings: ForwardSettings,
     pub targets: Vec<SocketAddr>,
+    pub usual_tokens: f64,
     /// Failure domains of the targets; `a` for the others.
     pub domains: Vec<&'static str>,
     /// Layers of each target; empty for a plain service.
@@ -228,11 +232,14 @@
         Self {
             attempt_count: 2,
             domains: Vec::new(),
+            gap_goal: None,
             held: Vec::new(),
+            limits: catalog::Limits::default(),
             repeat: Repeat::Idempotent,
             settings: ForwardSettings::default(),
             targets: Vec::new(),
             time_limit: Duration::from_secs(20),
+            usual_tokens: 10.0,
         }
     }
 }
@@ -268,7 +275,11 @@
     }
 
     fn catalog(&self) -> Catalog {
-        let engine = (!self.held.is_empty()).then(|| Arc::new(profile()));
+        let profile = EngineProfile {
+            usual_prompt_tokens: self.usual_tokens,
+            ..profile()
+        };
+        let engine = (!self.held.is_empty()).then(|| Arc::new(profile));
         Catalog::new(CatalogParts {
             accounts: Some(vec![Account {
                 keys: vec!["key".into()],
@@ -281,7 +292,7 @@
                     service: "s".into(),
                     weight: 1,
                 }],
-                gap_goal: None,
+                gap_goal: self.gap_goal,
                 host: "h".into(),
                 is_public: false,
                 latency_goal: Duration::from_millis(100),
@@ -294,10 +305,9 @@
             services: vec![Service {
                 engine,
                 name: "s".into(),
-                ..Service::default()
             }],
+            limits: self.limits,
             version: 1,
-            ..CatalogParts::default()
         })
     }
 
@@ -334,7 +344,6 @@
         layer_mb: 100.0,
         pipe_mbps: 1_000.0,
         read_tokens_per_s: 100_000.0,
-        slot_count: 64,
         step_ms: 1.0,
         step_ms_per_request: 0.0,
         usual_answer_tokens: 10.0,
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -4,6 +4,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Serves one request.
     fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response>;
+
+    /// Limits of a new connection, for handlers whose limits change while the server runs. `limits`
+    /// are those that the server was started with.
+    fn limits(&self, limits: Limits) -> Limits {
+        limits
+    }
 }
 
 /// Accepts connections until `shutdown` turns true, then finishes the open ones.
@@ -33,6 +39,7 @@
             let _ = stream.try_write(&too_many_connections(limits).into_head_and_body());
             continue;
         };
+        let limits = handler.limits(limits);
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         tasks.spawn(async move {
             serve_connection(stream, peer, handler, limits, shutdown).await;
