Wait longer for changes of the configuration

A change ends the wait at once, so that the wait only sets how old an unchanged configuration may be; 4.5 s are allowed.

Ruled out: the same for the list of targets. It counts for 1.3 s, so that its age must stay below.

Change: reads wait for 0.8 s, and this wait does not count as age of the targets.

--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -1,8 +1,9 @@
 use super::*;
 
-/// Longest wait for a change in one read. A read confirms the configuration as of its start, so the
-/// wait is a part of the age at which keys are no longer accepted.
-const WAIT: Duration = Duration::from_millis(300);
+/// Longest wait for a change in one read. A change ends the wait at once; a read without one confirms
+/// the configuration as of its start. With the way over another instance that is 1.3 s of the 4.5 s for
+/// which keys are accepted, so that an instance that is cut off serves for 3 s more.
+pub(crate) const WAIT: Duration = Duration::from_millis(800);
 
 /// Keeps the configuration of a router current.
 pub async fn follow_catalog(
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -137,7 +137,11 @@
             return None;
         }
         state.distance = relayed.distance + 1;
-        let current_at = relayed.confirmed_at.min(relayed.read_at);
+        // A wait for a change of the configuration says nothing about the targets, which are read by
+        // themselves.
+        let current_at = relayed
+            .read_at
+            .min(relayed.confirmed_at + catalog_loop::WAIT);
         if state.targets_at.is_some_and(|at| at > relayed.read_at) {
             state.relayed_at = state.relayed_at.max(Some(current_at));
             return None;
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -57,6 +57,23 @@
     assert!(!shared.is_relayed(at(11_500)));
 }
 
+/// The reader of the configuration waits for a change for longer than targets may be out of date.
+#[test]
+fn wait_for_a_change_of_the_configuration_is_no_old_knowledge() {
+    let shared = SharedState::default();
+    shared.take_relayed(RelayedTargets {
+        confirmed_at: at(9_300),
+        ..relayed(&shared, 10_000)
+    });
+    assert!(shared.is_relayed(at(11_200)));
+    shared.relay_lost();
+    shared.take_relayed(RelayedTargets {
+        confirmed_at: at(8_000),
+        ..relayed(&shared, 11_000)
+    });
+    assert!(!shared.is_relayed(at(11_200)), "the configuration is old");
+}
+
 #[test]
 fn older_answer_does_not_shorten_what_a_newer_one_proved() {
     let shared = SharedState::default();
