Leave room for urgent requests; a leaving leader answers nothing

Cause of the first: in overload requests of all ranks were refused alike. Cause of the second, seen in the trace of a restart of 30 machines: a leader that was asked to stop gave up the lead and went on answering for its grace time. The others were current with its answers, so that nobody took the lead for 4 s. This came with the answers of instances that do not lead.

Ruled out: waiting lists by rank. Requests that find no room are refused at once and come back; who is let in then is decided by the room left.

Change: where the requests of a service have several ranks, all but the most urgent fill a tenth less of each engine. Instances that are leaving answer no questions.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     accounts_by_key: HashMap<Arc<str>, usize>,
+    /// Rank of the most urgent requests of each service.
+    first_ranks: HashMap<ServiceName, u32>,
     parts: CatalogParts,
     /// Positions of the routes of a host, longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<usize>>,
@@ -70,6 +72,7 @@
         }
         Self {
             accounts_by_key,
+            first_ranks: first_ranks(&parts),
             parts,
             routes_by_host,
             services_by_name,
@@ -89,6 +92,12 @@
         self.parts.accounts.is_some()
     }
 
+    /// Rank of the most urgent requests of a service.
+    #[must_use]
+    pub fn first_rank(&self, service: &str) -> u32 {
+        self.first_ranks.get(service).copied().unwrap_or_default()
+    }
+
     /// Limits for callers.
     #[must_use]
     pub fn limits(&self) -> Limits {
@@ -131,3 +140,22 @@
         self.parts.version
     }
 }
+
+/// Ranks of the most urgent requests of all services. The rank of an account goes before that of a route.
+fn first_ranks(parts: &CatalogParts) -> HashMap<ServiceName, u32> {
+    let accounts = parts.accounts.as_deref().unwrap_or_default();
+    let of_accounts = accounts.iter().filter_map(|account| account.rank).min();
+    let has_others = accounts.is_empty() || accounts.iter().any(|account| account.rank.is_none());
+    let mut first_ranks: HashMap<ServiceName, u32> = HashMap::new();
+    for route in &parts.routes {
+        let of_route = (has_others || route.is_public).then_some(route.rank);
+        let Some(rank) = of_accounts.into_iter().chain(of_route).min() else {
+            continue;
+        };
+        for backend in &route.backends {
+            let first = first_ranks.entry(backend.service.clone()).or_insert(rank);
+            *first = rank.min(*first);
+        }
+    }
+    first_ranks
+}
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -51,6 +51,34 @@
     assert_eq!(route, expected);
 }
 
+#[parameterized(
+    no_accounts = { &[], 2 },
+    account_without_a_rank = { &[None], 2 },
+    more_urgent_account = { &[None, Some(1)], 1 },
+    less_urgent_accounts_only = { &[Some(5), Some(4)], 4 },
+)]
+fn most_urgent_requests_of_a_service_are_known(ranks: &[Option<u32>], expected: u32) {
+    let accounts = ranks.iter().map(|rank| Account {
+        keys: Vec::new(),
+        name: "office".into(),
+        rank: *rank,
+    });
+    let ranked = |name, rank| Route {
+        backends: vec![Backend {
+            service: "s".into(),
+            weight: 1,
+        }],
+        rank,
+        ..route(name, "/")
+    };
+    let catalog = Catalog::new(CatalogParts {
+        accounts: Some(accounts.collect()),
+        routes: vec![ranked("one", 3), ranked("other", 2)],
+        ..CatalogParts::default()
+    });
+    assert_eq!(catalog.first_rank("s"), expected);
+}
+
 #[test]
 fn any_key_in_force_names_the_account() {
     let catalog = catalog(1);
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,6 +9,8 @@
     pub excluded: Vec<TargetKey>,
     /// First stage, where the request is already there and cannot be sent to another one.
     pub first: Option<Stage>,
+    /// Whether room must be left for more urgent requests.
+    pub leaves_room: bool,
     /// Tokens of the prompt; 0 for plain services.
     pub prompt_tokens: f64,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -345,7 +345,12 @@
         hardware: &HardwareKind,
         demand: &Demand,
     ) -> Option<f64> {
-        let capacity = entry.token_layer_capacity(profile) * self.settings.fill_share;
+        let settings = &self.settings;
+        let fill_share = match demand.leaves_room {
+            false => settings.fill_share,
+            true => settings.fill_share - settings.urgent_share,
+        };
+        let capacity = entry.token_layer_capacity(profile) * fill_share;
         let own_count = f64::from(entry.in_flight_count);
         let (used, running) = match self.others.get(now, &entry.target.id) {
             // The other instances are taken to send as much as this one.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -19,6 +19,9 @@
     pub report_limit: Duration,
     /// Factor from which an engine that is slower than its hardware counts as slow.
     pub slow_factor: f64,
+    /// Share of an engine's memory for requests that only the most urgent requests fill, where a service
+    /// has requests of several ranks.
+    pub urgent_share: f64,
     /// Random share by which costs differ between instances, so that they do not all choose the
     /// same targets from the same reports.
     pub spread_share: f64,
@@ -35,6 +38,8 @@
             report_limit: Duration::from_millis(500),
             slow_factor: 1.5,
             spread_share: 0.05,
+            // As much as `fill_share` leaves free.
+            urgent_share: 0.1,
         }
     }
 }
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use {
-    fleet::{LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
+    fleet::{Demand, LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::Rng,
     std::{collections::BTreeSet, time::Duration},
@@ -284,3 +284,21 @@
     fleet.set_other_loads(NOW, &loads.without(&"z".into(), &[]));
     assert_eq!(path(&fleet, &demand()), Err(NoPath::Full));
 }
+
+/// In overload, requests of all ranks were refused alike, and urgent ones found engines full of others.
+#[test]
+fn less_urgent_requests_leave_room_for_urgent_ones() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    let less_urgent = Demand {
+        leaves_room: true,
+        ..demand()
+    };
+    let mut begun_count = 0;
+    while let Ok(path) = path(&fleet, &less_urgent) {
+        fleet.begin(NOW, &path);
+        begun_count += 1;
+    }
+    assert!(begun_count > 0);
+    assert!(path(&fleet, &demand()).is_ok());
+    assert_eq!(path(&fleet, &less_urgent), Err(NoPath::Full));
+}
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -7,6 +7,8 @@
     /// When the request had arrived whole.
     pub(crate) arrived_at: Duration,
     pub(crate) facts: RequestFacts,
+    /// Rank of the most urgent requests of the service.
+    first_rank: u32,
     /// Path, account and body of the request.
     pub(crate) fingerprint: Fingerprint,
     pub(crate) profile: Option<Arc<EngineProfile>>,
@@ -72,6 +74,7 @@
             arrived_at: now,
             ends_at: now + limit,
             facts,
+            first_rank: catalog.first_rank(&service),
             fingerprint,
             profile,
             route: route.clone(),
@@ -103,6 +106,7 @@
             answer_tokens,
             excluded: Vec::new(),
             first: None,
+            leaves_room: self.rank() > self.first_rank,
             prompt_tokens: prompt_tokens
                 .unwrap_or_else(|| usual.map_or(0.0, |profile| profile.usual_prompt_tokens)),
         }
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -31,7 +31,7 @@
         }
     }
 
-    /// Answers a question, or none if this instance knows nothing yet.
+    /// Answers a question, or none if this instance knows nothing yet or is leaving.
     pub async fn answer(&self, mut query: Query) -> Option<Answer> {
         let arrived_at = clock::now();
         self.note_member(&query);
@@ -40,6 +40,9 @@
         self.router
             .suspects()
             .take_reports(arrived_at, &asking, &query.crashes);
+        if self.router.is_leaving() {
+            return None;
+        }
         let change_count = self.shared.change_count();
         let is_behind = {
             let holder = self.router.catalog();
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when there is no answer in time, or the other one knows nothing yet.
+    /// Returns an error when there is no answer in time, or the other one knows nothing yet or is leaving.
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>>;
 }
 
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -41,7 +41,11 @@
         context.deadline = std::time::Instant::now() + limit;
         let error = match timeout(limit, client.ask(context, query)).await {
             Ok(Ok(Some(answer))) => return Ok(answer),
-            Ok(Ok(None)) => return Err(Error::Refused(format!("{address} does not lead"))),
+            Ok(Ok(None)) => {
+                return Err(Error::Refused(format!(
+                    "{address} knows nothing yet or is leaving"
+                )));
+            }
             Ok(Err(error)) => error.to_string(),
             Err(_) => format!("no answer of {address} in {limit:?}"),
         };
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -240,6 +240,19 @@
     assert!(matches!(answer, Err(Error::Refused(_))), "{answer:?}");
 }
 
+/// A leader that is asked to stop gives up the lead, but answers for the rest of its grace time. As long as
+/// the others are current with its answers, nobody takes the lead over.
+#[tokio::test]
+async fn instance_that_is_leaving_answers_nothing() {
+    let (leader, _task) = leader().await;
+    leader.router.leave();
+    let asking = node("y", ([127, 0, 0, 1], 1).into());
+    let answer = RelayClient::default()
+        .ask(leader.row.relay_address, query(&asking))
+        .await;
+    assert!(matches!(answer, Err(Error::Refused(_))), "{answer:?}");
+}
+
 /// A leader that the store turns away goes on answering. What it knows must not keep others from
 /// reading the store themselves.
 #[tokio::test]
