Tell other instances of engines that do not answer

Ruled out: taking over what others say. A cut link of one instance would take a sound engine from all.

Change: loads that instances tell each other say which engines are silent. An instance that hears of it asks the engine itself, together with a sound one, at most every 4 s and not if it was active a moment ago. Only its own answer, or the lack of it, counts.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -5,7 +5,11 @@
 pub(crate) struct Entry {
     /// When the last sign of activity arrived.
     pub(crate) active_at: Duration,
+    /// When other instances last said that it does not answer them, until it is asked here.
+    pub(crate) doubted_at: Option<Duration>,
     pub(crate) health: Health,
+    /// Whether it is to be asked because of what others said.
+    pub(crate) is_doubted: bool,
     /// Requests of this instance that it serves.
     pub(crate) in_flight_count: u32,
     /// Last reported load, and when it arrived.
@@ -21,7 +25,9 @@
     pub(crate) fn new(target: Target) -> Self {
         Self {
             active_at: Duration::ZERO,
+            doubted_at: None,
             health: Health::default(),
+            is_doubted: false,
             in_flight_count: 0,
             load: None,
             slowness: 1.0,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,5 +1,11 @@
 use super::*;
 
+/// Age up to which a sign of activity of an engine outweighs what others say of it.
+const ACTIVITY_AGE: Duration = Duration::from_millis(250);
+/// Shortest time between questions to an engine because of what others say. With 76 instances that is
+/// about 20 questions a second, each of which takes an engine up to 6 ms.
+const DOUBT_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Targets, as one instance knows them.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -204,6 +210,7 @@
             return false;
         };
         let before = entry.health.is_avoided(now);
+        entry.is_doubted &= outcome != Outcome::Silent;
         entry.health.note(now, outcome, &self.settings);
         !before && entry.health.is_avoided(now)
     }
@@ -220,21 +227,47 @@
     pub fn own_loads(&self) -> Vec<SharedLoad> {
         let mut loads = Vec::new();
         for entry in self.targets.values() {
-            if entry.in_flight_count == 0 {
+            let is_silent = entry.health.is_silent();
+            if entry.in_flight_count == 0 && !is_silent {
                 continue;
             }
             loads.push(SharedLoad {
                 id: entry.target.id.clone(),
                 in_flight_count: entry.in_flight_count,
+                silent_count: u32::from(is_silent),
                 token_layers: entry.token_layers,
             });
         }
         loads
     }
 
-    /// Notes what the requests of all other instances take.
-    pub fn set_other_loads(&mut self, now: Duration, loads: &[SharedLoad]) {
+    /// Notes what all other instances know of targets. Returns whether some are to be asked now,
+    /// because they do not answer others.
+    ///
+    /// What others say is no proof, as the fault may be on their side. An engine that showed activity
+    /// here lately is not asked, and each one only once in a while.
+    pub fn set_other_loads(&mut self, now: Duration, loads: &[SharedLoad]) -> bool {
         self.others.set(now, loads);
+        let mut has_doubts = false;
+        for load in loads.iter().filter(|load| load.silent_count > 0) {
+            let entry = self.by_id.get(&load.id);
+            let Some(entry) = entry.and_then(|key| self.targets.get_mut(*key)) else {
+                continue;
+            };
+            let is_recent = |at: Duration, limit| at + limit > now;
+            let is_known = entry.health.is_silent()
+                || is_recent(entry.active_at, ACTIVITY_AGE)
+                || entry
+                    .doubted_at
+                    .is_some_and(|at| is_recent(at, DOUBT_INTERVAL));
+            if is_known || entry.target.hardware.is_none() {
+                continue;
+            }
+            entry.doubted_at = Some(now);
+            entry.is_doubted = true;
+            has_doubts = true;
+        }
+        has_doubts
     }
 
     /// Notes that all targets of a path took part in an event that arrived.
@@ -261,6 +294,7 @@
         let was_slow = entry.slowness >= limit;
         entry.active_at = now;
         entry.health = Health::default();
+        entry.is_doubted = false;
         entry.slowness = slowness.max(1.0);
         entry.target.held = held;
         was_slow != (entry.slowness >= limit)
@@ -303,17 +337,29 @@
         entry.is_some_and(|entry| entry.slowness >= self.settings.slow_factor)
     }
 
-    /// Engines that are avoided or slow, to be asked how they are.
+    /// Engines that are avoided, slow or doubted, to be asked how they are. Beside doubted ones, a sound
+    /// one is asked too, which shows whether a silence is the fault of this side.
     #[must_use]
     pub fn unhealthy(&self, now: Duration) -> Vec<Stage> {
         let mut unhealthy = Vec::new();
+        let mut has_doubts = false;
+        let mut sound: Option<(Duration, TargetKey)> = None;
         for (key, entry) in &self.targets {
             let is_engine = entry.target.hardware.is_some();
             let is_slow = entry.slowness >= self.settings.slow_factor;
-            if is_engine && (is_slow || entry.health.is_avoided(now)) {
+            if !is_engine {
+                continue;
+            }
+            has_doubts |= entry.is_doubted;
+            if entry.is_doubted || is_slow || entry.health.is_avoided(now) {
                 unhealthy.push(self.stage(key, entry.target.held));
+            } else {
+                sound = sound.max(Some((entry.active_at, key)));
             }
         }
+        if let Some((_, key)) = sound.filter(|_| has_doubts) {
+            unhealthy.push(self.stage(key, self.targets[key].target.held));
+        }
         unhealthy
     }
 
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether it did not answer when it was asked.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     pub(crate) fn is_avoided(&self, now: Duration) -> bool {
         self.is_silent || now < self.avoided_until
     }
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -11,14 +11,20 @@
 pub struct LoadTable {
     /// Loads of each instance, and when it told them.
     by_instance: HashMap<Arc<str>, (Vec<SharedLoad>, Duration)>,
-    /// Requests, and tokens times layers, of each target. Invariant: the sum over `by_instance`,
-    /// without targets that have no requests.
-    sums: HashMap<TargetId, (u32, f64)>,
+    /// Sum over `by_instance` for each target. Invariant: without targets that have no requests and
+    /// answer all instances.
+    sums: HashMap<TargetId, SharedLoad>,
 }
 
 impl LoadTable {
-    /// Replaces the loads of an instance, and forgets instances that no longer tell theirs.
-    pub fn set(&mut self, now: Duration, instance: &Arc<str>, loads: Vec<SharedLoad>) {
+    /// Replaces the loads of an instance, and forgets instances that no longer tell theirs. Returns
+    /// whether a target is silent that answered all instances before.
+    pub fn set(&mut self, now: Duration, instance: &Arc<str>, loads: Vec<SharedLoad>) -> bool {
+        let silent = |sums: &HashMap<TargetId, SharedLoad>| -> BTreeSet<TargetId> {
+            let silent = sums.values().filter(|load| load.silent_count > 0);
+            silent.map(|load| load.id.clone()).collect()
+        };
+        let before = silent(&self.sums);
         let oldest = now.saturating_sub(LOAD_AGE);
         let mut gone = Vec::new();
         self.by_instance.retain(|known, (loads, at)| {
@@ -29,14 +35,13 @@
             is_kept
         });
         for load in &gone {
-            self.subtract(load);
+            subtract(&mut self.sums, load);
         }
         for load in &loads {
-            let sum = self.sums.entry(load.id.clone()).or_default();
-            sum.0 += load.in_flight_count;
-            sum.1 += load.token_layers;
+            add(&mut self.sums, load);
         }
         self.by_instance.insert(instance.clone(), (loads, now));
+        !silent(&self.sums).is_subset(&before)
     }
 
     /// Sum of the loads of all instances but one, and of `own`.
@@ -44,38 +49,41 @@
     pub fn without(&self, instance: &Arc<str>, own: &[SharedLoad]) -> Vec<SharedLoad> {
         let mut sums = self.sums.clone();
         for load in own {
-            let sum = sums.entry(load.id.clone()).or_default();
-            sum.0 += load.in_flight_count;
-            sum.1 += load.token_layers;
+            add(&mut sums, load);
         }
         if let Some((loads, _)) = self.by_instance.get(instance) {
             for load in loads {
                 subtract(&mut sums, load);
             }
         }
-        let sums = sums.into_iter();
-        sums.map(|(id, (in_flight_count, token_layers))| SharedLoad {
-            id,
-            in_flight_count,
-            token_layers,
-        })
-        .collect()
+        sums.into_values().collect()
     }
+}
 
-    fn subtract(&mut self, load: &SharedLoad) {
-        subtract(&mut self.sums, load);
-    }
+fn add(sums: &mut HashMap<TargetId, SharedLoad>, load: &SharedLoad) {
+    let Some(sum) = sums.get_mut(&load.id) else {
+        sums.insert(load.id.clone(), load.clone());
+        return;
+    };
+    sum.in_flight_count += load.in_flight_count;
+    sum.silent_count += load.silent_count;
+    sum.token_layers += load.token_layers;
 }
 
-/// Takes a load out of the sums. A target without requests is dropped, so that no rounding errors
-/// remain.
-fn subtract(sums: &mut HashMap<TargetId, (u32, f64)>, load: &SharedLoad) {
+/// Takes a load out of the sums. A target without requests is dropped or set to nothing, so that no
+/// rounding errors remain.
+fn subtract(sums: &mut HashMap<TargetId, SharedLoad>, load: &SharedLoad) {
     let Some(sum) = sums.get_mut(&load.id) else {
         return;
     };
-    sum.0 = sum.0.saturating_sub(load.in_flight_count);
-    sum.1 = (sum.1 - load.token_layers).max(0.0);
-    if sum.0 == 0 {
+    sum.in_flight_count = sum.in_flight_count.saturating_sub(load.in_flight_count);
+    sum.silent_count = sum.silent_count.saturating_sub(load.silent_count);
+    sum.token_layers = (sum.token_layers - load.token_layers).max(0.0);
+    if sum.in_flight_count > 0 {
+        return;
+    }
+    sum.token_layers = 0.0;
+    if sum.silent_count == 0 {
         sums.remove(&load.id);
     }
 }
--- a/crates/fleet/src/shared_load.rs
+++ b/crates/fleet/src/shared_load.rs
@@ -3,13 +3,15 @@
 /// Age at which the loads of other instances no longer say anything.
 const LOAD_AGE: Duration = Duration::from_secs(2);
 
-/// What the requests of some instances take of one target.
+/// What some instances know of one target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SharedLoad {
     /// Target.
     pub id: TargetId,
     /// Requests.
     pub in_flight_count: u32,
+    /// Instances that got no answer when they asked it how it is.
+    pub silent_count: u32,
     /// Tokens times layers.
     pub token_layers: f64,
 }
--- a/crates/fleet/tests/load_table.rs
+++ b/crates/fleet/tests/load_table.rs
@@ -11,6 +11,7 @@
     SharedLoad {
         id: id.into(),
         in_flight_count,
+        silent_count: 0,
         token_layers: f64::from(in_flight_count) * 0.1,
     }
 }
@@ -47,6 +48,21 @@
     assert_eq!(table.without(&"y".into(), &[]), []);
 }
 
+#[test]
+fn silence_of_a_target_is_told_once_and_ends() {
+    let silent = SharedLoad {
+        silent_count: 1,
+        ..load("t1", 0)
+    };
+    let mut table = LoadTable::default();
+    assert!(table.set(NOW, &"x".into(), vec![silent.clone()]));
+    assert!(!table.set(NOW, &"y".into(), vec![silent]), "known by then");
+    assert_eq!(table.without(&"y".into(), &[])[0].silent_count, 1);
+    table.set(NOW, &"x".into(), Vec::new());
+    table.set(NOW, &"y".into(), Vec::new());
+    assert_eq!(table.without(&"z".into(), &[]), []);
+}
+
 #[test]
 fn instance_that_no_longer_calls_is_forgotten() {
     let mut table = LoadTable::default();
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use {
-    fleet::{Demand, LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
+    fleet::{Demand, Fleet, LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::Rng,
     std::{collections::BTreeSet, time::Duration},
@@ -275,6 +275,7 @@
     let others = SharedLoad {
         id: "a1".into(),
         in_flight_count: 30,
+        silent_count: 0,
         token_layers: 30.0 * 600.0 * 8.0,
     };
     let mut loads = LoadTable::default();
@@ -302,3 +303,43 @@
     assert!(path(&fleet, &demand()).is_ok());
     assert_eq!(path(&fleet, &less_urgent), Err(NoPath::Full));
 }
+
+fn silent_elsewhere(id: &str) -> SharedLoad {
+    SharedLoad {
+        id: id.into(),
+        in_flight_count: 0,
+        silent_count: 1,
+        token_layers: 0.0,
+    }
+}
+
+fn asked(fleet: &Fleet) -> Vec<String> {
+    let stages = fleet.unhealthy(NOW);
+    let mut ids: Vec<String> = stages.iter().map(|stage| stage.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+/// Each of 76 instances found out about a dead engine by requests of its own, which used up their
+/// repeats.
+#[test]
+fn engine_that_does_not_answer_others_is_asked_once_with_a_sound_one() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8), engine("a2", "a", 0, 8)]);
+    assert!(fleet.set_other_loads(NOW, &[silent_elsewhere("a1")]));
+    assert_eq!(asked(&fleet), ["a1", "a2"]);
+    assert!(path(&fleet, &demand()).is_ok(), "no proof by itself");
+    let doubted = fleet.unhealthy(NOW).remove(0);
+    fleet.note_state(NOW, doubted.key, doubted.range, 1.0);
+    assert_eq!(asked(&fleet), Vec::<String>::new());
+    let later = NOW + Duration::from_secs(1);
+    assert!(!fleet.set_other_loads(later, &[silent_elsewhere("a1")]));
+}
+
+#[test]
+fn engine_that_is_active_here_is_not_doubted() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    let path = path(&fleet, &demand()).unwrap();
+    fleet.note_activity(NOW, &path);
+    assert!(!fleet.set_other_loads(NOW, &[silent_elsewhere("a1")]));
+    assert_eq!(asked(&fleet), Vec::<String>::new());
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,8 +8,8 @@
     bytes::{Bytes, BytesMut},
     catalog::{Account, EngineProfile, Holder, Repeat, Route, ServiceName},
     fleet::{
-        Demand, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget, Stage, Target,
-        TargetId, TargetKey,
+        Demand, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget, SharedLoad, Stage,
+        Target, TargetId, TargetKey,
     },
     futures::{FutureExt, future::BoxFuture},
     http_body_util::Full,
@@ -35,7 +35,7 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::time::{sleep, timeout},
+    tokio::{sync::Notify, time::timeout},
     types::{CrashReport, Fingerprint},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -11,6 +11,8 @@
 pub(crate) struct Probes {
     /// When engines were last asked. Locked while they are, so that others wait for the answers.
     asked_at: tokio::sync::Mutex<HashMap<TargetId, Duration>>,
+    /// Wakes the questions to engines that do not answer others.
+    pub(crate) doubted: Notify,
     engines: Arc<dyn Engines>,
 }
 
@@ -18,6 +20,7 @@
     pub(crate) fn new(engines: Arc<dyn Engines>) -> Self {
         Self {
             asked_at: tokio::sync::Mutex::default(),
+            doubted: Notify::new(),
             engines,
         }
     }
@@ -73,10 +76,11 @@
     }
 }
 
-/// Asks engines that are avoided or slow until they are healthy again.
+/// Asks engines that are avoided or slow until they are healthy again, and those that do not answer
+/// others.
 pub async fn watch_engines(router: Arc<Router>) {
     loop {
-        sleep(INTERVAL).await;
+        let _ = timeout(INTERVAL, router.probes.doubted.notified()).await;
         let unhealthy = router.fleet().unhealthy(clock::now());
         if !unhealthy.is_empty() {
             router.probes.ask_stages(&router, &unhealthy).await;
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -44,6 +44,13 @@
         lock(&self.fleet)
     }
 
+    /// Notes what all other instances know of targets.
+    pub fn set_other_loads(&self, loads: &[SharedLoad]) {
+        if self.fleet().set_other_loads(clock::now(), loads) {
+            self.probes.doubted.notify_one();
+        }
+    }
+
     /// Requests that may crash targets.
     pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -7,6 +7,7 @@
 use {
     bytes::Bytes,
     catalog::Repeat,
+    fleet::SharedLoad,
     forward::EngineState,
     futures::{FutureExt, future::BoxFuture},
     layout::LayerRange,
@@ -282,3 +283,37 @@
     let (status, _, _) = router.send(unknown).await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// What other instances say of an engine makes this one ask it, and only the lack of an answer counts.
+#[tokio::test]
+async fn engine_that_is_dead_for_others_is_avoided_before_the_first_request() {
+    let first = target(|request| {
+        stream(request, |sender, _| async move {
+            sender.send(events(0..5)).await;
+        })
+    })
+    .await;
+    let router = pipeline(&first).await;
+    {
+        let mut states = router.engines.states.lock().unwrap();
+        states.insert(first.address, state(range(0, 4), 1.0));
+        states.insert(([127, 0, 0, 3], 1).into(), state(range(4, 8), 1.0));
+    }
+    tokio::spawn(forward::watch_engines(router.router.clone()));
+    let silent = |id: &str| SharedLoad {
+        id: id.into(),
+        in_flight_count: 0,
+        silent_count: 1,
+        token_layers: 0.0,
+    };
+    router.router.set_other_loads(&[silent("t1"), silent("t2")]);
+    for _ in 0..4_000 {
+        let own = router.router.fleet().own_loads();
+        if own.iter().any(|load| load.silent_count > 0) {
+            assert_eq!(own, [silent("t1")]);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the silent engine is not found");
+}
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -179,7 +179,7 @@
             target_loop::publish(router, &before, &listing);
         }
         let now = clock::now();
-        router.fleet().set_other_loads(now, &answer.other_loads);
+        router.set_other_loads(&answer.other_loads);
         let others = Arc::from(OTHERS);
         router
             .suspects()
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -107,6 +107,6 @@
         let Some(others) = self.shared.set_loads(now, id, loads, LOAD_INTERVAL) else {
             return;
         };
-        self.router.fleet().set_other_loads(now, &others);
+        self.router.set_other_loads(&others);
     }
 }
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -194,7 +194,9 @@
         interval: Duration,
     ) -> Option<Vec<SharedLoad>> {
         let mut state = self.lock();
-        state.loads.set(now, id, loads);
+        if state.loads.set(now, id, loads) {
+            self.wake();
+        }
         if now.saturating_sub(state.loads_taken_at) < interval {
             return None;
         }
