Expect what others send meanwhile, and remember full engines

An engine that had refused for want of room was chosen again by the next request.

Ruled out: counting the expected sends of others as certain.

Change: what an instance has sent since it last heard of the others' loads counts once for each of them in the price of an engine, not in its room. An engine that refused for want of room gets nothing for 100 ms.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -14,6 +14,8 @@
     pub(crate) in_flight_count: u32,
     /// Last reported load, and when it arrived.
     pub(crate) load: Option<(Load, Duration)>,
+    /// Tokens times layers that requests of this instance took since the others last told their loads.
+    pub(crate) new_token_layers: f64,
     /// Factor by which it is slower than its hardware, as it last said. Invariant: at least 1.
     pub(crate) slowness: f64,
     pub(crate) target: Target,
@@ -30,6 +32,7 @@
             is_doubted: false,
             in_flight_count: 0,
             load: None,
+            new_token_layers: 0.0,
             slowness: 1.0,
             target,
             token_layers: 0.0,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -166,6 +166,7 @@
             let jitter = 1.0 + rng.random_range(0.0..self.settings.spread_share);
             let is_first = demand.first.as_ref().is_some_and(|first| first.key == key);
             let layer_ms = self.layer_ms(now, entry, profile, hardware, demand);
+            let layer_ms = layer_ms.filter(|_| !entry.health.is_full(now));
             // A request that is already there has its memory.
             let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
                 continue;
@@ -188,7 +189,9 @@
                 continue;
             };
             entry.in_flight_count += 1;
-            entry.token_layers += stage_token_layers(path, stage);
+            let token_layers = stage_token_layers(path, stage);
+            entry.new_token_layers += token_layers;
+            entry.token_layers += token_layers;
         }
     }
 
@@ -248,6 +251,9 @@
     /// here lately is not asked, and each one only once in a while.
     pub fn set_other_loads(&mut self, now: Duration, loads: &[SharedLoad]) -> bool {
         self.others.set(now, loads);
+        for entry in self.targets.values_mut() {
+            entry.new_token_layers = 0.0;
+        }
         let mut has_doubts = false;
         for load in loads.iter().filter(|load| load.silent_count > 0) {
             let entry = self.by_id.get(&load.id);
@@ -421,8 +427,12 @@
         let read_ms = demand.prompt_tokens * hardware.read_factor * entry.slowness * 1_000.0;
         let read_ms = read_ms / profile.read_tokens_per_s.max(1.0);
         let layers = f64::from(profile.layer_count.max(1));
+        // The others have sent about as much as this instance since they told their loads. As they may
+        // have not, it makes the engine dearer, but not full.
+        let unseen = entry.new_token_layers * (self.peer_factor() - 1.0) / capacity.max(1.0);
+        let expected = filled + unseen;
         // Waiting grows as the memory fills.
-        Some((step_ms + read_ms) / layers * (1.0 + filled * filled))
+        Some((step_ms + read_ms) / layers * (1.0 + expected * expected))
     }
 
     fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Health {
     avoided_until: Duration,
+    /// Until when it is taken to have no room, as it said so.
+    full_until: Duration,
     /// Failures without an answer between them.
     failure_count: u32,
     /// Whether it did not answer when it was asked. Then it is avoided until it does.
@@ -37,7 +39,7 @@
                 self.failure_count += 1;
                 self.avoided_until = now + avoidance.min(settings.longest_avoidance);
             }
-            Outcome::Full => {}
+            Outcome::Full => self.full_until = now + settings.full_time,
             Outcome::Silent => self.is_silent = true,
         }
     }
@@ -47,6 +49,11 @@
         self.is_silent
     }
 
+    /// Whether it said a moment ago that it has no room.
+    pub(crate) fn is_full(&self, now: Duration) -> bool {
+        now < self.full_until
+    }
+
     pub(crate) fn is_avoided(&self, now: Duration) -> bool {
         self.is_silent || now < self.avoided_until
     }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -8,6 +8,9 @@
     pub fill_share: f64,
     /// First time for which a target that failed is avoided. Doubles with each further failure.
     pub first_avoidance: Duration,
+    /// Time for which an engine that refused a request for want of room gets no other one. Streams end
+    /// and free room within some tens of milliseconds.
+    pub full_time: Duration,
     /// Time that one stage adds to each token, in milliseconds: a transfer within a failure domain
     /// and the wait for the pass in progress.
     pub hop_ms: f64,
@@ -33,6 +36,7 @@
             domain_change_ms: 3.0,
             fill_share: 0.9,
             first_avoidance: Duration::from_millis(500),
+            full_time: Duration::from_millis(100),
             hop_ms: 0.5,
             longest_avoidance: Duration::from_secs(8),
             report_limit: Duration::from_millis(500),
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -343,3 +343,31 @@
     assert!(!fleet.set_other_loads(NOW, &[silent_elsewhere("a1")]));
     assert_eq!(asked(&fleet), Vec::<String>::new());
 }
+
+/// After all instances had started anew, each sent its first requests to the same fast engines, which
+/// refused 270 of them within a tenth of a second.
+#[test]
+fn what_others_send_meanwhile_is_expected() {
+    let targets = [engine("a1", "a", 0, 8), engine("a2", "a", 0, 8)];
+    let mut fleet = fleet(&targets);
+    fleet.set_instance_count(76);
+    fleet.set_other_loads(NOW, &[]);
+    let first = path(&fleet, &demand()).unwrap();
+    fleet.begin(NOW, &first);
+    let second = path(&fleet, &demand()).unwrap();
+    assert_ne!(first.first().id, second.first().id);
+    fleet.begin(NOW, &second);
+    assert!(path(&fleet, &demand()).is_ok(), "dearer, not full");
+}
+
+#[test]
+fn engine_that_refused_gets_nothing_for_a_moment() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8)]);
+    let first = path(&fleet, &demand()).unwrap();
+    fleet.note(NOW, first.first().key, Outcome::Full);
+    assert_eq!(path(&fleet, &demand()), Err(NoPath::Full));
+    let later = NOW + Duration::from_millis(150);
+    let mut rng = rng();
+    let again = fleet.choose_path(later, "model", &profile(), &demand(), &"a".into(), &mut rng);
+    assert!(again.is_ok());
+}
