Split what an instance observes of targets from their choice

Change: observations of targets have a file of their own; the fingerprint is formed beside the check. No behaviour changes.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,22 +1,16 @@
 use super::*;
 
-/// Age up to which a sign of activity of an engine outweighs what others say of it.
-const ACTIVITY_AGE: Duration = Duration::from_millis(250);
-/// Shortest time between questions to an engine because of what others say. With 76 instances that is
-/// about 20 questions a second, each of which takes an engine up to 6 ms.
-const DOUBT_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Targets, as one instance knows them.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    by_id: HashMap<TargetId, TargetKey>,
+    pub(crate) by_id: HashMap<TargetId, TargetKey>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     /// Instances that share the targets. Invariant: at least 1 once it was set.
     instance_count: usize,
-    others: OtherLoads,
+    pub(crate) others: OtherLoads,
     pipes: Pipes,
-    settings: FleetSettings,
-    targets: SlotMap<TargetKey, Entry>,
+    pub(crate) settings: FleetSettings,
+    pub(crate) targets: SlotMap<TargetKey, Entry>,
 }
 
 impl Fleet {
@@ -206,169 +200,6 @@
         }
     }
 
-    /// Notes how a request ended at a target. Returns whether the target is avoided from now on
-    /// and was not before.
-    pub fn note(&mut self, now: Duration, key: TargetKey, outcome: Outcome) -> bool {
-        let Some(entry) = self.targets.get_mut(key) else {
-            return false;
-        };
-        let before = entry.health.is_avoided(now);
-        entry.is_doubted &= outcome != Outcome::Silent;
-        entry.health.note(now, outcome, &self.settings);
-        !before && entry.health.is_avoided(now)
-    }
-
-    /// Notes the load that a target reported.
-    pub fn note_load(&mut self, now: Duration, key: TargetKey, load: Load) {
-        if let Some(entry) = self.targets.get_mut(key) {
-            entry.load = Some((load, now));
-        }
-    }
-
-    /// What the requests of this instance take of its targets.
-    #[must_use]
-    pub fn own_loads(&self) -> Vec<SharedLoad> {
-        let mut loads = Vec::new();
-        for entry in self.targets.values() {
-            let is_silent = entry.health.is_silent();
-            if entry.in_flight_count == 0 && !is_silent {
-                continue;
-            }
-            loads.push(SharedLoad {
-                id: entry.target.id.clone(),
-                in_flight_count: entry.in_flight_count,
-                silent_count: u32::from(is_silent),
-                token_layers: entry.token_layers,
-            });
-        }
-        loads
-    }
-
-    /// Notes what all other instances know of targets. Returns whether some are to be asked now,
-    /// because they do not answer others.
-    ///
-    /// What others say is no proof, as the fault may be on their side. An engine that showed activity
-    /// here lately is not asked, and each one only once in a while.
-    pub fn set_other_loads(&mut self, now: Duration, loads: &[SharedLoad]) -> bool {
-        self.others.set(now, loads);
-        for entry in self.targets.values_mut() {
-            entry.new_token_layers = 0.0;
-        }
-        let mut has_doubts = false;
-        for load in loads.iter().filter(|load| load.silent_count > 0) {
-            let entry = self.by_id.get(&load.id);
-            let Some(entry) = entry.and_then(|key| self.targets.get_mut(*key)) else {
-                continue;
-            };
-            let is_recent = |at: Duration, limit| at + limit > now;
-            let is_known = entry.health.is_silent()
-                || is_recent(entry.active_at, ACTIVITY_AGE)
-                || entry
-                    .doubted_at
-                    .is_some_and(|at| is_recent(at, DOUBT_INTERVAL));
-            if is_known || entry.target.hardware.is_none() {
-                continue;
-            }
-            entry.doubted_at = Some(now);
-            entry.is_doubted = true;
-            has_doubts = true;
-        }
-        has_doubts
-    }
-
-    /// Notes that all targets of a path took part in an event that arrived.
-    pub fn note_activity(&mut self, now: Duration, path: &Path) {
-        for key in path.keys() {
-            if let Some(entry) = self.targets.get_mut(key) {
-                entry.active_at = now;
-            }
-        }
-    }
-
-    /// Notes what an engine said of itself. Returns whether it became slow or is no longer slow.
-    pub fn note_state(
-        &mut self,
-        now: Duration,
-        key: TargetKey,
-        held: Option<LayerRange>,
-        slowness: f64,
-    ) -> bool {
-        let limit = self.settings.slow_factor;
-        let Some(entry) = self.targets.get_mut(key) else {
-            return false;
-        };
-        let was_slow = entry.slowness >= limit;
-        entry.active_at = now;
-        entry.health = Health::default();
-        entry.is_doubted = false;
-        entry.slowness = slowness.max(1.0);
-        entry.target.held = held;
-        was_slow != (entry.slowness >= limit)
-    }
-
-    /// Stages of a path that gave no sign of activity after `since`.
-    #[must_use]
-    pub fn silent<'a>(&self, path: &'a Path, since: Duration) -> Vec<&'a Stage> {
-        let mut silent = Vec::new();
-        for stage in &path.stages {
-            if self
-                .targets
-                .get(stage.key)
-                .is_none_or(|entry| entry.active_at <= since)
-            {
-                silent.push(stage);
-            }
-        }
-        silent
-    }
-
-    /// Whether a stage of a path must be replaced: it is gone, avoided, or does not hold its layers.
-    #[must_use]
-    pub fn is_lost(&self, now: Duration, stage: &Stage) -> bool {
-        let Some(entry) = self.targets.get(stage.key) else {
-            return true;
-        };
-        let is_held = match (stage.range, entry.target.held) {
-            (None, _) => true,
-            (Some(range), Some(held)) => held.covers(range),
-            (Some(_), None) => false,
-        };
-        !is_held || entry.health.is_avoided(now)
-    }
-
-    /// Whether a stage is much slower than its hardware.
-    #[must_use]
-    pub fn is_slow(&self, stage: &Stage) -> bool {
-        let entry = self.targets.get(stage.key);
-        entry.is_some_and(|entry| entry.slowness >= self.settings.slow_factor)
-    }
-
-    /// Engines that are avoided, slow or doubted, to be asked how they are. Beside doubted ones, a sound
-    /// one is asked too, which shows whether a silence is the fault of this side.
-    #[must_use]
-    pub fn unhealthy(&self, now: Duration) -> Vec<Stage> {
-        let mut unhealthy = Vec::new();
-        let mut has_doubts = false;
-        let mut sound: Option<(Duration, TargetKey)> = None;
-        for (key, entry) in &self.targets {
-            let is_engine = entry.target.hardware.is_some();
-            let is_slow = entry.slowness >= self.settings.slow_factor;
-            if !is_engine {
-                continue;
-            }
-            has_doubts |= entry.is_doubted;
-            if entry.is_doubted || is_slow || entry.health.is_avoided(now) {
-                unhealthy.push(self.stage(key, entry.target.held));
-            } else {
-                sound = sound.max(Some((entry.active_at, key)));
-            }
-        }
-        if let Some((_, key)) = sound.filter(|_| has_doubts) {
-            unhealthy.push(self.stage(key, self.targets[key].target.held));
-        }
-        unhealthy
-    }
-
     fn peer_factor(&self) -> f64 {
         self.instance_count as f64
     }
@@ -435,7 +266,7 @@
         Some((step_ms + read_ms) / layers * (1.0 + expected * expected))
     }
 
-    fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
+    pub(crate) fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
         let target = &self.targets[key].target;
         Stage {
             address: target.address,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod health;
 mod load;
 mod load_table;
+mod observations;
 mod path;
 mod pipes;
 mod roster;
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -33,42 +33,30 @@
             (catalog, holder.is_fresh(now, router.settings.catalog_limit))
         };
         let catalog = catalog.ok_or(Refusal::NoConfiguration)?;
-        // A stale configuration does not prove that something is unknown.
-        let unknown = |refusal| {
-            if is_fresh {
-                refusal
-            } else {
-                Refusal::NoConfiguration
-            }
-        };
         let host = request.header(HOST.as_str()).unwrap_or_default();
-        let route = catalog
-            .route(host, &request.path)
-            .ok_or(unknown(Refusal::UnknownRoute))?;
-        let mut account = None;
-        if catalog.needs_key() && !route.is_public {
-            if !is_fresh {
-                return Err(Refusal::NoConfiguration);
+        let route = match catalog.route(host, &request.path) {
+            Some(route) => route,
+            None if is_fresh => return Err(Refusal::UnknownRoute),
+            // A stale configuration does not prove that something is unknown.
+            None => return Err(Refusal::NoConfiguration),
+        };
+        let account = match catalog.needs_key() && !route.is_public {
+            false => None,
+            true if !is_fresh => return Err(Refusal::NoConfiguration),
+            true => {
+                let key = facts.key.as_deref().unwrap_or_default();
+                Some(catalog.account(key).ok_or(Refusal::UnknownKey)?.clone())
             }
-            let key = facts.key.as_deref().unwrap_or_default();
-            account = Some(catalog.account(key).ok_or(Refusal::UnknownKey)?.clone());
-        }
-        let name = account.as_ref().map_or("", |account| &*account.name);
-        let fingerprint = fingerprint(&[
-            request.path.as_bytes(),
-            request.query.as_bytes(),
-            name.as_bytes(),
-            &request.body,
-        ]);
+        };
+        let fingerprint = fingerprint_of(request, account.as_ref());
         if let Some(blocked) = router.suspects().blocked_for(now, fingerprint) {
             return Err(Refusal::Crashing(blocked));
         }
         let service = route.service(router.draw());
         let service = service.ok_or(Refusal::NotNow(NoPath::NoTarget))?.clone();
         let profile = catalog.service(&service).and_then(|one| one.engine.clone());
-        let limit = route
-            .time_limit
-            .min(facts.deadline.unwrap_or(Duration::MAX));
+        let deadline = facts.deadline.unwrap_or(Duration::MAX);
+        let limit = route.time_limit.min(deadline);
         Ok(Self {
             account,
             arrived_at: now,
@@ -135,3 +123,14 @@
         (longest.mul_f64(settings.silence_share), longest)
     }
 }
+
+/// Path, account and body of a request, which make two requests the same one.
+fn fingerprint_of(request: &Request, account: Option<&Account>) -> Fingerprint {
+    let name = account.map_or("", |account| &*account.name);
+    fingerprint(&[
+        request.path.as_bytes(),
+        request.query.as_bytes(),
+        name.as_bytes(),
+        &request.body,
+    ])
+}
