--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -6,6 +6,8 @@
     pub(crate) account: Option<Account>,
     /// When the request had arrived whole.
     pub(crate) arrived_at: Duration,
+    /// When the final answer is due.
+    pub(crate) ends_at: Duration,
     pub(crate) facts: RequestFacts,
     /// Rank of the most urgent requests of the service.
     first_rank: u32,
@@ -14,8 +16,6 @@
     pub(crate) profile: Option<Arc<EngineProfile>>,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
-    /// When the final answer is due.
-    pub(crate) ends_at: Duration,
     pub(crate) version: u64,
 }
 
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -3,8 +3,8 @@
 /// Time without a sign of activity after which an instance is taken as dead: three missed beats.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
-/// Instances that stand in for the leader. Three of different failure domains remain when two
-/// domains or the whole of a rolling restart's current batch are lost.
+/// Instances that stand in for the leader. With three of different failure domains, one is left when two
+/// domains are lost.
 const STAND_IN_COUNT: usize = 3;
 
 /// Instances that read the stores for those that start with them while there is no leader.
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -52,10 +52,10 @@
     pub asked_revision: u64,
     /// Change since that revision; none if there is none.
     pub change: Option<TargetChange>,
-    /// Number of instances between the stores and the answer.
-    pub distance: u32,
     /// When the configuration of the same answer was confirmed.
     pub confirmed_at: Duration,
+    /// Number of instances between the stores and the answer.
+    pub distance: u32,
     /// When the targets were read.
     pub read_at: Duration,
     /// Revision after the change.
@@ -108,13 +108,10 @@
 
     /// Revision of the list that this instance has from another one; 0 if it has none or its own.
     pub fn revision_of(&self, source: SocketAddr) -> u64 {
-        let origin = self.lock().origin;
-        origin.map_or(
-            0,
-            |(from, revision)| {
-                if from == source { revision } else { 0 }
-            },
-        )
+        match self.lock().origin {
+            Some((from, revision)) if from == source => revision,
+            _ => 0,
+        }
     }
 
     /// Replaces the targets by those that this instance read. Returns those before if they were others.
