--- a/crates/quarantine/src/crash_watch.rs
+++ b/crates/quarantine/src/crash_watch.rs
@@ -11,7 +11,7 @@
     pub fingerprint: Fingerprint,
     /// Target that ran the request.
     pub target: TargetId,
-    /// Whether the request was suspect when it was sent.
+    /// Whether the request was suspect when the connection broke.
     pub was_suspect: bool,
 }
 
