Join logic that stood twice in budgets, lists and the relay

Two retry budgets counted requests and repeats in a sliding window of their own; reads and relayed answers took a configuration over in two places; the finder checked a range as `LayerRange::covers` does; one age for loads had two constants; two methods of the call record looked up an entry in the same way; two places formed an instance from its row.

Ruled out: one budget for both interfaces. Their limits differ, a least count in one and a part of an extra amount in the other; only the window is the same. Sharing the proptest settings of three crates' tests, which would take a crate of its own.

Change: crate `window`; `catalog_loop::take` for both; `Holder::version`; `Records::entry_of`; `InstanceRow::instance`; `LoadTable::set` finds newly silent targets among the new loads instead of comparing two sets for each question. Comments that still said that only a leader answers.

Result: behaviour unchanged.

--- a/crates/catalog/src/holder.rs
+++ b/crates/catalog/src/holder.rs
@@ -34,6 +34,12 @@
         self.catalog.as_ref()
     }
 
+    /// Version of the newest catalog; 0 while none is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |held| held.version())
+    }
+
     /// When the read that last confirmed the catalog was sent.
     #[must_use]
     pub fn confirmed_at(&self) -> Option<Duration> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
         StoreReply, StoreRequest, StoreTicket, StreamRecord, TargetDigest, TargetHealth, TargetId,
         TokenIndex, TokenRecord, WantedState, Write,
     },
+    window::{RepeatWindow, SPAN_COUNT},
 };
 
 mod command;
--- a/crates/control/src/records/record.rs
+++ b/crates/control/src/records/record.rs
@@ -214,10 +214,7 @@
         status: OwnerStatus,
     ) -> Vec<RecordEffect> {
         let mut effects = Vec::new();
-        let Some(key) = self.requests.get(request).cloned() else {
-            return effects;
-        };
-        let Some(entry) = self.entries.get_mut(&key) else {
+        let Some((key, entry)) = self.entry_of(request) else {
             return effects;
         };
         let judged = match entry.state {
@@ -297,6 +294,13 @@
         (entry.primary == *request).then_some(entry)
     }
 
+    /// Call that a request waits for, with its key.
+    fn entry_of(&mut self, request: &RequestId) -> Option<(Arc<str>, &mut CallEntry)> {
+        let key = self.requests.get(request)?.clone();
+        let entry = self.entries.get_mut(&key)?;
+        Some((key, entry))
+    }
+
     fn end(
         &mut self,
         context: &mut Context,
@@ -305,10 +309,7 @@
         outcome: CallOutcome,
     ) -> Vec<RecordEffect> {
         let mut effects = Vec::new();
-        let Some(key) = self.requests.get(request).cloned() else {
-            return effects;
-        };
-        let Some(entry) = self.entries.get_mut(&key) else {
+        let Some((key, entry)) = self.entry_of(request) else {
             return effects;
         };
         if entry.primary == *request {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -5,7 +5,7 @@
 pub(crate) struct Entry {
     /// When the last sign of activity arrived.
     pub(crate) active_at: Duration,
-    /// When other instances last said that it does not answer them, until it is asked here.
+    /// When other instances last said that it does not answer them, and it was to be asked here.
     pub(crate) doubted_at: Option<Duration>,
     pub(crate) health: Health,
     /// Whether it is to be asked because of what others said.
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -105,10 +105,8 @@
 
     fn range(&self, engine: usize, start: u32, end: u32) -> Option<LayerRange> {
         let held = self.engines[engine].1.target.held?;
-        if start < held.start || end > held.end {
-            return None;
-        }
-        LayerRange::new(start, end)
+        let range = LayerRange::new(start, end)?;
+        held.covers(range).then_some(range)
     }
 
     /// Cheapest way to reach an engine from the steps that end where it starts.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
         sync::Arc,
         time::Duration,
     },
+    window::{RepeatWindow, SPAN_COUNT},
 };
 
 mod budget;
@@ -47,7 +48,13 @@
     target::Target,
 };
 
-use {entry::Entry, finder::Finder, health::Health, pipes::Pipes, shared_load::OtherLoads};
+use {
+    entry::Entry,
+    finder::Finder,
+    health::Health,
+    pipes::Pipes,
+    shared_load::{LOAD_AGE, OtherLoads},
+};
 
 /// Id of one start of a target.
 pub type TargetId = Arc<str>;
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -1,8 +1,5 @@
 use super::*;
 
-/// Age at which the load of an instance that no longer tells it is forgotten.
-const LOAD_AGE: Duration = Duration::from_secs(2);
-
 /// Loads of several instances, with their sum by target.
 ///
 /// The sum is kept while loads change, as forming it anew for each of many instances that ask would
@@ -20,11 +17,11 @@
     /// Replaces the loads of an instance, and forgets instances that no longer tell theirs. Returns
     /// whether a target is silent that answered all instances before.
     pub fn set(&mut self, now: Duration, instance: &Arc<str>, loads: Vec<SharedLoad>) -> bool {
-        let silent = |sums: &HashMap<TargetId, SharedLoad>| -> BTreeSet<TargetId> {
-            let silent = sums.values().filter(|load| load.silent_count > 0);
-            silent.map(|load| load.id.clone()).collect()
+        let is_new = |load: &SharedLoad| {
+            let known = self.sums.get(&load.id);
+            load.silent_count > 0 && known.is_none_or(|sum| sum.silent_count == 0)
         };
-        let before = silent(&self.sums);
+        let has_new = loads.iter().any(is_new);
         let oldest = now.saturating_sub(LOAD_AGE);
         let mut gone = Vec::new();
         self.by_instance.retain(|known, (loads, at)| {
@@ -41,7 +38,7 @@
             add(&mut self.sums, load);
         }
         self.by_instance.insert(instance.clone(), (loads, now));
-        !silent(&self.sums).is_subset(&before)
+        has_new
     }
 
     /// Sum of the loads of all instances but one, and of `own`.
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -198,10 +198,10 @@
 
 impl wire::Handler for Ingress {
     fn limits(&self, limits: wire::Limits) -> wire::Limits {
-        let Some(catalog) = self.0.catalog().catalog().cloned() else {
+        let configured = self.0.catalog().catalog().map(|held| held.limits());
+        let Some(configured) = configured else {
             return limits;
         };
-        let configured = catalog.limits();
         wire::Limits {
             body_bytes: configured.body_bytes,
             head_bytes: configured.head_bytes.max(LEAST_HEAD_BYTES),
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -28,32 +28,30 @@
             }
             Ok(read) => {
                 link.answered(clock::now());
-                if take(&router, &read) {
-                    shared.wake();
-                }
+                take(&router, &shared, read, "read");
                 wait = WAIT;
             }
         }
     }
 }
 
-/// Takes over what was read. Returns whether the configuration has changed.
-fn take(router: &Router, read: &CatalogRead) -> bool {
+/// Takes over what was read. `how` is `read` or `relayed`, for the log.
+pub(crate) fn take(router: &Router, shared: &SharedState, read: CatalogRead, how: &str) {
     let mut holder = router.catalog();
     let mut has_changed = false;
-    if let Some(catalog) = &read.catalog {
-        let version = catalog.version();
-        let before = holder.catalog().map_or(0, |held| held.version());
-        let is_taken = holder.offer(catalog.clone());
+    if let Some(catalog) = read.catalog {
+        let (version, before) = (catalog.version(), holder.version());
+        let is_taken = holder.offer(catalog);
         has_changed = is_taken;
         let age_ms = clock::now().saturating_sub(read.sent_at).as_millis() as u64;
-        tracing::info!(version, before, is_taken, age_ms, "configuration read");
+        tracing::info!(version, before, is_taken, age_ms, "configuration {how}");
     }
-    if !read.is_current {
-        return has_changed;
-    }
-    if let Some(version) = holder.catalog().map(|held| held.version()) {
+    if read.is_current {
+        let version = holder.version();
         holder.confirm(version, read.sent_at);
     }
-    has_changed
+    drop(holder);
+    if has_changed {
+        shared.wake();
+    }
 }
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -142,13 +142,8 @@
     }
 
     fn query(&self, address: SocketAddr, wait: Duration) -> Query {
-        let catalog_version = self
-            .router
-            .catalog()
-            .catalog()
-            .map_or(0, |held| held.version());
         Query {
-            catalog_version,
+            catalog_version: self.router.catalog().version(),
             crashes: self.router.suspects().own_reports(clock::now()),
             instances_digest: digest(&self.router.instances()),
             is_leaving: self.router.is_leaving(),
@@ -164,7 +159,12 @@
         // The question arrived after it was sent, so that this is at or before the time of the answer.
         let answered_at = asked_at + answer.waited;
         let confirmed_at = answered_at.saturating_sub(answer.catalog_age);
-        self.take_catalog(answer.catalog, confirmed_at);
+        let read = CatalogRead {
+            catalog: answer.catalog.map(|parts| Arc::new(Catalog::new(parts))),
+            is_current: true,
+            sent_at: confirmed_at,
+        };
+        catalog_loop::take(router, shared, read, "relayed");
         let read_at = answered_at.saturating_sub(answer.targets_age);
         let relayed = RelayedTargets {
             asked_revision: revision,
@@ -191,21 +191,4 @@
             shared.set_sources(answer.sources, self.row.relay_address);
         }
     }
-
-    fn take_catalog(&self, parts: Option<CatalogParts>, confirmed_at: Duration) {
-        let mut holder = self.router.catalog();
-        let before = holder.catalog().map_or(0, |held| held.version());
-        if let Some(parts) = parts {
-            let version = parts.version;
-            let is_taken = holder.offer(Arc::new(Catalog::new(parts)));
-            let age_ms = clock::now().saturating_sub(confirmed_at).as_millis() as u64;
-            tracing::info!(version, before, is_taken, age_ms, "configuration relayed");
-            if is_taken {
-                self.shared.wake();
-            }
-        }
-        if let Some(version) = holder.catalog().map(|held| held.version()) {
-            holder.confirm(version, confirmed_at);
-        }
-    }
 }
--- a/crates/reconcile/src/instance_loop.rs
+++ b/crates/reconcile/src/instance_loop.rs
@@ -105,11 +105,7 @@
 fn with_own(mut live: Vec<Instance>, router: &Router, row: &InstanceRow) -> Vec<Instance> {
     live.retain(|instance| instance.id != row.id);
     if router.is_ready() {
-        live.push(Instance {
-            address: row.address,
-            domain: row.domain.clone(),
-            id: row.id.clone(),
-        });
+        live.push(row.instance());
         live.sort_by(|one, other| one.id.cmp(&other.id));
     }
     live
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -25,6 +25,18 @@
     pub start: Arc<str>,
 }
 
+impl InstanceRow {
+    /// The instance as callers are told of it.
+    #[must_use]
+    pub fn instance(&self) -> Instance {
+        Instance {
+            address: self.address,
+            domain: self.domain.clone(),
+            id: self.id.clone(),
+        }
+    }
+}
+
 /// Instances that showed a sign of activity.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
@@ -111,12 +123,7 @@
     #[must_use]
     pub fn live(&self, now: Duration) -> Vec<Instance> {
         let live = self.live_rows(now).into_iter();
-        live.map(|row| Instance {
-            address: row.address,
-            domain: row.domain.clone(),
-            id: row.id.clone(),
-        })
-        .collect()
+        live.map(InstanceRow::instance).collect()
     }
 
     /// Rows of live instances, in the order of their ids.
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -44,10 +44,7 @@
             return None;
         }
         let change_count = self.shared.change_count();
-        let is_behind = {
-            let holder = self.router.catalog();
-            holder.catalog().map_or(0, |held| held.version()) > query.catalog_version
-        };
+        let is_behind = self.router.catalog().version() > query.catalog_version;
         if !is_behind && self.shared.revision() == query.revision {
             self.shared.wait(change_count, query.wait).await;
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,5 +1,5 @@
-//! Calls between instances, a `tarpc` service over TCP: the leader reads the shared stores, and the
-//! others ask it.
+//! Calls between instances, a `tarpc` service over TCP: the leader, or one that stands in for it, reads
+//! the shared stores, and the others ask it.
 
 use {
     forward::Error,
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -5,10 +5,10 @@
 /// Time for an answer, beyond the wait that the question asks for.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 
-/// Asks the leader over one kept connection.
+/// Asks other instances, one at a time, over one kept connection.
 #[derive(Default)]
 pub struct RelayClient {
-    /// Connection to the leader that was asked last.
+    /// Connection to the instance that was asked last.
     client: Mutex<Option<(SocketAddr, RelayServiceClient)>>,
 }
 
@@ -34,7 +34,7 @@
         Ok(client)
     }
 
-    async fn ask_leader(&self, address: SocketAddr, query: Query) -> Result<Answer, Error> {
+    async fn ask_source(&self, address: SocketAddr, query: Query) -> Result<Answer, Error> {
         let client = self.client(address).await?;
         let limit = query.wait + ANSWER_LIMIT;
         let mut context = context::current();
@@ -57,6 +57,6 @@
 
 impl Relay for RelayClient {
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>> {
-        self.ask_leader(address, query).boxed()
+        self.ask_source(address, query).boxed()
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,10 +1,10 @@
 use super::*;
 
-/// Calls of instances to the leader.
+/// Calls of instances to those that know more.
 #[tarpc::service]
 pub(crate) trait RelayService {
-    /// Answers with what is newer than what the asking instance knows; none if this one does not
-    /// lead.
+    /// Answers with what is newer than what the asking instance knows; none if this one knows nothing
+    /// yet or is leaving.
     async fn ask(query: Query) -> Option<Answer>;
 }
 
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -188,10 +188,7 @@
 }
 
 fn version(node: &Node) -> u64 {
-    node.router
-        .catalog()
-        .catalog()
-        .map_or(0, |held| held.version())
+    node.router.catalog().version()
 }
 
 #[tokio::test]
