Share stand-ins of tests within their crates

Cause: three tests of streams wrote the same pausing target, and two tests of lists the same entry.

Ruled out: sharing the entry with the tests of the relay, which are in another crate.

--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -115,6 +115,18 @@
         .expect("the target still works");
 }
 
+/// Target whose stream pauses after two of five events.
+async fn pausing(pause: Duration) -> TestTarget {
+    target(move |request| {
+        stream(request, move |sender, _| async move {
+            sender.send(events(0..2)).await;
+            tokio::time::sleep(pause).await;
+            sender.send(events(2..5)).await;
+        })
+    })
+    .await
+}
+
 fn range(start: u32, end: u32) -> LayerRange {
     LayerRange::new(start, end).unwrap()
 }
@@ -194,14 +206,7 @@
 
 #[tokio::test]
 async fn no_engine_is_blamed_when_none_answers() {
-    let first = target(|request| {
-        stream(request, |sender, _| async move {
-            sender.send(events(0..2)).await;
-            tokio::time::sleep(Duration::from_millis(400)).await;
-            sender.send(events(2..5)).await;
-        })
-    })
-    .await;
+    let first = pausing(Duration::from_millis(400)).await;
     let router = pipeline(&first).await;
     let (_, _, body) = router.send(Sending::default()).await;
     assert_eq!(body.unwrap(), events(0..5));
@@ -213,14 +218,7 @@
 /// the layers, although its target went on a little later.
 #[tokio::test]
 async fn silent_stream_without_another_target_is_not_cut() {
-    let first = target(|request| {
-        stream(request, |sender, _| async move {
-            sender.send(events(0..2)).await;
-            tokio::time::sleep(Duration::from_millis(500)).await;
-            sender.send(events(2..5)).await;
-        })
-    })
-    .await;
+    let first = pausing(Duration::from_millis(500)).await;
     let router = Setup {
         held: vec![range(0, 4), range(4, 8)],
         repeat: Repeat::ResumableStream,
@@ -241,14 +239,7 @@
 /// of the prompt.
 #[tokio::test]
 async fn pause_within_the_goal_of_the_route_moves_nothing() {
-    let first = target(|request| {
-        stream(request, |sender, _| async move {
-            sender.send(events(0..2)).await;
-            tokio::time::sleep(Duration::from_millis(400)).await;
-            sender.send(events(2..5)).await;
-        })
-    })
-    .await;
+    let first = pausing(Duration::from_millis(400)).await;
     let router = Setup {
         gap_goal: Some(Duration::from_secs(60)),
         ..pipeline_setup(&first)
@@ -266,12 +257,7 @@
 /// engines.
 #[tokio::test]
 async fn request_of_unknown_size_is_taken_to_be_usual() {
-    let first = target(|request| {
-        stream(request, |sender, _| async move {
-            sender.send(events(0..5)).await;
-        })
-    })
-    .await;
+    let first = pausing(Duration::ZERO).await;
     let router = Setup {
         usual_tokens: 1e12,
         ..pipeline_setup(&first)
@@ -287,12 +273,7 @@
 /// What other instances say of an engine makes this one ask it, and only the lack of an answer counts.
 #[tokio::test]
 async fn engine_that_is_dead_for_others_is_avoided_before_the_first_request() {
-    let first = target(|request| {
-        stream(request, |sender, _| async move {
-            sender.send(events(0..5)).await;
-        })
-    })
-    .await;
+    let first = pausing(Duration::ZERO).await;
     let router = pipeline(&first).await;
     {
         let mut states = router.engines.states.lock().unwrap();
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -1,9 +1,11 @@
 //! Guards against instances that rely on what a leader knew too long ago.
 
+mod support;
+
 use {
-    fleet::Target,
     reconcile::{RelayedTargets, SharedState, TargetChange},
     std::{net::SocketAddr, time::Duration},
+    support::target,
 };
 
 fn at(ms: u64) -> Duration {
@@ -33,19 +35,6 @@
     shared.take_relayed(relayed(shared, ms));
 }
 
-fn target(id: &str) -> Target {
-    Target {
-        address: ([10, 0, 0, 2], 80).into(),
-        domain: "a".into(),
-        hardware: None,
-        held: None,
-        id: id.into(),
-        is_leaving: false,
-        service: "s".into(),
-        slot_count: 1,
-    }
-}
-
 /// Found by a hunt on lcv-head: a leader that the store turned away went on answering, and the others
 /// sent requests to targets that had been leaving for more than two seconds.
 #[test]
--- a/crates/reconcile/tests/target_history.rs
+++ b/crates/reconcile/tests/target_history.rs
@@ -1,5 +1,7 @@
 //! Guards against followers whose list of targets drifts from the leader's.
 
+mod support;
+
 use {
     fleet::Target,
     proptest::{
@@ -8,18 +10,13 @@
     },
     reconcile::{TargetChange, TargetHistory},
     std::collections::BTreeMap,
+    support::target,
 };
 
-fn target(id: u8, is_leaving: bool) -> Target {
+fn numbered(number: u8, is_leaving: bool) -> Target {
     Target {
-        address: ([10, 0, 0, id], 80).into(),
-        domain: "a".into(),
-        hardware: None,
-        held: None,
-        id: format!("t{id}").into(),
         is_leaving,
-        service: "s".into(),
-        slot_count: 1,
+        ..target(&format!("t{number}"))
     }
 }
 
@@ -42,7 +39,7 @@
         let mut follower = TargetHistory::new(1);
         let mut known = 0;
         for (listing, asks) in rounds {
-            let listing = listing.iter().map(|(id, is_leaving)| target(*id, *is_leaving));
+            let listing = listing.iter().map(|(id, is_leaving)| numbered(*id, *is_leaving));
             leader.replace(listing.collect());
             if !asks {
                 continue;
@@ -57,9 +54,9 @@
 #[test]
 fn unchanged_list_has_the_same_revision() {
     let mut history = TargetHistory::new(5);
-    assert!(history.replace(vec![target(1, false)]).is_some());
+    assert!(history.replace(vec![target("t1")]).is_some());
     let revision = history.revision();
-    assert_eq!(history.replace(vec![target(1, false)]), None);
+    assert_eq!(history.replace(vec![target("t1")]), None);
     assert_eq!(history.revision(), revision);
     let nothing = TargetChange::Some(Vec::new(), Vec::new());
     assert_eq!(history.since(revision), nothing);
@@ -69,9 +66,9 @@
 #[test]
 fn unknown_revision_gets_the_whole_list() {
     let mut history = TargetHistory::new(5);
-    history.replace(vec![target(1, false)]);
+    history.replace(vec![target("t1")]);
     for revision in [0, 4, 7] {
-        let all = TargetChange::All(vec![target(1, false)]);
+        let all = TargetChange::All(vec![target("t1")]);
         assert_eq!(history.since(revision), all, "revision {revision}");
     }
 }
@@ -83,10 +80,7 @@
     for round in 0..1_200_u16 {
         let [high, low] = round.to_be_bytes();
         let id = format!("t{high}.{low}").into();
-        history.replace(vec![Target {
-            id,
-            ..target(1, false)
-        }]);
+        history.replace(vec![Target { id, ..target("t1") }]);
     }
     assert!(matches!(history.since(first), TargetChange::All(_)));
     let recent = history.revision() - 1;
