--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -1,72 +1,93 @@
-use super::*;
+use {super::*, transfers::DomainIndex};
+
+/// An engine that may take a part of a path.
+pub(crate) struct Candidate<'a> {
+    pub(crate) entry: &'a Entry,
+    pub(crate) held: LayerRange,
+    pub(crate) key: TargetKey,
+    /// Time of one layer, in milliseconds.
+    pub(crate) layer_ms: f64,
+}
 
 /// Finds the cheapest path through the layers, as the shortest way through positions between layers.
 pub(crate) struct Finder<'a> {
+    pub(crate) candidates: Vec<Candidate<'a>>,
     pub(crate) demand: &'a Demand,
-    /// Usable engines with the cost of one layer, in milliseconds.
-    pub(crate) engines: Vec<(TargetKey, &'a Entry, f64)>,
     pub(crate) local_domain: &'a DomainName,
-    pub(crate) now: Duration,
-    pub(crate) peer_factor: f64,
-    pub(crate) pipes: &'a Pipes,
     pub(crate) profile: &'a EngineProfile,
-    pub(crate) settings: &'a FleetSettings,
+    pub(crate) transfers: Transfers<'a>,
 }
 
 /// Cheapest known way to a position whose last stage is one engine.
 #[derive(Clone, Copy)]
 struct Step {
+    candidate: usize,
     cost_ms: f64,
-    engine: usize,
+    domain: DomainIndex,
     /// Step before this one; none at the first layer.
     previous: Option<usize>,
     range: LayerRange,
 }
 
+/// Steps so far, and those that end at each position: the cheapest of each failure domain.
+#[derive(Default)]
+struct Steps {
+    all: Vec<Step>,
+    ends: HashMap<u32, Vec<usize>>,
+}
+
 impl Finder<'_> {
-    /// Cheapest stages as positions in `engines` and ranges, with the cost in milliseconds.
+    /// Cheapest stages as positions in `candidates` and ranges, with the cost in milliseconds.
     pub(crate) fn find(&self) -> Option<(Vec<(usize, LayerRange)>, f64)> {
-        let layer_count = self.profile.layer_count;
         let positions = self.positions();
-        let mut steps: Vec<Step> = Vec::new();
-        // Steps that end at each position: the cheapest of each failure domain.
-        let mut ends: HashMap<u32, Vec<usize>> = HashMap::new();
+        let mut steps = Steps::default();
         for (index, start) in positions.iter().enumerate() {
             if *start == 0 && self.demand.first.is_some() {
-                self.begin_fixed(&mut steps, &mut ends);
+                self.begin_fixed(&mut steps);
                 continue;
             }
-            let before = ends.get(start).cloned().unwrap_or_default();
+            let before = steps.ends.get(start).cloned().unwrap_or_default();
             if *start > 0 && before.is_empty() {
                 continue;
             }
-            for engine in 0..self.engines.len() {
-                let Some((previous, arrival_ms)) = self.arrive(engine, &steps, &before) else {
-                    continue;
+            self.extend(&mut steps, &before, *start, &positions[index + 1..]);
+        }
+        let ends = steps.ends.get(&self.profile.layer_count)?;
+        let cost_ms = |at: &usize| steps.all[*at].cost_ms;
+        let best = ends
+            .iter()
+            .min_by(|one, other| cost_ms(one).total_cmp(&cost_ms(other)))?;
+        Some((steps.trace(*best), cost_ms(best)))
+    }
+
+    /// Adds the steps that begin at `start` and end at one of `ends`.
+    fn extend(&self, steps: &mut Steps, before: &[usize], start: u32, ends: &[u32]) {
+        for (at, candidate) in self.candidates.iter().enumerate() {
+            if !candidate.held.contains(start) {
+                continue;
+            }
+            let domain = self.transfers.domain(&candidate.entry.target.domain);
+            let Some((previous, arrival_ms)) = self.arrive(at, domain, steps, before) else {
+                continue;
+            };
+            for end in ends {
+                let range = LayerRange::new(start, *end);
+                let Some(range) = range.filter(|range| candidate.held.covers(*range)) else {
+                    break;
                 };
-                for end in &positions[index + 1..] {
-                    let Some(range) = self.range(engine, *start, *end) else {
-                        break;
-                    };
-                    let cost_ms = arrival_ms + f64::from(range.count()) * self.engines[engine].2;
-                    let step = Step {
-                        cost_ms,
-                        engine,
-                        previous,
-                        range,
-                    };
-                    self.keep(step, &mut steps, ends.entry(*end).or_default());
-                }
+                steps.keep(Step {
+                    candidate: at,
+                    cost_ms: arrival_ms + f64::from(range.count()) * candidate.layer_ms,
+                    domain,
+                    previous,
+                    range,
+                });
             }
         }
-        let ends = ends.get(&layer_count)?.iter().copied();
-        let best =
-            ends.min_by(|one, other| steps[*one].cost_ms.total_cmp(&steps[*other].cost_ms))?;
-        Some((trace(&steps, best), steps[best].cost_ms))
     }
 
     /// Begins with the stage that the request is already at.
-    fn begin_fixed(&self, steps: &mut Vec<Step>, ends: &mut HashMap<u32, Vec<usize>>) {
+    fn begin_fixed(&self, steps: &mut Steps) {
         let Some(Stage {
             key,
             range: Some(range),
@@ -75,16 +96,17 @@
         else {
             return;
         };
-        let Some(engine) = self.engines.iter().position(|(at, ..)| at == key) else {
+        let Some(at) = self.candidates.iter().position(|one| one.key == *key) else {
             return;
         };
-        steps.push(Step {
+        let domain = &self.candidates[at].entry.target.domain;
+        steps.keep(Step {
+            candidate: at,
             cost_ms: 0.0,
-            engine,
+            domain: self.transfers.domain(domain),
             previous: None,
             range: *range,
         });
-        ends.entry(range.end).or_default().push(steps.len() - 1);
     }
 
     /// Positions at which a held range begins or ends, ascending.
@@ -93,97 +115,73 @@
         if let Some(range) = self.demand.first.as_ref().and_then(|stage| stage.range) {
             positions.insert(range.end);
         }
-        for (_, entry, _) in &self.engines {
-            let Some(range) = entry.target.held else {
-                continue;
-            };
-            positions.insert(range.start);
-            positions.insert(range.end);
+        for candidate in &self.candidates {
+            positions.insert(candidate.held.start);
+            positions.insert(candidate.held.end);
         }
         positions.into_iter().collect()
     }
 
-    fn range(&self, engine: usize, start: u32, end: u32) -> Option<LayerRange> {
-        let held = self.engines[engine].1.target.held?;
-        let range = LayerRange::new(start, end)?;
-        held.covers(range).then_some(range)
-    }
-
     /// Cheapest way to reach an engine from the steps that end where it starts.
     fn arrive(
         &self,
-        engine: usize,
-        steps: &[Step],
+        candidate: usize,
+        domain: DomainIndex,
+        steps: &Steps,
         before: &[usize],
     ) -> Option<(Option<usize>, f64)> {
-        let domain = &self.engines[engine].1.target.domain;
         if before.is_empty() {
-            return Some((None, self.transfer_ms(self.local_domain, domain, false)));
+            let local_domain = self.transfers.domain(self.local_domain);
+            return Some((None, self.transfers.first_ms(local_domain, domain)));
         }
         let mut best: Option<(Option<usize>, f64)> = None;
         for position in before {
-            if trace(steps, *position)
-                .iter()
-                .any(|(used, _)| *used == engine)
-            {
-                continue;
-            }
-            let step = &steps[*position];
-            let from = &self.engines[step.engine].1.target.domain;
-            let cost_ms = step.cost_ms + self.transfer_ms(from, domain, true);
-            if best.is_none_or(|(_, least_ms)| cost_ms < least_ms) {
+            let step = &steps.all[*position];
+            let cost_ms = step.cost_ms + self.transfers.between_ms(step.domain, domain);
+            let is_better = best.is_none_or(|(_, least_ms)| cost_ms < least_ms);
+            if is_better && !steps.uses(*position, candidate) {
                 best = Some((Some(*position), cost_ms));
             }
         }
         best
     }
+}
 
-    /// Time that a hop adds to the whole answer. The last stage sends its tokens to the instance
-    /// itself, and the instance sends text and not activations to the first stage.
-    fn transfer_ms(&self, from: &DomainName, to: &DomainName, is_between_stages: bool) -> f64 {
-        let (demand, settings) = (self.demand, self.settings);
-        let mut cost_ms = settings.hop_ms * demand.answer_tokens;
-        if from == to {
-            return cost_ms;
-        }
-        cost_ms += settings.domain_change_ms * demand.answer_tokens;
-        if is_between_stages {
-            let pipe_mbps = self.profile.pipe_mbps.max(1.0);
-            let bits = demand.tokens() * self.profile.activation_bytes * 8.0;
-            let pair = (from, to);
-            let factor = self
-                .pipes
-                .delay_factor(self.now, pair, self.peer_factor, pipe_mbps);
-            cost_ms += bits / (pipe_mbps * 1_000.0) * factor;
+impl Steps {
+    /// Keeps a step if it is the cheapest of its failure domain that ends there.
+    fn keep(&mut self, step: Step) {
+        let ends = self.ends.entry(step.range.end).or_default();
+        let known = ends
+            .iter_mut()
+            .find(|end| self.all[**end].domain == step.domain);
+        match known {
+            None => ends.push(self.all.len()),
+            Some(end) if step.cost_ms < self.all[*end].cost_ms => *end = self.all.len(),
+            Some(_) => return,
         }
-        cost_ms
+        self.all.push(step);
     }
 
-    /// Keeps a step if it is the cheapest of its failure domain that ends there.
-    fn keep(&self, step: Step, steps: &mut Vec<Step>, ends: &mut Vec<usize>) {
-        let domain = &self.engines[step.engine].1.target.domain;
-        for end in ends.iter_mut() {
-            if self.engines[steps[*end].engine].1.target.domain != *domain {
-                continue;
-            }
-            if step.cost_ms < steps[*end].cost_ms {
-                steps.push(step);
-                *end = steps.len() - 1;
+    /// Whether the way to a step goes through a candidate.
+    fn uses(&self, last: usize, candidate: usize) -> bool {
+        let mut position = Some(last);
+        while let Some(at) = position {
+            if self.all[at].candidate == candidate {
+                return true;
             }
-            return;
+            position = self.all[at].previous;
         }
-        steps.push(step);
-        ends.push(steps.len() - 1);
+        false
     }
-}
 
-fn trace(steps: &[Step], last: usize) -> Vec<(usize, LayerRange)> {
-    let mut stages = Vec::new();
-    let mut position = Some(last);
-    while let Some(at) = position {
-        stages.push((steps[at].engine, steps[at].range));
-        position = steps[at].previous;
+    fn trace(&self, last: usize) -> Vec<(usize, LayerRange)> {
+        let mut stages = Vec::new();
+        let mut position = Some(last);
+        while let Some(at) = position {
+            stages.push((self.all[at].candidate, self.all[at].range));
+            position = self.all[at].previous;
+        }
+        stages.reverse();
+        stages
     }
-    stages.reverse();
-    stages
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,7 +8,7 @@
     /// Instances that share the targets. Invariant: at least 1 once it was set.
     instance_count: usize,
     pub(crate) others: OtherLoads,
-    pipes: Pipes,
+    pub(crate) pipes: Pipes,
     pub(crate) settings: FleetSettings,
     pub(crate) targets: SlotMap<TargetKey, Entry>,
 }
@@ -110,17 +110,17 @@
         local_domain: &DomainName,
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
-        let (engines, held_count) = self.priced_engines(now, service, profile, demand, rng);
-        let is_any_full = engines.len() < held_count;
+        let (candidates, held_count) = self.candidates(now, service, profile, demand, rng);
+        let is_any_full = candidates.len() < held_count;
+        let domains = candidates.iter().map(|one| &one.entry.target.domain);
+        let domains = domains.chain(std::iter::once(local_domain));
+        let transfers = Transfers::new(self, now, profile, demand, domains);
         let finder = Finder {
+            candidates,
             demand,
-            engines,
             local_domain,
-            now,
-            peer_factor: self.peer_factor(),
-            pipes: &self.pipes,
             profile,
-            settings: &self.settings,
+            transfers,
         };
         let Some((stages, cost_ms)) = finder.find() else {
             return Err(match (held_count, is_any_full) {
@@ -130,7 +130,7 @@
             });
         };
         let stages = stages.into_iter();
-        let stages = stages.map(|(at, range)| self.stage(finder.engines[at].0, Some(range)));
+        let stages = stages.map(|(at, range)| self.stage(finder.candidates[at].key, Some(range)));
         Ok(Path {
             cost_ms,
             hop_bits: demand.tokens() * profile.activation_bytes * 8.0,
@@ -139,21 +139,22 @@
         })
     }
 
-    /// Usable engines with the cost of one layer in milliseconds, and how many hold layers with or
-    /// without room.
-    fn priced_engines(
+    /// Usable engines, and how many hold layers with or without room.
+    fn candidates(
         &self,
         now: Duration,
         service: &str,
         profile: &EngineProfile,
         demand: &Demand,
         rng: &mut impl Rng,
-    ) -> (Vec<(TargetKey, &Entry, f64)>, usize) {
-        let mut engines = Vec::new();
+    ) -> (Vec<Candidate<'_>>, usize) {
+        let mut candidates = Vec::new();
         let mut held_count = 0;
         for (key, entry) in self.usable(service, demand) {
-            let is_usable = entry.target.held.is_some() && !entry.health.is_avoided(now);
-            let Some(hardware) = entry.hardware(profile).filter(|_| is_usable) else {
+            let Some(held) = entry.target.held.filter(|_| !entry.health.is_avoided(now)) else {
+                continue;
+            };
+            let Some(hardware) = entry.hardware(profile) else {
                 continue;
             };
             held_count += 1;
@@ -165,9 +166,14 @@
             let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
                 continue;
             };
-            engines.push((key, entry, layer_ms * jitter));
+            candidates.push(Candidate {
+                entry,
+                held,
+                key,
+                layer_ms: layer_ms * jitter,
+            });
         }
-        (engines, held_count)
+        (candidates, held_count)
     }
 
     /// Counts a request that is sent along a path.
@@ -200,7 +206,7 @@
         }
     }
 
-    fn peer_factor(&self) -> f64 {
+    pub(crate) fn peer_factor(&self) -> f64 {
         self.instance_count as f64
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod settings;
 mod shared_load;
 mod target;
+mod transfers;
 
 pub use {
     budget::RetryBudget,
@@ -44,16 +45,17 @@
     path::{NoPath, Path, Stage},
     roster::Roster,
     settings::FleetSettings,
-    shared_load::SharedLoad,
+    shared_load::{LOAD_AGE, SharedLoad},
     target::Target,
 };
 
 use {
     entry::Entry,
-    finder::Finder,
+    finder::{Candidate, Finder},
     health::Health,
     pipes::Pipes,
-    shared_load::{LOAD_AGE, OtherLoads},
+    shared_load::OtherLoads,
+    transfers::Transfers,
 };
 
 /// Id of one start of a target.
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -22,17 +22,11 @@
             load.silent_count > 0 && known.is_none_or(|sum| sum.silent_count == 0)
         };
         let has_new = loads.iter().any(is_new);
-        let oldest = now.saturating_sub(LOAD_AGE);
-        let mut gone = Vec::new();
-        self.by_instance.retain(|known, (loads, at)| {
-            let is_kept = known != instance && *at >= oldest;
-            if !is_kept {
-                gone.append(loads);
+        self.forget(now);
+        if let Some((loads, _)) = self.by_instance.remove(instance) {
+            for load in &loads {
+                subtract(&mut self.sums, load);
             }
-            is_kept
-        });
-        for load in &gone {
-            subtract(&mut self.sums, load);
         }
         for load in &loads {
             add(&mut self.sums, load);
@@ -41,11 +35,16 @@
         has_new
     }
 
-    /// Sum of the loads of all instances but one, and of `own`.
-    #[must_use]
-    pub fn without(&self, instance: &Arc<str>, own: &[SharedLoad]) -> Vec<SharedLoad> {
+    /// Sum of the loads of all instances but one that told theirs lately, and of `more`.
+    pub fn without<'a>(
+        &mut self,
+        now: Duration,
+        instance: &Arc<str>,
+        more: impl IntoIterator<Item = &'a SharedLoad>,
+    ) -> Vec<SharedLoad> {
+        self.forget(now);
         let mut sums = self.sums.clone();
-        for load in own {
+        for load in more {
             add(&mut sums, load);
         }
         if let Some((loads, _)) = self.by_instance.get(instance) {
@@ -55,6 +54,23 @@
         }
         sums.into_values().collect()
     }
+
+    /// Forgets instances that no longer tell their loads. An instance that nobody asks any more would go
+    /// on telling of those that asked it, which tell another one by now.
+    fn forget(&mut self, now: Duration) {
+        let oldest = now.saturating_sub(LOAD_AGE);
+        let mut gone = Vec::new();
+        self.by_instance.retain(|_, (loads, at)| {
+            let is_kept = *at >= oldest;
+            if !is_kept {
+                gone.append(loads);
+            }
+            is_kept
+        });
+        for load in &gone {
+            subtract(&mut self.sums, load);
+        }
+    }
 }
 
 fn add(sums: &mut HashMap<TargetId, SharedLoad>, load: &SharedLoad) {
--- a/crates/fleet/src/shared_load.rs
+++ b/crates/fleet/src/shared_load.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Age at which the loads that other instances told no longer say anything.
-pub(crate) const LOAD_AGE: Duration = Duration::from_secs(2);
+pub const LOAD_AGE: Duration = Duration::from_secs(2);
 
 /// What some instances know of one target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- /dev/null
+++ b/crates/fleet/src/transfers.rs
@@ -0,0 +1,74 @@
+use {super::*, std::cell::Cell};
+
+/// Position of a failure domain in `Transfers`.
+pub(crate) type DomainIndex = usize;
+
+/// Times that hops between failure domains add to the answer of one request, in milliseconds. Each is
+/// worked out when it is first needed.
+pub(crate) struct Transfers<'a> {
+    between_ms: Vec<Cell<Option<f64>>>,
+    demand: &'a Demand,
+    domains: Vec<&'a DomainName>,
+    now: Duration,
+    peer_factor: f64,
+    pipes: &'a Pipes,
+    profile: &'a EngineProfile,
+    settings: &'a FleetSettings,
+}
+
+impl<'a> Transfers<'a> {
+    pub(crate) fn new(
+        fleet: &'a Fleet,
+        now: Duration,
+        profile: &'a EngineProfile,
+        demand: &'a Demand,
+        domains: impl Iterator<Item = &'a DomainName>,
+    ) -> Self {
+        let domains: BTreeSet<&DomainName> = domains.collect();
+        let domains: Vec<&DomainName> = domains.into_iter().collect();
+        Self {
+            between_ms: vec![Cell::new(None); domains.len() * domains.len()],
+            demand,
+            domains,
+            now,
+            peer_factor: fleet.peer_factor(),
+            pipes: &fleet.pipes,
+            profile,
+            settings: &fleet.settings,
+        }
+    }
+
+    /// Position of a failure domain. Those that are not known count as the first one.
+    pub(crate) fn domain(&self, name: &DomainName) -> DomainIndex {
+        self.domains.binary_search(&name).unwrap_or_default()
+    }
+
+    /// Time of a hop to the first stage. The instance sends text to it and not activations.
+    pub(crate) fn first_ms(&self, from: DomainIndex, to: DomainIndex) -> f64 {
+        let mut cost_ms = self.settings.hop_ms * self.demand.answer_tokens;
+        if from != to {
+            cost_ms += self.settings.domain_change_ms * self.demand.answer_tokens;
+        }
+        cost_ms
+    }
+
+    /// Time of a hop between two stages.
+    pub(crate) fn between_ms(&self, from: DomainIndex, to: DomainIndex) -> f64 {
+        let known = &self.between_ms[from * self.domains.len() + to];
+        if let Some(cost_ms) = known.get() {
+            return cost_ms;
+        }
+        let mut cost_ms = self.first_ms(from, to);
+        if from != to {
+            let pipe_mbps = self.profile.pipe_mbps.max(1.0);
+            let bits = self.demand.tokens() * self.profile.activation_bytes * 8.0;
+            let pair = (self.domains[from], self.domains[to]);
+            let factor = self
+                .pipes
+                .delay_factor(self.now, pair, self.peer_factor, pipe_mbps);
+            cost_ms += bits / (pipe_mbps * 1_000.0) * factor;
+        }
+        known.set(Some(cost_ms));
+        cost_ms
+    }
+}
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -14,7 +14,8 @@
     let mut link = Link::new("configuration");
     let mut wait = Duration::ZERO;
     loop {
-        if shared.is_relayed(clock::now()) {
+        let now = clock::now();
+        if shared.is_relayed(now) || shared.waits_for_leader(now) {
             wait = Duration::ZERO;
             sleep(RELAYED_PAUSE).await;
             continue;
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -3,8 +3,8 @@
 /// Longest wait of the asked instance for a change before it answers. A part of the age at which keys
 /// are no longer accepted.
 const WAIT: Duration = Duration::from_millis(400);
-/// The same wait for those that stand in for the leader, which must know of its loss first.
-const STAND_IN_WAIT: Duration = Duration::from_millis(200);
+/// The same wait for those that others ask, which must know more than these.
+const ASKED_WAIT: Duration = Duration::from_millis(200);
 /// First pause while nobody with current knowledge answers; doubles up to `LAST_PAUSE` while others
 /// answer with old knowledge.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -12,6 +12,10 @@
 const LAST_PAUSE: Duration = Duration::from_millis(1_200);
 /// Time for which an instance that did not help is passed over, as long as another one does.
 const AVOIDANCE: Duration = Duration::from_secs(3);
+/// Time between reports of the instances that ask this one, as long as they are the same.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(800);
+/// Redirections that are followed in one round. Two trees of one leader may follow each other.
+const MOST_REDIRECTS: u32 = 2;
 /// Name under which an instance keeps what it hears of all others.
 const OTHERS: &str = "others";
 
@@ -24,23 +28,25 @@
     shared: Arc<SharedState>,
     leadership: Arc<Mutex<Leadership>>,
 ) {
-    let follower = Follower {
+    let mut follower = Follower {
+        avoided: HashMap::new(),
         leadership,
+        members_told: (0, Duration::ZERO),
         relay,
         router,
         row,
         shared,
     };
-    let mut avoided: HashMap<SocketAddr, Duration> = HashMap::new();
     let mut followed: Option<SocketAddr> = None;
     let mut pause = FIRST_PAUSE;
     loop {
-        let wait = match followed {
-            None => Duration::ZERO,
-            Some(_) if follower.shared.is_stand_in() => STAND_IN_WAIT,
-            Some(_) => WAIT,
+        let wait = match (followed, follower.shared.place()) {
+            (None, _) => Duration::ZERO,
+            (Some(_), TreePlace::Follower) => WAIT,
+            (Some(_), _) => ASKED_WAIT,
         };
-        let found = follower.ask_each(&mut avoided, wait).await;
+        let change_count = follower.shared.change_count();
+        let found = follower.ask_each(wait).await;
         if found != followed {
             match found {
                 None => tracing::info!("nobody to follow, reads the stores itself"),
@@ -53,7 +59,8 @@
             continue;
         }
         follower.shared.relay_lost();
-        sleep(pause).await;
+        // A new tree names others to ask.
+        follower.shared.wait(change_count, pause).await;
         let is_served = follower.shared.is_served(clock::now());
         pause = if is_served {
             (pause * 2).min(LAST_PAUSE)
@@ -63,8 +70,23 @@
     }
 }
 
+/// What an answer brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asked {
+    /// This instance is current.
+    Current,
+    /// Others are to be asked.
+    Redirected,
+    /// Nothing, or what was known long ago.
+    Unhelpful,
+}
+
 struct Follower {
+    /// Instances that did not help, and until when they are passed over.
+    avoided: HashMap<SocketAddr, Duration>,
     leadership: Arc<Mutex<Leadership>>,
+    /// Changes of the members when they were last told, and when that was.
+    members_told: (u64, Duration),
     relay: Arc<dyn Relay>,
     router: Arc<Router>,
     row: InstanceRow,
@@ -72,88 +94,98 @@
 }
 
 impl Follower {
-    /// Addresses to ask: the sources before this instance in the list of the leader, the leader that
-    /// the table names. While no list of a leader is known, the first instances of the table are asked
-    /// too, so that those that start together do not all read the stores. An instance that leads asks
-    /// nobody.
+    /// Addresses to ask, those last that did not help lately. An instance that leads asks nobody.
     fn candidates(&self) -> Vec<SocketAddr> {
-        let leader = lock(&self.leadership).leader().cloned();
-        if leader.as_ref() == Some(&self.row.start) {
+        if lock(&self.leadership).fence(clock::now()).is_some() {
             return Vec::new();
         }
-        let sources = self.shared.sources();
-        let is_known = !sources.is_empty();
-        let own = self.row.relay_address;
-        let before = sources.into_iter().take_while(|source| *source != own);
-        let mut candidates: Vec<SocketAddr> = before.collect();
-        let listed = self.shared.with_membership(|membership| {
-            let named = leader.and_then(|leader| membership.relay_address(&leader));
-            let first = if is_known {
-                Vec::new()
-            } else {
-                membership.first_before(clock::now(), &self.row)
-            };
-            named.into_iter().chain(first)
-        });
-        for address in listed {
-            if address != own && !candidates.contains(&address) {
-                candidates.push(address);
-            }
-        }
-        candidates
+        let tree = self.shared.tree();
+        let sources = tree.map(|tree| tree.sources(&self.row));
+        let sources = sources.unwrap_or_default().into_iter();
+        let (last, mut first): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            sources.partition(|source| self.avoided.contains_key(source));
+        first.extend(last);
+        first
     }
 
     /// Asks one after another until one has current knowledge. Returns its address.
-    async fn ask_each(
-        &self,
-        avoided: &mut HashMap<SocketAddr, Duration>,
-        wait: Duration,
-    ) -> Option<SocketAddr> {
-        let candidates = self.candidates();
+    async fn ask_each(&mut self, wait: Duration) -> Option<SocketAddr> {
         let now = clock::now();
-        avoided.retain(|_, until| now < *until);
-        let (last, first): (Vec<SocketAddr>, Vec<SocketAddr>) = candidates
-            .into_iter()
-            .partition(|candidate| avoided.contains_key(candidate));
-        for address in first.into_iter().chain(last) {
-            if self.ask(address, wait).await {
-                return Some(address);
+        self.avoided.retain(|_, until| now < *until);
+        let mut candidates = VecDeque::from(self.candidates());
+        let mut redirect_count = 0;
+        while let Some(address) = candidates.pop_front() {
+            match self.ask(address, wait).await {
+                Asked::Current => return Some(address),
+                Asked::Redirected if redirect_count < MOST_REDIRECTS => {
+                    redirect_count += 1;
+                    candidates = VecDeque::from(self.candidates());
+                }
+                Asked::Redirected | Asked::Unhelpful => {
+                    self.avoided.insert(address, clock::now() + AVOIDANCE);
+                }
             }
-            avoided.insert(address, clock::now() + AVOIDANCE);
         }
         None
     }
 
-    /// Asks one instance. Returns whether this one is current with its answer.
-    async fn ask(&self, address: SocketAddr, wait: Duration) -> bool {
+    async fn ask(&mut self, address: SocketAddr, wait: Duration) -> Asked {
         let query = self.query(address, wait);
         let revision = query.revision;
         let asked_at = clock::now();
         match self.relay.ask(address, query).await {
             Err(error) => {
                 tracing::debug!(source = %address, %error, "not answered");
-                false
+                // What was told in the question may not have arrived.
+                self.members_told = (0, Duration::ZERO);
+                Asked::Unhelpful
+            }
+            Ok(RelayReply::Redirect(tree)) => {
+                self.shared.set_tree(tree, self.row.relay_address);
+                Asked::Redirected
             }
-            Ok(answer) => {
-                self.take(address, asked_at, revision, answer);
-                self.shared.is_relayed(clock::now())
+            Ok(RelayReply::Answer(answer)) => {
+                self.take(address, asked_at, revision, *answer);
+                match self.shared.is_relayed(clock::now()) {
+                    false => Asked::Unhelpful,
+                    true => Asked::Current,
+                }
             }
         }
     }
 
-    fn query(&self, address: SocketAddr, wait: Duration) -> Query {
+    fn query(&mut self, address: SocketAddr, wait: Duration) -> Query {
+        let now = clock::now();
+        let own_loads = self.router.fleet().own_loads();
+        let members = self.members(now);
         Query {
+            avoided: self.avoided.keys().copied().collect(),
             catalog_version: self.router.catalog().version(),
-            crashes: self.router.suspects().own_reports(clock::now()),
+            crashes: self.router.suspects().reports_for(now, &OTHERS.into()),
             instances_digest: digest(&self.router.instances()),
             is_leaving: self.router.is_leaving(),
-            loads: self.router.fleet().own_loads(),
+            loads: self.shared.lower_loads(now, &own_loads),
+            members,
             revision: self.shared.revision_of(address),
             row: self.row.clone(),
+            tree_version: self.shared.tree_version(),
             wait,
         }
     }
 
+    /// Instances that ask this one, when they have changed or were not told for a while.
+    fn members(&mut self, now: Duration) -> Vec<MemberReport> {
+        let (told_count, told_at) = self.members_told;
+        let is_recent = now.saturating_sub(told_at) < MEMBERS_INTERVAL;
+        self.shared.with_membership(|membership| {
+            if is_recent && membership.change_count() == told_count {
+                return Vec::new();
+            }
+            self.members_told = (membership.change_count(), now);
+            membership.reports(now)
+        })
+    }
+
     fn take(&self, source: SocketAddr, asked_at: Duration, revision: u64, answer: Answer) {
         let (router, shared) = (&self.router, &self.shared);
         // The question arrived after it was sent, so that this is at or before the time of the answer.
@@ -179,16 +211,21 @@
             target_loop::publish(router, &before, &listing);
         }
         let now = clock::now();
-        router.set_other_loads(&answer.other_loads);
+        let others = shared.set_upper_loads(now, answer.other_loads);
+        router.set_other_loads(&others);
         let others = Arc::from(OTHERS);
         router
             .suspects()
             .take_reports(now, &others, &answer.crashes);
+        let formed_at = answered_at.saturating_sub(answer.instances_age);
         if let Some(instances) = answer.instances {
-            instance_loop::take(router, instances);
+            leadership_loop::take(router, instances);
         }
-        if !answer.sources.is_empty() {
-            shared.set_sources(answer.sources, self.row.relay_address);
+        shared.set_instances_at(Some(formed_at));
+        let instances = router.instances();
+        shared.with_membership(|membership| membership.inherit(instances, formed_at));
+        if let Some(tree) = answer.tree {
+            shared.set_tree(tree, self.row.relay_address);
         }
     }
 }
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -9,6 +9,9 @@
 pub struct LeadershipSettings {
     /// Time without a change of the leader's row after which another instance takes over.
     pub lease: Duration,
+    /// Time for which this instance lets others take a free lead first. Twice as long at most, as each
+    /// instance draws a part of it.
+    pub patience: Duration,
     /// Time after the last confirmed renewal for which the leader gives orders. Below `lease`, so
     /// that it stops before another one starts.
     pub term: Duration,
@@ -18,6 +21,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(3_000),
+            patience: Duration::ZERO,
             term: Duration::from_millis(2_500),
         }
     }
@@ -30,8 +34,20 @@
     pub fence: u64,
     /// Instance that leads, as the id of its start; empty if it gave up the lead.
     pub holder: Arc<str>,
-    /// Ids of the instances that the leader knows to live.
-    pub live: Vec<Arc<str>>,
+    /// Which instances ask which; none if that is not known.
+    pub tree: Option<RelayTree>,
+}
+
+impl LeaderRow {
+    /// Row by which nobody leads.
+    #[must_use]
+    pub fn released(fence: u64) -> Self {
+        Self {
+            fence,
+            holder: Arc::from(""),
+            tree: None,
+        }
+    }
 }
 
 /// What to do about the leader's row.
@@ -43,8 +59,8 @@
     Write {
         /// Version that the row must have; 0 if it must not exist.
         expected_version: u64,
-        /// New row.
-        row: LeaderRow,
+        /// Fence of the new row.
+        fence: u64,
     },
 }
 
@@ -55,38 +71,41 @@
 #[derive(Clone, Debug)]
 pub struct Leadership {
     instance: Arc<str>,
-    /// Instances that this one knows to live.
-    live: Vec<Arc<str>>,
+    /// Whether the leader named this instance as one that stands in for it.
+    is_stand_in: bool,
     /// Fence of this instance's own term, and when the write that began or renewed it was sent.
     own: Option<(u64, Duration)>,
+    /// Where this instance takes calls of others.
+    relay_address: SocketAddr,
     row: Option<(LeaderRow, u64)>,
     seen_at: Option<Duration>,
     settings: LeadershipSettings,
 }
 
 impl Leadership {
-    /// Creates the state of an instance, which must not use its id again after a restart.
+    /// Creates the state of an instance. `instance` is the id of its start, which is that of the
+    /// instance, a dot, and what differs between starts.
     #[must_use]
-    pub fn new(instance: Arc<str>, settings: LeadershipSettings) -> Self {
+    pub fn new(
+        instance: Arc<str>,
+        relay_address: SocketAddr,
+        settings: LeadershipSettings,
+    ) -> Self {
         Self {
             instance,
-            live: Vec::new(),
+            is_stand_in: false,
             own: None,
+            relay_address,
             row: None,
             seen_at: None,
             settings,
         }
     }
 
-    /// Sets which instances the row names as living.
-    pub fn set_live(&mut self, live: Vec<Arc<str>>) {
-        self.live = live;
-    }
-
-    /// Start id of the instance that leads, as far as is known.
+    /// Id of this start.
     #[must_use]
-    pub fn leader(&self) -> Option<&Arc<str>> {
-        self.row.as_ref().map(|(row, _)| &row.holder)
+    pub fn instance(&self) -> &str {
+        &self.instance
     }
 
     /// Notes the row, its version, and the time since it was written by the clock of the store.
@@ -105,6 +124,10 @@
                 "leadership lost to another instance"
             );
         }
+        let tree = row.as_ref().and_then(|(row, _)| row.tree.as_ref());
+        if let Some(tree) = tree {
+            self.is_stand_in = tree.place(self.relay_address) == TreePlace::StandIn;
+        }
         self.row = row;
     }
 
@@ -114,19 +137,59 @@
         let Some(seen_at) = self.seen_at else {
             return LeaseStep::Wait;
         };
+        let waited = now.saturating_sub(seen_at);
         let Some((row, version)) = &self.row else {
-            return self.write(1, 0);
+            if waited < self.patience() {
+                return LeaseStep::Wait;
+            }
+            return LeaseStep::Write {
+                expected_version: 0,
+                fence: 1,
+            };
         };
         if row.holder == self.instance {
             // A renewal whose answer was lost has ended the term here, so a new one begins.
             let fence = row.fence + u64::from(self.own.is_none());
-            return self.write(fence, *version);
+            return LeaseStep::Write {
+                expected_version: *version,
+                fence,
+            };
         }
-        let is_released = row.holder.is_empty();
-        if !is_released && now.saturating_sub(seen_at) < self.settings.lease {
+        let patience = if self.is_stand_in {
+            Duration::ZERO
+        } else {
+            self.patience()
+        };
+        let free_after = match () {
+            () if self.is_own_former_start(row) => Duration::ZERO,
+            () if row.holder.is_empty() => patience,
+            () => self.settings.lease + patience,
+        };
+        if waited < free_after {
             return LeaseStep::Wait;
         }
-        self.write(row.fence + 1, *version)
+        LeaseStep::Write {
+            expected_version: *version,
+            fence: row.fence + 1,
+        }
+    }
+
+    /// Time for which this instance lets others take a free lead first.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        let mut hasher = DefaultHasher::new();
+        self.instance.hash(&mut hasher);
+        let share = (hasher.finish() % 1_000) as f64 / 1_000.0;
+        self.settings.patience.mul_f64(1.0 + share)
+    }
+
+    /// Whether a former process of this instance held the lead: the platform starts a process anew only
+    /// after the one before has ended. The address tells it from another machine of the same name.
+    fn is_own_former_start(&self, row: &LeaderRow) -> bool {
+        let id = |start: &str| start.rsplit_once('.').map(|(id, _)| id.to_owned());
+        let is_same = id(&row.holder).is_some_and(|holder| Some(holder) == id(&self.instance));
+        let leader = row.tree.as_ref().map(|tree| tree.leader);
+        is_same && leader == Some(self.relay_address)
     }
 
     /// Notes that a write sent at `sent_at` was accepted.
@@ -146,11 +209,11 @@
     /// Gives up the lead, if this instance has it. Returns the row to write and its expected version.
     pub fn release(&mut self) -> Option<(LeaderRow, u64)> {
         let (fence, _) = self.own.take()?;
-        let (_, version) = self.row.as_ref()?;
+        let (row, version) = self.row.as_ref()?;
         let row = LeaderRow {
             fence,
             holder: Arc::from(""),
-            live: self.live.clone(),
+            tree: row.tree.clone(),
         };
         tracing::info!(instance = &*self.instance, fence, "leadership given up");
         Some((row, *version))
@@ -171,23 +234,18 @@
         }
     }
 
+    /// Whether this instance has the lead, be it only until its term ends.
+    #[must_use]
+    pub fn has_lead(&self) -> bool {
+        self.own.is_some()
+    }
+
     /// Fence of this instance's orders; none if it does not lead.
     #[must_use]
     pub fn fence(&self, now: Duration) -> Option<u64> {
         let (fence, renewed_at) = self.own?;
         (now.saturating_sub(renewed_at) < self.settings.term).then_some(fence)
     }
-
-    fn write(&self, fence: u64, expected_version: u64) -> LeaseStep {
-        LeaseStep::Write {
-            expected_version,
-            row: LeaderRow {
-                fence,
-                holder: self.instance.clone(),
-                live: self.live.clone(),
-            },
-        }
-    }
 }
 
 /// Locks the state that the loops of an instance share.
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -7,13 +7,13 @@
 
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
-    fleet::{LoadTable, Roster, SharedLoad, Target},
+    fleet::{LOAD_AGE, LoadTable, Roster, SharedLoad, Target},
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet, VecDeque},
         hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -28,14 +28,15 @@
 
 mod catalog_loop;
 mod follow_loop;
-mod instance_loop;
 mod layout_keeper;
 mod leadership;
+mod leadership_loop;
 mod link;
 mod membership;
 mod order_loop;
 mod relay_handler;
 mod relay_message;
+mod relay_tree;
 mod shared_state;
 mod sources;
 mod target_history;
@@ -44,20 +45,21 @@
 pub use {
     catalog_loop::follow_catalog,
     follow_loop::follow_leader,
-    instance_loop::follow_instances,
     layout_keeper::{LayoutKeeper, Order},
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
+    leadership_loop::keep_leadership,
     link::Link,
-    membership::{InstanceRow, Membership},
+    membership::{InstanceRow, MemberReport, Membership},
     order_loop::keep_layout,
     relay_handler::RelayHandler,
-    relay_message::{Answer, Query, Relay},
-    shared_state::{RelayedTargets, SharedState},
-    sources::{
-        CatalogRead, CatalogSource, InstanceTable, InstanceView, TargetChange, TargetSource,
-    },
+    relay_message::{Answer, Query, Relay, RelayReply},
+    relay_tree::{RelayTree, TreePlace, TreeVersion},
+    shared_state::{RelayedTargets, SharedSettings, SharedState},
+    sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
     target_history::TargetHistory,
     target_loop::follow_targets,
 };
 
-use {leadership::lock, relay_message::digest, shared_state::RELAYED_PAUSE};
+use {
+    leadership::lock, relay_message::digest, shared_state::RELAYED_PAUSE, target_loop::LOGGED_COUNT,
+};
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -1,20 +1,19 @@
 use super::*;
 
-/// Time without a sign of activity after which an instance is taken as dead: three missed beats.
+/// Time without a sign of activity after which an instance is taken as dead: longer than the age at
+/// which a relay tells of those that ask it, and than the change to another source.
 const SILENCE: Duration = Duration::from_millis(3_500);
+/// Time for which it is remembered that an instance has left: longer than older reports of others may
+/// name it as live.
+const LEFT_AGE: Duration = Duration::from_secs(10);
 
-/// Instances that stand in for the leader. With three of different failure domains, one is left when two
-/// domains are lost.
-const STAND_IN_COUNT: usize = 3;
-
-/// Instances that read the stores for those that start with them while there is no leader.
-const FIRST_COUNT: usize = 2;
-
-/// Row of an instance.
+/// What instances tell of themselves.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceRow {
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// Ability to answer other instances, in thousandths of a core; less on a slow link.
+    pub capacity: u32,
     /// Failure domain.
     pub domain: Arc<str>,
     /// Id, which is the same after a restart.
@@ -37,97 +36,143 @@
     }
 }
 
+/// What one instance tells another one of a third one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberReport {
+    /// Time since its last sign of activity.
+    pub age: Duration,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// The instance.
+    pub row: InstanceRow,
+}
+
 /// Instances that showed a sign of activity.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
+    /// Counts instances that came or left.
+    change_count: u64,
+    /// Instances that another one knew, and when it formed the list.
+    inherited: Option<(Vec<Instance>, Duration)>,
+    /// Instances that have left, by the id of their start, with the time at which they did.
+    left: HashMap<Arc<str>, (InstanceRow, Duration)>,
     /// Rows with the time of the last sign of activity.
     rows: HashMap<Arc<str>, (InstanceRow, Duration)>,
 }
 
 impl Membership {
-    /// Notes all rows with the times since they were written.
-    pub fn observe(&mut self, now: Duration, rows: Vec<(InstanceRow, Duration)>) {
-        let mut next = HashMap::new();
-        for (row, age) in rows {
-            let mut seen_at = now.saturating_sub(age);
-            if let Some((known, known_at)) = self.rows.remove(&row.id)
-                && known.start == row.start
-            {
-                seen_at = seen_at.max(known_at);
+    /// Notes that an instance was active at `at`.
+    pub fn contacted(&mut self, at: Duration, row: InstanceRow) {
+        if self.left.contains_key(&row.start) {
+            return;
+        }
+        if let Some((known, seen_at)) = self.rows.get_mut(&row.id) {
+            if known.start == row.start {
+                *seen_at = at.max(*seen_at);
+                return;
+            }
+            // An older report of a former start.
+            if at < *seen_at {
+                return;
             }
-            next.insert(row.id.clone(), (row, seen_at));
         }
-        self.rows = next;
+        self.change_count += 1;
+        self.rows.insert(row.id.clone(), (row, at));
     }
 
-    /// Notes that an instance called this one.
-    pub fn contacted(&mut self, now: Duration, row: InstanceRow) {
-        let known = self.rows.get_mut(&row.id);
-        if let Some((_, seen_at)) = known.filter(|(known, _)| known.start == row.start) {
-            *seen_at = now;
+    /// Notes that an instance is leaving.
+    pub fn left(&mut self, now: Duration, row: &InstanceRow) {
+        if self.left.contains_key(&row.start) {
             return;
         }
-        self.rows.insert(row.id.clone(), (row, now));
+        self.change_count += 1;
+        self.left.insert(row.start.clone(), (row.clone(), now));
+        let is_same_start = |known: &(InstanceRow, Duration)| known.0.start == row.start;
+        if self.rows.get(&row.id).is_some_and(is_same_start) {
+            self.rows.remove(&row.id);
+        }
+        if let Some((inherited, _)) = &mut self.inherited {
+            inherited.retain(|instance| instance.id != row.id);
+        }
     }
 
-    /// Notes the instances that the leader knew to live at `at`. Those that it serves do not renew
-    /// their own rows. The leader must not take over its own list, or dead instances would live on
-    /// in it.
-    pub fn confirmed(&mut self, at: Duration, live: &[Arc<str>]) {
-        for id in live {
-            if let Some((_, seen_at)) = self.rows.get_mut(id) {
-                *seen_at = at.max(*seen_at);
+    /// Notes what another instance tells of those that ask it.
+    pub fn take_reports(&mut self, now: Duration, reports: Vec<MemberReport>) {
+        for report in reports {
+            if report.is_leaving {
+                self.left(now, &report.row);
+            } else {
+                self.contacted(now.saturating_sub(report.age), report.row);
             }
         }
     }
 
-    /// Notes that an instance is leaving.
-    pub fn left(&mut self, id: &str) {
-        self.rows.remove(id);
-    }
-
-    /// Where the instance with this start takes calls of others.
-    #[must_use]
-    pub fn relay_address(&self, start: &str) -> Option<SocketAddr> {
-        let mut rows = self.rows.values();
-        let found = rows.find(|(row, _)| &*row.start == start);
-        found.map(|(row, _)| row.relay_address)
+    /// What this instance tells of those that ask it, and forgets those that are dead.
+    pub fn reports(&mut self, now: Duration) -> Vec<MemberReport> {
+        self.forget(now);
+        let mut reports = Vec::new();
+        for (row, seen_at) in self.rows.values() {
+            reports.push(MemberReport {
+                age: now.saturating_sub(*seen_at),
+                is_leaving: false,
+                row: row.clone(),
+            });
+        }
+        for (row, left_at) in self.left.values() {
+            let age = now.saturating_sub(*left_at);
+            if age > SILENCE {
+                continue;
+            }
+            reports.push(MemberReport {
+                age,
+                is_leaving: true,
+                row: row.clone(),
+            });
+        }
+        reports
     }
 
-    /// Where those take calls of others that stand in for the leader `own` when it is lost: other live
-    /// instances, as far as possible of different failure domains.
+    /// Number of times that an instance came or left.
     #[must_use]
-    pub fn stand_ins(&self, now: Duration, own: &InstanceRow) -> Vec<SocketAddr> {
-        let mut live = self.live_rows(now);
-        live.retain(|row| row.id != own.id);
-        let mut domains = HashSet::from([&own.domain]);
-        let (first, last): (Vec<&InstanceRow>, Vec<&InstanceRow>) = live
-            .into_iter()
-            .partition(|row| domains.insert(&row.domain));
-        let stand_ins = first.into_iter().chain(last).take(STAND_IN_COUNT);
-        stand_ins.map(|row| row.relay_address).collect()
+    pub fn change_count(&self) -> u64 {
+        self.change_count
     }
 
-    /// Where the first live instances take calls of others, by the order of ids and only before `own`.
-    #[must_use]
-    pub fn first_before(&self, now: Duration, own: &InstanceRow) -> Vec<SocketAddr> {
-        let live = self.live_rows(now).into_iter();
-        let before = live.take_while(|row| row.id < own.id);
-        before
-            .take(FIRST_COUNT)
-            .map(|row| row.relay_address)
-            .collect()
+    /// Takes over the list of another instance, formed at `formed_at`. It counts for as long as a sign of
+    /// activity, so that instances that follow each other do not keep dead ones alive.
+    pub fn inherit(&mut self, instances: Vec<Instance>, formed_at: Duration) {
+        let is_older = |(_, known): &(Vec<Instance>, Duration)| *known > formed_at;
+        if self.inherited.as_ref().is_some_and(is_older) {
+            return;
+        }
+        let ids: HashSet<Arc<str>> = self.left.values().map(|(row, _)| row.id.clone()).collect();
+        let is_left = |instance: &Instance| {
+            ids.contains(&instance.id) && !self.rows.contains_key(&instance.id)
+        };
+        let instances = instances.into_iter().filter(|one| !is_left(one));
+        self.inherited = Some((instances.collect(), formed_at));
     }
 
     /// Instances that callers may use, in the order of their ids.
     #[must_use]
     pub fn live(&self, now: Duration) -> Vec<Instance> {
-        let live = self.live_rows(now).into_iter();
-        live.map(InstanceRow::instance).collect()
+        let mut live: BTreeMap<Arc<str>, Instance> = BTreeMap::new();
+        if let Some((inherited, formed_at)) = &self.inherited
+            && now.saturating_sub(*formed_at) <= SILENCE
+        {
+            for instance in inherited {
+                live.insert(instance.id.clone(), instance.clone());
+            }
+        }
+        for row in self.live_rows(now) {
+            live.insert(row.id.clone(), row.instance());
+        }
+        live.into_values().collect()
     }
 
     /// Rows of live instances, in the order of their ids.
-    fn live_rows(&self, now: Duration) -> Vec<&InstanceRow> {
+    #[must_use]
+    pub fn live_rows(&self, now: Duration) -> Vec<&InstanceRow> {
         let mut live = Vec::new();
         for (row, seen_at) in self.rows.values() {
             if now.saturating_sub(*seen_at) <= SILENCE {
@@ -137,4 +182,10 @@
         live.sort_by(|one, other| one.id.cmp(&other.id));
         live
     }
+
+    fn forget(&mut self, now: Duration) {
+        let is_kept = |at: Duration, limit| now.saturating_sub(at) <= limit;
+        self.rows.retain(|_, (_, at)| is_kept(*at, SILENCE));
+        self.left.retain(|_, (_, at)| is_kept(*at, LEFT_AGE));
+    }
 }
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -32,9 +32,9 @@
     }
 
     /// Answers a question, or none if this instance knows nothing yet or is leaving.
-    pub async fn answer(&self, mut query: Query) -> Option<Answer> {
+    pub async fn answer(&self, mut query: Query) -> Option<RelayReply> {
         let arrived_at = clock::now();
-        self.note_member(&query);
+        self.note_members(&mut query);
         self.note_loads(&query.row.id, std::mem::take(&mut query.loads));
         let asking = query.row.id.clone();
         self.router
@@ -43,12 +43,24 @@
         if self.router.is_leaving() {
             return None;
         }
+        self.form_tree(arrived_at);
+        let tree = self.shared.tree();
+        if let Some(tree) = tree.filter(|tree| self.is_redirected(tree, &query)) {
+            return Some(RelayReply::Redirect(tree));
+        }
         let change_count = self.shared.change_count();
         let is_behind = self.router.catalog().version() > query.catalog_version;
         if !is_behind && self.shared.revision() == query.revision {
             self.shared.wait(change_count, query.wait).await;
         }
+        let answer = self.current(&query, arrived_at)?;
+        Some(RelayReply::Answer(Box::new(answer)))
+    }
+
+    /// What is newer than what the asking instance knows.
+    fn current(&self, query: &Query, arrived_at: Duration) -> Option<Answer> {
         let now = clock::now();
+        let asking = &query.row.id;
         let (catalog, confirmed_at) = {
             let holder = self.router.catalog();
             (holder.catalog()?.clone(), holder.confirmed_at()?)
@@ -57,45 +69,49 @@
         let instances = self.router.instances();
         let (revision, targets) = self.shared.targets_since(query.revision);
         let own_loads = self.router.fleet().own_loads();
+        let tree = self.shared.tree();
         Some(Answer {
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
             catalog_age: now.saturating_sub(confirmed_at),
-            crashes: self.router.suspects().reports_for(now, &asking),
+            crashes: self.router.suspects().reports_for(now, asking),
             distance: self.shared.distance(now),
             instances: (digest(&instances) != query.instances_digest).then_some(instances),
-            other_loads: self.shared.loads_without(&asking, &own_loads),
+            instances_age: self.shared.instances_age(now),
+            other_loads: self.shared.loads_without(now, asking, &own_loads),
             revision,
-            sources: self.sources(now),
             targets,
             targets_age,
+            tree: tree.filter(|tree| tree.version > query.tree_version),
             waited: now.saturating_sub(arrived_at),
         })
     }
 
-    /// Where to ask: here and at stand-ins of its choice if this instance leads.
-    fn sources(&self, now: Duration) -> Vec<SocketAddr> {
-        if lock(&self.leadership).fence(now).is_none() {
-            return self.shared.sources();
-        }
-        let stand_ins = self
-            .shared
-            .with_membership(|membership| membership.stand_ins(now, &self.row));
-        let sources: Vec<SocketAddr> = std::iter::once(self.row.relay_address)
-            .chain(stand_ins)
-            .collect();
-        self.shared
-            .set_sources(sources.clone(), self.row.relay_address);
-        sources
+    /// Whether the asking instance is to ask its relays first, so that the leader and its stand-ins do
+    /// not serve all.
+    fn is_redirected(&self, tree: &RelayTree, query: &Query) -> bool {
+        let relays = tree.relays_for(&query.row);
+        let is_tried = |relay: &SocketAddr| query.avoided.contains(relay);
+        !relays.contains(&self.row.relay_address) && !relays.iter().all(is_tried)
+    }
+
+    /// Forms the tree anew if this instance leads and has not done so lately.
+    fn form_tree(&self, now: Duration) {
+        let Some(fence) = lock(&self.leadership).fence(now) else {
+            return;
+        };
+        self.shared.form_tree(now, fence, &self.row);
     }
 
-    fn note_member(&self, query: &Query) {
+    fn note_members(&self, query: &mut Query) {
         let now = clock::now();
+        let members = std::mem::take(&mut query.members);
         self.shared.with_membership(|membership| {
             if query.is_leaving {
-                membership.left(&query.row.id);
+                membership.left(now, &query.row);
             } else {
                 membership.contacted(now, query.row.clone());
             }
+            membership.take_reports(now, members);
         });
     }
 
--- /dev/null
+++ b/crates/reconcile/src/relay_tree.rs
@@ -0,0 +1,192 @@
+use super::*;
+
+/// Instances that stand in for the leader. With three of different failure domains, one is left when two
+/// domains are lost.
+const STAND_IN_COUNT: usize = 3;
+/// Capacity that one asking instance takes: 2.5 questions a second of some tenths of a millisecond each
+/// are a thousandth of a core, and requests of callers need most of the rest.
+const CAPACITY_PER_INSTANCE: u32 = 9;
+/// Least relays of a failure domain, so that one is left when another one is lost.
+const LEAST_RELAY_COUNT: usize = 2;
+
+/// Which instances others ask: the leader, those that stand in for it, and relays of each failure domain.
+///
+/// The leader and its stand-ins are asked by relays, and relays by all others of their failure domain,
+/// so that answers pass two instances at most. While the leader can serve all, there are no relays.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayTree {
+    /// Where the leader takes calls of others.
+    pub leader: SocketAddr,
+    /// Relays by failure domain, the ablest ones first; empty while the leader serves all.
+    pub relays: BTreeMap<Arc<str>, Vec<SocketAddr>>,
+    /// Instances that stand in for the leader, in the order in which they are asked.
+    pub stand_ins: Vec<SocketAddr>,
+    /// Version.
+    pub version: TreeVersion,
+}
+
+/// Version of a tree: the fence of the leader that formed it, and its number of trees before.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TreeVersion {
+    /// Fence of the leader.
+    pub fence: u64,
+    /// Trees that it has formed.
+    pub number: u64,
+}
+
+/// Place of an instance in a tree.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TreePlace {
+    /// Asks others and is asked by none.
+    #[default]
+    Follower,
+    /// Leads.
+    Leader,
+    /// Asks the leader and is asked by others of its failure domain.
+    Relay,
+    /// Asks the leader, and serves the relays when the leader does not.
+    StandIn,
+}
+
+impl TreePlace {
+    /// Part of the time for which knowledge may be used that an instance uses it without reading the
+    /// stores itself. Those who are asked read earlier, so that they know more than those who ask them.
+    /// What is left covers a read.
+    pub(crate) fn knowledge_share(self) -> f64 {
+        match self {
+            Self::Follower => 0.65,
+            Self::Relay => 0.58,
+            Self::Leader | Self::StandIn => 0.5,
+        }
+    }
+}
+
+impl RelayTree {
+    /// Forms the tree of a leader over the live instances, which include it or not.
+    #[must_use]
+    pub fn form(own: &InstanceRow, live: &[&InstanceRow], version: TreeVersion) -> Self {
+        let mut ablest: Vec<&InstanceRow> = live.to_vec();
+        ablest.retain(|row| row.id != own.id);
+        ablest.sort_by(|one, other| {
+            let capacity = other.capacity.cmp(&one.capacity);
+            capacity.then_with(|| one.id.cmp(&other.id))
+        });
+        let relays = if ablest.len() <= served_count(own) {
+            BTreeMap::new()
+        } else {
+            relays(&ablest)
+        };
+        Self {
+            leader: own.relay_address,
+            relays,
+            stand_ins: stand_ins(own, &ablest),
+            version,
+        }
+    }
+
+    /// Whether both name the same instances.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let version = self.version;
+        *self
+            == Self {
+                version,
+                ..other.clone()
+            }
+    }
+
+    /// Addresses that an instance asks, in this order. Invariant: an instance never asks one that asks
+    /// it by the same tree.
+    #[must_use]
+    pub fn sources(&self, row: &InstanceRow) -> Vec<SocketAddr> {
+        let own = row.relay_address;
+        let upper = std::iter::once(self.leader).chain(self.stand_ins.iter().copied());
+        // A leader that is one no longer asks those that stand in for it.
+        if own == self.leader {
+            return self.stand_ins.clone();
+        }
+        let mut sources = self.relays_for(row);
+        for address in upper.take_while(|address| *address != own) {
+            if !sources.contains(&address) {
+                sources.push(address);
+            }
+        }
+        sources
+    }
+
+    /// Relays that an instance asks before all others; none for those that relay or stand in themselves.
+    #[must_use]
+    pub fn relays_for(&self, row: &InstanceRow) -> Vec<SocketAddr> {
+        if self.place(row.relay_address) != TreePlace::Follower {
+            return Vec::new();
+        }
+        let mut relays = self.relays.get(&row.domain).cloned().unwrap_or_default();
+        // Each instance has an order of its own, which other relays do not change.
+        relays.sort_by_key(|relay| {
+            let mut hasher = DefaultHasher::new();
+            (&row.id, relay).hash(&mut hasher);
+            hasher.finish()
+        });
+        relays
+    }
+
+    /// Place of the instance at an address.
+    #[must_use]
+    pub fn place(&self, address: SocketAddr) -> TreePlace {
+        if address == self.leader {
+            return TreePlace::Leader;
+        }
+        if self.stand_ins.contains(&address) {
+            return TreePlace::StandIn;
+        }
+        let mut relays = self.relays.values();
+        if relays.any(|relays| relays.contains(&address)) {
+            return TreePlace::Relay;
+        }
+        TreePlace::Follower
+    }
+
+    /// Most instances between the stores and an answer that counts: the stand-ins, and relays if there
+    /// are any. More of them show instances that follow each other in a circle.
+    #[must_use]
+    pub fn most_distance(&self) -> u32 {
+        1 + u32::from(!self.relays.is_empty())
+    }
+}
+
+/// Instances that one can serve.
+fn served_count(row: &InstanceRow) -> usize {
+    (row.capacity / CAPACITY_PER_INSTANCE) as usize
+}
+
+fn stand_ins(own: &InstanceRow, ablest: &[&InstanceRow]) -> Vec<SocketAddr> {
+    let mut domains = HashSet::from([&own.domain]);
+    let (first, last): (Vec<&InstanceRow>, Vec<&InstanceRow>) =
+        ablest.iter().partition(|row| domains.insert(&row.domain));
+    let stand_ins = first.into_iter().chain(last).take(STAND_IN_COUNT);
+    stand_ins.map(|row| row.relay_address).collect()
+}
+
+fn relays(ablest: &[&InstanceRow]) -> BTreeMap<Arc<str>, Vec<SocketAddr>> {
+    let mut domains: BTreeMap<Arc<str>, Vec<&InstanceRow>> = BTreeMap::new();
+    for row in ablest {
+        domains.entry(row.domain.clone()).or_default().push(row);
+    }
+    let mut relays = BTreeMap::new();
+    for (domain, rows) in domains {
+        let mut chosen = Vec::new();
+        // What is left when the ablest relay is lost.
+        let mut reserve = 0;
+        for row in &rows {
+            if reserve >= rows.len() && chosen.len() >= LEAST_RELAY_COUNT {
+                break;
+            }
+            if !chosen.is_empty() {
+                reserve += served_count(row).max(1);
+            }
+            chosen.push(row.relay_address);
+        }
+        relays.insert(domain, chosen);
+    }
+    relays
+}
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -1,23 +1,40 @@
 use super::*;
 
-/// Age of relayed knowledge up to which an instance does not read the stores itself. With a read of
-/// its own it stays below the two seconds after which a leaving target must get no new work.
-const RELAYED_AGE: Duration = Duration::from_millis(1_300);
-/// The same age for those that stand in for the leader, so that they know more when others ask them.
-const STAND_IN_AGE: Duration = Duration::from_millis(1_000);
 /// Pause of the reading loops while another instance reads for this one.
 pub(crate) const RELAYED_PAUSE: Duration = Duration::from_millis(100);
-/// Largest distance of an answer that counts: that of a stand-in that follows the leader. More of it
-/// shows instances that follow each other in a circle, in which nobody reads the stores.
-const MOST_DISTANCE: u32 = 1;
+/// Shortest time between trees of a leader.
+const TREE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after an answer of another instance for which it is taken to go on answering.
 const ANSWER_AGE: Duration = Duration::from_secs(2);
 
+/// Settings of what the loops of one instance share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedSettings {
+    /// Time for which an instance may use what it knows of targets: a target that is leaving takes
+    /// requests for as long.
+    pub knowledge_limit: Duration,
+    /// Time after the start in which an instance waits for a leader before it reads the stores itself.
+    /// Zero where it must serve at once.
+    pub reading_delay: Duration,
+}
+
+impl Default for SharedSettings {
+    fn default() -> Self {
+        Self {
+            knowledge_limit: Duration::from_millis(2_000),
+            reading_delay: Duration::ZERO,
+        }
+    }
+}
+
 /// What the loops of one instance share.
 #[derive(Debug)]
 pub struct SharedState {
-    /// Counts changes of targets and configuration.
+    /// Counts changes of targets, configuration and tree.
     changed: watch::Sender<u64>,
+    /// When this instance may read the stores itself although it has no leader yet.
+    reads_at: Duration,
+    settings: SharedSettings,
     state: Mutex<SharedContent>,
 }
 
@@ -27,8 +44,8 @@
     answered_at: Option<Duration>,
     /// Number of instances between the stores and the relayed knowledge.
     distance: u32,
-    /// Whether this instance stands in for the leader.
-    is_stand_in: bool,
+    /// When the list of instances was formed that this one was told; none if it formed it itself.
+    instances_at: Option<Duration>,
     /// Loads of the instances that call this one.
     loads: LoadTable,
     /// When the sum of the loads was taken last.
@@ -36,13 +53,19 @@
     membership: Membership,
     /// Instance whose list of targets this is, and its revision there; none after a read of its own.
     origin: Option<(SocketAddr, u64)>,
+    /// Place of this instance in the tree.
+    place: TreePlace,
     /// When the relayed knowledge was current; none while this instance reads itself.
     relayed_at: Option<Duration>,
-    /// Where to ask, in this order.
-    sources: Vec<SocketAddr>,
     targets: TargetHistory,
     /// When the targets were read.
     targets_at: Option<Duration>,
+    /// Which instances ask which; none before the first leader is known.
+    tree: Option<RelayTree>,
+    /// When this instance last formed a tree as the leader.
+    tree_formed_at: Duration,
+    /// Loads that the instance told which this one asks, and when.
+    upper_loads: (Vec<SharedLoad>, Duration),
 }
 
 /// Targets of an answer.
@@ -66,28 +89,39 @@
 
 impl Default for SharedState {
     fn default() -> Self {
+        Self::new(SharedSettings::default())
+    }
+}
+
+impl SharedState {
+    /// Creates the state of an instance that knows nothing.
+    #[must_use]
+    pub fn new(settings: SharedSettings) -> Self {
         // Revisions of an earlier process at the same address are lower.
         let first_revision = clock::now().as_nanos().max(1) as u64;
         Self {
             changed: watch::Sender::new(1),
+            reads_at: clock::now() + settings.reading_delay,
+            settings,
             state: Mutex::new(SharedContent {
                 answered_at: None,
                 distance: 0,
-                is_stand_in: false,
+                instances_at: None,
                 loads: LoadTable::default(),
                 loads_taken_at: Duration::ZERO,
                 membership: Membership::default(),
                 origin: None,
+                place: TreePlace::default(),
                 relayed_at: None,
-                sources: Vec::new(),
                 targets: TargetHistory::new(first_revision),
                 targets_at: None,
+                tree: None,
+                tree_formed_at: Duration::ZERO,
+                upper_loads: (Vec::new(), Duration::ZERO),
             }),
         }
     }
-}
 
-impl SharedState {
     /// Targets.
     pub fn targets(&self) -> Vec<Target> {
         self.lock().targets.targets().to_vec()
@@ -130,7 +164,8 @@
     pub fn take_relayed(&self, relayed: RelayedTargets) -> Option<(Vec<Target>, Vec<Target>)> {
         let mut state = self.lock();
         state.answered_at = Some(clock::now());
-        if relayed.distance > MOST_DISTANCE {
+        let most_distance = state.tree.as_ref().map_or(1, RelayTree::most_distance);
+        if relayed.distance > most_distance {
             return None;
         }
         state.distance = relayed.distance + 1;
@@ -182,7 +217,8 @@
         self.lock().targets_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Notes the loads of an instance. Returns the sum of all if it was not taken for `interval`.
+    /// Notes the loads of an instance and of those that ask it. Returns the loads of all others if they
+    /// were not taken for `interval`.
     pub fn set_loads(
         &self,
         now: Duration,
@@ -198,13 +234,30 @@
             return None;
         }
         state.loads_taken_at = now;
-        let nobody = Arc::from("");
-        Some(state.loads.without(&nobody, &[]))
+        Some(state.loads_without(now, &Arc::from(""), &[]))
+    }
+
+    /// Notes the loads that the instance told which this one asks. Returns the loads of all others.
+    pub fn set_upper_loads(&self, now: Duration, loads: Vec<SharedLoad>) -> Vec<SharedLoad> {
+        let mut state = self.lock();
+        state.upper_loads = (loads, now);
+        state.loads_taken_at = now;
+        state.loads_without(now, &Arc::from(""), &[])
+    }
+
+    /// Loads of all instances but for `id` and those that ask it.
+    pub fn loads_without(
+        &self,
+        now: Duration,
+        id: &Arc<str>,
+        own: &[SharedLoad],
+    ) -> Vec<SharedLoad> {
+        self.lock().loads_without(now, id, own)
     }
 
-    /// Loads of all instances that called lately, but for one, and of this instance.
-    pub fn loads_without(&self, id: &Arc<str>, own: &[SharedLoad]) -> Vec<SharedLoad> {
-        self.lock().loads.without(id, own)
+    /// Loads of this instance and of those that ask it.
+    pub fn lower_loads(&self, now: Duration, own: &[SharedLoad]) -> Vec<SharedLoad> {
+        self.lock().loads.without(now, &Arc::from(""), own)
     }
 
     /// Members.
@@ -212,21 +265,95 @@
         act(&mut self.lock().membership)
     }
 
-    /// Where to ask: the leader, then those that stand in for it.
-    pub fn sources(&self) -> Vec<SocketAddr> {
-        self.lock().sources.clone()
+    /// Which instances ask which, as far as it is known.
+    pub fn tree(&self) -> Option<RelayTree> {
+        self.lock().tree.clone()
+    }
+
+    /// Version of the tree; the lowest one if none is known.
+    pub fn tree_version(&self) -> TreeVersion {
+        let state = self.lock();
+        state
+            .tree
+            .as_ref()
+            .map(|tree| tree.version)
+            .unwrap_or_default()
     }
 
-    /// Notes where to ask, and whether the instance at `own` stands in for the leader.
-    pub fn set_sources(&self, sources: Vec<SocketAddr>, own: SocketAddr) {
+    /// Takes over a tree if it is newer than the one before. `own` is where this instance takes calls.
+    pub fn set_tree(&self, tree: RelayTree, own: SocketAddr) {
         let mut state = self.lock();
-        state.is_stand_in = sources.contains(&own);
-        state.sources = sources;
+        if state
+            .tree
+            .as_ref()
+            .is_some_and(|known| known.version >= tree.version)
+        {
+            return;
+        }
+        state.place = tree.place(own);
+        if state.place == TreePlace::Leader {
+            // Those that ask this instance from now on are among them.
+            state.upper_loads.0.clear();
+        }
+        tracing::info!(
+            fence = tree.version.fence,
+            number = tree.version.number,
+            leader = %tree.leader,
+            stand_ins = ?tree.stand_ins,
+            relays = tree.relays.values().map(Vec::len).sum::<usize>(),
+            place = ?state.place,
+            "relay tree"
+        );
+        state.tree = Some(tree);
+        drop(state);
+        self.wake();
+    }
+
+    /// Tree of this instance as a leader with `fence`: the one before if it has not changed.
+    pub fn next_tree(&self, now: Duration, fence: u64, own: &InstanceRow) -> RelayTree {
+        let mut state = self.lock();
+        state.tree_formed_at = now;
+        let known = state.tree.as_ref();
+        let known = known.filter(|tree| tree.version.fence == fence);
+        let number = known.map_or(0, |tree| tree.version.number + 1);
+        let version = TreeVersion { fence, number };
+        let tree = RelayTree::form(own, &state.membership.live_rows(now), version);
+        match known {
+            Some(known) if known.is_same(&tree) => known.clone(),
+            _ => tree,
+        }
+    }
+
+    /// Forms the tree anew, unless that was done a moment ago.
+    pub fn form_tree(&self, now: Duration, fence: u64, own: &InstanceRow) {
+        let formed_at = self.lock().tree_formed_at;
+        if now.saturating_sub(formed_at) < TREE_INTERVAL {
+            return;
+        }
+        let tree = self.next_tree(now, fence, own);
+        self.set_tree(tree, own.relay_address);
     }
 
-    /// Whether this instance stands in for the leader.
-    pub fn is_stand_in(&self) -> bool {
-        self.lock().is_stand_in
+    /// Time since the list of instances was formed: by this instance, or by the one that told it.
+    pub fn instances_age(&self, now: Duration) -> Duration {
+        let formed_at = self.lock().instances_at.unwrap_or(now);
+        now.saturating_sub(formed_at)
+    }
+
+    /// Notes when the list of instances was formed that this instance was told; none if it forms the
+    /// list itself.
+    pub fn set_instances_at(&self, formed_at: Option<Duration>) {
+        self.lock().instances_at = formed_at;
+    }
+
+    /// Place of this instance in the tree.
+    pub fn place(&self) -> TreePlace {
+        self.lock().place
+    }
+
+    /// Whether this instance has just started and waits for a leader instead of reading the stores itself.
+    pub fn waits_for_leader(&self, now: Duration) -> bool {
+        now < self.reads_at && self.lock().place != TreePlace::Leader
     }
 
     /// Whether another instance answers, and this one does not stand in for the leader. Then there is
@@ -234,7 +361,7 @@
     pub fn is_served(&self, now: Duration) -> bool {
         let state = self.lock();
         let is_recent = |at| now.saturating_sub(at) < ANSWER_AGE;
-        !state.is_stand_in && state.answered_at.is_some_and(is_recent)
+        state.place != TreePlace::StandIn && state.answered_at.is_some_and(is_recent)
     }
 
     /// Number of instances between the stores and what this instance knows.
@@ -253,11 +380,10 @@
     /// Whether this instance knows what others know and need not read the stores itself.
     pub fn is_relayed(&self, now: Duration) -> bool {
         let state = self.lock();
-        let limit = if state.is_stand_in {
-            STAND_IN_AGE
-        } else {
-            RELAYED_AGE
-        };
+        let limit = self
+            .settings
+            .knowledge_limit
+            .mul_f64(state.place.knowledge_share());
         state
             .relayed_at
             .is_some_and(|at| now.saturating_sub(at) < limit)
@@ -267,3 +393,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl SharedContent {
+    /// Loads of all instances but for `id` and those that ask it, and `own`.
+    fn loads_without(
+        &mut self,
+        now: Duration,
+        id: &Arc<str>,
+        own: &[SharedLoad],
+    ) -> Vec<SharedLoad> {
+        let (upper, at) = &self.upper_loads;
+        let is_recent = now.saturating_sub(*at) <= LOAD_AGE;
+        let upper = upper.iter().filter(|_| is_recent);
+        self.loads.without(now, id, own.iter().chain(upper))
+    }
+}
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -40,47 +40,31 @@
     fn read(&mut self, wait: Duration) -> BoxFuture<'_, Result<TargetChange, Error>>;
 }
 
-/// Rows of the instances, and the row of the leader with its version.
+/// Row of the leader as it was read.
 #[derive(Clone, Debug, Default)]
-pub struct InstanceView {
-    /// Instances, with the time since each wrote its row.
-    pub instances: Vec<(InstanceRow, Duration)>,
-    /// Leader, with the version of its row.
-    pub leader: Option<(LeaderRow, u64)>,
+pub struct LeaderView {
     /// Time since the leader wrote its row.
-    pub leader_age: Duration,
+    pub age: Duration,
+    /// Row, with its version; none if there is no row.
+    pub row: Option<(LeaderRow, u64)>,
 }
 
-/// Table in which instances find each other.
-pub trait InstanceTable: Send {
-    /// Reads all rows.
+/// Table that holds the row of the leader.
+pub trait LeaderTable: Send {
+    /// Reads the row.
     ///
     /// # Errors
     ///
     /// Returns an error when the table does not answer.
-    fn read(&mut self) -> BoxFuture<'_, Result<InstanceView, Error>>;
+    fn read(&mut self) -> BoxFuture<'_, Result<LeaderView, Error>>;
 
-    /// Writes the row of this instance.
+    /// Writes the row if its version is still `expected_version` (0: no row). Returns the new version,
+    /// or none if another write came first.
     ///
     /// # Errors
     ///
-    /// Returns an error when the table does not answer.
-    fn beat(&mut self, row: InstanceRow) -> BoxFuture<'_, Result<(), Error>>;
-
-    /// Removes the row of an instance.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the table does not answer.
-    fn remove(&mut self, id: Arc<str>) -> BoxFuture<'_, Result<(), Error>>;
-
-    /// Writes the leader's row if its version is still `expected_version` (0: no row). Returns the
-    /// new version, or none if another write came first.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the table does not answer.
-    fn lead(
+    /// Returns an error when the table does not answer; the write may then be done later.
+    fn write(
         &mut self,
         row: LeaderRow,
         expected_version: u64,
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -6,6 +6,10 @@
 /// leaves takes requests for two seconds after it said so.
 const INTERVAL: Duration = Duration::from_millis(300);
 
+/// Most changes of a list that are logged one by one. More of them come at the start and after a loss of
+/// the list, at all instances at once.
+pub(crate) const LOGGED_COUNT: usize = 16;
+
 /// Keeps the targets of a router current while no leader does.
 pub async fn follow_targets(
     router: Arc<Router>,
@@ -17,8 +21,9 @@
     let mut was_relayed = false;
     loop {
         let now = clock::now();
-        if shared.is_relayed(now) {
-            was_relayed = true;
+        let is_relayed = shared.is_relayed(now);
+        if is_relayed || shared.waits_for_leader(now) {
+            was_relayed |= is_relayed;
             sleep(RELAYED_PAUSE).await;
             continue;
         }
@@ -69,30 +74,41 @@
 
 fn log_changes(before: &[Target], after: &[Target]) {
     let known: HashMap<&str, &Target> = before.iter().map(|one| (&*one.id, one)).collect();
-    let listed: HashMap<&str, &Target> = after.iter().map(|one| (&*one.id, one)).collect();
-    for target in after {
-        let held = target
-            .held
-            .map(|range| range.to_string())
-            .unwrap_or_default();
-        let change = match known.get(&*target.id) {
-            None => "listed",
-            Some(old) if **old == *target => continue,
-            Some(_) => "changed",
+    let listed: HashSet<&str> = after.iter().map(|one| &*one.id).collect();
+    let changed: Vec<&Target> = after
+        .iter()
+        .filter(|target| known.get(&*target.id).is_none_or(|old| old != target))
+        .collect();
+    let gone: Vec<&Target> = before
+        .iter()
+        .filter(|target| !listed.contains(&*target.id))
+        .collect();
+    if changed.len() + gone.len() > LOGGED_COUNT {
+        tracing::info!(
+            changed = changed.len(),
+            gone = gone.len(),
+            listed = after.len(),
+            "target list"
+        );
+        return;
+    }
+    for target in changed {
+        let held = target.held.map(|range| range.to_string());
+        let change = match known.contains_key(&*target.id) {
+            false => "listed",
+            true => "changed",
         };
         tracing::info!(
             target = &*target.id,
             address = %target.address,
             domain = &*target.domain,
-            held,
+            held = held.unwrap_or_default(),
             is_leaving = target.is_leaving,
             change,
             "target list"
         );
     }
-    for target in before {
-        if !listed.contains_key(&*target.id) {
-            tracing::info!(target = &*target.id, change = "gone", "target list");
-        }
+    for target in gone {
+        tracing::info!(target = &*target.id, change = "gone", "target list");
     }
 }
--- /dev/null
+++ b/crates/reconcile/tests/relay_tree.rs
@@ -0,0 +1,182 @@
+//! Guards against instances that follow each other in a circle, and against small ones that serve many.
+
+mod support;
+
+use {
+    proptest::prelude::*,
+    reconcile::{InstanceRow, RelayTree, TreePlace, TreeVersion},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+    },
+    support::row,
+};
+
+const VERSION: TreeVersion = TreeVersion {
+    fence: 1,
+    number: 0,
+};
+
+/// Instances by failure domain, as number and capacity.
+fn rows(domains: &[(&str, &[(usize, u32)])]) -> Vec<InstanceRow> {
+    let mut rows = Vec::new();
+    for (domain, groups) in domains {
+        for (count, capacity) in *groups {
+            for _ in 0..*count {
+                let id = format!("{domain}{:03}", rows.len());
+                rows.push(row(&id, domain, *capacity));
+            }
+        }
+    }
+    rows
+}
+
+fn form(own: &InstanceRow, rows: &[InstanceRow]) -> RelayTree {
+    let rows: Vec<&InstanceRow> = rows.iter().collect();
+    RelayTree::form(own, &rows, VERSION)
+}
+
+/// Three able instances of each failure domain among many that are slow and have a narrow link, as on
+/// lcv-head-large. The leader got no orders to engines through while it served 294 others.
+fn large() -> Vec<InstanceRow> {
+    rows(&[
+        ("a", &[(3, 500), (49, 100)]),
+        ("b", &[(3, 500), (56, 100)]),
+        ("c", &[(3, 500), (64, 100)]),
+        ("d", &[(3, 500), (61, 100)]),
+        ("e", &[(3, 500), (50, 100)]),
+    ])
+}
+
+#[test]
+fn leader_of_hundreds_is_asked_by_able_relays_only() {
+    let rows = large();
+    let tree = form(&rows[0], &rows);
+    let by_address: HashMap<SocketAddr, &InstanceRow> =
+        rows.iter().map(|row| (row.relay_address, row)).collect();
+    let mut asking: HashMap<SocketAddr, usize> = HashMap::new();
+    for row in &rows[1..] {
+        let first = tree.sources(row)[0];
+        *asking.entry(first).or_default() += 1;
+        assert!(by_address[&first].capacity == 500, "{first}");
+        let is_near = by_address[&first].domain == row.domain || first == tree.leader;
+        assert!(is_near, "{} asks across failure domains", row.id);
+    }
+    assert!(
+        asking[&tree.leader] <= 14,
+        "the leader serves more than able ones"
+    );
+    let most = asking.values().max().expect("instances");
+    assert!(*most <= 55, "{most} ask one of them");
+}
+
+#[test]
+fn few_instances_ask_the_leader_itself() {
+    let rows = rows(&[("a", &[(3, 250)]), ("b", &[(3, 250)]), ("c", &[(2, 250)])]);
+    let tree = form(&rows[0], &rows);
+    assert!(tree.relays.is_empty());
+    assert_eq!(tree.most_distance(), 1);
+    for row in &rows[1..] {
+        assert_eq!(tree.sources(row)[0], tree.leader);
+    }
+}
+
+/// Stand-ins of one failure domain would be lost together.
+#[test]
+fn stand_ins_are_able_and_of_different_domains() {
+    let rows = rows(&[
+        ("a", &[(2, 500)]),
+        ("b", &[(1, 100), (1, 500)]),
+        ("c", &[(1, 100)]),
+    ]);
+    let tree = form(&rows[0], &rows);
+    let ids: Vec<&str> = tree
+        .stand_ins
+        .iter()
+        .map(|address| {
+            let row = rows.iter().find(|row| row.relay_address == *address);
+            &*row.expect("a known address").id
+        })
+        .collect();
+    assert_eq!(ids, ["b003", "c004", "a001"]);
+}
+
+/// One relay for a whole failure domain would leave it to the leader when it is lost.
+#[test]
+fn domain_of_slow_instances_has_enough_relays_for_the_loss_of_one() {
+    let rows = rows(&[("a", &[(1, 500)]), ("b", &[(60, 100)])]);
+    let tree = form(&rows[0], &rows);
+    let served_count = 100 / 9;
+    assert!((tree.relays["b"].len() - 1) * served_count >= 60);
+    assert!(
+        tree.relays["b"].len() < 12,
+        "relays ask across failure domains"
+    );
+}
+
+#[test]
+fn lost_relay_moves_only_those_that_asked_it() {
+    let rows = large();
+    let before = form(&rows[0], &rows);
+    let lost = before.relays["b"][0];
+    let left: Vec<InstanceRow> = rows
+        .iter()
+        .filter(|row| row.relay_address != lost)
+        .cloned()
+        .collect();
+    let after = form(&rows[0], &left);
+    for row in &left[1..] {
+        if before.place(row.relay_address) != TreePlace::Follower
+            || after.place(row.relay_address) != TreePlace::Follower
+        {
+            continue;
+        }
+        let (one, other) = (before.sources(row)[0], after.sources(row)[0]);
+        let is_new = after.relays["b"].contains(&other) && !before.relays["b"].contains(&other);
+        assert!(one == other || one == lost || is_new, "{}", row.id);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// Knowledge that goes round in a circle is never renewed from the stores.
+    #[test]
+    fn every_way_leads_to_the_leader_over_two_others_at_most(
+        sizes in prop::collection::vec((1_usize..40, 1_u32..600), 1..12),
+        own in any::<prop::sample::Index>(),
+        lost in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
+    ) {
+        let mut rows = Vec::new();
+        for (index, (count, capacity)) in sizes.iter().enumerate() {
+            for number in 0..*count {
+                let id = format!("{index}.{number}");
+                rows.push(row(&id, &format!("d{}", index % 5), *capacity));
+            }
+        }
+        let leader = rows[own.index(rows.len())].clone();
+        let tree = form(&leader, &rows);
+        let lost: HashSet<SocketAddr> =
+            lost.iter().map(|at| rows[at.index(rows.len())].relay_address).collect();
+        for row in &rows {
+            let mut at = row.relay_address;
+            let mut hops = 0;
+            while at != tree.leader {
+                let asking = rows.iter().find(|row| row.relay_address == at).expect("a row");
+                let sources = tree.sources(asking);
+                prop_assert!(!sources.contains(&at));
+                // Without any source that lives, an instance reads the stores itself.
+                let Some(next) = sources.into_iter().find(|next| !lost.contains(next)) else {
+                    break;
+                };
+                at = next;
+                hops += 1;
+                prop_assert!(hops <= 3, "more hops than places in the tree");
+            }
+        }
+    }
+}
--- a/crates/reconcile/tests/support/mod.rs
+++ b/crates/reconcile/tests/support/mod.rs
@@ -1,6 +1,12 @@
-//! Targets for tests of lists.
+//! Targets and instances for tests.
 
-use fleet::Target;
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    fleet::Target,
+    reconcile::InstanceRow,
+    std::hash::{DefaultHasher, Hash, Hasher},
+};
 
 /// Ready target of a plain service.
 pub fn target(id: &str) -> Target {
@@ -15,3 +21,19 @@
         slot_count: 1,
     }
 }
+
+/// Instance whose addresses follow from its id.
+pub fn row(id: &str, domain: &str, capacity: u32) -> InstanceRow {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let octets = hasher.finish().to_le_bytes();
+    let relay_address = ([10, octets[0], octets[1], octets[2]], 9_000).into();
+    InstanceRow {
+        address: ([10, octets[0], octets[1], octets[2]], 8_000).into(),
+        capacity,
+        domain: domain.into(),
+        id: id.into(),
+        relay_address,
+        start: format!("{id}.1").into(),
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 use {
     forward::Error,
     futures::{FutureExt, StreamExt, future::BoxFuture},
-    reconcile::{Answer, Query, Relay, RelayHandler},
+    reconcile::{Query, Relay, RelayHandler, RelayReply},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
         client,
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -34,7 +34,7 @@
         Ok(client)
     }
 
-    async fn ask_source(&self, address: SocketAddr, query: Query) -> Result<Answer, Error> {
+    async fn ask_source(&self, address: SocketAddr, query: Query) -> Result<RelayReply, Error> {
         let client = self.client(address).await?;
         let limit = query.wait + ANSWER_LIMIT;
         let mut context = context::current();
@@ -56,7 +56,7 @@
 }
 
 impl Relay for RelayClient {
-    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<Answer, Error>> {
+    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<RelayReply, Error>> {
         self.ask_source(address, query).boxed()
     }
 }
