--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -135,12 +135,18 @@
 
     /// Reads the whole answer and keeps the connection for the next request.
     pub(crate) async fn read(mut self, router: &Router) -> Result<Bytes, wire::Error> {
-        let body = self
-            .reply
-            .read(SILENCE_LIMIT, router.settings.answer_bytes)
-            .await?;
+        let limit_bytes = router.settings.answer_bytes;
+        let mut buffer = router.answer_buffers.begin();
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.reply.chunk(SILENCE_LIMIT).await? {
+            if body.len() + chunk.len() > limit_bytes {
+                return Err(wire::Error::BodyTooLong { limit_bytes });
+            }
+            buffer.grow(chunk.len())?;
+            body.extend_from_slice(&chunk);
+        }
         self.release(router);
-        Ok(body)
+        Ok(body.freeze())
     }
 
     /// Target that the request was sent to.
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -37,6 +37,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes of the event that is not complete.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Id of the last whole event that has one.
     #[must_use]
     pub fn last_id(&self) -> Option<&Arc<str>> {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,7 +30,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -40,6 +40,7 @@
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
 
+mod answer_buffers;
 mod attempt;
 mod deliver;
 mod dialect;
@@ -79,6 +80,7 @@
 };
 
 use {
+    answer_buffers::AnswerBuffers,
     attempt::{Attempt, AttemptFailure},
     exchange::Exchange,
     gate::Admitted,
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -2,6 +2,7 @@
 
 /// What the traffic threads share: configuration, targets and connections.
 pub struct Router {
+    pub(crate) answer_buffers: AnswerBuffers,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     catalog: Mutex<Holder>,
     pub(crate) dialect: Arc<dyn Dialect>,
@@ -25,6 +26,7 @@
         seed: u64,
     ) -> Arc<Self> {
         Arc::new(Self {
+            answer_buffers: AnswerBuffers::new(settings.buffered_bytes),
             budgets: Mutex::default(),
             catalog: Mutex::default(),
             dialect,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -6,6 +6,9 @@
     /// Longest answer of a plain service, in bytes. Answers are kept until they are complete, so that
     /// one that breaks off can be asked for again.
     pub answer_bytes: usize,
+    /// Bytes of all answers together that are kept until they are complete. Targets in trouble may send
+    /// bytes without end to many requests at once.
+    pub buffered_bytes: usize,
     /// Longest age of the configuration with which keys are still accepted. Below the time within
     /// which a withdrawn key must be refused everywhere.
     pub catalog_limit: Duration,
@@ -51,6 +54,7 @@
     fn default() -> Self {
         Self {
             answer_bytes: 8 * 1024 * 1024,
+            buffered_bytes: 32 * 1024 * 1024,
             catalog_limit: Duration::from_millis(4_500),
             connect_limit: Duration::from_millis(300),
             extra_repeats: 100.0,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -1,5 +1,9 @@
 use super::*;
 
+/// Longest event that is kept until it is whole, in bytes. Events hold some tokens each; bytes without an
+/// end are no event.
+const EVENT_BYTES: usize = 1024 * 1024;
+
 /// Answers with a stream of events that a task of its own passes on.
 pub(crate) fn respond(exchange: Exchange, attempt: Attempt) -> Response {
     let headers = headers::end_to_end(&attempt.reply.headers);
@@ -40,6 +44,17 @@
     TimeOver,
 }
 
+/// What became of bytes that arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Arrival {
+    /// The caller has left.
+    CallerLeft,
+    /// Whole events were passed on.
+    Events,
+    /// An event began or went on.
+    Part,
+}
+
 impl StreamEnd {
     fn name(self) -> &'static str {
         match self {
@@ -72,13 +87,17 @@
     async fn pass_on(&mut self, attempt: &mut Attempt) -> StreamEnd {
         let router = self.exchange.router.clone();
         let mut silent_since = clock::now();
+        // Start of the current wait for an event. Bytes that complete none do not prolong it.
+        let mut waits_since = silent_since;
         loop {
             let left = self.exchange.admitted.time_left();
             if left.is_zero() {
                 return StreamEnd::TimeOver;
             }
             let limits = self.exchange.admitted.silence_limits(&router.settings);
-            let limit = left.min(self.pace.silence_limit(limits));
+            let waited = clock::now().saturating_sub(waits_since);
+            let limit = self.pace.silence_limit(limits).saturating_sub(waited);
+            let limit = left.min(limit);
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
@@ -87,16 +106,24 @@
                 Ok(None) if !self.events.is_inside_event() => return StreamEnd::Complete,
                 Ok(None) => None,
                 Ok(Some(bytes)) => {
-                    silent_since = clock::now();
-                    if !self.send(&bytes, attempt, silent_since).await {
-                        return StreamEnd::CallerLeft;
+                    let now = clock::now();
+                    match self.send(&bytes, attempt, now).await {
+                        Arrival::CallerLeft => return StreamEnd::CallerLeft,
+                        Arrival::Events => (silent_since, waits_since) = (now, now),
+                        Arrival::Part => {}
                     }
-                    continue;
+                    if self.events.pending_bytes() <= EVENT_BYTES {
+                        continue;
+                    }
+                    Some(wire::Error::BodyTooLong {
+                        limit_bytes: EVENT_BYTES,
+                    })
                 }
                 Err(wire::Error::Silent { .. }) => {
                     if self.inspect(attempt, silent_since).await {
                         silent_since = clock::now();
                     }
+                    waits_since = clock::now();
                     continue;
                 }
                 Err(error) => Some(error),
@@ -107,14 +134,15 @@
             };
             *attempt = next;
             silent_since = clock::now();
+            waits_since = silent_since;
         }
     }
 
-    /// Passes on the whole events among what has arrived. Returns false when the caller has left.
-    async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> bool {
+    /// Passes on the whole events among what has arrived.
+    async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> Arrival {
         let whole = self.events.push(bytes);
         if whole.is_empty() {
-            return true;
+            return Arrival::Part;
         }
         self.event_bytes += whole.len();
         self.pace.arrived(now);
@@ -122,7 +150,10 @@
             .router
             .fleet()
             .note_activity(now, attempt.in_flight.path());
-        self.sender.send(whole).await
+        match self.sender.send(whole).await {
+            false => Arrival::CallerLeft,
+            true => Arrival::Events,
+        }
     }
 
     /// Finds out why the stream is silent, and moves it or sends it elsewhere. The target is left
--- /dev/null
+++ b/crates/forward/tests/endless.rs
@@ -0,0 +1,75 @@
+//! Guards against targets in trouble whose bytes are no answer and have no end.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    catalog::Repeat,
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    support::{Sending, TestTarget, raw_target, setup},
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+    yare::parameterized,
+};
+
+/// Target that answers with `head` and then sends `piece` until it is left. Counts what it sent.
+async fn endless(head: &'static str, piece: &'static [u8]) -> (TestTarget, Arc<AtomicUsize>) {
+    let sent = Arc::new(AtomicUsize::new(0));
+    let count = sent.clone();
+    let target = raw_target(move |mut stream| {
+        let count = count.clone();
+        async move {
+            // The request is short and arrives at once.
+            let _ = stream.read(&mut [0; 4_096]).await;
+            let _ = stream.write_all(head.as_bytes()).await;
+            while stream.write_all(piece).await.is_ok() {
+                count.fetch_add(piece.len(), Ordering::Relaxed);
+            }
+        }
+    })
+    .await;
+    (target, sent)
+}
+
+/// Bytes that are no answer may come without end, in a head or a body, and to many requests at once.
+#[parameterized(
+    head = { "HTTP/1.1 200 OK\r\nx-junk: ", b"xxxxxxxxxxxxxxxx" },
+    many_headers = { "HTTP/1.1 200 OK\r\n", b"x-junk: x\r\n" },
+    interim_heads = { "", b"HTTP/1.1 102 Processing\r\n\r\n" },
+    body = { "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\n\r\n", &[b'x'; 65_536] },
+    chunk_size = {
+        "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"0000000000000000"
+    },
+)]
+#[test_macro(tokio::test)]
+async fn bytes_without_an_end_are_bounded(head: &'static str, piece: &'static [u8]) {
+    let (one, sent) = endless(head, piece).await;
+    let mut setup = setup(Repeat::Once, &[&one]);
+    setup.settings.answer_bytes = 64 * 1024 * 1024;
+    setup.settings.buffered_bytes = 4 * 1024 * 1024;
+    let router = Arc::new(setup.start().await);
+    let sends = (0..8).map(|_| {
+        let router = router.clone();
+        let headers = vec![("host", "h"), ("x-key", "key"), ("x-deadline-ms", "2000")];
+        let sending = Sending {
+            headers,
+            ..Sending::default()
+        };
+        tokio::spawn(async move { router.send(sending).await.0.as_u16() })
+    });
+    for status in futures::future::join_all(sends).await {
+        let status = status.unwrap();
+        assert!(matches!(status, 502 | 504), "{status}");
+    }
+    // Interim heads are dropped as they come, so that only the deadline bounds them.
+    let is_dropped = head.is_empty();
+    let sent = sent.load(Ordering::Relaxed);
+    // What sockets hold, some megabytes for each of eight, comes on top of what the router keeps.
+    assert!(
+        is_dropped || sent < 80 * 1024 * 1024,
+        "{sent} bytes were taken"
+    );
+}
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -11,7 +11,13 @@
     forward::EngineState,
     futures::{FutureExt, future::BoxFuture},
     layout::LayerRange,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     support::{LIMIT, Sending, Setup, TestTarget, setup, signed, target},
     tokio::{sync::Notify, time::timeout},
     wire::{BodySender, Request, Response, hyper::StatusCode},
@@ -115,6 +121,57 @@
         .expect("the target still works");
 }
 
+/// Target that, until it is left, sends `piece` again and again after three whole events. A stream that
+/// is resumed there goes on to event 9.
+async fn babbling(piece: Bytes, pause: Duration, sent: Arc<AtomicUsize>) -> TestTarget {
+    target(move |request| {
+        let (piece, sent) = (piece.clone(), sent.clone());
+        stream(request, move |sender, first| async move {
+            if first > 0 {
+                sender.send(events(first..10)).await;
+                return;
+            }
+            sender.send(events(0..3)).await;
+            while sender.send(piece.clone()).await {
+                sent.fetch_add(piece.len(), Ordering::Relaxed);
+                tokio::time::sleep(pause).await;
+            }
+        })
+    })
+    .await
+}
+
+/// Bytes of a target in trouble that are no event and have no end filled the memory of the instance.
+#[tokio::test]
+async fn event_without_an_end_is_not_kept_in_memory() {
+    let sent = Arc::new(AtomicUsize::new(0));
+    let piece = Bytes::from(vec![b'x'; 64 * 1024]);
+    let one = babbling(piece.clone(), Duration::ZERO, sent.clone()).await;
+    let other = babbling(piece, Duration::ZERO, sent.clone()).await;
+    let router = setup(Repeat::ResumableStream, &[&one, &other])
+        .start()
+        .await;
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert_eq!(body.unwrap(), events(0..10));
+    // What the sockets hold comes on top of what the router keeps.
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent < 16 * 1024 * 1024, "{sent} bytes were taken");
+}
+
+/// Each byte of a stalled target counted as a sign of activity, so that the stream never went on.
+#[tokio::test]
+async fn stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere() {
+    let sent = Arc::default();
+    let pause = Duration::from_millis(50);
+    let one = babbling(Bytes::from_static(b"x"), pause, Arc::clone(&sent)).await;
+    let other = babbling(Bytes::from_static(b"x"), pause, sent).await;
+    let router = setup(Repeat::ResumableStream, &[&one, &other])
+        .start()
+        .await;
+    let (_, _, body) = router.send(Sending::default()).await;
+    assert_eq!(body.unwrap(), events(0..10));
+}
+
 /// Target whose stream pauses after two of five events.
 async fn pausing(pause: Duration) -> TestTarget {
     target(move |request| {
