--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,9 +36,9 @@
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, mpsc, watch},
+        sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch},
         task::{AbortHandle, JoinSet},
-        time::timeout,
+        time::{Instant, timeout, timeout_at},
     },
 };
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -12,7 +12,12 @@
     }
 }
 
-/// Accepts connections until `shutdown` turns true, then finishes the open ones.
+/// Time after the stop in which connections are accepted that callers have made before it, and in which
+/// their first requests are read.
+const BACKLOG_TIME: Duration = Duration::from_millis(100);
+
+/// Accepts connections until `shutdown` turns true, then finishes the open ones and those that callers
+/// have made already.
 pub async fn serve(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
@@ -20,8 +25,13 @@
     mut shutdown: watch::Receiver<bool>,
 ) {
     let connections = Arc::new(Semaphore::new(limits.connection_count));
-    let clients = Clients::new(limits.client_connection_count);
-    let mut tasks = JoinSet::new();
+    let mut server = Server {
+        clients: Clients::new(limits.client_connection_count),
+        handler,
+        limits,
+        shutdown: shutdown.clone(),
+        tasks: JoinSet::new(),
+    };
     while !*shutdown.borrow() {
         let accepted = tokio::select! {
             accepted = accept(&listener, &connections) => accepted,
@@ -30,30 +40,49 @@
                 Ok(()) => continue,
             },
         };
+        server.begin(accepted);
+    }
+    let end = Instant::now() + BACKLOG_TIME;
+    while let Ok(accepted) = timeout_at(end, accept(&listener, &connections)).await {
+        server.begin(accepted);
+    }
+    drop(listener);
+    while server.tasks.join_next().await.is_some() {}
+}
+
+struct Server {
+    clients: Arc<Clients>,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    shutdown: watch::Receiver<bool>,
+    tasks: JoinSet<()>,
+}
+
+/// A connection, its other side, and its place among all connections.
+type Accepted = (TcpStream, SocketAddr, OwnedSemaphorePermit);
+
+impl Server {
+    /// Serves a connection, unless its client has too many.
+    fn begin(&mut self, accepted: Option<Accepted>) {
         let Some((stream, peer, permit)) = accepted else {
-            continue;
+            return;
         };
-        while tasks.try_join_next().is_some() {}
-        let Some(client) = clients.admit(peer) else {
+        while self.tasks.try_join_next().is_some() {}
+        let Some(client) = self.clients.admit(peer) else {
             // The place is free again at once, and the answer fits into the socket's buffer.
-            let _ = stream.try_write(&too_many_connections(limits).into_head_and_body());
-            continue;
+            let _ = stream.try_write(&too_many_connections(self.limits).into_head_and_body());
+            return;
         };
-        let limits = handler.limits(limits);
-        let (handler, shutdown) = (handler.clone(), shutdown.clone());
-        tasks.spawn(async move {
+        let limits = self.handler.limits(self.limits);
+        let (handler, shutdown) = (self.handler.clone(), self.shutdown.clone());
+        self.tasks.spawn(async move {
             serve_connection(stream, peer, handler, limits, shutdown).await;
             drop((client, permit));
         });
     }
-    drop(listener);
-    while tasks.join_next().await.is_some() {}
 }
 
-async fn accept(
-    listener: &TcpListener,
-    connections: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+async fn accept(listener: &TcpListener, connections: &Arc<Semaphore>) -> Option<Accepted> {
     let permit = connections.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
         Err(error) => {
@@ -77,9 +106,12 @@
     mut shutdown: watch::Receiver<bool>,
 ) {
     let is_served = Arc::new(AtomicBool::new(false));
+    let has_begun = Arc::new(Notify::new());
     let opening = Opening::new(stream, is_served.clone());
+    let (was_served, begun) = (is_served.clone(), has_begun.clone());
     let service = service_fn(move |request| {
         is_served.store(true, Ordering::Relaxed);
+        has_begun.notify_one();
         let handler = handler.clone();
         async move {
             let response = respond(request, peer, handler, limits).await;
@@ -96,6 +128,10 @@
         .serve_connection(TokioIo::new(opening), service);
     let stopped = async move {
         let _ = shutdown.wait_for(|stop| *stop).await;
+        // The first request of a new connection may have arrived without being read.
+        if !was_served.load(Ordering::Relaxed) {
+            let _ = timeout(BACKLOG_TIME, begun.notified()).await;
+        }
     };
     let result = tokio::select! {
         result = &mut connection => result,
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -192,3 +192,30 @@
             .is_not_sent()
     );
 }
+
+/// During a planned stop under load, connections that callers had made, but the server had not accepted
+/// yet, were reset with their requests in them.
+#[tokio::test]
+async fn connections_made_before_the_stop_are_served() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut callers = Vec::new();
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let request = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody";
+        stream.write_all(request).await.unwrap();
+        callers.push(stream);
+    }
+    let (_stop, stopped) = watch::channel(true);
+    serve(listener, Arc::new(Echo), Limits::default(), stopped).await;
+    for mut stream in callers {
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with("body"), "{answer}");
+    }
+    assert!(
+        TcpStream::connect(address).await.is_err(),
+        "still listening"
+    );
+}
