--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -39,6 +39,7 @@
 mod relay_tree;
 mod shared_state;
 mod sources;
+mod supervisor;
 mod target_history;
 mod target_loop;
 
@@ -56,6 +57,7 @@
     relay_tree::{RelayTree, TreePlace, TreeVersion},
     shared_state::{RelayedTargets, SharedSettings, SharedState},
     sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
+    supervisor::supervise,
     target_history::TargetHistory,
     target_loop::follow_targets,
 };
