--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -30,6 +30,7 @@
 ) {
     let mut follower = Follower {
         avoided: HashMap::new(),
+        has_told_loads: false,
         leadership,
         members_told: (0, Duration::ZERO),
         relay,
@@ -84,6 +85,8 @@
 struct Follower {
     /// Instances that did not help, and until when they are passed over.
     avoided: HashMap<SocketAddr, Duration>,
+    /// Whether loads were told in this round.
+    has_told_loads: bool,
     leadership: Arc<Mutex<Leadership>>,
     /// Changes of the members when they were last told, and when that was.
     members_told: (u64, Duration),
@@ -114,6 +117,8 @@
         self.avoided.retain(|_, until| now < *until);
         let mut candidates = VecDeque::from(self.candidates());
         let mut redirect_count = 0;
+        // Loads are told to the first one that answers, and its answer tells those of the others.
+        self.has_told_loads = false;
         while let Some(address) = candidates.pop_front() {
             match self.ask(address, wait).await {
                 Asked::Current => return Some(address),
@@ -156,7 +161,10 @@
 
     fn query(&mut self, address: SocketAddr, wait: Duration) -> Query {
         let now = clock::now();
-        let own_loads = self.router.fleet().own_loads();
+        let loads = (!self.has_told_loads).then(|| {
+            let own_loads = self.router.fleet().own_loads();
+            self.shared.lower_loads(now, &own_loads)
+        });
         let members = self.members(now);
         Query {
             avoided: self.avoided.keys().copied().collect(),
@@ -164,7 +172,7 @@
             crashes: self.router.suspects().reports_for(now, &OTHERS.into()),
             instances_digest: digest(&self.router.instances()),
             is_leaving: self.router.is_leaving(),
-            loads: self.shared.lower_loads(now, &own_loads),
+            loads,
             members,
             revision: self.shared.revision_of(address),
             row: self.row.clone(),
@@ -186,7 +194,7 @@
         })
     }
 
-    fn take(&self, source: SocketAddr, asked_at: Duration, revision: u64, answer: Answer) {
+    fn take(&mut self, source: SocketAddr, asked_at: Duration, revision: u64, answer: Answer) {
         let (router, shared) = (&self.router, &self.shared);
         // The question arrived after it was sent, so that this is at or before the time of the answer.
         let answered_at = asked_at + answer.waited;
@@ -211,8 +219,10 @@
             target_loop::publish(router, &before, &listing);
         }
         let now = clock::now();
-        let others = shared.set_upper_loads(now, answer.other_loads);
-        router.set_other_loads(&others);
+        if !std::mem::replace(&mut self.has_told_loads, true) {
+            let others = shared.set_upper_loads(now, answer.other_loads);
+            router.set_other_loads(&others);
+        }
         let others = Arc::from(OTHERS);
         router
             .suspects()
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -35,7 +35,7 @@
     pub async fn answer(&self, mut query: Query) -> Option<RelayReply> {
         let arrived_at = clock::now();
         self.note_members(&mut query);
-        self.note_loads(&query.row.id, std::mem::take(&mut query.loads));
+        self.note_loads(&query.row.id, query.loads.take());
         let asking = query.row.id.clone();
         self.router
             .suspects()
@@ -115,8 +115,9 @@
         });
     }
 
-    fn note_loads(&self, id: &Arc<str>, loads: Vec<SharedLoad>) {
+    fn note_loads(&self, id: &Arc<str>, loads: Option<Vec<SharedLoad>>) {
         let now = clock::now();
+        let loads = loads.unwrap_or_default();
         let Some(others) = self.shared.set_loads(now, id, loads, LOAD_INTERVAL) else {
             return;
         };
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -13,8 +13,9 @@
     pub instances_digest: u64,
     /// Whether the asking instance is leaving.
     pub is_leaving: bool,
-    /// What the requests of the asking instance and of those that ask it take.
-    pub loads: Vec<SharedLoad>,
+    /// What the requests of the asking instance and of those that ask it take; none if it tells another
+    /// one, as they must be counted once.
+    pub loads: Option<Vec<SharedLoad>>,
     /// Instances that ask the asking one; empty if this was told lately and has not changed.
     pub members: Vec<MemberReport>,
     /// Revision of the list of targets that it has from the asked instance; 0 if it has none or
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -240,8 +240,12 @@
     /// Notes the loads that the instance told which this one asks. Returns the loads of all others.
     pub fn set_upper_loads(&self, now: Duration, loads: Vec<SharedLoad>) -> Vec<SharedLoad> {
         let mut state = self.lock();
-        state.upper_loads = (loads, now);
         state.loads_taken_at = now;
+        if state.place == TreePlace::Leader {
+            // It asks its stand-ins, which have heard of it. They must not hear of themselves from it.
+            return loads;
+        }
+        state.upper_loads = (loads, now);
         state.loads_without(now, &Arc::from(""), &[])
     }
 
@@ -255,9 +259,14 @@
         self.lock().loads_without(now, id, own)
     }
 
-    /// Loads of this instance and of those that ask it.
+    /// Loads of this instance and of those that ask it. A leader that asks its stand-ins, as it does not
+    /// lead any more, tells of itself only, since the others ask these by now.
     pub fn lower_loads(&self, now: Duration, own: &[SharedLoad]) -> Vec<SharedLoad> {
-        self.lock().loads.without(now, &Arc::from(""), own)
+        let mut state = self.lock();
+        if state.place == TreePlace::Leader {
+            return own.to_vec();
+        }
+        state.loads.without(now, &Arc::from(""), own)
     }
 
     /// Members.
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    fleet::SharedLoad,
     reconcile::{
         RelayTree, RelayedTargets, SharedSettings, SharedState, TargetChange, TreePlace,
         TreeVersion,
@@ -200,3 +201,36 @@
     assert_eq!(shared.tree_version(), version(2, 0));
     assert_eq!(shared.place(), TreePlace::Follower);
 }
+
+fn load(in_flight_count: u32) -> SharedLoad {
+    SharedLoad {
+        id: "engine".into(),
+        in_flight_count,
+        silent_count: 0,
+        token_layers: 1.0,
+    }
+}
+
+/// Seen on crra-kingston and lcv-head-large: a leader that was cut off from the store asked its stand-in,
+/// which asked it in turn. Each added the other's loads to its own, and all engines seemed to be full.
+#[test]
+fn loads_do_not_grow_between_a_former_leader_and_its_stand_in() {
+    let (leader, stand_in) = (row("l", "a", 250), row("s", "b", 250));
+    let tree = RelayTree::form(&leader, &[&stand_in], TreeVersion::default());
+    let (one, other) = (SharedState::default(), SharedState::default());
+    one.set_tree(tree.clone(), leader.relay_address);
+    other.set_tree(tree, stand_in.relay_address);
+    let own = [load(1)];
+    for round in 0..50 {
+        let now = at(10_000 + 200 * round);
+        let mut ask = |asking: &SharedState, id: &str, asked: &SharedState| {
+            let id = id.into();
+            asked.set_loads(now, &id, asking.lower_loads(now, &own), Duration::ZERO);
+            asking.set_upper_loads(now, asked.loads_without(now, &id, &own))
+        };
+        for others in [ask(&one, "l", &other), ask(&other, "s", &one)] {
+            let count: u32 = others.iter().map(|load| load.in_flight_count).sum();
+            assert!(count <= 2, "{count} requests in round {round}");
+        }
+    }
+}
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -8,6 +8,7 @@
         RequestFacts, Router,
     },
     futures::{FutureExt, future::BoxFuture},
+    rand::SeedableRng,
     reconcile::{
         Answer, InstanceRow, LeaderRow, Leadership, LeadershipSettings, Query, Relay, RelayHandler,
         RelayReply, RelayTree, SharedState, TargetChange, TreeVersion, follow_leader,
@@ -164,7 +165,7 @@
         crashes: Vec::new(),
         instances_digest: 0,
         is_leaving: false,
-        loads: Vec::new(),
+        loads: None,
         members: Vec::new(),
         revision: 0,
         row: asking.row.clone(),
@@ -451,3 +452,47 @@
     };
     assert!(answer(&client, address, asked).await.catalog.is_some());
 }
+
+/// Seen on crra-kingston: while the store was down, instances asked the leader and all stand-ins, and told
+/// each of them their loads. These passed them on, and engines seemed to be full.
+#[tokio::test]
+async fn loads_are_counted_once_while_nobody_is_current() {
+    let (leader, _task) = leader().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let stand_in = node("a", listener.local_addr().expect("an address"));
+    let _stand_in_task = serve(&stand_in, listener);
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    let read_at = clock::now().saturating_sub(Duration::from_secs(60));
+    for node in [&leader, &stand_in, &follower] {
+        node.shared.set_targets(read_at, vec![target("t1")]);
+    }
+    let version = TreeVersion {
+        fence: 1,
+        number: 1,
+    };
+    let tree = RelayTree::form(&leader.row, &[&stand_in.row], version);
+    for node in [&leader, &stand_in, &follower] {
+        node.shared.set_tree(tree.clone(), node.row.relay_address);
+    }
+    follower.router.set_targets(&[target("t1")]);
+    let path = {
+        let fleet = follower.router.fleet();
+        let demand = fleet::Demand::default();
+        let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+        let path = fleet.choose_target(clock::now(), "s", &demand, &mut rng);
+        path.expect("a target")
+    };
+    follower.router.fleet().begin(clock::now(), &path);
+    follow(&stand_in, &leader);
+    follow(&follower, &leader);
+    let count = |node: &Node| -> u32 {
+        let nobody = Arc::from("");
+        let loads = node.shared.loads_without(clock::now(), &nobody, &[]);
+        loads.iter().map(|load| load.in_flight_count).sum()
+    };
+    until(|| count(&leader) > 0).await;
+    for _ in 0..60 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert!(count(&leader) <= 1, "{} for one request", count(&leader));
+    }
+}
