--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -55,6 +55,9 @@
             }
             followed = found;
         }
+        if !follower.has_told_loads {
+            follower.shared.upper_loads_lost();
+        }
         if found.is_some() {
             pause = FIRST_PAUSE;
             continue;
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -249,6 +249,12 @@
         state.loads_without(now, &Arc::from(""), &[])
     }
 
+    /// Forgets the loads that were told by an instance that does not answer any more. Those that it told
+    /// of tell this one by now, and would count twice.
+    pub fn upper_loads_lost(&self) {
+        self.lock().upper_loads.0.clear();
+    }
+
     /// Loads of all instances but for `id` and those that ask it.
     pub fn loads_without(
         &self,
