--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -153,8 +153,8 @@
                 Asked::Redirected
             }
             Ok(RelayReply::Answer(answer)) => {
-                self.take(address, asked_at, revision, *answer);
-                match self.shared.is_relayed(clock::now()) {
+                let is_current = self.take(address, asked_at, revision, *answer);
+                match is_current && self.shared.is_relayed(clock::now()) {
                     false => Asked::Unhelpful,
                     true => Asked::Current,
                 }
@@ -197,7 +197,14 @@
         })
     }
 
-    fn take(&mut self, source: SocketAddr, asked_at: Duration, revision: u64, answer: Answer) {
+    /// Takes an answer over. Returns whether it was enough not to read the stores.
+    fn take(
+        &mut self,
+        source: SocketAddr,
+        asked_at: Duration,
+        revision: u64,
+        answer: Answer,
+    ) -> bool {
         let (router, shared) = (&self.router, &self.shared);
         // The question arrived after it was sent, so that this is at or before the time of the answer.
         let answered_at = asked_at + answer.waited;
@@ -218,6 +225,7 @@
             revision: answer.revision,
             source,
         };
+        let is_current = shared.is_current(clock::now(), &relayed);
         if let Some((before, listing)) = shared.take_relayed(relayed) {
             target_loop::publish(router, &before, &listing);
         }
@@ -240,5 +248,6 @@
         if let Some(tree) = answer.tree {
             shared.set_tree(tree, self.row.relay_address);
         }
+        is_current
     }
 }
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -80,14 +80,17 @@
         let is_leading = lock(&self.leadership).fence(now).is_some();
         let interval = match () {
             () if self.link.is_lost() && self.shared.is_served(now) => SERVED_INTERVAL,
-            () if self.must_read || !is_leading && self.round_count <= SEARCH_ROUNDS => {
-                SEARCH_INTERVAL
-            }
+            () if self.must_read || !is_leading && self.is_searching() => SEARCH_INTERVAL,
             () => INTERVAL,
         };
         interval.saturating_sub(now.saturating_sub(started_at))
     }
 
+    /// Whether this instance looks for a leader often: at first, and as long as it may lead itself soon.
+    fn is_searching(&self) -> bool {
+        self.round_count <= SEARCH_ROUNDS || self.shared.place() == TreePlace::StandIn
+    }
+
     /// Whether this instance is leaving and still has the lead to give up.
     fn must_give_up(&self) -> bool {
         self.router.is_leaving() && lock(&self.leadership).has_lead()
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -87,6 +87,14 @@
     pub source: SocketAddr,
 }
 
+impl RelayedTargets {
+    /// When all of the answer was current. A wait for a change of the configuration says nothing about the
+    /// targets, which are read by themselves.
+    fn current_at(&self) -> Duration {
+        self.read_at.min(self.confirmed_at + catalog_loop::WAIT)
+    }
+}
+
 impl Default for SharedState {
     fn default() -> Self {
         Self::new(SharedSettings::default())
@@ -168,12 +176,8 @@
         if relayed.distance > most_distance {
             return None;
         }
-        state.distance = relayed.distance + 1;
-        // A wait for a change of the configuration says nothing about the targets, which are read by
-        // themselves.
-        let current_at = relayed
-            .read_at
-            .min(relayed.confirmed_at + catalog_loop::WAIT);
+        state.distance = relayed.distance.saturating_add(1);
+        let current_at = relayed.current_at();
         if state.targets_at.is_some_and(|at| at > relayed.read_at) {
             state.relayed_at = state.relayed_at.max(Some(current_at));
             return None;
@@ -195,6 +199,15 @@
         Some((before, listing))
     }
 
+    /// Whether an answer is enough not to read the stores. What other answers told does not count, so that
+    /// an instance leaves a source whose knowledge grows old.
+    pub fn is_current(&self, now: Duration, relayed: &RelayedTargets) -> bool {
+        let state = self.lock();
+        let most_distance = state.tree.as_ref().map_or(1, RelayTree::most_distance);
+        let age = now.saturating_sub(relayed.current_at());
+        relayed.distance <= most_distance && age < self.most_age(&state)
+    }
+
     /// Number of changes so far.
     pub fn change_count(&self) -> u64 {
         *self.changed.borrow()
@@ -307,8 +320,9 @@
         }
         state.place = tree.place(own);
         if state.place == TreePlace::Leader {
-            // Those that ask this instance from now on are among them.
+            // Those that ask this instance from now on are among them, and it reads the stores itself.
             state.upper_loads.0.clear();
+            state.relayed_at = None;
         }
         tracing::info!(
             fence = tree.version.fence,
@@ -379,12 +393,17 @@
         state.place != TreePlace::StandIn && state.answered_at.is_some_and(is_recent)
     }
 
-    /// Number of instances between the stores and what this instance knows.
+    /// Number of instances between the stores and what this instance knows. A leader that does not lead
+    /// any more has its knowledge from those that ask it, and must not be followed.
     pub fn distance(&self, now: Duration) -> u32 {
         if !self.is_relayed(now) {
             return 0;
         }
-        self.lock().distance
+        let state = self.lock();
+        match state.place {
+            TreePlace::Leader => u32::MAX,
+            _ => state.distance,
+        }
     }
 
     /// Forgets relayed knowledge, so that this instance reads the stores itself.
@@ -395,15 +414,18 @@
     /// Whether this instance knows what others know and need not read the stores itself.
     pub fn is_relayed(&self, now: Duration) -> bool {
         let state = self.lock();
-        let limit = self
-            .settings
-            .knowledge_limit
-            .mul_f64(state.place.knowledge_share());
+        let limit = self.most_age(&state);
         state
             .relayed_at
             .is_some_and(|at| now.saturating_sub(at) < limit)
     }
 
+    /// Age up to which this instance uses what others know.
+    fn most_age(&self, state: &SharedContent) -> Duration {
+        let share = state.place.knowledge_share();
+        self.settings.knowledge_limit.mul_f64(share)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SharedContent> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -223,7 +223,7 @@
     let own = [load(1)];
     for round in 0..50 {
         let now = at(10_000 + 200 * round);
-        let mut ask = |asking: &SharedState, id: &str, asked: &SharedState| {
+        let ask = |asking: &SharedState, id: &str, asked: &SharedState| {
             let id = id.into();
             asked.set_loads(now, &id, asking.lower_loads(now, &own), Duration::ZERO);
             asking.set_upper_loads(now, asked.loads_without(now, &id, &own))
@@ -234,3 +234,44 @@
         }
     }
 }
+
+/// Seen on crra-kingston trouble-3: a leader that was cut off from the store followed its stand-in, which
+/// followed it in turn instead of taking the lead.
+#[test]
+fn former_leader_that_follows_its_stand_in_is_not_followed() {
+    let (leader, stand_in) = (row("l", "a", 250), row("s", "b", 250));
+    let tree = RelayTree::form(&leader, &[&stand_in], TreeVersion::default());
+    let (one, other) = (SharedState::default(), SharedState::default());
+    one.set_tree(tree.clone(), leader.relay_address);
+    other.set_tree(tree, stand_in.relay_address);
+    take(&one, 10_000);
+    assert!(one.is_relayed(at(10_100)));
+    other.take_relayed(RelayedTargets {
+        distance: one.distance(at(10_100)),
+        ..relayed(&other, 10_000)
+    });
+    assert!(!other.is_relayed(at(10_100)));
+}
+
+/// An instance that takes the lead reads the stores itself, and others must be able to follow it at once.
+#[test]
+fn new_leader_is_followed_at_once() {
+    let own = row("l", "a", 250);
+    let shared = SharedState::default();
+    take(&shared, 10_000);
+    let tree = RelayTree::form(&own, &[], TreeVersion::default());
+    shared.set_tree(tree, own.relay_address);
+    assert_eq!(shared.distance(at(10_100)), 0);
+}
+
+/// Instances went on asking a leader that was cut off from the store, as long as the answers of its
+/// stand-in kept them current, and told it their loads.
+#[test]
+fn source_whose_knowledge_is_old_is_no_help_while_another_one_is() {
+    let shared = SharedState::default();
+    take(&shared, 10_000);
+    let old = relayed(&shared, 8_000);
+    assert!(shared.is_relayed(at(10_100)));
+    assert!(!shared.is_current(at(10_100), &old));
+    assert!(shared.is_current(at(10_100), &relayed(&shared, 10_000)));
+}
