--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -55,6 +55,30 @@
         sums.into_values().collect()
     }
 
+    /// Sum of the loads of some instances that were told within `age`, and of `more`.
+    #[must_use]
+    pub fn sum_of<'a>(
+        &self,
+        now: Duration,
+        age: Duration,
+        is_counted: impl Fn(&Arc<str>) -> bool,
+        more: impl IntoIterator<Item = &'a SharedLoad>,
+    ) -> Vec<SharedLoad> {
+        let mut sums = HashMap::new();
+        for load in more {
+            add(&mut sums, load);
+        }
+        for (id, (loads, at)) in &self.by_instance {
+            if now.saturating_sub(*at) > age || !is_counted(id) {
+                continue;
+            }
+            for load in loads {
+                add(&mut sums, load);
+            }
+        }
+        sums.into_values().collect()
+    }
+
     /// Forgets instances that no longer tell their loads. An instance that nobody asks any more would go
     /// on telling of those that asked it, which tell another one by now.
     fn forget(&mut self, now: Duration) {
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -166,7 +166,7 @@
         let now = clock::now();
         let loads = (!self.has_told_loads).then(|| {
             let own_loads = self.router.fleet().own_loads();
-            self.shared.lower_loads(now, &own_loads)
+            self.shared.lower_loads(now, &self.row, &own_loads)
         });
         let members = self.members(now);
         Query {
--- a/crates/reconcile/src/relay_tree.rs
+++ b/crates/reconcile/src/relay_tree.rs
@@ -146,6 +146,14 @@
         TreePlace::Follower
     }
 
+    /// Whether an instance relays to others of its failure domain.
+    #[must_use]
+    pub fn is_relay(&self, row: &InstanceRow) -> bool {
+        let relays = self.relays.get(&row.domain);
+        row.relay_address != self.leader
+            && relays.is_some_and(|relays| relays.contains(&row.relay_address))
+    }
+
     /// Most instances between the stores and an answer that counts: the stand-ins, and relays if there
     /// are any. More of them show instances that follow each other in a circle.
     #[must_use]
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -2,6 +2,9 @@
 
 /// Pause of the reading loops while another instance reads for this one.
 pub(crate) const RELAYED_PAUSE: Duration = Duration::from_millis(100);
+/// Age up to which a relay passes on the loads of others: twice the time between their questions. Those
+/// that have gone to another relay must not count at both for long.
+const RELAYED_LOAD_AGE: Duration = Duration::from_millis(900);
 /// Shortest time between trees of a leader.
 const TREE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after an answer of another instance for which it is taken to go on answering.
@@ -278,14 +281,25 @@
         self.lock().loads_without(now, id, own)
     }
 
-    /// Loads of this instance and of those that ask it. A leader that asks its stand-ins, as it does not
-    /// lead any more, tells of itself only, since the others ask these by now.
-    pub fn lower_loads(&self, now: Duration, own: &[SharedLoad]) -> Vec<SharedLoad> {
-        let mut state = self.lock();
-        if state.place == TreePlace::Leader {
+    /// Loads that this instance tells the one that it asks: its own, and as a relay those of the others of
+    /// its failure domain. Others that asked it lately have told another one by now, or will do so.
+    pub fn lower_loads(
+        &self,
+        now: Duration,
+        row: &InstanceRow,
+        own: &[SharedLoad],
+    ) -> Vec<SharedLoad> {
+        let state = self.lock();
+        let tree = state.tree.as_ref().filter(|tree| tree.is_relay(row));
+        let Some(tree) = tree else {
             return own.to_vec();
-        }
-        state.loads.without(now, &Arc::from(""), own)
+        };
+        let rows = state.membership.live_rows(now).into_iter();
+        let followers =
+            rows.filter(|follower| tree.relays_for(follower).contains(&row.relay_address));
+        let ids: HashSet<&Arc<str>> = followers.map(|follower| &follower.id).collect();
+        let is_counted = |id: &Arc<str>| ids.contains(id);
+        state.loads.sum_of(now, RELAYED_LOAD_AGE, is_counted, own)
     }
 
     /// Members.
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -5,8 +5,8 @@
 use {
     fleet::SharedLoad,
     reconcile::{
-        RelayTree, RelayedTargets, SharedSettings, SharedState, TargetChange, TreePlace,
-        TreeVersion,
+        InstanceRow, RelayTree, RelayedTargets, SharedSettings, SharedState, TargetChange,
+        TreePlace, TreeVersion,
     },
     std::{net::SocketAddr, time::Duration},
     support::{row, target},
@@ -223,12 +223,13 @@
     let own = [load(1)];
     for round in 0..50 {
         let now = at(10_000 + 200 * round);
-        let ask = |asking: &SharedState, id: &str, asked: &SharedState| {
-            let id = id.into();
-            asked.set_loads(now, &id, asking.lower_loads(now, &own), Duration::ZERO);
-            asking.set_upper_loads(now, asked.loads_without(now, &id, &own))
+        let ask = |asking: &SharedState, row: &InstanceRow, asked: &SharedState| {
+            let id = &row.id;
+            let loads = asking.lower_loads(now, row, &own);
+            asked.set_loads(now, id, loads, Duration::ZERO);
+            asking.set_upper_loads(now, asked.loads_without(now, id, &own))
         };
-        for others in [ask(&one, "l", &other), ask(&other, "s", &one)] {
+        for others in [ask(&one, &leader, &other), ask(&other, &stand_in, &one)] {
             let count: u32 = others.iter().map(|load| load.in_flight_count).sum();
             assert!(count <= 2, "{count} requests in round {round}");
         }
@@ -275,3 +276,59 @@
     assert!(!shared.is_current(at(10_100), &old));
     assert!(shared.is_current(at(10_100), &relayed(&shared, 10_000)));
 }
+
+/// Seen on crra-kingston trouble-2: a leader that was asked to stop told its successor of all who had asked
+/// it. They had told the successor themselves, and requests were refused for want of room.
+#[test]
+fn former_leader_does_not_tell_of_those_that_asked_it() {
+    let (former, successor) = (row("l", "a", 250), row("s", "b", 250));
+    let shared = SharedState::default();
+    shared.set_tree(
+        RelayTree::form(&former, &[&successor], TreeVersion::default()),
+        former.relay_address,
+    );
+    let now = at(10_000);
+    shared.with_membership(|members| members.contacted(now, successor.clone()));
+    shared.set_loads(now, &successor.id, vec![load(5)], Duration::ZERO);
+    let version = TreeVersion {
+        fence: 2,
+        number: 0,
+    };
+    let tree = RelayTree::form(&successor, &[&former], version);
+    shared.set_tree(tree, former.relay_address);
+    assert_eq!(shared.lower_loads(now, &former, &[load(1)]), [load(1)]);
+}
+
+/// The leader knows of the requests behind a relay only from the relay.
+#[test]
+fn relay_tells_of_its_failure_domain_as_long_as_that_asks_it() {
+    let rows: Vec<InstanceRow> = (0..60)
+        .map(|number| row(&format!("{number:02}"), ["a", "b"][number % 2], 250))
+        .collect();
+    let all: Vec<&InstanceRow> = rows.iter().collect();
+    let tree = RelayTree::form(&rows[0], &all, TreeVersion::default());
+    let find = |place, domain: &str| {
+        let mut found = rows
+            .iter()
+            .filter(|row| tree.place(row.relay_address) == place && &*row.domain == domain);
+        found.next().expect("such a place").clone()
+    };
+    let relay = find(TreePlace::Relay, "b");
+    let (near, far) = (
+        find(TreePlace::Follower, "b"),
+        find(TreePlace::Follower, "a"),
+    );
+    let shared = SharedState::default();
+    shared.set_tree(tree.clone(), relay.relay_address);
+    let now = at(10_000);
+    for (row, count) in [(&near, 5), (&far, 100)] {
+        shared.with_membership(|members| members.contacted(now, row.clone()));
+        shared.set_loads(now, &row.id, vec![load(count)], Duration::ZERO);
+    }
+    let count = |ms| {
+        let loads = shared.lower_loads(at(ms), &relay, &[load(1)]);
+        loads.iter().map(|load| load.in_flight_count).sum::<u32>()
+    };
+    assert_eq!(count(10_500), 6);
+    assert_eq!(count(11_500), 1, "it asks another one by now");
+}
