--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -85,7 +85,6 @@
 
     /// Passes on whole events until the stream ends.
     async fn pass_on(&mut self, attempt: &mut Attempt) -> StreamEnd {
-        let router = self.exchange.router.clone();
         let mut silent_since = clock::now();
         // Start of the current wait for an event. Bytes that complete none do not prolong it.
         let mut waits_since = silent_since;
@@ -94,10 +93,7 @@
             if left.is_zero() {
                 return StreamEnd::TimeOver;
             }
-            let limits = self.exchange.admitted.silence_limits(&router.settings);
-            let waited = clock::now().saturating_sub(waits_since);
-            let limit = self.pace.silence_limit(limits).saturating_sub(waited);
-            let limit = left.min(limit);
+            let limit = left.min(self.silence_left(waits_since));
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
@@ -138,6 +134,16 @@
         }
     }
 
+    /// Time until the stream counts as silent, in a wait that began at `waits_since`.
+    fn silence_left(&self, waits_since: Duration) -> Duration {
+        let Exchange {
+            admitted, router, ..
+        } = &self.exchange;
+        let limits = admitted.silence_limits(&router.settings);
+        let waited = clock::now().saturating_sub(waits_since);
+        self.pace.silence_limit(limits).saturating_sub(waited)
+    }
+
     /// Passes on the whole events among what has arrived.
     async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> Arrival {
         let whole = self.events.push(bytes);
--- a/crates/forward/tests/endless.rs
+++ b/crates/forward/tests/endless.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    support::{Sending, TestTarget, raw_target, setup},
+    support::{Sending, TestTarget, raw_target::raw_target, setup},
     tokio::io::{AsyncReadExt, AsyncWriteExt},
     yare::parameterized,
 };
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod raw_target;
+
 use {
     bytes::Bytes,
     catalog::{
@@ -22,10 +24,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::watch,
-    },
+    tokio::{net::TcpListener, sync::watch},
     wire::{
         Connection, Limits, ReplyStream, Request, Response,
         hyper::{HeaderMap, StatusCode, header::HeaderValue},
@@ -181,35 +180,6 @@
     }
 }
 
-/// Target that writes to its connections what `answer` does, whether it is an answer or not.
-pub async fn raw_target<F, A>(answer: F) -> TestTarget
-where
-    F: Fn(TcpStream) -> A + Send + 'static,
-    A: Future<Output = ()> + Send + 'static,
-{
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the stand-in works");
-    let address = listener.local_addr().expect("the stand-in works");
-    let (stop, mut stopped) = watch::channel(false);
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                _ = stopped.changed() => return,
-                accepted = listener.accept() => {
-                    let (stream, _) = accepted.expect("the stand-in works");
-                    tokio::spawn(answer(stream));
-                }
-            }
-        }
-    });
-    TestTarget {
-        address,
-        requests: Arc::default(),
-        _stop: stop,
-    }
-}
-
 /// Signs an answer to a request.
 pub fn signed(request: &Request, mut response: Response) -> Response {
     let id = request.header("x-id").unwrap_or_default().to_owned();
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -41,11 +41,7 @@
     let mut followed: Option<SocketAddr> = None;
     let mut pause = FIRST_PAUSE;
     loop {
-        let wait = match (followed, follower.shared.place()) {
-            (None, _) => Duration::ZERO,
-            (Some(_), TreePlace::Follower) => WAIT,
-            (Some(_), _) => ASKED_WAIT,
-        };
+        let wait = follower.wait(followed.is_some());
         let change_count = follower.shared.change_count();
         let found = follower.ask_each(wait).await;
         if found != followed {
@@ -100,6 +96,15 @@
 }
 
 impl Follower {
+    /// Longest wait of the asked instance for a change.
+    fn wait(&self, is_following: bool) -> Duration {
+        match (is_following, self.shared.place()) {
+            (false, _) => Duration::ZERO,
+            (true, TreePlace::Follower) => WAIT,
+            (true, _) => ASKED_WAIT,
+        }
+    }
+
     /// Addresses to ask, those last that did not help lately. An instance that leads asks nobody.
     fn candidates(&self) -> Vec<SocketAddr> {
         if lock(&self.leadership).fence(clock::now()).is_some() {
@@ -229,25 +234,31 @@
         if let Some((before, listing)) = shared.take_relayed(relayed) {
             target_loop::publish(router, &before, &listing);
         }
+        let formed_at = answered_at.saturating_sub(answer.instances_age);
+        self.take_instances(answer.instances, formed_at);
+        if let Some(tree) = answer.tree {
+            shared.set_tree(tree, self.row.relay_address);
+        }
         let now = clock::now();
+        let others = Arc::from(OTHERS);
+        let mut suspects = router.suspects();
+        suspects.take_reports(now, &others, &answer.crashes);
+        drop(suspects);
         if !std::mem::replace(&mut self.has_told_loads, true) {
             let others = shared.set_upper_loads(now, answer.other_loads);
             router.set_other_loads(&others);
         }
-        let others = Arc::from(OTHERS);
-        router
-            .suspects()
-            .take_reports(now, &others, &answer.crashes);
-        let formed_at = answered_at.saturating_sub(answer.instances_age);
-        if let Some(instances) = answer.instances {
-            leadership_loop::take(router, instances);
-        }
-        shared.set_instances_at(Some(formed_at));
-        let instances = router.instances();
-        shared.with_membership(|membership| membership.inherit(instances, formed_at));
-        if let Some(tree) = answer.tree {
-            shared.set_tree(tree, self.row.relay_address);
-        }
         is_current
     }
+
+    /// Takes over the instances that callers may use, if they are others than before.
+    fn take_instances(&self, instances: Option<Vec<Instance>>, formed_at: Duration) {
+        if let Some(instances) = instances {
+            leadership_loop::take(&self.router, instances);
+        }
+        self.shared.set_instances_at(Some(formed_at));
+        let instances = self.router.instances();
+        self.shared
+            .with_membership(|membership| membership.inherit(instances, formed_at));
+    }
 }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod catalog_loop;
 mod follow_loop;
+mod heard_loads;
 mod layout_keeper;
 mod leadership;
 mod leadership_loop;
@@ -37,6 +38,8 @@
 mod relay_handler;
 mod relay_message;
 mod relay_tree;
+mod relayed_targets;
+mod shared_settings;
 mod shared_state;
 mod sources;
 mod supervisor;
@@ -55,7 +58,9 @@
     relay_handler::RelayHandler,
     relay_message::{Answer, Query, Relay, RelayReply},
     relay_tree::{RelayTree, TreePlace, TreeVersion},
-    shared_state::{RelayedTargets, SharedSettings, SharedState},
+    relayed_targets::RelayedTargets,
+    shared_settings::SharedSettings,
+    shared_state::SharedState,
     sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
     supervisor::supervise,
     target_history::TargetHistory,
@@ -63,5 +68,6 @@
 };
 
 use {
-    leadership::lock, relay_message::digest, shared_state::RELAYED_PAUSE, target_loop::LOGGED_COUNT,
+    heard_loads::HeardLoads, leadership::lock, relay_message::digest, shared_state::RELAYED_PAUSE,
+    target_loop::LOGGED_COUNT,
 };
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -2,34 +2,11 @@
 
 /// Pause of the reading loops while another instance reads for this one.
 pub(crate) const RELAYED_PAUSE: Duration = Duration::from_millis(100);
-/// Age up to which a relay passes on the loads of others: twice the time between their questions. Those
-/// that have gone to another relay must not count at both for long.
-const RELAYED_LOAD_AGE: Duration = Duration::from_millis(900);
 /// Shortest time between trees of a leader.
 const TREE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after an answer of another instance for which it is taken to go on answering.
 const ANSWER_AGE: Duration = Duration::from_secs(2);
 
-/// Settings of what the loops of one instance share.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SharedSettings {
-    /// Time for which an instance may use what it knows of targets: a target that is leaving takes
-    /// requests for as long.
-    pub knowledge_limit: Duration,
-    /// Time after the start in which an instance waits for a leader before it reads the stores itself.
-    /// Zero where it must serve at once.
-    pub reading_delay: Duration,
-}
-
-impl Default for SharedSettings {
-    fn default() -> Self {
-        Self {
-            knowledge_limit: Duration::from_millis(2_000),
-            reading_delay: Duration::ZERO,
-        }
-    }
-}
-
 /// What the loops of one instance share.
 #[derive(Debug)]
 pub struct SharedState {
@@ -49,10 +26,8 @@
     distance: u32,
     /// When the list of instances was formed that this one was told; none if it formed it itself.
     instances_at: Option<Duration>,
-    /// Loads of the instances that call this one.
-    loads: LoadTable,
-    /// When the sum of the loads was taken last.
-    loads_taken_at: Duration,
+    /// Loads that this instance hears of.
+    loads: HeardLoads,
     membership: Membership,
     /// Instance whose list of targets this is, and its revision there; none after a read of its own.
     origin: Option<(SocketAddr, u64)>,
@@ -67,35 +42,6 @@
     tree: Option<RelayTree>,
     /// When this instance last formed a tree as the leader.
     tree_formed_at: Duration,
-    /// Loads that the instance told which this one asks, and when.
-    upper_loads: (Vec<SharedLoad>, Duration),
-}
-
-/// Targets of an answer.
-#[derive(Clone, Debug)]
-pub struct RelayedTargets {
-    /// Revision that the question named.
-    pub asked_revision: u64,
-    /// Change since that revision; none if there is none.
-    pub change: Option<TargetChange>,
-    /// When the configuration of the same answer was confirmed.
-    pub confirmed_at: Duration,
-    /// Number of instances between the stores and the answer.
-    pub distance: u32,
-    /// When the targets were read.
-    pub read_at: Duration,
-    /// Revision after the change.
-    pub revision: u64,
-    /// Instance that answered.
-    pub source: SocketAddr,
-}
-
-impl RelayedTargets {
-    /// When all of the answer was current. A wait for a change of the configuration says nothing about the
-    /// targets, which are read by themselves.
-    fn current_at(&self) -> Duration {
-        self.read_at.min(self.confirmed_at + catalog_loop::WAIT)
-    }
 }
 
 impl Default for SharedState {
@@ -118,8 +64,7 @@
                 answered_at: None,
                 distance: 0,
                 instances_at: None,
-                loads: LoadTable::default(),
-                loads_taken_at: Duration::ZERO,
+                loads: HeardLoads::default(),
                 membership: Membership::default(),
                 origin: None,
                 place: TreePlace::default(),
@@ -128,7 +73,6 @@
                 targets_at: None,
                 tree: None,
                 tree_formed_at: Duration::ZERO,
-                upper_loads: (Vec::new(), Duration::ZERO),
             }),
         }
     }
@@ -246,29 +190,24 @@
         if state.loads.set(now, id, loads) {
             self.wake();
         }
-        if now.saturating_sub(state.loads_taken_at) < interval {
-            return None;
-        }
-        state.loads_taken_at = now;
-        Some(state.loads_without(now, &Arc::from(""), &[]))
+        state.loads.take(now, interval)
     }
 
     /// Notes the loads that the instance told which this one asks. Returns the loads of all others.
     pub fn set_upper_loads(&self, now: Duration, loads: Vec<SharedLoad>) -> Vec<SharedLoad> {
         let mut state = self.lock();
-        state.loads_taken_at = now;
         if state.place == TreePlace::Leader {
             // It asks its stand-ins, which have heard of it. They must not hear of themselves from it.
             return loads;
         }
-        state.upper_loads = (loads, now);
-        state.loads_without(now, &Arc::from(""), &[])
+        state.loads.set_upper(now, loads);
+        state.loads.without(now, &Arc::from(""), &[])
     }
 
     /// Forgets the loads that were told by an instance that does not answer any more. Those that it told
     /// of tell this one by now, and would count twice.
     pub fn upper_loads_lost(&self) {
-        self.lock().upper_loads.0.clear();
+        self.lock().loads.upper_lost();
     }
 
     /// Loads of all instances but for `id` and those that ask it.
@@ -278,7 +217,7 @@
         id: &Arc<str>,
         own: &[SharedLoad],
     ) -> Vec<SharedLoad> {
-        self.lock().loads_without(now, id, own)
+        self.lock().loads.without(now, id, own)
     }
 
     /// Loads that this instance tells the one that it asks: its own, and as a relay those of the others of
@@ -298,8 +237,7 @@
         let followers =
             rows.filter(|follower| tree.relays_for(follower).contains(&row.relay_address));
         let ids: HashSet<&Arc<str>> = followers.map(|follower| &follower.id).collect();
-        let is_counted = |id: &Arc<str>| ids.contains(id);
-        state.loads.sum_of(now, RELAYED_LOAD_AGE, is_counted, own)
+        state.loads.of(now, &ids, own)
     }
 
     /// Members.
@@ -335,7 +273,7 @@
         state.place = tree.place(own);
         if state.place == TreePlace::Leader {
             // Those that ask this instance from now on are among them, and it reads the stores itself.
-            state.upper_loads.0.clear();
+            state.loads.upper_lost();
             state.relayed_at = None;
         }
         tracing::info!(
@@ -444,18 +382,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl SharedContent {
-    /// Loads of all instances but for `id` and those that ask it, and `own`.
-    fn loads_without(
-        &mut self,
-        now: Duration,
-        id: &Arc<str>,
-        own: &[SharedLoad],
-    ) -> Vec<SharedLoad> {
-        let (upper, at) = &self.upper_loads;
-        let is_recent = now.saturating_sub(*at) <= LOAD_AGE;
-        let upper = upper.iter().filter(|_| is_recent);
-        self.loads.without(now, id, own.iter().chain(upper))
-    }
-}
--- /dev/null
+++ b/crates/relay/tests/tree.rs
@@ -0,0 +1,149 @@
+//! Guards against a leader that all ask, and against requests that count at several instances.
+
+mod support;
+
+use {
+    rand::SeedableRng,
+    reconcile::{InstanceRow, Query, Relay, RelayReply, RelayTree, TreeVersion},
+    relay::RelayClient,
+    std::{sync::Arc, time::Duration},
+    support::{
+        Node, answer, follow, lead, leader, node, publish, query, serve, target, until, version,
+    },
+    tokio::net::TcpListener,
+};
+
+/// 294 instances asked one leader, which answered none of them in time.
+#[tokio::test]
+async fn leader_of_many_names_relays_and_hears_of_all_through_them() {
+    let (leader, _task) = leader().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut relay = node("r", listener.local_addr().expect("an address"));
+    relay.row.capacity = 500;
+    let _relay_task = serve(&relay, listener);
+    for number in 0..40 {
+        let row = InstanceRow {
+            capacity: 100,
+            id: format!("z{number}").into(),
+            relay_address: ([127, 0, 0, 2], 1_000 + number).into(),
+            start: format!("z{number}.1").into(),
+            ..leader.row.clone()
+        };
+        leader
+            .shared
+            .with_membership(|membership| membership.contacted(clock::now(), row));
+    }
+    follow(&relay, &leader);
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    follow(&follower, &leader);
+    // The leader reads the stores and renews its lead again and again.
+    let until_relayed = async |condition: &dyn Fn() -> bool| {
+        until(|| {
+            lead(&leader);
+            publish(&leader, 1);
+            condition()
+        })
+        .await;
+    };
+    let now = clock::now;
+    until_relayed(&|| follower.shared.is_relayed(now()) && follower.shared.distance(now()) == 2)
+        .await;
+    // Long enough for the question that the follower sent to the leader to be forgotten.
+    let started_at = now();
+    until_relayed(&|| now().saturating_sub(started_at) > Duration::from_secs(5)).await;
+    let live = leader
+        .shared
+        .with_membership(|membership| membership.live(now()));
+    assert!(
+        live.iter().any(|instance| &*instance.id == "y"),
+        "the relay tells of those that ask it"
+    );
+    publish(&leader, 2);
+    leader.shared.wake();
+    until(|| version(&follower) == 2).await;
+}
+
+/// A relay that is lost must not be named again to those that it does not answer.
+#[tokio::test]
+async fn leader_answers_those_whose_relays_do_not() {
+    let (leader, _task) = leader().await;
+    let now = clock::now();
+    for number in 0..40 {
+        let row = InstanceRow {
+            id: format!("z{number:02}").into(),
+            relay_address: ([127, 0, 0, 2], 1_000 + number).into(),
+            start: format!("z{number:02}.1").into(),
+            ..leader.row.clone()
+        };
+        leader
+            .shared
+            .with_membership(|membership| membership.contacted(now, row));
+    }
+    let asking = node("zz", ([127, 0, 0, 1], 1).into());
+    let client = RelayClient::default();
+    let address = leader.row.relay_address;
+    // The tree that names relays is formed a moment after the first one.
+    let tree = loop {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(clock::now() < now + Duration::from_secs(20), "no relays");
+        let asked = Query {
+            wait: Duration::ZERO,
+            ..query(&asking)
+        };
+        match client.ask(address, asked).await.expect("a reply") {
+            RelayReply::Redirect(tree) => break tree,
+            RelayReply::Answer(_) => {}
+        }
+    };
+    let avoided = tree.relays_for(&asking.row);
+    assert!(!avoided.is_empty());
+    let asked = Query {
+        avoided,
+        ..query(&asking)
+    };
+    assert!(answer(&client, address, asked).await.catalog.is_some());
+}
+
+/// Seen on crra-kingston: while the store was down, instances asked the leader and all stand-ins, and told
+/// each of them their loads. These passed them on, and engines seemed to be full.
+#[tokio::test]
+async fn loads_are_counted_once_while_nobody_is_current() {
+    let (leader, _task) = leader().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let stand_in = node("a", listener.local_addr().expect("an address"));
+    let _stand_in_task = serve(&stand_in, listener);
+    let follower = node("y", ([127, 0, 0, 1], 1).into());
+    let read_at = clock::now().saturating_sub(Duration::from_secs(60));
+    for node in [&leader, &stand_in, &follower] {
+        node.shared.set_targets(read_at, vec![target("t1")]);
+    }
+    let version = TreeVersion {
+        fence: 1,
+        number: 1,
+    };
+    let tree = RelayTree::form(&leader.row, &[&stand_in.row], version);
+    for node in [&leader, &stand_in, &follower] {
+        node.shared.set_tree(tree.clone(), node.row.relay_address);
+    }
+    follower.router.set_targets(&[target("t1")]);
+    let path = {
+        let fleet = follower.router.fleet();
+        let demand = fleet::Demand::default();
+        let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+        let path = fleet.choose_target(clock::now(), "s", &demand, &mut rng);
+        path.expect("a target")
+    };
+    follower.router.fleet().begin(clock::now(), &path);
+    follow(&stand_in, &leader);
+    follow(&follower, &leader);
+    let count = |node: &Node| -> u32 {
+        let nobody = Arc::from("");
+        let loads = node.shared.loads_without(clock::now(), &nobody, &[]);
+        loads.iter().map(|load| load.in_flight_count).sum()
+    };
+    until(|| count(&leader) > 0).await;
+    for _ in 0..60 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert!(count(&leader) <= 1, "{} for one request", count(&leader));
+    }
+}
