--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,7 +20,7 @@
     thiserror::Error,
     tokio::{
         net::TcpListener,
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::{Semaphore, oneshot, watch},
         task::JoinHandle,
         time::{Instant, sleep},
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -40,9 +40,11 @@
         .worker_threads(WORKER_COUNT)
         .build()?;
     let ending = runtime.block_on(async {
+        // Whoever knows of the process, by its line or by the list, may ask it to stop.
+        let signals = Signals::install()?;
         let standin = start(settings).await?;
         announce(standin.address())?;
-        wait(standin).await
+        wait(standin, signals).await
     })?;
     runtime.shutdown_background();
     match ending {
@@ -59,14 +61,27 @@
     Ok(())
 }
 
-async fn wait(standin: Standin) -> Result<Ending, Error> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
+/// Signals that ask a process to stop.
+struct Signals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
+}
+
+async fn wait(standin: Standin, mut signals: Signals) -> Result<Ending, Error> {
     let lifecycle = standin.lifecycle();
     let signals = async {
         tokio::select! {
-            _ = interrupt.recv() => {}
-            _ = terminate.recv() => {}
+            _ = signals.interrupt.recv() => {}
+            _ = signals.terminate.recv() => {}
         }
         lifecycle.leave();
         std::future::pending::<()>().await;
