--- a/crates/reconcile/src/relay_tree.rs
+++ b/crates/reconcile/src/relay_tree.rs
@@ -9,6 +9,12 @@
 /// Least relays of a failure domain, so that one is left when another one is lost.
 const LEAST_RELAY_COUNT: usize = 2;
 
+/// Longest age of what a relay uses: a read of the leader takes up to 0.6 s, and the relay's question waits
+/// 0.2 s.
+const MOST_RELAY_AGE: Duration = Duration::from_millis(1_300);
+/// Longest age of what a stand-in uses.
+const MOST_STAND_IN_AGE: Duration = Duration::from_millis(1_000);
+
 /// Which instances others ask: the leader, those that stand in for it, and relays of each failure domain.
 ///
 /// The leader and its stand-ins are asked by relays, and relays by all others of their failure domain,
@@ -49,14 +55,14 @@
 }
 
 impl TreePlace {
-    /// Part of the time for which knowledge may be used that an instance uses it without reading the
-    /// stores itself. Those who are asked read earlier, so that they know more than those who ask them.
-    /// What is left covers a read.
-    pub(crate) fn knowledge_share(self) -> f64 {
+    /// Age up to which an instance uses what others know without reading the stores itself, where it may be
+    /// used for `limit`. What is left covers a read. Those who are asked read earlier, so that they know
+    /// more than those who ask them, and however long the limit is, a lost leader shows at them soon.
+    pub(crate) fn most_age(self, limit: Duration) -> Duration {
         match self {
-            Self::Follower => 0.65,
-            Self::Relay => 0.58,
-            Self::Leader | Self::StandIn => 0.5,
+            Self::Follower => limit.mul_f64(0.65),
+            Self::Relay => limit.mul_f64(0.58).min(MOST_RELAY_AGE),
+            Self::Leader | Self::StandIn => limit.mul_f64(0.5).min(MOST_STAND_IN_AGE),
         }
     }
 }
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -374,8 +374,7 @@
 
     /// Age up to which this instance uses what others know.
     fn most_age(&self, state: &SharedContent) -> Duration {
-        let share = state.place.knowledge_share();
-        self.settings.knowledge_limit.mul_f64(share)
+        state.place.most_age(self.settings.knowledge_limit)
     }
 
     fn lock(&self) -> MutexGuard<'_, SharedContent> {
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -181,6 +181,9 @@
         age_ms.expect("an end")
     });
     assert!(ages[0] < ages[1] && ages[1] < ages[2], "{ages:?}");
+    // Seen on fartuch-druk-grown scale-2: with ages that grew with the limit, nobody knew of new engines
+    // for two seconds after the store had turned the leader away.
+    assert!(ages[1] <= 1_300, "a lost leader shows late: {ages:?}");
     assert!(ages[2] < 4_000 * 7 / 10, "no time for a read of its own");
 }
 
