Heed targets that leave or ask for time in their answers

Cause: a target that said in an answer that it leaves got requests until it was listed as leaving, and one that turned requests away with a time to come back got them at once again. A target that starts anew under its id was taken for the one before. Ruled out: the list alone, as it lags by seconds and is away with the store. Change: the fleet keeps both as state of a target, checked again right before a request is sent; departures are told to all instances and outlive lapsed entries; callers are told the shortest time when all targets are held; the start time that targets state tells their starts apart.

--- a/crates/fleet/examples/choice.rs
+++ b/crates/fleet/examples/choice.rs
@@ -48,6 +48,7 @@
         id: format!("e{index}").into(),
         is_leaving: false,
         service: "model".into(),
+        incarnation: 0,
         slot_count: 192,
     }
 }
@@ -66,7 +67,7 @@
             .map(|index| engine(index, &mut rng))
             .collect();
         let mut fleet = Fleet::new(FleetSettings::default());
-        fleet.list(&targets);
+        fleet.list(Duration::ZERO, &targets);
         let started_at = Instant::now();
         for _ in 0..CHOICE_COUNT {
             let path = fleet.choose_path(NOW, "model", &profile, &demand, &local_domain, &mut rng);
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -12,6 +12,7 @@
     pub(crate) is_doubted: bool,
     /// Requests of this instance that it serves.
     pub(crate) in_flight_count: u32,
+    pub(crate) intake: Intake,
     /// Last reported load, and when it arrived.
     pub(crate) load: Option<(Load, Duration)>,
     /// Tokens times layers that requests of this instance took since the others last told their loads.
@@ -31,6 +32,7 @@
             health: Health::default(),
             is_doubted: false,
             in_flight_count: 0,
+            intake: Intake::default(),
             load: None,
             new_token_layers: 0.0,
             slowness: 1.0,
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Whether it leaves, as it is listed or as it said itself.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.target.is_leaving || self.intake.is_leaving
+    }
+
     /// Expected requests at a plain target, as a share of what it runs at once.
     pub(crate) fn plain_load(&self, now: Duration, peers: f64, settings: &FleetSettings) -> f64 {
         let slots = f64::from(self.target.slot_count.max(1));
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 pub struct Fleet {
     pub(crate) by_id: HashMap<TargetId, TargetKey>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
+    pub(crate) departures: Departures,
     /// Instances that share the targets. Invariant: at least 1 once it was set.
     instance_count: usize,
     pub(crate) others: OtherLoads,
@@ -35,12 +36,17 @@
         self.targets.is_empty()
     }
 
-    /// Replaces the listing. What was observed of targets that are still listed is kept.
-    pub fn list(&mut self, listing: &[Target]) {
-        let listed: BTreeSet<&str> = listing.iter().map(|target| &*target.id).collect();
+    /// Replaces the listing. What was observed of targets that are still listed is kept, unless they
+    /// have started anew.
+    pub fn list(&mut self, now: Duration, listing: &[Target]) {
+        let listed: HashMap<&str, Incarnation> = listing
+            .iter()
+            .map(|target| (&*target.id, target.incarnation))
+            .collect();
         let targets = &mut self.targets;
         self.by_id.retain(|id, key| {
-            let is_listed = listed.contains(&**id);
+            let known = targets.get(*key).map(|entry| entry.target.incarnation);
+            let is_listed = known.is_some() && listed.get(&**id).copied() == known;
             if !is_listed {
                 targets.remove(*key);
             }
@@ -55,7 +61,9 @@
                 entry.target.clone_from(target);
                 continue;
             }
-            let key = targets.insert(Entry::new(target.clone()));
+            let mut entry = Entry::new(target.clone());
+            entry.intake.is_leaving = self.departures.contains(&target.id, target.incarnation);
+            let key = targets.insert(entry);
             self.by_id.insert(target.id.clone(), key);
         }
         self.by_service.clear();
@@ -63,13 +71,16 @@
             let keys = self.by_service.entry(entry.target.service.clone());
             keys.or_default().push(key);
         }
+        let by_id = &self.by_id;
+        self.departures.forget(now, |id| by_id.contains_key(id));
     }
 
     /// Chooses a target of a plain service: the least loaded one, those that failed last.
     ///
     /// # Errors
     ///
-    /// Returns `NoPath::NoTarget` when none is listed that is not excluded.
+    /// Returns `NoPath::NoTarget` when none is listed that is not excluded, and `NoPath::Held` when all
+    /// of them asked for a time without requests.
     pub fn choose_target(
         &self,
         now: Duration,
@@ -78,7 +89,7 @@
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
         let mut best: Option<(bool, f64, TargetKey)> = None;
-        for (key, entry) in self.usable(service, demand) {
+        for (key, entry) in self.usable(now, service, demand) {
             let jitter = rng.random_range(0.0..self.settings.spread_share);
             let load = entry.plain_load(now, self.peer_factor(), &self.settings) + jitter;
             let rank = (entry.health.is_avoided(now), load, key);
@@ -86,7 +97,9 @@
                 best = Some(rank);
             }
         }
-        let (_, _, key) = best.ok_or(NoPath::NoTarget)?;
+        let Some((_, _, key)) = best else {
+            return Err(self.held_target(now, service));
+        };
         Ok(Path {
             cost_ms: 0.0,
             hop_bits: 0.0,
@@ -100,7 +113,8 @@
     /// # Errors
     ///
     /// Returns `NoPath::NoTarget` when no engine is listed, `NoPath::Incomplete` when some layers
-    /// are held by no usable engine and `NoPath::Full` when those that hold them have no room.
+    /// are held by no usable engine, `NoPath::Full` when those that hold them have no room and
+    /// `NoPath::Held` when they asked for a time without requests.
     pub fn choose_path(
         &self,
         now: Duration,
@@ -123,6 +137,9 @@
             transfers,
         };
         let Some((stages, cost_ms)) = finder.find() else {
+            if let Some(wait) = self.held_layers(now, service, profile) {
+                return Err(NoPath::Held(wait));
+            }
             return Err(match (held_count, is_any_full) {
                 (0, _) => NoPath::NoTarget,
                 (_, false) => NoPath::Incomplete,
@@ -150,7 +167,7 @@
     ) -> (Vec<Candidate<'_>>, usize) {
         let mut candidates = Vec::new();
         let mut held_count = 0;
-        for (key, entry) in self.usable(service, demand) {
+        for (key, entry) in self.usable(now, service, demand) {
             let Some(held) = entry.target.held.filter(|_| !entry.health.is_avoided(now)) else {
                 continue;
             };
@@ -210,18 +227,26 @@
         self.instance_count as f64
     }
 
-    fn usable(&self, service: &str, demand: &Demand) -> Vec<(TargetKey, &Entry)> {
-        let mut usable = Vec::new();
+    /// Targets of a service that may be sent requests now.
+    fn usable(&self, now: Duration, service: &str, demand: &Demand) -> Vec<(TargetKey, &Entry)> {
+        let mut usable = self.staying(service, demand);
+        usable.retain(|(_, entry)| entry.intake.is_open(now));
+        usable
+    }
+
+    /// Targets of a service that are not leaving, also those that take no requests for a while.
+    pub(crate) fn staying(&self, service: &str, demand: &Demand) -> Vec<(TargetKey, &Entry)> {
+        let mut staying = Vec::new();
         for key in self.by_service.get(service).into_iter().flatten() {
             let Some(entry) = self.targets.get(*key) else {
                 continue;
             };
-            if entry.target.is_leaving || demand.excluded.contains(key) {
+            if entry.is_leaving() || demand.excluded.contains(key) {
                 continue;
             }
-            usable.push((*key, entry));
+            staying.push((*key, entry));
         }
-        usable
+        staying
     }
 
     /// Time that one layer of an engine adds to an answer, in milliseconds; none if the engine has
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,12 +20,15 @@
 
 mod budget;
 mod demand;
+mod departures;
 mod entry;
 mod finder;
 mod fleet;
 mod health;
+mod intake;
 mod load;
 mod load_table;
+mod notices;
 mod observations;
 mod path;
 mod pipes;
@@ -38,6 +41,7 @@
 pub use {
     budget::RetryBudget,
     demand::Demand,
+    departures::Departure,
     fleet::Fleet,
     health::Outcome,
     load::Load,
@@ -46,13 +50,15 @@
     roster::Roster,
     settings::FleetSettings,
     shared_load::{LOAD_AGE, SharedLoad},
-    target::Target,
+    target::{Incarnation, Target},
 };
 
 use {
+    departures::Departures,
     entry::Entry,
     finder::{Candidate, Finder},
     health::Health,
+    intake::Intake,
     pipes::Pipes,
     shared_load::OtherLoads,
     transfers::Transfers,
--- /dev/null
+++ b/crates/fleet/tests/notices.rs
@@ -0,0 +1,233 @@
+//! Guards against requests to targets that said that they leave, or asked for a time without requests.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    fleet::{Demand, Departure, Fleet, FleetSettings, NoPath, Outcome, Target, TargetKey},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    support::{demand, engine, fleet, profile, rng, target},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const IDS: [&str; 3] = ["x", "y", "z"];
+
+fn chosen(fleet: &Fleet, now: Duration) -> Result<(String, TargetKey), NoPath> {
+    let path = fleet.choose_target(now, "booking", &Demand::default(), &mut rng())?;
+    Ok((path.first().id.to_string(), path.first().key))
+}
+
+fn key(fleet: &Fleet, id: &str) -> Option<TargetKey> {
+    let mut excluded = Vec::new();
+    loop {
+        let demand = Demand {
+            excluded: excluded.clone(),
+            ..Demand::default()
+        };
+        let path = fleet.choose_target(NOW, "booking", &demand, &mut rng());
+        let stage = path.ok()?.first().clone();
+        if &*stage.id == id {
+            return Some(stage.key);
+        }
+        excluded.push(stage.key);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A target says in an answer that it leaves.
+    Leave(usize),
+    /// Another instance says that a start of a target leaves.
+    LeaveElsewhere(usize, u64),
+    /// A target turns a request away for some milliseconds.
+    Hold(usize, u64),
+    /// A target answers well.
+    Answer(usize),
+    /// The list names these, all of them as staying.
+    List(Vec<bool>),
+    /// A target starts anew under its id.
+    Restart(usize),
+    /// Milliseconds pass.
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let index = || 0..IDS.len();
+    prop_oneof![
+        index().prop_map(Event::Leave),
+        (index(), 0..3_u64).prop_map(|(at, start)| Event::LeaveElsewhere(at, start)),
+        (index(), 0..2_000_u64).prop_map(|(at, ms)| Event::Hold(at, ms)),
+        index().prop_map(Event::Answer),
+        proptest::collection::vec(any::<bool>(), IDS.len()).prop_map(Event::List),
+        index().prop_map(Event::Restart),
+        (0..1_500_u64).prop_map(Event::Wait),
+    ]
+}
+
+/// What may be sent to, worked out from the whole history.
+#[derive(Default)]
+struct Model {
+    held_until: BTreeMap<(usize, u64), Duration>,
+    keys: BTreeMap<usize, TargetKey>,
+    leaving: BTreeSet<(usize, u64)>,
+    listed: Vec<bool>,
+    starts: [u64; IDS.len()],
+}
+
+impl Model {
+    fn listing(&self) -> Vec<Target> {
+        let mut listing = Vec::new();
+        for (at, id) in IDS.iter().enumerate() {
+            if self.listed[at] {
+                listing.push(Target {
+                    incarnation: self.starts[at],
+                    ..target(id, "booking")
+                });
+            }
+        }
+        listing
+    }
+
+    fn list(&mut self, fleet: &mut Fleet, now: Duration) {
+        fleet.list(now, &self.listing());
+        for (at, is_listed) in self.listed.iter().enumerate() {
+            if !is_listed {
+                // What it asked for ends with its entry; that it leaves does not.
+                self.held_until.remove(&(at, self.starts[at]));
+                self.keys.remove(&at);
+                continue;
+            }
+            if let Some(key) = key(fleet, IDS[at]) {
+                self.keys.insert(at, key);
+            }
+        }
+    }
+
+    fn usable(&self, now: Duration) -> BTreeSet<&'static str> {
+        let mut usable = BTreeSet::new();
+        for (at, id) in IDS.iter().enumerate() {
+            let start = (at, self.starts[at]);
+            let is_held = self.held_until.get(&start).is_some_and(|end| now < *end);
+            if self.listed[at] && !is_held && !self.leaving.contains(&start) {
+                usable.insert(*id);
+            }
+        }
+        usable
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    /// A hold that a later answer shortens, or a departure that the list undoes, would send work to a
+    /// target that turned it away.
+    #[test]
+    fn notices_hold_whatever_the_order_of_answers_and_lists(
+        events in proptest::collection::vec(event(), 1..40),
+    ) {
+        let mut fleet = Fleet::new(FleetSettings::default());
+        let mut model = Model { listed: vec![true; IDS.len()], ..Model::default() };
+        let mut now = NOW;
+        model.list(&mut fleet, now);
+        for event in events {
+            match event {
+                Event::Leave(at) => {
+                    if let Some(key) = model.keys.get(&at) {
+                        fleet.note_leaving(now, *key);
+                        model.leaving.insert((at, model.starts[at]));
+                    }
+                }
+                Event::LeaveElsewhere(at, start) => {
+                    let departure = Departure { id: IDS[at].into(), incarnation: start };
+                    fleet.note_departures(now, &[departure]);
+                    if model.listed[at] && model.starts[at] == start {
+                        model.leaving.insert((at, start));
+                    }
+                }
+                Event::Hold(at, ms) => {
+                    if let Some(key) = model.keys.get(&at) {
+                        let wait = Duration::from_millis(ms);
+                        fleet.hold(now, *key, wait);
+                        let until = model.held_until.entry((at, model.starts[at])).or_default();
+                        *until = (now + wait).max(*until);
+                    }
+                }
+                Event::Answer(at) => {
+                    if let Some(key) = model.keys.get(&at) {
+                        fleet.note(now, *key, Outcome::Answered);
+                    }
+                }
+                Event::List(listed) => {
+                    model.listed = listed;
+                    model.list(&mut fleet, now);
+                }
+                Event::Restart(at) => {
+                    model.keys.remove(&at);
+                    model.starts[at] += 1;
+                    model.list(&mut fleet, now);
+                }
+                Event::Wait(ms) => now += Duration::from_millis(ms),
+            }
+            let usable = model.usable(now);
+            match chosen(&fleet, now) {
+                Ok((id, _)) => prop_assert!(usable.contains(&*id), "{id} chosen, usable {usable:?}"),
+                Err(reason) => prop_assert!(usable.is_empty(), "{reason:?}, usable {usable:?}"),
+            }
+        }
+    }
+}
+
+/// A caller that is told a longer time than needed waits in vain; a shorter one is refused again.
+#[test]
+fn shortest_time_is_told_when_all_targets_are_held() {
+    let mut fleet = fleet(&[target("x", "booking"), target("y", "booking")]);
+    for ms in [900, 400] {
+        let (_, key) = chosen(&fleet, NOW).unwrap();
+        fleet.hold(NOW, key, Duration::from_millis(ms));
+    }
+    let reason = chosen(&fleet, NOW).unwrap_err();
+    assert_eq!(reason, NoPath::Held(Duration::from_millis(400)));
+    assert!(chosen(&fleet, NOW + Duration::from_millis(400)).is_ok());
+}
+
+/// A path counts as possible again when its last layer is, not its first.
+#[test]
+fn time_of_a_path_is_that_of_its_last_layers() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 4), engine("a2", "a", 4, 8)]);
+    let choose = |fleet: &Fleet| {
+        fleet.choose_path(NOW, "model", &profile(), &demand(), &"a".into(), &mut rng())
+    };
+    let path = choose(&fleet).unwrap();
+    fleet.hold(NOW, path.stages[0].key, Duration::from_millis(300));
+    fleet.hold(NOW, path.stages[1].key, Duration::from_millis(700));
+    assert!(!fleet.is_open(NOW, &path));
+    let expected = NoPath::Held(Duration::from_millis(700));
+    assert_eq!(choose(&fleet).unwrap_err(), expected);
+}
+
+/// A hold is no failure: others are not told to avoid the target, and it serves at once afterwards.
+#[test]
+fn held_target_is_told_to_nobody_as_failed() {
+    let mut fleet = fleet(&[target("x", "booking")]);
+    let (_, key) = chosen(&fleet, NOW).unwrap();
+    fleet.hold(NOW, key, Duration::from_secs(1));
+    assert!(fleet.own_loads().is_empty());
+    assert!(fleet.unlisted_departures().is_empty());
+}
+
+/// Ten to the twelfth seconds are no reason to lose a target for good or to overflow.
+#[test]
+fn absurd_time_is_bounded() {
+    let mut fleet = fleet(&[target("x", "booking")]);
+    let (_, key) = chosen(&fleet, NOW).unwrap();
+    fleet.hold(NOW, key, Duration::MAX);
+    assert!(chosen(&fleet, NOW + Duration::from_secs(3_599)).is_err());
+    assert!(chosen(&fleet, NOW + Duration::from_secs(3_600)).is_ok());
+}
--- a/crates/fleet/tests/plain.rs
+++ b/crates/fleet/tests/plain.rs
@@ -95,9 +95,9 @@
         .unwrap();
     fleet.begin(NOW, &path);
     fleet.note(NOW, path.first().key, Outcome::Failed);
-    fleet.list(&["x", "y", "z"].map(|id| target(id, "booking")));
+    fleet.list(NOW, &["x", "y", "z"].map(|id| target(id, "booking")));
     assert!(fleet.is_lost(NOW, path.first()));
-    fleet.list(&[]);
+    fleet.list(NOW, &[]);
     assert!(fleet.is_lost(NOW + Duration::from_secs(60), path.first()));
     fleet.end(&path);
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -8,6 +8,7 @@
     layout::LayerRange,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
+    std::time::Duration,
 };
 
 pub const LAYER_COUNT: u32 = 8;
@@ -45,6 +46,7 @@
         id: id.into(),
         is_leaving: false,
         service: service.into(),
+        incarnation: 0,
         slot_count: 6,
     }
 }
@@ -60,7 +62,7 @@
 
 pub fn fleet(targets: &[Target]) -> Fleet {
     let mut fleet = Fleet::new(FleetSettings::default());
-    fleet.list(targets);
+    fleet.list(Duration::ZERO, targets);
     fleet
 }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -22,6 +22,8 @@
     NotRun,
     /// The request may have run.
     Unknown,
+    /// Nothing was sent, as a target on the path takes no requests any more.
+    Withdrawn,
 }
 
 impl AttemptFailure {
@@ -30,6 +32,7 @@
             Self::NotSent => "not_sent",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
@@ -60,6 +63,10 @@
             Err(error) => return Err((failed(router, admitted, &first, &error), first)),
             Ok(connection) => connection,
         };
+        // Answers to other requests may have come while the connection was made.
+        if !router.fleet().is_open(clock::now(), in_flight.path()) {
+            return Err((AttemptFailure::Withdrawn, first));
+        }
         let exchange = connection.exchange(message, limit);
         let reply = match in_flight.wait(admitted, resend_after, exchange).await {
             None => return Err((AttemptFailure::Unknown, first)),
@@ -86,6 +93,7 @@
         if let Some(load) = self.facts.load {
             router.fleet().note_load(now, first.key, load);
         }
+        intake::note(router, &admitted.facts.id, &first, &self.facts);
         if self.facts.is_not_run {
             self.note_refusal(router, admitted);
             let _ = timeout(REFUSAL_LIMIT, self.read(router)).await;
@@ -156,7 +164,7 @@
 
     /// Keeps the connection after its answer was read to the end.
     pub(crate) fn release(self, router: &Router) {
-        if headers::closes(&self.reply.headers) {
+        if headers::closes(&self.reply.headers) || self.facts.is_leaving {
             return;
         }
         let limit = headers::idle_limit(&self.reply.headers);
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -26,10 +26,14 @@
     pub has_signature: bool,
     /// Id of the request that it answers.
     pub id: Option<Arc<str>>,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
     /// Whether the target promises that the request has not run and never will.
     pub is_not_run: bool,
     /// Load of the target.
     pub load: Option<Load>,
+    /// Time for which the target wants no further request, where it turned this one away.
+    pub return_after: Option<Duration>,
 }
 
 /// What a target is told with a request.
--- a/crates/forward/src/engines.rs
+++ b/crates/forward/src/engines.rs
@@ -7,6 +7,8 @@
     pub held: Option<LayerRange>,
     /// Whether an order is in progress.
     pub is_busy: bool,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
     /// Orders that it accepted since its start.
     pub order_count: u64,
     /// Factor by which it is slower than its hardware.
@@ -30,7 +32,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when it does not answer.
+    /// Returns an error when it does not answer, and `Error::Held` when it wants no requests.
     fn state(&self, address: SocketAddr) -> BoxFuture<'_, Result<EngineState, Error>>;
 
     /// Orders an engine to hold layers, if it has accepted `order_count` orders so far.
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -3,6 +3,9 @@
 /// Failures of shared stores and engines that others keep.
 #[derive(Clone, Debug, Error)]
 pub enum Error {
+    /// Nothing was done, and the other side wants no requests for this time.
+    #[error("asked to come back after {} ms; it is tried again then", .0.as_millis())]
+    Held(Duration),
     /// Nothing was done.
     #[error("refused: {0}; it is tried again")]
     Refused(String),
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -25,7 +25,7 @@
     let admitted = match Admitted::check(&router, &request, facts) {
         Err(refusal) => {
             log_refusal(&id, &request.path, refusal);
-            return refusal.response(router.return_after());
+            return refusal.response(router.return_after(refusal));
         }
         Ok(admitted) => admitted,
     };
@@ -126,6 +126,9 @@
             attempts = self.attempt_count,
             "no answer from target"
         );
+        if failure == AttemptFailure::Withdrawn {
+            return Ok(());
+        }
         if failure == AttemptFailure::NotSent {
             self.unsent_count += 1;
             if self.unsent_count >= UNSENT_COUNT {
@@ -162,7 +165,7 @@
 
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response {
         log_refusal(&self.admitted.facts.id, &self.request.path, refusal);
-        refusal.response(self.router.return_after())
+        refusal.response(self.router.return_after(refusal))
     }
 
     /// Time without an answer after which another target is tried, early enough for it to answer
--- /dev/null
+++ b/crates/forward/src/intake.rs
@@ -0,0 +1,41 @@
+//! Takes note of what targets say about taking further requests.
+
+use super::*;
+
+/// Notes what an answer says about further requests to the target that sent it.
+pub(crate) fn note(router: &Router, request: &str, target: &Stage, facts: &ReplyFacts) {
+    if !facts.is_leaving && facts.return_after.is_none() {
+        return;
+    }
+    let now = clock::now();
+    let mut fleet = router.fleet();
+    if facts.is_leaving && leave(&router.pool, &mut fleet, now, target) {
+        tracing::info!(request, target = &*target.id, "told in an answer");
+    }
+    if let Some(wait) = facts.return_after {
+        hold(&mut fleet, now, target, wait);
+    }
+}
+
+/// Notes that a target leaves, and closes the idle connections to it. Returns whether that was not known.
+pub(crate) fn leave(pool: &Pool, fleet: &mut Fleet, now: Duration, target: &Stage) -> bool {
+    if !fleet.note_leaving(now, target.key) {
+        return false;
+    }
+    pool.close(&target.id);
+    tracing::info!(target = &*target.id, "target leaves, it says");
+    true
+}
+
+/// Notes that a target wants no requests from this instance for `wait`.
+pub(crate) fn hold(fleet: &mut Fleet, now: Duration, target: &Stage, wait: Duration) {
+    if !fleet.hold(now, target.key, wait) {
+        return;
+    }
+    metrics::counter!("forward_holds_total").increment(1);
+    tracing::info!(
+        target = &*target.id,
+        wait_ms = wait.as_millis() as u64,
+        "target wants no requests"
+    );
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,8 +8,8 @@
     bytes::{Bytes, BytesMut},
     catalog::{Account, EngineProfile, Holder, Repeat, Route, ServiceName},
     fleet::{
-        Demand, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget, SharedLoad, Stage,
-        Target, TargetId, TargetKey,
+        Demand, Departure, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget,
+        SharedLoad, Stage, Target, TargetId, TargetKey,
     },
     futures::{FutureExt, future::BoxFuture},
     http_body_util::Full,
@@ -53,6 +53,7 @@
 mod headers;
 mod in_flight;
 mod instance;
+mod intake;
 mod message;
 mod pool;
 mod probes;
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -60,6 +60,11 @@
         });
     }
 
+    /// Closes the idle connections of one target.
+    pub(crate) fn close(&self, target: &TargetId) {
+        self.lock().remove(target);
+    }
+
     fn take_idle(&self, target: &TargetId) -> Option<Connection> {
         let now = clock::now();
         let mut map = self.lock();
--- a/crates/forward/src/probes.rs
+++ b/crates/forward/src/probes.rs
@@ -35,9 +35,12 @@
         let now = clock::now();
         asked_at.retain(|_, at| now.saturating_sub(*at) < ANSWER_AGE);
         let mut stages = Vec::new();
-        for stage in router.fleet().silent(path, since) {
-            if !asked_at.contains_key(&stage.id) {
-                stages.push(stage.clone());
+        {
+            let fleet = router.fleet();
+            for stage in fleet.silent(path, since) {
+                if !asked_at.contains_key(&stage.id) && !fleet.is_held(now, &stage.id) {
+                    stages.push(stage.clone());
+                }
             }
         }
         self.ask_stages(router, &stages).await;
@@ -55,11 +58,17 @@
             timeout(ANSWER_LIMIT, state)
         });
         let answers = futures::future::join_all(questions).await;
-        let answered = answers.iter().filter(|answer| matches!(answer, Ok(Ok(_))));
+        let answered = answers
+            .iter()
+            .filter(|answer| matches!(answer, Ok(Ok(_) | Err(Error::Held(_)))));
         let is_own_fault = stages.len() > 1 && answered.count() == 0;
         let now = clock::now();
         let mut fleet = router.fleet();
         for (stage, answer) in stages.iter().zip(answers) {
+            if let Ok(Err(Error::Held(wait))) = answer {
+                intake::hold(&mut fleet, now, stage, wait);
+                continue;
+            }
             let Ok(Ok(state)) = answer else {
                 if !is_own_fault && fleet.note(now, stage.key, Outcome::Silent) {
                     tracing::info!(target = &*stage.id, "engine does not answer, avoided");
@@ -68,6 +77,9 @@
                 continue;
             };
             router.suspects().answered(&stage.id);
+            if state.is_leaving {
+                intake::leave(&router.pool, &mut fleet, now, stage);
+            }
             if fleet.note_state(now, stage.key, state.held, state.slowness) {
                 let slowness = state.slowness;
                 tracing::info!(target = &*stage.id, slowness, "engine changed its speed");
@@ -81,7 +93,13 @@
 pub async fn watch_engines(router: Arc<Router>) {
     loop {
         let _ = timeout(INTERVAL, router.probes.doubted.notified()).await;
-        let unhealthy = router.fleet().unhealthy(clock::now());
+        let now = clock::now();
+        let unhealthy = {
+            let fleet = router.fleet();
+            let mut unhealthy = fleet.unhealthy(now);
+            unhealthy.retain(|stage| !fleet.is_held(now, &stage.id));
+            unhealthy
+        };
         if !unhealthy.is_empty() {
             router.probes.ask_stages(&router, &unhealthy).await;
         }
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -62,6 +62,7 @@
             Self::Crashing(_) => "targets that ran this request ended; change it or wait",
             Self::NoConfiguration => "no current configuration is known here; come back later",
             Self::NotNow(NoPath::Full) => "all targets are full; come back later",
+            Self::NotNow(NoPath::Held(_)) => "targets take no requests for a time; come back later",
             Self::NotNow(_) => "no target can serve this now; come back later",
             Self::RepeatsUsedUp => "the target refused, and no repeat is left; come back later",
             Self::TimeOver => "no answer came in time; check whether the request took effect",
@@ -75,10 +76,6 @@
     #[must_use]
     pub fn response(self, return_after: Duration) -> Response {
         let status = self.status();
-        let return_after = match self {
-            Self::Crashing(blocked) => blocked,
-            _ => return_after,
-        };
         let mut response = wire::text(status, format!("{}\n", self.message()));
         if status == StatusCode::SERVICE_UNAVAILABLE {
             let seconds = format!("{:.2}", return_after.as_secs_f64());
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -77,7 +77,7 @@
     /// Replaces the listing of targets, and closes idle connections to those that are not listed any
     /// more.
     pub fn set_targets(&self, listing: &[Target]) {
-        self.fleet().list(listing);
+        self.fleet().list(clock::now(), listing);
         let ids: HashSet<&str> = listing.iter().map(|target| &*target.id).collect();
         self.pool.keep_only(|id| ids.contains(&**id));
         self.suspects()
@@ -107,10 +107,25 @@
         Arc::new(Ingress(self.clone()))
     }
 
+    /// Takes over what other instances know of targets that leave. Returns whether some of it is new.
+    pub fn note_departures(&self, departures: &[Departure]) -> bool {
+        let has_new = self.fleet().note_departures(clock::now(), departures);
+        if has_new {
+            let ids: Vec<&str> = departures.iter().map(|one| &*one.id).collect();
+            tracing::info!(targets = ids.join(","), "targets leave, others say");
+        }
+        has_new
+    }
+
     /// Time after which a refused caller may come back: spread over a range, so that callers that were
     /// refused together do not come back together.
-    pub(crate) fn return_after(&self) -> Duration {
-        self.settings.return_after.mul_f64(1.0 + self.draw())
+    pub(crate) fn return_after(&self, refusal: Refusal) -> Duration {
+        let spread = self.settings.return_after.mul_f64(self.draw());
+        match refusal {
+            Refusal::Crashing(blocked) => blocked,
+            Refusal::NotNow(NoPath::Held(wait)) => wait + spread,
+            _ => self.settings.return_after + spread,
+        }
     }
 
     pub(crate) fn draw(&self) -> f64 {
--- /dev/null
+++ b/crates/forward/tests/notices.rs
@@ -0,0 +1,158 @@
+//! Guards against requests that reach a target after it said that it leaves or wants none for a while.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use {
+    catalog::Repeat,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    support::{Sending, TestTarget, ready, setup, signed, target},
+    wire::{
+        Response,
+        hyper::{StatusCode, header::HeaderValue},
+    },
+};
+
+fn with(mut response: Response, name: &'static str, value: &'static str) -> Response {
+    let value = HeaderValue::from_static(value);
+    response.headers_mut().insert(name, value);
+    response
+}
+
+async fn sound() -> TestTarget {
+    target(|request| ready(signed(request, wire::text(StatusCode::OK, "sound")))).await
+}
+
+async fn leaving() -> TestTarget {
+    target(|request| {
+        let response = signed(request, wire::text(StatusCode::OK, "last"));
+        ready(with(response, "x-leaving", "1"))
+    })
+    .await
+}
+
+/// Answers its first request with a time without requests, and all others as if nothing had been said.
+async fn busy() -> TestTarget {
+    let is_first = Arc::new(AtomicBool::new(true));
+    target(move |request| {
+        if !is_first.swap(false, Ordering::Relaxed) {
+            return ready(signed(request, wire::text(StatusCode::OK, "too early")));
+        }
+        let response = wire::text(StatusCode::SERVICE_UNAVAILABLE, "busy");
+        let response = with(response, "x-not-run", "1");
+        ready(with(response, "x-return-after-ms", "60000"))
+    })
+    .await
+}
+
+#[tokio::test]
+async fn leaving_target_gets_no_second_request() {
+    let (leaving, sound) = (leaving().await, sound().await);
+    let router = setup(Repeat::Idempotent, &[&leaving, &sound]).start().await;
+    for _ in 0..12 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+    assert!(leaving.ids().len() <= 1, "{:?}", leaving.ids());
+    // The list still says that it stays.
+    router
+        .router
+        .set_targets(&setup(Repeat::Idempotent, &[&leaving, &sound]).listing());
+    let before = leaving.ids().len();
+    for _ in 0..12 {
+        let _ = router.send(Sending::default()).await;
+    }
+    assert_eq!(leaving.ids().len(), before, "the list undid what it said");
+}
+
+#[tokio::test]
+async fn only_target_that_leaves_is_not_tried_again() {
+    let leaving = leaving().await;
+    let router = setup(Repeat::Idempotent, &[&leaving]).start().await;
+    let (first, ..) = router.send(Sending::default()).await;
+    let (second, headers, _) = router.send(Sending::default()).await;
+    assert_eq!(
+        (first, second),
+        (StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE)
+    );
+    assert!(headers.contains_key("retry-after"));
+    assert_eq!(leaving.ids().len(), 1);
+}
+
+#[tokio::test]
+async fn stream_whose_head_says_that_the_target_leaves_is_delivered() {
+    let leaving = target(|request| {
+        let (sender, response) = wire::stream(StatusCode::OK, "text/event-stream");
+        tokio::spawn(async move {
+            for event in ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"] {
+                tokio::time::sleep(Duration::from_millis(30)).await;
+                sender.send(event).await;
+            }
+        });
+        ready(with(signed(request, response), "x-leaving", "1"))
+    })
+    .await;
+    let router = setup(Repeat::Stream, &[&leaving]).start().await;
+    let (status, _, body) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(
+        body.unwrap().ends_with(b"data: b\n\n"),
+        "the stream was cut"
+    );
+    let (status, ..) = router.send(Sending::default()).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(leaving.ids().len(), 1);
+}
+
+#[tokio::test]
+async fn target_that_asked_for_time_gets_no_request_before() {
+    let (busy, sound) = (busy().await, sound().await);
+    let router = setup(Repeat::Once, &[&busy, &sound]).start().await;
+    for _ in 0..12 {
+        let (status, _, body) = router.send(Sending::default()).await;
+        assert_eq!((status, &*body.unwrap()), (StatusCode::OK, &b"sound"[..]));
+    }
+    assert!(busy.ids().len() <= 1, "{:?}", busy.ids());
+}
+
+#[tokio::test]
+async fn caller_is_told_when_the_only_target_takes_requests_again() {
+    let busy = busy().await;
+    let router = setup(Repeat::Once, &[&busy]).start().await;
+    for _ in 0..3 {
+        let (status, headers, _) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        let seconds: f64 = headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!((58.0..=61.0).contains(&seconds), "{seconds}");
+    }
+    assert_eq!(busy.ids().len(), 1);
+}
+
+/// Requests that were on their way while the answer came must not be followed by new ones.
+#[tokio::test]
+async fn requests_that_come_together_with_the_answer_are_the_last() {
+    let busy = busy().await;
+    let router = Arc::new(setup(Repeat::Once, &[&busy]).start().await);
+    let mut together = Vec::new();
+    for _ in 0..8 {
+        let router = router.clone();
+        together.push(tokio::spawn(async move {
+            router.send(Sending::default()).await.0
+        }));
+    }
+    for one in together {
+        one.await.unwrap();
+    }
+    let before = busy.ids().len();
+    for _ in 0..8 {
+        let (status, ..) = router.send(Sending::default()).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(busy.ids().len(), before);
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -63,7 +63,11 @@
             has_signature: headers.contains_key("x-signature"),
             id: text(headers, "x-id").map(Arc::from),
             is_not_run: headers.contains_key("x-not-run"),
+            is_leaving: headers.contains_key("x-leaving"),
             load: None,
+            return_after: text(headers, "x-return-after-ms")
+                .and_then(|value| value.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 
@@ -324,6 +328,7 @@
                 id: format!("t{index}").into(),
                 is_leaving: false,
                 service: "s".into(),
+                incarnation: 0,
                 slot_count: 8,
             });
         }
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -178,6 +178,7 @@
             avoided: self.avoided.keys().copied().collect(),
             catalog_version: self.router.catalog().version(),
             crashes: self.router.suspects().reports_for(now, &OTHERS.into()),
+            departures: self.router.fleet().unlisted_departures(),
             instances_digest: digest(&self.router.instances()),
             is_leaving: self.router.is_leaving(),
             loads,
@@ -234,6 +235,9 @@
         if let Some((before, listing)) = shared.take_relayed(relayed) {
             target_loop::publish(router, &before, &listing);
         }
+        if router.note_departures(&answer.departures) {
+            shared.wake();
+        }
         let formed_at = answered_at.saturating_sub(answer.instances_age);
         self.take_instances(answer.instances, formed_at);
         if let Some(tree) = answer.tree {
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -7,7 +7,7 @@
 
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
-    fleet::{LOAD_AGE, LoadTable, Roster, SharedLoad, Target},
+    fleet::{Departure, LOAD_AGE, LoadTable, Roster, SharedLoad, Target},
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
--- a/crates/reconcile/src/order_loop.rs
+++ b/crates/reconcile/src/order_loop.rs
@@ -20,7 +20,8 @@
             keepers.clear();
             continue;
         }
-        let targets = shared.targets();
+        let mut targets = shared.targets();
+        router.fleet().mark_leaving(&mut targets);
         for service in catalog.services() {
             let Some(profile) = service.engine.as_deref() else {
                 continue;
@@ -29,7 +30,11 @@
                 continue;
             }
             let keeper = keepers.entry(service.name.clone()).or_default();
-            let orders = keeper.orders(clock::now(), &service.name, profile, &targets);
+            let mut orders = keeper.orders(clock::now(), &service.name, profile, &targets);
+            orders.retain(|order| {
+                let engine = &order.placement.engine;
+                !router.fleet().is_held(clock::now(), engine)
+            });
             let sends = orders
                 .iter()
                 .map(|order| give(&*engines, order, &leadership));
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -36,6 +36,9 @@
         let arrived_at = clock::now();
         self.note_members(&mut query);
         self.note_loads(&query.row.id, query.loads.take());
+        if self.router.note_departures(&query.departures) {
+            self.shared.wake();
+        }
         let asking = query.row.id.clone();
         self.router
             .suspects()
@@ -68,12 +71,16 @@
         let targets_age = self.shared.targets_age(now)?;
         let instances = self.router.instances();
         let (revision, targets) = self.shared.targets_since(query.revision);
-        let own_loads = self.router.fleet().own_loads();
+        let (own_loads, departures) = {
+            let fleet = self.router.fleet();
+            (fleet.own_loads(), fleet.unlisted_departures())
+        };
         let tree = self.shared.tree();
         Some(Answer {
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
             catalog_age: now.saturating_sub(confirmed_at),
             crashes: self.router.suspects().reports_for(now, asking),
+            departures,
             distance: self.shared.distance(now),
             instances: (digest(&instances) != query.instances_digest).then_some(instances),
             instances_age: self.shared.instances_age(now),
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -9,6 +9,8 @@
     pub catalog_version: u64,
     /// Crashes that the asking instance saw.
     pub crashes: Vec<CrashReport>,
+    /// Targets that said that they leave and are listed as if they stayed.
+    pub departures: Vec<Departure>,
     /// Digest of the list of instances that the asking instance has.
     pub instances_digest: u64,
     /// Whether the asking instance is leaving.
@@ -47,6 +49,8 @@
     pub catalog_age: Duration,
     /// Crashes that all other instances saw.
     pub crashes: Vec<CrashReport>,
+    /// Targets that said that they leave and are listed as if they stayed.
+    pub departures: Vec<Departure>,
     /// Number of instances between the stores and this answer; 0 if the answering one reads them.
     pub distance: u32,
     /// Instances that callers may use, if they are others than those of the asking instance.
--- a/crates/reconcile/tests/layout_keeper.rs
+++ b/crates/reconcile/tests/layout_keeper.rs
@@ -43,6 +43,7 @@
         id: format!("e{index}").into(),
         is_leaving: false,
         service: "model".into(),
+        incarnation: 0,
         slot_count: 64,
     };
     (0..count).map(engine).collect()
--- a/crates/reconcile/tests/support/mod.rs
+++ b/crates/reconcile/tests/support/mod.rs
@@ -18,6 +18,7 @@
         id: id.into(),
         is_leaving: false,
         service: "s".into(),
+        incarnation: 0,
         slot_count: 1,
     }
 }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    fleet::Departure,
     forward::Error,
     reconcile::{Query, Relay, TargetChange},
     relay::RelayClient,
@@ -157,3 +158,27 @@
     until(|| version(&follower) == 1).await;
     assert_eq!(&*follower.shared.targets()[0].id, "own");
 }
+
+/// A target that told one instance only that it leaves would go on getting requests from all others until
+/// it is listed as leaving.
+#[tokio::test]
+async fn departure_that_one_instance_was_told_reaches_all() {
+    let (leader, _task) = leader().await;
+    let followers = ["y", "z"].map(|id| node(id, ([127, 0, 0, 1], 1).into()));
+    for follower in &followers {
+        follow(follower, &leader);
+    }
+    for node in followers.iter().chain([&leader]) {
+        node.router.set_targets(&[target("t1")]);
+    }
+    let departure = Departure {
+        id: "t1".into(),
+        incarnation: 0,
+    };
+    followers[0]
+        .router
+        .note_departures(std::slice::from_ref(&departure));
+    for node in followers.iter().chain([&leader]) {
+        until(|| node.router.fleet().unlisted_departures() == [departure.clone()]).await;
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -110,6 +110,7 @@
         id: id.into(),
         is_leaving: false,
         service: "s".into(),
+        incarnation: 0,
         slot_count: 1,
     }
 }
@@ -164,6 +165,7 @@
         avoided: Vec::new(),
         catalog_version: 0,
         crashes: Vec::new(),
+        departures: Vec::new(),
         instances_digest: 0,
         is_leaving: false,
         loads: None,
