Let requests wait for room, and form whole chains of engines

Each instance found out by itself over six seconds that an engine was slow. Change: crate admission (queue with the expected time until room, turns of accounts, truthful times to come back); layout forms whole chains first, pools what is left of the domains, and moves spare engines onto layers that lost half of their holders; instances take over which engines are slow; a path whose first event would come too late is none.

--- /dev/null
+++ b/crates/admission/tests/queue.rs
@@ -0,0 +1,183 @@
+//! Guards against callers that are refused although room comes back in time, or wait for room that does
+//! not come.
+
+use {
+    admission::{AdmissionSettings, Queue, Ticket, Turn},
+    std::time::Duration,
+};
+
+const START: Duration = Duration::from_secs(100);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn queue() -> Queue {
+    Queue::new(AdmissionSettings::default())
+}
+
+fn ticket(account: &str, arrived_at: Duration) -> Ticket {
+    Ticket {
+        account: account.into(),
+        arrived_at,
+        goal_until: arrived_at + ms(300),
+        rank: 1,
+        waits_until: arrived_at + ms(1_000),
+    }
+}
+
+/// Notes that one request has ended every `gap` in the two seconds before `now`.
+fn end_requests(queue: &mut Queue, now: Duration, gap: Duration) {
+    let mut at = now - ms(2_000);
+    while at < now {
+        queue.ended(at);
+        at += gap;
+    }
+}
+
+/// After the loss of one engine of 33, a third of 501 requests was refused at once, while others ended
+/// every 10 ms.
+#[test]
+fn request_waits_while_others_end() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(10));
+    let key = queue.enter(START, ticket("a", START)).expect("room comes");
+    assert_eq!(queue.turn(START, key), Turn::Try);
+}
+
+/// A caller who cannot be served is told so at once and not when the time is over.
+#[test]
+fn request_behind_too_many_is_refused_at_once() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(50));
+    let mut waiting_count = 0;
+    let return_after = loop {
+        match queue.enter(START, ticket("a", START)) {
+            Ok(_) => waiting_count += 1,
+            Err(return_after) => break return_after,
+        }
+        assert!(waiting_count < 100, "everybody waits");
+    };
+    // Twenty end in the second that callers wait.
+    assert!((15..=22).contains(&waiting_count), "{waiting_count}");
+    assert!(return_after >= ms(800), "{return_after:?}");
+}
+
+#[test]
+fn wait_ends_when_its_time_is_over() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(10));
+    let key = queue.enter(START, ticket("a", START)).expect("room comes");
+    let late = START + ms(1_000);
+    assert!(matches!(queue.turn(late, key), Turn::Refuse(_)));
+}
+
+/// Requests whose goal is missed anyway would make those late that come after them.
+#[test]
+fn requests_that_keep_their_goal_go_first() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(5));
+    let old = START - ms(400);
+    let late: Vec<_> = (0..4)
+        .map(|_| queue.enter(START, ticket("a", old)).expect("room comes"))
+        .collect();
+    let fresh = queue.enter(START, ticket("a", START)).expect("room comes");
+    assert_eq!(queue.turn(START, fresh), Turn::Try);
+    let trying = late
+        .iter()
+        .filter(|key| queue.turn(START, **key) == Turn::Try);
+    assert!(trying.count() < 4, "late ones wait for the fresh one");
+}
+
+/// One account in a burst would take all room that comes back.
+#[test]
+fn accounts_take_turns() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(5));
+    let mut large = Vec::new();
+    for _ in 0..30 {
+        large.push(queue.enter(START, ticket("large", START)).expect("room"));
+    }
+    let small = queue.enter(START, ticket("small", START)).expect("room");
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        queue.sent(START, &"large".into());
+        order.push(queue.turn(START, small));
+    }
+    assert!(
+        order.contains(&Turn::Try),
+        "the small account waits behind 30"
+    );
+}
+
+#[test]
+fn more_urgent_requests_go_first() {
+    let mut queue = queue();
+    end_requests(&mut queue, START, ms(5));
+    for _ in 0..5 {
+        let _ = queue.enter(START, ticket("a", START - ms(100)));
+    }
+    let urgent = Ticket {
+        rank: 0,
+        ..ticket("a", START)
+    };
+    let urgent = queue.enter(START, urgent).expect("room comes");
+    assert_eq!(queue.turn(START, urgent), Turn::Try);
+}
+
+/// Twice the load that targets take, for ten seconds: those who are served are served in time, and the
+/// queue is empty soon after.
+#[test]
+fn burst_of_twice_the_capacity_is_over_with_its_arrivals() {
+    let mut queue = queue();
+    let mut waiting = Vec::new();
+    let (mut served_count, mut late_count, mut refused_count) = (0, 0, 0);
+    end_requests(&mut queue, START, ms(20));
+    let mut empty_at = None;
+    for step in 0..1_500_u64 {
+        let now = START + ms(step * 10);
+        if step < 1_000 {
+            match queue.enter(now, ticket("a", now)) {
+                Ok(key) => waiting.push((key, now)),
+                Err(_) => refused_count += 1,
+            }
+        }
+        // Room for one request each 20 ms.
+        if step % 2 == 0 {
+            queue.ended(now);
+            let next = waiting
+                .iter()
+                .position(|(key, _)| queue.turn(now, *key) == Turn::Try);
+            if let Some(next) = next {
+                let (key, arrived_at) = waiting.remove(next);
+                queue.leave(key);
+                served_count += 1;
+                late_count += u32::from(now - arrived_at > ms(300));
+            }
+        }
+        waiting.retain(|(key, _)| {
+            let is_kept = !matches!(queue.turn(now, *key), Turn::Refuse(_));
+            if !is_kept {
+                queue.leave(*key);
+                refused_count += 1;
+            }
+            is_kept
+        });
+        if step >= 1_000 && waiting.is_empty() {
+            empty_at = empty_at.or(Some(step - 1_000));
+        }
+    }
+    assert!(
+        served_count >= 500,
+        "{served_count} served, {refused_count} refused"
+    );
+    assert!(
+        late_count * 5 < served_count,
+        "{late_count} of {served_count} late"
+    );
+    let steps = empty_at.expect("the queue never empties");
+    assert!(
+        steps <= 150,
+        "queue empty only {steps} steps after the burst"
+    );
+}
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -7,6 +7,8 @@
     pub answer_tokens: f64,
     /// Targets that must not be used, because they failed this request.
     pub excluded: Vec<TargetKey>,
+    /// Longest expected time until the first event, in milliseconds; none if any is acceptable.
+    pub first_event_limit_ms: Option<f64>,
     /// First stage, where the request is already there and cannot be sent to another one.
     pub first: Option<Stage>,
     /// Whether room must be left for more urgent requests.
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -20,6 +20,8 @@
     /// Factor by which it is slower than its hardware, as it last said. Invariant: at least 1.
     pub(crate) slowness: f64,
     pub(crate) target: Target,
+    /// The same factor as other instances last heard it. Invariant: at least 1.
+    pub(crate) told_slowness: f64,
     /// Tokens times layers that requests of this instance take.
     pub(crate) token_layers: f64,
 }
@@ -37,10 +39,16 @@
             new_token_layers: 0.0,
             slowness: 1.0,
             target,
+            told_slowness: 1.0,
             token_layers: 0.0,
         }
     }
 
+    /// Factor by which it is slower than its hardware, as this instance or others know it.
+    pub(crate) fn slowness(&self) -> f64 {
+        self.slowness.max(self.told_slowness)
+    }
+
     /// Whether it leaves, as it is listed or as it said itself.
     pub(crate) fn is_leaving(&self) -> bool {
         self.target.is_leaving || self.intake.is_leaving
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -7,6 +7,8 @@
     pub(crate) key: TargetKey,
     /// Time of one layer, in milliseconds.
     pub(crate) layer_ms: f64,
+    /// Part of it until the prompt is read.
+    pub(crate) read_layer_ms: f64,
 }
 
 /// Finds the cheapest path through the layers, as the shortest way through positions between layers.
@@ -60,6 +62,24 @@
         Some((steps.trace(*best), cost_ms(best)))
     }
 
+    /// Expected time until the first event of an answer along these stages, in milliseconds.
+    pub(crate) fn first_event_ms(&self, stages: &[(usize, LayerRange)]) -> f64 {
+        let domain = |at: usize| {
+            let domain = &self.candidates[at].entry.target.domain;
+            self.transfers.domain(domain)
+        };
+        let mut sum_ms = 0.0;
+        let mut previous = None;
+        for (at, range) in stages {
+            sum_ms += f64::from(range.count()) * self.candidates[*at].read_layer_ms;
+            let here = domain(*at);
+            if let Some(before) = previous.replace(here) {
+                sum_ms += self.transfers.transfer_ms(before, here);
+            }
+        }
+        sum_ms
+    }
+
     /// Adds the steps that begin at `start` and end at one of `ends`.
     fn extend(&self, steps: &mut Steps, before: &[usize], start: u32, ends: &[u32]) {
         for (at, candidate) in self.candidates.iter().enumerate() {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -146,6 +146,10 @@
                 (_, true) => NoPath::Full,
             });
         };
+        let limit_ms = demand.first_event_limit_ms;
+        if limit_ms.is_some_and(|limit_ms| finder.first_event_ms(&stages) > limit_ms) {
+            return Err(NoPath::Full);
+        }
         let stages = stages.into_iter();
         let stages = stages.map(|(at, range)| self.stage(finder.candidates[at].key, Some(range)));
         Ok(Path {
@@ -180,7 +184,8 @@
             let layer_ms = self.layer_ms(now, entry, profile, hardware, demand);
             let layer_ms = layer_ms.filter(|_| !entry.health.is_full(now));
             // A request that is already there has its memory.
-            let Some(layer_ms) = layer_ms.or(is_first.then_some(0.0)) else {
+            let Some((layer_ms, read_layer_ms)) = layer_ms.or(is_first.then_some((0.0, 0.0)))
+            else {
                 continue;
             };
             candidates.push(Candidate {
@@ -188,6 +193,7 @@
                 held,
                 key,
                 layer_ms: layer_ms * jitter,
+                read_layer_ms,
             });
         }
         (candidates, held_count)
@@ -206,7 +212,7 @@
                 continue;
             };
             entry.in_flight_count += 1;
-            let token_layers = stage_token_layers(path, stage);
+            let token_layers = stage.layers() * path.tokens;
             entry.new_token_layers += token_layers;
             entry.token_layers += token_layers;
         }
@@ -219,7 +225,7 @@
                 continue;
             };
             entry.in_flight_count = entry.in_flight_count.saturating_sub(1);
-            entry.token_layers = (entry.token_layers - stage_token_layers(path, stage)).max(0.0);
+            entry.token_layers = (entry.token_layers - stage.layers() * path.tokens).max(0.0);
         }
     }
 
@@ -249,8 +255,8 @@
         staying
     }
 
-    /// Time that one layer of an engine adds to an answer, in milliseconds; none if the engine has
-    /// no room for it.
+    /// Time that one layer of an engine adds to an answer, in milliseconds, and the part of it until the
+    /// prompt is read; none if the engine has no room for it.
     fn layer_ms(
         &self,
         now: Duration,
@@ -258,7 +264,7 @@
         profile: &EngineProfile,
         hardware: &HardwareKind,
         demand: &Demand,
-    ) -> Option<f64> {
+    ) -> Option<(f64, f64)> {
         let settings = &self.settings;
         let fill_share = match demand.leaves_room {
             false => settings.fill_share,
@@ -285,8 +291,8 @@
         }
         let context = demand.tokens() / 1_000.0 * profile.context_ms_per_thousand;
         let step_ms = profile.step_ms + running * (profile.step_ms_per_request + context);
-        let step_ms = demand.answer_tokens * step_ms * hardware.pace * entry.slowness;
-        let read_ms = demand.prompt_tokens * hardware.read_factor * entry.slowness * 1_000.0;
+        let step_ms = demand.answer_tokens * step_ms * hardware.pace * entry.slowness();
+        let read_ms = demand.prompt_tokens * hardware.read_factor * entry.slowness() * 1_000.0;
         let read_ms = read_ms / profile.read_tokens_per_s.max(1.0);
         let layers = f64::from(profile.layer_count.max(1));
         // The others have sent about as much as this instance since they told their loads. As they may
@@ -294,7 +300,8 @@
         let unseen = entry.new_token_layers * (self.peer_factor() - 1.0) / capacity.max(1.0);
         let expected = filled + unseen;
         // Waiting grows as the memory fills.
-        Some((step_ms + read_ms) / layers * (1.0 + expected * expected))
+        let per_layer = (1.0 + expected * expected) / layers;
+        Some(((step_ms + read_ms) * per_layer, read_ms * per_layer))
     }
 
     pub(crate) fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
@@ -308,7 +315,3 @@
         }
     }
 }
-
-fn stage_token_layers(path: &Path, stage: &Stage) -> f64 {
-    path.tokens * f64::from(stage.range.map_or(0, LayerRange::count))
-}
--- a/crates/fleet/src/load_table.rs
+++ b/crates/fleet/src/load_table.rs
@@ -9,17 +9,21 @@
     /// Loads of each instance, and when it told them.
     by_instance: HashMap<Arc<str>, (Vec<SharedLoad>, Duration)>,
     /// Sum over `by_instance` for each target. Invariant: without targets that have no requests and
-    /// answer all instances.
+    /// are neither silent nor slow to any instance.
     sums: HashMap<TargetId, SharedLoad>,
 }
 
 impl LoadTable {
     /// Replaces the loads of an instance, and forgets instances that no longer tell theirs. Returns
-    /// whether a target is silent that answered all instances before.
+    /// whether a target is silent or slow that was neither to any instance before.
     pub fn set(&mut self, now: Duration, instance: &Arc<str>, loads: Vec<SharedLoad>) -> bool {
         let is_new = |load: &SharedLoad| {
             let known = self.sums.get(&load.id);
-            load.silent_count > 0 && known.is_none_or(|sum| sum.silent_count == 0)
+            let is_new_silence =
+                load.silent_count > 0 && known.is_none_or(|sum| sum.silent_count == 0);
+            let is_new_slowness =
+                load.slow_count > 0 && known.is_none_or(|sum| sum.slow_count == 0);
+            is_new_silence || is_new_slowness
         };
         let has_new = loads.iter().any(is_new);
         self.forget(now);
@@ -104,6 +108,8 @@
     };
     sum.in_flight_count += load.in_flight_count;
     sum.silent_count += load.silent_count;
+    sum.slow_count += load.slow_count;
+    sum.slowness_sum += load.slowness_sum;
     sum.token_layers += load.token_layers;
 }
 
@@ -115,12 +121,14 @@
     };
     sum.in_flight_count = sum.in_flight_count.saturating_sub(load.in_flight_count);
     sum.silent_count = sum.silent_count.saturating_sub(load.silent_count);
+    sum.slow_count = sum.slow_count.saturating_sub(load.slow_count);
+    sum.slowness_sum = (sum.slowness_sum - load.slowness_sum).max(0.0);
     sum.token_layers = (sum.token_layers - load.token_layers).max(0.0);
     if sum.in_flight_count > 0 {
         return;
     }
     sum.token_layers = 0.0;
-    if sum.silent_count == 0 {
+    if sum.silent_count == 0 && sum.slow_count == 0 {
         sums.remove(&load.id);
     }
 }
--- a/crates/fleet/src/observations.rs
+++ b/crates/fleet/src/observations.rs
@@ -32,13 +32,16 @@
         let mut loads = Vec::new();
         for entry in self.targets.values() {
             let is_silent = entry.health.is_silent();
-            if entry.in_flight_count == 0 && !is_silent {
+            let is_slow = entry.slowness >= self.settings.slow_factor;
+            if entry.in_flight_count == 0 && !is_silent && !is_slow {
                 continue;
             }
             loads.push(SharedLoad {
                 id: entry.target.id.clone(),
                 in_flight_count: entry.in_flight_count,
                 silent_count: u32::from(is_silent),
+                slow_count: u32::from(is_slow),
+                slowness_sum: if is_slow { entry.slowness } else { 0.0 },
                 token_layers: entry.token_layers,
             });
         }
@@ -46,7 +49,7 @@
     }
 
     /// Notes what all other instances know of targets. Returns whether some are to be asked now,
-    /// because they do not answer others.
+    /// because they do not answer others. That an engine is slow is taken over, as it said so itself.
     ///
     /// What others say is no proof, as the fault may be on their side. An engine that showed activity
     /// here lately is not asked, and each one only once in a while.
@@ -54,15 +57,23 @@
         self.others.set(now, loads);
         for entry in self.targets.values_mut() {
             entry.new_token_layers = 0.0;
+            entry.told_slowness = 1.0;
         }
         let mut has_doubts = false;
-        for load in loads.iter().filter(|load| load.silent_count > 0) {
+        for load in loads {
+            if load.silent_count == 0 && load.slow_count == 0 {
+                continue;
+            }
             let entry = self.by_id.get(&load.id);
             let Some(entry) = entry.and_then(|key| self.targets.get_mut(*key)) else {
                 continue;
             };
+            if load.slow_count > 0 {
+                entry.told_slowness = load.slowness_sum / f64::from(load.slow_count);
+            }
             let is_recent = |at: Duration, limit| at + limit > now;
-            let is_known = entry.health.is_silent()
+            let is_known = load.silent_count == 0
+                || entry.health.is_silent()
                 || is_recent(entry.active_at, ACTIVITY_AGE)
                 || entry
                     .doubted_at
@@ -141,7 +152,7 @@
     #[must_use]
     pub fn is_slow(&self, stage: &Stage) -> bool {
         let entry = self.targets.get(stage.key);
-        entry.is_some_and(|entry| entry.slowness >= self.settings.slow_factor)
+        entry.is_some_and(|entry| entry.slowness() >= self.settings.slow_factor)
     }
 
     /// Engines that are avoided, slow or doubted, to be asked how they are. Beside doubted ones, a sound
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -29,6 +29,13 @@
     pub tokens: f64,
 }
 
+impl Stage {
+    /// Number of layers that it runs.
+    pub(crate) fn layers(&self) -> f64 {
+        f64::from(self.range.map_or(0, LayerRange::count))
+    }
+}
+
 impl Path {
     /// Target that the request is sent to.
     #[must_use]
--- a/crates/fleet/src/shared_load.rs
+++ b/crates/fleet/src/shared_load.rs
@@ -12,6 +12,10 @@
     pub in_flight_count: u32,
     /// Instances that got no answer when they asked it how it is.
     pub silent_count: u32,
+    /// Instances to which it said that it is much slower than its hardware.
+    pub slow_count: u32,
+    /// Sum of the factors by which it said so.
+    pub slowness_sum: f64,
     /// Tokens times layers.
     pub token_layers: f64,
 }
--- a/crates/fleet/src/transfers.rs
+++ b/crates/fleet/src/transfers.rs
@@ -58,17 +58,22 @@
         if let Some(cost_ms) = known.get() {
             return cost_ms;
         }
-        let mut cost_ms = self.first_ms(from, to);
-        if from != to {
-            let pipe_mbps = self.profile.pipe_mbps.max(1.0);
-            let bits = self.demand.tokens() * self.profile.activation_bytes * 8.0;
-            let pair = (self.domains[from], self.domains[to]);
-            let factor = self
-                .pipes
-                .delay_factor(self.now, pair, self.peer_factor, pipe_mbps);
-            cost_ms += bits / (pipe_mbps * 1_000.0) * factor;
-        }
+        let cost_ms = self.first_ms(from, to) + self.transfer_ms(from, to);
         known.set(Some(cost_ms));
         cost_ms
     }
+
+    /// Time in which all tokens of the request pass between two stages.
+    pub(crate) fn transfer_ms(&self, from: DomainIndex, to: DomainIndex) -> f64 {
+        if from == to {
+            return 0.0;
+        }
+        let pipe_mbps = self.profile.pipe_mbps.max(1.0);
+        let bits = self.demand.tokens() * self.profile.activation_bytes * 8.0;
+        let pair = (self.domains[from], self.domains[to]);
+        let factor = self
+            .pipes
+            .delay_factor(self.now, pair, self.peer_factor, pipe_mbps);
+        bits / (pipe_mbps * 1_000.0) * factor
+    }
 }
--- a/crates/fleet/tests/load_table.rs
+++ b/crates/fleet/tests/load_table.rs
@@ -12,6 +12,8 @@
         id: id.into(),
         in_flight_count,
         silent_count: 0,
+        slow_count: 0,
+        slowness_sum: 0.0,
         token_layers: f64::from(in_flight_count) * 0.1,
     }
 }
@@ -61,6 +63,8 @@
 fn silence_of_a_target_is_told_once_and_ends() {
     let silent = SharedLoad {
         silent_count: 1,
+        slow_count: 0,
+        slowness_sum: 0.0,
         ..load("t1", 0)
     };
     let mut table = LoadTable::default();
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -276,6 +276,8 @@
         id: "a1".into(),
         in_flight_count: 30,
         silent_count: 0,
+        slow_count: 0,
+        slowness_sum: 0.0,
         token_layers: 30.0 * 600.0 * 8.0,
     };
     let mut loads = LoadTable::default();
@@ -309,6 +311,8 @@
         id: id.into(),
         in_flight_count: 0,
         silent_count: 1,
+        slow_count: 0,
+        slowness_sum: 0.0,
         token_layers: 0.0,
     }
 }
@@ -371,3 +375,33 @@
     let again = fleet.choose_path(later, "model", &profile(), &demand(), &"a".into(), &mut rng);
     assert!(again.is_ok());
 }
+
+/// Each of eight instances found out by requests of its own, over six seconds, that an engine ran at a
+/// twelfth of its speed. Questions of all of 63 instances to it cost more than they told.
+#[test]
+fn engine_that_is_slow_to_others_is_left_without_a_question() {
+    let mut fleet = fleet(&[engine("a1", "a", 0, 8), engine("a2", "a", 0, 8)]);
+    let slow = SharedLoad {
+        silent_count: 0,
+        slow_count: 2,
+        slowness_sum: 24.0,
+        ..silent_elsewhere("a1")
+    };
+    assert!(!fleet.set_other_loads(NOW, &[slow]));
+    assert_eq!(asked(&fleet), Vec::<String>::new());
+    for _ in 0..5 {
+        assert_eq!(ids(&path(&fleet, &demand()).unwrap()), ["a2"]);
+    }
+    assert!(
+        fleet.own_loads().is_empty(),
+        "told on as if it was seen here"
+    );
+    fleet.set_other_loads(NOW, &[]);
+    let a2 = path(&fleet, &demand()).unwrap();
+    let other = Demand {
+        excluded: a2.keys().collect(),
+        ..demand()
+    };
+    let back = path(&fleet, &other).unwrap();
+    assert!(back.cost_ms < a2.cost_ms * 2.0, "slow for ever");
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -57,7 +57,7 @@
             }
             Ok(message) => message,
         };
-        let mut in_flight = InFlight::begin(router, path);
+        let mut in_flight = InFlight::begin(router, &admitted.service, path);
         let connect_limit = router.settings.connect_limit.min(limit);
         let mut connection = match router.pool.take(&first, connect_limit).await {
             Err(error) => return Err((failed(router, admitted, &first, &error), first)),
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -92,10 +92,10 @@
                 return Err(self.time_over());
             }
             let path = match path.take() {
-                None => self.router.choose(&self.admitted, &self.demand),
+                None => room::choose(&self.router, &self.admitted, &self.demand).await,
                 Some(path) => Ok(path),
             };
-            let path = path.map_err(|reason| self.no_path(reason))?;
+            let path = path.map_err(|refusal| self.unsent(refusal))?;
             self.log_path(&path);
             let send = Attempt::send(
                 &self.router,
@@ -132,7 +132,7 @@
         if failure == AttemptFailure::NotSent {
             self.unsent_count += 1;
             if self.unsent_count >= UNSENT_COUNT {
-                return Err(self.no_path(NoPath::NoTarget));
+                return Err(self.unsent(Refusal::NotNow(NoPath::NoTarget)));
             }
             return Ok(());
         }
@@ -182,11 +182,12 @@
         }
     }
 
-    fn no_path(&self, reason: NoPath) -> Refusal {
+    /// Refusal of a request that was not sent this time.
+    fn unsent(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run && !self.admitted.route.repeat.may_run_again() {
             return Refusal::AnswerLost;
         }
-        Refusal::NotNow(reason)
+        refusal
     }
 
     fn lost(&self) -> Refusal {
--- a/crates/forward/src/gate.rs
+++ b/crates/forward/src/gate.rs
@@ -94,6 +94,7 @@
             answer_tokens,
             excluded: Vec::new(),
             first: None,
+            first_event_limit_ms: None,
             leaves_room: self.rank() > self.first_rank,
             prompt_tokens: prompt_tokens
                 .unwrap_or_else(|| usual.map_or(0.0, |profile| profile.usual_prompt_tokens)),
@@ -107,6 +108,38 @@
         rank.unwrap_or(self.route.rank)
     }
 
+    /// Name of the client account; empty if there is none.
+    pub(crate) fn account_name(&self) -> Arc<str> {
+        self.account
+            .as_ref()
+            .map_or_else(|| "".into(), |account| account.name.clone())
+    }
+
+    /// Goal for the first event.
+    fn goal(&self, settings: &ForwardSettings) -> Duration {
+        match self.route.latency_goal {
+            goal if goal.is_zero() => settings.start_limit,
+            goal => goal,
+        }
+    }
+
+    /// Longest wait for room, and longest expected time until the first event of a request that is sent.
+    pub(crate) fn patience(&self, settings: &ForwardSettings) -> Duration {
+        self.goal(settings).mul_f64(settings.room_wait_goals)
+    }
+
+    /// The request as one that waits for room from `now` on.
+    pub(crate) fn ticket(&self, settings: &ForwardSettings, now: Duration) -> Ticket {
+        let waits_until = now + self.patience(settings);
+        Ticket {
+            account: self.account_name(),
+            arrived_at: now,
+            goal_until: self.arrived_at + self.goal(settings).mul_f64(settings.room_goal_share),
+            rank: self.rank(),
+            waits_until: waits_until.min(self.ends_at),
+        }
+    }
+
     /// Time without the first event after which engines are asked how they are.
     pub(crate) fn start_limit(&self, settings: &ForwardSettings) -> Duration {
         let goal = self.route.latency_goal;
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -3,16 +3,18 @@
 /// Path of a request, which is counted at its targets until this is dropped, also when the caller
 /// leaves.
 pub(crate) struct InFlight {
+    service: ServiceName,
     path: Path,
     router: Arc<Router>,
 }
 
 impl InFlight {
-    pub(crate) fn begin(router: &Arc<Router>, path: Path) -> Self {
+    pub(crate) fn begin(router: &Arc<Router>, service: &ServiceName, path: Path) -> Self {
         router.fleet().begin(clock::now(), &path);
         Self {
             path,
             router: router.clone(),
+            service: service.clone(),
         }
     }
 
@@ -93,5 +95,6 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.router.fleet().end(&self.path);
+        self.router.room(&self.service).ended();
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,6 +5,7 @@
 //! unchanged.
 
 use {
+    admission::{AdmissionSettings, Queue, Ticket, TicketKey, Turn},
     bytes::{Bytes, BytesMut},
     catalog::{Account, EngineProfile, Holder, Repeat, Route, ServiceName},
     fleet::{
@@ -58,6 +59,7 @@
 mod pool;
 mod probes;
 mod refusal;
+mod room;
 mod router;
 mod settings;
 mod stream;
@@ -87,6 +89,7 @@
     gate::Admitted,
     in_flight::InFlight,
     probes::Probes,
+    room::Room,
     stream_pace::StreamPace,
     watchdog::{Verdict, Watchdog},
 };
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -7,6 +7,9 @@
     AnswerLost,
     /// Targets that ran such a request ended. It may come back after this time.
     Crashing(Duration),
+    /// No room is expected in time; the request has not run and will not run. It may come back after this
+    /// time.
+    Full(Duration),
     /// No configuration, or none that is fresh enough, is known here.
     NoConfiguration,
     /// No room or no target; the request has not run and will not run.
@@ -30,6 +33,7 @@
         match self {
             Self::AnswerLost => "answer_lost",
             Self::Crashing(_) => "crashing",
+            Self::Full(_) => "full",
             Self::NoConfiguration => "no_configuration",
             Self::NotNow(reason) => reason.name(),
             Self::RepeatsUsedUp => "repeats_used_up",
@@ -49,6 +53,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::Crashing(_)
+            | Self::Full(_)
             | Self::NoConfiguration
             | Self::NotNow(_)
             | Self::RepeatsUsedUp
@@ -61,7 +66,7 @@
             Self::AnswerLost => "the answer was lost; check whether the request took effect",
             Self::Crashing(_) => "targets that ran this request ended; change it or wait",
             Self::NoConfiguration => "no current configuration is known here; come back later",
-            Self::NotNow(NoPath::Full) => "all targets are full; come back later",
+            Self::Full(_) | Self::NotNow(NoPath::Full) => "all targets are full; come back later",
             Self::NotNow(NoPath::Held(_)) => "targets take no requests for a time; come back later",
             Self::NotNow(_) => "no target can serve this now; come back later",
             Self::RepeatsUsedUp => "the target refused, and no repeat is left; come back later",
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -12,6 +12,7 @@
     pub(crate) pool: Pool,
     pub(crate) probes: Probes,
     rng: Mutex<SmallRng>,
+    rooms: Mutex<HashMap<ServiceName, Arc<Room>>>,
     pub(crate) settings: ForwardSettings,
     suspects: Mutex<Suspects>,
 }
@@ -36,6 +37,7 @@
             pool: Pool::default(),
             probes: Probes::new(engines),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            rooms: Mutex::default(),
             suspects: Mutex::new(Suspects::new(settings.quarantine.clone())),
             settings,
         })
@@ -123,11 +125,23 @@
         let spread = self.settings.return_after.mul_f64(self.draw());
         match refusal {
             Refusal::Crashing(blocked) => blocked,
+            Refusal::Full(wait) => wait.max(self.settings.return_after) + spread,
             Refusal::NotNow(NoPath::Held(wait)) => wait + spread,
             _ => self.settings.return_after + spread,
         }
     }
 
+    /// Requests of a service that wait for room.
+    pub(crate) fn room(&self, service: &ServiceName) -> Arc<Room> {
+        let mut rooms = lock(&self.rooms);
+        if let Some(room) = rooms.get(service) {
+            return room.clone();
+        }
+        let room = Arc::new(Room::new(self.settings.admission.clone()));
+        rooms.insert(service.clone(), room.clone());
+        room
+    }
+
     pub(crate) fn draw(&self) -> f64 {
         lock(&self.rng).random_range(0.0..1.0)
     }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -3,6 +3,8 @@
 /// Settings of the forwarding of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardSettings {
+    /// Wait for room.
+    pub admission: AdmissionSettings,
     /// Longest answer of a plain service, in bytes. Answers are kept until they are complete, so that
     /// one that breaks off can be asked for again.
     pub answer_bytes: usize,
@@ -37,6 +39,11 @@
     pub repeat_window: Duration,
     /// Shortest time after which a refused caller is asked to come back.
     pub return_after: Duration,
+    /// Share of the route's goal for the first event in which a request must be sent to keep it.
+    pub room_goal_share: f64,
+    /// Longest wait for room, as a multiple of the route's goal. Answers are worth less after the goal,
+    /// and callers leave after a few times as long.
+    pub room_wait_goals: f64,
     /// Share of the longest acceptable pause after which the engines of a stream that is usually
     /// faster are asked how they are. Low enough to move the stream within that pause.
     pub silence_share: f64,
@@ -53,6 +60,7 @@
 impl Default for ForwardSettings {
     fn default() -> Self {
         Self {
+            admission: AdmissionSettings::default(),
             answer_bytes: 8 * 1024 * 1024,
             buffered_bytes: 32 * 1024 * 1024,
             catalog_limit: Duration::from_millis(4_500),
@@ -72,6 +80,8 @@
             repeat_window: Duration::from_secs(10),
             return_after: Duration::from_millis(500),
             return_time: Duration::from_millis(10),
+            room_goal_share: 0.6,
+            room_wait_goals: 2.0,
             silence_share: 0.45,
             start_limit: Duration::from_millis(250),
             start_share: 0.5,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -196,7 +196,8 @@
         }
         let mut demand = exchange.demand.clone();
         demand.excluded.push(failed);
-        let path = exchange.router.choose(&exchange.admitted, &demand).ok()?;
+        let path = room::choose(&exchange.router, &exchange.admitted, &demand).await;
+        let path = path.ok()?;
         if !exchange.take_repeat() {
             return None;
         }
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -342,6 +342,8 @@
         id: id.into(),
         in_flight_count: 0,
         silent_count: 1,
+        slow_count: 0,
+        slowness_sum: 0.0,
         token_layers: 0.0,
     };
     router.router.set_other_loads(&[silent("t1"), silent("t2")]);
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -219,6 +219,8 @@
     pub usual_tokens: f64,
     /// Failure domains of the targets; `a` for the others.
     pub domains: Vec<&'static str>,
+    /// Hardware of all targets.
+    pub hardware: &'static str,
     /// Layers of each target; empty for a plain service.
     pub held: Vec<LayerRange>,
     pub time_limit: Duration,
@@ -239,6 +241,7 @@
             attempt_count: 2,
             domains: Vec::new(),
             gap_goal: None,
+            hardware: "card",
             held: Vec::new(),
             limits: catalog::Limits::default(),
             repeat: Repeat::Idempotent,
@@ -323,7 +326,7 @@
             listing.push(Target {
                 address: *address,
                 domain: self.domains.get(index).copied().unwrap_or("a").into(),
-                hardware: Some("card".into()),
+                hardware: Some(self.hardware.into()),
                 held: self.held.get(index).copied(),
                 id: format!("t{index}").into(),
                 is_leaving: false,
@@ -336,16 +339,23 @@
     }
 }
 
+/// Hardware with memory for 20,000 tokens beside all layers.
+pub const SMALL: &str = "small";
+
+fn kind(name: &str, memory_mb: f64) -> HardwareKind {
+    HardwareKind {
+        memory_mb,
+        name: name.into(),
+        pace: 1.0,
+        read_factor: 1.0,
+    }
+}
+
 pub fn profile() -> EngineProfile {
     EngineProfile {
         activation_bytes: 1_000.0,
         context_ms_per_thousand: 0.0,
-        kinds: vec![HardwareKind {
-            memory_mb: 10_000.0,
-            name: "card".into(),
-            pace: 1.0,
-            read_factor: 1.0,
-        }],
+        kinds: vec![kind("card", 10_000.0), kind(SMALL, 820.0)],
         kv_bytes_per_token: 1_000.0,
         layer_count: 8,
         layer_mb: 100.0,
--- a/crates/layout/src/engine.rs
+++ b/crates/layout/src/engine.rs
@@ -34,4 +34,11 @@
         let count = (self.memory_mb / mb).floor().max(0.0) as u32;
         count.min(shape.layer_count)
     }
+
+    /// Tokens for which memory is left beside `count` layers.
+    pub(crate) fn kept_tokens(&self, shape: &ModelShape, count: u32) -> f64 {
+        let count = f64::from(count.max(1));
+        let free_mb = (self.memory_mb - count * shape.layer_mb).max(0.0);
+        free_mb / (count * shape.kv_mb_per_token_layer.max(f64::MIN_POSITIVE))
+    }
 }
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -1,12 +1,13 @@
 //! Which layers of a model each engine holds.
 //!
 //! Engines are grouped so that a request rarely leaves its failure domain: each domain that can
-//! hold the whole model is a group, and the others form one group together. Within a group the
-//! engines hold adjacent ranges, and start again at the first layer when memory is left, so that
-//! most layers are there twice. Requests may use a part of a range.
+//! hold the whole model is a group, and the others form one group together. At first, the engines form
+//! chains that hold the whole model each. Those that are left over, and those that come later, take the
+//! layers of their group that the fewest engines hold. Requests may use a part of a range.
 
 use std::{collections::BTreeMap, sync::Arc};
 
+mod chain;
 mod engine;
 mod group;
 mod plan;
@@ -20,7 +21,10 @@
     settings::LayoutSettings,
 };
 
-use group::{Group, groups};
+use {
+    chain::first_chains,
+    group::{Group, groups},
+};
 
 /// Id of an engine.
 pub type EngineId = Arc<str>;
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -9,10 +9,13 @@
     pub range: LayerRange,
 }
 
-/// Changes that complete the layout, fewest loads first. Engines keep what they hold unless a layer
-/// of their group is held by none.
+/// Changes that complete the layout, fewest loads first. Engines keep what they hold unless layers
+/// of their group are held by too few.
 #[must_use]
 pub fn plan(engines: &[Engine], shape: &ModelShape, settings: &LayoutSettings) -> Vec<Placement> {
+    if engines.iter().all(|engine| engine.held.is_none()) {
+        return first_plan(engines, shape, settings);
+    }
     let mut placements = Vec::new();
     for group in groups(engines, shape, settings) {
         plan_group(&group, shape, &mut placements);
@@ -20,6 +23,30 @@
     placements
 }
 
+/// Plan for engines that hold nothing.
+fn first_plan(engines: &[Engine], shape: &ModelShape, settings: &LayoutSettings) -> Vec<Placement> {
+    let (mut placements, left) = first_chains(engines, shape, settings);
+    if placements.is_empty() {
+        for group in groups(engines, shape, settings) {
+            plan_group(&group, shape, &mut placements);
+        }
+        return placements;
+    }
+    // The engines that are left over hold what is held by the fewest beside the chains.
+    let mut placed = engines.to_vec();
+    for engine in &mut placed {
+        let own = placements.iter().find(|one| one.engine == engine.id);
+        engine.held = own.map(|placement| placement.range);
+    }
+    if left.is_empty() {
+        return placements;
+    }
+    let changes = plan(&placed, shape, settings);
+    placements.retain(|one| changes.iter().all(|change| change.engine != one.engine));
+    placements.extend(changes);
+    placements
+}
+
 fn plan_group(group: &Group, shape: &ModelShape, placements: &mut Vec<Placement>) {
     let mut coverage = vec![0_u32; shape.layer_count as usize];
     let mut empty = Vec::new();
@@ -46,11 +73,12 @@
             range,
         });
     }
-    fill_holes(group, shape, &mut coverage, placements);
+    move_spares(group, shape, &mut coverage, placements);
 }
 
-/// Moves engines whose layers are held elsewhere too onto layers that none holds.
-fn fill_holes(
+/// Moves engines whose layers are held elsewhere too onto layers that too few hold: none, or at most half
+/// as many as hold the usual layer.
+fn move_spares(
     group: &Group,
     shape: &ModelShape,
     coverage: &mut [u32],
@@ -62,19 +90,25 @@
             movable.push((engine, range));
         }
     }
-    movable.sort_by(|one, other| one.0.id.cmp(&other.0.id));
-    while let Some(hole) = coverage.iter().position(|count| *count == 0) {
+    // The slowest engines come first: they have the fewest requests, which must end before they load.
+    movable.sort_by(|one, other| {
+        let pace = other.0.pace.total_cmp(&one.0.pace);
+        pace.then_with(|| one.0.id.cmp(&other.0.id))
+    });
+    while let Some((start, least)) = thinnest(coverage) {
         let spare = movable.iter().position(|(_, range)| {
             let layers = &coverage[range.start as usize..range.end as usize];
-            layers.iter().all(|count| *count > 1)
+            layers.iter().all(|count| *count > least + 1)
         });
         let Some(position) = spare else {
             return;
         };
-        let (engine, old) = movable.swap_remove(position);
+        let (engine, old) = movable.remove(position);
         let count = engine.capacity(shape, group.kept_tokens);
-        let hole = hole as u32;
-        let Some(range) = LayerRange::new(hole, (hole + count).min(shape.layer_count)) else {
+        let layers = coverage[start..].iter().take(count as usize);
+        let run = layers.take_while(|held| **held <= least + 1).count();
+        let start = start as u32;
+        let Some(range) = LayerRange::new(start, start + run as u32) else {
             continue;
         };
         change(coverage, old, -1);
@@ -86,6 +120,19 @@
     }
 }
 
+/// First of the layers that the fewest engines hold, and how many hold it; none if they are enough.
+fn thinnest(coverage: &[u32]) -> Option<(usize, u32)> {
+    let least = *coverage.iter().min()?;
+    let mut sorted = coverage.to_vec();
+    sorted.sort_unstable();
+    let usual = sorted[sorted.len() / 2];
+    if least > 0 && least * 2 > usual {
+        return None;
+    }
+    let start = coverage.iter().position(|count| *count == least)?;
+    Some((start, least))
+}
+
 fn change(coverage: &mut [u32], range: LayerRange, difference: i32) {
     let end = (range.end as usize).min(coverage.len());
     for count in &mut coverage[(range.start as usize).min(end)..end] {
--- a/crates/layout/tests/plan.rs
+++ b/crates/layout/tests/plan.rs
@@ -155,3 +155,71 @@
         }
     }
 }
+
+/// Chains that can be formed of engines that hold each layer, in tokens: what the layer with the least
+/// memory for requests allows.
+fn least_tokens(engines: &[Engine]) -> f64 {
+    let tokens = |layer: u32| {
+        let holds = |engine: &&Engine| engine.held.is_some_and(|range| range.contains(layer));
+        let kept = engines.iter().filter(holds).map(|engine| {
+            let count = f64::from(engine.held.map_or(1, LayerRange::count));
+            (engine.memory_mb - count * SHAPE.layer_mb) / (count * SHAPE.kv_mb_per_token_layer)
+        });
+        kept.sum::<f64>()
+    };
+    (0..SHAPE.layer_count).map(tokens).fold(f64::MAX, f64::min)
+}
+
+/// With three domains that could hold the model one and a half times each, the last layers were held once
+/// in each domain. Requests found these engines full while half of the others never worked.
+#[test]
+fn memory_that_one_domain_cannot_use_holds_the_model_with_that_of_others() {
+    let mut engines = Vec::new();
+    for (at, name) in ["a", "b", "c"].iter().enumerate() {
+        for id in 0..4 {
+            engines.push(engine(at * 100 + id, name, 72_000.0));
+        }
+    }
+    apply(&mut engines);
+    let mut counts = vec![0; SHAPE.layer_count as usize];
+    for range in engines.iter().filter_map(|engine| engine.held) {
+        for layer in range.start..range.end {
+            counts[layer as usize] += 1;
+        }
+    }
+    assert!(counts.iter().all(|count| *count >= 4), "{counts:?}");
+    assert!(
+        least_tokens(&engines) >= 400_000.0,
+        "{}",
+        least_tokens(&engines)
+    );
+}
+
+/// Three engines that held the same layers were lost at once. The one that was left served all requests of
+/// the domain, while others held other layers five times.
+#[test]
+fn layers_that_lost_most_of_their_engines_are_held_by_more_again() {
+    let mut engines = domain("a", 0, 60);
+    apply(&mut engines);
+    let last = engines
+        .iter()
+        .filter_map(|engine| engine.held)
+        .max_by_key(|range| range.end);
+    let layer = last.unwrap().start;
+    let holds = |engine: &Engine| engine.held.is_some_and(|range| range.contains(layer));
+    let before = engines.iter().filter(|engine| holds(engine)).count();
+    assert!(before >= 3, "{before}");
+    let mut left = 1;
+    engines.retain(|engine| {
+        let is_kept = !holds(engine) || left > 0;
+        left -= i32::from(holds(engine));
+        is_kept
+    });
+    let loads = apply(&mut engines);
+    let after = engines.iter().filter(|engine| holds(engine)).count();
+    assert!(
+        after * 2 >= before,
+        "{after} of {before} hold layer {layer}"
+    );
+    assert!(loads <= before * 3, "{loads} loads");
+}
--- a/crates/reconcile/tests/shared_state.rs
+++ b/crates/reconcile/tests/shared_state.rs
@@ -210,6 +210,8 @@
         id: "engine".into(),
         in_flight_count,
         silent_count: 0,
+        slow_count: 0,
+        slowness_sum: 0.0,
         token_layers: 1.0,
     }
 }
