--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -76,7 +76,7 @@
     move_spares(group, shape, &mut coverage, placements);
 }
 
-/// Moves engines whose layers are held elsewhere too onto layers that too few hold: none, or at most half
+/// Moves engines whose layers are held elsewhere too onto layers that too few hold: none, or less than half
 /// as many as hold the usual layer.
 fn move_spares(
     group: &Group,
@@ -126,7 +126,7 @@
     let mut sorted = coverage.to_vec();
     sorted.sort_unstable();
     let usual = sorted[sorted.len() / 2];
-    if least > 0 && least * 2 > usual {
+    if least > 0 && least * 2 >= usual {
         return None;
     }
     let start = coverage.iter().position(|count| *count == least)?;
