Form no chains over narrow pipes, and ask sound engines less often

Silent requests asked sound engines again and again, and were sent again before their prompts could have crossed a narrow pipe.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -102,6 +102,7 @@
         };
         Ok(Path {
             cost_ms: 0.0,
+            first_event_ms: 0.0,
             hop_bits: 0.0,
             stages: vec![self.stage(key, None)],
             tokens: 0.0,
@@ -146,14 +147,16 @@
                 (_, true) => NoPath::Full,
             });
         };
+        let first_event_ms = finder.first_event_ms(&stages);
         let limit_ms = demand.first_event_limit_ms;
-        if limit_ms.is_some_and(|limit_ms| finder.first_event_ms(&stages) > limit_ms) {
+        if limit_ms.is_some_and(|limit_ms| first_event_ms > limit_ms) {
             return Err(NoPath::Full);
         }
         let stages = stages.into_iter();
         let stages = stages.map(|(at, range)| self.stage(finder.candidates[at].key, Some(range)));
         Ok(Path {
             cost_ms,
+            first_event_ms,
             hop_bits: demand.tokens() * profile.activation_bytes * 8.0,
             stages: stages.collect(),
             tokens: demand.tokens(),
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -20,6 +20,8 @@
 pub struct Path {
     /// Expected time of the whole answer, in milliseconds; 0 for plain services.
     pub cost_ms: f64,
+    /// Expected time until the first event, in milliseconds; 0 for plain services.
+    pub first_event_ms: f64,
     /// Bits that each stage sends to the next one.
     pub hop_bits: f64,
     /// Stages. Invariants: at least one; ranges are adjacent and cover each layer once; no target
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use {
+    catalog::EngineProfile,
     fleet::{Demand, Fleet, LoadTable, NoPath, Outcome, Path, SharedLoad, Target, TargetKey},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::Rng,
@@ -405,3 +406,26 @@
     let back = path(&fleet, &other).unwrap();
     assert!(back.cost_ms < a2.cost_ms * 2.0, "slow for ever");
 }
+
+/// Prompts that took long to cross a narrow link were sent again elsewhere before they could arrive, and
+/// paths over links that could not carry them in time were chosen when all others were full.
+#[test]
+fn path_over_links_that_are_too_slow_is_none() {
+    let fleet = fleet(&[engine("a1", "a", 0, 4), engine("b1", "b", 4, 8)]);
+    let narrow = EngineProfile {
+        pipe_mbps: 100.0,
+        ..profile()
+    };
+    let choose = |first_event_limit_ms| {
+        let demand = Demand {
+            first_event_limit_ms,
+            ..demand()
+        };
+        fleet.choose_path(NOW, "model", &narrow, &demand, &"a".into(), &mut rng())
+    };
+    let path = choose(None).unwrap();
+    // 600 tokens of 160,000 bits each take 0.96 s at 100 Mbit/s.
+    assert!(path.first_event_ms > 960.0, "{}", path.first_event_ms);
+    assert_eq!(choose(Some(500.0)), Err(NoPath::Full));
+    assert!(choose(Some(2_000.0)).is_ok());
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -2,6 +2,8 @@
 
 /// Time for the body of a refusal, so that the connection can be kept; a refusal counts without it.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(100);
+/// Multiple of the expected time until the first event from which a sound path counts as stalled.
+const EXPECTED_TIMES: u32 = 2;
 /// Longest pause in an answer that is read whole; above all deadlines of callers, which end it first.
 const SILENCE_LIMIT: Duration = Duration::from_secs(120);
 
@@ -50,6 +52,9 @@
     ) -> Result<Self, (AttemptFailure, Stage)> {
         let first = path.first().clone();
         let limit = admitted.time_left();
+        // Engines that are sound and busy answer no sooner elsewhere, and the prompt would be read twice.
+        let expected = Duration::from_secs_f64(path.first_event_ms / 1_000.0);
+        let resend_after = resend_after.map(|after| after.max(expected * EXPECTED_TIMES));
         let message = match message::form(router, admitted, request, &path, last_event) {
             Err(error) => {
                 tracing::warn!(request = &*admitted.facts.id, %error, "request cannot be formed");
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -105,7 +105,10 @@
                     let now = clock::now();
                     match self.send(&bytes, attempt, now).await {
                         Arrival::CallerLeft => return StreamEnd::CallerLeft,
-                        Arrival::Events => (silent_since, waits_since) = (now, now),
+                        Arrival::Events => {
+                            (silent_since, waits_since) = (now, now);
+                            self.watchdog.arrived();
+                        }
                         Arrival::Part => {}
                     }
                     if self.events.pending_bytes() <= EVENT_BYTES {
@@ -141,7 +144,8 @@
         } = &self.exchange;
         let limits = admitted.silence_limits(&router.settings);
         let waited = clock::now().saturating_sub(waits_since);
-        self.pace.silence_limit(limits).saturating_sub(waited)
+        let limit = self.watchdog.interval(self.pace.silence_limit(limits));
+        limit.saturating_sub(waited)
     }
 
     /// Passes on the whole events among what has arrived.
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -15,6 +15,8 @@
 
 /// Age up to which a sign of activity of an engine, in an event of another stream, spares a question.
 const ACTIVITY_AGE: Duration = Duration::from_millis(250);
+/// Doublings of the time between inspections at most.
+const MOST_DOUBLINGS: u32 = 3;
 /// Silence from which a request is moved off slow stages. A move makes other engines read its prompt
 /// again, which takes about as long.
 const SLOW_LIMIT: Duration = Duration::from_millis(500);
@@ -22,12 +24,26 @@
 /// Watches one request while it is silent.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watchdog {
+    /// Inspections in a row that found nothing.
+    sound_count: u32,
     /// Whether the request was moved because of slow stages. A move makes other engines read the
     /// prompt again, so that more than one for this reason would slow down all requests.
     has_left_slow: bool,
 }
 
 impl Watchdog {
+    /// Time until the next inspection, where `first` is the time until the first one. Each inspection that
+    /// found nothing doubles it: engines that are sound and busy would be asked ever more by those that
+    /// wait for them.
+    pub(crate) fn interval(&self, first: Duration) -> Duration {
+        first.saturating_mul(1 << self.sound_count.min(MOST_DOUBLINGS))
+    }
+
+    /// Notes that an event has arrived.
+    pub(crate) fn arrived(&mut self) {
+        self.sound_count = 0;
+    }
+
     /// Finds out why a request has been silent for `silence`, and moves it off stages that failed or
     /// are slow.
     pub(crate) async fn inspect(
@@ -46,7 +62,10 @@
         let unmoved = match (lost.is_empty(), slow.is_empty()) {
             (false, _) => Verdict::Lost,
             (true, false) => Verdict::Slow,
-            (true, true) => return Verdict::Sound,
+            (true, true) => {
+                self.sound_count += 1;
+                return Verdict::Sound;
+            }
         };
         let is_first_lost = lost.iter().any(|stage| stage.key == path.first().key);
         let stays_with_slow = self.has_left_slow || silence < SLOW_LIMIT;
--- a/crates/layout/src/chain.rs
+++ b/crates/layout/src/chain.rs
@@ -8,8 +8,8 @@
 /// Ranges for engines that hold nothing yet, and the engines that are left over.
 ///
 /// The fastest engines of each domain form as many chains as leave the wished memory for requests. What
-/// is left of all domains forms chains together, if it can: without them, some layers would be held more
-/// often than others, for no use.
+/// is left of all domains forms chains together, if it can and the pipes between domains carry their
+/// tokens: without them, some layers would be held more often than others, for no use.
 pub(crate) fn first_chains<'a>(
     engines: &'a [Engine],
     shape: &ModelShape,
@@ -32,9 +32,10 @@
     // More chains than the wished memory allows would leave each with little.
     let wished = f64::from(layer_sum(&left, shape, settings.kept_tokens));
     let count = count.min((wished / f64::from(shape.layer_count)).round() as u32);
-    let used = match count {
-        0 => 0,
-        _ => left.len(),
+    let can_cross = shape.pipe_tokens_per_s >= settings.chain_tokens_per_s;
+    let used = match count > 0 && can_cross {
+        false => 0,
+        true => left.len(),
     };
     form_chains(&left[..used], count, shape, settings, &mut placements);
     left.drain(..used);
--- a/crates/layout/src/engine.rs
+++ b/crates/layout/src/engine.rs
@@ -9,6 +9,8 @@
     pub layer_count: u32,
     /// Size of one layer, in MB.
     pub layer_mb: f64,
+    /// Tokens a second that can pass from one failure domain to another.
+    pub pipe_tokens_per_s: f64,
 }
 
 /// An engine that can hold layers.
--- a/crates/layout/tests/plan.rs
+++ b/crates/layout/tests/plan.rs
@@ -10,6 +10,7 @@
     kv_mb_per_token_layer: 0.005,
     layer_count: 80,
     layer_mb: 1_750.0,
+    pipe_tokens_per_s: 100_000.0,
 };
 
 fn engine(id: usize, domain: &str, memory_mb: f64) -> Engine {
@@ -223,3 +224,33 @@
     );
     assert!(loads <= before * 3, "{loads} loads");
 }
+
+/// Chains over three domains filled the narrow pipes between them, so that no event came in time.
+#[test]
+fn engines_on_both_sides_of_a_narrow_pipe_form_no_chain() {
+    let shape = ModelShape {
+        pipe_tokens_per_s: 10_000.0,
+        ..SHAPE
+    };
+    let mut engines = Vec::new();
+    for (at, name) in ["a", "b", "c"].iter().enumerate() {
+        for id in 0..4 {
+            engines.push(engine(at * 100 + id, name, 72_000.0));
+        }
+    }
+    let placements = plan(&engines, &shape, &LayoutSettings::default());
+    for placement in &placements {
+        let engine = engines.iter_mut().find(|one| one.id == placement.engine);
+        engine.expect("an engine of the plan").held = Some(placement.range);
+    }
+    for name in ["a", "b", "c"] {
+        let held = engines.iter().filter(|one| &*one.domain == name);
+        let first: Vec<_> = held
+            .filter(|one| one.held.is_some_and(|range| range.start == 0))
+            .collect();
+        assert!(
+            first.len() >= 2,
+            "spare engines of {name} hold its first layers"
+        );
+    }
+}
