Read the expected first event of a path in one place

Cause: the time stood twice, converted in a way that panics in the task of a request when an engine reports an absurd speed and a moved path has no finite expected time. Ruled out: requests of absurd size, as no engine has room for them. Change: Path::first_event_time, which is bounded, serves both places. Other behaviour is the same.

--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -39,6 +39,12 @@
 }
 
 impl Path {
+    /// Expected time until the first event; the longest there is if it is no usual number.
+    #[must_use]
+    pub fn first_event_time(&self) -> Duration {
+        Duration::try_from_secs_f64(self.first_event_ms / 1_000.0).unwrap_or(Duration::MAX)
+    }
+
     /// Target that the request is sent to.
     #[must_use]
     pub fn first(&self) -> &Stage {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -53,8 +53,8 @@
         let first = path.first().clone();
         let limit = admitted.time_left();
         // Engines that are sound and busy answer no sooner elsewhere, and the prompt would be read twice.
-        let expected = Duration::from_secs_f64(path.first_event_ms / 1_000.0);
-        let resend_after = resend_after.map(|after| after.max(expected * EXPECTED_TIMES));
+        let expected = path.first_event_time().saturating_mul(EXPECTED_TIMES);
+        let resend_after = resend_after.map(|after| after.max(expected));
         let message = match message::form(router, admitted, request, &path, last_event) {
             Err(error) => {
                 tracing::warn!(request = &*admitted.facts.id, %error, "request cannot be formed");
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -40,8 +40,8 @@
         let mut watchdog = Watchdog::default();
         let sent_at = clock::now();
         loop {
-            let expected = Duration::from_secs_f64(self.path.first_event_ms / 1_000.0);
-            let limit = admitted.start_limit(&router.settings).max(expected);
+            let limit = admitted.start_limit(&router.settings);
+            let limit = limit.max(self.path.first_event_time());
             let limit = watchdog.interval(limit);
             let limit = resend_after.map_or(limit, |resend_after| limit.min(resend_after));
             if let Ok(result) = timeout(limit, &mut exchange).await {
