Log the shared parts of prompts and whether an interrupted answer had begun

The logs of the incident could not tell its hypotheses apart: no line named the parts of a prompt, and the line that counts a crash named no request. routed has shared_parts, stream was interrupted has has_begun, and the crash line has the request's id.

--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A request that passed the checks against the configuration.
 #[derive(Clone, Debug)]
 pub(crate) struct Admitted {
@@ -109,6 +112,12 @@
         }
     }
 
+    /// Ids of the first shared parts of the prompt, for logs.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let parts = &self.metadata.shared_parts;
+        parts[..parts.len().min(MAX_LOGGED_PARTS)].join(",")
+    }
+
     /// Rank of the request; 0 is the most urgent.
     pub(crate) fn rank(&self) -> u32 {
         let account = self.account.as_ref();
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -228,6 +228,7 @@
             attempt = self.attempt_count + 1,
             left_ms = self.admitted.time_left().as_millis() as u64,
             cost_ms = path.cost_ms as u64,
+            shared_parts = self.admitted.shared_parts_text(),
             stages,
             "routed"
         );
--- a/crates/forward/src/header_codec.rs
+++ b/crates/forward/src/header_codec.rs
@@ -15,6 +15,8 @@
     pub key: Option<Arc<str>>,
     /// Number of prompt tokens; none if the caller does not say.
     pub prompt_tokens: Option<f64>,
+    /// Ids of the parts of the prompt that other requests may share, in order and without repetitions.
+    pub shared_parts: Vec<Arc<str>>,
 }
 
 /// Routing information from the head of an answer.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -37,7 +37,7 @@
     },
     thiserror::Error,
     tokio::{sync::Notify, time::timeout},
-    types::{CrashReport, Fingerprint},
+    types::{CrashReport, Fingerprint, RequestId},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
 
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -200,8 +200,12 @@
     /// Records that the connection to a target broke before the answer was complete.
     pub(crate) fn record_broken_connection(&self, admitted: &Admitted, target: &Stage) {
         let fingerprint = admitted.fingerprint;
-        self.suspects()
-            .record_interruption(clock::now(), fingerprint, target);
+        self.suspects().record_interruption(
+            clock::now(),
+            fingerprint,
+            &admitted.metadata.id,
+            target,
+        );
     }
 
     pub(crate) fn record_request(&self, service: &ServiceName) {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -244,6 +244,7 @@
             request = &*exchange.admitted.metadata.id,
             target = &*stage.id,
             last_event = self.events.last_id().map_or("none", |id| id),
+            has_begun = self.timing.first_event.is_some(),
             error,
             "stream was interrupted"
         );
--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -31,10 +31,12 @@
         &mut self,
         now: Duration,
         fingerprint: Fingerprint,
+        request: &RequestId,
         target: &Stage,
     ) {
         let run = InterruptedRun {
             fingerprint,
+            request: request.clone(),
             target: target.id.clone(),
             was_suspect: self.quarantine.is_suspect(now, fingerprint),
         };
@@ -56,6 +58,7 @@
         self.quarantine.tick(now);
         for run in self.crashes.take_crashed(now, has_ended) {
             tracing::info!(
+                request = &*run.request,
                 fingerprint = run.fingerprint,
                 target = &*run.target,
                 was_suspect = run.was_suspect,
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -34,7 +34,8 @@
 /// Time limit of each wait in a test.
 pub const LIMIT: Duration = Duration::from_secs(20);
 
-/// Header codec of the tests. Requests use `x-id`, `x-deadline-ms`, `x-key` and `x-tokens-unknown`;
+/// Header codec of the tests. Requests use `x-id`, `x-deadline-ms`, `x-key`, `x-shared-parts` and
+/// `x-tokens-unknown`;
 /// answers use `x-id`, `x-signature`, `x-not-run`, `x-leaving`, `x-fault-at` and `x-return-after-ms`.
 pub struct TestHeaderCodec;
 
@@ -54,6 +55,9 @@
             id: text(headers, "x-id").unwrap_or_default().into(),
             key: text(headers, "x-key").map(Arc::from),
             prompt_tokens: known_tokens,
+            shared_parts: text(headers, "x-shared-parts")
+                .map(|parts| parts.split(',').map(Arc::from).collect())
+                .unwrap_or_default(),
         }
     }
 
--- a/crates/quarantine/src/crash_detector.rs
+++ b/crates/quarantine/src/crash_detector.rs
@@ -9,6 +9,8 @@
 pub struct InterruptedRun {
     /// Fingerprint of the request's content.
     pub fingerprint: Fingerprint,
+    /// Id of the request, for logs.
+    pub request: RequestId,
     /// Target that ran the request.
     pub target: TargetId,
     /// Whether the request was already a suspect when the connection broke.
--- a/crates/quarantine/tests/crash_detector.rs
+++ b/crates/quarantine/tests/crash_detector.rs
@@ -13,6 +13,7 @@
 fn run(target: &str) -> InterruptedRun {
     InterruptedRun {
         fingerprint: 7,
+        request: "r".into(),
         target: target.into(),
         was_suspect: false,
     }
