Refuse requests with a part of their prompt that crashes targets

The quarantine knew requests by path, account and body only, counted every request of a crashed target, and the router resumed each crashing request on another engine.

A crash is now attributed to requests whose answer had begun (head received) without an event. A part that crashes targets does so each time, so one answer that begins clears all parts of its prompt. A suspect part is refused at once, for the accounts concerned and only together with the other parts that all victims share; the hold grows with each crash and ends with a trial of one request. A part that was answered here before is refused only after three separate crashes.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -335,6 +335,7 @@
             address: target.address,
             domain: target.domain.clone(),
             id: target.id.clone(),
+            incarnation: target.incarnation,
             key,
             range,
         }
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -9,6 +9,8 @@
     pub domain: DomainName,
     /// Id of the target.
     pub id: TargetId,
+    /// Incarnation of the target that was chosen.
+    pub incarnation: Incarnation,
     /// Handle of the target in the `Fleet` that chose it.
     pub key: TargetKey,
     /// Layers that it runs; none for services without a model.
--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -17,6 +17,8 @@
     /// Hash of path, query, account and body, which identifies repetitions of the same request.
     pub(crate) fingerprint: Fingerprint,
     pub(crate) profile: Option<Arc<EngineProfile>>,
+    /// Account, request and shared parts of the prompt, by which crashes are attributed to a part.
+    pub(crate) prompt_run: PromptRun,
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
     pub(crate) version: u64,
@@ -67,6 +69,7 @@
             .and_then(|service| service.engine.clone());
         let time_limit = metadata.time_limit.unwrap_or(Duration::MAX);
         let limit = route.time_limit.min(time_limit);
+        let prompt_run = prompt_run(&service, account.as_ref(), fingerprint, &metadata);
         Ok(Self {
             account,
             arrived_at: now,
@@ -75,6 +78,7 @@
             most_urgent_rank: catalog.most_urgent_rank(&service),
             fingerprint,
             profile,
+            prompt_run,
             route: route.clone(),
             service,
             version: catalog.version(),
@@ -112,6 +116,13 @@
         }
     }
 
+    /// Id of a shared part of the prompt; empty if the prompt has no such part.
+    pub(crate) fn part_id(&self, part: Fingerprint) -> &str {
+        let mut ids = self.metadata.shared_parts.iter();
+        let id = ids.find(|id| part_fingerprint(&self.service, id) == part);
+        id.map_or("", |id| id)
+    }
+
     /// Ids of the first shared parts of the prompt, for logs.
     pub(crate) fn shared_parts_text(&self) -> String {
         let parts = &self.metadata.shared_parts;
@@ -193,3 +204,22 @@
         &request.body,
     ])
 }
+
+/// Describes the request to the quarantine of prompt parts.
+fn prompt_run(
+    service: &ServiceName,
+    account: Option<&Account>,
+    request: Fingerprint,
+    metadata: &RequestMetadata,
+) -> PromptRun {
+    let name = account.map_or("", |account| &*account.name);
+    let parts = metadata.shared_parts.iter();
+    let parts = parts.map(|id| part_fingerprint(service, id));
+    PromptRun::new(fingerprint(&[name.as_bytes()]), request, parts)
+}
+
+/// Hash of a part of a prompt. The same part counts separately for each service, whose targets may run other
+/// software.
+fn part_fingerprint(service: &ServiceName, id: &str) -> Fingerprint {
+    fingerprint(&[service.as_bytes(), id.as_bytes()])
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -11,6 +11,8 @@
 
 /// One attempt to get an answer to a request from a target.
 pub(crate) struct Attempt {
+    /// Whether the target has delivered an event.
+    pub(crate) has_events: bool,
     pub(crate) metadata: ReplyMetadata,
     pub(crate) in_flight: InFlight,
     pub(crate) connection: Connection,
@@ -94,6 +96,7 @@
         };
         let attempt = Self {
             connection,
+            has_events: false,
             metadata: router
                 .header_codec
                 .parse_reply(reply.status, &reply.headers),
--- a/crates/forward/src/buffered_response.rs
+++ b/crates/forward/src/buffered_response.rs
@@ -15,7 +15,7 @@
             tracing::warn!(request = &*id, target = &*target.id, %error, "answer is too long");
             return Some(exchange.refuse(Refusal::AnswerLost));
         }
-        Ok(Err(error)) => return handle_interrupted(exchange, &target, &error),
+        Ok(Err(error)) => return handle_interrupted(exchange, &target, &error).await,
         Err(_) => return Some(exchange.refuse(Refusal::DeadlineExceeded)),
     };
     let promises_not_run = matches!(
@@ -32,6 +32,11 @@
     router
         .suspects()
         .record_success(exchange.admitted.fingerprint);
+    if status.is_success() {
+        router
+            .prompt_parts
+            .record_first_event(clock::now(), &exchange.admitted);
+    }
     tracing::info!(
         request = &*id,
         target = &*target.id,
@@ -46,7 +51,7 @@
 }
 
 /// Records an interrupted answer. Returns none if the request must be sent again.
-fn handle_interrupted(
+async fn handle_interrupted(
     exchange: &mut Exchange,
     target: &Stage,
     error: &wire::Error,
@@ -54,6 +59,9 @@
     exchange
         .router
         .record_failure(&exchange.admitted, target, error);
+    if matches!(error, wire::Error::Broken { .. }) {
+        prompt_parts::record_interruption(&exchange.router, &exchange.admitted, target).await;
+    }
     exchange.demand.excluded.push(target.key);
     if exchange.may_try_again() && exchange.try_retry() {
         return None;
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -30,6 +30,10 @@
         Ok(admitted) => admitted,
     };
     router.record_request(&admitted.service);
+    if let Err(refusal) = router.prompt_parts.check(clock::now(), &admitted) {
+        log_refusal(&id, &request.path, refusal);
+        return refusal.response(router.retry_after(refusal));
+    }
     let exchange = Exchange {
         attempt_count: 0,
         demand: admitted.demand(),
@@ -97,6 +101,8 @@
                 Some(path) => Ok(path),
             };
             let path = path.map_err(|refusal| self.unsent_refusal(refusal))?;
+            let may_send = self.router.prompt_parts.admit(clock::now(), &self.admitted);
+            may_send.map_err(|refusal| self.suspect_refusal(refusal))?;
             self.log_path(&path);
             let send = Attempt::send(
                 &self.router,
@@ -106,7 +112,14 @@
                 last_event,
                 self.resend_after(),
             );
-            let (failure, target) = match send.await {
+            let sent = tokio::select! {
+                sent = send => sent,
+                refusal = self.router.prompt_parts.stopped(&self.admitted) => {
+                    self.may_have_run = true;
+                    return Err(self.suspect_refusal(refusal));
+                }
+            };
+            let (failure, target) = match sent {
                 Err(failure) => failure,
                 Ok(attempt) => {
                     self.attempt_count += 1;
@@ -195,6 +208,14 @@
         refusal
     }
 
+    /// Refusal because of a suspect part. A request that was sent may have run.
+    fn suspect_refusal(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            return Refusal::AnswerLost;
+        }
+        refusal
+    }
+
     fn lost_answer_refusal(&self) -> Refusal {
         if self.admitted.time_left().is_zero() {
             return Refusal::DeadlineExceeded;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,7 +22,10 @@
         },
     },
     layout::LayerRange,
-    quarantine::{CrashDetector, InterruptedRun, Quarantine, QuarantineSettings, fingerprint},
+    quarantine::{
+        Blame, CrashDetector, CrashId, InterruptedRun, PartQuarantine, PartSettings, PromptRun,
+        Quarantine, QuarantineSettings, VictimReport, fingerprint,
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::{Deserialize, Serialize},
     std::{
@@ -36,7 +39,10 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::{Notify, watch},
+        time::timeout,
+    },
     types::{CrashReport, Fingerprint, RequestId},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
@@ -57,6 +63,7 @@
 mod message;
 mod pool;
 mod prober;
+mod prompt_parts;
 mod refusal;
 mod router;
 mod settings;
@@ -76,6 +83,7 @@
     instance::Instance,
     pool::Pool,
     prober::probe_engines,
+    prompt_parts::PromptParts,
     refusal::Refusal,
     router::Router,
     settings::ForwardSettings,
--- /dev/null
+++ b/crates/forward/src/prompt_parts.rs
@@ -0,0 +1,177 @@
+use super::*;
+
+/// Timeout of the connection that tells a crashed target from a broken connection. A target that is running
+/// accepts it within a few milliseconds.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Quarantine of the parts of prompts that crash targets, shared by all tasks of an instance.
+#[derive(Debug)]
+pub struct PromptParts {
+    /// Counts the changes of what is known of crashes.
+    changed: watch::Sender<u64>,
+    quarantine: Mutex<PartQuarantine>,
+}
+
+impl PromptParts {
+    pub(crate) fn new(settings: PartSettings, seed: u64) -> Self {
+        Self {
+            changed: watch::Sender::new(0),
+            quarantine: Mutex::new(PartQuarantine::new(settings, seed)),
+        }
+    }
+
+    /// Checks whether a request may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if a part of its prompt is suspected of crashing targets.
+    pub(crate) fn check(&self, now: Duration, admitted: &Admitted) -> Result<(), Refusal> {
+        let Admitted {
+            metadata,
+            prompt_run,
+            ..
+        } = admitted;
+        let checked = self.lock().check(now, prompt_run, &metadata.id);
+        checked.map_err(|blame| refuse(admitted, &blame))
+    }
+
+    /// Checks a request right before it is sent. It may become the trial of a suspect part.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if a part of its prompt is suspected of crashing targets.
+    pub(crate) fn admit(&self, now: Duration, admitted: &Admitted) -> Result<(), Refusal> {
+        let Admitted {
+            metadata,
+            prompt_run,
+            ..
+        } = admitted;
+        let admission = self.lock().admit(now, prompt_run, &metadata.id);
+        let tried = admission.map_err(|blame| refuse(admitted, &blame))?;
+        for part in tried {
+            tracing::info!(
+                request = &*metadata.id,
+                part = admitted.part_id(part),
+                "trying a prompt part that is suspected of crashing targets"
+            );
+        }
+        Ok(())
+    }
+
+    /// Waits until a request that was sent must be stopped, because a part of its prompt has become a
+    /// suspect since.
+    pub(crate) async fn stopped(&self, admitted: &Admitted) -> Refusal {
+        if admitted.prompt_run.parts.is_empty() {
+            return std::future::pending().await;
+        }
+        let mut changed = self.changed.subscribe();
+        loop {
+            let now = clock::now();
+            let id = &admitted.metadata.id;
+            let blame = self.lock().blame(now, &admitted.prompt_run, id);
+            if let Some(blame) = blame {
+                return refuse(admitted, &blame);
+            }
+            if changed.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Records that the answer to a request has begun, which clears the parts of its prompt.
+    pub(crate) fn record_first_event(&self, now: Duration, admitted: &Admitted) {
+        let cleared = self.lock().record_first_event(now, &admitted.prompt_run);
+        if cleared.is_empty() {
+            return;
+        }
+        for part in cleared {
+            tracing::info!(
+                request = &*admitted.metadata.id,
+                part = admitted.part_id(part),
+                "answer has begun, prompt part is no longer suspected of crashing targets"
+            );
+        }
+        self.notify();
+    }
+
+    /// Records that a target crashed after it had begun to answer a request and before the first event.
+    fn record_crash(&self, now: Duration, admitted: &Admitted, target: &Stage) {
+        let crash: CrashId = format!("{}#{}", target.id, target.incarnation).into();
+        let is_new = self.lock().record_crash(now, crash, &admitted.prompt_run);
+        tracing::info!(
+            request = &*admitted.metadata.id,
+            target = &*target.id,
+            incarnation = target.incarnation,
+            shared_parts = admitted.shared_parts_text(),
+            is_new,
+            "target crashed when it began to answer the request"
+        );
+        if is_new {
+            self.notify();
+        }
+    }
+
+    /// Merges the crash victims that another instance reports.
+    pub fn merge(&self, now: Duration, reports: &[VictimReport]) {
+        if self.lock().merge(now, reports) {
+            self.notify();
+        }
+    }
+
+    /// Digest and reports of the crash victims that this instance knows.
+    pub fn reports(&self, now: Duration) -> (u64, Vec<VictimReport>) {
+        let mut quarantine = self.lock();
+        quarantine.tick(now);
+        (quarantine.digest(), quarantine.reports(now))
+    }
+
+    /// Receiver of the number of changes of what is known of crashes.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Finds out whether a connection that broke between the head of an answer and its first event ended with a
+/// crash of the target, and records the crash.
+pub(crate) async fn record_interruption(router: &Router, admitted: &Admitted, target: &Stage) {
+    if admitted.prompt_run.parts.is_empty() {
+        return;
+    }
+    let limit = CRASH_CHECK_TIMEOUT.min(admitted.time_left());
+    match Connection::open(target.address, limit).await {
+        Ok(connection) => {
+            let idle_limit = router.settings.idle_limit;
+            router.pool.put(&target.id, connection, idle_limit);
+        }
+        Err(error) => {
+            tracing::debug!(target = &*target.id, %error, "target does not accept connections");
+            let now = clock::now();
+            router.prompt_parts.record_crash(now, admitted, target);
+        }
+    }
+}
+
+/// Logs why a request is refused.
+fn refuse(admitted: &Admitted, blame: &Blame) -> Refusal {
+    tracing::info!(
+        request = &*admitted.metadata.id,
+        part = admitted.part_id(blame.part),
+        crashes = blame.crash_count,
+        is_account_only = blame.is_account_only,
+        last_crash = &*blame.last_crash,
+        last_crash_age_ms = blame.last_crash_age.as_millis() as u64,
+        wait_ms = blame.wait.as_millis() as u64,
+        "prompt part is suspected of crashing targets"
+    );
+    Refusal::SuspectPart(blame.wait)
+}
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -16,6 +16,9 @@
     Unavailable(NoPath),
     /// The retry budget of the current window is exhausted; the request has not run and will not run.
     RetryBudgetExhausted,
+    /// A part of the prompt is suspected of crashing targets; the request has not run and will not run. The
+    /// caller may retry after this time.
+    SuspectPart(Duration),
     /// The deadline has passed; the request may have run.
     DeadlineExceeded,
     /// The deadline passed before the request was sent.
@@ -37,6 +40,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Unavailable(reason) => reason.name(),
             Self::RetryBudgetExhausted => "repeats_used_up",
+            Self::SuspectPart(_) => "crashing_part",
             Self::DeadlineExceeded => "time_over",
             Self::DeadlineExceededUnsent => "time_over_unsent",
             Self::UnknownKey => "unknown_key",
@@ -57,6 +61,7 @@
             | Self::NoConfiguration
             | Self::Unavailable(_)
             | Self::RetryBudgetExhausted
+            | Self::SuspectPart(_)
             | Self::DeadlineExceededUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -65,6 +70,9 @@
         match self {
             Self::AnswerLost => "the answer was lost; check whether the request took effect",
             Self::Quarantined(_) => "targets that ran this request ended; change it or wait",
+            Self::SuspectPart(_) => {
+                "targets that began to answer a part of this prompt ended; change it or wait"
+            }
             Self::NoConfiguration => "no current configuration is known here; come back later",
             Self::Full(_) | Self::Unavailable(NoPath::Full) => {
                 "all targets are full; come back later"
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -11,6 +11,7 @@
     is_leaving: AtomicBool,
     pub(crate) pool: Pool,
     pub(crate) prober: Prober,
+    pub(crate) prompt_parts: PromptParts,
     rng: Mutex<SmallRng>,
     wait_queues: Mutex<HashMap<ServiceName, Arc<WaitQueue>>>,
     pub(crate) settings: ForwardSettings,
@@ -36,6 +37,7 @@
             is_leaving: AtomicBool::new(false),
             pool: Pool::default(),
             prober: Prober::new(engines),
+            prompt_parts: PromptParts::new(settings.prompt_parts.clone(), seed),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             wait_queues: Mutex::default(),
             suspects: Mutex::new(Suspects::new(settings.quarantine.clone())),
@@ -60,6 +62,11 @@
         lock(&self.suspects)
     }
 
+    /// Parts of prompts that are suspected of crashing targets.
+    pub fn prompt_parts(&self) -> &PromptParts {
+        &self.prompt_parts
+    }
+
     /// Locks the latest configuration.
     pub fn catalog(&self) -> MutexGuard<'_, LatestCatalog> {
         lock(&self.catalog)
@@ -127,7 +134,7 @@
     pub(crate) fn retry_after(&self, refusal: Refusal) -> Duration {
         let spread = self.settings.retry_after.mul_f64(self.random_fraction());
         match refusal {
-            Refusal::Quarantined(blocked) => blocked,
+            Refusal::Quarantined(wait) | Refusal::SuspectPart(wait) => wait,
             Refusal::Full(wait) => wait.max(self.settings.retry_after) + spread,
             Refusal::Unavailable(NoPath::Paused(wait)) => wait + spread,
             _ => self.settings.retry_after + spread,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -27,6 +27,8 @@
     pub local_domain: Arc<str>,
     /// Time for which an idle connection to a target is kept if the target does not state a limit.
     pub idle_limit: Duration,
+    /// Quarantine of parts of prompts that crash targets.
+    pub prompt_parts: PartSettings,
     /// Quarantine of requests that crash targets.
     pub quarantine: QuarantineSettings,
     /// Time reserved for sending the answer back to the caller; deadlines that are forwarded to targets
@@ -70,6 +72,7 @@
             gap_goal: Duration::from_millis(200),
             local_domain: Arc::from(""),
             idle_limit: Duration::from_secs(10),
+            prompt_parts: PartSettings::default(),
             // The third crash rules out a coincidence: other failures may also terminate several targets
             // in a row.
             quarantine: QuarantineSettings {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -97,6 +97,7 @@
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
+                () = self.stopped() => return StreamEnd::Interrupted,
             };
             let error = match chunk {
                 Ok(None) if !self.events.has_partial_event() => return StreamEnd::Complete,
@@ -127,7 +128,7 @@
                 }
                 Err(error) => Some(error),
             };
-            self.record_failure(attempt, error.as_ref());
+            self.record_failure(attempt, error.as_ref()).await;
             let Some(next) = self.resume(attempt.first().key).await else {
                 return StreamEnd::Interrupted;
             };
@@ -137,6 +138,17 @@
         }
     }
 
+    /// Waits until the stream must be stopped before its first event, because it would crash its target.
+    async fn stopped(&self) {
+        if self.timing.first_event.is_some() {
+            return std::future::pending().await;
+        }
+        let Exchange {
+            admitted, router, ..
+        } = &self.exchange;
+        router.prompt_parts.stopped(admitted).await;
+    }
+
     /// Remaining time until the stream counts as silent, for a wait that began at `wait_started_at`.
     fn time_to_inspection(&self, wait_started_at: Duration) -> Duration {
         let Exchange {
@@ -149,15 +161,20 @@
     }
 
     /// Forwards the events that the received bytes complete.
-    async fn send(&mut self, bytes: &[u8], attempt: &Attempt, now: Duration) -> SendResult {
+    async fn send(&mut self, bytes: &[u8], attempt: &mut Attempt, now: Duration) -> SendResult {
         let whole = self.events.push(bytes);
         if whole.is_empty() {
             return SendResult::Partial;
         }
         self.event_bytes += whole.len();
         self.timing.record_event(now);
-        self.exchange
-            .router
+        let Exchange {
+            admitted, router, ..
+        } = &self.exchange;
+        if !std::mem::replace(&mut attempt.has_events, true) {
+            router.prompt_parts.record_first_event(now, admitted);
+        }
+        router
             .fleet()
             .record_activity(now, attempt.in_flight.path());
         match self.sender.send(whole).await {
@@ -233,7 +250,7 @@
         Some(attempt)
     }
 
-    fn record_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
+    async fn record_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
         let stage = attempt.first();
         let exchange = &self.exchange;
         exchange
@@ -248,6 +265,9 @@
             error,
             "stream was interrupted"
         );
+        if self.timing.first_event.is_none() {
+            prompt_parts::record_interruption(&exchange.router, &exchange.admitted, stage).await;
+        }
     }
 
     fn log(&self, end: StreamEnd, stage: &Stage) {
--- /dev/null
+++ b/crates/quarantine/src/crash_victim.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+/// Identifies a crash: the target and its incarnation, as `target#incarnation`.
+pub type CrashId = Arc<str>;
+
+/// A request whose target had begun to answer it and crashed before the first event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct CrashVictim {
+    pub(crate) account: Fingerprint,
+    /// Time of the crash. Invariant: never increases, so that reports between instances cannot extend it.
+    pub(crate) at: Duration,
+    /// Shared parts of its prompt, and whether a later answer has shown that they do not crash targets.
+    /// Invariant: a part that was cleared stays cleared.
+    pub(crate) parts: BTreeMap<Fingerprint, bool>,
+}
+
+impl CrashVictim {
+    /// Whether `part` may have caused the crash.
+    pub(crate) fn is_suspect(&self, part: Fingerprint) -> bool {
+        self.parts.get(&part) == Some(&false)
+    }
+
+    /// Parts that may have caused the crash.
+    pub(crate) fn suspects(&self) -> BTreeSet<Fingerprint> {
+        let suspects = self.parts.iter().filter(|(_, is_cleared)| !**is_cleared);
+        suspects.map(|(part, _)| *part).collect()
+    }
+
+    /// Whether no part can have caused the crash.
+    pub(crate) fn is_cleared(&self) -> bool {
+        self.parts.values().all(|is_cleared| *is_cleared)
+    }
+}
+
+/// Report of a crash victim to another instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VictimReport {
+    /// Fingerprint of the client account.
+    pub account: Fingerprint,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Crash that interrupted the request.
+    pub crash: CrashId,
+    /// Shared parts of the prompt, and whether each was cleared.
+    pub parts: Vec<(Fingerprint, bool)>,
+    /// Fingerprint of the whole request.
+    pub request: Fingerprint,
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,23 +1,36 @@
-//! Detects requests that crash the targets that run them, and refuses them before they crash one target
-//! after another. The crate does no I/O.
+//! Detects requests, and parts of prompts, that crash the targets that run them, and refuses them before they
+//! crash one target after another. The crate does no I/O.
 
 use {
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
+        sync::Arc,
         time::Duration,
     },
     types::{CrashReport, Fingerprint, Incarnation, InstanceId, RequestId, TargetId},
 };
 
 mod crash_detector;
+mod crash_victim;
 mod fingerprint;
+mod part_quarantine;
+mod part_settings;
+mod prompt_run;
 mod quarantine;
+mod recent_set;
 mod settings;
+mod suspicion;
 
 pub use {
     crash_detector::{CrashDetector, InterruptedRun},
+    crash_victim::{CrashId, VictimReport},
     fingerprint::fingerprint,
+    part_quarantine::{Blame, PartQuarantine},
+    part_settings::PartSettings,
+    prompt_run::PromptRun,
     quarantine::Quarantine,
     settings::QuarantineSettings,
 };
+
+use {crash_victim::CrashVictim, recent_set::RecentSet, suspicion::Suspicion};
--- /dev/null
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -0,0 +1,313 @@
+use super::*;
+
+/// Maximum number of crash victims kept. Beyond it, cleared ones are removed first, then the oldest.
+const MAX_VICTIMS: usize = 256;
+/// Maximum number of parts kept as known.
+const MAX_KNOWN_PARTS: usize = 4_096;
+
+/// Parts of prompts that are suspected of crashing targets.
+///
+/// A part that crashes targets does so each time, whatever else the request holds. So a single answer that
+/// begins clears all parts of its prompt. The victims of all instances are merged; instances that have
+/// exchanged their reports decide alike, apart from what each has served itself.
+#[derive(Clone, Debug)]
+pub struct PartQuarantine {
+    /// Parts for which an answer has begun at this instance.
+    known: RecentSet,
+    /// Spreads the trials of the instances.
+    seed: u64,
+    settings: PartSettings,
+    /// Requests on trial by suspect part, and when each was admitted.
+    trials: BTreeMap<Fingerprint, (RequestId, Duration)>,
+    victims: BTreeMap<(CrashId, Fingerprint), CrashVictim>,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Blame {
+    /// Number of separate crashes that the part may have caused.
+    pub crash_count: u32,
+    /// Whether only some accounts are refused, the one of the request among them.
+    pub is_account_only: bool,
+    /// Latest crash.
+    pub last_crash: CrashId,
+    /// Time since the latest crash.
+    pub last_crash_age: Duration,
+    /// Suspect part.
+    pub part: Fingerprint,
+    /// Time until this instance tries a request with the part.
+    pub wait: Duration,
+}
+
+impl PartQuarantine {
+    /// Creates an empty quarantine. `seed` should differ between instances.
+    #[must_use]
+    pub fn new(settings: PartSettings, seed: u64) -> Self {
+        Self {
+            known: RecentSet::new(MAX_KNOWN_PARTS),
+            seed,
+            settings,
+            trials: BTreeMap::new(),
+            victims: BTreeMap::new(),
+        }
+    }
+
+    /// Checks whether a request may be sent now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the suspicion with the longest wait if the request must not be sent.
+    pub fn check(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Result<(), Blame> {
+        longest_wait(self.blames(now, run, request)).map(drop)
+    }
+
+    /// Checks a request that is about to be sent. If the hold of its suspect parts is over, it becomes the
+    /// only trial of this instance. Returns the parts that it tries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the suspicion with the longest wait if the request must not be sent.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        run: &PromptRun,
+        request: &RequestId,
+    ) -> Result<Vec<Fingerprint>, Blame> {
+        let blames = longest_wait(self.blames(now, run, request))?;
+        let tried: Vec<Fingerprint> = blames.iter().map(|blame| blame.part).collect();
+        for part in &tried {
+            self.trials.insert(*part, (request.clone(), now));
+        }
+        Ok(tried)
+    }
+
+    /// Returns why a request that was admitted earlier should no longer run; none if it may go on.
+    #[must_use]
+    pub fn blame(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Option<Blame> {
+        let blames = self.blames(now, run, request);
+        let blames = blames
+            .into_iter()
+            .filter(|blame| !self.is_trial(blame.part, request));
+        blames.max_by_key(|blame| blame.wait)
+    }
+
+    /// Records that a target crashed after it had begun to answer a request and before the first event.
+    /// Returns whether this was not known.
+    pub fn record_crash(&mut self, now: Duration, crash: CrashId, run: &PromptRun) -> bool {
+        if run.parts.is_empty() {
+            return false;
+        }
+        self.end_trials(&run.parts);
+        self.insert(
+            crash,
+            run.request,
+            CrashVictim {
+                account: run.account,
+                at: now,
+                parts: run.parts.iter().map(|part| (*part, false)).collect(),
+            },
+        )
+    }
+
+    /// Records that an answer has begun, which clears the parts of its prompt. Returns those that were
+    /// suspects.
+    pub fn record_first_event(&mut self, now: Duration, run: &PromptRun) -> BTreeSet<Fingerprint> {
+        for part in &run.parts {
+            self.known.insert(now, *part);
+        }
+        let mut cleared = BTreeSet::new();
+        for victim in self.victims.values_mut() {
+            for part in &run.parts {
+                if victim.is_suspect(*part) {
+                    victim.parts.insert(*part, true);
+                    cleared.insert(*part);
+                }
+            }
+        }
+        self.end_trials(&cleared);
+        cleared
+    }
+
+    /// Merges the reports of another instance. Returns whether they contained anything new.
+    pub fn merge(&mut self, now: Duration, reports: &[VictimReport]) -> bool {
+        let mut has_new = false;
+        for report in reports.iter().take(MAX_VICTIMS) {
+            let age = Duration::from_millis(report.age_ms);
+            let victim = CrashVictim {
+                account: report.account,
+                at: now.saturating_sub(age),
+                parts: report.parts.iter().copied().collect(),
+            };
+            if age >= self.retention(&victim) {
+                continue;
+            }
+            has_new |= self.insert(report.crash.clone(), report.request, victim);
+        }
+        has_new
+    }
+
+    /// Returns reports of all victims for another instance.
+    #[must_use]
+    pub fn reports(&self, now: Duration) -> Vec<VictimReport> {
+        let mut reports = Vec::new();
+        for ((crash, request), victim) in &self.victims {
+            reports.push(VictimReport {
+                account: victim.account,
+                age_ms: now.saturating_sub(victim.at).as_millis() as u64,
+                crash: crash.clone(),
+                parts: victim.parts.iter().map(|(part, is)| (*part, *is)).collect(),
+                request: *request,
+            });
+        }
+        reports
+    }
+
+    /// Digest of the victims, by which two instances see whether they know the same.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut bytes = Vec::new();
+        for ((crash, request), victim) in &self.victims {
+            bytes.extend_from_slice(crash.as_bytes());
+            bytes.extend_from_slice(&request.to_le_bytes());
+            for (part, is_cleared) in &victim.parts {
+                bytes.extend_from_slice(&part.to_le_bytes());
+                bytes.push(u8::from(*is_cleared));
+            }
+        }
+        fingerprint(&[&bytes])
+    }
+
+    /// Removes what has expired.
+    pub fn tick(&mut self, now: Duration) {
+        let retention = self.settings.retention;
+        self.known.expire(now.saturating_sub(retention));
+        let mut victims = std::mem::take(&mut self.victims);
+        victims.retain(|_, victim| now < victim.at + self.retention(victim));
+        self.victims = victims;
+        let trial_timeout = self.settings.trial_timeout;
+        self.trials
+            .retain(|_, (_, since)| now < *since + trial_timeout);
+    }
+
+    /// Time for which a victim is kept after its crash.
+    fn retention(&self, victim: &CrashVictim) -> Duration {
+        match victim.is_cleared() {
+            true => self.settings.cleared_retention,
+            false => self.settings.retention,
+        }
+    }
+
+    /// Suspicions because of which a request must wait or is a trial.
+    fn blames(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Vec<Blame> {
+        let mut blames = Vec::new();
+        if self.victims.is_empty() {
+            return blames;
+        }
+        for part in &run.parts {
+            let suspicion = Suspicion::new(*part, self.victims.iter(), self.settings.crash_gap);
+            let Some(suspicion) = suspicion.filter(|suspicion| suspicion.concerns(run)) else {
+                continue;
+            };
+            let Some(crash_count) = self.unexplained_crashes(*part, &suspicion) else {
+                continue;
+            };
+            blames.push(Blame {
+                crash_count: suspicion.crash_count,
+                is_account_only: !suspicion.accounts.is_empty(),
+                last_crash_age: now.saturating_sub(suspicion.last_crash_at),
+                wait: self.wait(now, *part, request, suspicion.last_crash_at, crash_count),
+                last_crash: suspicion.last_crash,
+                part: *part,
+            });
+        }
+        blames
+    }
+
+    /// Number of crashes that determines the hold; none if the part is not refused for them. A part that has
+    /// been answered here before is refused only after several crashes that have no other explanation.
+    fn unexplained_crashes(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<u32> {
+        if !self.known.contains(part) {
+            return Some(suspicion.crash_count);
+        }
+        let spared_count = self.settings.known_part_crashes.saturating_sub(1);
+        let crash_count = suspicion.crash_count.saturating_sub(spared_count);
+        (crash_count > 0 && !suspicion.is_single_request).then_some(crash_count)
+    }
+
+    /// Time until a request with `part` may be tried here.
+    fn wait(
+        &self,
+        now: Duration,
+        part: Fingerprint,
+        request: &RequestId,
+        last_crash_at: Duration,
+        crash_count: u32,
+    ) -> Duration {
+        let hold = self.settings.hold(crash_count);
+        let spread = hold.mul_f64(self.settings.trial_spread * self.spread_of(part));
+        let tried_from = last_crash_at + hold + spread;
+        let trial_until = match self.trials.get(&part) {
+            Some((on_trial, since)) if on_trial != request => *since + self.settings.trial_timeout,
+            _ => Duration::ZERO,
+        };
+        tried_from.max(trial_until).saturating_sub(now)
+    }
+
+    /// Position of this instance among all that try a part, from 0 to 1.
+    fn spread_of(&self, part: Fingerprint) -> f64 {
+        let hash = fingerprint(&[&self.seed.to_le_bytes(), &part.to_le_bytes()]);
+        hash as f64 / u64::MAX as f64
+    }
+
+    fn is_trial(&self, part: Fingerprint, request: &RequestId) -> bool {
+        let trial = self.trials.get(&part);
+        trial.is_some_and(|(on_trial, _)| on_trial == request)
+    }
+
+    fn end_trials(&mut self, parts: &BTreeSet<Fingerprint>) {
+        self.trials.retain(|part, _| !parts.contains(part));
+    }
+
+    /// Adds a victim or merges it with what is known of it. Returns whether anything was new.
+    fn insert(&mut self, crash: CrashId, request: Fingerprint, victim: CrashVictim) -> bool {
+        let key = (crash, request);
+        let Some(known) = self.victims.get_mut(&key) else {
+            self.victims.insert(key, victim);
+            self.evict();
+            return true;
+        };
+        known.at = known.at.min(victim.at);
+        let mut has_new = false;
+        for (part, is_cleared) in victim.parts {
+            let known = known.parts.entry(part).or_insert(is_cleared);
+            has_new |= is_cleared && !*known;
+            *known |= is_cleared;
+        }
+        has_new
+    }
+
+    fn evict(&mut self) {
+        if self.victims.len() <= MAX_VICTIMS {
+            return;
+        }
+        let oldest = self
+            .victims
+            .iter()
+            .min_by_key(|(_, victim)| (!victim.is_cleared(), victim.at));
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.victims.remove(&key);
+        }
+    }
+}
+
+/// Returns the suspicions if none of them requires a wait.
+///
+/// # Errors
+///
+/// Returns the suspicion with the longest wait.
+fn longest_wait(blames: Vec<Blame>) -> Result<Vec<Blame>, Blame> {
+    match blames.iter().max_by_key(|blame| blame.wait) {
+        Some(blame) if !blame.wait.is_zero() => Err(blame.clone()),
+        _ => Ok(blames),
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/part_settings.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+/// Settings of the quarantine for parts of prompts that crash targets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartSettings {
+    /// Crashes closer together than this count as one: a lost failure domain ends many targets at once.
+    pub crash_gap: Duration,
+    /// Number of crashes from which a part is refused although answers to it have begun here before.
+    pub known_part_crashes: u32,
+    /// Time for which a part is refused after its first crash, before one request with it is tried.
+    pub min_hold: Duration,
+    /// Factor by which each further crash extends the hold.
+    pub hold_factor: f64,
+    /// Longest hold.
+    pub max_hold: Duration,
+    /// Share of the hold over which the instances spread their trials, so that few of them try a part before
+    /// the result of the first trial is known to all.
+    pub trial_spread: f64,
+    /// Time after which a trial without a result no longer prevents another one.
+    pub trial_timeout: Duration,
+    /// Time after which a crash is forgotten. Longer than `max_hold`, so that a part that is rarely sent is
+    /// tried before it is forgotten.
+    pub retention: Duration,
+    /// Time for which victims without a suspect part are kept, so that all instances learn that they were
+    /// cleared.
+    pub cleared_retention: Duration,
+}
+
+impl Default for PartSettings {
+    fn default() -> Self {
+        Self {
+            crash_gap: Duration::from_millis(300),
+            known_part_crashes: 3,
+            min_hold: Duration::from_secs(5),
+            hold_factor: 6.0,
+            max_hold: Duration::from_secs(600),
+            trial_spread: 0.25,
+            trial_timeout: Duration::from_secs(10),
+            retention: Duration::from_secs(1_200),
+            cleared_retention: Duration::from_secs(30),
+        }
+    }
+}
+
+impl PartSettings {
+    /// Hold after the given number of crashes, of which there is at least one.
+    pub(crate) fn hold(&self, crash_count: u32) -> Duration {
+        let factor = self
+            .hold_factor
+            .powi(crash_count.saturating_sub(1).min(16) as i32);
+        self.min_hold.mul_f64(factor).min(self.max_hold)
+    }
+}
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -10,8 +10,8 @@
     own: BTreeMap<Fingerprint, CrashRecord>,
     /// Records in each peer's last heartbeat.
     peers: BTreeMap<InstanceId, BTreeMap<Fingerprint, CrashRecord>>,
-    /// Fingerprints that ran here without a crash, and when they last did.
-    harmless: BTreeMap<Fingerprint, Duration>,
+    /// Fingerprints that ran here without a crash.
+    harmless: RecentSet,
     settings: QuarantineSettings,
     /// Requests on trial. Of each fingerprint that is not known to be harmless, only one request runs at a
     /// time.
@@ -33,7 +33,7 @@
         Self {
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
-            harmless: BTreeMap::new(),
+            harmless: RecentSet::new(MAX_HARMLESS),
             settings,
             trials: BTreeMap::new(),
         }
@@ -71,19 +71,13 @@
     pub fn record_success(&mut self, now: Duration, fingerprint: Fingerprint, request: &RequestId) {
         self.end_trial(fingerprint, request);
         self.clear(fingerprint);
-        self.harmless.insert(fingerprint, now);
-        if self.harmless.len() > MAX_HARMLESS {
-            let mut times: Vec<Duration> = self.harmless.values().copied().collect();
-            times.sort_unstable();
-            let median = times[times.len() / 2];
-            self.harmless.retain(|_, at| *at > median);
-        }
+        self.harmless.insert(now, fingerprint);
     }
 
     /// Whether only one request with this fingerprint may run at a time: it is a suspect or not yet known
     /// to be harmless.
     fn needs_trial(&self, now: Duration, fingerprint: Fingerprint) -> bool {
-        !self.harmless.contains_key(&fingerprint) || self.is_suspect(now, fingerprint)
+        !self.harmless.contains(fingerprint) || self.is_suspect(now, fingerprint)
     }
 
     /// Time for which requests with this fingerprint are still refused; none if they are not.
@@ -118,7 +112,7 @@
         incarnation: Incarnation,
         was_suspect: bool,
     ) {
-        self.harmless.remove(&fingerprint);
+        self.harmless.remove(fingerprint);
         let mut crashes = BTreeSet::new();
         if was_suspect {
             for record in self.records(now, fingerprint) {
@@ -191,7 +185,7 @@
     /// Removes expired records.
     pub fn tick(&mut self, now: Duration) {
         let oldest = now.saturating_sub(Duration::from_millis(self.settings.expiry_ms));
-        self.harmless.retain(|_, at| *at >= oldest);
+        self.harmless.expire(oldest);
         self.own.retain(|_, record| record.expires_at > now);
         for records in self.peers.values_mut() {
             records.retain(|_, record| record.expires_at > now);
