Share crashes by parts of prompts between instances at once

Cause: what an instance learns of prompt parts stayed with it. Instances now exchange crash victims along the relay tree with a call of its own: a change is sent to the instance above at once, and the one above answers waiting queries at once.

--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -113,9 +113,12 @@
 
     /// Merges the crash victims that another instance reports.
     pub fn merge(&self, now: Duration, reports: &[VictimReport]) {
-        if self.lock().merge(now, reports) {
-            self.notify();
+        if !self.lock().merge(now, reports) {
+            return;
         }
+        let victims = reports.len();
+        tracing::info!(victims, "other instances report crashes by prompt parts");
+        self.notify();
     }
 
     /// Digest and reports of the crash victims that this instance knows.
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -11,6 +11,7 @@
     forward::{Engines, Error, Instance, OrderReply, Router},
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
+    quarantine::VictimReport,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -45,6 +46,7 @@
 mod supervisor;
 mod target_history;
 mod target_loop;
+mod victim_loop;
 
 pub use {
     catalog_loop::follow_catalog,
@@ -65,6 +67,7 @@
     supervisor::supervise,
     target_history::TargetHistory,
     target_loop::follow_targets,
+    victim_loop::{VictimAnswer, VictimQuery, share_crash_victims},
 };
 
 use {
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -62,6 +62,12 @@
         Some(RelayReply::Answer(Box::new(answer)))
     }
 
+    /// Exchanges crash victims with another instance. Returns none if this instance is leaving.
+    pub async fn exchange_victims(&self, query: VictimQuery) -> Option<VictimAnswer> {
+        let answer = victim_loop::answer(&self.router, query).await;
+        (!self.router.is_leaving()).then_some(answer)
+    }
+
     /// Builds an answer that contains only what is newer than the state of the requester.
     fn build_answer(&self, query: &Query, received_at: Duration) -> Option<Answer> {
         let now = clock::now();
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -83,6 +83,17 @@
     /// Returns an error when no answer arrives in time, or when the queried instance has no state
     /// yet or is leaving.
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<RelayReply, Error>>;
+
+    /// Exchanges crash victims with the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer arrives in time, or when the queried instance is leaving.
+    fn exchange_victims(
+        &self,
+        address: SocketAddr,
+        query: VictimQuery,
+    ) -> BoxFuture<'_, Result<VictimAnswer, Error>>;
 }
 
 /// Digest by which two instances compare their lists of instances.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,10 +4,10 @@
 use {
     forward::Error,
     futures::{FutureExt, StreamExt, future::BoxFuture},
-    reconcile::{Query, Relay, RelayHandler, RelayReply},
+    reconcile::{Query, Relay, RelayHandler, RelayReply, VictimAnswer, VictimQuery},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
-        client,
+        client::{self, RpcError},
         context::{self, Context},
         server::{BaseChannel, Channel},
     },
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -32,12 +32,18 @@
         Ok(client)
     }
 
-    async fn send_query(&self, address: SocketAddr, query: Query) -> Result<RelayReply, Error> {
+    /// Sends a query with `send`, and waits for the answer for `wait` and a time for the transmission.
+    async fn send_query<T>(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+        send: impl AsyncFnOnce(RelayServiceClient, Context) -> Result<Option<T>, RpcError>,
+    ) -> Result<T, Error> {
         let client = self.client(address).await?;
-        let limit = query.wait + ANSWER_TIMEOUT;
+        let limit = wait + ANSWER_TIMEOUT;
         let mut context = context::current();
         context.deadline = std::time::Instant::now() + limit;
-        let error = match timeout(limit, client.ask(context, query)).await {
+        let error = match timeout(limit, send(client, context)).await {
             Ok(Ok(Some(answer))) => return Ok(answer),
             Ok(Ok(None)) => {
                 return Err(Error::Refused(format!(
@@ -55,6 +61,20 @@
 
 impl Relay for RelayClient {
     fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<RelayReply, Error>> {
-        self.send_query(address, query).boxed()
+        let wait = query.wait;
+        let send = async |client: RelayServiceClient, context| client.ask(context, query).await;
+        self.send_query(address, wait, send).boxed()
+    }
+
+    fn exchange_victims(
+        &self,
+        address: SocketAddr,
+        query: VictimQuery,
+    ) -> BoxFuture<'_, Result<VictimAnswer, Error>> {
+        let wait = query.wait;
+        let send = async |client: RelayServiceClient, context| {
+            client.exchange_victims(context, query).await
+        };
+        self.send_query(address, wait, send).boxed()
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -6,6 +6,9 @@
     /// Returns the state that is newer than the requester's; none if this instance has no state yet
     /// or is leaving.
     async fn ask(query: Query) -> Option<RelayReply>;
+
+    /// Exchanges crash victims; none if this instance is leaving.
+    async fn exchange_victims(query: VictimQuery) -> Option<VictimAnswer>;
 }
 
 #[derive(Clone)]
@@ -15,4 +18,8 @@
     async fn ask(self, _context: Context, query: Query) -> Option<RelayReply> {
         self.0.answer(query).await
     }
+
+    async fn exchange_victims(self, _context: Context, query: VictimQuery) -> Option<VictimAnswer> {
+        self.0.exchange_victims(query).await
+    }
 }
--- /dev/null
+++ b/crates/relay/tests/victims.rs
@@ -0,0 +1,103 @@
+//! Guards against instances that each see one crash by a part of a prompt and never learn of the others'.
+
+mod support;
+
+use {
+    quarantine::VictimReport,
+    reconcile::{RelayTree, TreeVersion, share_crash_victims},
+    relay::RelayClient,
+    std::{sync::Arc, time::Duration},
+    support::{Node, leader, node, serve},
+    tokio::{net::TcpListener, time::sleep},
+};
+
+/// Time within which all instances must know of a crash; the shortest one of the users.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+fn report(crash: &str, is_cleared: bool) -> VictimReport {
+    VictimReport {
+        account: 1,
+        age_ms: 0,
+        crash: crash.into(),
+        parts: vec![(2, is_cleared)],
+        request: 3,
+    }
+}
+
+fn record(node: &Node, report: VictimReport) {
+    node.router.prompt_parts().merge(clock::now(), &[report]);
+}
+
+fn crashes(node: &Node) -> Vec<(String, bool)> {
+    let (_, reports) = node.router.prompt_parts().reports(clock::now());
+    let crash = |report: VictimReport| (report.crash.to_string(), report.parts[0].1);
+    reports.into_iter().map(crash).collect()
+}
+
+/// Makes an instance exchange crash victims along `tree`.
+fn share(node: &Node, tree: &RelayTree) {
+    node.shared.set_tree(tree.clone(), node.row.relay_address);
+    tokio::spawn(share_crash_victims(
+        node.router.clone(),
+        Arc::new(RelayClient::default()),
+        node.row.clone(),
+        node.shared.clone(),
+        node.leadership.clone(),
+    ));
+}
+
+/// Instances that `leader` and stand-ins of its tree serve.
+fn followers(leader: &Node, stand_ins: &[&Node]) -> [Node; 3] {
+    let nodes = ["a", "b", "c"].map(|id| node(id, ([127, 0, 0, 1], 1).into()));
+    let rows: Vec<_> = stand_ins.iter().map(|node| &node.row).collect();
+    let version = TreeVersion {
+        fence: 1,
+        number: 1,
+    };
+    let tree = RelayTree::build(&leader.row, &rows, version);
+    for node in nodes.iter().chain(stand_ins.iter().copied()) {
+        share(node, &tree);
+    }
+    nodes
+}
+
+/// Waits until the instances know the same crashes, at most for the time that the users allow.
+async fn wait_for_crashes(nodes: &[&Node], expected: &[(&str, bool)]) {
+    let started_at = clock::now();
+    let expected: Vec<(String, bool)> = expected
+        .iter()
+        .map(|(crash, is_cleared)| ((*crash).into(), *is_cleared))
+        .collect();
+    while nodes.iter().any(|node| crashes(node) != expected) {
+        let waited = clock::now().saturating_sub(started_at);
+        assert!(waited < STABLE_WINDOW, "not known after {waited:?}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn crash_and_its_clearing_reach_all_instances() {
+    let (leader, _task) = leader().await;
+    let [a, b, c] = followers(&leader, &[]);
+    record(&a, report("t1#1", false));
+    record(&b, report("t2#1", false));
+    let all = [&leader, &a, &b, &c];
+    wait_for_crashes(&all, &[("t1#1", false), ("t2#1", false)]).await;
+    record(&c, report("t1#1", true));
+    wait_for_crashes(&all, &[("t1#1", true), ("t2#1", false)]).await;
+    record(&leader, report("t3#1", false));
+    let expected = [("t1#1", true), ("t2#1", false), ("t3#1", false)];
+    wait_for_crashes(&all, &expected).await;
+}
+
+#[tokio::test]
+async fn crash_reaches_all_instances_while_the_leader_is_lost() {
+    let lost = node("x", ([127, 0, 0, 2], 1).into());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut stand_in = node("s", listener.local_addr().expect("an address"));
+    stand_in.row.capacity = 500;
+    let _task = serve(&stand_in, listener);
+    let [a, b, c] = followers(&lost, &[&stand_in]);
+    record(&a, report("t1#1", false));
+    wait_for_crashes(&[&stand_in, &a, &b, &c], &[("t1#1", false)]).await;
+}
