Treat a stream without length that ends before its first event as interrupted

Callers received an empty success when a target ended its connection after the head of a stream that has neither a length nor chunks, and a crash by a part of a prompt looked like a complete answer that cleared the part.

Cause: the end of such an answer is the end of its connection, and a stream without a partial event counted as complete. It now counts only once an event has arrived, or if its end was marked.

--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -31,6 +31,11 @@
     passed
 }
 
+/// Whether an answer has a length or chunks; otherwise it ends with its connection.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether the headers announce that the connection is closed after the answer.
 pub(crate) fn closes(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION).iter();
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -100,7 +100,7 @@
                 () = self.stopped() => return StreamEnd::Interrupted,
             };
             let error = match chunk {
-                Ok(None) if !self.events.has_partial_event() => return StreamEnd::Complete,
+                Ok(None) if self.is_complete(attempt) => return StreamEnd::Complete,
                 Ok(None) => None,
                 Ok(Some(bytes)) => {
                     let now = clock::now();
@@ -138,6 +138,14 @@
         }
     }
 
+    /// Whether a stream is complete whose target has closed it. Without an event, an answer that ends with its
+    /// connection cannot be told from one that was interrupted after its head.
+    fn is_complete(&self, attempt: &Attempt) -> bool {
+        let has_begun = self.timing.first_event.is_some();
+        let has_end = headers::is_framed(&attempt.reply.headers);
+        !self.events.has_partial_event() && (has_begun || has_end)
+    }
+
     /// Waits until the stream must be stopped before its first event, because it would crash its target.
     async fn stopped(&self) {
         if self.timing.first_event.is_some() {
@@ -256,7 +264,10 @@
         exchange
             .router
             .record_broken_connection(&exchange.admitted, stage);
-        let error = error.map_or("ended within an event".into(), ToString::to_string);
+        let error = error.map_or(
+            "ended within an event or before the first".into(),
+            ToString::to_string,
+        );
         tracing::info!(
             request = &*exchange.admitted.metadata.id,
             target = &*stage.id,
--- a/crates/forward/tests/prompt_parts.rs
+++ b/crates/forward/tests/prompt_parts.rs
@@ -10,10 +10,11 @@
     std::sync::atomic::Ordering,
     support::{
         CallerRequest, TestRouter,
-        crashing_target::{CrashingTarget, crashing_target},
+        crashing_target::{CrashingTarget, Framing, crashing_target},
         setup,
     },
     wire::hyper::StatusCode,
+    yare::parameterized,
 };
 
 /// Part that crashes each target.
@@ -29,10 +30,10 @@
 ];
 
 /// Starts as many targets as there are requests, so that some are left if each request crashes one.
-async fn start() -> (TestRouter, Vec<CrashingTarget>) {
+async fn start(framing: Framing) -> (TestRouter, Vec<CrashingTarget>) {
     let mut targets = Vec::new();
     for _ in 0..=BODIES.len() {
-        targets.push(crashing_target(DEADLY_PART).await);
+        targets.push(crashing_target(DEADLY_PART, framing).await);
     }
     let listed: Vec<_> = targets.iter().map(|target| &target.target).collect();
     let router = setup(RepeatPolicy::ResumableStream, &listed).start().await;
@@ -61,9 +62,10 @@
 
 /// The quarantine of whole requests does not see that requests with different bodies crash targets for the
 /// same reason.
-#[tokio::test]
-async fn requests_with_a_crashing_part_stop_reaching_targets() {
-    let (router, targets) = start().await;
+#[parameterized(chunked = { Framing::Chunks }, without_length = { Framing::None })]
+#[test_macro(tokio::test)]
+async fn requests_with_a_crashing_part_stop_reaching_targets(framing: Framing) {
+    let (router, targets) = start(framing).await;
     for body in BODIES {
         assert!(!is_served(&router, body, CRASHING_PARTS).await);
     }
@@ -75,9 +77,10 @@
 }
 
 /// A quarantine that blames the parts next to the deadly one refuses sound requests of the same caller.
-#[tokio::test]
-async fn sound_requests_are_served_beside_a_crashing_part() {
-    let (router, _targets) = start().await;
+#[parameterized(chunked = { Framing::Chunks }, without_length = { Framing::None })]
+#[test_macro(tokio::test)]
+async fn sound_requests_are_served_beside_a_crashing_part(framing: Framing) {
+    let (router, _targets) = start(framing).await;
     for body in BODIES {
         is_served(&router, body, CRASHING_PARTS).await;
         assert!(is_served(&router, body, SOUND_PARTS).await, "{body}");
--- a/crates/forward/tests/support/crashing_target.rs
+++ b/crates/forward/tests/support/crashing_target.rs
@@ -26,8 +26,16 @@
     pub hit_count: Arc<AtomicUsize>,
 }
 
+/// How the answers of a target end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    Chunks,
+    /// With their connection.
+    None,
+}
+
 /// Starts a target that `part` crashes.
-pub async fn crashing_target(part: &'static str) -> CrashingTarget {
+pub async fn crashing_target(part: &'static str, framing: Framing) -> CrashingTarget {
     let index = TARGET_COUNT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id().to_le_bytes();
     let address = SocketAddr::from(([127, process[0] | 1, process[1], index], 0));
@@ -48,7 +56,7 @@
                 accepted = listener.accept() => {
                     let (stream, _) = accepted.expect("test support works");
                     let mut crashed = crashed.clone();
-                    let serve = serve(stream, part, crash.clone(), hits.clone());
+                    let serve = serve(stream, part, framing, crash.clone(), hits.clone());
                     tokio::spawn(async move {
                         tokio::select! {
                             _ = crashed.changed() => {}
@@ -73,6 +81,7 @@
 async fn serve(
     mut stream: TcpStream,
     part: &'static str,
+    framing: Framing,
     crash: watch::Sender<bool>,
     hit_count: Arc<AtomicUsize>,
 ) {
@@ -86,8 +95,12 @@
                 .find(|(key, _)| *key == name)
                 .map_or("", |(_, value)| value)
         };
+        let chunked = match framing {
+            Framing::Chunks => "transfer-encoding: chunked\r\n",
+            Framing::None => "",
+        };
         let answer = format!(
-            "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: signed\r\ntransfer-encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: signed\r\n{chunked}\r\n",
             value("x-id")
         );
         let _ = stream.write_all(answer.as_bytes()).await;
@@ -96,8 +109,14 @@
             crash.send_replace(true);
             return;
         }
-        let events = "d\r\nid: 1\ndata:\n\n\r\nd\r\nid: 2\ndata:\n\n\r\n0\r\n\r\n";
+        let events = match framing {
+            Framing::Chunks => "d\r\nid: 1\ndata:\n\n\r\nd\r\nid: 2\ndata:\n\n\r\n0\r\n\r\n",
+            Framing::None => "id: 1\ndata:\n\nid: 2\ndata:\n\n",
+        };
         let _ = stream.write_all(events.as_bytes()).await;
+        if framing == Framing::None {
+            return;
+        }
     }
 }
 
