Wait longer before a suspect prompt part is tried, and stop trials that are not needed

The first hold is 30 s, longer than a restart with its load, and grows threefold. A trial that began before another instance's crash became known is stopped. A part that was answered here before has a hold of 1 s at its third crash, as it has probably not caused them.

--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -97,7 +97,6 @@
         if run.parts.is_empty() {
             return false;
         }
-        self.end_trials(&run.parts);
         self.insert(
             crash,
             run.request,
@@ -208,14 +207,14 @@
             let Some(suspicion) = suspicion.filter(|suspicion| suspicion.concerns(run)) else {
                 continue;
             };
-            let Some(crash_count) = self.unexplained_crashes(*part, &suspicion) else {
+            let Some(hold) = self.hold(*part, &suspicion) else {
                 continue;
             };
             blames.push(Blame {
                 crash_count: suspicion.crash_count,
                 is_account_only: !suspicion.accounts.is_empty(),
                 last_crash_age: now.saturating_sub(suspicion.last_crash_at),
-                wait: self.wait(now, *part, request, suspicion.last_crash_at, crash_count),
+                wait: self.wait(now, *part, request, suspicion.last_crash_at, hold),
                 last_crash: suspicion.last_crash,
                 part: *part,
             });
@@ -223,15 +222,21 @@
         blames
     }
 
-    /// Number of crashes that determines the hold; none if the part is not refused for them. A part that has
-    /// been answered here before is refused only after several crashes that have no other explanation.
-    fn unexplained_crashes(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<u32> {
+    /// Time from the latest crash to the first trial; none if the part is not refused. A part that has been
+    /// answered here before is refused only after several crashes that have no other explanation.
+    fn hold(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<Duration> {
+        let settings = &self.settings;
+        let crash_count = suspicion.crash_count;
         if !self.known.contains(part) {
-            return Some(suspicion.crash_count);
+            return Some(settings.hold(crash_count));
+        }
+        if crash_count < settings.known_part_crashes || suspicion.is_single_request {
+            return None;
+        }
+        match crash_count - settings.known_part_crashes {
+            0 => Some(settings.known_part_hold),
+            further_count => Some(settings.hold(further_count)),
         }
-        let spared_count = self.settings.known_part_crashes.saturating_sub(1);
-        let crash_count = suspicion.crash_count.saturating_sub(spared_count);
-        (crash_count > 0 && !suspicion.is_single_request).then_some(crash_count)
     }
 
     /// Time until a request with `part` may be tried here.
@@ -241,9 +246,8 @@
         part: Fingerprint,
         request: &RequestId,
         last_crash_at: Duration,
-        crash_count: u32,
+        hold: Duration,
     ) -> Duration {
-        let hold = self.settings.hold(crash_count);
         let spread = hold.mul_f64(self.settings.trial_spread * self.spread_of(part));
         let tried_from = last_crash_at + hold + spread;
         let trial_until = match self.trials.get(&part) {
@@ -272,6 +276,8 @@
     fn insert(&mut self, crash: CrashId, request: Fingerprint, victim: CrashVictim) -> bool {
         let key = (crash, request);
         let Some(known) = self.victims.get_mut(&key) else {
+            // Trials that began before this crash became known must not cause another one.
+            self.end_trials(&victim.suspects());
             self.victims.insert(key, victim);
             self.evict();
             return true;
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -7,7 +7,10 @@
     pub crash_gap: Duration,
     /// Number of crashes from which a part is refused although answers to it have begun here before.
     pub known_part_crashes: u32,
-    /// Time for which a part is refused after its first crash, before one request with it is tried.
+    /// Hold of such a part after that number of crashes. Short, because it has probably not caused them.
+    pub known_part_hold: Duration,
+    /// Time for which a part is refused after its first crash, before one request with it is tried. Longer
+    /// than engines take to restart and load their layers, as a trial may cost a pipeline.
     pub min_hold: Duration,
     /// Factor by which each further crash extends the hold.
     pub hold_factor: f64,
@@ -31,8 +34,9 @@
         Self {
             crash_gap: Duration::from_millis(300),
             known_part_crashes: 3,
-            min_hold: Duration::from_secs(5),
-            hold_factor: 6.0,
+            known_part_hold: Duration::from_secs(1),
+            min_hold: Duration::from_secs(30),
+            hold_factor: 3.0,
             max_hold: Duration::from_secs(600),
             trial_spread: 0.25,
             trial_timeout: Duration::from_secs(10),
