Tell the starts of a target apart when its crashes are counted

A request that crashes targets was not refused when they restart under the same id: callers that sent it again went on crashing them.

Cause: each crash was recorded as TARGET#0, so that all crashes of one id counted as one, and a target that stayed listed did not count as ended. Crashes now carry the incarnation of the target, and a listed target with another incarnation has ended. An answer of one incarnation says nothing about interrupted requests of another.

Evidence: request_that_ended_three_targets_is_refused with the same id failed before (the fourth send was not refused); both cases pass now.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -141,7 +141,7 @@
         router
             .fleet()
             .record_outcome(now, first.key, Outcome::Answered);
-        router.suspects().record_answer(&first.id);
+        router.suspects().record_answer(&first);
         Ok(self)
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,7 +30,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
-        collections::{HashMap, HashSet},
+        collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -43,7 +43,7 @@
         sync::{Notify, watch},
         time::timeout,
     },
-    types::{CrashReport, Fingerprint, RequestId},
+    types::{CrashReport, Fingerprint, Incarnation, RequestId},
     wire::{BodySender, Connection, ReplyStream, Request, Response},
 };
 
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -73,11 +73,13 @@
             let Ok(Ok(state)) = answer else {
                 if !is_local_fault && fleet.record_outcome(now, stage.key, Outcome::Unreachable) {
                     tracing::info!(target = &*stage.id, "engine does not answer and is avoided");
-                    router.suspects().record_ended(now, |id| *id == stage.id);
+                    router
+                        .suspects()
+                        .record_ended(now, |run| run.target == stage.id);
                 }
                 continue;
             };
-            router.suspects().record_answer(&stage.id);
+            router.suspects().record_answer(stage);
             if state.is_leaving {
                 target_notices::mark_leaving(&router.pool, &mut fleet, now, stage);
             }
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -87,10 +87,14 @@
     /// requests that were interrupted there as crashes.
     pub fn set_targets(&self, listing: &[Target]) {
         self.fleet().set_targets(clock::now(), listing);
-        let ids: HashSet<&str> = listing.iter().map(|target| &*target.id).collect();
-        self.pool.retain_listed(|id| ids.contains(&**id));
-        self.suspects()
-            .record_ended(clock::now(), |id| !ids.contains(&**id));
+        let listed: HashMap<&str, Incarnation> = listing
+            .iter()
+            .map(|target| (&*target.id, target.incarnation))
+            .collect();
+        self.pool.retain_listed(|id| listed.contains_key(&**id));
+        self.suspects().record_ended(clock::now(), |run| {
+            listed.get(&*run.target) != Some(&run.incarnation)
+        });
     }
 
     /// Records that this instance was asked to stop.
@@ -192,7 +196,9 @@
             .record_outcome(now, target.key, Outcome::Failed);
         match error {
             wire::Error::Broken { .. } => self.record_broken_connection(admitted, target),
-            wire::Error::Connect { .. } => self.suspects().record_ended(now, |id| *id == target.id),
+            wire::Error::Connect { .. } => self
+                .suspects()
+                .record_ended(now, |run| run.target == target.id),
             _ => {}
         }
         tracing::info!(
--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -3,9 +3,6 @@
 /// Maximum number of crash reports in one message to another instance.
 const MAX_REPORTS: usize = 64;
 
-/// Incarnation of every target. Constant, because a restarted target gets a new id.
-const INCARNATION: u64 = 0;
-
 /// Requests that are suspected of crashing the targets that run them.
 #[derive(Debug)]
 pub struct Suspects {
@@ -36,6 +33,7 @@
     ) {
         let run = InterruptedRun {
             fingerprint,
+            incarnation: target.incarnation,
             request: request.clone(),
             target: target.id.clone(),
             was_suspect: self.quarantine.is_suspect(now, fingerprint),
@@ -49,12 +47,16 @@
     }
 
     /// Records that a target answers, so that it did not crash.
-    pub(crate) fn record_answer(&mut self, target: &TargetId) {
-        self.crashes.record_answer(target);
+    pub(crate) fn record_answer(&mut self, target: &Stage) {
+        self.crashes.record_answer(&target.id, target.incarnation);
     }
 
     /// Records that targets have terminated. Requests that were interrupted there count as crashes.
-    pub(crate) fn record_ended(&mut self, now: Duration, has_ended: impl Fn(&TargetId) -> bool) {
+    pub(crate) fn record_ended(
+        &mut self,
+        now: Duration,
+        has_ended: impl Fn(&InterruptedRun) -> bool,
+    ) {
         self.quarantine.tick(now);
         for run in self.crashes.take_crashed(now, has_ended) {
             tracing::info!(
@@ -68,7 +70,7 @@
                 now,
                 run.fingerprint,
                 &run.target,
-                INCARNATION,
+                run.incarnation,
                 run.was_suspect,
             );
         }
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -10,6 +10,7 @@
     std::time::Duration,
     support::{CallerRequest, TestRouter, TestTarget, ready, setup, signed, target},
     wire::hyper::{StatusCode, header::RETRY_AFTER},
+    yare::parameterized,
 };
 
 const CRASHING: &str = "{\"prompt\":\"crash\"}";
@@ -46,8 +47,18 @@
     router.router.set_targets(&listing);
 }
 
-#[tokio::test]
-async fn request_that_ended_three_targets_is_refused() {
+/// Replaces all targets by restarted ones that keep their ids.
+fn restart_with_same_id(router: &TestRouter, listing: &[Target]) {
+    let mut listing = listing.to_vec();
+    for target in &mut listing {
+        target.incarnation = clock::now().as_nanos() as u64;
+    }
+    router.router.set_targets(&listing);
+}
+
+#[parameterized(new_id = { restart }, same_id = { restart_with_same_id })]
+#[test_macro(tokio::test)]
+async fn request_that_ended_three_targets_is_refused(restart: fn(&TestRouter, &[Target])) {
     let target = crashing_target().await;
     let setup = setup(RepeatPolicy::Once, &[&target]);
     let listing = setup.listing();
--- a/crates/quarantine/src/crash_detector.rs
+++ b/crates/quarantine/src/crash_detector.rs
@@ -9,6 +9,8 @@
 pub struct InterruptedRun {
     /// Fingerprint of the request's content.
     pub fingerprint: Fingerprint,
+    /// Incarnation of the target that ran the request.
+    pub incarnation: Incarnation,
     /// Id of the request, for logs.
     pub request: RequestId,
     /// Target that ran the request.
@@ -35,9 +37,10 @@
         self.interrupted.push((run, now));
     }
 
-    /// Records that a target answered. It has not ended, so its interrupted runs are no crashes.
-    pub fn record_answer(&mut self, target: &TargetId) {
-        self.interrupted.retain(|(run, _)| run.target != *target);
+    /// Records that a target answered. This incarnation has not ended, so its interrupted runs are no crashes.
+    pub fn record_answer(&mut self, target: &TargetId, incarnation: Incarnation) {
+        self.interrupted
+            .retain(|(run, _)| run.target != *target || run.incarnation != incarnation);
     }
 
     /// Removes and returns the runs that were interrupted because their targets have ended. Runs
@@ -45,12 +48,12 @@
     pub fn take_crashed(
         &mut self,
         now: Duration,
-        has_ended: impl Fn(&TargetId) -> bool,
+        has_ended: impl Fn(&InterruptedRun) -> bool,
     ) -> Vec<InterruptedRun> {
         let oldest = now.saturating_sub(ATTRIBUTION_WINDOW);
         let mut crashed = Vec::new();
         self.interrupted.retain(|(run, at)| {
-            let is_crash = has_ended(&run.target);
+            let is_crash = has_ended(run);
             if is_crash && *at >= oldest {
                 crashed.push(run.clone());
             }
