Learn of crashes by prompt parts before the first request after a start

Cause: the exchange looked for an instance to query every 0.3 s only, and requests did not wait for it. It now starts as soon as the relay tree is known, and the first requests with shared parts wait for its result, at most 0.2 s. A leader that has restarted learns the crashes from its followers.

Evidence: first_request_waits_for_the_crashes_that_others_know fails without the wait.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -30,6 +30,7 @@
         Ok(admitted) => admitted,
     };
     router.record_request(&admitted.service);
+    router.prompt_parts.wait_for_sync(&admitted).await;
     if let Err(refusal) = router.prompt_parts.check(clock::now(), &admitted) {
         log_refusal(&id, &request.path, refusal);
         return refusal.response(router.retry_after(refusal));
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -4,11 +4,17 @@
 /// accepts it within a few milliseconds.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which the first requests wait until this instance has learned what others know. Afterwards they
+/// are sent, as there may be no other instance.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Quarantine of the parts of prompts that crash targets, shared by all tasks of an instance.
 #[derive(Debug)]
 pub struct PromptParts {
     /// Counts the changes of what is known of crashes.
     changed: watch::Sender<u64>,
+    /// Whether requests need not wait for what other instances know.
+    is_synced: watch::Sender<bool>,
     quarantine: Mutex<PartQuarantine>,
 }
 
@@ -16,10 +22,35 @@
     pub(crate) fn new(settings: PartSettings, seed: u64) -> Self {
         Self {
             changed: watch::Sender::new(0),
+            is_synced: watch::Sender::new(false),
             quarantine: Mutex::new(PartQuarantine::new(settings, seed)),
         }
     }
 
+    /// Records that this instance knows what another one knows.
+    pub fn mark_synced(&self) {
+        self.is_synced.send_replace(true);
+    }
+
+    /// Waits until this instance knows what the others know. An instance that has just started would
+    /// otherwise send requests that they refuse.
+    pub(crate) async fn wait_for_sync(&self, admitted: &Admitted) {
+        if admitted.prompt_run.parts.is_empty() || *self.is_synced.borrow() {
+            return;
+        }
+        let mut synced = self.is_synced.subscribe();
+        if timeout(SYNC_TIMEOUT, synced.wait_for(|is_synced| *is_synced))
+            .await
+            .is_err()
+        {
+            tracing::info!(
+                request = &*admitted.metadata.id,
+                "no other instance has reported crashes by prompt parts, sending requests without"
+            );
+            self.mark_synced();
+        }
+    }
+
     /// Checks whether a request may be sent.
     ///
     /// # Errors
--- a/crates/forward/tests/prompt_parts.rs
+++ b/crates/forward/tests/prompt_parts.rs
@@ -7,12 +7,14 @@
 
 use {
     catalog::RepeatPolicy,
-    std::sync::atomic::Ordering,
+    quarantine::{VictimReport, fingerprint},
+    std::{sync::atomic::Ordering, time::Duration},
     support::{
         CallerRequest, TestRouter,
         crashing_target::{CrashingTarget, Framing, crashing_target},
         setup,
     },
+    tokio::time::sleep,
     wire::hyper::StatusCode,
     yare::parameterized,
 };
@@ -87,3 +89,25 @@
         assert!(is_served(&router, body, "a1").await, "{body}");
     }
 }
+
+/// An instance that has just started knows none of the crashes that others have seen.
+#[tokio::test]
+async fn first_request_waits_for_the_crashes_that_others_know() {
+    let (router, targets) = start(Framing::Chunks).await;
+    let report = VictimReport {
+        account: fingerprint(&[b"office"]),
+        age_ms: 1_000,
+        crash: "t#1".into(),
+        parts: vec![(fingerprint(&[b"s", DEADLY_PART.as_bytes()]), false)],
+        request: 1,
+    };
+    let parts = router.router.prompt_parts();
+    let sync = async {
+        sleep(Duration::from_millis(50)).await;
+        parts.merge(clock::now(), &[report]);
+        parts.mark_synced();
+    };
+    let (is_served, ()) = tokio::join!(is_served(&router, "0", CRASHING_PARTS), sync);
+    assert!(!is_served);
+    assert_eq!(hit_count(&targets), 0);
+}
--- a/crates/reconcile/src/victim_loop.rs
+++ b/crates/reconcile/src/victim_loop.rs
@@ -7,7 +7,7 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(30);
 /// Time for which an instance that did not answer is queried only if no other one is left.
 const AVOID_DURATION: Duration = Duration::from_secs(2);
-/// Delay while there is no instance to query.
+/// Longest delay while there is no instance to query, unless the tree changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Query for the crash victims that another instance knows.
@@ -45,8 +45,10 @@
     loop {
         let now = clock::now();
         avoided.retain(|_, until| now < *until);
-        let Some(source) = source(&row, &shared, &leadership, &avoided) else {
-            sleep(IDLE_INTERVAL).await;
+        let change_count = shared.change_count();
+        let is_leader = lock(&leadership).fence(now).is_some();
+        let Some(source) = source(&row, &shared, &avoided).filter(|_| !is_leader) else {
+            shared.wait_for_change(change_count, IDLE_INTERVAL).await;
             continue;
         };
         let mut changes = parts.changes();
@@ -70,6 +72,7 @@
             None => {}
             Some(Ok(answer)) => {
                 parts.merge(clock::now(), &answer.reports);
+                parts.mark_synced();
                 known_there = Some((source, answer.digest));
             }
             Some(Err(error)) => {
@@ -81,16 +84,12 @@
     }
 }
 
-/// Instance to query; none while this instance leads or knows no tree.
+/// Instance to query; none while no tree is known.
 fn source(
     row: &InstanceRow,
     shared: &SharedState,
-    leadership: &Mutex<Leadership>,
     avoided: &HashMap<SocketAddr, Duration>,
 ) -> Option<SocketAddr> {
-    if lock(leadership).fence(clock::now()).is_some() {
-        return None;
-    }
     let sources = shared.tree()?.sources(row);
     let answering = sources.iter().find(|source| !avoided.contains_key(source));
     answering.or(sources.first()).copied()
@@ -108,6 +107,7 @@
         if digest != query.digest {
             return VictimAnswer { digest, reports };
         }
+        parts.mark_synced();
         let left = answered_by.saturating_sub(now);
         if timeout(left, changes.changed()).await.is_err() {
             return VictimAnswer {
--- a/crates/relay/tests/victims.rs
+++ b/crates/relay/tests/victims.rs
@@ -8,7 +8,7 @@
     relay::RelayClient,
     std::{sync::Arc, time::Duration},
     support::{Node, leader, node, serve},
-    tokio::{net::TcpListener, time::sleep},
+    tokio::{net::TcpListener, runtime::Runtime, time::sleep},
 };
 
 /// Time within which all instances must know of a crash; the shortest one of the users.
@@ -101,3 +101,33 @@
     record(&a, report("t1#1", false));
     wait_for_crashes(&[&stand_in, &a, &b, &c], &[("t1#1", false)]).await;
 }
+
+/// Guards against a leader that has restarted without the crashes that it knew before.
+#[tokio::test]
+async fn restarted_leader_learns_the_crashes_from_its_followers() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a socket");
+    let address = listener.local_addr().expect("an address");
+    let first = node("x", address);
+    // Ends all connections of the first process when it is shut down.
+    let process = Runtime::new().expect("a runtime");
+    {
+        let _entered = process.enter();
+        serve(&first, TcpListener::from_std(listener).expect("a socket"));
+    }
+    let [a, b, c] = followers(&first, &[]);
+    record(&a, report("t1#1", false));
+    wait_for_crashes(&[&first, &a, &b, &c], &[("t1#1", false)]).await;
+    process.shutdown_background();
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => sleep(Duration::from_millis(5)).await,
+        }
+    };
+    let restarted = node("x", address);
+    let _task = serve(&restarted, listener);
+    record(&b, report("t2#1", false));
+    let all = [&restarted, &a, &b, &c];
+    wait_for_crashes(&all, &[("t1#1", false), ("t2#1", false)]).await;
+}
