Refuse a request that crashed two targets, in all instances at once

Cause, of the same class as the crashing parts: the quarantine of whole requests waits for three crashes, adds them up by heartbeat only, and starts from every request that was on a crashed target. The evidence of begun answers now covers the request as a whole too: after two crashes of targets that had begun to answer it, it is refused everywhere until a trial. One crash is not enough, as it may be a coincidence and callers send their requests again. The former quarantine stays for targets that end without a head.

--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -116,11 +116,11 @@
         }
     }
 
-    /// Id of a shared part of the prompt; empty if the prompt has no such part.
-    pub(crate) fn part_id(&self, part: Fingerprint) -> &str {
+    /// Id of a shared part of the prompt; `request` for the whole request.
+    pub(crate) fn suspect_id(&self, part: Fingerprint) -> &str {
         let mut ids = self.metadata.shared_parts.iter();
         let id = ids.find(|id| part_fingerprint(&self.service, id) == part);
-        id.map_or("", |id| id)
+        id.map_or("request", |id| id)
     }
 
     /// Ids of the first shared parts of the prompt, for logs.
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -8,7 +8,7 @@
 /// are sent, as there may be no other instance.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Quarantine of the parts of prompts that crash targets, shared by all tasks of an instance.
+/// Quarantine of requests and parts of prompts that crash targets, shared by all tasks of an instance.
 #[derive(Debug)]
 pub struct PromptParts {
     /// Counts the changes of what is known of crashes.
@@ -45,7 +45,7 @@
         {
             tracing::info!(
                 request = &*admitted.metadata.id,
-                "no other instance has reported crashes by prompt parts, sending requests without"
+                "no other instance has reported crashes, sending requests without"
             );
             self.mark_synced();
         }
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if a part of its prompt is suspected of crashing targets.
+    /// Returns a refusal if the request or a part of its prompt is suspected of crashing targets.
     pub(crate) fn check(&self, now: Duration, admitted: &Admitted) -> Result<(), Refusal> {
         let Admitted {
             metadata,
@@ -70,7 +70,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if a part of its prompt is suspected of crashing targets.
+    /// Returns a refusal if the request or a part of its prompt is suspected of crashing targets.
     pub(crate) fn admit(&self, now: Duration, admitted: &Admitted) -> Result<(), Refusal> {
         let Admitted {
             metadata,
@@ -82,19 +82,16 @@
         for part in tried {
             tracing::info!(
                 request = &*metadata.id,
-                part = admitted.part_id(part),
-                "trying a prompt part that is suspected of crashing targets"
+                suspect = admitted.suspect_id(part),
+                "trying a request that may crash its target"
             );
         }
         Ok(())
     }
 
-    /// Waits until a request that was sent must be stopped, because a part of its prompt has become a
+    /// Waits until a request that was sent must be stopped, because it or a part of its prompt has become a
     /// suspect since.
     pub(crate) async fn stopped(&self, admitted: &Admitted) -> Refusal {
-        if admitted.prompt_run.parts.is_empty() {
-            return std::future::pending().await;
-        }
         let mut changed = self.changed.subscribe();
         loop {
             let now = clock::now();
@@ -118,8 +115,8 @@
         for part in cleared {
             tracing::info!(
                 request = &*admitted.metadata.id,
-                part = admitted.part_id(part),
-                "answer has begun, prompt part is no longer suspected of crashing targets"
+                suspect = admitted.suspect_id(part),
+                "answer has begun, suspicion of crashing targets is lifted"
             );
         }
         self.notify();
@@ -148,7 +145,7 @@
             return;
         }
         let victims = reports.len();
-        tracing::info!(victims, "other instances report crashes by prompt parts");
+        tracing::info!(victims, "other instances report crashes by requests");
         self.notify();
     }
 
@@ -178,9 +175,6 @@
 /// Finds out whether a connection that broke between the head of an answer and its first event ended with a
 /// crash of the target, and records the crash.
 pub(crate) async fn record_interruption(router: &Router, admitted: &Admitted, target: &Stage) {
-    if admitted.prompt_run.parts.is_empty() {
-        return;
-    }
     let limit = CRASH_CHECK_TIMEOUT.min(admitted.time_left());
     match Connection::open(target.address, limit).await {
         Ok(connection) => {
@@ -199,13 +193,16 @@
 fn refuse(admitted: &Admitted, blame: &Blame) -> Refusal {
     tracing::info!(
         request = &*admitted.metadata.id,
-        part = admitted.part_id(blame.part),
+        suspect = admitted.suspect_id(blame.suspect),
         crashes = blame.crash_count,
         is_account_only = blame.is_account_only,
         last_crash = &*blame.last_crash,
         last_crash_age_ms = blame.last_crash_age.as_millis() as u64,
         wait_ms = blame.wait.as_millis() as u64,
-        "prompt part is suspected of crashing targets"
+        "request may crash its target"
     );
-    Refusal::SuspectPart(blame.wait)
+    match blame.suspect == admitted.fingerprint {
+        true => Refusal::Quarantined(blame.wait),
+        false => Refusal::SuspectPart(blame.wait),
+    }
 }
--- a/crates/forward/tests/prompt_parts.rs
+++ b/crates/forward/tests/prompt_parts.rs
@@ -98,6 +98,7 @@
         account: fingerprint(&[b"office"]),
         age_ms: 1_000,
         crash: "t#1".into(),
+        is_request_cleared: false,
         parts: vec![(fingerprint(&[b"s", DEADLY_PART.as_bytes()]), false)],
         request: 1,
     };
--- a/crates/quarantine/src/crash_victim.rs
+++ b/crates/quarantine/src/crash_victim.rs
@@ -9,6 +9,9 @@
     pub(crate) account: Fingerprint,
     /// Time of the crash. Invariant: never increases, so that reports between instances cannot extend it.
     pub(crate) at: Duration,
+    /// Whether a later answer has shown that the request as a whole does not crash targets. Invariant: stays
+    /// set.
+    pub(crate) is_request_cleared: bool,
     /// Shared parts of its prompt, and whether a later answer has shown that they do not crash targets.
     /// Invariant: a part that was cleared stays cleared.
     pub(crate) parts: BTreeMap<Fingerprint, bool>,
@@ -26,7 +29,7 @@
         suspects.map(|(part, _)| *part).collect()
     }
 
-    /// Whether no part can have caused the crash.
+    /// Whether no shared part can have caused the crash.
     pub(crate) fn is_cleared(&self) -> bool {
         self.parts.values().all(|is_cleared| *is_cleared)
     }
@@ -41,6 +44,8 @@
     pub age_ms: u64,
     /// Crash that interrupted the request.
     pub crash: CrashId,
+    /// Whether the request as a whole was cleared.
+    pub is_request_cleared: bool,
     /// Shared parts of the prompt, and whether each was cleared.
     pub parts: Vec<(Fingerprint, bool)>,
     /// Fingerprint of the whole request.
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -5,7 +5,7 @@
 /// Maximum number of parts kept as known.
 const MAX_KNOWN_PARTS: usize = 4_096;
 
-/// Parts of prompts that are suspected of crashing targets.
+/// Parts of prompts, and whole requests, that are suspected of crashing targets.
 ///
 /// A part that crashes targets does so each time, whatever else the request holds. So a single answer that
 /// begins clears all parts of its prompt. The victims of all instances are merged; instances that have
@@ -33,8 +33,8 @@
     pub last_crash: CrashId,
     /// Time since the latest crash.
     pub last_crash_age: Duration,
-    /// Suspect part.
-    pub part: Fingerprint,
+    /// Suspect part, or the fingerprint of the request if it is a suspect as a whole.
+    pub suspect: Fingerprint,
     /// Time until this instance tries a request with the part.
     pub wait: Duration,
 }
@@ -74,7 +74,7 @@
         request: &RequestId,
     ) -> Result<Vec<Fingerprint>, Blame> {
         let blames = longest_wait(self.blames(now, run, request))?;
-        let tried: Vec<Fingerprint> = blames.iter().map(|blame| blame.part).collect();
+        let tried: Vec<Fingerprint> = blames.iter().map(|blame| blame.suspect).collect();
         for part in &tried {
             self.trials.insert(*part, (request.clone(), now));
         }
@@ -87,22 +87,20 @@
         let blames = self.blames(now, run, request);
         let blames = blames
             .into_iter()
-            .filter(|blame| !self.is_trial(blame.part, request));
+            .filter(|blame| !self.is_trial(blame.suspect, request));
         blames.max_by_key(|blame| blame.wait)
     }
 
     /// Records that a target crashed after it had begun to answer a request and before the first event.
     /// Returns whether this was not known.
     pub fn record_crash(&mut self, now: Duration, crash: CrashId, run: &PromptRun) -> bool {
-        if run.parts.is_empty() {
-            return false;
-        }
         self.insert(
             crash,
             run.request,
             CrashVictim {
                 account: run.account,
                 at: now,
+                is_request_cleared: false,
                 parts: run.parts.iter().map(|part| (*part, false)).collect(),
             },
         )
@@ -115,7 +113,11 @@
             self.known.insert(now, *part);
         }
         let mut cleared = BTreeSet::new();
-        for victim in self.victims.values_mut() {
+        for ((_, request), victim) in &mut self.victims {
+            if *request == run.request && !victim.is_request_cleared {
+                victim.is_request_cleared = true;
+                cleared.insert(run.request);
+            }
             for part in &run.parts {
                 if victim.is_suspect(*part) {
                     victim.parts.insert(*part, true);
@@ -135,6 +137,7 @@
             let victim = CrashVictim {
                 account: report.account,
                 at: now.saturating_sub(age),
+                is_request_cleared: report.is_request_cleared,
                 parts: report.parts.iter().copied().collect(),
             };
             if age >= self.retention(&victim) {
@@ -154,6 +157,7 @@
                 account: victim.account,
                 age_ms: now.saturating_sub(victim.at).as_millis() as u64,
                 crash: crash.clone(),
+                is_request_cleared: victim.is_request_cleared,
                 parts: victim.parts.iter().map(|(part, is)| (*part, *is)).collect(),
                 request: *request,
             });
@@ -168,6 +172,7 @@
         for ((crash, request), victim) in &self.victims {
             bytes.extend_from_slice(crash.as_bytes());
             bytes.extend_from_slice(&request.to_le_bytes());
+            bytes.push(u8::from(victim.is_request_cleared));
             for (part, is_cleared) in &victim.parts {
                 bytes.extend_from_slice(&part.to_le_bytes());
                 bytes.push(u8::from(*is_cleared));
@@ -202,12 +207,8 @@
         if self.victims.is_empty() {
             return blames;
         }
-        for part in &run.parts {
-            let suspicion = Suspicion::new(*part, self.victims.iter(), self.settings.crash_gap);
-            let Some(suspicion) = suspicion.filter(|suspicion| suspicion.concerns(run)) else {
-                continue;
-            };
-            let Some(hold) = self.hold(*part, &suspicion) else {
+        for part in std::iter::once(&run.request).chain(&run.parts) {
+            let Some((suspicion, hold)) = self.suspicion(*part, run) else {
                 continue;
             };
             blames.push(Blame {
@@ -216,12 +217,32 @@
                 last_crash_age: now.saturating_sub(suspicion.last_crash_at),
                 wait: self.wait(now, *part, request, suspicion.last_crash_at, hold),
                 last_crash: suspicion.last_crash,
-                part: *part,
+                suspect: *part,
             });
         }
         blames
     }
 
+    /// Suspicion against a part or the whole request, and the time from the latest crash to the first trial;
+    /// none if the request is not refused for it.
+    fn suspicion(&self, part: Fingerprint, run: &PromptRun) -> Option<(Suspicion, Duration)> {
+        let settings = &self.settings;
+        if part == run.request {
+            let of_request = self.victims.iter();
+            let of_request = of_request
+                .filter(|((_, request), victim)| *request == part && !victim.is_request_cleared);
+            let suspicion = Suspicion::new(of_request, Duration::ZERO)?;
+            let hold = settings.hold(suspicion.crash_count);
+            return (suspicion.crash_count >= settings.request_crashes)
+                .then_some((suspicion, hold));
+        }
+        let of_part = self.victims.iter();
+        let of_part = of_part.filter(|(_, victim)| victim.is_suspect(part));
+        let suspicion = Suspicion::new(of_part, settings.crash_gap)?;
+        let hold = self.hold(part, &suspicion)?;
+        suspicion.concerns(run).then_some((suspicion, hold))
+    }
+
     /// Time from the latest crash to the first trial; none if the part is not refused. A part that has been
     /// answered here before is refused only after several crashes that have no other explanation.
     fn hold(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<Duration> {
@@ -283,7 +304,8 @@
             return true;
         };
         known.at = known.at.min(victim.at);
-        let mut has_new = false;
+        let mut has_new = victim.is_request_cleared && !known.is_request_cleared;
+        known.is_request_cleared |= victim.is_request_cleared;
         for (part, is_cleared) in victim.parts {
             let known = known.parts.entry(part).or_insert(is_cleared);
             has_new |= is_cleared && !*known;
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Settings of the quarantine for parts of prompts that crash targets.
+/// Settings of the quarantine for parts of prompts, and requests, that crash targets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PartSettings {
     /// Crashes closer together than this count as one: a lost failure domain ends many targets at once.
@@ -9,6 +9,9 @@
     pub known_part_crashes: u32,
     /// Hold of such a part after that number of crashes. Short, because it has probably not caused them.
     pub known_part_hold: Duration,
+    /// Number of crashes from which a request is refused as a whole. The first one may be a coincidence, and
+    /// its caller sends it again.
+    pub request_crashes: u32,
     /// Time for which a part is refused after its first crash, before one request with it is tried. Longer
     /// than engines take to restart and load their layers, as a trial may cost a pipeline.
     pub min_hold: Duration,
@@ -35,6 +38,7 @@
             crash_gap: Duration::from_millis(300),
             known_part_crashes: 3,
             known_part_hold: Duration::from_secs(1),
+            request_crashes: 2,
             min_hold: Duration::from_secs(30),
             hold_factor: 3.0,
             max_hold: Duration::from_secs(600),
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// The case against one part: all crashes that it may have caused.
+/// The case against one part or request: all crashes that it may have caused.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
     /// Accounts that are refused; empty if all are. After one crash, those of its victims; after several,
@@ -26,18 +26,14 @@
 }
 
 impl Suspicion {
-    /// Examines the victims with `part` among their suspects; none if there are none.
+    /// Examines victims; none if there are none. Crashes within `crash_gap` count as one.
     pub(crate) fn new<'a>(
-        part: Fingerprint,
         victims: impl Iterator<Item = (&'a (CrashId, Fingerprint), &'a CrashVictim)>,
         crash_gap: Duration,
     ) -> Option<Self> {
         let mut crashes: BTreeMap<&CrashId, Crash> = BTreeMap::new();
         let mut common_parts: Option<BTreeSet<Fingerprint>> = None;
         for ((id, request), victim) in victims {
-            if !victim.is_suspect(part) {
-                continue;
-            }
             let suspects = victim.suspects();
             common_parts = Some(match common_parts {
                 None => suspects,
--- a/crates/relay/tests/victims.rs
+++ b/crates/relay/tests/victims.rs
@@ -19,6 +19,7 @@
         account: 1,
         age_ms: 0,
         crash: crash.into(),
+        is_request_cleared: false,
         parts: vec![(2, is_cleared)],
         request: 3,
     }
