Limit the time of a whole reply in calls over a new connection

A caller of a plain service waited for ever when its target sent a byte of the answer now and then: wire::call applied its time limit to each chunk. It now has the limit of Connection::call for the complete reply, whose code it shares.

Evidence: reply_that_trickles_ends_at_the_time_limit failed before (open after 5 s with a limit of 0.3 s). The program on the users' platform does not use this function.

--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -12,7 +12,7 @@
     pub headers: Vec<(String, String)>,
     /// Time limit for opening the connection.
     pub connect_timeout: Duration,
-    /// Time limit for the head of the reply, and then for each chunk of its body.
+    /// Time limit for the complete reply; for its head if the body is read as a stream.
     pub reply_timeout: Duration,
     /// Maximum body size of a reply that is read as a whole, in bytes.
     pub max_reply_bytes: usize,
@@ -142,11 +142,5 @@
 /// part of the request.
 pub async fn call(address: SocketAddr, call: &Call) -> Result<Reply, Error> {
     let mut connection = Connection::open(address, call.connect_timeout).await?;
-    let mut reply = connection.send(call).await?;
-    let body = reply.read(call.reply_timeout, call.max_reply_bytes).await?;
-    Ok(Reply {
-        body,
-        headers: reply.headers,
-        status: reply.status,
-    })
+    connection.call(call).await
 }
