Bound the exchange of crashes in a storm and remember a request until its trial

Found by reading: after many crashes at once each change sent up to 256 victims to every instance thirty times a second, more than the slowest links carry, and a request that crashed two targets was forgotten after 30 s although its hold is 90 s.

At most 128 victims are kept, an instance queries ten times a second at most, and the first change after a pause is still sent at once. Victims without suspect parts are kept for 120 s.

--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -1,7 +1,8 @@
 use super::*;
 
-/// Maximum number of crash victims kept. Beyond it, cleared ones are removed first, then the oldest.
-const MAX_VICTIMS: usize = 256;
+/// Maximum number of crash victims kept, and thus sent in one message. Beyond it, those without suspect parts
+/// are removed first, then the oldest.
+const MAX_VICTIMS: usize = 128;
 /// Maximum number of parts kept as known.
 const MAX_KNOWN_PARTS: usize = 4_096;
 
@@ -195,9 +196,10 @@
 
     /// Time for which a victim is kept after its crash.
     fn retention(&self, victim: &CrashVictim) -> Duration {
-        match victim.is_cleared() {
-            true => self.settings.cleared_retention,
-            false => self.settings.retention,
+        match (victim.is_cleared(), victim.is_request_cleared) {
+            (true, true) => self.settings.cleared_retention,
+            (true, false) => self.settings.request_retention,
+            (false, _) => self.settings.retention,
         }
     }
 
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -27,7 +27,10 @@
     /// Time after which a crash is forgotten. Longer than `max_hold`, so that a part that is rarely sent is
     /// tried before it is forgotten.
     pub retention: Duration,
-    /// Time for which victims without a suspect part are kept, so that all instances learn that they were
+    /// Time after which a crash is forgotten whose victims have no suspect parts, so that only the request as a
+    /// whole is a suspect. Longer than the hold after `request_crashes` crashes.
+    pub request_retention: Duration,
+    /// Time for which victims that were cleared are kept, so that all instances learn that they were
     /// cleared.
     pub cleared_retention: Duration,
 }
@@ -45,6 +48,7 @@
             trial_spread: 0.25,
             trial_timeout: Duration::from_secs(10),
             retention: Duration::from_secs(1_200),
+            request_retention: Duration::from_secs(120),
             cleared_retention: Duration::from_secs(30),
         }
     }
--- a/crates/reconcile/src/victim_loop.rs
+++ b/crates/reconcile/src/victim_loop.rs
@@ -4,7 +4,7 @@
 /// lost instance is noticed, it stays below the time within which all instances must know of a crash.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Shortest time between two queries, so that many crashes at once cause few of them.
-const MIN_INTERVAL: Duration = Duration::from_millis(30);
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which an instance that did not answer is queried only if no other one is left.
 const AVOID_DURATION: Duration = Duration::from_secs(2);
 /// Longest delay while there is no instance to query, unless the tree changes.
@@ -53,6 +53,7 @@
         };
         let mut changes = parts.changes();
         let (digest, reports) = parts.reports(now);
+        let queried_at = clock::now();
         let is_known_there = known_there == Some((source, digest));
         let query = VictimQuery {
             digest,
@@ -80,7 +81,7 @@
                 avoided.insert(source, clock::now() + AVOID_DURATION);
             }
         }
-        sleep(MIN_INTERVAL).await;
+        sleep((queried_at + MIN_INTERVAL).saturating_sub(clock::now())).await;
     }
 }
 
