--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -48,14 +48,7 @@
             // A stale configuration may lack a route that exists by now.
             None => return Err(Refusal::NoConfiguration),
         };
-        let account = match catalog.needs_key() && !route.is_public {
-            false => None,
-            true if !is_fresh => return Err(Refusal::NoConfiguration),
-            true => {
-                let key = metadata.key.as_deref().unwrap_or_default();
-                Some(catalog.account(key).ok_or(Refusal::UnknownKey)?.clone())
-            }
-        };
+        let account = account_of(&catalog, route, &metadata, is_fresh)?;
         let fingerprint = fingerprint_of(request, account.as_ref());
         if let Some(blocked) = router.suspects().blocked_for(now, fingerprint) {
             return Err(Refusal::Quarantined(blocked));
@@ -194,6 +187,24 @@
     }
 }
 
+/// Account of a request; none if it needs no key.
+fn account_of(
+    catalog: &Catalog,
+    route: &Route,
+    metadata: &RequestMetadata,
+    is_fresh: bool,
+) -> Result<Option<Account>, Refusal> {
+    if !catalog.needs_key() || route.is_public {
+        return Ok(None);
+    }
+    if !is_fresh {
+        return Err(Refusal::NoConfiguration);
+    }
+    let key = metadata.key.as_deref().unwrap_or_default();
+    let account = catalog.account(key).ok_or(Refusal::UnknownKey)?;
+    Ok(Some(account.clone()))
+}
+
 /// Hash by which two requests count as the same: path, query, account and body.
 fn fingerprint_of(request: &Request, account: Option<&Account>) -> Fingerprint {
     let name = account.map_or("", |account| &*account.name);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,7 +7,7 @@
 use {
     admission::{AdmissionSettings, Queue, QueueDecision, QueuedRequest, QueuedRequestKey},
     bytes::{Bytes, BytesMut},
-    catalog::{Account, EngineProfile, LatestCatalog, RepeatPolicy, Route, ServiceName},
+    catalog::{Account, Catalog, EngineProfile, LatestCatalog, RepeatPolicy, Route, ServiceName},
     fleet::{
         Demand, Departure, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget,
         SharedLoad, Stage, Target, TargetId, TargetKey,
@@ -23,7 +23,7 @@
     },
     layout::LayerRange,
     quarantine::{
-        Blame, CrashDetector, CrashId, InterruptedRun, PartQuarantine, PartSettings, PromptRun,
+        CrashDetector, CrashId, Hold, InterruptedRun, PartQuarantine, PartSettings, PromptRun,
         Quarantine, QuarantineSettings, VictimReport, fingerprint,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -63,7 +63,7 @@
             ..
         } = admitted;
         let checked = self.lock().check(now, prompt_run, &metadata.id);
-        checked.map_err(|blame| refuse(admitted, &blame))
+        checked.map_err(|hold| refuse(admitted, &hold))
     }
 
     /// Checks a request right before it is sent. It may become the trial of a suspect part.
@@ -78,7 +78,7 @@
             ..
         } = admitted;
         let admission = self.lock().admit(now, prompt_run, &metadata.id);
-        let tried = admission.map_err(|blame| refuse(admitted, &blame))?;
+        let tried = admission.map_err(|hold| refuse(admitted, &hold))?;
         for part in tried {
             tracing::info!(
                 request = &*metadata.id,
@@ -96,9 +96,9 @@
         loop {
             let now = clock::now();
             let id = &admitted.metadata.id;
-            let blame = self.lock().blame(now, &admitted.prompt_run, id);
-            if let Some(blame) = blame {
-                return refuse(admitted, &blame);
+            let hold = self.lock().hold(now, &admitted.prompt_run, id);
+            if let Some(hold) = hold {
+                return refuse(admitted, &hold);
             }
             if changed.changed().await.is_err() {
                 return std::future::pending().await;
@@ -190,19 +190,19 @@
 }
 
 /// Logs why a request is refused.
-fn refuse(admitted: &Admitted, blame: &Blame) -> Refusal {
+fn refuse(admitted: &Admitted, hold: &Hold) -> Refusal {
     tracing::info!(
         request = &*admitted.metadata.id,
-        suspect = admitted.suspect_id(blame.suspect),
-        crashes = blame.crash_count,
-        is_account_only = blame.is_account_only,
-        last_crash = &*blame.last_crash,
-        last_crash_age_ms = blame.last_crash_age.as_millis() as u64,
-        wait_ms = blame.wait.as_millis() as u64,
+        suspect = admitted.suspect_id(hold.suspect),
+        crashes = hold.crash_count,
+        is_account_only = hold.is_account_only,
+        last_crash = &*hold.last_crash,
+        last_crash_age_ms = hold.last_crash_age.as_millis() as u64,
+        wait_ms = hold.wait.as_millis() as u64,
         "request may crash its target"
     );
-    match blame.suspect == admitted.fingerprint {
-        true => Refusal::Quarantined(blame.wait),
-        false => Refusal::SuspectPart(blame.wait),
+    match hold.suspect == admitted.fingerprint {
+        true => Refusal::Quarantined(hold.wait),
+        false => Refusal::SuspectPart(hold.wait),
     }
 }
--- a/crates/forward/tests/prompt_parts.rs
+++ b/crates/forward/tests/prompt_parts.rs
@@ -20,7 +20,7 @@
 };
 
 /// Part that crashes each target.
-const DEADLY_PART: &str = "d1";
+const CRASHING_PART: &str = "d1";
 /// Parts of a sound request. The crashing ones have the first part too.
 const SOUND_PARTS: &str = "a1,b1";
 const CRASHING_PARTS: &str = "a1,d1";
@@ -35,7 +35,7 @@
 async fn start(framing: Framing) -> (TestRouter, Vec<CrashingTarget>) {
     let mut targets = Vec::new();
     for _ in 0..=BODIES.len() {
-        targets.push(crashing_target(DEADLY_PART, framing).await);
+        targets.push(crashing_target(CRASHING_PART, framing).await);
     }
     let listed: Vec<_> = targets.iter().map(|target| &target.target).collect();
     let router = setup(RepeatPolicy::ResumableStream, &listed).start().await;
@@ -78,7 +78,7 @@
     );
 }
 
-/// A quarantine that blames the parts next to the deadly one refuses sound requests of the same caller.
+/// A quarantine that suspects the parts next to the crashing one refuses sound requests of the same caller.
 #[parameterized(chunked = { Framing::Chunks }, without_length = { Framing::None })]
 #[test_macro(tokio::test)]
 async fn sound_requests_are_served_beside_a_crashing_part(framing: Framing) {
@@ -99,7 +99,7 @@
         age_ms: 1_000,
         crash: "t#1".into(),
         is_request_cleared: false,
-        parts: vec![(fingerprint(&[b"s", DEADLY_PART.as_bytes()]), false)],
+        parts: vec![(fingerprint(&[b"s", CRASHING_PART.as_bytes()]), false)],
         request: 1,
     };
     let parts = router.router.prompt_parts();
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -26,7 +26,7 @@
     crash_detector::{CrashDetector, InterruptedRun},
     crash_victim::{CrashId, VictimReport},
     fingerprint::fingerprint,
-    part_quarantine::{Blame, PartQuarantine},
+    part_quarantine::{Hold, PartQuarantine},
     part_settings::PartSettings,
     prompt_run::PromptRun,
     quarantine::Quarantine,
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -25,7 +25,7 @@
 
 /// Why a request is refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Blame {
+pub struct Hold {
     /// Number of separate crashes that the part may have caused.
     pub crash_count: u32,
     /// Whether only some accounts are refused, the one of the request among them.
@@ -58,8 +58,8 @@
     /// # Errors
     ///
     /// Returns the suspicion with the longest wait if the request must not be sent.
-    pub fn check(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Result<(), Blame> {
-        longest_wait(self.blames(now, run, request)).map(drop)
+    pub fn check(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Result<(), Hold> {
+        longest_wait(self.holds(now, run, request)).map(drop)
     }
 
     /// Checks a request that is about to be sent. If the hold of its suspect parts is over, it becomes the
@@ -73,9 +73,9 @@
         now: Duration,
         run: &PromptRun,
         request: &RequestId,
-    ) -> Result<Vec<Fingerprint>, Blame> {
-        let blames = longest_wait(self.blames(now, run, request))?;
-        let tried: Vec<Fingerprint> = blames.iter().map(|blame| blame.suspect).collect();
+    ) -> Result<Vec<Fingerprint>, Hold> {
+        let holds = longest_wait(self.holds(now, run, request))?;
+        let tried: Vec<Fingerprint> = holds.iter().map(|hold| hold.suspect).collect();
         for part in &tried {
             self.trials.insert(*part, (request.clone(), now));
         }
@@ -84,12 +84,12 @@
 
     /// Returns why a request that was admitted earlier should no longer run; none if it may go on.
     #[must_use]
-    pub fn blame(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Option<Blame> {
-        let blames = self.blames(now, run, request);
-        let blames = blames
+    pub fn hold(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Option<Hold> {
+        let holds = self.holds(now, run, request);
+        let holds = holds
             .into_iter()
-            .filter(|blame| !self.is_trial(blame.suspect, request));
-        blames.max_by_key(|blame| blame.wait)
+            .filter(|hold| !self.is_trial(hold.suspect, request));
+        holds.max_by_key(|hold| hold.wait)
     }
 
     /// Records that a target crashed after it had begun to answer a request and before the first event.
@@ -204,16 +204,16 @@
     }
 
     /// Suspicions because of which a request must wait or is a trial.
-    fn blames(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Vec<Blame> {
-        let mut blames = Vec::new();
+    fn holds(&self, now: Duration, run: &PromptRun, request: &RequestId) -> Vec<Hold> {
+        let mut holds = Vec::new();
         if self.victims.is_empty() {
-            return blames;
+            return holds;
         }
         for part in std::iter::once(&run.request).chain(&run.parts) {
             let Some((suspicion, hold)) = self.suspicion(*part, run) else {
                 continue;
             };
-            blames.push(Blame {
+            holds.push(Hold {
                 crash_count: suspicion.crash_count,
                 is_account_only: !suspicion.accounts.is_empty(),
                 last_crash_age: now.saturating_sub(suspicion.last_crash_at),
@@ -222,7 +222,7 @@
                 suspect: *part,
             });
         }
-        blames
+        holds
     }
 
     /// Suspicion against a part or the whole request, and the time from the latest crash to the first trial;
@@ -234,31 +234,31 @@
             let of_request = of_request
                 .filter(|((_, request), victim)| *request == part && !victim.is_request_cleared);
             let suspicion = Suspicion::new(of_request, Duration::ZERO)?;
-            let hold = settings.hold(suspicion.crash_count);
+            let hold = settings.hold_duration(suspicion.crash_count);
             return (suspicion.crash_count >= settings.request_crashes)
                 .then_some((suspicion, hold));
         }
         let of_part = self.victims.iter();
         let of_part = of_part.filter(|(_, victim)| victim.is_suspect(part));
         let suspicion = Suspicion::new(of_part, settings.crash_gap)?;
-        let hold = self.hold(part, &suspicion)?;
+        let hold = self.hold_duration(part, &suspicion)?;
         suspicion.concerns(run).then_some((suspicion, hold))
     }
 
     /// Time from the latest crash to the first trial; none if the part is not refused. A part that has been
     /// answered here before is refused only after several crashes that have no other explanation.
-    fn hold(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<Duration> {
+    fn hold_duration(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<Duration> {
         let settings = &self.settings;
         let crash_count = suspicion.crash_count;
         if !self.known.contains(part) {
-            return Some(settings.hold(crash_count));
+            return Some(settings.hold_duration(crash_count));
         }
         if crash_count < settings.known_part_crashes || suspicion.is_single_request {
             return None;
         }
         match crash_count - settings.known_part_crashes {
             0 => Some(settings.known_part_hold),
-            further_count => Some(settings.hold(further_count)),
+            further_count => Some(settings.hold_duration(further_count)),
         }
     }
 
@@ -335,9 +335,9 @@
 /// # Errors
 ///
 /// Returns the suspicion with the longest wait.
-fn longest_wait(blames: Vec<Blame>) -> Result<Vec<Blame>, Blame> {
-    match blames.iter().max_by_key(|blame| blame.wait) {
-        Some(blame) if !blame.wait.is_zero() => Err(blame.clone()),
-        _ => Ok(blames),
+fn longest_wait(holds: Vec<Hold>) -> Result<Vec<Hold>, Hold> {
+    match holds.iter().max_by_key(|hold| hold.wait) {
+        Some(hold) if !hold.wait.is_zero() => Err(hold.clone()),
+        _ => Ok(holds),
     }
 }
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -56,7 +56,7 @@
 
 impl PartSettings {
     /// Hold after the given number of crashes, of which there is at least one.
-    pub(crate) fn hold(&self, crash_count: u32) -> Duration {
+    pub(crate) fn hold_duration(&self, crash_count: u32) -> Duration {
         let factor = self
             .hold_factor
             .powi(crash_count.saturating_sub(1).min(16) as i32);
--- a/crates/quarantine/tests/part_quarantine.rs
+++ b/crates/quarantine/tests/part_quarantine.rs
@@ -9,7 +9,7 @@
 
 const START: Duration = Duration::from_secs(100);
 const SHARED: u64 = 1;
-const DEADLY: u64 = 2;
+const CRASHING: u64 = 2;
 const ONE: u64 = 71;
 const OTHER: u64 = 72;
 const THIRD: u64 = 73;
@@ -40,19 +40,23 @@
 #[test]
 fn only_requests_with_the_crashing_part_are_refused() {
     let mut quarantine = new();
-    crash(&mut quarantine, START, 0, &run(ONE, 1, &[SHARED, DEADLY]));
+    crash(&mut quarantine, START, 0, &run(ONE, 1, &[SHARED, CRASHING]));
     let now = after(1_000);
     assert!(is_refused(
         &quarantine,
         now,
-        &run(ONE, 2, &[SHARED, DEADLY])
+        &run(ONE, 2, &[SHARED, CRASHING])
     ));
     assert!(!is_refused(&quarantine, now, &run(ONE, 3, &[SHARED])));
     assert!(!is_refused(&quarantine, now, &run(ONE, 4, &[SHARED, 9])));
-    crash(&mut quarantine, now, 1, &run(OTHER, 5, &[8, DEADLY]));
+    crash(&mut quarantine, now, 1, &run(OTHER, 5, &[8, CRASHING]));
     let now = after(2_000);
     for account in [ONE, OTHER, THIRD] {
-        assert!(is_refused(&quarantine, now, &run(account, 6, &[7, DEADLY])));
+        assert!(is_refused(
+            &quarantine,
+            now,
+            &run(account, 6, &[7, CRASHING])
+        ));
         assert!(!is_refused(&quarantine, now, &run(account, 7, &[SHARED])));
         assert!(!is_refused(&quarantine, now, &run(account, 8, &[8])));
     }
@@ -98,21 +102,21 @@
 #[test]
 fn part_that_was_answered_before_is_refused_after_several_crashes() {
     let mut quarantine = new();
-    quarantine.record_first_event(START, &run(ONE, 1, &[DEADLY]));
+    quarantine.record_first_event(START, &run(ONE, 1, &[CRASHING]));
     for index in 0..3 {
         let at = after(index * 1_000);
-        assert!(!is_refused(&quarantine, at, &run(THIRD, 9, &[DEADLY])));
+        assert!(!is_refused(&quarantine, at, &run(THIRD, 9, &[CRASHING])));
         crash(
             &mut quarantine,
             at,
             index,
-            &run(70 + index, index, &[DEADLY]),
+            &run(70 + index, index, &[CRASHING]),
         );
     }
     assert!(is_refused(
         &quarantine,
         after(2_100),
-        &run(THIRD, 9, &[DEADLY])
+        &run(THIRD, 9, &[CRASHING])
     ));
 }
 
@@ -123,15 +127,18 @@
     let mut now = START;
     let mut waits = Vec::new();
     for index in 0..6 {
-        let deadly = run(ONE, 100 + index, &[DEADLY]);
-        crash(&mut quarantine, now, index, &deadly);
-        let blame = quarantine.check(now, &deadly, &"id".into()).unwrap_err();
-        waits.push(blame.wait.as_secs());
-        now += blame.wait;
+        let crashing = run(ONE, 100 + index, &[CRASHING]);
+        crash(&mut quarantine, now, index, &crashing);
+        let hold = quarantine.check(now, &crashing, &"id".into()).unwrap_err();
+        waits.push(hold.wait.as_secs());
+        now += hold.wait;
         let trial = format!("trial{index}").into();
-        assert_eq!(quarantine.admit(now, &deadly, &trial), Ok(vec![DEADLY]));
-        assert!(is_refused(&quarantine, now, &deadly), "two trials at once");
-        assert_eq!(quarantine.blame(now, &deadly, &trial), None);
+        assert_eq!(quarantine.admit(now, &crashing, &trial), Ok(vec![CRASHING]));
+        assert!(
+            is_refused(&quarantine, now, &crashing),
+            "two trials at once"
+        );
+        assert_eq!(quarantine.hold(now, &crashing, &trial), None);
     }
     let PartSettings {
         min_hold, max_hold, ..
@@ -145,7 +152,7 @@
         "{waits:?}"
     );
     assert!(waits[5] < 2 * max_hold.as_secs(), "{waits:?}");
-    let sound = run(OTHER, 9, &[DEADLY]);
+    let sound = run(OTHER, 9, &[CRASHING]);
     quarantine.record_first_event(now, &sound);
     assert!(!is_refused(&quarantine, now, &sound));
 }
@@ -156,18 +163,18 @@
 fn request_is_refused_as_a_whole_after_two_crashes(parts: &[u64]) {
     let mut quarantine = new();
     quarantine.record_first_event(START, &run(ONE, 9, parts));
-    let deadly = run(ONE, 1, parts);
-    crash(&mut quarantine, START, 0, &deadly);
-    assert!(!is_refused(&quarantine, after(100), &deadly));
-    crash(&mut quarantine, after(100), 1, &deadly);
+    let crashing = run(ONE, 1, parts);
+    crash(&mut quarantine, START, 0, &crashing);
+    assert!(!is_refused(&quarantine, after(100), &crashing));
+    crash(&mut quarantine, after(100), 1, &crashing);
     let mut other = new();
     other.record_first_event(START, &run(ONE, 9, parts));
     other.merge(after(200), &quarantine.reports(after(200)));
     for quarantine in [&mut quarantine, &mut other] {
-        assert!(is_refused(quarantine, after(200), &deadly));
+        assert!(is_refused(quarantine, after(200), &crashing));
         assert!(!is_refused(quarantine, after(200), &run(ONE, 2, parts)));
-        quarantine.record_first_event(after(300), &deadly);
-        assert!(!is_refused(quarantine, after(300), &deadly));
+        quarantine.record_first_event(after(300), &crashing);
+        assert!(!is_refused(quarantine, after(300), &crashing));
     }
 }
 
@@ -175,43 +182,45 @@
 #[test]
 fn request_is_remembered_until_its_trial() {
     let mut quarantine = new();
-    let deadly = run(ONE, 1, &[]);
-    crash(&mut quarantine, START, 0, &deadly);
-    crash(&mut quarantine, after(100), 1, &deadly);
-    let blame = quarantine.check(after(200), &deadly, &"id".into());
-    let trial_at = after(200) + blame.unwrap_err().wait;
+    let crashing = run(ONE, 1, &[]);
+    crash(&mut quarantine, START, 0, &crashing);
+    crash(&mut quarantine, after(100), 1, &crashing);
+    let hold = quarantine.check(after(200), &crashing, &"id".into());
+    let trial_at = after(200) + hold.unwrap_err().wait;
     quarantine.tick(trial_at);
-    let tried = quarantine.admit(trial_at, &deadly, &"id".into());
-    assert_eq!(tried, Ok(vec![deadly.request]));
+    let tried = quarantine.admit(trial_at, &crashing, &"id".into());
+    assert_eq!(tried, Ok(vec![crashing.request]));
 }
 
 /// Guards against trials of several instances that each crash a target although the first one was enough.
 #[test]
 fn trial_is_stopped_when_another_instance_reports_a_crash() {
     let (mut first, mut second) = (new(), new());
-    let deadly = run(ONE, 1, &[DEADLY]);
-    crash(&mut first, START, 0, &deadly);
+    let crashing = run(ONE, 1, &[CRASHING]);
+    crash(&mut first, START, 0, &crashing);
     second.merge(START, &first.reports(START));
     let now = START + PartSettings::default().min_hold * 2;
     let trial = "trial".into();
-    assert!(second.admit(now, &deadly, &trial).is_ok());
-    assert_eq!(second.blame(now, &deadly, &trial), None);
-    crash(&mut first, now, 1, &run(ONE, 2, &[DEADLY]));
+    assert!(second.admit(now, &crashing, &trial).is_ok());
+    assert_eq!(second.hold(now, &crashing, &trial), None);
+    crash(&mut first, now, 1, &run(ONE, 2, &[CRASHING]));
     second.merge(now, &first.reports(now));
-    assert!(second.blame(now, &deadly, &trial).is_some());
+    assert!(second.hold(now, &crashing, &trial).is_some());
 }
 
 /// Guards against a trial without a result that blocks a part for good.
 #[test]
 fn trial_without_a_result_is_followed_by_another_one() {
     let mut quarantine = new();
-    let deadly = run(ONE, 1, &[DEADLY]);
-    crash(&mut quarantine, START, 0, &deadly);
-    let blame = quarantine.check(START, &deadly, &"id".into()).unwrap_err();
-    let now = START + blame.wait;
-    assert!(quarantine.admit(now, &deadly, &"lost".into()).is_ok());
-    let blame = quarantine.check(now, &deadly, &"id".into()).unwrap_err();
-    assert!(!is_refused(&quarantine, now + blame.wait, &deadly));
+    let crashing = run(ONE, 1, &[CRASHING]);
+    crash(&mut quarantine, START, 0, &crashing);
+    let hold = quarantine
+        .check(START, &crashing, &"id".into())
+        .unwrap_err();
+    let now = START + hold.wait;
+    assert!(quarantine.admit(now, &crashing, &"lost".into()).is_ok());
+    let hold = quarantine.check(now, &crashing, &"id".into()).unwrap_err();
+    assert!(!is_refused(&quarantine, now + hold.wait, &crashing));
 }
 
 /// Guards against evidence that is lost with the instance that saw it, that is extended by being reported back
@@ -219,9 +228,9 @@
 #[test]
 fn instances_that_exchanged_reports_decide_alike() {
     let (mut first, mut second) = (new(), new());
-    crash(&mut first, START, 0, &run(ONE, 1, &[SHARED, DEADLY]));
+    crash(&mut first, START, 0, &run(ONE, 1, &[SHARED, CRASHING]));
     let mut now = after(1_000);
-    crash(&mut second, now, 1, &run(OTHER, 2, &[DEADLY]));
+    crash(&mut second, now, 1, &run(OTHER, 2, &[CRASHING]));
     let old: Vec<VictimReport> = first.reports(now);
     for _ in 0..50 {
         let sent = now;
@@ -232,11 +241,11 @@
     assert_eq!(first.digest(), second.digest());
     assert!(!second.merge(now, &first.reports(now)), "nothing is new");
     for quarantine in [&first, &second] {
-        let blame = quarantine.check(now, &run(THIRD, 3, &[DEADLY]), &"id".into());
-        let blame = blame.unwrap_err();
-        assert_eq!((blame.crash_count, blame.is_account_only), (2, false));
+        let hold = quarantine.check(now, &run(THIRD, 3, &[CRASHING]), &"id".into());
+        let hold = hold.unwrap_err();
+        assert_eq!((hold.crash_count, hold.is_account_only), (2, false));
         // One report took 100 ms; none of the later ones may make the crash younger.
-        assert!(blame.last_crash_age >= Duration::from_millis(4_900));
+        assert!(hold.last_crash_age >= Duration::from_millis(4_900));
     }
     second.record_first_event(now, &run(THIRD, 4, &[SHARED]));
     first.merge(now, &second.reports(now));
--- a/crates/quarantine/tests/support/mod.rs
+++ b/crates/quarantine/tests/support/mod.rs
@@ -229,7 +229,7 @@
         let stopped = self.active.extract_if(.., |request| {
             let quarantine = &instances[request.instance];
             let id = request.id.to_string().into();
-            quarantine.blame(now, &request.run, &id).is_some()
+            quarantine.hold(now, &request.run, &id).is_some()
         });
         let sound = stopped.filter(|request| request.crashing_part.is_none());
         self.result.refused_count += sound.count();
