Query instances that do not know the exchange of crashes about once a second

An instance of an older version closes the connection on the unknown call.

Instances that did not answer are left out for a second, also if there is no other one. Expired victims are removed by an instance that queries no other one, too.

--- a/crates/reconcile/src/victim_loop.rs
+++ b/crates/reconcile/src/victim_loop.rs
@@ -5,8 +5,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Shortest time between two queries, so that many crashes at once cause few of them.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which an instance that did not answer is queried only if no other one is left.
-const AVOID_DURATION: Duration = Duration::from_secs(2);
+/// Time for which an instance that did not answer is not queried. It may be of an older version.
+const AVOID_DURATION: Duration = Duration::from_secs(1);
 /// Longest delay while there is no instance to query, unless the tree changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -31,7 +31,7 @@
 }
 
 /// Exchanges crash victims with the instance above this one in the tree: changes here are sent at once, and
-/// changes there are answered at once.
+/// changes there are answered at once. Also removes the victims that have expired.
 pub async fn share_crash_victims(
     router: Arc<Router>,
     relay: Arc<dyn Relay>,
@@ -43,17 +43,16 @@
     let mut known_there: Option<(SocketAddr, u64)> = None;
     let parts = router.prompt_parts();
     loop {
-        let now = clock::now();
-        avoided.retain(|_, until| now < *until);
+        let queried_at = clock::now();
+        let mut changes = parts.changes();
+        let (digest, reports) = parts.reports(queried_at);
+        avoided.retain(|_, until| queried_at < *until);
         let change_count = shared.change_count();
-        let is_leader = lock(&leadership).fence(now).is_some();
+        let is_leader = lock(&leadership).fence(queried_at).is_some();
         let Some(source) = source(&row, &shared, &avoided).filter(|_| !is_leader) else {
             shared.wait_for_change(change_count, IDLE_INTERVAL).await;
             continue;
         };
-        let mut changes = parts.changes();
-        let (digest, reports) = parts.reports(now);
-        let queried_at = clock::now();
         let is_known_there = known_there == Some((source, digest));
         let query = VictimQuery {
             digest,
@@ -85,15 +84,14 @@
     }
 }
 
-/// Instance to query; none while no tree is known.
+/// Instance to query; none while no tree is known or all its instances failed to answer.
 fn source(
     row: &InstanceRow,
     shared: &SharedState,
     avoided: &HashMap<SocketAddr, Duration>,
 ) -> Option<SocketAddr> {
-    let sources = shared.tree()?.sources(row);
-    let answering = sources.iter().find(|source| !avoided.contains_key(source));
-    answering.or(sources.first()).copied()
+    let mut sources = shared.tree()?.sources(row).into_iter();
+    sources.find(|source| !avoided.contains_key(source))
 }
 
 /// Answers a query of another instance, at once if its victims differ from those that are known here.
--- a/crates/relay/tests/victims.rs
+++ b/crates/relay/tests/victims.rs
@@ -8,7 +8,11 @@
     relay::RelayClient,
     std::{sync::Arc, time::Duration},
     support::{Node, leader, node, serve},
-    tokio::{net::TcpListener, runtime::Runtime, time::sleep},
+    tokio::{
+        net::TcpListener,
+        runtime::Runtime,
+        time::{sleep, timeout_at},
+    },
 };
 
 /// Time within which all instances must know of a crash; the shortest one of the users.
@@ -132,3 +136,19 @@
     let all = [&restarted, &a, &b, &c];
     wait_for_crashes(&all, &[("t1#1", false), ("t2#1", false)]).await;
 }
+
+/// Guards against connections without end to an instance of an older version, which closes each of them.
+#[tokio::test]
+async fn instance_that_does_not_know_the_call_is_queried_seldom() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let older = node("x", listener.local_addr().expect("an address"));
+    let _followers = followers(&older, &[]);
+    let mut connection_count = 0;
+    let ends_at = tokio::time::Instant::now() + Duration::from_secs(2);
+    while let Ok(accepted) = timeout_at(ends_at, listener.accept()).await {
+        drop(accepted.expect("a connection"));
+        connection_count += 1;
+    }
+    // Three followers, each at most about once a second.
+    assert!((3..=9).contains(&connection_count), "{connection_count}");
+}
