Log the limits on requests that targets announce

Cause: the logs could not show which limit a target had announced, when an instance learned of it, and when it ended, so the hypotheses on exceeded limits could not be told apart. Change: the header is decoded from answers and reports of runners, kept with its time in fleet, and each change is logged with the value before and counted. Misdirected answers, which come from another target, change nothing.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod observations;
 mod path;
 mod path_finder;
+mod rate_limit;
 mod settings;
 mod shared_load;
 mod target;
@@ -60,6 +61,7 @@
     health::Health,
     link_loads::LinkLoads,
     path_finder::{Candidate, PathFinder},
+    rate_limit::RateLimit,
     shared_load::PeerLoads,
     target_state::TargetState,
     transfer_times::TransferTimes,
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -117,7 +117,10 @@
         if let Some(load) = self.metadata.load {
             router.fleet().record_load(now, first.key, load);
         }
-        target_notices::record(router, &admitted.metadata.id, &first, &self.metadata);
+        // A misdirected request was answered by another target.
+        if self.reply.status != StatusCode::MISDIRECTED_REQUEST {
+            target_notices::record(router, &admitted.metadata.id, &first, &self.metadata);
+        }
         if self.metadata.is_not_run {
             self.record_refusal(router, admitted);
             let _ = timeout(REFUSAL_BODY_TIMEOUT, self.read(router)).await;
--- a/crates/forward/src/engines.rs
+++ b/crates/forward/src/engines.rs
@@ -11,6 +11,8 @@
     pub is_leaving: bool,
     /// Number of orders that it has accepted since it started.
     pub order_count: u64,
+    /// Requests per second that it takes from all instances together; none if it sets no limit.
+    pub rate_limit_per_s: Option<f64>,
     /// Factor by which it is slower than expected from its hardware; 1 is normal speed.
     pub slowness: f64,
 }
--- a/crates/forward/src/header_codec.rs
+++ b/crates/forward/src/header_codec.rs
@@ -20,7 +20,7 @@
 }
 
 /// Routing information from the head of an answer.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyMetadata {
     /// Address of the target on the path that caused a refusal; none if it is not named.
     pub fault_at: Option<SocketAddr>,
@@ -34,6 +34,8 @@
     pub is_not_run: bool,
     /// Current load of the target; none if it does not report one.
     pub load: Option<Load>,
+    /// Requests per second that the target takes from all instances together; none if it sets no limit.
+    pub rate_limit_per_s: Option<f64>,
     /// Time for which a target that refused this request asks for no further ones.
     pub retry_after: Option<Duration>,
 }
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -80,6 +80,7 @@
                 continue;
             };
             router.suspects().record_answer(stage);
+            target_notices::record_rate_limit(&mut fleet, now, stage, state.rate_limit_per_s);
             if state.is_leaving {
                 target_notices::mark_leaving(&router.pool, &mut fleet, now, stage);
             }
--- a/crates/forward/src/target_notices.rs
+++ b/crates/forward/src/target_notices.rs
@@ -1,14 +1,13 @@
-//! Records announcements of targets about further requests: that they are leaving, or ask for a pause.
+//! Records announcements of targets about further requests: that they are leaving, ask for a pause, or limit
+//! the rate of requests.
 
 use super::*;
 
 /// Records what an answer announces about further requests to its target.
 pub(crate) fn record(router: &Router, request: &str, target: &Stage, metadata: &ReplyMetadata) {
-    if !metadata.is_leaving && metadata.retry_after.is_none() {
-        return;
-    }
     let now = clock::now();
     let mut fleet = router.fleet();
+    record_rate_limit(&mut fleet, now, target, metadata.rate_limit_per_s);
     if metadata.is_leaving && mark_leaving(&router.pool, &mut fleet, now, target) {
         tracing::info!(
             request,
@@ -21,6 +20,28 @@
     }
 }
 
+/// Records the limit on the rate of requests that a target announced, or that it announced none. Returns
+/// whether this is new.
+pub(crate) fn record_rate_limit(
+    fleet: &mut Fleet,
+    now: Duration,
+    target: &Stage,
+    rate_per_s: Option<f64>,
+) -> bool {
+    let before = fleet.rate_limit(target.key);
+    if !fleet.record_rate_limit(now, target.key, rate_per_s) {
+        return false;
+    }
+    metrics::counter!("forward_rate_limit_changes_total").increment(1);
+    tracing::info!(
+        target = &*target.id,
+        rate_per_s,
+        before_per_s = before,
+        "target changed its limit on requests"
+    );
+    true
+}
+
 /// Records that a target is leaving, and closes the idle connections to it. Returns whether this is new.
 pub(crate) fn mark_leaving(pool: &Pool, fleet: &mut Fleet, now: Duration, target: &Stage) -> bool {
     if !fleet.record_leaving(now, target.key) {
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -37,7 +37,8 @@
 
 /// Header codec of the tests. Requests use `x-id`, `x-deadline-ms`, `x-key`, `x-shared-parts` and
 /// `x-tokens-unknown`;
-/// answers use `x-id`, `x-signature`, `x-not-run`, `x-leaving`, `x-fault-at` and `x-return-after-ms`.
+/// answers use `x-id`, `x-signature`, `x-not-run`, `x-leaving`, `x-fault-at`, `x-rate-limit` and
+/// `x-return-after-ms`.
 pub struct TestHeaderCodec;
 
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
@@ -70,6 +71,7 @@
             is_not_run: headers.contains_key("x-not-run"),
             is_leaving: headers.contains_key("x-leaving"),
             load: None,
+            rate_limit_per_s: text(headers, "x-rate-limit").and_then(|value| value.parse().ok()),
             retry_after: text(headers, "x-return-after-ms")
                 .and_then(|value| value.parse().ok())
                 .map(Duration::from_millis),
