Keep the limits on requests that targets announce, over all instances

Callers saw: nothing directly; targets in difficulty got up to four times the requests that they asked for. Cause: the limit in the answers of targets was not read, so only memory limited the requests to an engine, and nothing those to a service. Class: a shared limit without an owner, to which each instance would apply its own view. Change: crate ratelimit. One instance, which all derive from the list of instances, owns the limit of a target and gives out a permit for each request; the queries carry the newest announcement, so differing limits settle at the owner. While the owner is unreachable or new, instances use a share that together is half of the limit. An instance that has lost sight of most others is no owner. The choice avoids denied targets as the first stage only; if no other is left, a request waits as long as it can still meet its goal, and is refused with the true time otherwise. Why this works: one schedule spaces all permits of a target, whatever instances join or end; a new owner starts only after the lists have spread, and shares start empty. New tests: schedule and shares in virtual time with 7 and 295 instances, joins, ends, cuts, differing, rising and very low limits; choice; owner over sockets.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,6 +9,8 @@
     pub excluded: Vec<TargetKey>,
     /// Maximum expected time until the first event, in milliseconds; none for no limit.
     pub first_event_limit_ms: Option<f64>,
+    /// Longest time that the request can wait for a permit of a target that limits its requests.
+    pub max_permit_wait: Duration,
     /// Stage that must come first because it already runs the request; none if the first stage is
     /// free to choose.
     pub pinned_first: Option<Stage>,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,5 +1,14 @@
 use super::*;
 
+/// Engines that can be stages of a path.
+struct Candidates<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// Number of usable engines that hold layers, including those without memory for the request.
+    holder_count: usize,
+    /// Whether an engine that holds the first layer has no memory for the request.
+    is_first_full: bool,
+}
+
 /// All listed targets with their state, as seen by one instance.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -92,6 +101,9 @@
     ) -> Result<Path, NoPath> {
         let mut best: Option<(bool, f64, TargetKey)> = None;
         for (key, state) in self.usable(now, service, demand) {
+            if state.denial.wait(now) > demand.max_permit_wait {
+                continue;
+            }
             let jitter = rng.random_range(0.0..self.settings.jitter_share);
             let load = state.utilization(now, self.instance_factor(), &self.settings) + jitter;
             let candidate = (state.health.is_avoided(now), load, key);
@@ -100,6 +112,9 @@
             }
         }
         let Some((_, _, key)) = best else {
+            if let Some(wait) = self.permit_wait(now, service, demand) {
+                return Err(NoPath::RateLimited(wait));
+            }
             return Err(self.unavailable_reason(now, service));
         };
         Ok(Path {
@@ -128,7 +143,11 @@
         local_domain: &DomainName,
         rng: &mut impl Rng,
     ) -> Result<Path, NoPath> {
-        let (candidates, holder_count) = self.candidates(now, service, profile, demand, rng);
+        let Candidates {
+            candidates,
+            holder_count,
+            is_first_full,
+        } = self.candidates(now, service, profile, demand, rng);
         let is_any_full = candidates.len() < holder_count;
         let domains = candidates
             .iter()
@@ -146,6 +165,10 @@
             if let Some(wait) = self.layers_pause_left(now, service, profile) {
                 return Err(NoPath::Paused(wait));
             }
+            // An engine that is full has capacity again within milliseconds, and needs no permit.
+            if let Some(wait) = finder.permit_wait(now).filter(|_| !is_first_full) {
+                return Err(NoPath::RateLimited(wait));
+            }
             return Err(match (holder_count, is_any_full) {
                 (0, _) => NoPath::NoTarget,
                 (_, false) => NoPath::Incomplete,
@@ -168,8 +191,7 @@
         })
     }
 
-    /// Returns the engines that can be stages, and the number of usable engines that hold layers
-    /// including those without memory for the request.
+    /// Returns the engines that can be stages.
     fn candidates(
         &self,
         now: Duration,
@@ -177,9 +199,10 @@
         profile: &EngineProfile,
         demand: &Demand,
         rng: &mut impl Rng,
-    ) -> (Vec<Candidate<'_>>, usize) {
+    ) -> Candidates<'_> {
         let mut candidates = Vec::new();
         let mut holder_count = 0;
+        let mut is_first_full = false;
         for (key, state) in self.usable(now, service, demand) {
             let Some(held) = state.target.held.filter(|_| !state.health.is_avoided(now)) else {
                 continue;
@@ -198,9 +221,11 @@
             // The first stage already holds the memory of a request that it runs.
             let Some((layer_ms, prefill_layer_ms)) = layer_ms.or(is_first.then_some((0.0, 0.0)))
             else {
+                is_first_full |= held.contains(0);
                 continue;
             };
             candidates.push(Candidate {
+                can_be_first: state.denial.wait(now) <= demand.max_permit_wait,
                 state,
                 held,
                 key,
@@ -208,7 +233,11 @@
                 prefill_layer_ms,
             });
         }
-        (candidates, holder_count)
+        Candidates {
+            candidates,
+            holder_count,
+            is_first_full,
+        }
     }
 
     /// Adds a request that is sent along a path to the load of its targets and links.
@@ -247,7 +276,7 @@
     }
 
     /// Returns the targets of a service that accept requests now.
-    fn usable(
+    pub(crate) fn usable(
         &self,
         now: Duration,
         service: &str,
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -67,6 +67,9 @@
     Full,
     /// The listed targets asked to receive no requests for a while; holds the remaining time.
     Paused(Duration),
+    /// All targets that could receive the request limit their requests; holds the time until the next permit
+    /// is expected.
+    RateLimited(Duration),
     /// No usable engine holds some of the layers.
     Incomplete,
     /// No usable target is listed.
@@ -80,6 +83,7 @@
         match self {
             Self::Full => "full",
             Self::Paused(_) => "held",
+            Self::RateLimited(_) => "rate_limited",
             Self::Incomplete => "incomplete",
             Self::NoTarget => "no_target",
         }
--- a/crates/fleet/src/path_finder.rs
+++ b/crates/fleet/src/path_finder.rs
@@ -2,6 +2,8 @@
 
 /// An engine that can be a stage of a path.
 pub(crate) struct Candidate<'a> {
+    /// Whether it may receive the request from this instance now.
+    pub(crate) can_be_first: bool,
     pub(crate) state: &'a TargetState,
     pub(crate) held: LayerRange,
     pub(crate) key: TargetKey,
@@ -65,6 +67,20 @@
         Some((steps.stages_to(*best), cost_ms(best)))
     }
 
+    /// Returns the shortest wait for a permit of the engines that hold the first layer but may not receive the
+    /// request now; none if there is none.
+    pub(crate) fn permit_wait(&self, now: Duration) -> Option<Duration> {
+        let mut shortest: Option<Duration> = None;
+        for candidate in &self.candidates {
+            if candidate.can_be_first || !candidate.held.contains(0) {
+                continue;
+            }
+            let wait = candidate.state.denial.wait(now);
+            shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+        }
+        shortest
+    }
+
     /// Returns the expected time until the first event of an answer from these stages, in
     /// milliseconds.
     pub(crate) fn first_event_ms(&self, stages: &[(usize, LayerRange)]) -> f64 {
@@ -88,7 +104,7 @@
     /// that end at `start`.
     fn extend(&self, steps: &mut Steps, predecessors: &[usize], start: u32, ends: &[u32]) {
         for (index, candidate) in self.candidates.iter().enumerate() {
-            if !candidate.held.contains(start) {
+            if !candidate.held.contains(start) || (start == 0 && !candidate.can_be_first) {
                 continue;
             }
             let domain = self
--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -1,13 +1,16 @@
 use super::*;
 
+/// Longest time for which a denied permit is remembered. The limit may have risen or ended in the meantime.
+const MAX_DENIAL_AGE: Duration = Duration::from_millis(500);
+
 /// Limit on the rate of requests that a target announces in its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct RateLimit {
+pub struct RateLimit {
     /// When it was announced.
-    pub(crate) announced_at: Duration,
+    pub announced_at: Duration,
     /// Requests per second that the target takes from all instances together; none if it sets no limit.
     /// Invariant: finite and not negative.
-    pub(crate) per_s: Option<f64>,
+    pub per_s: Option<f64>,
 }
 
 impl RateLimit {
@@ -22,6 +25,25 @@
     }
 }
 
+/// Last denied permit for a target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Denial {
+    /// When a permit is expected.
+    permit_at: Duration,
+    /// Until when no permit is asked for, unless the request can wait until `permit_at`.
+    valid_until: Duration,
+}
+
+impl Denial {
+    /// Time until a permit is expected; zero if one may be available.
+    pub(crate) fn wait(&self, now: Duration) -> Duration {
+        if now >= self.valid_until {
+            return Duration::ZERO;
+        }
+        self.permit_at.saturating_sub(now)
+    }
+}
+
 impl Fleet {
     /// Records the limit that a target announced, or that it announced none. Returns whether it changed.
     pub fn record_rate_limit(
@@ -30,13 +52,57 @@
         key: TargetKey,
         per_s: Option<f64>,
     ) -> bool {
-        let state = self.targets.get_mut(key);
-        state.is_some_and(|state| state.rate_limit.update(announced_at, per_s))
+        let Some(state) = self.targets.get_mut(key) else {
+            return false;
+        };
+        let has_changed = state.rate_limit.update(announced_at, per_s);
+        if has_changed {
+            state.denial = Denial::default();
+        }
+        has_changed
     }
 
-    /// Requests per second that a target takes from all instances together; none if it sets no limit.
+    /// Limit of a target; none if the target is not listed.
     #[must_use]
-    pub fn rate_limit(&self, key: TargetKey) -> Option<f64> {
-        self.targets.get(key)?.rate_limit.per_s
+    pub fn rate_limit(&self, key: TargetKey) -> Option<RateLimit> {
+        Some(self.targets.get(key)?.rate_limit)
+    }
+
+    /// Handle of the listed incarnation of a target.
+    #[must_use]
+    pub fn key_of(&self, id: &str, incarnation: Incarnation) -> Option<TargetKey> {
+        let key = *self.by_id.get(id)?;
+        let listed = self.targets.get(key)?.target.incarnation;
+        (listed == incarnation).then_some(key)
+    }
+
+    /// Records that a permit for a target is expected only after `wait`. Until then, only requests that can
+    /// wait are sent to it.
+    pub fn record_denial(&mut self, now: Duration, key: TargetKey, wait: Duration) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.denial = Denial {
+                permit_at: now + wait,
+                valid_until: now + wait.min(MAX_DENIAL_AGE),
+            };
+        }
+    }
+
+    /// Shortest wait for a permit of the usable targets of a service without a model whose permits were
+    /// denied; none if none was.
+    pub(crate) fn permit_wait(
+        &self,
+        now: Duration,
+        service: &str,
+        demand: &Demand,
+    ) -> Option<Duration> {
+        let mut shortest: Option<Duration> = None;
+        for (_, state) in self.usable(now, service, demand) {
+            let wait = state.denial.wait(now);
+            if wait <= demand.max_permit_wait {
+                continue;
+            }
+            shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+        }
+        shortest
     }
 }
--- a/crates/fleet/src/target_state.rs
+++ b/crates/fleet/src/target_state.rs
@@ -15,6 +15,7 @@
     pub(crate) availability: Availability,
     /// Last load that the target reported, and when the report arrived.
     pub(crate) load: Option<(Load, Duration)>,
+    pub(crate) denial: Denial,
     pub(crate) rate_limit: RateLimit,
     /// Tokens times layers of the requests that this instance sent since it last received the loads
     /// of the other instances.
@@ -39,6 +40,7 @@
             in_flight_count: 0,
             availability: Availability::default(),
             load: None,
+            denial: Denial::default(),
             rate_limit: RateLimit::default(),
             unshared_token_layers: 0.0,
             slowness: 1.0,
--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -101,6 +101,7 @@
         Demand {
             answer_tokens,
             excluded: Vec::new(),
+            max_permit_wait: Duration::ZERO,
             pinned_first: None,
             first_event_limit_ms: None,
             keeps_urgent_reserve: self.rank() > self.most_urgent_rank,
@@ -137,7 +138,7 @@
     }
 
     /// Latency goal for the first event, with the default if the route has none.
-    fn first_event_goal(&self, settings: &ForwardSettings) -> Duration {
+    pub(crate) fn first_event_goal(&self, settings: &ForwardSettings) -> Duration {
         match self.route.latency_goal {
             goal if goal.is_zero() => settings.first_probe_delay,
             goal => goal,
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -119,7 +119,10 @@
         }
         // A misdirected request was answered by another target.
         if self.reply.status != StatusCode::MISDIRECTED_REQUEST {
-            target_notices::record(router, &admitted.metadata.id, &first, &self.metadata);
+            let id = &admitted.metadata.id;
+            if target_notices::record(router, id, &first, &self.metadata) {
+                tokio::spawn(permits::report_limit(router.clone(), first.clone()));
+            }
         }
         if self.metadata.is_not_run {
             self.record_refusal(router, admitted);
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -98,7 +98,7 @@
                 return Err(self.deadline_refusal());
             }
             let path = match path.take() {
-                None => wait_queue::choose(&self.router, &self.admitted, &self.demand).await,
+                None => permits::choose(&self.router, &self.admitted, &self.demand).await,
                 Some(path) => Ok(path),
             };
             let path = path.map_err(|refusal| self.unsent_refusal(refusal))?;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,13 +27,14 @@
         Quarantine, QuarantineSettings, VictimReport, fingerprint,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
+    ratelimit::{Permit, PermitQuery, PermitReply, PermitTable},
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
         collections::HashMap,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
@@ -61,6 +62,7 @@
 mod in_flight;
 mod instance;
 mod message;
+mod permits;
 mod pool;
 mod prober;
 mod prompt_parts;
@@ -81,6 +83,7 @@
     events::EventSplitter,
     header_codec::{Dispatch, HeaderCodec, ReplyMetadata, RequestMetadata},
     instance::Instance,
+    permits::{PermitPeers, Permits},
     pool::Pool,
     prober::probe_engines,
     prompt_parts::PromptParts,
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -80,6 +80,9 @@
             Self::Unavailable(NoPath::Paused(_)) => {
                 "targets take no requests for a time; come back later"
             }
+            Self::Unavailable(NoPath::RateLimited(_)) => {
+                "targets limit their requests; come back later"
+            }
             Self::Unavailable(_) => "no target can serve this now; come back later",
             Self::RetryBudgetExhausted => {
                 "the target refused, and no repeat is left; come back later"
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -9,6 +9,7 @@
     fleet: Mutex<Fleet>,
     instances: Mutex<Vec<Instance>>,
     is_leaving: AtomicBool,
+    pub(crate) permits: Permits,
     pub(crate) pool: Pool,
     pub(crate) prober: Prober,
     pub(crate) prompt_parts: PromptParts,
@@ -35,6 +36,7 @@
             fleet: Mutex::new(Fleet::new(settings.fleet.clone())),
             instances: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            permits: Permits::new(settings.instance_id.clone()),
             pool: Pool::default(),
             prober: Prober::new(engines),
             prompt_parts: PromptParts::new(settings.prompt_parts.clone(), seed),
@@ -62,6 +64,11 @@
         lock(&self.suspects)
     }
 
+    /// Permits for requests to targets that limit their rate.
+    pub fn permits(&self) -> &Permits {
+        &self.permits
+    }
+
     /// Parts of prompts that are suspected of crashing targets.
     pub fn prompt_parts(&self) -> &PromptParts {
         &self.prompt_parts
@@ -75,6 +82,7 @@
     /// Replaces the instances that accept requests of callers.
     pub fn set_instances(&self, instances: Vec<Instance>) {
         self.fleet().set_instance_count(instances.len());
+        self.permits.set_instances(clock::now(), &instances);
         *lock(&self.instances) = instances;
     }
 
@@ -83,6 +91,12 @@
         lock(&self.instances).clone()
     }
 
+    /// Instance with an id; none if it is not in the list.
+    pub(crate) fn instance(&self, id: &str) -> Option<Instance> {
+        let instances = lock(&self.instances);
+        instances.iter().find(|one| &*one.id == id).cloned()
+    }
+
     /// Replaces the list of targets. Closes idle connections to targets that were removed, and treats
     /// requests that were interrupted there as crashes.
     pub fn set_targets(&self, listing: &[Target]) {
@@ -140,7 +154,7 @@
         match refusal {
             Refusal::Quarantined(wait) | Refusal::SuspectPart(wait) => wait,
             Refusal::Full(wait) => wait.max(self.settings.retry_after) + spread,
-            Refusal::Unavailable(NoPath::Paused(wait)) => wait + spread,
+            Refusal::Unavailable(NoPath::Paused(wait) | NoPath::RateLimited(wait)) => wait + spread,
             _ => self.settings.retry_after + spread,
         }
     }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -23,6 +23,8 @@
     pub fleet: FleetSettings,
     /// Longest acceptable pause between two events, for routes without a goal of their own.
     pub gap_goal: Duration,
+    /// Id of this instance in the list of instances.
+    pub instance_id: Arc<str>,
     /// Failure domain of this instance, which is preferred when a path is chosen.
     pub local_domain: Arc<str>,
     /// Time for which an idle connection to a target is kept if the target does not state a limit.
@@ -70,6 +72,7 @@
             extra_retries: 100.0,
             fleet: FleetSettings::default(),
             gap_goal: Duration::from_millis(200),
+            instance_id: Arc::from(""),
             local_domain: Arc::from(""),
             idle_limit: Duration::from_secs(10),
             prompt_parts: PartSettings::default(),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -225,7 +225,7 @@
         }
         let mut demand = exchange.demand.clone();
         demand.excluded.push(failed);
-        let path = wait_queue::choose(&exchange.router, &exchange.admitted, &demand).await;
+        let path = permits::choose(&exchange.router, &exchange.admitted, &demand).await;
         let path = path.ok()?;
         if !exchange.try_retry() {
             return None;
--- a/crates/forward/src/target_notices.rs
+++ b/crates/forward/src/target_notices.rs
@@ -3,11 +3,17 @@
 
 use super::*;
 
-/// Records what an answer announces about further requests to its target.
-pub(crate) fn record(router: &Router, request: &str, target: &Stage, metadata: &ReplyMetadata) {
+/// Records what an answer announces about further requests to its target. Returns whether the limit on the
+/// rate of requests changed.
+pub(crate) fn record(
+    router: &Router,
+    request: &str,
+    target: &Stage,
+    metadata: &ReplyMetadata,
+) -> bool {
     let now = clock::now();
     let mut fleet = router.fleet();
-    record_rate_limit(&mut fleet, now, target, metadata.rate_limit_per_s);
+    let has_new_limit = record_rate_limit(&mut fleet, now, target, metadata.rate_limit_per_s);
     if metadata.is_leaving && mark_leaving(&router.pool, &mut fleet, now, target) {
         tracing::info!(
             request,
@@ -18,6 +24,7 @@
     if let Some(wait) = metadata.retry_after {
         mark_paused(&mut fleet, now, target, wait);
     }
+    has_new_limit
 }
 
 /// Records the limit on the rate of requests that a target announced, or that it announced none. Returns
@@ -28,7 +35,7 @@
     target: &Stage,
     rate_per_s: Option<f64>,
 ) -> bool {
-    let before = fleet.rate_limit(target.key);
+    let before = fleet.rate_limit(target.key).and_then(|limit| limit.per_s);
     if !fleet.record_rate_limit(now, target.key, rate_per_s) {
         return false;
     }
--- a/crates/forward/tests/rate_limits.rs
+++ b/crates/forward/tests/rate_limits.rs
@@ -14,7 +14,7 @@
         },
         time::Duration,
     },
-    support::{CallerRequest, Setup, TestRouter, TestTarget, ready, setup, signed, target},
+    support::{CallerRequest, LIMIT, Setup, TestRouter, TestTarget, ready, setup, signed, target},
     wire::{
         Response,
         hyper::{StatusCode, header::HeaderValue},
@@ -124,9 +124,12 @@
     let limited = limited(&["0.5", "3"]).await;
     let router = setup(RepeatPolicy::Once, &[&limited]).start().await;
     let mut refused = 0;
-    while limited.ids().len() < 3 {
-        refused += send_all(&router, 1).await.1;
-    }
+    let third_request = async {
+        while limited.ids().len() < 3 {
+            refused += send_all(&router, 1).await.1;
+        }
+    };
+    tokio::time::timeout(LIMIT, third_request).await.unwrap();
     assert!(refused > 0, "the limit was not kept");
     let (answered, refused, _) = send_all(&router, 40).await;
     assert_eq!((answered, refused), (40, 0));
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -12,6 +12,7 @@
     futures::future::BoxFuture,
     layout::{Engine, LayerRange, LayoutSettings, ModelShape, Placement},
     quarantine::VictimReport,
+    ratelimit::{PermitQuery, PermitReply},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -68,6 +68,12 @@
         (!self.router.is_leaving()).then_some(answer)
     }
 
+    /// Answers an instance that asks for a permit for a request to a target that limits its requests.
+    #[must_use]
+    pub fn take_permit(&self, query: &PermitQuery) -> PermitReply {
+        self.router.answer_permit(query)
+    }
+
     /// Builds an answer that contains only what is newer than the state of the requester.
     fn build_answer(&self, query: &Query, received_at: Duration) -> Option<Answer> {
         let now = clock::now();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,10 +2,11 @@
 //! stores, and the other instances query it.
 
 use {
-    forward::Error,
+    forward::{Error, Instance, PermitPeers},
     futures::{FutureExt, StreamExt, future::BoxFuture},
+    ratelimit::{PermitQuery, PermitReply},
     reconcile::{Query, Relay, RelayHandler, RelayReply, VictimAnswer, VictimQuery},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
         client::{self, RpcError},
         context::{self, Context},
@@ -18,11 +19,12 @@
     },
 };
 
+mod permit_client;
 mod relay_client;
 mod server;
 mod service;
 
-pub use {relay_client::RelayClient, server::serve};
+pub use {permit_client::PermitClient, relay_client::RelayClient, server::serve};
 
 use service::{RelayServiceClient, Service};
 
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -18,16 +18,7 @@
         if let Some((_, client)) = kept.as_ref().filter(|(known, _)| *known == address) {
             return Ok(client.clone());
         }
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Err(_) => {
-                return Err(Error::Refused(format!("connection to {address} timed out")));
-            }
-            Ok(Err(error)) => return Err(Error::Refused(error.to_string())),
-            Ok(Ok(stream)) => stream,
-        };
-        let _ = stream.set_nodelay(true);
-        let transport = peer::transport(stream, FRAME_BYTES);
-        let client = RelayServiceClient::new(client::Config::default(), transport).spawn();
+        let client = connect(address).await?;
         *kept = Some((address, client.clone()));
         Ok(client)
     }
@@ -78,3 +69,17 @@
         self.send_query(address, wait, send).boxed()
     }
 }
+
+/// Connects to another instance.
+pub(crate) async fn connect(address: SocketAddr) -> Result<RelayServiceClient, Error> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Err(_) => {
+            return Err(Error::Refused(format!("connection to {address} timed out")));
+        }
+        Ok(Err(error)) => return Err(Error::Refused(error.to_string())),
+        Ok(Ok(stream)) => stream,
+    };
+    let _ = stream.set_nodelay(true);
+    let transport = peer::transport(stream, FRAME_BYTES);
+    Ok(RelayServiceClient::new(client::Config::default(), transport).spawn())
+}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -9,6 +9,9 @@
 
     /// Exchanges crash victims; none if this instance is leaving.
     async fn exchange_victims(query: VictimQuery) -> Option<VictimAnswer>;
+
+    /// Asks for a permit for a request to a target that limits its requests.
+    async fn take_permit(query: PermitQuery) -> PermitReply;
 }
 
 #[derive(Clone)]
@@ -22,4 +25,8 @@
     async fn exchange_victims(self, _context: Context, query: VictimQuery) -> Option<VictimAnswer> {
         self.0.exchange_victims(query).await
     }
+
+    async fn take_permit(self, _context: Context, query: PermitQuery) -> PermitReply {
+        self.0.take_permit(&query)
+    }
 }
