Place another first stage when all limit their requests

Callers saw: would be refused while other engines have capacity, because only engines with the first layer receive requests from instances. Cause: the layout did not know of limits on requests. Change: if the limits of all engines with the first layer have been too low for one second, the leader orders an engine that can be spared and sets no limit to hold the first layer only. The limited engines go on running later layers of the same paths. The rate of requests is estimated from those at the leader.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -10,6 +10,7 @@
     shared_extra_count: f64,
     ratio: f64,
     window: RetryWindow,
+    window_time: Duration,
 }
 
 impl RetryBudget {
@@ -21,6 +22,7 @@
             shared_extra_count,
             ratio,
             window: RetryWindow::new(window / BUCKET_COUNT),
+            window_time: window,
         }
     }
 
@@ -29,6 +31,12 @@
         self.window.record_request(now);
     }
 
+    /// Requests per second over the window.
+    pub fn requests_per_s(&mut self, now: Duration) -> f64 {
+        let count = f64::from(self.window.counts(now).requests);
+        count / self.window_time.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
     /// Counts one retry and returns true, unless this instance, as one of `instance_count`, has used
     /// up its budget.
     pub fn try_retry(&mut self, now: Duration, instance_count: usize) -> bool {
--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -68,6 +68,18 @@
         Some(self.targets.get(key)?.rate_limit)
     }
 
+    /// Requests per second that each target with a limit takes, by target.
+    #[must_use]
+    pub fn rate_limits(&self) -> HashMap<TargetId, f64> {
+        let mut limits = HashMap::new();
+        for state in self.targets.values() {
+            if let Some(per_s) = state.rate_limit.per_s {
+                limits.insert(state.target.id.clone(), per_s);
+            }
+        }
+        limits
+    }
+
     /// Handle of the listed incarnation of a target.
     #[must_use]
     pub fn key_of(&self, id: &str, incarnation: Incarnation) -> Option<TargetKey> {
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -239,6 +239,13 @@
         self.with_budget(service, |budget| budget.record_request(clock::now()));
     }
 
+    /// Requests per second for a service at all instances, estimated from those at this one.
+    pub fn requests_per_s(&self, service: &ServiceName) -> f64 {
+        let count = lock(&self.instances).len().max(1);
+        let own_per_s = self.with_budget(service, |budget| budget.requests_per_s(clock::now()));
+        own_per_s * count as f64
+    }
+
     /// Takes one retry from the budget of a service. Returns whether the budget allowed it.
     pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
         let count = lock(&self.instances).len();
--- a/crates/layout/src/engine.rs
+++ b/crates/layout/src/engine.rs
@@ -26,6 +26,8 @@
     pub memory_mb: f64,
     /// Time of a decode step relative to other engines; larger is slower.
     pub pace: f64,
+    /// Requests per second that it takes as the first stage; none if it sets no limit.
+    pub request_limit_per_s: Option<f64>,
 }
 
 impl Engine {
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -8,6 +8,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 mod engine;
+mod first_stage;
 mod group;
 mod initial_pipelines;
 mod plan;
@@ -16,6 +17,7 @@
 
 pub use {
     engine::{Engine, ModelShape},
+    first_stage::additional_first_stage,
     plan::{Placement, plan},
     range::LayerRange,
     settings::LayoutSettings,
--- a/crates/layout/tests/plan.rs
+++ b/crates/layout/tests/plan.rs
@@ -20,6 +20,7 @@
         id: format!("e{id:03}").into(),
         memory_mb,
         pace: 400_000.0 / memory_mb,
+        request_limit_per_s: None,
     }
 }
 
--- a/crates/reconcile/src/layout_loop.rs
+++ b/crates/reconcile/src/layout_loop.rs
@@ -30,7 +30,12 @@
                 continue;
             }
             let reconciler = reconcilers.entry(service.name.clone()).or_default();
-            let mut orders = reconciler.orders(clock::now(), &service.name, profile, &targets);
+            let load = FirstStageLoad {
+                limits_per_s: router.fleet().rate_limits(),
+                requests_per_s: router.requests_per_s(&service.name),
+            };
+            let now = clock::now();
+            let mut orders = reconciler.orders(now, &service.name, profile, &targets, &load);
             orders.retain(|order| {
                 let engine = &order.placement.engine;
                 !router.fleet().is_paused(clock::now(), engine)
--- a/crates/reconcile/src/layout_reconciler.rs
+++ b/crates/reconcile/src/layout_reconciler.rs
@@ -12,6 +12,19 @@
 /// load. After that, the order may be sent again.
 const ORDER_EFFECT_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time for which the limits of all first stages must be too low before another one is placed, so that a
+/// limit that lasts only for moments moves no engine.
+const LIMITED_TIME: Duration = Duration::from_secs(1);
+
+/// Requests for a service, and the limits of the engines that receive them.
+#[derive(Clone, Debug, Default)]
+pub struct FirstStageLoad {
+    /// Requests per second that engines with a limit take, by engine.
+    pub limits_per_s: HashMap<Arc<str>, f64>,
+    /// Requests per second at all instances.
+    pub requests_per_s: f64,
+}
+
 /// Instructs an engine to hold another range of layers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -27,6 +40,8 @@
 pub struct LayoutReconciler {
     /// Ids of the engines that the last call of `orders` found.
     engines: Vec<Arc<str>>,
+    /// Since when the limits of all first stages together are too low; none if they are not.
+    limited_since: Option<Duration>,
     /// Ranges and times of orders whose effect is not listed yet, by engine.
     pending_orders: HashMap<Arc<str>, (LayerRange, Duration)>,
     settings: LayoutSettings,
@@ -53,6 +68,7 @@
         service: &str,
         profile: &EngineProfile,
         targets: &[Target],
+        load: &FirstStageLoad,
     ) -> Vec<Order> {
         let shape = ModelShape {
             kv_mb_per_token_layer: profile.kv_mb_per_token_layer(),
@@ -60,7 +76,7 @@
             layer_mb: profile.layer_mb,
             link_tokens_per_s: profile.pipe_mbps * 1e6 / 8.0 / profile.activation_bytes.max(1.0),
         };
-        let engines = self.engines(now, service, profile, targets);
+        let engines = self.engines(now, service, profile, targets, load);
         let ids: Vec<Arc<str>> = engines.iter().map(|engine| engine.id.clone()).collect();
         if ids != self.engines {
             let first = self.unplanned_changes.map_or(now, |(first, _)| first);
@@ -73,7 +89,11 @@
         }
         self.unplanned_changes = None;
         let mut orders = Vec::new();
-        for placement in layout::plan(&engines, &shape, &self.settings) {
+        let mut placements = layout::plan(&engines, &shape, &self.settings);
+        if placements.is_empty() {
+            placements.extend(self.additional_first_stage(now, &engines, load));
+        }
+        for placement in placements {
             if self.pending_orders.contains_key(&placement.engine) {
                 continue;
             }
@@ -88,6 +108,30 @@
         orders
     }
 
+    fn additional_first_stage(
+        &mut self,
+        now: Duration,
+        engines: &[Engine],
+        load: &FirstStageLoad,
+    ) -> Option<Placement> {
+        let placement = layout::additional_first_stage(engines, load.requests_per_s);
+        if placement.is_none() {
+            self.limited_since = None;
+        }
+        let placement = placement?;
+        let since = *self.limited_since.get_or_insert(now);
+        if now < since + LIMITED_TIME {
+            return None;
+        }
+        tracing::info!(
+            target = &*placement.engine,
+            requests_per_s = load.requests_per_s,
+            limited_count = load.limits_per_s.len(),
+            "all first stages limit their requests, placing another one"
+        );
+        Some(placement)
+    }
+
     fn is_settled(&self, now: Duration, is_running: bool) -> bool {
         let Some((first, last)) = self.unplanned_changes else {
             return true;
@@ -112,6 +156,7 @@
         service: &str,
         profile: &EngineProfile,
         targets: &[Target],
+        load: &FirstStageLoad,
     ) -> Vec<Engine> {
         self.pending_orders
             .retain(|_, (_, at)| now.saturating_sub(*at) < ORDER_EFFECT_TIMEOUT);
@@ -141,6 +186,7 @@
                 id: target.id.clone(),
                 memory_mb: kind.memory_mb,
                 pace: kind.pace,
+                request_limit_per_s: load.limits_per_s.get(&target.id).copied(),
             });
         }
         engines
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -54,7 +54,7 @@
     dependency_status::DependencyStatus,
     follow_loop::follow_leader,
     layout_loop::reconcile_layout,
-    layout_reconciler::{LayoutReconciler, Order},
+    layout_reconciler::{FirstStageLoad, LayoutReconciler, Order},
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
     leadership_loop::run_leadership,
     membership::{InstanceRow, MemberReport, Membership},
--- a/crates/reconcile/tests/layout_reconciler.rs
+++ b/crates/reconcile/tests/layout_reconciler.rs
@@ -5,7 +5,7 @@
     catalog::{EngineProfile, HardwareKind},
     fleet::Target,
     layout::{LayerRange, LayoutSettings},
-    reconcile::{LayoutReconciler, Order},
+    reconcile::{FirstStageLoad, LayoutReconciler, Order},
     std::time::Duration,
 };
 
@@ -55,8 +55,20 @@
 }
 
 fn orders_after_settling(reconciler: &mut LayoutReconciler, targets: &[Target]) -> Vec<Order> {
-    reconciler.orders(at(0), "model", &profile(), targets);
-    reconciler.orders(at(1_000), "model", &profile(), targets)
+    reconciler.orders(
+        at(0),
+        "model",
+        &profile(),
+        targets,
+        &FirstStageLoad::default(),
+    );
+    reconciler.orders(
+        at(1_000),
+        "model",
+        &profile(),
+        targets,
+        &FirstStageLoad::default(),
+    )
 }
 
 /// Applies orders to the targets as the engines would.
@@ -75,12 +87,24 @@
     let mut reconciler = reconciler();
     for count in 1..6 {
         let now = at(u64::from(count) * 400);
-        let orders = reconciler.orders(now, "model", &profile(), &engines(count));
+        let orders = reconciler.orders(
+            now,
+            "model",
+            &profile(),
+            &engines(count),
+            &FirstStageLoad::default(),
+        );
         assert_eq!(orders, [], "planned with {count} engines of 5");
     }
     assert!(
         !reconciler
-            .orders(at(3_000), "model", &profile(), &engines(5))
+            .orders(
+                at(3_000),
+                "model",
+                &profile(),
+                &engines(5),
+                &FirstStageLoad::default()
+            )
             .is_empty()
     );
 }
@@ -94,7 +118,13 @@
         reconciler.record_order(at(1_000), &order.placement);
     }
     assert_eq!(
-        reconciler.orders(at(1_300), "model", &profile(), &targets),
+        reconciler.orders(
+            at(1_300),
+            "model",
+            &profile(),
+            &targets,
+            &FirstStageLoad::default()
+        ),
         []
     );
 }
@@ -107,7 +137,13 @@
         reconciler.record_order(at(1_000), &order.placement);
     }
     assert_eq!(
-        reconciler.orders(at(8_000), "model", &profile(), &targets),
+        reconciler.orders(
+            at(8_000),
+            "model",
+            &profile(),
+            &targets,
+            &FirstStageLoad::default()
+        ),
         orders
     );
 }
@@ -130,7 +166,13 @@
     targets[0].is_leaving = true;
     orders_after_settling(&mut reconciler, &targets);
     let mut covered = [false; 20];
-    let orders = reconciler.orders(at(3_000), "model", &profile(), &targets);
+    let orders = reconciler.orders(
+        at(3_000),
+        "model",
+        &profile(),
+        &targets,
+        &FirstStageLoad::default(),
+    );
     apply_orders(&orders, &mut targets);
     for range in targets[1..].iter().filter_map(|one: &Target| one.held) {
         let range: LayerRange = range;
@@ -154,7 +196,13 @@
         let mut added = engines(30).remove(5 + step as usize);
         added.id = format!("new{step}").into();
         targets.push(added);
-        let orders = reconciler.orders(at(now), "model", &profile(), &targets);
+        let orders = reconciler.orders(
+            at(now),
+            "model",
+            &profile(),
+            &targets,
+            &FirstStageLoad::default(),
+        );
         if !orders.is_empty() && first_order.is_none() {
             first_order = Some(now);
         }
@@ -165,3 +213,38 @@
         "first order only at {first_order} ms"
     );
 }
+
+/// Guards against callers that are refused because each engine with the first layer limits its requests, and
+/// against moving engines for a limit that lasts only for moments.
+#[test]
+fn another_first_stage_is_placed_while_limits_stay_too_low() {
+    let mut reconciler = reconciler();
+    let mut targets = engines(6);
+    let orders = orders_after_settling(&mut reconciler, &targets);
+    apply_orders(&orders, &mut targets);
+    let is_first = |target: &&Target| target.held.is_some_and(|held| held.contains(0));
+    let limits = targets.iter().filter(is_first);
+    let low = FirstStageLoad {
+        limits_per_s: limits.map(|target| (target.id.clone(), 2.0)).collect(),
+        requests_per_s: 50.0,
+    };
+    let sufficient = FirstStageLoad {
+        requests_per_s: 1.0,
+        ..low.clone()
+    };
+    let mut orders =
+        |ms, load: &FirstStageLoad| reconciler.orders(at(ms), "model", &profile(), &targets, load);
+    assert_eq!(orders(20_000, &sufficient), []);
+    assert_eq!(orders(20_300, &low), [], "too early");
+    assert_eq!(orders(20_600, &sufficient), []);
+    assert_eq!(
+        orders(20_900, &low),
+        [],
+        "the limit was sufficient in between"
+    );
+    let placed = orders(22_000, &low);
+    assert_eq!(placed.len(), 1, "{placed:?}");
+    let placement = &placed[0].placement;
+    assert!(placement.range.contains(0));
+    assert!(!low.limits_per_s.contains_key(&placement.engine));
+}
