Use no fencing token twice after the store was restored from a copy

Callers saw: nothing yet; engines could have taken orders of two leaders with the same token. Cause: the next leader took the token of the row plus one. The row of the copy may be older than the last leader's. Also a leader could renew its row by a version that another row had before. Change: the first token of an era exceeds all earlier eras and the version of the row that was read; a write that the store answers in another era than the one in which the row was read counts as a conflict.

--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -4,6 +4,10 @@
 /// took up to 200 ms, and the write took equally long.
 const MAX_AGE_ERROR: Duration = Duration::from_millis(500);
 
+/// Number of low bits of a fencing token that count within one era of the store. Together with the eras it stays
+/// below 2^53, so that it is exact in JSON for any reader.
+const ERA_SHIFT: u32 = 32;
+
 /// Timing of the leader election.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeadershipSettings {
@@ -74,6 +78,8 @@
 /// is added, less its possible error.
 #[derive(Clone, Debug)]
 pub struct Leadership {
+    /// Number of times that the store was restored from an older copy, as last read.
+    era: u64,
     instance: Arc<str>,
     /// Whether the last known tree names this instance as a stand-in for the leader.
     is_stand_in: bool,
@@ -99,6 +105,7 @@
         settings: LeadershipSettings,
     ) -> Self {
         Self {
+            era: 0,
             instance,
             is_stand_in: false,
             own_term: None,
@@ -115,6 +122,30 @@
         &self.instance
     }
 
+    /// Records how often the store was restored from an older copy, as read together with the row.
+    pub fn record_era(&mut self, era: u64) {
+        if era != self.era {
+            tracing::info!(
+                instance = &*self.instance,
+                era,
+                before = self.era,
+                "leader table is of another era of the store"
+            );
+        }
+        self.era = era;
+    }
+
+    /// Fencing token that is higher than all before. The row of a restored store may be older than tokens that
+    /// were used, so the first token of an era exceeds all earlier eras. Within the era it follows the
+    /// version of the row, which grows with each write, even one by a leader of an earlier era.
+    fn next_fence(&self, last: u64, version: u64) -> u64 {
+        let first = self.era << ERA_SHIFT;
+        if last < first {
+            return first + version + 1;
+        }
+        last + 1
+    }
+
     /// Records the row and its version as read from the store. `age` is the time since the row was
     /// written, by the clock of the store.
     pub fn observe(&mut self, now: Duration, row: Option<(LeaderRow, u64)>, age: Duration) {
@@ -152,13 +183,16 @@
             }
             return LeaseStep::Write {
                 expected_version: 0,
-                fence: 1,
+                fence: self.next_fence(0, 0),
             };
         };
         if row.holder == self.instance {
             // If the answer to a renewal was lost, this instance has ended its term, so it starts a
             // new one.
-            let fence = row.fence + u64::from(self.own_term.is_none());
+            let fence = match self.own_term {
+                Some(_) => row.fence,
+                None => self.next_fence(row.fence, *version),
+            };
             return LeaseStep::Write {
                 expected_version: *version,
                 fence,
@@ -179,7 +213,7 @@
         }
         LeaseStep::Write {
             expected_version: *version,
-            fence: row.fence + 1,
+            fence: self.next_fence(row.fence, *version),
         }
     }
 
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -122,7 +122,9 @@
         if let Some(tree) = tree {
             self.shared.set_tree(tree, self.row.relay_address);
         }
-        lock(&self.leadership).observe(now, view.row, view.age);
+        let mut leadership = lock(&self.leadership);
+        leadership.record_era(view.era);
+        leadership.observe(now, view.row, view.age);
         Ok(())
     }
 
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -47,6 +47,8 @@
 pub struct LeaderView {
     /// Time since the leader wrote its row, by the clock of the store.
     pub age: Duration,
+    /// Number of times that the store was restored from an older copy.
+    pub era: u64,
     /// Row and its version; none if there is no row.
     pub row: Option<(LeaderRow, u64)>,
 }
@@ -61,7 +63,8 @@
     fn read(&mut self) -> BoxFuture<'_, Result<LeaderView, Error>>;
 
     /// Writes the row if its version is still `expected_version`, where 0 stands for a row that
-    /// does not exist. Returns the new version, or none if another write came first.
+    /// does not exist. Returns the new version, or none if another write came first or the store was
+    /// restored since the row was read.
     ///
     /// # Errors
     ///
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -249,3 +249,55 @@
     one.record_conflict();
     assert_eq!(one.fence(at(1_001)), None);
 }
+
+/// Guards against two leaders with the same fence after the store was restored from a copy whose row is older than
+/// the last leader's.
+#[test]
+fn fence_of_a_lost_row_is_not_used_again() {
+    let (mut table, mut one) = (Table::default(), instance("a"));
+    run_round(at(0), &mut table, &mut one);
+    let copy = (table.row.clone(), table.version);
+    // Another leader takes over after the copy.
+    let mut other = instance("b");
+    let mut used = vec![one.fence(at(0)).unwrap()];
+    for second in 0..6 {
+        run_round_at(at(second * 1_000), &mut table, &mut other, "b");
+    }
+    used.extend(other.fence(at(5_000)));
+    (table.row, table.version) = copy;
+    for (index, start) in ["c", "d", "e"].into_iter().enumerate() {
+        let mut next = instance(start);
+        next.record_era(1);
+        let start_ms = 10_000 * (index as u64 + 1);
+        for second in 0..6 {
+            run_round_at(at(start_ms + second * 1_000), &mut table, &mut next, start);
+        }
+        used.extend(next.fence(at(start_ms + 5_000)));
+    }
+    assert_eq!(used.len(), 5);
+    assert!(used.is_sorted_by(|one, other| one < other), "{used:?}");
+}
+
+/// Guards against a fence that is used twice because a leader of the time before the restoration overwrites the row
+/// of the new one: its expected version was given out again.
+#[test]
+fn fence_is_new_after_an_old_leader_overwrote_the_row() {
+    let (mut table, mut old) = (Table::default(), instance("a"));
+    run_round(at(0), &mut table, &mut old);
+    let (row, version) = table.row.clone().unwrap();
+    let mut new = instance("b");
+    new.record_era(1);
+    new.observe(at(0), Some((row.clone(), version)), Duration::ZERO);
+    for second in 1..6 {
+        run_round_at(at(second * 1_000), &mut table, &mut new, "b");
+    }
+    let before = new.fence(at(5_000)).unwrap();
+    // The old leader renews its row as if it had not been lost.
+    table.version += 1;
+    table.row = Some((row, table.version));
+    old.record_conflict();
+    old.record_era(1);
+    run_round(at(6_000), &mut table, &mut old);
+    let after = old.fence(at(6_000)).unwrap();
+    assert!(after > before, "{after} after {before}");
+}
