Let an older copy of the configuration confirm nothing

Callers saw: nothing yet; withdrawn keys could have stayed valid longer than allowed. Cause: each read recorded the configuration in use as current, even if the store or the leader had an older one. Such a source may also lack a newer one, in which keys were withdrawn. Class: a confirmation that does not say of what. Change: a read carries the version that the source holds, and confirms only that one or an older one. An instance that is asked by one with a newer configuration answers that it confirms nothing. Messages are as before.

--- a/crates/catalog/src/latest_catalog.rs
+++ b/crates/catalog/src/latest_catalog.rs
@@ -21,13 +21,15 @@
         true
     }
 
-    /// Records that a read sent at `sent_at` found no version newer than `version`.
-    pub fn confirm(&mut self, version: u64, sent_at: Duration) {
+    /// Records that a read sent at `sent_at` found no version newer than `version`. Returns whether this confirms
+    /// the catalog. A source that only has an older version may lack even newer ones, so it confirms nothing.
+    pub fn confirm(&mut self, version: u64, sent_at: Duration) -> bool {
         let held = self.catalog.as_ref().map(|held| held.version());
         if held.is_none_or(|held| held > version) {
-            return;
+            return false;
         }
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+        true
     }
 
     /// Returns the newest catalog.
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -49,9 +49,9 @@
         let age_ms = clock::now().saturating_sub(read.sent_at).as_millis() as u64;
         tracing::info!(version, before, is_taken, age_ms, "configuration {origin}");
     }
-    if read.is_current {
-        let version = latest.version();
-        latest.confirm(version, read.sent_at);
+    if read.is_current && !latest.confirm(read.version, read.sent_at) {
+        let (read, held) = (read.version, latest.version());
+        tracing::debug!(read, held, "an older configuration confirms nothing");
     }
     drop(latest);
     if has_changed {
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -84,6 +84,13 @@
     NotCurrent,
 }
 
+/// State of this instance that a query named.
+#[derive(Clone, Copy, Debug)]
+struct QueryBase {
+    catalog_version: u64,
+    revision: u64,
+}
+
 struct Follower {
     /// Instances that returned no current state, with the time until which they are queried last.
     avoided: HashMap<SocketAddr, Duration>,
@@ -149,7 +156,10 @@
 
     async fn query_source(&mut self, address: SocketAddr, wait: Duration) -> QueryOutcome {
         let query = self.build_query(address, wait);
-        let revision = query.revision;
+        let base = QueryBase {
+            catalog_version: query.catalog_version,
+            revision: query.revision,
+        };
         let queried_at = clock::now();
         match self.relay.ask(address, query).await {
             Err(error) => {
@@ -163,7 +173,7 @@
                 QueryOutcome::Redirected
             }
             Ok(RelayReply::Answer(answer)) => {
-                let is_current = self.apply_answer(address, queried_at, revision, *answer);
+                let is_current = self.apply_answer(address, queried_at, base, *answer);
                 match is_current && self.shared.uses_relayed_state(clock::now()) {
                     false => QueryOutcome::NotCurrent,
                     true => QueryOutcome::Current,
@@ -214,22 +224,28 @@
         &mut self,
         source: SocketAddr,
         queried_at: Duration,
-        revision: u64,
+        base: QueryBase,
         answer: Answer,
     ) -> bool {
         let (router, shared) = (&self.router, &self.shared);
         // The query arrived after it was sent, so this is not later than the time of the answer.
         let answered_at = queried_at + answer.waited;
         let confirmed_at = answered_at.saturating_sub(answer.catalog_age);
+        let catalog = answer.catalog.map(|parts| Arc::new(Catalog::new(parts)));
+        // An instance with an older version says that it confirmed none.
+        let version = catalog
+            .as_ref()
+            .map_or(base.catalog_version, |one| one.version());
         let read = CatalogRead {
-            catalog: answer.catalog.map(|parts| Arc::new(Catalog::new(parts))),
+            catalog,
             is_current: true,
             sent_at: confirmed_at,
+            version,
         };
         catalog_loop::apply_read(router, shared, read, "relayed");
         let read_at = answered_at.saturating_sub(answer.targets_age);
         let relayed = RelayedTargets {
-            base_revision: revision,
+            base_revision: base.revision,
             change: answer.targets,
             confirmed_at,
             distance: answer.distance,
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -3,6 +3,8 @@
 /// Shortest time between sums of the other instances' loads, which this instance uses to choose
 /// targets.
 const LOAD_SUM_INTERVAL: Duration = Duration::from_millis(50);
+/// Age of a confirmation that counts for nothing.
+const UNCONFIRMED_AGE: Duration = Duration::from_secs(3_600);
 
 /// Answers the queries of other instances with the state of this one.
 ///
@@ -90,9 +92,14 @@
             (fleet.own_loads(), fleet.unlisted_departures())
         };
         let tree = self.shared.tree();
+        // The requester has a configuration that this instance has not read, so nothing here confirms it.
+        let catalog_age = match catalog.version() < query.catalog_version {
+            true => UNCONFIRMED_AGE,
+            false => now.saturating_sub(confirmed_at),
+        };
         Some(Answer {
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
-            catalog_age: now.saturating_sub(confirmed_at),
+            catalog_age,
             crashes: self.router.suspects().reports_for(now, requester),
             departures,
             distance: self.shared.distance(now),
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -10,6 +10,9 @@
     /// Whether the read confirmed the newest version. False when the newest version could not be
     /// read.
     pub is_current: bool,
+    /// Newest version in the source; 0 if there is none. It may be older than one that was read before, if
+    /// the source was restored from a copy.
+    pub version: u64,
 }
 
 /// Source of configurations.
