Keep targets leaving and listed after the store was restored from a copy

Callers saw: nothing yet; requests could have gone to targets that leave, and targets that registered after the copy would have been dropped for a moment. Cause: the list was replaced by the copy's, in which a leaving target may still be ready, and others are missing. The time for which missing targets are kept began only after an outage of three seconds. Evidence: leaving_target_stays_leaving_after_the_list_was_restored and target_missing_in_a_restored_list_is_kept_until_it_registers_again fail on the list of before. Change: an incarnation that was listed as leaving stays so; a restored list keeps missing targets for two seconds, as after an outage.

--- a/crates/fleet/src/target_list.rs
+++ b/crates/fleet/src/target_list.rs
@@ -17,7 +17,8 @@
     listed: HashMap<TargetId, Target>,
     /// Targets whose entries may have lapsed, and when they count as removed.
     lapsed: HashMap<TargetId, (Target, Duration)>,
-    /// When the service last answered again after an outage in which entries may have lapsed.
+    /// When the service last answered again after an outage in which entries may have lapsed, or after it was
+    /// restored from an older copy.
     returned_at: Option<Duration>,
 }
 
@@ -30,6 +31,11 @@
         }
     }
 
+    /// Records that the list was restored from an older copy, in which entries may be missing.
+    pub fn record_restored(&mut self, now: Duration) {
+        self.returned_at = Some(now);
+    }
+
     /// Replaces the whole state by the list that another instance kept while this one did not read the
     /// service. Targets that are not in it count as removed, however long ago this instance last read.
     pub fn reset(&mut self, now: Duration, targets: Vec<Target>) {
@@ -42,8 +48,13 @@
         }
     }
 
-    /// Adds or replaces an entry.
-    pub fn upsert(&mut self, target: Target) {
+    /// Adds or replaces an entry. A target that is leaving does not stay after all, so an entry that says so is
+    /// older, unless the target has restarted.
+    pub fn upsert(&mut self, mut target: Target) {
+        let known = self.listed.get(&target.id);
+        let is_same =
+            |known: &&Target| target.incarnation != 0 && known.incarnation == target.incarnation;
+        target.is_leaving |= known.filter(is_same).is_some_and(|known| known.is_leaving);
         self.lapsed.remove(&target.id);
         self.listed.insert(target.id.clone(), target);
     }
--- a/crates/fleet/tests/target_list.rs
+++ b/crates/fleet/tests/target_list.rs
@@ -72,3 +72,40 @@
     target_list.record_answer(at(9_100));
     assert_eq!(ids(&mut target_list, 9_100), ["y"]);
 }
+
+fn incarnation(number: u64, is_leaving: bool) -> fleet::Target {
+    fleet::Target {
+        incarnation: number,
+        is_leaving,
+        ..target("x", "booking")
+    }
+}
+
+fn is_leaving(target_list: &mut TargetList) -> bool {
+    target_list
+        .listing(at(2_000))
+        .iter()
+        .any(|one| one.is_leaving)
+}
+
+/// Guards against new requests to a leaving target whose entry comes from an older copy of the list.
+#[test]
+fn leaving_target_stays_leaving_after_the_list_was_restored() {
+    let mut target_list = target_list();
+    target_list.upsert(incarnation(7, true));
+    target_list.replace(at(1_500), vec![incarnation(7, false)]);
+    assert!(is_leaving(&mut target_list));
+    target_list.upsert(incarnation(8, false));
+    assert!(!is_leaving(&mut target_list), "a restarted target");
+}
+
+/// Guards against the loss of targets that registered after the copy from which the list was restored.
+#[test]
+fn target_missing_in_a_restored_list_is_kept_until_it_registers_again() {
+    let mut target_list = target_list();
+    target_list.record_answer(at(1_500));
+    target_list.record_restored(at(1_500));
+    target_list.replace(at(1_500), vec![target("y", "booking")]);
+    assert_eq!(ids(&mut target_list, 3_499), ["x", "y"]);
+    assert_eq!(ids(&mut target_list, 3_500), ["y"]);
+}
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -43,6 +43,10 @@
     ///
     /// Returns an error when the source does not answer.
     fn read(&mut self, wait: Duration) -> BoxFuture<'_, Result<TargetChange, Error>>;
+
+    /// Number of times that the source was restored from an older copy, as of the last read; none before the
+    /// first one.
+    fn era(&self) -> Option<u64>;
 }
 
 /// Result of one read of the leader's row.
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -19,6 +19,7 @@
     let mut status = DependencyStatus::new("target list");
     let mut target_list = TargetList::default();
     let mut used_relayed_state = false;
+    let mut era: Option<u64> = None;
     loop {
         let now = clock::now();
         let uses_relayed_state = shared.uses_relayed_state(now);
@@ -41,6 +42,11 @@
                 let now = clock::now();
                 status.record_success(now);
                 target_list.record_answer(now);
+                let before = std::mem::replace(&mut era, source.era());
+                if before.is_some() && before != era {
+                    tracing::info!(era, before, "target list was restored from a copy");
+                    target_list.record_restored(now);
+                }
                 apply(&mut target_list, now, change);
                 let listing = target_list.listing(now);
                 if let Some(before) = shared.set_targets(now, listing.clone()) {
