Wait for another instance's configuration after the store was restored from a copy

Callers saw: nothing yet; an instance that started before the operator had written again could have accepted keys that were withdrawn after the copy. Cause: an instance without a configuration used the first one that it read. Class: trust in a source of unknown age. Evidence: without the check, started_instance_does_not_use_the_copy_while_another_one_knows_better fails (the copy is in use). Change: the leader records in its row the last era in which it found its configuration in the store. While that is not the current era, an instance without a configuration waits for that of another one, at most two seconds. If the row shows the current era, it waits only for the row.

--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -6,6 +6,9 @@
 /// without a new confirmation, so an instance that is cut off continues to serve for another 3 s.
 pub(crate) const MAX_WAIT: Duration = Duration::from_millis(800);
 
+/// Delay before it is checked again whether the first configuration may be read from the store.
+const TRUST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Keeps the configuration of a router up to date by reading it from the store.
 pub async fn follow_catalog(
     router: Arc<Router>,
@@ -21,6 +24,11 @@
             sleep(RELAYED_POLL_INTERVAL).await;
             continue;
         }
+        let is_first = router.catalog().catalog().is_none();
+        if is_first && !shared.trusts_store(now) {
+            sleep(TRUST_POLL_INTERVAL).await;
+            continue;
+        }
         match source.read(wait).await {
             Err(error) => {
                 status.record_failure(clock::now(), &error);
@@ -49,7 +57,11 @@
         let age_ms = clock::now().saturating_sub(read.sent_at).as_millis() as u64;
         tracing::info!(version, before, is_taken, age_ms, "configuration {origin}");
     }
-    if read.is_current && !latest.confirm(read.version, read.sent_at) {
+    let is_confirmed = read.is_current && latest.confirm(read.version, read.sent_at);
+    if is_confirmed {
+        shared.record_settled_era(read.era);
+    }
+    if read.is_current && !is_confirmed {
         let (read, held) = (read.version, latest.version());
         tracing::debug!(read, held, "an older configuration confirms nothing");
     }
--- a/crates/reconcile/src/leadership.rs
+++ b/crates/reconcile/src/leadership.rs
@@ -40,6 +40,8 @@
     pub fence: u64,
     /// Start id of the leading instance; empty if the leadership was released.
     pub holder: Arc<str>,
+    /// Last era of the store in which the leader found its configuration, or a newer one, in the store.
+    pub settled_era: u64,
     /// Tree that determines which instances query which; none if it is not known.
     pub tree: Option<RelayTree>,
 }
@@ -51,6 +53,7 @@
         Self {
             fence,
             holder: Arc::from(""),
+            settled_era: 0,
             tree: None,
         }
     }
@@ -258,6 +261,7 @@
         let row = LeaderRow {
             fence,
             holder: Arc::from(""),
+            settled_era: row.settled_era,
             tree: row.tree.clone(),
         };
         tracing::info!(instance = &*self.instance, fence, "leadership released");
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -118,6 +118,9 @@
         let view = self.table.read().await?;
         let now = clock::now();
         self.must_read = false;
+        let settled = view.row.as_ref().map(|(row, _)| row.settled_era);
+        let is_settled = settled.is_none_or(|settled| settled == view.era);
+        self.shared.record_leader_row(now, is_settled);
         let tree = view.row.as_ref().and_then(|(row, _)| row.tree.clone());
         if let Some(tree) = tree {
             self.shared.set_tree(tree, self.row.relay_address);
@@ -143,6 +146,7 @@
         let row = LeaderRow {
             fence,
             holder,
+            settled_era: self.shared.settled_era(),
             tree: Some(tree.clone()),
         };
         match self.table.write(row.clone(), expected_version).await? {
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -5,6 +5,8 @@
 pub struct CatalogRead {
     /// Configuration returned by the read; none if it has not changed.
     pub catalog: Option<Arc<Catalog>>,
+    /// Number of times that the source was restored from an older copy.
+    pub era: u64,
     /// Time at which the read was sent, on a clock that includes time spent suspended.
     pub sent_at: Duration,
     /// Whether the read confirmed the newest version. False when the newest version could not be
--- a/crates/reconcile/tests/leadership.rs
+++ b/crates/reconcile/tests/leadership.rs
@@ -50,6 +50,7 @@
     LeaderRow {
         fence,
         holder: holder.into(),
+        settled_era: 0,
         tree: Some(tree),
     }
 }
@@ -190,6 +191,7 @@
     let leader_row = LeaderRow {
         fence: 1,
         holder: "b.1".into(),
+        settled_era: 0,
         tree: Some(tree),
     };
     let mut stand_in = Leadership::new("s.1".into(), own.relay_address, settings);
--- a/crates/relay/tests/restored.rs
+++ b/crates/relay/tests/restored.rs
@@ -7,9 +7,9 @@
     catalog::{Catalog, CatalogParts},
     forward::Error,
     futures::{FutureExt, future::BoxFuture},
-    reconcile::{CatalogRead, CatalogSource, follow_catalog},
+    reconcile::{CatalogRead, CatalogSource, SharedState, follow_catalog},
     std::{sync::Arc, time::Duration},
-    support::{Node, follow, leader, node, publish, version},
+    support::{Node, follow, leader, node, publish, version, wait_until},
     tokio::time::{sleep, timeout},
 };
 
@@ -28,6 +28,7 @@
         };
         let read = CatalogRead {
             catalog: Some(Arc::new(Catalog::new(parts))),
+            era: 0,
             is_current: true,
             sent_at: clock::now(),
             version: self.0,
@@ -86,3 +87,50 @@
     publish(&leader, 5);
     assert!(is_confirmed_again(&node, before, LIMIT).await);
 }
+
+/// Guards against an instance that starts before the operator has written again, and accepts keys that were
+/// withdrawn after the copy.
+#[tokio::test]
+async fn started_instance_does_not_use_the_copy_while_another_one_knows_better() {
+    let (leader, _task) = leader().await;
+    publish(&leader, 5);
+    let node = node("b", ([127, 0, 0, 1], 1).into());
+    node.shared.record_leader_row(clock::now(), false);
+    let copy = Box::new(Source(4));
+    let reading = follow_catalog(node.router.clone(), copy, node.shared.clone());
+    tokio::spawn(reading);
+    sleep(SHORT_TIME).await;
+    assert_eq!(version(&node), 0, "the copy is in use");
+    follow(&node, &leader);
+    wait_until(|| version(&node) == 5).await;
+}
+
+/// Guards against instances that never serve because no other one has a configuration.
+#[tokio::test]
+async fn copy_is_used_when_no_instance_knows_better() {
+    let node = node("b", ([127, 0, 0, 1], 1).into());
+    node.shared.record_leader_row(clock::now(), false);
+    let copy = Box::new(Source(4));
+    tokio::spawn(follow_catalog(
+        node.router.clone(),
+        copy,
+        node.shared.clone(),
+    ));
+    wait_until(|| version(&node) == 4).await;
+}
+
+/// Guards against a start that waits although the store was not restored.
+#[test]
+fn store_is_trusted_at_once_when_the_leader_found_its_configuration_there() {
+    let shared = SharedState::default();
+    let at = Duration::from_millis;
+    assert!(
+        !shared.trusts_store(at(1_000)),
+        "the leader's row is not known"
+    );
+    shared.record_leader_row(at(1_010), true);
+    assert!(shared.trusts_store(at(1_010)));
+    shared.record_leader_row(at(1_020), false);
+    assert!(!shared.trusts_store(at(3_009)));
+    assert!(shared.trusts_store(at(3_010)));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -97,6 +97,7 @@
     LeaderRow {
         fence: 1,
         holder: node.row.start.clone(),
+        settled_era: 0,
         tree: Some(RelayTree::build(&node.row, &[], version)),
     }
 }
