Limit the waits that other instances may name for permits

Callers saw: nothing; found by reading. A malformed reply ended the task of a request or held it for ever. Cause: a wait from another instance was added to the clock and slept without a limit. Class: values of peers that are used unchecked. Evidence: reply_with_an_endless_wait_is_survived fails without the change. Change: a permit that comes later than the request can wait is not relied on; a denial is remembered for an hour at most, and callers are asked to retry within a minute.

--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -3,6 +3,9 @@
 /// Longest time for which a denied permit is remembered. The limit may have risen or ended in the meantime.
 const MAX_DENIAL_AGE: Duration = Duration::from_millis(500);
 
+/// Longest wait for a permit that is remembered. It comes from another instance, and must not overflow the clock.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
 /// Limit on the rate of requests that a target announces in its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateLimit {
@@ -91,6 +94,7 @@
     /// Records that a permit for a target is expected only after `wait`. Until then, only requests that can
     /// wait are sent to it.
     pub fn record_denial(&mut self, now: Duration, key: TargetKey, wait: Duration) {
+        let wait = wait.min(MAX_WAIT);
         if let Some(state) = self.targets.get_mut(key) {
             state.denial = Denial {
                 permit_at: now + wait,
--- a/crates/forward/src/permits.rs
+++ b/crates/forward/src/permits.rs
@@ -7,6 +7,8 @@
 /// Time by which a request waits longer than the expected wait, so that it still counts as able to wait when
 /// the target is chosen again.
 const WAIT_MARGIN: Duration = Duration::from_millis(20);
+/// Longest time after which a refused caller is asked to retry. Limits change within minutes.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Number of targets that are tried for a permit. Each denial is remembered, so that few requests need more
 /// than two tries.
 const MAX_TRIES: usize = 16;
@@ -122,8 +124,11 @@
                 reply.permit
             }
         };
-        if let Some(permit) = reply {
-            return permit;
+        match reply {
+            None => {}
+            // A reply that does not fit the query is not relied on.
+            Some(Permit::Granted(wait)) if wait > max_wait => {}
+            Some(permit) => return permit,
         }
         metrics::counter!("forward_permit_fallbacks_total").increment(1);
         let rate_per_s = query.rate_per_s.unwrap_or_default();
@@ -214,7 +219,7 @@
         let path = match wait_queue::choose(router, admitted, &demand).await {
             Ok(path) => path,
             Err(Refusal::Unavailable(NoPath::RateLimited(wait))) => {
-                shortest = wait;
+                shortest = wait.min(MAX_RETRY_AFTER);
                 if clock::now() + wait > wait_until {
                     break;
                 }
@@ -242,7 +247,7 @@
                 return Ok(path);
             }
             Permit::Denied(wait) => {
-                shortest = shortest.min(wait);
+                shortest = shortest.min(wait.min(MAX_RETRY_AFTER));
                 let mut fleet = router.fleet();
                 fleet.record_denial(clock::now(), target.key, wait);
             }
--- a/crates/forward/tests/permits.rs
+++ b/crates/forward/tests/permits.rs
@@ -173,3 +173,23 @@
     let reply = query(&router.router, Some(2.0), Duration::ZERO);
     assert_eq!(reply.permit, None);
 }
+
+/// Guards against a malformed reply of another instance that ends the process or holds a request for ever.
+#[tokio::test]
+async fn reply_with_an_endless_wait_is_survived() {
+    let limited = limited().await;
+    let (router, owner) = router_with_owner(&limited).await;
+    for permit in [
+        Permit::Granted(Duration::MAX),
+        Permit::Denied(Duration::MAX),
+    ] {
+        owner.set_reply(permit, Some(2.0));
+        let answer = tokio::time::timeout(support::LIMIT, status(&router)).await;
+        assert_eq!(answer, Ok(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    owner.set_reply(Permit::Granted(Duration::ZERO), Some(f64::NAN));
+    let answer = tokio::time::timeout(support::LIMIT, status(&router)).await;
+    assert!(answer.is_ok());
+    let reply = query(&router.router, Some(f64::INFINITY), Duration::MAX);
+    assert_eq!(reply.permit, None);
+}
