--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -166,13 +166,12 @@
                 return Err(NoPath::Paused(wait));
             }
             // An engine that is full has capacity again within milliseconds, and needs no permit.
-            if let Some(wait) = finder.permit_wait(now).filter(|_| !is_first_full) {
-                return Err(NoPath::RateLimited(wait));
-            }
-            return Err(match (holder_count, is_any_full) {
-                (0, _) => NoPath::NoTarget,
-                (_, false) => NoPath::Incomplete,
-                (_, true) => NoPath::Full,
+            let permit_wait = finder.permit_wait(now).filter(|_| !is_first_full);
+            return Err(match (permit_wait, holder_count, is_any_full) {
+                (Some(wait), ..) => NoPath::RateLimited(wait),
+                (None, 0, _) => NoPath::NoTarget,
+                (None, _, false) => NoPath::Incomplete,
+                (None, _, true) => NoPath::Full,
             });
         };
         let first_event_ms = finder.first_event_ms(&stages);
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -25,7 +25,7 @@
             continue;
         }
         let is_first = router.catalog().catalog().is_none();
-        if is_first && !shared.trusts_store(now) {
+        if is_first && !shared.with_store_trust(|trust| trust.is_usable(now)) {
             sleep(TRUST_POLL_INTERVAL).await;
             continue;
         }
@@ -59,7 +59,7 @@
     }
     let is_confirmed = read.is_current && latest.confirm(read.version, read.sent_at);
     if is_confirmed {
-        shared.record_settled_era(read.era);
+        shared.with_store_trust(|trust| trust.record_settled_era(read.era));
     }
     if read.is_current && !is_confirmed {
         let (read, held) = (read.version, latest.version());
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -238,7 +238,7 @@
             .map_or(base.catalog_version, |one| one.version());
         let read = CatalogRead {
             catalog,
-            era: shared.settled_era(),
+            era: shared.with_store_trust(|trust| trust.settled_era()),
             is_current: true,
             sent_at: confirmed_at,
             version,
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -120,7 +120,8 @@
         self.must_read = false;
         let settled = view.row.as_ref().map(|(row, _)| row.settled_era);
         let is_settled = settled.is_none_or(|settled| settled == view.era);
-        self.shared.record_leader_row(now, is_settled);
+        self.shared
+            .with_store_trust(|trust| trust.record_leader_row(now, is_settled));
         let tree = view.row.as_ref().and_then(|(row, _)| row.tree.clone());
         if let Some(tree) = tree {
             self.shared.set_tree(tree, self.row.relay_address);
@@ -146,7 +147,7 @@
         let row = LeaderRow {
             fence,
             holder,
-            settled_era: self.shared.settled_era(),
+            settled_era: self.shared.with_store_trust(|trust| trust.settled_era()),
             tree: Some(tree.clone()),
         };
         match self.table.write(row.clone(), expected_version).await? {
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -44,6 +44,7 @@
 mod shared_settings;
 mod shared_state;
 mod sources;
+mod store_trust;
 mod supervisor;
 mod target_history;
 mod target_loop;
@@ -65,6 +66,7 @@
     shared_settings::SharedSettings,
     shared_state::SharedState,
     sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
+    store_trust::StoreTrust,
     supervisor::supervise,
     target_history::TargetHistory,
     target_loop::follow_targets,
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -7,12 +7,6 @@
 /// Time for which another instance is considered to be answering after its last answer.
 const PEER_ANSWER_VALIDITY: Duration = Duration::from_secs(2);
 
-/// Longest time for which an instance without a configuration waits for the leader's row.
-const ROW_WAIT: Duration = Duration::from_millis(300);
-/// Longest time for which an instance without a configuration waits for that of another instance, after the
-/// store was restored from a copy. Operators and targets write again within this time.
-const RESTORED_WAIT: Duration = Duration::from_secs(2);
-
 /// State that the loops of one instance share.
 #[derive(Debug)]
 pub struct SharedState {
@@ -39,12 +33,7 @@
     /// Instance from which the list of targets was received, and its revision there; none if this
     /// instance read the list itself.
     origin: Option<(SocketAddr, u64)>,
-    /// Last era of the store in which the configuration of this instance, or a newer one, was found there.
-    settled_era: u64,
-    /// When this instance first checked whether it may read its first configuration from the store.
-    trust_checked_at: Option<Duration>,
-    /// When the leader's row was first read, and whether the row is of the current era of the store.
-    leader_row_read: Option<(Duration, bool)>,
+    store_trust: StoreTrust,
     /// Role of this instance in the tree.
     role: TreeRole,
     /// Time at which the relayed state was current; none while this instance reads the stores
@@ -83,10 +72,8 @@
                 loads: ReportedLoads::default(),
                 membership: Membership::default(),
                 origin: None,
-                leader_row_read: None,
                 role: TreeRole::default(),
-                settled_era: 0,
-                trust_checked_at: None,
+                store_trust: StoreTrust::default(),
                 relayed_at: None,
                 targets: TargetHistory::new(first_revision),
                 targets_at: None,
@@ -388,41 +375,9 @@
         }
     }
 
-    /// Records that the leader's row was read. `is_settled` says whether the leader has found its configuration in
-    /// the store since the store was last restored from a copy.
-    pub fn record_leader_row(&self, now: Duration, is_settled: bool) {
-        let mut state = self.lock();
-        let read_at = state.leader_row_read.map_or(now, |(at, _)| at);
-        if state
-            .leader_row_read
-            .is_none_or(|(_, before)| before != is_settled)
-        {
-            tracing::info!(is_settled, "state of the store after its last restoration");
-        }
-        state.leader_row_read = Some((read_at, is_settled));
-    }
-
-    /// Whether an instance without a configuration may use the one in the store. The store may have been restored
-    /// from a copy that is older than what other instances know, and keys may have been withdrawn since.
-    pub fn trusts_store(&self, now: Duration) -> bool {
-        let mut state = self.lock();
-        let checked_at = *state.trust_checked_at.get_or_insert(now);
-        match state.leader_row_read {
-            None => now >= checked_at + ROW_WAIT,
-            Some((_, true)) => true,
-            Some((read_at, false)) => now >= read_at + RESTORED_WAIT,
-        }
-    }
-
-    /// Records that the configuration of this instance, or a newer one, was found in the store in this era.
-    pub fn record_settled_era(&self, era: u64) {
-        let mut state = self.lock();
-        state.settled_era = state.settled_era.max(era);
-    }
-
-    /// Last era of the store in which the configuration of this instance, or a newer one, was found there.
-    pub fn settled_era(&self) -> u64 {
-        self.lock().settled_era
+    /// Runs `act` on what is known about the age of the store while the state is locked.
+    pub fn with_store_trust<T>(&self, act: impl FnOnce(&mut StoreTrust) -> T) -> T {
+        act(&mut self.lock().store_trust)
     }
 
     /// Discards the confirmation of relayed state, so that this instance reads the stores itself.
--- a/crates/relay/tests/restored.rs
+++ b/crates/relay/tests/restored.rs
@@ -7,7 +7,7 @@
     catalog::{Catalog, CatalogParts},
     forward::Error,
     futures::{FutureExt, future::BoxFuture},
-    reconcile::{CatalogRead, CatalogSource, SharedState, follow_catalog},
+    reconcile::{CatalogRead, CatalogSource, follow_catalog},
     std::{sync::Arc, time::Duration},
     support::{Node, follow, leader, node, publish, version, wait_until},
     tokio::time::{sleep, timeout},
@@ -95,7 +95,8 @@
     let (leader, _task) = leader().await;
     publish(&leader, 5);
     let node = node("b", ([127, 0, 0, 1], 1).into());
-    node.shared.record_leader_row(clock::now(), false);
+    node.shared
+        .with_store_trust(|trust| trust.record_leader_row(clock::now(), false));
     let copy = Box::new(Source(4));
     let reading = follow_catalog(node.router.clone(), copy, node.shared.clone());
     tokio::spawn(reading);
@@ -109,7 +110,8 @@
 #[tokio::test]
 async fn copy_is_used_when_no_instance_knows_better() {
     let node = node("b", ([127, 0, 0, 1], 1).into());
-    node.shared.record_leader_row(clock::now(), false);
+    node.shared
+        .with_store_trust(|trust| trust.record_leader_row(clock::now(), false));
     let copy = Box::new(Source(4));
     tokio::spawn(follow_catalog(
         node.router.clone(),
@@ -118,19 +120,3 @@
     ));
     wait_until(|| version(&node) == 4).await;
 }
-
-/// Guards against a start that waits although the store was not restored.
-#[test]
-fn store_is_trusted_at_once_when_the_leader_found_its_configuration_there() {
-    let shared = SharedState::default();
-    let at = Duration::from_millis;
-    assert!(
-        !shared.trusts_store(at(1_000)),
-        "the leader's row is not known"
-    );
-    shared.record_leader_row(at(1_010), true);
-    assert!(shared.trusts_store(at(1_010)));
-    shared.record_leader_row(at(1_020), false);
-    assert!(!shared.trusts_store(at(3_009)));
-    assert!(shared.trusts_store(at(3_010)));
-}
