End a limit on requests only by answers of the limited target

Callers saw: nothing; found by reading the change. A departure in a misdirected answer was no longer recorded, and a report without the header would have ended a limit. Cause: the announcements of misdirected answers were all left out, and reports were treated like answers to requests. Change: only the limit of a misdirected answer is left out; a report may set a limit but not end it. Result: tests of announcements, limits and permits pass, with a new one for misdirected answers.

--- a/crates/fleet/src/target_state.rs
+++ b/crates/fleet/src/target_state.rs
@@ -15,7 +15,9 @@
     pub(crate) availability: Availability,
     /// Last load that the target reported, and when the report arrived.
     pub(crate) load: Option<(Load, Duration)>,
+    /// Last permit for it that was denied.
     pub(crate) denial: Denial,
+    /// Limit on the requests of all instances, as last announced.
     pub(crate) rate_limit: RateLimit,
     /// Tokens times layers of the requests that this instance sent since it last received the loads
     /// of the other instances.
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -117,12 +117,12 @@
         if let Some(load) = self.metadata.load {
             router.fleet().record_load(now, first.key, load);
         }
-        // A misdirected request was answered by another target.
-        if self.reply.status != StatusCode::MISDIRECTED_REQUEST {
-            let id = &admitted.metadata.id;
-            if target_notices::record(router, id, &first, &self.metadata) {
-                tokio::spawn(permits::report_limit(router.clone(), first.clone()));
-            }
+        target_notices::record(router, &admitted.metadata.id, &first, &self.metadata);
+        // Another target than the expected one may have answered a misdirected request.
+        let is_misdirected = self.reply.status == StatusCode::MISDIRECTED_REQUEST;
+        let rate_per_s = self.metadata.rate_limit_per_s;
+        if !is_misdirected && target_notices::record_limit(router, &first, rate_per_s) {
+            tokio::spawn(permits::report_limit(router.clone(), first.clone()));
         }
         if self.metadata.is_not_run {
             self.record_refusal(router, admitted);
--- a/crates/forward/src/permits.rs
+++ b/crates/forward/src/permits.rs
@@ -4,8 +4,8 @@
 
 /// Longest wait for the answer of an owner. Instances in one region answer within a few milliseconds.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time by which a request waits longer than the expected wait, so that it still counts as able to wait when
-/// the target is chosen again.
+/// Added to the expected wait for a permit, so that the request still counts as able to wait when the target is
+/// chosen again a moment later.
 const WAIT_MARGIN: Duration = Duration::from_millis(20);
 /// Longest time after which a refused caller is asked to retry. Limits change within minutes.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -80,7 +80,10 @@
                 continue;
             };
             router.suspects().record_answer(stage);
-            target_notices::record_rate_limit(&mut fleet, now, stage, state.rate_limit_per_s);
+            // Only answers to requests end a limit: a report may leave it out.
+            if let Some(per_s) = state.rate_limit_per_s {
+                target_notices::record_rate_limit(&mut fleet, now, stage, Some(per_s));
+            }
             if state.is_leaving {
                 target_notices::mark_leaving(&router.pool, &mut fleet, now, stage);
             }
--- a/crates/forward/src/target_notices.rs
+++ b/crates/forward/src/target_notices.rs
@@ -3,17 +3,13 @@
 
 use super::*;
 
-/// Records what an answer announces about further requests to its target. Returns whether the limit on the
-/// rate of requests changed.
-pub(crate) fn record(
-    router: &Router,
-    request: &str,
-    target: &Stage,
-    metadata: &ReplyMetadata,
-) -> bool {
+/// Records what an answer announces about further requests to its target, except a limit on their rate.
+pub(crate) fn record(router: &Router, request: &str, target: &Stage, metadata: &ReplyMetadata) {
+    if !metadata.is_leaving && metadata.retry_after.is_none() {
+        return;
+    }
     let now = clock::now();
     let mut fleet = router.fleet();
-    let has_new_limit = record_rate_limit(&mut fleet, now, target, metadata.rate_limit_per_s);
     if metadata.is_leaving && mark_leaving(&router.pool, &mut fleet, now, target) {
         tracing::info!(
             request,
@@ -24,7 +20,11 @@
     if let Some(wait) = metadata.retry_after {
         mark_paused(&mut fleet, now, target, wait);
     }
-    has_new_limit
+}
+
+/// Records the limit on the rate of requests in an answer. Returns whether it changed.
+pub(crate) fn record_limit(router: &Router, target: &Stage, rate_per_s: Option<f64>) -> bool {
+    record_rate_limit(&mut router.fleet(), clock::now(), target, rate_per_s)
 }
 
 /// Records the limit on the rate of requests that a target announced, or that it announced none. Returns
--- a/crates/forward/tests/rate_limits.rs
+++ b/crates/forward/tests/rate_limits.rs
@@ -134,3 +134,27 @@
     let (answered, refused, _) = send_all(&router, 40).await;
     assert_eq!((answered, refused), (40, 0));
 }
+
+/// Guards against the end of a limit that another target at the same address seems to announce.
+#[tokio::test]
+async fn misdirected_answer_does_not_end_a_limit() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let limited = target(move |request| {
+        let number = count.fetch_add(1, Ordering::Relaxed);
+        if number == 1 {
+            let response = wire::text(StatusCode::MISDIRECTED_REQUEST, "another target");
+            let (name, value) = ("x-not-run", HeaderValue::from_static("1"));
+            let mut response = signed(request, response);
+            response.headers_mut().insert(name, value);
+            return ready(response);
+        }
+        let response = signed(request, wire::text(StatusCode::OK, "limited"));
+        ready(with_limit(response, Some("1")))
+    })
+    .await;
+    let router = setup(RepeatPolicy::Once, &[&limited]).start().await;
+    let (_, refused, time) = send_all(&router, 20).await;
+    let count = limited.ids().len();
+    assert!(refused > 0);
+    assert!(count as f64 <= allowed(1.0, time), "{count} in {time:?}");
+}
