Log which request a refusal names

Cause: the logs could not tell a refusal of the request itself from a copy of an earlier one that a target wrote again on the same connection. Change: lines on refusals and foreign answers name the id in the answer and the number of requests that were sent on its connection.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -138,6 +138,8 @@
                 request = &*admitted.metadata.id,
                 target = &*first.id,
                 status = status.as_u16(),
+                answered = id.unwrap_or("none"),
+                connection_requests = self.connection.request_count(),
                 is_other,
                 is_unsigned,
                 "answer does not belong to this request"
@@ -162,6 +164,8 @@
             request = &*admitted.metadata.id,
             target = &*blamed.id,
             status = self.reply.status.as_u16(),
+            answered = self.metadata.id.as_deref().unwrap_or("none"),
+            connection_requests = self.connection.request_count(),
             "target refused the request"
         );
         let is_first = blamed.key == first.key;
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -9,6 +9,7 @@
 pub struct Connection {
     address: SocketAddr,
     driver: Arc<Driver>,
+    request_count: u32,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -46,6 +47,7 @@
         Ok(Self {
             address,
             driver: Arc::new(Driver(task.abort_handle())),
+            request_count: 0,
             sender,
         })
     }
@@ -56,6 +58,12 @@
         !self.sender.is_closed()
     }
 
+    /// Number of requests that were sent on this connection, including the current one.
+    #[must_use]
+    pub fn request_count(&self) -> u32 {
+        self.request_count
+    }
+
     /// Sends a request and waits for the head of the reply, at most `Call::reply_timeout`.
     ///
     /// # Errors
@@ -106,6 +114,7 @@
         limit: Duration,
     ) -> Result<ReplyStream, Error> {
         let address = self.address;
+        self.request_count = self.request_count.saturating_add(1);
         let exchange = async {
             if self.sender.ready().await.is_err() {
                 return Err(Error::Closed { address });
