Reproduce replies to earlier requests on kept connections

Callers saw: 503 for a request that ran, 502 for one whose answer followed. A target writes a copy of an earlier refusal or answer, or one without an id, before the reply to the next request of the connection.

--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod crashing_target;
+pub mod kept_target;
 pub mod raw_target;
 
 use {
