Let only the reply to its own request pass on a kept connection

Callers saw: 503 for calls that a target ran (REFUSED, 533 cases on two deployments), and 502 for calls whose answer was still due on the connection. Cause: the client of an HTTP/1.1 connection takes the next reply for that to its request. A faulty target writes an earlier reply once more. The id in the reply was compared only after a refusal, its load, limit, leaving and failed stage had been believed, and the connection was used again with the true reply still due, so that each later request there got the one before. A reply without an id passed. Class: a reply that is matched by its position, not by its identity. Change: a filter below the HTTP client compares the header that targets repeat with that of the request. Replies to other requests are read to their end and discarded, and the client waits for its own one until its deadline. An idle connection that receives bytes is closed. The id is also compared before anything is taken from an answer. Why this works: hyper and the router see no other reply, whatever its status; the end of each discarded reply follows from its framing, and a reply without a findable end closes the connection, which promises nothing.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -84,10 +84,12 @@
             return Err((AttemptFailure::PathUnavailable, first));
         }
         let exchange = connection.send_request(message, limit);
-        let reply = match in_flight
+        let reply = in_flight
             .wait_for_reply(admitted, resend_after, exchange)
-            .await
-        {
+            .await;
+        let discarded = connection.take_discarded();
+        log_discarded(admitted, &first, &discarded);
+        let reply = match reply {
             None => return Err((AttemptFailure::Unknown, first)),
             Some(Err(error)) => {
                 return Err((record_send_failure(router, admitted, &first, &error), first));
@@ -106,7 +108,8 @@
         attempt.validate(router, admitted).await
     }
 
-    /// Accepts an answer that may be forwarded, and rejects refusals and answers to other requests.
+    /// Accepts an answer that may be forwarded, and rejects refusals and answers to other requests. Nothing is
+    /// taken from an answer to another request.
     async fn validate(
         self,
         router: &Arc<Router>,
@@ -114,6 +117,10 @@
     ) -> Result<Self, (AttemptFailure, Stage)> {
         let now = clock::now();
         let first = self.first().clone();
+        if !self.is_own(admitted) {
+            self.log_rejected(admitted, "answer does not belong to this request");
+            return Err((AttemptFailure::Unknown, first));
+        }
         if let Some(load) = self.metadata.load {
             router.fleet().record_load(now, first.key, load);
         }
@@ -129,21 +136,8 @@
             let _ = timeout(REFUSAL_BODY_TIMEOUT, self.read(router)).await;
             return Err((AttemptFailure::NotRun, first));
         }
-        let status = self.reply.status;
-        let id = self.metadata.id.as_deref();
-        let is_other = id.is_some_and(|id| *id != *admitted.metadata.id);
-        let is_unsigned = status.is_success() && !self.metadata.has_signature;
-        if is_other || is_unsigned {
-            tracing::warn!(
-                request = &*admitted.metadata.id,
-                target = &*first.id,
-                status = status.as_u16(),
-                answered = id.unwrap_or("none"),
-                connection_requests = self.connection.request_count(),
-                is_other,
-                is_unsigned,
-                "answer does not belong to this request"
-            );
+        if self.reply.status.is_success() && !self.metadata.has_signature {
+            self.log_rejected(admitted, "answer has no signature");
             return Err((AttemptFailure::Unknown, first));
         }
         router
@@ -153,6 +147,23 @@
         Ok(self)
     }
 
+    /// Whether the answer names this request, or names none and neither does the request.
+    fn is_own(&self, admitted: &Admitted) -> bool {
+        let id = self.metadata.id.as_deref().unwrap_or_default();
+        id == &*admitted.metadata.id
+    }
+
+    fn log_rejected(&self, admitted: &Admitted, message: &'static str) {
+        tracing::warn!(
+            request = &*admitted.metadata.id,
+            target = &*self.first().id,
+            status = self.reply.status.as_u16(),
+            answered = self.metadata.id.as_deref().unwrap_or("none"),
+            connection_requests = self.connection.request_count(),
+            message,
+        );
+    }
+
     /// Records which target refused the request. The first stage may report a refusal of a later stage.
     fn record_refusal(&self, router: &Router, admitted: &Admitted) {
         let first = self.first();
@@ -214,6 +225,22 @@
     }
 }
 
+/// Logs the answers to other requests that arrived before the answer to this one.
+fn log_discarded(admitted: &Admitted, target: &Stage, discarded: &DiscardedReplies) {
+    if discarded.count == 0 {
+        return;
+    }
+    metrics::counter!("forward_discarded_answers_total").increment(discarded.count.into());
+    tracing::warn!(
+        request = &*admitted.metadata.id,
+        target = &*target.id,
+        count = discarded.count,
+        status = discarded.last_status,
+        answered = discarded.last_echo,
+        "target sent answers to other requests"
+    );
+}
+
 /// Records an attempt that failed before the head of the answer arrived.
 fn record_send_failure(
     router: &Router,
--- a/crates/forward/src/header_codec.rs
+++ b/crates/forward/src/header_codec.rs
@@ -57,6 +57,9 @@
 
 /// Maps routing information to and from the headers of the wire protocol.
 pub trait HeaderCodec: Send + Sync {
+    /// Header with the id of a request, which targets repeat in its answer.
+    fn id_header(&self) -> HeaderName;
+
     /// Reads the routing information of a request.
     fn parse_request(&self, headers: &HeaderMap) -> RequestMetadata;
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -45,7 +45,7 @@
         time::timeout,
     },
     types::{CrashReport, Fingerprint, Incarnation, RequestId},
-    wire::{BodySender, Connection, ReplyStream, Request, Response},
+    wire::{BodySender, Connection, DiscardedReplies, ReplyStream, Request, Response},
 };
 
 mod admitted;
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -5,8 +5,10 @@
 const IDLE_SHARE: f64 = 0.7;
 
 /// Idle keep-alive connections to targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    /// Header with the id of a request, which targets repeat in its answer.
+    id_header: HeaderName,
     idle: Mutex<HashMap<TargetId, Vec<Idle>>>,
 }
 
@@ -18,6 +20,13 @@
 }
 
 impl Pool {
+    pub(crate) fn new(id_header: HeaderName) -> Self {
+        Self {
+            id_header,
+            idle: Mutex::default(),
+        }
+    }
+
     /// Returns the most recently used idle connection, or opens a new one.
     ///
     /// # Errors
@@ -31,8 +40,21 @@
         if let Some(connection) = self.take_idle(&stage.id) {
             return Ok(connection);
         }
+        self.open(stage, limit).await
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns `wire::Error::Connect` when no connection can be opened within `limit`.
+    pub(crate) async fn open(
+        &self,
+        stage: &Stage,
+        limit: Duration,
+    ) -> Result<Connection, wire::Error> {
         metrics::counter!("forward_connections_total").increment(1);
-        Connection::open(stage.address, limit).await
+        Connection::open_with_echo(stage.address, limit, self.id_header.clone()).await
     }
 
     /// Stores an idle connection. Its last answer must have been read to the end.
@@ -69,10 +91,13 @@
         let now = clock::now();
         let mut map = self.lock();
         let list = map.get_mut(target)?;
-        while let Some(idle) = list.pop() {
-            if idle.ends_at > now && idle.connection.is_open() {
-                return Some(idle.connection);
+        for position in (0..list.len()).rev() {
+            let idle = &list[position];
+            if idle.ends_at <= now || !idle.connection.is_open() {
+                list.remove(position);
+                continue;
             }
+            return Some(list.remove(position).connection);
         }
         None
     }
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -176,7 +176,7 @@
 /// crash of the target, and records the crash.
 pub(crate) async fn record_interruption(router: &Router, admitted: &Admitted, target: &Stage) {
     let limit = CRASH_CHECK_TIMEOUT.min(admitted.time_left());
-    match Connection::open(target.address, limit).await {
+    match router.pool.open(target, limit).await {
         Ok(connection) => {
             let idle_limit = router.settings.idle_limit;
             router.pool.put(&target.id, connection, idle_limit);
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -28,6 +28,7 @@
         engines: Arc<dyn Engines>,
         seed: u64,
     ) -> Arc<Self> {
+        let pool = Pool::new(header_codec.id_header());
         Arc::new(Self {
             answer_buffers: AnswerBuffers::new(settings.max_buffered_bytes),
             budgets: Mutex::default(),
@@ -37,7 +38,7 @@
             instances: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             permits: Permits::new(settings.instance_id.clone()),
-            pool: Pool::default(),
+            pool,
             prober: Prober::new(engines),
             prompt_parts: PromptParts::new(settings.prompt_parts.clone(), seed),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
--- a/crates/forward/tests/late_replies.rs
+++ b/crates/forward/tests/late_replies.rs
@@ -6,6 +6,7 @@
 
 use {
     catalog::RepeatPolicy,
+    layout::LayerRange,
     std::{sync::Arc, time::Duration},
     support::{
         CallerRequest, Setup, TestRouter,
@@ -122,6 +123,28 @@
     }
 }
 
+/// Guards against an engine that is avoided because a reply to another request names it as the one that failed.
+#[tokio::test]
+async fn reply_to_another_request_blames_no_engine() {
+    let later = kept_target(|_| Script::default()).await;
+    let address = later.target.address;
+    let first =
+        repeating_target(move |first| refusal(first, &format!("x-fault-at: {address}\r\n"))).await;
+    let setup = Setup {
+        attempt_count: 1,
+        held: vec![
+            LayerRange { start: 0, end: 4 },
+            LayerRange { start: 4, end: 8 },
+        ],
+        ..setup(RepeatPolicy::Once, &[&first.target, &later.target])
+    };
+    let router = setup.start().await;
+    assert_eq!(send(&router, "id1").await.0, 503);
+    for id in ["id2", "id3", "id4"] {
+        assert_eq!(send(&router, id).await, (200, id.to_owned()));
+    }
+}
+
 /// Guards against a caller that is told "not run" after a reply to another request and no further one: the
 /// request may have run.
 #[parameterized(
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -9,6 +9,8 @@
 pub struct Connection {
     address: SocketAddr,
     driver: Arc<Driver>,
+    /// State of the reply filter; none if each reply is taken for that to the last request.
+    replies: Option<SharedReplyState>,
     request_count: u32,
     sender: SendRequest<Full<Bytes>>,
 }
@@ -30,32 +32,62 @@
     ///
     /// Returns `Error::Connect` when no connection is established within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Error> {
-        let connect_error = |message: String| Error::Connect { address, message };
-        let stream = match timeout(limit, TcpStream::connect(address)).await {
-            Err(_) => return Err(connect_error(format!("no answer within {limit:?}"))),
-            Ok(result) => result.map_err(|error| connect_error(error.to_string()))?,
-        };
-        stream
-            .set_nodelay(true)
-            .map_err(|error| connect_error(error.to_string()))?;
+        let stream = connect(address, limit).await?;
+        Self::handshake(address, stream, None).await
+    }
+
+    /// Opens a connection on which only the replies to its own requests count: the server repeats the header
+    /// `echo` of a request in the reply. Other replies are discarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `open`.
+    pub async fn open_with_echo(
+        address: SocketAddr,
+        limit: Duration,
+        echo: HeaderName,
+    ) -> Result<Self, Error> {
+        let stream = connect(address, limit).await?;
+        let replies = SharedReplyState::new(echo);
+        let filter = ReplyFilter::new(stream, replies.clone());
+        Self::handshake(address, filter, Some(replies)).await
+    }
+
+    async fn handshake(
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        replies: Option<SharedReplyState>,
+    ) -> Result<Self, Error> {
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| connect_error(error.to_string()))?;
+            .map_err(|error| connect_error(address, &error))?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
         Ok(Self {
             address,
             driver: Arc::new(Driver(task.abort_handle())),
+            replies,
             request_count: 0,
             sender,
         })
     }
 
-    /// Whether the connection is open as far as this side knows; the server may have closed it.
+    /// Returns the replies to other requests that were discarded since the last call.
+    #[must_use]
+    pub fn take_discarded(&self) -> DiscardedReplies {
+        let replies = self.replies.as_ref();
+        replies
+            .map(SharedReplyState::take_discarded)
+            .unwrap_or_default()
+    }
+
+    /// Whether the connection is open as far as this side knows, and all replies were received
+    /// completely; the server may have closed it.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        !self.sender.is_closed()
+        let is_idle = self.replies.as_ref().is_none_or(SharedReplyState::is_idle);
+        is_idle && !self.sender.is_closed()
     }
 
     /// Number of requests that were sent on this connection, including the current one.
@@ -119,6 +151,11 @@
             if self.sender.ready().await.is_err() {
                 return Err(Error::Closed { address });
             }
+            if let Some(replies) = &self.replies
+                && !replies.expect_reply(&request)
+            {
+                return Err(Error::Closed { address });
+            }
             let result = self.sender.send_request(request).await;
             result.map_err(|error| hyper_error(address, &error))
         };
@@ -238,6 +275,29 @@
     }
 }
 
+async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, Error> {
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Err(_) => {
+            return Err(connect_error(
+                address,
+                &format!("no answer within {limit:?}"),
+            ));
+        }
+        Ok(result) => result.map_err(|error| connect_error(address, &error))?,
+    };
+    stream
+        .set_nodelay(true)
+        .map_err(|error| connect_error(address, &error))?;
+    Ok(stream)
+}
+
+fn connect_error(address: SocketAddr, cause: &impl ToString) -> Error {
+    Error::Connect {
+        address,
+        message: cause.to_string(),
+    }
+}
+
 /// Converts an error of hyper. A canceled request was never written, because the connection had
 /// been closed before.
 fn hyper_error(address: SocketAddr, error: &hyper::Error) -> Error {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,7 @@
 //! received bytes of a request.
 
 use {
-    bytes::{Bytes, BytesMut},
+    bytes::{Buf, Bytes, BytesMut},
     futures::future::BoxFuture,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody},
     hyper::{
@@ -26,7 +26,7 @@
         net::{IpAddr, Ipv6Addr, SocketAddr},
         pin::Pin,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         task::{self, Poll},
@@ -40,6 +40,7 @@
         task::{AbortHandle, JoinSet},
         time::{Instant, timeout, timeout_at},
     },
+    tokio_util::io::poll_read_buf,
 };
 
 mod call;
@@ -50,6 +51,8 @@
 mod fault;
 mod limits;
 mod message;
+mod reply_filter;
+mod reply_framing;
 mod request;
 mod response;
 mod server;
@@ -63,10 +66,17 @@
     fault::{EarlierSubmissions, Fault, FaultBody},
     hyper,
     limits::Limits,
+    reply_filter::DiscardedReplies,
     request::Request,
     response::{Body, BodySender, Disconnect, Response, disconnect, empty, json, stream, text},
     server::{Handler, serve},
     sse::{ServerEvent, ServerEventReader},
 };
 
-use {client_limiter::ClientLimiter, early_reply_filter::EarlyReplyFilter, message::read_json};
+use {
+    client_limiter::ClientLimiter,
+    early_reply_filter::EarlyReplyFilter,
+    message::read_json,
+    reply_filter::{ReplyFilter, SharedReplyState},
+    reply_framing::{FramingError, ReplyFraming},
+};
