Send no request again on a connection that has carried its id

Callers saw: nothing known; a request that is refused, sent again to the same target and run there could be answered with a copy of its own refusal, so with 503. Cause: only the list of excluded targets kept a request from the connection of its refusal. A copy of that names the request itself. Class: an identity that is used for two exchanges. Change: a connection keeps the hashes of the ids that it has carried, and the pool gives out no connection for an id among them. It is closed after 4,096 requests, which bounds that list to 32 KiB. Test that was wrong: connections_to_targets_are_kept sent five requests with one id; now each has its own, and each must succeed.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -69,7 +69,8 @@
         };
         let mut in_flight = InFlight::begin(router, &admitted.service, path);
         let connect_timeout = router.settings.connect_timeout.min(limit);
-        let mut connection = match router.pool.take(&first, connect_timeout).await {
+        let id = &admitted.metadata.id;
+        let mut connection = match router.pool.take(&first, id, connect_timeout).await {
             Err(error) => {
                 return Err((record_send_failure(router, admitted, &first, &error), first));
             }
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -3,6 +3,8 @@
 /// Share of the idle limit of a target after which a connection is no longer used, so that a request is
 /// not sent while the target closes the connection.
 const IDLE_SHARE: f64 = 0.7;
+/// Requests after which a connection is closed. It keeps a hash of 8 bytes for each of them.
+const MAX_CONNECTION_REQUESTS: u32 = 4_096;
 
 /// Idle keep-alive connections to targets.
 #[derive(Debug)]
@@ -27,7 +29,8 @@
         }
     }
 
-    /// Returns the most recently used idle connection, or opens a new one.
+    /// Returns the most recently used idle connection that has not carried the request before, or opens a new
+    /// one.
     ///
     /// # Errors
     ///
@@ -35,9 +38,10 @@
     pub(crate) async fn take(
         &self,
         stage: &Stage,
+        request: &RequestId,
         limit: Duration,
     ) -> Result<Connection, wire::Error> {
-        if let Some(connection) = self.take_idle(&stage.id) {
+        if let Some(connection) = self.take_idle(&stage.id, request) {
             return Ok(connection);
         }
         self.open(stage, limit).await
@@ -59,7 +63,8 @@
 
     /// Stores an idle connection. Its last answer must have been read to the end.
     pub(crate) fn put(&self, target: &TargetId, connection: Connection, idle_limit: Duration) {
-        if !connection.is_open() {
+        let request_count = connection.request_count();
+        if !connection.is_open() || request_count >= MAX_CONNECTION_REQUESTS {
             return;
         }
         let now = clock::now();
@@ -87,7 +92,7 @@
         self.lock().remove(target);
     }
 
-    fn take_idle(&self, target: &TargetId) -> Option<Connection> {
+    fn take_idle(&self, target: &TargetId, request: &RequestId) -> Option<Connection> {
         let now = clock::now();
         let mut map = self.lock();
         let list = map.get_mut(target)?;
@@ -97,6 +102,9 @@
                 list.remove(position);
                 continue;
             }
+            if idle.connection.has_carried(request) {
+                continue;
+            }
             return Some(list.remove(position).connection);
         }
         None
--- a/crates/forward/tests/answers.rs
+++ b/crates/forward/tests/answers.rs
@@ -307,8 +307,12 @@
 async fn connections_to_targets_are_kept() {
     let target = healthy_target().await;
     let router = setup(RepeatPolicy::Once, &[&target]).start().await;
-    for _ in 0..5 {
-        let _ = router.send(CallerRequest::default()).await;
+    for id in ["id1", "id2", "id3", "id4", "id5"] {
+        let request = CallerRequest {
+            id,
+            ..CallerRequest::default()
+        };
+        assert_eq!(router.send(request).await.0, StatusCode::OK);
     }
     let requests = target.requests.lock().unwrap();
     assert!(requests.iter().all(|one| one.peer == requests[0].peer));
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -73,6 +73,14 @@
         })
     }
 
+    /// Whether a request with this value of the echoed header was sent on the connection before. A copy of
+    /// its reply could not be told from the reply to another request with this value.
+    #[must_use]
+    pub fn has_carried(&self, echo: &str) -> bool {
+        let replies = self.replies.as_ref();
+        replies.is_some_and(|replies| replies.has_carried(echo.as_bytes()))
+    }
+
     /// Returns the replies to other requests that were discarded since the last call.
     #[must_use]
     pub fn take_discarded(&self) -> DiscardedReplies {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
     std::{
         collections::HashMap,
         error::Error as StdError,
+        hash::{DefaultHasher, Hasher},
         io::{self, IoSlice},
         net::{IpAddr, Ipv6Addr, SocketAddr},
         pin::Pin,
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct ReplyState {
     awaited: Option<AwaitedReply>,
+    /// Hashes of the values of the echoed header in all requests of the connection.
+    carried: Vec<u64>,
     discarded: DiscardedReplies,
     echo: HeaderName,
 }
@@ -46,6 +48,7 @@
     pub(crate) fn new(echo: HeaderName) -> Self {
         Self(Arc::new(Mutex::new(ReplyState {
             awaited: None,
+            carried: Vec::new(),
             discarded: DiscardedReplies::default(),
             echo,
         })))
@@ -63,6 +66,8 @@
             return false;
         }
         let echo = request.headers().get(&state.echo).cloned();
+        let value = echo.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
+        state.carried.push(hash(value));
         state.awaited = Some(AwaitedReply {
             echo,
             is_reply_to_head: request.method() == Method::HEAD,
@@ -70,6 +75,11 @@
         true
     }
 
+    /// Whether a request with this value of the echoed header was sent before; empty if it has no such header.
+    pub(crate) fn has_carried(&self, echo: &[u8]) -> bool {
+        self.lock().carried.contains(&hash(echo))
+    }
+
     /// Returns the replies that were discarded since the last call.
     pub(crate) fn take_discarded(&self) -> DiscardedReplies {
         std::mem::take(&mut self.lock().discarded)
@@ -258,6 +268,13 @@
     }
 }
 
+/// Hash of the value of an echoed header. Two values with the same hash only cost a new connection.
+fn hash(value: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(value.trim_ascii());
+    hasher.finish()
+}
+
 /// Error when the end of a reply to another request is not found.
 fn lost_position() -> io::Error {
     io::Error::new(
--- a/crates/wire/tests/replies.rs
+++ b/crates/wire/tests/replies.rs
@@ -210,3 +210,16 @@
         "{error}"
     );
 }
+
+/// Guards against a copy of a reply that is taken for the reply to a second request with the same id.
+#[tokio::test]
+async fn connection_knows_the_ids_that_it_has_carried() {
+    let replies = vec![with_length("1", ""), with_length("2", "")];
+    let mut connection = open(server(replies, 4_096).await).await;
+    for id in ["1", "2"] {
+        assert!(!connection.has_carried(id));
+        send(&mut connection, Method::GET, id).await.unwrap();
+        assert!(connection.has_carried(id));
+    }
+    assert!(connection.has_carried("1"));
+}
