Give the state of awaited replies a file of its own

Change: ReplyState decides whose reply a head belongs to; the filter only moves bytes. No behaviour changes. Result: tests of wire and forward pass.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -10,7 +10,7 @@
     address: SocketAddr,
     driver: Arc<Driver>,
     /// State of the reply filter; none if each reply is taken for that to the last request.
-    replies: Option<SharedReplyState>,
+    replies: Option<ReplyStateHandle>,
     request_count: u32,
     sender: SendRequest<Full<Bytes>>,
 }
@@ -48,7 +48,7 @@
         echo: HeaderName,
     ) -> Result<Self, Error> {
         let stream = connect(address, limit).await?;
-        let replies = SharedReplyState::new(echo);
+        let replies = ReplyStateHandle::new(echo);
         let filter = ReplyFilter::new(stream, replies.clone());
         Self::handshake(address, filter, Some(replies)).await
     }
@@ -56,7 +56,7 @@
     async fn handshake(
         address: SocketAddr,
         stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
-        replies: Option<SharedReplyState>,
+        replies: Option<ReplyStateHandle>,
     ) -> Result<Self, Error> {
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
@@ -86,7 +86,7 @@
     pub fn take_discarded(&self) -> DiscardedReplies {
         let replies = self.replies.as_ref();
         replies
-            .map(SharedReplyState::take_discarded)
+            .map(ReplyStateHandle::take_discarded)
             .unwrap_or_default()
     }
 
@@ -94,7 +94,7 @@
     /// completely; the server may have closed it.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        let is_idle = self.replies.as_ref().is_none_or(SharedReplyState::is_idle);
+        let is_idle = self.replies.as_ref().is_none_or(ReplyStateHandle::is_idle);
         is_idle && !self.sender.is_closed()
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -54,6 +54,7 @@
 mod message;
 mod reply_filter;
 mod reply_framing;
+mod reply_state;
 mod request;
 mod response;
 mod server;
@@ -67,7 +68,7 @@
     fault::{EarlierSubmissions, Fault, FaultBody},
     hyper,
     limits::Limits,
-    reply_filter::DiscardedReplies,
+    reply_state::DiscardedReplies,
     request::Request,
     response::{Body, BodySender, Disconnect, Response, disconnect, empty, json, stream, text},
     server::{Handler, serve},
@@ -78,6 +79,7 @@
     client_limiter::ClientLimiter,
     early_reply_filter::EarlyReplyFilter,
     message::read_json,
-    reply_filter::{ReplyFilter, SharedReplyState},
+    reply_filter::ReplyFilter,
     reply_framing::{FramingError, ReplyFraming},
+    reply_state::{ReplyKind, ReplyStateHandle},
 };
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -6,123 +6,9 @@
 const MAX_HEADERS: usize = 100;
 /// Most bytes of replies to other requests that are discarded before the reply to a request.
 const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
-/// Longest part of a header value that is kept for logs, in bytes.
-const MAX_LOGGED_BYTES: usize = 64;
 /// Smallest free space of the buffer before a read, in bytes.
 const MIN_READ_BYTES: usize = 4 * 1024;
 
-/// Replies to other requests that a connection received and discarded.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct DiscardedReplies {
-    /// Number of these replies.
-    pub count: u32,
-    /// Value of the echoed header in the last one; empty if it had none.
-    pub last_echo: String,
-    /// Status of the last one; 0 if there was none.
-    pub last_status: u16,
-}
-
-/// Request whose reply has not been received completely.
-#[derive(Clone, Debug)]
-struct AwaitedReply {
-    /// Value of the echoed header in the request; none if the request has no such header.
-    echo: Option<HeaderValue>,
-    is_reply_to_head: bool,
-}
-
-/// State that a connection shares with the filter of its replies.
-#[derive(Debug)]
-pub(crate) struct ReplyState {
-    awaited: Option<AwaitedReply>,
-    /// Hashes of the values of the echoed header in all requests of the connection.
-    carried: Vec<u64>,
-    discarded: DiscardedReplies,
-    echo: HeaderName,
-}
-
-/// Handle of the state that a connection shares with the filter of its replies.
-#[derive(Clone, Debug)]
-pub(crate) struct SharedReplyState(Arc<Mutex<ReplyState>>);
-
-impl SharedReplyState {
-    pub(crate) fn new(echo: HeaderName) -> Self {
-        Self(Arc::new(Mutex::new(ReplyState {
-            awaited: None,
-            carried: Vec::new(),
-            discarded: DiscardedReplies::default(),
-            echo,
-        })))
-    }
-
-    /// Whether all replies have been received completely.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.lock().awaited.is_none()
-    }
-
-    /// Lets the reply to `request` pass. Returns false if the reply to an earlier request is incomplete.
-    pub(crate) fn expect_reply<B>(&self, request: &hyper::Request<B>) -> bool {
-        let mut state = self.lock();
-        if state.awaited.is_some() {
-            return false;
-        }
-        let echo = request.headers().get(&state.echo).cloned();
-        let value = echo.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
-        state.carried.push(hash(value));
-        state.awaited = Some(AwaitedReply {
-            echo,
-            is_reply_to_head: request.method() == Method::HEAD,
-        });
-        true
-    }
-
-    /// Whether a request with this value of the echoed header was sent before; empty if it has no such header.
-    pub(crate) fn has_carried(&self, echo: &[u8]) -> bool {
-        self.lock().carried.contains(&hash(echo))
-    }
-
-    /// Returns the replies that were discarded since the last call.
-    pub(crate) fn take_discarded(&self) -> DiscardedReplies {
-        std::mem::take(&mut self.lock().discarded)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, ReplyState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl ReplyState {
-    /// Whether a reply with these headers belongs to the awaited request.
-    fn is_own(&self, awaited: &AwaitedReply, headers: &[httparse::Header]) -> bool {
-        let mut echoes = self.echoes(headers);
-        match &awaited.echo {
-            None => echoes.next().is_none(),
-            Some(echo) => {
-                let echo = echo.as_bytes().trim_ascii();
-                echoes.next() == Some(echo) && echoes.all(|other| other == echo)
-            }
-        }
-    }
-
-    fn record_discarded(&mut self, status: u16, headers: &[httparse::Header]) {
-        let last = self.echoes(headers).next().unwrap_or_default();
-        let last = &last[..last.len().min(MAX_LOGGED_BYTES)];
-        self.discarded = DiscardedReplies {
-            count: self.discarded.count.saturating_add(1),
-            last_echo: String::from_utf8_lossy(last).into(),
-            last_status: status,
-        };
-    }
-
-    /// Values of the echoed header.
-    fn echoes<'a>(&self, headers: &'a [httparse::Header]) -> impl Iterator<Item = &'a [u8]> {
-        let name = self.echo.clone();
-        let echoed = headers
-            .iter()
-            .filter(move |header| header.name.eq_ignore_ascii_case(name.as_str()));
-        echoed.map(|header| header.value.trim_ascii())
-    }
-}
-
 /// Socket wrapper that lets only the replies to the requests of a connection pass. A faulty server may send a
 /// further copy of an earlier reply; without the filter, hyper takes it for the reply to the next request.
 #[derive(Debug)]
@@ -131,7 +17,7 @@
     /// Bytes that were received and not yet passed on or discarded.
     input: BytesMut,
     position: Position,
-    shared: SharedReplyState,
+    replies: ReplyStateHandle,
     stream: TcpStream,
 }
 
@@ -149,12 +35,12 @@
 }
 
 impl ReplyFilter {
-    pub(crate) fn new(stream: TcpStream, shared: SharedReplyState) -> Self {
+    pub(crate) fn new(stream: TcpStream, replies: ReplyStateHandle) -> Self {
         Self {
             discarded_bytes: 0,
             input: BytesMut::new(),
             position: Position::Head,
-            shared,
+            replies,
             stream,
         }
     }
@@ -213,48 +99,43 @@
         if is_complete {
             self.position = Position::Head;
             self.discarded_bytes = 0;
-            self.shared.lock().awaited = None;
+            self.replies.record_complete();
         }
         is_complete
     }
 
     /// Decides what happens with the next reply. Returns false if its head is incomplete.
     fn examine_head(&mut self) -> io::Result<bool> {
-        let mut state = self.shared.lock();
-        let Some(awaited) = state.awaited.clone() else {
-            return Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "the server sent a reply without a request",
-            ));
-        };
+        if self.replies.is_idle() {
+            return Err(invalid_data("the server sent a reply without a request"));
+        }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
-        let (position, passed_bytes) = match head.parse(&self.input) {
+        let head_bytes = match head.parse(&self.input) {
+            Ok(httparse::Status::Complete(head_bytes)) => head_bytes,
             Ok(httparse::Status::Partial) if self.input.len() <= MAX_HEAD_BYTES => {
                 return Ok(false);
             }
-            Ok(httparse::Status::Partial) | Err(_) => (Position::Unexamined, 0),
-            Ok(httparse::Status::Complete(head_bytes)) => {
-                let status = head.code.unwrap_or_default();
-                let framing = ReplyFraming::of(status, awaited.is_reply_to_head, head.headers);
-                let is_interim = (100..200).contains(&status) && status != 101;
-                let is_own = !is_interim && state.is_own(&awaited, head.headers);
-                if !is_interim && !is_own {
-                    state.record_discarded(status, head.headers);
-                }
-                match framing {
-                    _ if is_interim => (Position::Head, head_bytes),
-                    Err(FramingError) if is_own => (Position::Unexamined, 0),
-                    Err(FramingError) => return Err(lost_position()),
-                    Ok(framing) if is_own => (Position::Passing(head_bytes, framing), 0),
-                    Ok(framing) if framing.is_complete() => (Position::Head, head_bytes),
-                    Ok(framing) => (Position::Discarding(framing), head_bytes),
-                }
+            Ok(httparse::Status::Partial) | Err(_) => {
+                self.position = Position::Unexamined;
+                return Ok(true);
+            }
+        };
+        let status = head.code.unwrap_or_default();
+        let framing = ReplyFraming::of(status, self.replies.awaits_head(), head.headers);
+        let kind = self.replies.classify(status, head.headers);
+        let (position, discarded_bytes) = match (kind, framing) {
+            (ReplyKind::Interim, _) => (Position::Head, head_bytes),
+            (ReplyKind::Own, Ok(framing)) => (Position::Passing(head_bytes, framing), 0),
+            (ReplyKind::Own, Err(FramingError)) => (Position::Unexamined, 0),
+            (ReplyKind::Other, Ok(framing)) if framing.is_complete() => {
+                (Position::Head, head_bytes)
             }
+            (ReplyKind::Other, Ok(framing)) => (Position::Discarding(framing), head_bytes),
+            (ReplyKind::Other, Err(FramingError)) => return Err(lost_position()),
         };
-        drop(state);
         self.position = position;
-        self.discard(passed_bytes)?;
+        self.discard(discarded_bytes)?;
         Ok(true)
     }
 
@@ -268,19 +149,13 @@
     }
 }
 
-/// Hash of the value of an echoed header. Two values with the same hash only cost a new connection.
-fn hash(value: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write(value.trim_ascii());
-    hasher.finish()
+fn invalid_data(message: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
 /// Error when the end of a reply to another request is not found.
 fn lost_position() -> io::Error {
-    io::Error::new(
-        io::ErrorKind::InvalidData,
-        "the server sent a reply to another request without a valid end",
-    )
+    invalid_data("the server sent a reply to another request without a valid end")
 }
 
 impl AsyncRead for ReplyFilter {
