Require an event of the current target before an unframed stream ends

Callers saw: a stream that looked complete before its last event. Its first target was interrupted, and the next one sent a head without length or chunks and closed the connection. Cause: an end by close counted if any target of the stream had sent an event. Class: state of the whole exchange used for one attempt. Evidence: resumed_stream_without_an_event_or_an_end_is_resumed_again failed before: two of four events, marked complete. Change: such an end counts only if the target that closed has sent an event itself. An answer with length or chunks may still end without one, as all events may have been delivered before.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -138,12 +138,11 @@
         }
     }
 
-    /// Whether a stream is complete whose target has closed it. Without an event, an answer that ends with its
-    /// connection cannot be told from one that was interrupted after its head.
+    /// Whether a stream is complete whose target has closed it. Without an event of this target, an answer that
+    /// ends with its connection cannot be told from one that was interrupted after its head.
     fn is_complete(&self, attempt: &Attempt) -> bool {
-        let has_begun = self.timing.first_event.is_some();
         let has_end = headers::is_framed(&attempt.reply.headers);
-        !self.events.has_partial_event() && (has_begun || has_end)
+        !self.events.has_partial_event() && (attempt.has_events || has_end)
     }
 
     /// Waits until the stream must be stopped before its first event, because it would crash its target.
--- /dev/null
+++ b/crates/forward/tests/resumed_streams.rs
@@ -0,0 +1,105 @@
+//! Guards against streams in which another target continues and the caller gets something else than the missing
+//! events, or takes an interrupted stream for a complete one.
+#![allow(clippy::unwrap_used, reason = "an unexpected value fails the test")]
+
+mod support;
+
+use {
+    catalog::RepeatPolicy,
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    support::{
+        CallerRequest, LIMIT, Setup, TestTarget, kept_target::reply, raw_target::raw_target, setup,
+    },
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+};
+
+/// Targets that close the connection of a request after one of several answers. The first request that
+/// reaches any of them gets the first answer.
+async fn targets(answers: &[String]) -> Vec<TestTarget> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let answers: Arc<[String]> = answers.into();
+    let mut targets = Vec::new();
+    for _ in answers.iter() {
+        let (answers, count) = (answers.clone(), count.clone());
+        let target = raw_target(move |mut stream| {
+            let (answers, count) = (answers.clone(), count.clone());
+            async move {
+                // The request is short enough to arrive in a single read.
+                if stream.read(&mut [0; 4_096]).await.unwrap_or_default() == 0 {
+                    return;
+                }
+                let index = count.fetch_add(1, Ordering::Relaxed);
+                let answer = answers.get(index).map_or("", String::as_str);
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        targets.push(target.await);
+    }
+    targets
+}
+
+/// Part of a stream that reached the caller, and whether the stream looked complete.
+async fn receive(repeat: RepeatPolicy, answers: &[String]) -> (String, bool) {
+    let targets = targets(answers).await;
+    let setup = Setup {
+        attempt_count: u32::try_from(answers.len()).unwrap(),
+        ..setup(repeat, &targets.iter().collect::<Vec<_>>())
+    };
+    let router = setup.start().await;
+    let mut reply = router.open(CallerRequest::default()).await.unwrap();
+    assert_eq!(reply.status.as_u16(), 200);
+    let mut received = String::new();
+    loop {
+        match reply.chunk(LIMIT).await {
+            Err(_) => return (received, false),
+            Ok(None) => return (received, true),
+            Ok(Some(chunk)) => received.push_str(std::str::from_utf8(&chunk).unwrap()),
+        }
+    }
+}
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+fn events(ids: std::ops::Range<u32>) -> String {
+    ids.map(event).collect()
+}
+
+/// Answer without a length or chunks.
+fn unframed(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\n\r\n{body}")
+}
+
+/// Answer with a length.
+fn framed(body: &str) -> String {
+    let headers = "x-signature: s\r\ncontent-type: text/event-stream\r\n";
+    reply("200 OK", "id1", headers, body)
+}
+
+/// Guards against a stream that looks complete although the target that resumed it closed the connection before
+/// its first event. An answer without a length or chunks does not show that it was interrupted there.
+#[tokio::test]
+async fn resumed_stream_without_an_event_or_an_end_is_resumed_again() {
+    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+    let answers = [interrupted, unframed(""), unframed(&events(2..4))];
+    for (answers, expected) in [
+        (&answers[..], (events(0..4), true)),
+        (&answers[..2], (events(0..2), false)),
+    ] {
+        let received = receive(RepeatPolicy::ResumableStream, answers).await;
+        assert_eq!(received, expected);
+    }
+}
+
+/// Guards against an interruption of a stream whose last event was delivered before: its target was lost between
+/// that event and the end, and the next one has nothing left to send.
+#[tokio::test]
+async fn resumed_stream_with_nothing_left_is_complete() {
+    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+    let received = receive(RepeatPolicy::ResumableStream, &[interrupted, framed("")]).await;
+    assert_eq!(received, (events(0..2), true));
+}
