Resume streams only with answers of server-sent events

Callers saw: a stream that ended as if it were complete, or with a page of another type as its last event, after the target that should resume it answered 200 with text, JSON or an empty page. After a status of 404, 500 or 503 the stream was interrupted although attempts were left. Cause: any success was taken for the rest of the stream, and any failure for the last attempt. Class: answers that are used before their kind is checked. Change: an answer resumes a stream only with status 200 and the type of server-sent events, or without a type; after any other one the next target is tried, as far as the limits on attempts and retries allow.

--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -36,6 +36,16 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether a body may consist of server-sent events. An answer without a type may.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let text = value.to_str().unwrap_or_default();
+    let media_type = text.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Whether the headers announce that the connection is closed after the answer.
 pub(crate) fn closes(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION).iter();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,8 +17,8 @@
     hyper::{
         HeaderMap, StatusCode,
         header::{
-            self, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, RETRY_AFTER,
-            TRANSFER_ENCODING,
+            self, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
+            RETRY_AFTER, TRANSFER_ENCODING,
         },
     },
     layout::LayerRange,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -213,8 +213,26 @@
         true
     }
 
-    /// Sends the request to another target, which continues after the last complete event.
-    async fn resume(&mut self, failed: TargetKey) -> Option<Attempt> {
+    /// Sends the request to other targets until one continues after the last complete event.
+    async fn resume(&mut self, mut failed: TargetKey) -> Option<Attempt> {
+        loop {
+            let attempt = self.send_again(failed).await?;
+            let request = &*self.exchange.admitted.metadata.id;
+            let target = &*attempt.first().id;
+            if can_resume(&attempt) {
+                self.events.discard();
+                let last_event = self.events.last_id().map_or("none", |id| id);
+                tracing::info!(request, target, last_event, "resumed");
+                return Some(attempt);
+            }
+            let status = attempt.reply.status.as_u16();
+            tracing::info!(request, target, status, "target did not resume the stream");
+            failed = attempt.first().key;
+        }
+    }
+
+    /// Sends the request to a target other than the failed ones, and returns its answer.
+    async fn send_again(&mut self, failed: TargetKey) -> Option<Attempt> {
         let exchange = &mut self.exchange;
         if exchange.admitted.route.repeat != RepeatPolicy::ResumableStream {
             return None;
@@ -231,9 +249,7 @@
         }
         exchange.demand = demand;
         let last = self.events.last_id().cloned();
-        let attempt = exchange.attempt(Some(path), last.as_deref()).await;
-        let attempt = match attempt {
-            Ok(attempt) => attempt,
+        match exchange.attempt(Some(path), last.as_deref()).await {
             Err(refusal) => {
                 let reason = refusal.name();
                 tracing::info!(
@@ -241,20 +257,10 @@
                     reason,
                     "not resumed"
                 );
-                return None;
+                None
             }
-        };
-        if !attempt.reply.status.is_success() {
-            return None;
+            Ok(attempt) => Some(attempt),
         }
-        self.events.discard();
-        tracing::info!(
-            request = &*exchange.admitted.metadata.id,
-            target = &*attempt.first().id,
-            last_event = last.as_deref().unwrap_or("none"),
-            "resumed"
-        );
-        Some(attempt)
     }
 
     async fn record_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
@@ -303,3 +309,10 @@
         );
     }
 }
+
+/// Whether an answer continues a stream. Its events follow a head that the caller has, so that nothing else
+/// may be forwarded.
+fn can_resume(attempt: &Attempt) -> bool {
+    let reply = &attempt.reply;
+    reply.status == StatusCode::OK && headers::is_event_stream(&reply.headers)
+}
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -14,6 +14,7 @@
         CallerRequest, LIMIT, Setup, TestTarget, kept_target::reply, raw_target::raw_target, setup,
     },
     tokio::io::{AsyncReadExt, AsyncWriteExt},
+    yare::parameterized,
 };
 
 /// Targets that close the connection of a request after one of several answers. The first request that
@@ -80,6 +81,11 @@
     reply("200 OK", "id1", headers, body)
 }
 
+fn signed(kind: &str, body: &str) -> String {
+    let headers = format!("x-signature: s\r\ncontent-type: {kind}\r\n");
+    reply("200 OK", "id1", &headers, body)
+}
+
 /// Guards against a stream that looks complete although the target that resumed it closed the connection before
 /// its first event. An answer without a length or chunks does not show that it was interrupted there.
 #[tokio::test]
@@ -103,3 +109,29 @@
     let received = receive(RepeatPolicy::ResumableStream, &[interrupted, framed("")]).await;
     assert_eq!(received, (events(0..2), true));
 }
+
+/// Guards against the text of an error in the middle of a stream, and against an error that ends the stream as if
+/// it were complete. The target that should resume the stream answers with something else than events.
+#[parameterized(
+    empty_page = { signed("text/html", "") },
+    error_of_the_target = { reply("500 Internal Server Error", "id1", "x-signature: s\r\n", "no\n\n") },
+    json = { signed("application/json", "{\"error\":\"no memory\"}\n\n") },
+    no_content = { "HTTP/1.1 204 No Content\r\nx-id: id1\r\nx-signature: s\r\n\r\n".into() },
+    not_found = { reply("404 Not Found", "id1", "", "no route\n\n") },
+    refusal = { support::kept_target::refusal("id1", "") },
+    text = { signed("text/plain", "error: no memory\n\n") },
+    unavailable = { reply("503 Service Unavailable", "id1", "", "full\n\n") },
+    unsigned = { reply("200 OK", "id1", "", &event(2)) },
+)]
+#[test_macro(tokio::test)]
+async fn answer_without_events_does_not_resume_a_stream(error: String) {
+    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+    let answers = [interrupted, error, unframed(&events(2..4))];
+    for (answers, expected) in [
+        (&answers[..], (events(0..4), true)),
+        (&answers[..2], (events(0..2), false)),
+    ] {
+        let received = receive(RepeatPolicy::ResumableStream, answers).await;
+        assert_eq!(received, expected);
+    }
+}
