Forward only server-sent events in streams

Callers saw: the text of an error, or a whole reply with its head, in the middle of a stream, followed by the rest of the stream, marked complete. A target had written an error or a copy of an earlier refusal behind events of an answer that ends with its connection, or within its length. Cause: the blank line behind a head or a text was taken for the end of an event. Class: bytes of a target that are used before their form is checked. Change: the splitter reads lines. A line must be a comment, a field that the standard defines, or another field with a colon and the name of a header. Interrupted are streams with any other line, with an event that has only other fields, and with a header field behind a line that contains the start of an HTTP response. Comments and blank lines pass but do not count as events. Ids are found in streams with any of the three line ends. A text without a blank or odd line that continues the value of an interrupted field cannot be told from that value.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -33,6 +33,7 @@
         cmp::Reverse,
         collections::HashMap,
         net::SocketAddr,
+        ops::Range,
         sync::{
             Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -55,6 +56,7 @@
 mod directory;
 mod engines;
 mod error;
+mod event_line;
 mod events;
 mod exchange;
 mod header_codec;
@@ -97,6 +99,7 @@
     admitted::Admitted,
     answer_buffers::AnswerBuffers,
     attempt::{Attempt, AttemptFailure},
+    event_line::{EventLine, has_status_line},
     exchange::Exchange,
     in_flight::InFlight,
     prober::Prober,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -106,18 +106,13 @@
                     let now = clock::now();
                     match self.send(&bytes, attempt, now).await {
                         SendResult::CallerLeft => return StreamEnd::CallerLeft,
-                        SendResult::Events => {
-                            (silent_since, wait_started_at) = (now, now);
-                            self.watchdog.reset();
-                        }
+                        SendResult::Events => (silent_since, wait_started_at) = (now, now),
                         SendResult::Partial => {}
                     }
-                    if self.events.pending_bytes() <= MAX_EVENT_BYTES {
-                        continue;
+                    match self.event_error(attempt) {
+                        None => continue,
+                        error => error,
                     }
-                    Some(wire::Error::BodyTooLong {
-                        limit_bytes: MAX_EVENT_BYTES,
-                    })
                 }
                 Err(wire::Error::Timeout { .. }) => {
                     if self.inspect(attempt, silent_since).await {
@@ -138,6 +133,20 @@
         }
     }
 
+    /// Error if the bytes after the last complete event cannot become an event.
+    fn event_error(&self, attempt: &Attempt) -> Option<wire::Error> {
+        if self.events.is_invalid() {
+            return Some(wire::Error::Malformed {
+                address: attempt.first().address,
+                message: "bytes that are not server-sent events".into(),
+            });
+        }
+        let is_too_long = self.events.pending_bytes() > MAX_EVENT_BYTES;
+        is_too_long.then_some(wire::Error::BodyTooLong {
+            limit_bytes: MAX_EVENT_BYTES,
+        })
+    }
+
     /// Whether a stream is complete whose target has closed it. Without an event of this target, an answer that
     /// ends with its connection cannot be told from one that was interrupted after its head.
     fn is_complete(&self, attempt: &Attempt) -> bool {
@@ -169,12 +178,26 @@
 
     /// Forwards the events that the received bytes complete.
     async fn send(&mut self, bytes: &[u8], attempt: &mut Attempt, now: Duration) -> SendResult {
+        let count = self.events.event_count();
         let whole = self.events.push(bytes);
         if whole.is_empty() {
             return SendResult::Partial;
         }
         self.event_bytes += whole.len();
+        let has_events = self.events.event_count() > count;
+        if has_events {
+            self.record_events(attempt, now);
+        }
+        match self.sender.send(whole).await {
+            false => SendResult::CallerLeft,
+            true if has_events => SendResult::Events,
+            true => SendResult::Partial,
+        }
+    }
+
+    fn record_events(&mut self, attempt: &mut Attempt, now: Duration) {
         self.timing.record_event(now);
+        self.watchdog.reset();
         let Exchange {
             admitted, router, ..
         } = &self.exchange;
@@ -184,10 +207,6 @@
         router
             .fleet()
             .record_activity(now, attempt.in_flight.path());
-        match self.sender.send(whole).await {
-            false => SendResult::CallerLeft,
-            true => SendResult::Events,
-        }
     }
 
     /// Inspects a silent stream, and moves it to another path or resumes it at another target. The
--- a/crates/forward/tests/events.rs
+++ b/crates/forward/tests/events.rs
@@ -33,6 +33,59 @@
     assert_eq!(&**events.last_id().unwrap(), "2");
 }
 
+/// Guards against legitimate streams that are interrupted because their events look unusual, however the bytes
+/// arrive.
+#[parameterized(
+    byte_order_mark = { "\u{feff}id: 1\ndata: x\n\n", "1" },
+    carriage_returns = { "id: 1\rdata: x\r\rid: 2\rdata: y\r\r", "2" },
+    comment = { ": ping\n\nid: 1\ndata: x\n: ping\n\n", "1" },
+    empty_lines = { "id: 1\ndata: x\n\n\n\nid: 2\ndata\n\n\n", "2" },
+    event_and_retry = { "event: token\nretry: 10\nid: 1\ndata: x\n\n", "1" },
+    first_line_of_another_field = { "x-versions: 3\nid: 1\ndata: x\n\n", "1" },
+    last_line_of_another_field = { "id:1\ndata:x\nX_note: a b\n\n", "1" },
+    mixed_line_ends = { "id: 1\r\ndata: x\n\r\nid: 2\ndata: y\r\n\n", "2" },
+    quoted_response = { "id: 1\ndata: HTTP/1.1 200 OK\ndata: server: x\ndata:\n\n", "1" },
+    words_as_ids = { "id: b\ndata: x\n\nid: a\ndata: y\n\n", "a" },
+)]
+fn unusual_events_pass(bytes: &str, last_id: &str) {
+    for cut in 0..=bytes.len() {
+        let (one, other) = bytes.as_bytes().split_at(cut);
+        let mut events = EventSplitter::default();
+        let passed = [events.push(one), events.push(other)].concat();
+        assert_eq!(passed, bytes.as_bytes());
+        assert_eq!(events.last_id().map(|id| &**id), Some(last_id));
+        assert!(!events.has_partial_event() && !events.is_invalid());
+    }
+}
+
+/// Guards against bytes that are forwarded although they are not events, however they arrive, and against events
+/// behind them, which may belong to another stream.
+#[parameterized(
+    json = { "{\"error\":\"full\"}\n\n" },
+    only_headers = { "x-id: id0\r\ncontent-length: 4\r\n\r\n" },
+    response = { "HTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\n\r\n" },
+    response_in_a_comment = { ": xHTTP/1.0 200\r\nx-id: id0\r\n\r\n" },
+    response_in_a_value = { "id: 2\ndata: xHTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\n\r\n" },
+    response_in_an_id = { "id: 2HTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\n\r\n" },
+    text = { "full\n\n" },
+    text_in_a_field_name = { "id: 2\ndafull\n\n" },
+    text_with_a_colon = { "no memory: full\n\n" },
+)]
+fn bytes_that_are_not_events_do_not_pass(junk: &str) {
+    let event = "id: 1\ndata: x\n\n";
+    let bytes = format!("{event}{junk}id: 3\ndata: y\n\n");
+    for cut in 0..=bytes.len() {
+        let (one, other) = bytes.as_bytes().split_at(cut);
+        let mut events = EventSplitter::default();
+        let passed = [events.push(one), events.push(other)].concat();
+        assert_eq!(passed, event.as_bytes());
+        assert!(events.has_partial_event() && events.is_invalid());
+        events.discard();
+        assert_eq!(events.push(b"id: 2\ndata: z\n\n"), "id: 2\ndata: z\n\n");
+        assert!(!events.has_partial_event() && !events.is_invalid());
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -120,6 +120,7 @@
     not_found = { reply("404 Not Found", "id1", "", "no route\n\n") },
     refusal = { support::kept_target::refusal("id1", "") },
     text = { signed("text/plain", "error: no memory\n\n") },
+    text_without_type = { unframed("error: no memory\n\n") },
     unavailable = { reply("503 Service Unavailable", "id1", "", "full\n\n") },
     unsigned = { reply("200 OK", "id1", "", &event(2)) },
 )]
@@ -135,3 +136,46 @@
         assert_eq!(received, expected);
     }
 }
+
+/// Copy of an earlier refusal.
+const COPY: &str = "HTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nfull";
+
+/// Guards against bytes in the middle of a stream that are not events. A target writes a reply to another request
+/// or the text of an error behind events of an answer that ends with its connection.
+#[parameterized(
+    copy = { COPY.into() },
+    copy_in_a_comment = { format!(": x{COPY}") },
+    copy_in_a_field_name = { format!("id: 2\nda{COPY}") },
+    copy_in_a_value = { format!("id: 2\ndata: tok{COPY}") },
+    copy_in_an_id = { format!("id: 2{COPY}") },
+    copy_of_a_stream = { unframed(&events(2..5)) },
+    copy_with_carriage_returns = { format!("id: 2\r\ndata: tok{COPY}") },
+    copy_within_an_event = { format!("id: 2\n{COPY}") },
+    json = { "{\"error\":\"no memory\"}\n\n".into() },
+    text = { "full\n\n".into() },
+    text_in_a_field_name = { "id: 2\ndafull\n\n".into() },
+    text_like_a_field = { "error: no memory\n\n".into() },
+)]
+#[test_macro(tokio::test)]
+async fn bytes_that_are_not_events_interrupt_a_stream(bytes: String) {
+    for interrupted in [unframed, framed] {
+        let answers = [
+            interrupted(&(events(0..2) + &bytes)),
+            unframed(&events(2..4)),
+        ];
+        let received = receive(RepeatPolicy::ResumableStream, &answers).await;
+        assert_eq!(received, (events(0..4), true));
+        let received = receive(RepeatPolicy::Stream, &answers).await;
+        assert_eq!(received, (events(0..2), false));
+    }
+}
+
+/// Guards against a stream that looks complete although the target that resumed it sent only a comment before it
+/// closed the connection.
+#[tokio::test]
+async fn comment_is_not_taken_for_an_event() {
+    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+    let answers = [interrupted, unframed(": ping\n\n")];
+    let received = receive(RepeatPolicy::ResumableStream, &answers).await;
+    assert_eq!(received, (events(0..2) + ": ping\n\n", false));
+}
