Deliver each numbered event of a stream once

Callers saw: events twice in one stream, marked complete. The target that resumed it ignored the id of the last event, or a target sent an event once more. Cause: the order of ids was not checked. Class: bytes of a target that are used before their content is checked. Change: an event whose id is a number not above that of the last event interrupts the stream, which is then resumed at another target or ends incomplete. This holds from the id that the caller of a resumable stream names. Ids that are not numbers have no order.

--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -5,7 +5,8 @@
 
 /// Splits a stream of server-sent events at event boundaries, so that an event that is interrupted is
 /// never forwarded in part. Bytes that are not events, and all that follow, are not forwarded: a faulty
-/// target may write the text of an error or a reply to another request into a stream.
+/// target may write the text of an error or a reply to another request into a stream, or send events
+/// once more. Ids that are numbers increase from event to event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
@@ -35,6 +36,15 @@
 }
 
 impl EventSplitter {
+    /// Splits the rest of a stream that continues after the event `last_id`.
+    #[must_use]
+    pub fn resume(last_id: &str) -> Self {
+        Self {
+            last_id: Some(last_id.into()),
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns all complete events in the buffer, unchanged.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
@@ -146,16 +156,28 @@
         true
     }
 
-    /// Completes the event. Returns false if it has only fields that receivers ignore.
+    /// Completes the event. Returns false if it has only fields that receivers ignore, or repeats an event.
     fn complete_event(&mut self) -> bool {
         let event = std::mem::take(&mut self.partial);
         if event.has_unknown && !event.has_field {
             return false;
         }
-        self.event_count += u64::from(event.has_field);
-        if event.id.is_some() {
-            self.last_id = event.id;
+        if let Some(id) = event.id {
+            let last_id = self.last_id.as_deref().unwrap_or_default();
+            if is_repeated(&id, last_id) {
+                return false;
+            }
+            self.last_id = Some(id);
         }
+        self.event_count += u64::from(event.has_field);
         true
     }
 }
+
+/// Whether an id is not above that of the last event. Only ids that are numbers have an order.
+fn is_repeated(id: &str, last_id: &str) -> bool {
+    let (Ok(id), Ok(last_id)) = (id.parse::<u64>(), last_id.parse::<u64>()) else {
+        return false;
+    };
+    id <= last_id
+}
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -12,7 +12,7 @@
     let forwarder = StreamForwarder {
         event_bytes: 0,
         timing: StreamTiming::start(exchange.admitted.arrived_at),
-        events: EventSplitter::default(),
+        events: first_splitter(&exchange),
         exchange,
         sender,
         watchdog: Watchdog::default(),
@@ -329,6 +329,15 @@
     }
 }
 
+/// Splitter for a stream that its caller may already have in part.
+fn first_splitter(exchange: &Exchange) -> EventSplitter {
+    let last_id = exchange.request.header("last-event-id");
+    let is_resumable = exchange.admitted.route.repeat == RepeatPolicy::ResumableStream;
+    last_id
+        .filter(|_| is_resumable)
+        .map_or_else(EventSplitter::default, EventSplitter::resume)
+}
+
 /// Whether an answer continues a stream. Its events follow a head that the caller has, so that nothing else
 /// may be forwarded.
 fn can_resume(attempt: &Attempt) -> bool {
--- a/crates/forward/tests/events.rs
+++ b/crates/forward/tests/events.rs
@@ -63,6 +63,9 @@
 #[parameterized(
     json = { "{\"error\":\"full\"}\n\n" },
     only_headers = { "x-id: id0\r\ncontent-length: 4\r\n\r\n" },
+    older_event = { "id: 0\ndata: x\n\n" },
+    repeated_event = { "id: 1\ndata: x\n\n" },
+    repeated_number = { "id: 01\ndata: x\n\n" },
     response = { "HTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\n\r\n" },
     response_in_a_comment = { ": xHTTP/1.0 200\r\nx-id: id0\r\n\r\n" },
     response_in_a_value = { "id: 2\ndata: xHTTP/1.1 503 Service Unavailable\r\nx-id: id0\r\n\r\n" },
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -44,13 +44,21 @@
 
 /// Part of a stream that reached the caller, and whether the stream looked complete.
 async fn receive(repeat: RepeatPolicy, answers: &[String]) -> (String, bool) {
+    receive_for(CallerRequest::default(), repeat, answers).await
+}
+
+async fn receive_for(
+    request: CallerRequest,
+    repeat: RepeatPolicy,
+    answers: &[String],
+) -> (String, bool) {
     let targets = targets(answers).await;
     let setup = Setup {
         attempt_count: u32::try_from(answers.len()).unwrap(),
         ..setup(repeat, &targets.iter().collect::<Vec<_>>())
     };
     let router = setup.start().await;
-    let mut reply = router.open(CallerRequest::default()).await.unwrap();
+    let mut reply = router.open(request).await.unwrap();
     assert_eq!(reply.status.as_u16(), 200);
     let mut received = String::new();
     loop {
@@ -179,3 +187,54 @@
     let received = receive(RepeatPolicy::ResumableStream, &answers).await;
     assert_eq!(received, (events(0..2) + ": ping\n\n", false));
 }
+
+/// Guards against events that reach a caller twice: a target ignores the id of the last event and starts anew, or
+/// writes an event once more.
+#[parameterized(
+    all_events = { events(0..4) },
+    last_event = { events(1..4) },
+    older_event = { event(2) + &event(0) },
+)]
+#[test_macro(tokio::test)]
+async fn event_that_was_delivered_is_not_delivered_again(repeated: String) {
+    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+    let first = if repeated.starts_with(&event(2)) {
+        3
+    } else {
+        2
+    };
+    let answers = [
+        interrupted,
+        unframed(&repeated),
+        unframed(&events(first..4)),
+    ];
+    let received = receive(RepeatPolicy::ResumableStream, &answers).await;
+    assert_eq!(received, (events(0..4), true));
+    let received = receive(RepeatPolicy::ResumableStream, &answers[..2]).await;
+    assert_eq!(received, (events(0..first), false));
+}
+
+/// Guards against a stream that is interrupted because the ids of its events are not numbers.
+#[tokio::test]
+async fn ids_that_are_not_numbers_need_no_order() {
+    let body = "id: b\ndata: x\n\nid: a\ndata: y\n\nid: 7\ndata: z\n\nid: a-1\ndata: z\n\n";
+    let answers = [unframed(body)];
+    let received = receive(RepeatPolicy::ResumableStream, &answers).await;
+    assert_eq!(received, (body.to_owned(), true));
+}
+
+/// Guards against events that reach a caller twice when it resumes a stream by itself and the target ignores the
+/// id of the last event.
+#[tokio::test]
+async fn event_that_the_caller_has_is_not_delivered_again() {
+    let answers = [unframed(&events(0..4)), unframed(&events(2..4))];
+    for (repeat, expected) in [
+        (RepeatPolicy::ResumableStream, events(2..4)),
+        (RepeatPolicy::Stream, events(0..4)),
+    ] {
+        let mut request = CallerRequest::default();
+        request.headers.push(("last-event-id", "1"));
+        let received = receive_for(request, repeat, &answers).await;
+        assert_eq!(received, (expected, true));
+    }
+}
