Take only chunks and lengths for the end of an answer

Callers saw: an empty stream that looked complete, after a target had sent a head with a transfer coding other than chunked and closed the connection. Cause: any Transfer-Encoding counted as framing, but an answer with another last coding ends with its connection. Class: presence of a header taken for its meaning. Change: the last transfer coding must be chunked; without a coding, a length is needed.

--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -31,9 +31,15 @@
     passed
 }
 
-/// Whether an answer has a length or chunks; otherwise it ends with its connection.
+/// Whether an answer has a length or chunks; otherwise it ends with its connection. A transfer coding takes
+/// precedence over a length, and marks an end only if the last one is chunked.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let text = codings.to_str().unwrap_or_default();
+    let last = text.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Whether a body may consist of server-sent events. An answer without a type may.
--- a/crates/forward/tests/unframed_answers.rs
+++ b/crates/forward/tests/unframed_answers.rs
@@ -103,6 +103,25 @@
     assert!(has_resumed);
 }
 
+/// Guards against a stream that looks complete although its target closed the connection before the first event. A
+/// transfer coding other than chunks does not mark the end of an answer.
+#[parameterized(
+    chunks_before_another_coding = { "transfer-encoding: chunked, gzip" },
+    identity = { "transfer-encoding: identity" },
+    length_and_another_coding = { "transfer-encoding: gzip\r\ncontent-length: 0" },
+    unknown = { "Transfer-Encoding: x-other" },
+)]
+#[test_macro(tokio::test)]
+async fn transfer_coding_without_chunks_marks_no_end(headers: &'static str) {
+    let target = raw_target(move |mut stream| async move {
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let head = format!("HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\n{headers}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes()).await;
+    })
+    .await;
+    assert_eq!(send(RepeatPolicy::Stream, &[&target]).await, None);
+}
+
 /// Guards against a connection that is reused after its answer has ended it.
 #[tokio::test]
 async fn next_request_gets_its_own_answer() {
