Test copies within chunks and errors during a silent stream

A copy between chunks or in a chunk's size, and an error of the target that should take over a silent stream, were handled before. Change: tests only.

--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -13,7 +13,10 @@
     support::{
         CallerRequest, LIMIT, Setup, TestTarget, kept_target::reply, raw_target::raw_target, setup,
     },
-    tokio::io::{AsyncReadExt, AsyncWriteExt},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        sync::Notify,
+    },
     yare::parameterized,
 };
 
@@ -238,3 +241,57 @@
         assert_eq!(received, (expected, true));
     }
 }
+
+/// Guards against bytes in the middle of a stream that are neither chunks nor events.
+#[parameterized(
+    between_chunks = { COPY.to_owned() },
+    within_a_chunk = { format!("1000\r\nid: 2\ndata: tok{COPY}") },
+    within_a_chunk_size = { format!("10{COPY}") },
+)]
+#[test_macro(tokio::test)]
+async fn copy_in_chunks_interrupts_a_stream(bytes: String) {
+    let part = events(0..2);
+    let head =
+        "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+    let answers = [format!("{head}{chunk}{bytes}"), unframed(&events(2..4))];
+    let received = receive(RepeatPolicy::ResumableStream, &answers).await;
+    assert_eq!(received, (events(0..4), true));
+    let received = receive(RepeatPolicy::Stream, &answers).await;
+    assert_eq!(received, (part, false));
+}
+
+/// Guards against a silent stream that is abandoned for a target that answers with an error, although the first one
+/// continues.
+#[tokio::test]
+async fn silent_stream_is_not_abandoned_for_an_error() {
+    let (count, answered) = (Arc::new(AtomicUsize::new(0)), Arc::new(Notify::new()));
+    let mut targets = Vec::new();
+    for _ in 0..2 {
+        let (count, answered) = (count.clone(), answered.clone());
+        let target = raw_target(move |mut stream| {
+            let (count, answered) = (count.clone(), answered.clone());
+            async move {
+                if stream.read(&mut [0; 4_096]).await.unwrap_or_default() == 0 {
+                    return;
+                }
+                if count.fetch_add(1, Ordering::Relaxed) > 0 {
+                    let error = reply("500 Internal Server Error", "id1", "", "no\n\n");
+                    stream.write_all(error.as_bytes()).await.unwrap();
+                    answered.notify_one();
+                    return;
+                }
+                let part = unframed(&events(0..2));
+                stream.write_all(part.as_bytes()).await.unwrap();
+                answered.notified().await;
+                let rest = events(2..4);
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            }
+        });
+        targets.push(target.await);
+    }
+    let router = setup(RepeatPolicy::ResumableStream, &[&targets[0], &targets[1]]);
+    let (_, _, body) = router.start().await.send(CallerRequest::default()).await;
+    assert_eq!(body.unwrap(), events(0..4));
+    assert_eq!(count.load(Ordering::Relaxed), 2);
+}
