--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -191,8 +191,8 @@
     assert_eq!(received, (events(0..2) + ": ping\n\n", false));
 }
 
-/// Guards against events that reach a caller twice: a target ignores the id of the last event and starts anew, or
-/// writes an event once more.
+/// Guards against events that reach a caller twice: a target ignores the id of the last event and starts from the
+/// first one, or writes an event once more.
 #[parameterized(
     all_events = { events(0..4) },
     last_event = { events(1..4) },
