--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -31,9 +31,25 @@
     passed
 }
 
-/// Whether an answer has a length or chunks; otherwise it ends with its connection.
+/// Whether an answer has a length or chunks; otherwise it ends with its connection. A transfer coding takes
+/// precedence over a length, and marks an end only if the last one is chunked.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let text = codings.to_str().unwrap_or_default();
+    let last = text.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
+}
+
+/// Whether a body may consist of server-sent events. An answer without a type may.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let text = value.to_str().unwrap_or_default();
+    let media_type = text.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
 }
 
 /// Whether the headers announce that the connection is closed after the answer.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -12,7 +12,7 @@
     let forwarder = StreamForwarder {
         event_bytes: 0,
         timing: StreamTiming::start(exchange.admitted.arrived_at),
-        events: EventSplitter::default(),
+        events: first_splitter(&exchange),
         exchange,
         sender,
         watchdog: Watchdog::default(),
@@ -106,18 +106,13 @@
                     let now = clock::now();
                     match self.send(&bytes, attempt, now).await {
                         SendResult::CallerLeft => return StreamEnd::CallerLeft,
-                        SendResult::Events => {
-                            (silent_since, wait_started_at) = (now, now);
-                            self.watchdog.reset();
-                        }
+                        SendResult::Events => (silent_since, wait_started_at) = (now, now),
                         SendResult::Partial => {}
                     }
-                    if self.events.pending_bytes() <= MAX_EVENT_BYTES {
-                        continue;
+                    match self.event_error(attempt) {
+                        None => continue,
+                        error => error,
                     }
-                    Some(wire::Error::BodyTooLong {
-                        limit_bytes: MAX_EVENT_BYTES,
-                    })
                 }
                 Err(wire::Error::Timeout { .. }) => {
                     if self.inspect(attempt, silent_since).await {
@@ -138,12 +133,25 @@
         }
     }
 
-    /// Whether a stream is complete whose target has closed it. Without an event, an answer that ends with its
-    /// connection cannot be told from one that was interrupted after its head.
+    /// Error if the bytes after the last complete event cannot become an event.
+    fn event_error(&self, attempt: &Attempt) -> Option<wire::Error> {
+        if self.events.is_invalid() {
+            return Some(wire::Error::Malformed {
+                address: attempt.first().address,
+                message: "bytes that are not server-sent events".into(),
+            });
+        }
+        let is_too_long = self.events.pending_bytes() > MAX_EVENT_BYTES;
+        is_too_long.then_some(wire::Error::BodyTooLong {
+            limit_bytes: MAX_EVENT_BYTES,
+        })
+    }
+
+    /// Whether a stream is complete whose target has closed it. Without an event of this target, an answer that
+    /// ends with its connection cannot be told from one that was interrupted after its head.
     fn is_complete(&self, attempt: &Attempt) -> bool {
-        let has_begun = self.timing.first_event.is_some();
         let has_end = headers::is_framed(&attempt.reply.headers);
-        !self.events.has_partial_event() && (has_begun || has_end)
+        !self.events.has_partial_event() && (attempt.has_events || has_end)
     }
 
     /// Waits until the stream must be stopped before its first event, because it would crash its target.
@@ -170,12 +178,26 @@
 
     /// Forwards the events that the received bytes complete.
     async fn send(&mut self, bytes: &[u8], attempt: &mut Attempt, now: Duration) -> SendResult {
+        let count = self.events.event_count();
         let whole = self.events.push(bytes);
         if whole.is_empty() {
             return SendResult::Partial;
         }
         self.event_bytes += whole.len();
+        let has_events = self.events.event_count() > count;
+        if has_events {
+            self.record_events(attempt, now);
+        }
+        match self.sender.send(whole).await {
+            false => SendResult::CallerLeft,
+            true if has_events => SendResult::Events,
+            true => SendResult::Partial,
+        }
+    }
+
+    fn record_events(&mut self, attempt: &mut Attempt, now: Duration) {
         self.timing.record_event(now);
+        self.watchdog.reset();
         let Exchange {
             admitted, router, ..
         } = &self.exchange;
@@ -185,10 +207,6 @@
         router
             .fleet()
             .record_activity(now, attempt.in_flight.path());
-        match self.sender.send(whole).await {
-            false => SendResult::CallerLeft,
-            true => SendResult::Events,
-        }
     }
 
     /// Inspects a silent stream, and moves it to another path or resumes it at another target. The
@@ -214,8 +232,26 @@
         true
     }
 
-    /// Sends the request to another target, which continues after the last complete event.
-    async fn resume(&mut self, failed: TargetKey) -> Option<Attempt> {
+    /// Sends the request to other targets until one continues after the last complete event.
+    async fn resume(&mut self, mut failed: TargetKey) -> Option<Attempt> {
+        loop {
+            let attempt = self.send_again(failed).await?;
+            let request = &*self.exchange.admitted.metadata.id;
+            let target = &*attempt.first().id;
+            if can_resume(&attempt) {
+                self.events.discard();
+                let last_event = self.events.last_id().map_or("none", |id| id);
+                tracing::info!(request, target, last_event, "resumed");
+                return Some(attempt);
+            }
+            let status = attempt.reply.status.as_u16();
+            tracing::info!(request, target, status, "target did not resume the stream");
+            failed = attempt.first().key;
+        }
+    }
+
+    /// Sends the request to a target other than the failed ones, and returns its answer.
+    async fn send_again(&mut self, failed: TargetKey) -> Option<Attempt> {
         let exchange = &mut self.exchange;
         if exchange.admitted.route.repeat != RepeatPolicy::ResumableStream {
             return None;
@@ -232,9 +268,7 @@
         }
         exchange.demand = demand;
         let last = self.events.last_id().cloned();
-        let attempt = exchange.attempt(Some(path), last.as_deref()).await;
-        let attempt = match attempt {
-            Ok(attempt) => attempt,
+        match exchange.attempt(Some(path), last.as_deref()).await {
             Err(refusal) => {
                 let reason = refusal.name();
                 tracing::info!(
@@ -242,20 +276,10 @@
                     reason,
                     "not resumed"
                 );
-                return None;
+                None
             }
-        };
-        if !attempt.reply.status.is_success() {
-            return None;
+            Ok(attempt) => Some(attempt),
         }
-        self.events.discard();
-        tracing::info!(
-            request = &*exchange.admitted.metadata.id,
-            target = &*attempt.first().id,
-            last_event = last.as_deref().unwrap_or("none"),
-            "resumed"
-        );
-        Some(attempt)
     }
 
     async fn record_failure(&self, attempt: &Attempt, error: Option<&wire::Error>) {
@@ -304,3 +328,19 @@
         );
     }
 }
+
+/// Splitter for a stream that its caller may already have in part.
+fn first_splitter(exchange: &Exchange) -> EventSplitter {
+    let last_id = exchange.request.header("last-event-id");
+    let is_resumable = exchange.admitted.route.repeat == RepeatPolicy::ResumableStream;
+    last_id
+        .filter(|_| is_resumable)
+        .map_or_else(EventSplitter::default, EventSplitter::resume)
+}
+
+/// Whether an answer continues a stream. Its events follow a head that the caller has, so that nothing else
+/// may be forwarded.
+fn can_resume(attempt: &Attempt) -> bool {
+    let reply = &attempt.reply;
+    reply.status == StatusCode::OK && headers::is_event_stream(&reply.headers)
+}
