Reject answers whose head contains another answer

Callers saw: nothing known; 503 for a request that runs, if a target stopped within its head and wrote a copy of a refusal without an id there. The two look like one head, with the id of the first and the promise of the second. Cause: a header value that contains a status line was taken as it is. Class: bytes of a target that are used before their form is checked. Evidence: copy_behind_a_cut_head_is_not_an_answer::not_run_without_id fails without the check (503 where 502 is true); its four other cases are rejected by the comparison of ids since the filter of replies. In that case the earlier reply now has an id, as one without is discarded; the copy still has none. Change: such an answer is rejected after the comparison of ids, before anything is taken from it.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -122,6 +122,10 @@
             self.log_rejected(admitted, "answer does not belong to this request");
             return Err((AttemptFailure::Unknown, first));
         }
+        if headers::has_merged_head(&self.reply.headers) {
+            self.log_rejected(admitted, "head of the answer contains another answer");
+            return Err((AttemptFailure::Unknown, first));
+        }
         if let Some(load) = self.metadata.load {
             router.fleet().record_load(now, first.key, load);
         }
--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -31,6 +31,14 @@
     passed
 }
 
+/// Whether a value contains the start of an HTTP response. The head was cut there, and the headers behind it are
+/// those of another answer.
+pub(crate) fn has_merged_head(headers: &HeaderMap) -> bool {
+    headers
+        .values()
+        .any(|value| has_status_line(value.as_bytes()))
+}
+
 /// Whether an answer has a length or chunks; otherwise it ends with its connection. A transfer coding takes
 /// precedence over a length, and marks an end only if the last one is chunked.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
--- a/crates/forward/tests/merged_heads.rs
+++ b/crates/forward/tests/merged_heads.rs
@@ -28,7 +28,8 @@
 #[test_macro(tokio::test)]
 async fn copy_behind_a_cut_head_is_not_an_answer(repeat: RepeatPolicy, copy: String) {
     let target = kept_target(move |ids| match &**ids.last().unwrap() {
-        "id0" => Script::at_once(&*copy),
+        "id0" if copy.contains("x-id") => Script::at_once(&*copy),
+        "id0" => Script::at_once(refusal("id0", "")),
         own => {
             let cut = format!("HTTP/1.1 200 OK\r\nx-id: {own}\r\nx-signature: s\r\nx-note: a");
             Script::at_once(cut + &copy).close()
