Name the step in the replies between fake engines

Callers would have seen: in runs against the fakes, a stream with a token twice and another one missing. Cause: fake engines keep connections to the next stage, and a reply named neither the request nor the token. A copy of an earlier reply was taken for that of the next step. Class of fault: a reply that is matched by its position on a connection. Change: a reply carries request, attempt, index and position of its step. Another one fails the attempt and closes the connection.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -225,7 +225,9 @@
         let Ok(_permit) = self.step_permits.acquire().await else {
             return service_unavailable("stopped", "this engine has stopped");
         };
-        wire::json(StatusCode::OK, &self.run_step(&step).await)
+        let reply = self.run_step(&step).await;
+        let step = step.id();
+        wire::json(StatusCode::OK, &StepReply { reply, step })
     }
 
     /// Runs the layers of this stage for one token, then forwards the step to the next stage.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -79,7 +79,7 @@
     reply::{bad_request, lock, not_found, service_unavailable, sleep_unless_zero},
     rows::Rows,
     slots::{Slot, Slots},
-    stage_connections::{ForwardReply, ForwardRequest, Prefill, StageConnections},
+    stage_connections::{ForwardReply, ForwardRequest, Prefill, StageConnections, StepReply},
 };
 
 pub use {
--- a/crates/standin/src/stage_connections.rs
+++ b/crates/standin/src/stage_connections.rs
@@ -16,6 +16,28 @@
     pub(crate) seed: u64,
 }
 
+impl ForwardRequest {
+    /// Id that the reply to this step carries.
+    pub(crate) fn id(&self) -> StepId {
+        StepId {
+            attempt: self.attempt,
+            index: self.index,
+            position: self.position,
+            request: self.request.clone(),
+        }
+    }
+}
+
+/// Identifies a step at one stage. Each reply names its step, because a reply to an earlier step may arrive late on a
+/// connection that is used again.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct StepId {
+    attempt: Attempt,
+    index: TokenIndex,
+    position: usize,
+    request: RequestId,
+}
+
 /// Prompt, and the number of answer tokens that earlier attempts delivered.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Prefill {
@@ -23,7 +45,14 @@
     pub(crate) prompt: Arc<str>,
 }
 
-/// Reply of a stage to one forwarded step.
+/// Reply of a stage to one forwarded step, and the step that it belongs to.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct StepReply {
+    pub(crate) reply: ForwardReply,
+    pub(crate) step: StepId,
+}
+
+/// Result of one forwarded step.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum ForwardReply {
@@ -72,12 +101,16 @@
         if reply.status == StatusCode::SERVICE_UNAVAILABLE {
             return Err(FailureKind::Refused);
         }
-        let reply = serde_json::from_slice(&body).map_err(|_| FailureKind::Protocol)?;
+        let reply: StepReply = serde_json::from_slice(&body).map_err(|_| FailureKind::Protocol)?;
+        if reply.step != step.id() {
+            tracing::warn!(expected = ?step.id(), received = ?reply.step, "reply belongs to another step");
+            return Err(FailureKind::Protocol);
+        }
         let mut idle = lock(&self.idle);
         idle.entry(address)
             .or_default()
             .push((Instant::now(), connection));
-        Ok(reply)
+        Ok(reply.reply)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
