Send nothing on connections to a former start of a target

Callers saw: nothing known; requests reached the former process of a target that had restarted under its id, as long as it answered on its connections, and what it announced was recorded for the new one. Cause: the pool kept connections by the id of the target, which a restart keeps. Class: an identity without the start in which it is valid. Evidence: both cases of restarted_target_gets_requests_on_new_connections failed before (id1 and id2 on one connection). Change: the pool keeps connections by the handle of the listed incarnation, and gives out none to another address. Result: the tests pass. The fake of relay's tests gets the header of ids that the trait needs.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -224,9 +224,8 @@
         }
         let limit = headers::idle_timeout(&self.reply.headers);
         let limit = limit.unwrap_or(router.settings.idle_limit);
-        router
-            .pool
-            .put(&self.in_flight.first().id, self.connection, limit);
+        let key = self.in_flight.first().key;
+        router.pool.put(key, self.connection, limit);
     }
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,7 +31,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         ops::Range,
         sync::{
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -11,7 +11,8 @@
 pub struct Pool {
     /// Header with the id of a request, which targets repeat in its answer.
     id_header: HeaderName,
-    idle: Mutex<HashMap<TargetId, Vec<Idle>>>,
+    /// By target, whose key changes when it restarts.
+    idle: Mutex<HashMap<TargetKey, Vec<Idle>>>,
 }
 
 #[derive(Debug)]
@@ -41,7 +42,7 @@
         request: &RequestId,
         limit: Duration,
     ) -> Result<Connection, wire::Error> {
-        if let Some(connection) = self.take_idle(&stage.id, request) {
+        if let Some(connection) = self.take_idle(stage, request) {
             return Ok(connection);
         }
         self.open(stage, limit).await
@@ -62,7 +63,7 @@
     }
 
     /// Stores an idle connection. Its last answer must have been read to the end.
-    pub(crate) fn put(&self, target: &TargetId, connection: Connection, idle_limit: Duration) {
+    pub(crate) fn put(&self, target: TargetKey, connection: Connection, idle_limit: Duration) {
         let request_count = connection.request_count();
         if !connection.is_open() || request_count >= MAX_CONNECTION_REQUESTS {
             return;
@@ -73,32 +74,33 @@
             ends_at: now + idle_limit.mul_f64(IDLE_SHARE),
         };
         let mut map = self.lock();
-        let list = map.entry(target.clone()).or_default();
+        let list = map.entry(target).or_default();
         list.retain(|idle| idle.ends_at > now && idle.connection.is_open());
         list.push(idle);
     }
 
     /// Closes expired connections and all connections to targets that are no longer listed.
-    pub fn retain_listed(&self, is_listed: impl Fn(&TargetId) -> bool) {
+    pub fn retain_listed(&self, is_listed: impl Fn(TargetKey) -> bool) {
         let now = clock::now();
         self.lock().retain(|target, list| {
             list.retain(|idle| idle.ends_at > now && idle.connection.is_open());
-            !list.is_empty() && is_listed(target)
+            !list.is_empty() && is_listed(*target)
         });
     }
 
     /// Closes the idle connections to one target.
-    pub(crate) fn close(&self, target: &TargetId) {
-        self.lock().remove(target);
+    pub(crate) fn close(&self, target: TargetKey) {
+        self.lock().remove(&target);
     }
 
-    fn take_idle(&self, target: &TargetId, request: &RequestId) -> Option<Connection> {
+    fn take_idle(&self, stage: &Stage, request: &RequestId) -> Option<Connection> {
         let now = clock::now();
         let mut map = self.lock();
-        let list = map.get_mut(target)?;
+        let list = map.get_mut(&stage.key)?;
         for position in (0..list.len()).rev() {
             let idle = &list[position];
-            if idle.ends_at <= now || !idle.connection.is_open() {
+            let is_at_address = idle.connection.address() == stage.address;
+            if idle.ends_at <= now || !idle.connection.is_open() || !is_at_address {
                 list.remove(position);
                 continue;
             }
@@ -110,7 +112,7 @@
         None
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetKey, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -179,7 +179,7 @@
     match router.pool.open(target, limit).await {
         Ok(connection) => {
             let idle_limit = router.settings.idle_limit;
-            router.pool.put(&target.id, connection, idle_limit);
+            router.pool.put(target.key, connection, idle_limit);
         }
         Err(error) => {
             tracing::debug!(target = &*target.id, %error, "target does not accept connections");
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -101,12 +101,18 @@
     /// Replaces the list of targets. Closes idle connections to targets that were removed, and treats
     /// requests that were interrupted there as crashes.
     pub fn set_targets(&self, listing: &[Target]) {
-        self.fleet().set_targets(clock::now(), listing);
+        let mut fleet = self.fleet();
+        fleet.set_targets(clock::now(), listing);
+        let keys = listing
+            .iter()
+            .filter_map(|target| fleet.key_of(&target.id, target.incarnation));
+        let keys: HashSet<TargetKey> = keys.collect();
+        drop(fleet);
         let listed: HashMap<&str, Incarnation> = listing
             .iter()
             .map(|target| (&*target.id, target.incarnation))
             .collect();
-        self.pool.retain_listed(|id| listed.contains_key(&**id));
+        self.pool.retain_listed(|key| keys.contains(&key));
         self.suspects().record_ended(clock::now(), |run| {
             listed.get(&*run.target) != Some(&run.incarnation)
         });
--- a/crates/forward/src/target_notices.rs
+++ b/crates/forward/src/target_notices.rs
@@ -54,7 +54,7 @@
     if !fleet.record_leaving(now, target.key) {
         return false;
     }
-    pool.close(&target.id);
+    pool.close(target.key);
     tracing::info!(target = &*target.id, "target is leaving");
     true
 }
--- a/crates/forward/tests/late_replies.rs
+++ b/crates/forward/tests/late_replies.rs
@@ -177,3 +177,30 @@
         [["id1"], ["id1"], ["id1"]]
     );
 }
+
+/// Guards against requests that reach the former process of a target which was restarted under its id: its
+/// connections stayed in use as long as it answered.
+#[parameterized(
+    other_address = { true },
+    same_address = { false },
+)]
+#[test_macro(tokio::test)]
+async fn restarted_target_gets_requests_on_new_connections(moves: bool) {
+    let answer = |ids: &[String]| Script::at_once(success(ids.last().unwrap(), "sound"));
+    let (former, restarted) = (kept_target(answer).await, kept_target(answer).await);
+    let router = start(&former, RepeatPolicy::Once).await;
+    assert_eq!(send(&router, "id1").await.0, 200);
+    let mut listing = setup(RepeatPolicy::Once, &[&former.target]).listing();
+    listing[0].incarnation += 1;
+    if moves {
+        listing[0].address = restarted.target.address;
+    }
+    router.router.set_targets(&listing);
+    assert_eq!(send(&router, "id2").await.0, 200);
+    let expected: &[&[&str]] = if moves {
+        &[&["id1"]]
+    } else {
+        &[&["id1"], &["id2"]]
+    };
+    assert_eq!(*former.connections.lock().unwrap(), expected);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -21,12 +21,16 @@
         time::Duration,
     },
     tokio::{net::TcpListener, task::AbortHandle},
-    wire::hyper::{HeaderMap, StatusCode},
+    wire::hyper::{HeaderMap, StatusCode, header::HeaderName},
 };
 
 pub struct StubBackend;
 
 impl HeaderCodec for StubBackend {
+    fn id_header(&self) -> HeaderName {
+        HeaderName::from_static("x-id")
+    }
+
     fn parse_request(&self, _: &HeaderMap) -> RequestMetadata {
         RequestMetadata::default()
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -73,6 +73,12 @@
         })
     }
 
+    /// Address of the server.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Whether a request with this value of the echoed header was sent on the connection before. A copy of
     /// its reply could not be told from the reply to another request with this value.
     #[must_use]
