Close four gaps in telling replies apart

Callers saw: nothing known; found by a review of the filter. Cause: a head of over 64 KiB passed unexamined, and only its first id was compared then; a request without an id could take a copy without one; copies were framed as replies to the method of the awaited request; the line end behind a chunk was not checked. Change: a head that is too long ends the connection; all ids of an answer must be equal; a request without an id gets a connection that has carried none; a copy is framed by the method of the request that it names. A request that waits longer than 100 ms for the one before to be written counts as not sent, which it is.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -2,6 +2,9 @@
 
 /// Maximum length of a line in a streamed reply, in bytes.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// Time for the rest of the request before to be written, after its reply has arrived. A server may have answered
+/// without reading it.
+const READY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A client connection. The socket closes once the connection and all replies read from it are
 /// dropped, which tells the server to stop working on the request.
@@ -162,7 +165,8 @@
         let address = self.address;
         self.request_count = self.request_count.saturating_add(1);
         let exchange = async {
-            if self.sender.ready().await.is_err() {
+            let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+            if !matches!(ready, Ok(Ok(()))) {
                 return Err(Error::Closed { address });
             }
             if let Some(replies) = &self.replies
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Longest head of a reply that is examined, in bytes. Longer ones are left to hyper, which rejects them.
+/// Longest head of a reply, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Highest number of headers of a reply that is examined; the limit of hyper.
 const MAX_HEADERS: usize = 100;
@@ -116,23 +116,31 @@
             Ok(httparse::Status::Partial) if self.input.len() <= MAX_HEAD_BYTES => {
                 return Ok(false);
             }
-            Ok(httparse::Status::Partial) | Err(_) => {
+            Ok(httparse::Status::Partial) => {
+                return Err(invalid_data("the head of the reply is too long"));
+            }
+            Err(_) => {
                 self.position = Position::Unexamined;
                 return Ok(true);
             }
         };
         let status = head.code.unwrap_or_default();
-        let framing = ReplyFraming::of(status, self.replies.awaits_head(), head.headers);
-        let kind = self.replies.classify(status, head.headers);
-        let (position, discarded_bytes) = match (kind, framing) {
-            (ReplyKind::Interim, _) => (Position::Head, head_bytes),
-            (ReplyKind::Own, Ok(framing)) => (Position::Passing(head_bytes, framing), 0),
-            (ReplyKind::Own, Err(FramingError)) => (Position::Unexamined, 0),
-            (ReplyKind::Other, Ok(framing)) if framing.is_complete() => {
-                (Position::Head, head_bytes)
+        let (position, discarded_bytes) = match self.replies.classify(status, head.headers) {
+            ReplyKind::Interim => (Position::Head, head_bytes),
+            ReplyKind::Own { is_reply_to_head } => {
+                match ReplyFraming::of(status, is_reply_to_head, head.headers) {
+                    Ok(framing) => (Position::Passing(head_bytes, framing), 0),
+                    Err(FramingError) => (Position::Unexamined, 0),
+                }
+            }
+            ReplyKind::Other { is_reply_to_head } => {
+                let is_reply_to_head = is_reply_to_head.ok_or_else(lost_position)?;
+                let framing = ReplyFraming::of(status, is_reply_to_head, head.headers);
+                match framing.map_err(|_| lost_position())? {
+                    framing if framing.is_complete() => (Position::Head, head_bytes),
+                    framing => (Position::Discarding(framing), head_bytes),
+                }
             }
-            (ReplyKind::Other, Ok(framing)) => (Position::Discarding(framing), head_bytes),
-            (ReplyKind::Other, Err(FramingError)) => return Err(lost_position()),
         };
         self.position = position;
         self.discard(discarded_bytes)?;
--- a/crates/wire/src/reply_framing.rs
+++ b/crates/wire/src/reply_framing.rs
@@ -15,8 +15,10 @@
 /// Position within a chunked body.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum ChunkPosition {
-    /// Within a chunk, of which this number of bytes has not been received yet, with the line end behind it.
+    /// Within a chunk, of which this number of bytes has not been received yet.
     Data(u64),
+    /// Within the line end behind a chunk, of which this part has not been received yet.
+    DataEnd(&'static [u8]),
     /// Within the line with the size of a chunk, of which this part has been received.
     Size(Vec<u8>),
     /// Within the lines behind the last chunk; the length of the current line without its line end.
@@ -89,7 +91,15 @@
                 return Ok(count);
             };
             match position {
-                ChunkPosition::Data(0) => *position = ChunkPosition::Size(Vec::new()),
+                ChunkPosition::Data(0) => *position = ChunkPosition::DataEnd(b"\r\n"),
+                ChunkPosition::DataEnd([]) => *position = ChunkPosition::Size(Vec::new()),
+                ChunkPosition::DataEnd(rest) => {
+                    if bytes[count] != rest[0] {
+                        return Err(FramingError);
+                    }
+                    *rest = &rest[1..];
+                    count += 1;
+                }
                 ChunkPosition::Data(left) => {
                     let rest = bytes.len() - count;
                     let part = usize::try_from(*left).unwrap_or(usize::MAX).min(rest);
@@ -129,10 +139,8 @@
     else {
         return Err(FramingError);
     };
-    if size == 0 {
-        return Ok(ChunkPosition::Trailer(0));
-    }
-    let line_end = 2;
-    let bytes = size.checked_add(line_end).ok_or(FramingError)?;
-    Ok(ChunkPosition::Data(bytes))
+    Ok(match size {
+        0 => ChunkPosition::Trailer(0),
+        _ => ChunkPosition::Data(size),
+    })
 }
--- a/crates/wire/src/reply_state.rs
+++ b/crates/wire/src/reply_state.rs
@@ -27,10 +27,10 @@
 pub(crate) enum ReplyKind {
     /// It announces that the awaited reply follows later.
     Interim,
-    /// It belongs to another request.
-    Other,
+    /// It belongs to another request. Whether that was a `HEAD` request may be unknown.
+    Other { is_reply_to_head: Option<bool> },
     /// It belongs to the awaited request.
-    Own,
+    Own { is_reply_to_head: bool },
 }
 
 /// Requests of a connection, as far as they decide which replies belong to them.
@@ -41,6 +41,8 @@
     carried: Vec<u64>,
     discarded: DiscardedReplies,
     echo: HeaderName,
+    /// Hashes of those values in `HEAD` requests, whose replies have no body.
+    head_requests: Vec<u64>,
 }
 
 /// Handle of the state that a connection shares with the filter of its replies.
@@ -55,6 +57,7 @@
             carried: Vec::new(),
             discarded: DiscardedReplies::default(),
             echo,
+            head_requests: Vec::new(),
         })))
     }
 
@@ -63,13 +66,6 @@
         self.lock().awaited.is_none()
     }
 
-    /// Whether the awaited reply is one to a `HEAD` request, which has no body.
-    pub(crate) fn awaits_head(&self) -> bool {
-        let state = self.lock();
-        let awaited = state.awaited.as_ref();
-        awaited.is_some_and(|awaited| awaited.is_reply_to_head)
-    }
-
     /// Starts to wait for the reply to `request`. Returns false if the reply to an earlier one is incomplete.
     pub(crate) fn expect_reply<B>(&self, request: &hyper::Request<B>) -> bool {
         let mut state = self.lock();
@@ -77,11 +73,16 @@
             return false;
         }
         let echo = request.headers().get(&state.echo).cloned();
-        let value = echo.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
-        state.carried.push(hash(value));
+        let echo = echo.filter(|value| !value.as_bytes().trim_ascii().is_empty());
+        let value = hash(echo.as_ref().map_or(&b""[..], HeaderValue::as_bytes));
+        let is_reply_to_head = request.method() == Method::HEAD;
+        state.carried.push(value);
+        if is_reply_to_head {
+            state.head_requests.push(value);
+        }
         state.awaited = Some(AwaitedReply {
             echo,
-            is_reply_to_head: request.method() == Method::HEAD,
+            is_reply_to_head,
         });
         true
     }
@@ -98,16 +99,25 @@
         if is_interim {
             return ReplyKind::Interim;
         }
-        if state.is_own(headers) {
-            return ReplyKind::Own;
+        if let Some(awaited) = state.awaited_by(headers) {
+            return ReplyKind::Own {
+                is_reply_to_head: awaited.is_reply_to_head,
+            };
         }
         state.record_discarded(status, headers);
-        ReplyKind::Other
+        ReplyKind::Other {
+            is_reply_to_head: state.is_reply_to_head(headers),
+        }
     }
 
-    /// Whether a request with this value of the echoed header was sent before; empty if it has no such header.
+    /// Whether a copy of a reply on this connection could be taken for that to a request with this value of the
+    /// echoed header. For a request without the header, any reply without it could be.
     pub(crate) fn has_carried(&self, echo: &[u8]) -> bool {
-        self.lock().carried.contains(&hash(echo))
+        let state = self.lock();
+        if echo.trim_ascii().is_empty() {
+            return !state.carried.is_empty();
+        }
+        state.carried.contains(&hash(echo))
     }
 
     /// Returns the replies that were discarded since the last call.
@@ -121,17 +131,31 @@
 }
 
 impl ReplyState {
-    /// Whether a reply with these headers belongs to the awaited request.
-    fn is_own(&self, headers: &[httparse::Header]) -> bool {
-        let Some(awaited) = &self.awaited else {
-            return false;
-        };
+    /// Awaited request if a reply with these headers belongs to it.
+    fn awaited_by(&self, headers: &[httparse::Header]) -> Option<&AwaitedReply> {
+        let awaited = self.awaited.as_ref()?;
         let mut echoes = self.echoes(headers);
-        let Some(echo) = &awaited.echo else {
-            return echoes.next().is_none();
+        let is_own = match &awaited.echo {
+            None => echoes.next().is_none(),
+            Some(echo) => {
+                let echo = echo.as_bytes().trim_ascii();
+                echoes.next() == Some(echo) && echoes.all(|other| other == echo)
+            }
         };
-        let echo = echo.as_bytes().trim_ascii();
-        echoes.next() == Some(echo) && echoes.all(|other| other == echo)
+        is_own.then_some(awaited)
+    }
+
+    /// Whether a reply to another request is one to a `HEAD` request; none if it names no request of this
+    /// connection, and there were some of either kind.
+    fn is_reply_to_head(&self, headers: &[httparse::Header]) -> Option<bool> {
+        if self.head_requests.is_empty() {
+            return Some(false);
+        }
+        let named = hash(self.echoes(headers).next()?);
+        if self.head_requests.contains(&named) {
+            return Some(true);
+        }
+        self.carried.contains(&named).then_some(false)
     }
 
     fn record_discarded(&mut self, status: u16, headers: &[httparse::Header]) {
