--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -45,6 +45,7 @@
 mod answer;
 mod caller;
 mod cluster;
+mod faulty_replies;
 mod inspection;
 mod lifecycle;
 mod load;
@@ -52,6 +53,8 @@
 mod record;
 mod recorder;
 mod relay;
+mod reply_fault;
+mod reply_reader;
 mod setup;
 mod signal;
 mod temp_dir;
@@ -61,11 +64,13 @@
     answer::ExpectedAnswer,
     caller::{Caller, StreamState},
     cluster::{Cluster, engine_log},
+    faulty_replies::{FILL_BYTE, FaultyReplies},
     load::LoadGenerator,
     process::{Process, binary_path},
     record::{CallOutcome, LayerRun},
     recorder::Recorder,
     relay::{LinkState, Relay},
+    reply_fault::{ReplyFault, ReplyFaults},
     setup::{CALLER_KEY, MODEL, OPERATOR_KEY, SERVICE, Setup},
     signal::Signal,
     temp_dir::TempDir,
