--- a/crates/suite/src/reply_fault.rs
+++ b/crates/suite/src/reply_fault.rs
@@ -21,13 +21,14 @@
     EndlessBody,
     /// The head has headers without end.
     EndlessHead,
-    /// A failure is written between two chunks of the body, and the connection ends.
+    /// A failure is written between two chunks of the body, and the connection ends. A reply that is
+    /// not in chunks is reset.
     ErrorInBody,
     /// Bytes that are no reply come first.
     NoReply,
     /// The connection is reset in the body.
     Reset,
-    /// The reply has no framing, and the connection is reset in its body.
+    /// The reply has no framing, and the connection is reset in its body. A reply in chunks keeps them.
     ResetUnframed,
 }
 
