Damage the replies of services in the soak of the suite

Cause: the soak of the suite had no replies that are cut, reset, endless or doubled, only calls whose reply is dropped.

Change: Setup::has_service_proxies puts FaultyReplies between the entry instances and each service, which registers with the address of its proxy (announced_address).

--- a/crates/standin/src/registration.rs
+++ b/crates/standin/src/registration.rs
@@ -6,6 +6,8 @@
 pub struct RegistrationSettings {
     /// Address to listen on; port 0 selects a free port.
     pub address: SocketAddr,
+    /// Address that the process list names, such as that of a proxy; none names `address`.
+    pub announced_address: Option<SocketAddr>,
     /// Failure domain in which the process claims to run.
     pub failure_domain: FailureDomain,
     /// Id in the process list; must be usable as a URL path segment.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announced_address: None,
             failure_domain: "a".into(),
             id: "target-1".into(),
             incarnation: 0,
@@ -68,7 +71,7 @@
     ) -> Self {
         Self {
             listing: Listing {
-                address,
+                address: place.announced_address.unwrap_or(address),
                 failure_domain: place.failure_domain.clone(),
                 id: place.id.clone(),
                 incarnation,
--- a/crates/suite/src/cluster.rs
+++ b/crates/suite/src/cluster.rs
@@ -26,6 +26,8 @@
     pub platform_links: Vec<Relay>,
     /// Records of what happened, for the invariant checks.
     pub recorder: Recorder,
+    /// Proxy before each fake service, if `Setup::has_service_proxies` is set.
+    pub service_proxies: Vec<FaultyReplies>,
     /// Fake services, one in each failure domain.
     pub services: Vec<Process>,
     pub(crate) temp_dir: TempDir,
@@ -52,12 +54,13 @@
             platform,
             platform_links: Vec::new(),
             recorder: Recorder::default(),
+            service_proxies: Vec::new(),
             services: Vec::new(),
             setup,
             _permit: permit,
         };
         for domain in 0..cluster.setup.domain_count {
-            cluster.start_domain(domain)?;
+            cluster.start_domain(domain).await?;
         }
         for number in 0..cluster.setup.entry_count {
             cluster.start_entry(number).await?;
@@ -212,7 +215,7 @@
             .collect()
     }
 
-    fn start_domain(&mut self, domain: usize) -> Result<()> {
+    async fn start_domain(&mut self, domain: usize) -> Result<()> {
         let platform = self.platform.address("address")?;
         for stage in 0..self.setup.stage_count {
             let settings = self.setup.engine(domain, stage, platform);
@@ -220,13 +223,32 @@
             let engine = Process::start(&self.temp_dir, "standin-engine", &name, &settings)?;
             self.engines.push(engine);
         }
-        let settings = self.setup.service(domain, platform);
-        let name = settings.place.id.clone();
-        let service = Process::start(&self.temp_dir, "standin-service", &name, &settings)?;
+        if self.setup.has_service_proxies {
+            // No connection can be opened until the service has reported its address.
+            let target = SocketAddr::from(([127, 0, 0, 1], 0));
+            let proxy = FaultyReplies::start(target, ReplyFaults::default()).await?;
+            self.service_proxies.push(proxy);
+        }
+        let service = self.start_service(domain)?;
         self.services.push(service);
         Ok(())
     }
 
+    /// Starts the service of a failure domain behind its proxy, if it has one.
+    pub(crate) fn start_service(&self, domain: usize) -> Result<Process> {
+        let proxy = self.service_proxies.get(domain);
+        let mut settings = self
+            .setup
+            .service(domain, self.platform.address("address")?);
+        settings.place.announced_address = proxy.map(FaultyReplies::address);
+        let name = settings.place.id.clone();
+        let service = Process::start(&self.temp_dir, "standin-service", &name, &settings)?;
+        if let Some(proxy) = proxy {
+            proxy.set_target(service.address("address")?);
+        }
+        Ok(service)
+    }
+
     pub(crate) async fn start_entry(&mut self, number: usize) -> Result<()> {
         let link = Relay::start(self.platform.address("address")?).await?;
         let settings = self.setup.entry(number, link.address());
--- a/crates/suite/src/faulty_replies.rs
+++ b/crates/suite/src/faulty_replies.rs
@@ -30,6 +30,7 @@
     faults: ReplyFaults,
     injected: BTreeMap<String, usize>,
     random: ChaCha8Rng,
+    target: SocketAddr,
 }
 
 impl FaultyReplies {
@@ -45,8 +46,9 @@
             injected: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(faults.seed),
             faults,
+            target,
         }));
-        let task = tokio::spawn(accept(listener, target, state.clone()));
+        let task = tokio::spawn(accept(listener, state.clone()));
         Ok(Self {
             address,
             state,
@@ -66,10 +68,22 @@
         lock(&self.state).injected.clone()
     }
 
+    /// Replaces the faults and restarts the draws with their seed.
+    pub fn set_faults(&self, faults: ReplyFaults) {
+        let mut state = lock(&self.state);
+        state.random = ChaCha8Rng::seed_from_u64(faults.seed);
+        state.faults = faults;
+    }
+
     /// Sets the share of the exchanges that draw a fault.
     pub fn set_share(&self, share: f64) {
         lock(&self.state).faults.share = share;
     }
+
+    /// Sends new connections to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        lock(&self.state).target = target;
+    }
 }
 
 impl Drop for FaultyReplies {
@@ -82,11 +96,12 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<Mutex<State>>) {
+async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
     let mut connections = JoinSet::new();
     while let Ok((client, _)) = listener.accept().await {
         while connections.try_join_next().is_some() {}
         let state = state.clone();
+        let target = lock(&state).target;
         connections.spawn(async move {
             let Ok(server) = TcpStream::connect(target).await else {
                 return;
--- a/crates/suite/src/lifecycle.rs
+++ b/crates/suite/src/lifecycle.rs
@@ -50,11 +50,8 @@
             self.recorder.record_engine_log_lost();
             self.engines[position + usize::try_from(stage)?] = engine;
         }
-        let settings = self.setup.service(domain, platform);
-        let name = settings.place.id.clone();
         self.recorder.record_execution_log_lost();
-        self.services[domain] =
-            Process::start(&self.temp_dir, "standin-service", &name, &settings)?;
+        self.services[domain] = self.start_service(domain)?;
         for number in 0..self.entries.len() {
             if number % self.setup.domain_count == domain {
                 self.restart_entry(number).await?;
--- a/crates/suite/src/reply_fault.rs
+++ b/crates/suite/src/reply_fault.rs
@@ -61,8 +61,8 @@
     }
 }
 
-/// Which faults a proxy injects.
-#[derive(Clone, Debug)]
+/// Which faults a proxy injects. The default is none.
+#[derive(Clone, Debug, Default)]
 pub struct ReplyFaults {
     /// Faults among which each exchange draws.
     pub faults: Vec<ReplyFault>,
--- a/crates/suite/src/setup.rs
+++ b/crates/suite/src/setup.rs
@@ -27,6 +27,8 @@
     pub entry: entry::Settings,
     /// Number of entry instances, over all failure domains.
     pub entry_count: usize,
+    /// Whether a proxy that can damage replies is between the entry instances and each service.
+    pub has_service_proxies: bool,
     /// Number of layers of the model.
     pub layer_count: u32,
     /// Settings of the fake platform.
@@ -45,6 +47,7 @@
             engine: EngineSettings::default(),
             entry: entry::Settings::default(),
             entry_count: 2,
+            has_service_proxies: false,
             layer_count: 32,
             platform: standin::PlatformSettings::default(),
             service: ServiceSettings {
