Test the comparison of ids in the router itself

Cause: the filter of replies hides the comparison in the router from all tests; without it they passed. Change: tests whose connections compare another header than the id. The ids of an answer with several are compared in the filter, which sees all of them, so the router compares the one that it reads. The position within the awaited reply has named fields.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -118,7 +118,7 @@
     ) -> Result<Self, (AttemptFailure, Stage)> {
         let now = clock::now();
         let first = self.first().clone();
-        if !self.is_own(router, admitted) {
+        if !self.is_own(admitted) {
             self.log_rejected(admitted, "answer does not belong to this request");
             return Err((AttemptFailure::Unknown, first));
         }
@@ -152,11 +152,10 @@
         Ok(self)
     }
 
-    /// Whether the answer names this request and no other one, or names none and neither does the request.
-    fn is_own(&self, router: &Router, admitted: &Admitted) -> bool {
+    /// Whether the answer names this request, or names none and neither does the request.
+    fn is_own(&self, admitted: &Admitted) -> bool {
         let id = self.metadata.id.as_deref().unwrap_or_default();
-        let ids = self.reply.headers.get_all(router.header_codec.id_header());
-        id == &*admitted.metadata.id && ids.iter().all(|other| Some(other) == ids.iter().next())
+        id == &*admitted.metadata.id
     }
 
     fn log_rejected(&self, admitted: &Admitted, message: &'static str) {
--- a/crates/forward/tests/late_replies.rs
+++ b/crates/forward/tests/late_replies.rs
@@ -106,6 +106,23 @@
     }
 }
 
+/// Guards against an answer to another request that is believed where connections cannot tell answers apart, because
+/// targets do not repeat the header that they compare.
+#[parameterized(
+    other_id = { "x-id: id0\r\n" },
+    no_id = { "" },
+)]
+#[test_macro(tokio::test)]
+async fn answer_is_believed_only_with_the_id_of_the_request(ids: &'static str) {
+    let target = kept_target(move |_| Script::at_once(refusal("", ids))).await;
+    let router = Setup {
+        attempt_count: 1,
+        id_header: "x-unused",
+        ..setup(RepeatPolicy::Once, &[&target.target])
+    };
+    assert_eq!(send(&router.start().await, "id1").await.0, 502);
+}
+
 /// Guards against state of a target that is taken from a reply to another request: that it is leaving, asks for a
 /// pause, limits its requests, or that a target on the path failed.
 #[parameterized(
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -43,7 +43,10 @@
 /// `x-tokens-unknown`;
 /// answers use `x-id`, `x-signature`, `x-not-run`, `x-leaving`, `x-fault-at`, `x-rate-limit` and
 /// `x-return-after-ms`.
-pub struct TestHeaderCodec;
+pub struct TestHeaderCodec {
+    /// Header by which connections tell answers apart.
+    pub id_header: &'static str,
+}
 
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
@@ -51,7 +54,7 @@
 
 impl HeaderCodec for TestHeaderCodec {
     fn id_header(&self) -> HeaderName {
-        HeaderName::from_static("x-id")
+        HeaderName::from_static(self.id_header)
     }
 
     fn parse_request(&self, headers: &HeaderMap) -> RequestMetadata {
@@ -228,6 +231,7 @@
 pub struct Setup {
     pub attempt_count: u32,
     pub gap_goal: Option<Duration>,
+    pub id_header: &'static str,
     pub limits: catalog::Limits,
     pub repeat: RepeatPolicy,
     pub settings: ForwardSettings,
@@ -258,6 +262,7 @@
             domains: Vec::new(),
             gap_goal: None,
             hardware: "card",
+            id_header: "x-id",
             held: Vec::new(),
             limits: catalog::Limits::default(),
             repeat: RepeatPolicy::Idempotent,
@@ -273,7 +278,10 @@
     pub async fn start(self) -> TestRouter {
         let engines = Arc::new(TestEngines::default());
         let settings = self.settings.clone();
-        let router = Router::new(settings, Arc::new(TestHeaderCodec), engines.clone(), 7);
+        let codec = TestHeaderCodec {
+            id_header: self.id_header,
+        };
+        let router = Router::new(settings, Arc::new(codec), engines.clone(), 7);
         {
             let mut holder = router.catalog();
             holder.offer(Arc::new(self.catalog()));
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -28,8 +28,12 @@
     Discarding(ReplyFraming),
     /// Before or within a head.
     Head,
-    /// Within the awaited reply, of whose head this number of bytes has not been passed on yet.
-    Passing(usize, ReplyFraming),
+    /// Within the awaited reply.
+    Passing {
+        framing: ReplyFraming,
+        /// Bytes of the head that have not been passed on yet.
+        head_bytes: usize,
+    },
     /// Behind bytes that are no valid reply. Everything is passed on, and hyper reports the error.
     Unexamined,
 }
@@ -62,7 +66,7 @@
                         self.position = Position::Head;
                     }
                 }
-                Position::Passing(..) => {
+                Position::Passing { .. } => {
                     if self.pass_reply(buffer) {
                         return Ok(());
                     }
@@ -78,7 +82,11 @@
 
     /// Passes on bytes of the awaited reply. Returns whether it is complete.
     fn pass_reply(&mut self, buffer: &mut ReadBuf) -> bool {
-        let Position::Passing(head_bytes, framing) = &mut self.position else {
+        let Position::Passing {
+            framing,
+            head_bytes,
+        } = &mut self.position
+        else {
             return false;
         };
         let mut count = self.input.len().min(buffer.remaining());
@@ -129,7 +137,13 @@
             ReplyKind::Interim => (Position::Head, head_bytes),
             ReplyKind::Own { is_reply_to_head } => {
                 match ReplyFraming::of(status, is_reply_to_head, head.headers) {
-                    Ok(framing) => (Position::Passing(head_bytes, framing), 0),
+                    Ok(framing) => (
+                        Position::Passing {
+                            framing,
+                            head_bytes,
+                        },
+                        0,
+                    ),
                     Err(FramingError) => (Position::Unexamined, 0),
                 }
             }
