--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -60,49 +60,43 @@
         // twice.
         let expected = path.first_event_time().saturating_mul(STALL_FACTOR);
         let resend_after = resend_after.map(|after| after.max(expected));
-        let message = match message::build(router, admitted, request, &path, last_event) {
-            Err(error) => {
-                tracing::warn!(request = &*admitted.metadata.id, %error, "cannot build the request");
-                return Err((AttemptFailure::NotSent, first));
-            }
-            Ok(message) => message,
+        let message = message::build(router, admitted, request, &path, last_event);
+        let Ok(message) = message.inspect_err(|error| log_invalid(admitted, error)) else {
+            return Err((AttemptFailure::NotSent, first));
         };
         let mut in_flight = InFlight::begin(router, &admitted.service, path);
         let connect_timeout = router.settings.connect_timeout.min(limit);
         let id = &admitted.metadata.id;
-        let mut connection = match router.pool.take(&first, id, connect_timeout).await {
-            Err(error) => {
-                return Err((record_send_failure(router, admitted, &first, &error), first));
-            }
-            Ok(connection) => connection,
-        };
+        let connection = router.pool.take(&first, id, connect_timeout).await;
+        let mut connection = connection.map_err(|error| {
+            let failure = record_send_failure(router, admitted, &first, &error);
+            (failure, first.clone())
+        })?;
         // Answers to other requests may have changed the state of the targets while the connection was
         // being opened.
-        if !router
-            .fleet()
-            .accepts_requests(clock::now(), in_flight.path())
-        {
+        let now = clock::now();
+        if !router.fleet().accepts_requests(now, in_flight.path()) {
             return Err((AttemptFailure::PathUnavailable, first));
         }
         let exchange = connection.send_request(message, limit);
         let reply = in_flight
             .wait_for_reply(admitted, resend_after, exchange)
             .await;
-        let discarded = connection.take_discarded();
-        log_discarded(admitted, &first, &discarded);
+        log_discarded(admitted, &first, &connection.take_discarded());
         let reply = match reply {
-            None => return Err((AttemptFailure::Unknown, first)),
+            Some(Ok(reply)) => reply,
             Some(Err(error)) => {
                 return Err((record_send_failure(router, admitted, &first, &error), first));
             }
-            Some(Ok(reply)) => reply,
+            None => return Err((AttemptFailure::Unknown, first)),
         };
+        let metadata = router
+            .header_codec
+            .parse_reply(reply.status, &reply.headers);
         let attempt = Self {
             connection,
             has_events: false,
-            metadata: router
-                .header_codec
-                .parse_reply(reply.status, &reply.headers),
+            metadata,
             in_flight,
             reply,
         };
@@ -229,6 +223,11 @@
     }
 }
 
+fn log_invalid(admitted: &Admitted, error: &hyper::http::Error) {
+    let request = &*admitted.metadata.id;
+    tracing::warn!(request, %error, "cannot build the request");
+}
+
 /// Logs the answers to other requests that arrived before the answer to this one.
 fn log_discarded(admitted: &Admitted, target: &Stage, discarded: &DiscardedReplies) {
     if discarded.count == 0 {
