Log each decision of the retry budget

What callers saw: nothing. The logs could not tell which instance sent retries beyond its share, and by which list. Change: one line and one counter for each decision, with the retries in the window, the limit and the number of instances.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -40,13 +40,19 @@
     /// Counts one retry and returns true, unless this instance, as one of `instance_count`, has used
     /// up its budget.
     pub fn try_retry(&mut self, now: Duration, instance_count: usize) -> bool {
-        let counts = self.window.counts(now);
-        let extra = self.shared_extra_count / instance_count.max(1) as f64;
-        let limit = self.ratio * f64::from(counts.requests) + extra;
-        if f64::from(counts.retries) + 1.0 > limit {
+        let (retry_count, limit) = self.usage(now, instance_count);
+        if f64::from(retry_count) + 1.0 > limit {
             return false;
         }
         self.window.record_retry(now);
         true
     }
+
+    /// Retries in the window, and the limit for them as one of `instance_count`.
+    pub fn usage(&mut self, now: Duration, instance_count: usize) -> (u32, f64) {
+        let counts = self.window.counts(now);
+        let extra = self.shared_extra_count / instance_count.max(1) as f64;
+        let limit = self.ratio * f64::from(counts.requests) + extra;
+        (counts.retries, limit)
+    }
 }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -179,7 +179,9 @@
     }
 
     pub(crate) fn try_retry(&self) -> bool {
-        self.router.try_retry(&self.admitted.service)
+        let admitted = &self.admitted;
+        self.router
+            .try_retry(&admitted.metadata.id, &admitted.service)
     }
 
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response {
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -253,10 +253,26 @@
         own_per_s * count as f64
     }
 
-    /// Takes one retry from the budget of a service. Returns whether the budget allowed it.
-    pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
-        let count = lock(&self.instances).len();
-        self.with_budget(service, |budget| budget.try_retry(clock::now(), count))
+    /// Takes one retry of a request from the budget of its service. Returns whether the budget allowed it.
+    pub(crate) fn try_retry(&self, request: &RequestId, service: &ServiceName) -> bool {
+        let instances = lock(&self.instances).len();
+        let now = clock::now();
+        let (is_allowed, (retries, limit)) = self.with_budget(service, |budget| {
+            let is_allowed = budget.try_retry(now, instances);
+            (is_allowed, budget.usage(now, instances))
+        });
+        metrics::counter!("forward_retries_total", "allowed" => is_allowed.to_string())
+            .increment(1);
+        tracing::info!(
+            request = &**request,
+            service = &**service,
+            is_allowed,
+            retries,
+            limit,
+            instances,
+            "retry budget"
+        );
+        is_allowed
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
