Count retries over the whole window of the retry limit

What callers saw: nothing; targets may get two bursts of retries within one window. Cause: the window consisted of ten buckets including the current one, so that retries were forgotten after nine to ten seconds, while targets count ten. Change: extra retries are kept with their times for the window and half a second. Retries earned by requests are a credit that lasts a quarter of a window, which also bounds what an instance can have used before it ends. The reserve for that is in the budget now: budget.rs checks the whole window at the exact ratio, where it checked nine tenths of one, so the test of the settings checks the exact ratio instead of a smaller one.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -1,58 +1,83 @@
 use super::*;
 
+/// Part of the window over which unused credit is kept. In one window, instances may use the credit of that
+/// window and of this part of the one before, even if they restart in between.
+const CREDIT_WINDOW_SHARE: f64 = 0.25;
+/// Added to the window in which extra retries are counted, because retries that were sent further apart than
+/// the window may arrive closer together.
+const ARRIVAL_SPREAD: Duration = Duration::from_millis(500);
+
 /// Retry budget of one instance for one service.
 ///
-/// In each window, an instance may retry up to `ratio` times its requests plus an equal part of
-/// `shared_extra_count`. All instances together therefore stay within the limit without exchanging
-/// messages.
+/// Each request earns a credit. Retries beyond the credit are taken from the share of this instance in the
+/// extra retries of a window. In each window, any number of instances, which may restart at any time, together
+/// stay within a ratio of their requests plus the sum of their shares.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    shared_extra_count: f64,
-    ratio: f64,
-    window: RetryWindow,
-    window_time: Duration,
+    /// Retries that were earned and not used.
+    credit: f64,
+    /// Credit that a request earns, in retries.
+    credit_per_request: f64,
+    /// Extra retries of the window: when they were taken, and the part that the credit did not cover.
+    extra_uses: VecDeque<(Duration, f64)>,
+    requests: RetryWindow,
+    window: Duration,
 }
 
 impl RetryBudget {
-    /// Creates a budget for one service at one instance. `shared_extra_count` is the number of
-    /// retries that all instances together may send beyond `ratio` times their requests.
+    /// Creates a budget without credit for one service at one instance. `ratio` is that of retries to requests
+    /// that all instances together may reach in a window, without the extra retries.
     #[must_use]
-    pub fn new(ratio: f64, shared_extra_count: f64, window: Duration) -> Self {
+    pub fn new(ratio: f64, window: Duration) -> Self {
         Self {
-            shared_extra_count,
-            ratio,
-            window: RetryWindow::new(window / BUCKET_COUNT),
-            window_time: window,
+            credit: 0.0,
+            credit_per_request: ratio / (1.0 + CREDIT_WINDOW_SHARE),
+            extra_uses: VecDeque::new(),
+            requests: RetryWindow::new(window / BUCKET_COUNT),
+            window,
         }
     }
 
     /// Counts a new request.
     pub fn record_request(&mut self, now: Duration) {
-        self.window.record_request(now);
+        self.requests.record_request(now);
+        self.credit = (self.credit + self.credit_per_request).min(self.max_credit(now));
     }
 
     /// Requests per second over the window.
     pub fn requests_per_s(&mut self, now: Duration) -> f64 {
-        let count = f64::from(self.window.counts(now).requests);
-        count / self.window_time.as_secs_f64().max(f64::MIN_POSITIVE)
+        let count = f64::from(self.requests.counts(now).requests);
+        count / self.window.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    /// Counts one retry and returns true, unless this instance, as one of `instance_count`, has used
-    /// up its budget.
-    pub fn try_retry(&mut self, now: Duration, instance_count: usize) -> bool {
-        let (retry_count, limit) = self.usage(now, instance_count);
-        if f64::from(retry_count) + 1.0 > limit {
-            return false;
+    /// Takes one retry and returns true, unless neither the credit nor this instance's share of the extra
+    /// retries of a window allow it.
+    pub fn try_retry(&mut self, now: Duration, extra_share: f64) -> bool {
+        let (credit, used) = self.balance(now);
+        let from_credit = credit.min(1.0);
+        let from_extra = 1.0 - from_credit;
+        if from_extra > 0.0 {
+            if used + from_extra > extra_share {
+                return false;
+            }
+            self.extra_uses.push_back((now, from_extra));
         }
-        self.window.record_retry(now);
+        self.credit -= from_credit;
         true
     }
 
-    /// Retries in the window, and the limit for them as one of `instance_count`.
-    pub fn usage(&mut self, now: Duration, instance_count: usize) -> (u32, f64) {
-        let counts = self.window.counts(now);
-        let extra = self.shared_extra_count / instance_count.max(1) as f64;
-        let limit = self.ratio * f64::from(counts.requests) + extra;
-        (counts.retries, limit)
+    /// Credit, and extra retries taken within the window.
+    pub fn balance(&mut self, now: Duration) -> (f64, f64) {
+        let window = self.window + ARRIVAL_SPREAD;
+        self.extra_uses
+            .retain(|(at, _)| now.saturating_sub(*at) < window);
+        self.credit = self.credit.min(self.max_credit(now));
+        let used = self.extra_uses.iter().map(|(_, amount)| amount).sum();
+        (self.credit, used)
+    }
+
+    fn max_credit(&mut self, now: Duration) -> f64 {
+        let requests = f64::from(self.requests.counts(now).requests);
+        self.credit_per_request * requests * CREDIT_WINDOW_SHARE
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,7 @@
     serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap, VecDeque},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -6,7 +6,8 @@
 
 /// Maximum number of retries in any window when each instance uses up its budget.
 fn worst_window(instance_count: usize, requests_per_s: u64) -> usize {
-    let budget = RetryBudget::new(0.2, 200.0, WINDOW);
+    let budget = RetryBudget::new(0.2, WINDOW);
+    let extra_share = 200.0 / instance_count as f64;
     let mut budgets = vec![budget; instance_count];
     let mut taken_at = Vec::new();
     for step in 0..3_000_u64 {
@@ -15,13 +16,13 @@
             if step * requests_per_s / 100 != (step + 1) * requests_per_s / 100 {
                 budget.record_request(now);
             }
-            while budget.try_retry(now, instance_count) {
+            while budget.try_retry(now, extra_share) {
                 taken_at.push(now);
             }
         }
     }
     let in_window = |start: &Duration| {
-        let end = *start + WINDOW * 9 / 10;
+        let end = *start + WINDOW;
         taken_at
             .iter()
             .filter(|at| (*start..end).contains(at))
@@ -45,8 +46,21 @@
 
 #[test]
 fn budget_is_restored_after_the_window() {
-    let mut budget = RetryBudget::new(0.0, 1.0, WINDOW);
-    assert!(budget.try_retry(Duration::from_secs(1), 1));
-    assert!(!budget.try_retry(Duration::from_secs(10), 1));
-    assert!(budget.try_retry(Duration::from_secs(12), 1));
+    let mut budget = RetryBudget::new(0.0, WINDOW);
+    assert!(budget.try_retry(Duration::from_secs(1), 1.0));
+    assert!(!budget.try_retry(Duration::from_secs(10), 1.0));
+    assert!(budget.try_retry(Duration::from_secs(12), 1.0));
+}
+
+/// Guards against idle instances that save up their retries and send them at once.
+#[test]
+fn unused_credit_is_limited() {
+    let mut budget = RetryBudget::new(0.2, WINDOW);
+    for request in 0..1_000_u32 {
+        budget.record_request(Duration::from_millis(10) * request);
+    }
+    let now = Duration::from_secs(10);
+    let count = (0..200).take_while(|_| budget.try_retry(now, 0.0)).count();
+    assert!((35..=40).contains(&count), "{count} retries");
+    assert!(!budget.try_retry(now + WINDOW * 2, 0.0));
 }
--- a/crates/fleet/tests/retry_limit.rs
+++ b/crates/fleet/tests/retry_limit.rs
@@ -6,7 +6,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
 const EXTRA: f64 = 200.0;
-/// Share of the limit that instances use, as on the users' platform.
+/// Share of the extra retries that instances use, as on the users' platform.
 const USED_SHARE: f64 = 0.8;
 const STEP: Duration = Duration::from_millis(10);
 
@@ -32,7 +32,7 @@
 impl Instance {
     fn start() -> Self {
         Self {
-            budget: RetryBudget::new(RATIO * USED_SHARE, EXTRA * USED_SHARE, WINDOW),
+            budget: RetryBudget::new(RATIO, WINDOW),
             is_paused: false,
             listed_count: 0,
         }
@@ -48,7 +48,8 @@
     }
 
     fn try_retry(&mut self, now: Duration) -> bool {
-        !self.is_paused && self.budget.try_retry(now, self.listed_count)
+        let extra_share = EXTRA * USED_SHARE / self.listed_count.max(1) as f64;
+        !self.is_paused && self.budget.try_retry(now, extra_share)
     }
 }
 
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -256,10 +256,11 @@
     /// Takes one retry of a request from the budget of its service. Returns whether the budget allowed it.
     pub(crate) fn try_retry(&self, request: &RequestId, service: &ServiceName) -> bool {
         let instances = lock(&self.instances).len();
+        let extra_share = self.settings.extra_retries / instances.max(1) as f64;
         let now = clock::now();
-        let (is_allowed, (retries, limit)) = self.with_budget(service, |budget| {
-            let is_allowed = budget.try_retry(now, instances);
-            (is_allowed, budget.usage(now, instances))
+        let (is_allowed, (credit, extra_used)) = self.with_budget(service, |budget| {
+            let is_allowed = budget.try_retry(now, extra_share);
+            (is_allowed, budget.balance(now))
         });
         metrics::counter!("forward_retries_total", "allowed" => is_allowed.to_string())
             .increment(1);
@@ -267,8 +268,9 @@
             request = &**request,
             service = &**service,
             is_allowed,
-            retries,
-            limit,
+            credit,
+            extra_used,
+            extra_share,
             instances,
             "retry budget"
         );
@@ -278,13 +280,9 @@
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let settings = &self.settings;
         let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(
-                settings.retry_ratio,
-                settings.extra_retries,
-                settings.retry_window,
-            )
-        });
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(settings.retry_ratio, settings.retry_window));
         act(budget)
     }
 }
