Hold back the extra retries of an instance that has just started

What callers saw: nothing; targets got more retries than allowed when instances were killed, stopped or restarted in turn. Cause: the count of retries is in memory, so each start had the whole share of its instance again in the same window. Class of fault: a shared limit that is divided by state that does not outlast a process. Change: a start has no share in the extra retries until a window and the time in which lists of instances spread have passed. Retries that its requests earn are sent from the beginning.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod path;
 mod path_finder;
 mod rate_limit;
+mod retry_share;
 mod settings;
 mod shared_load;
 mod target;
@@ -50,6 +51,7 @@
     load_table::LoadTable,
     path::{NoPath, Path, Stage},
     rate_limit::RateLimit,
+    retry_share::RetryShare,
     settings::FleetSettings,
     shared_load::{MAX_LOAD_AGE, SharedLoad},
     target::{Incarnation, Target},
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,7 +10,7 @@
     catalog::{Account, Catalog, EngineProfile, LatestCatalog, RepeatPolicy, Route, ServiceName},
     fleet::{
         Demand, Departure, Fleet, FleetSettings, Load, NoPath, Outcome, Path, RetryBudget,
-        SharedLoad, Stage, Target, TargetId, TargetKey,
+        RetryShare, SharedLoad, Stage, Target, TargetId, TargetKey,
     },
     futures::{FutureExt, future::BoxFuture},
     http_body_util::Full,
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -13,6 +13,7 @@
     pub(crate) pool: Pool,
     pub(crate) prober: Prober,
     pub(crate) prompt_parts: PromptParts,
+    retry_share: Mutex<RetryShare>,
     rng: Mutex<SmallRng>,
     wait_queues: Mutex<HashMap<ServiceName, Arc<WaitQueue>>>,
     pub(crate) settings: ForwardSettings,
@@ -29,6 +30,7 @@
         seed: u64,
     ) -> Arc<Self> {
         let pool = Pool::new(header_codec.id_header());
+        let held_until = clock::now() + settings.retry_hold;
         Arc::new(Self {
             answer_buffers: AnswerBuffers::new(settings.max_buffered_bytes),
             budgets: Mutex::default(),
@@ -41,6 +43,7 @@
             pool,
             prober: Prober::new(engines),
             prompt_parts: PromptParts::new(settings.prompt_parts.clone(), seed),
+            retry_share: Mutex::new(RetryShare::new(settings.extra_retries, held_until)),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             wait_queues: Mutex::default(),
             suspects: Mutex::new(Suspects::new(settings.quarantine.clone())),
@@ -83,6 +86,7 @@
     /// Replaces the instances that accept requests of callers.
     pub fn set_instances(&self, instances: Vec<Instance>) {
         self.fleet().set_instance_count(instances.len());
+        lock(&self.retry_share).set_instance_count(instances.len());
         self.permits.set_instances(clock::now(), &instances);
         *lock(&self.instances) = instances;
     }
@@ -256,8 +260,8 @@
     /// Takes one retry of a request from the budget of its service. Returns whether the budget allowed it.
     pub(crate) fn try_retry(&self, request: &RequestId, service: &ServiceName) -> bool {
         let instances = lock(&self.instances).len();
-        let extra_share = self.settings.extra_retries / instances.max(1) as f64;
         let now = clock::now();
+        let extra_share = lock(&self.retry_share).extra_retries(now);
         let (is_allowed, (credit, extra_used)) = self.with_budget(service, |budget| {
             let is_allowed = budget.try_retry(now, extra_share);
             (is_allowed, budget.balance(now))
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -36,6 +36,10 @@
     /// Time reserved for sending the answer back to the caller; deadlines that are forwarded to targets
     /// are shortened by it.
     pub deadline_margin: Duration,
+    /// Time after the start without a share in the extra retries. An earlier start of this instance may have
+    /// used it, and other instances may still divide them without this one. At least `retry_window` and the
+    /// time that a changed list of instances needs to reach all of them.
+    pub retry_hold: Duration,
     /// Ratio of retries to requests that the retry budget allows.
     pub retry_ratio: f64,
     /// Window over which the retry budget counts requests and retries.
@@ -82,6 +86,7 @@
                 crash_count: 3,
                 ..QuarantineSettings::default()
             },
+            retry_hold: Duration::from_secs(15),
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_after: Duration::from_millis(500),
