Divide the extra retries by the largest recent number of instances

What callers saw: nothing; targets got more retries than allowed when instances ended or were cut off from their peers. Cause: the extra retries were divided by the length of the current list, so the remaining instances had a larger share in the window in which the others had used theirs, and an instance that knew no list used all of them. Change: an instance that has left the list counts for ten minutes. A list gives a share only if the leader confirmed it within a minute, which an instance that is cut off notices long before the others stop counting it. Before the first confirmed list there is no share.

--- a/crates/fleet/tests/retry_limit.rs
+++ b/crates/fleet/tests/retry_limit.rs
@@ -21,8 +21,10 @@
 enum Event {
     /// It ends, and starts again at once without any memory.
     Restart,
-    /// It sees a list with this number of instances.
+    /// It receives a list with this number of instances from the leader.
     List(usize),
+    /// It finds no leader, and lists the instances that it knows.
+    OwnList(usize),
     /// It sends no more retries, although it could.
     Pause,
     /// It sends a retry whenever it may, as at the start.
@@ -47,7 +49,11 @@
     fn apply(&mut self, now: Duration, event: Event) {
         match event {
             Event::Restart => *self = Self::start(now),
-            Event::List(count) => self.share.set_instance_count(count),
+            Event::List(count) => {
+                self.share.set_instance_count(now, count);
+                self.share.confirm(now);
+            }
+            Event::OwnList(count) => self.share.set_instance_count(now, count),
             Event::Pause => self.is_paused = true,
             Event::Resume => self.is_paused = false,
         }
@@ -166,7 +172,7 @@
     let excess = worst_excess(8, 6, |_| {
         vec![
             (24_000, Event::Pause),
-            (25_000, Event::List(seen_count)),
+            (25_000, Event::OwnList(seen_count)),
             (25_100, Event::Resume),
             (33_000, Event::List(8)),
         ]
@@ -174,6 +180,36 @@
     assert!(excess <= 0.0, "{excess} retries too many");
 }
 
+/// Before a leader is found, each instance knows only itself.
+#[test]
+fn instances_that_start_alone_stay_within_the_limit() {
+    let excess = worst_excess(8, 6, |_| {
+        vec![(25_000, Event::Restart), (25_100, Event::OwnList(1))]
+    });
+    assert!(excess <= 0.0, "{excess} retries too many");
+}
+
+/// The instances on the side of the leader no longer count the others after some time.
+#[test]
+fn lists_that_differ_for_long_stay_within_the_limit() {
+    let mut share = RetryShare::new(EXTRA, Duration::ZERO);
+    let mut cut_off = share.clone();
+    share.set_instance_count(Duration::ZERO, 8);
+    cut_off.set_instance_count(Duration::ZERO, 8);
+    cut_off.confirm(Duration::ZERO);
+    for second in 0..3_600 {
+        let now = Duration::from_secs(second);
+        share.set_instance_count(now, 4);
+        share.confirm(now);
+        cut_off.set_instance_count(now, 4);
+        // What the others have used within the last window still counts.
+        let before = cut_off.extra_retries(now.saturating_sub(WINDOW));
+        let sum = 4.0 * share.extra_retries(now) + 4.0 * before;
+        assert!(sum <= EXTRA, "{sum} after {second} s");
+    }
+    assert!(share.extra_retries(Duration::from_secs(3_599)) > EXTRA / 8.0);
+}
+
 /// The shares of instances that end were used just before.
 #[test]
 fn remaining_instances_stay_within_the_limit() {
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -86,11 +86,16 @@
     /// Replaces the instances that accept requests of callers.
     pub fn set_instances(&self, instances: Vec<Instance>) {
         self.fleet().set_instance_count(instances.len());
-        lock(&self.retry_share).set_instance_count(instances.len());
+        lock(&self.retry_share).set_instance_count(clock::now(), instances.len());
         self.permits.set_instances(clock::now(), &instances);
         *lock(&self.instances) = instances;
     }
 
+    /// Records that the list of instances is that of the leader, which knows all of them.
+    pub fn confirm_instances(&self) {
+        lock(&self.retry_share).confirm(clock::now());
+    }
+
     /// Instances that accept requests of callers.
     pub fn instances(&self) -> Vec<Instance> {
         lock(&self.instances).clone()
@@ -259,9 +264,9 @@
 
     /// Takes one retry of a request from the budget of its service. Returns whether the budget allowed it.
     pub(crate) fn try_retry(&self, request: &RequestId, service: &ServiceName) -> bool {
-        let instances = lock(&self.instances).len();
         let now = clock::now();
-        let extra_share = lock(&self.retry_share).extra_retries(now);
+        let share = lock(&self.retry_share).clone();
+        let (extra_share, instances) = (share.extra_retries(now), share.divisor(now));
         let (is_allowed, (credit, extra_used)) = self.with_budget(service, |budget| {
             let is_allowed = budget.try_retry(now, extra_share);
             (is_allowed, budget.balance(now))
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -284,6 +284,7 @@
         if let Some(instances) = instances {
             leadership_loop::publish_instances(&self.router, instances);
         }
+        self.router.confirm_instances();
         self.shared.set_instances_built_at(Some(built_at));
         let instances = self.router.instances();
         self.shared
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -70,7 +70,7 @@
             return POLL_INTERVAL;
         }
         self.round_count = self.round_count.saturating_add(1);
-        self.publish_membership(started_at);
+        self.publish_membership(started_at, is_leading);
         match self.update_row(is_leading).await {
             Err(error) => {
                 self.must_read = true;
@@ -164,13 +164,16 @@
     }
 
     /// Publishes the instances that this one considers live.
-    fn publish_membership(&self, now: Duration) {
+    fn publish_membership(&self, now: Duration, is_leading: bool) {
         let live = self.shared.with_membership(|members| members.live(now));
         self.shared.set_instances_built_at(None);
         publish_instances(
             &self.router,
             with_own_instance(live, &self.router, &self.row),
         );
+        if is_leading {
+            self.router.confirm_instances();
+        }
     }
 }
 
