Test instances that are cut off from all targets

What callers saw: a 503 from instances that reach no target, although all others reach them. Cause: not yet mended. Connections to targets are opened through a trait, so that a test can refuse, close and silence those of one instance; what the program does stays the same.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -46,7 +46,10 @@
         time::timeout,
     },
     types::{CrashReport, Fingerprint, Incarnation, RequestId},
-    wire::{BodySender, Connection, DiscardedReplies, ReplyStream, Request, Response},
+    wire::{
+        BodySender, Connection, Connector, DiscardedReplies, ReplyStream, Request, Response,
+        TcpConnector,
+    },
 };
 
 mod admitted;
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -7,8 +7,8 @@
 const MAX_CONNECTION_REQUESTS: u32 = 4_096;
 
 /// Idle keep-alive connections to targets.
-#[derive(Debug)]
 pub struct Pool {
+    connector: Arc<dyn Connector>,
     /// Header with the id of a request, which targets repeat in its answer.
     id_header: HeaderName,
     /// By target, whose key changes when it restarts.
@@ -23,8 +23,9 @@
 }
 
 impl Pool {
-    pub(crate) fn new(id_header: HeaderName) -> Self {
+    pub(crate) fn new(connector: Arc<dyn Connector>, id_header: HeaderName) -> Self {
         Self {
+            connector,
             id_header,
             idle: Mutex::default(),
         }
@@ -59,7 +60,8 @@
         limit: Duration,
     ) -> Result<Connection, wire::Error> {
         metrics::counter!("forward_connections_total").increment(1);
-        Connection::open_with_echo(stage.address, limit, self.id_header.clone()).await
+        let stream = self.connector.connect(stage.address, limit).await?;
+        Connection::with_echo(stage.address, stream, self.id_header.clone()).await
     }
 
     /// Stores an idle connection. Its last answer must have been read to the end.
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -29,7 +29,20 @@
         engines: Arc<dyn Engines>,
         seed: u64,
     ) -> Arc<Self> {
-        let pool = Pool::new(header_codec.id_header());
+        let connector = Arc::new(TcpConnector);
+        Self::with_connector(settings, header_codec, engines, connector, seed)
+    }
+
+    /// Creates a router that opens the connections to targets with `connector`.
+    #[must_use]
+    pub fn with_connector(
+        settings: ForwardSettings,
+        header_codec: Arc<dyn HeaderCodec>,
+        engines: Arc<dyn Engines>,
+        connector: Arc<dyn Connector>,
+        seed: u64,
+    ) -> Arc<Self> {
+        let pool = Pool::new(connector, header_codec.id_header());
         let held_until = clock::now() + settings.retry_hold;
         Arc::new(Self {
             answer_buffers: AnswerBuffers::new(settings.max_buffered_bytes),
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod crashing_target;
+pub mod cut;
 pub mod kept_target;
 pub mod raw_target;
 
@@ -28,7 +29,7 @@
     },
     tokio::{net::TcpListener, sync::watch},
     wire::{
-        Connection, Limits, ReplyStream, Request, Response,
+        Connection, Connector, Limits, ReplyStream, Request, Response, TcpConnector,
         hyper::{
             HeaderMap, StatusCode,
             header::{HeaderName, HeaderValue},
@@ -230,6 +231,7 @@
 /// Configuration of a test router.
 pub struct Setup {
     pub attempt_count: u32,
+    pub connector: Arc<dyn Connector>,
     pub gap_goal: Option<Duration>,
     pub id_header: &'static str,
     pub limits: catalog::Limits,
@@ -267,6 +269,7 @@
     fn default() -> Self {
         Self {
             attempt_count: 2,
+            connector: Arc::new(TcpConnector),
             domains: Vec::new(),
             gap_goal: None,
             hardware: "card",
@@ -289,7 +292,9 @@
         let codec = TestHeaderCodec {
             id_header: self.id_header,
         };
-        let router = Router::new(settings, Arc::new(codec), engines.clone(), 7);
+        let connector = self.connector.clone();
+        let codec = Arc::new(codec);
+        let router = Router::with_connector(settings, codec, engines.clone(), connector, 7);
         {
             let mut holder = router.catalog();
             holder.offer(Arc::new(self.catalog()));
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -39,18 +39,17 @@
         Self::handshake(address, stream, None).await
     }
 
-    /// Opens a connection on which only the replies to its own requests count: the server repeats the header
-    /// `echo` of a request in the reply. Other replies are discarded.
+    /// Performs the handshake over an open stream. Only the replies to requests of this connection count: the
+    /// server repeats the header `echo` of a request in the reply. Other replies are discarded.
     ///
     /// # Errors
     ///
-    /// Returns the errors of `open`.
-    pub async fn open_with_echo(
+    /// Returns `Error::Connect` when the handshake fails.
+    pub async fn with_echo(
         address: SocketAddr,
-        limit: Duration,
+        stream: BoxedStream,
         echo: HeaderName,
     ) -> Result<Self, Error> {
-        let stream = connect(address, limit).await?;
         let replies = ReplyStateHandle::new(echo);
         let filter = ReplyFilter::new(stream, replies.clone());
         Self::handshake(address, filter, Some(replies)).await
@@ -293,29 +292,6 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, Error> {
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
-        Err(_) => {
-            return Err(connect_error(
-                address,
-                &format!("no answer within {limit:?}"),
-            ));
-        }
-        Ok(result) => result.map_err(|error| connect_error(address, &error))?,
-    };
-    stream
-        .set_nodelay(true)
-        .map_err(|error| connect_error(address, &error))?;
-    Ok(stream)
-}
-
-fn connect_error(address: SocketAddr, cause: &impl ToString) -> Error {
-    Error::Connect {
-        address,
-        message: cause.to_string(),
-    }
-}
-
 /// Converts an error of hyper. A canceled request was never written, because the connection had
 /// been closed before.
 fn hyper_error(address: SocketAddr, error: &hyper::Error) -> Error {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -47,6 +47,7 @@
 mod call;
 mod client_limiter;
 mod connection;
+mod connector;
 mod early_reply_filter;
 mod error;
 mod fault;
@@ -64,6 +65,7 @@
     bytes,
     call::{Call, Reply, call},
     connection::{Connection, LineReader, ReplyStream},
+    connector::{BoxedStream, Connector, Stream, TcpConnector},
     error::Error,
     fault::{EarlierSubmissions, Fault, FaultBody},
     hyper,
@@ -77,6 +79,7 @@
 
 use {
     client_limiter::ClientLimiter,
+    connector::{connect, connect_error},
     early_reply_filter::EarlyReplyFilter,
     message::read_json,
     reply_filter::ReplyFilter,
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -11,14 +11,13 @@
 
 /// Socket wrapper that lets only the replies to the requests of a connection pass. A faulty server may send a
 /// further copy of an earlier reply; without the filter, hyper takes it for the reply to the next request.
-#[derive(Debug)]
 pub(crate) struct ReplyFilter {
     discarded_bytes: usize,
     /// Bytes that were received and not yet passed on or discarded.
     input: BytesMut,
     position: Position,
     replies: ReplyStateHandle,
-    stream: TcpStream,
+    stream: BoxedStream,
 }
 
 /// Position of the filter in the received bytes.
@@ -39,7 +38,7 @@
 }
 
 impl ReplyFilter {
-    pub(crate) fn new(stream: TcpStream, replies: ReplyStateHandle) -> Self {
+    pub(crate) fn new(stream: BoxedStream, replies: ReplyStateHandle) -> Self {
         Self {
             discarded_bytes: 0,
             input: BytesMut::new(),
--- a/crates/wire/tests/replies.rs
+++ b/crates/wire/tests/replies.rs
@@ -11,7 +11,7 @@
         time::sleep,
     },
     wire::{
-        Connection, Error,
+        Connection, Connector, Error, TcpConnector,
         bytes::Bytes,
         hyper::{Method, Request, StatusCode, header::HeaderName},
     },
@@ -54,9 +54,8 @@
 
 async fn open(address: SocketAddr) -> Connection {
     let echo = HeaderName::from_static("x-id");
-    Connection::open_with_echo(address, LIMIT, echo)
-        .await
-        .unwrap()
+    let stream = TcpConnector.connect(address, LIMIT).await.unwrap();
+    Connection::with_echo(address, stream, echo).await.unwrap()
 }
 
 async fn send(
