Reach targets through other instances while the own links are cut

What callers saw: a 503 from instances that had lost their links to all targets, although all other instances reached them; refusals without an attempt for seconds, because each failed connection counted against its target. Cause: an instance had no way to a target but its own, and blamed targets for what its links did. Class of fault: a belief about others that is formed from failures which may be one's own. Change: a connection that fails, or is not open after 100 ms, is also tried through another instance, which checks the target against its own list. Identity checks, deadline, repeats and resumption stay with the instance that took the request. Bytes of the target come in frames, so that the end of the helping instance is not taken for the end of an answer. Two targets that only others reach make an instance count as cut off: it then leaves its open connections alone, forgets the failures it has counted, and probes nothing until a check every half second reaches a target. A failed connection counts as the end of a target only if an instance in reach cannot connect either.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -357,7 +357,13 @@
     }
 
     /// Creates a stage of a listed target that runs `range`.
-    pub(crate) fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
+    /// A listed target as a stage that runs `range`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the key is not that of a listed target.
+    #[must_use]
+    pub fn stage(&self, key: TargetKey, range: Option<LayerRange>) -> Stage {
         let target = &self.targets[key].target;
         Stage {
             address: target.address,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 use {
     catalog::{DomainName, EngineProfile, HardwareKind, ServiceName},
     layout::LayerRange,
-    rand::Rng,
+    rand::{Rng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
     slotmap::{SlotMap, new_key_type},
     std::{
--- a/crates/fleet/src/notices.rs
+++ b/crates/fleet/src/notices.rs
@@ -79,6 +79,23 @@
         })
     }
 
+    /// Whether a target is listed at this address and accepts requests.
+    #[must_use]
+    pub fn accepts_connections(
+        &self,
+        now: Duration,
+        (id, incarnation): (&str, Incarnation),
+        address: SocketAddr,
+    ) -> bool {
+        let key = self.key_of(id, incarnation);
+        let state = key.and_then(|key| self.targets.get(key));
+        state.is_some_and(|state| {
+            state.target.address == address
+                && state.availability.accepts_requests(now)
+                && !state.target.is_leaving
+        })
+    }
+
     /// Returns why no target of a service without a model can be chosen. Includes targets that the
     /// request excludes, as the caller may retry on them.
     pub(crate) fn unavailable_reason(&self, now: Duration, service: &str) -> NoPath {
--- a/crates/fleet/src/observations.rs
+++ b/crates/fleet/src/observations.rs
@@ -19,6 +19,21 @@
         !before && state.health.is_avoided(now)
     }
 
+    /// Forgets all failures and unanswered probes of targets, which turned out to be faults of this instance.
+    pub fn reset_health(&mut self) {
+        for state in self.targets.values_mut() {
+            state.health = Health::default();
+            state.needs_probe = false;
+        }
+    }
+
+    /// Returns up to `count` listed targets at random, without the excluded ones.
+    pub fn sample(&self, excluded: &[TargetKey], count: usize, rng: &mut impl Rng) -> Vec<Stage> {
+        let keys = self.targets.keys().filter(|key| !excluded.contains(key));
+        let keys = keys.choose_multiple(rng, count);
+        keys.into_iter().map(|key| self.stage(key, None)).collect()
+    }
+
     /// Records the load that a target reported.
     pub fn record_load(&mut self, now: Duration, key: TargetKey, load: Load) {
         if let Some(state) = self.targets.get_mut(key) {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -15,7 +15,7 @@
     pub(crate) has_events: bool,
     pub(crate) metadata: ReplyMetadata,
     pub(crate) in_flight: InFlight,
-    pub(crate) connection: Connection,
+    pub(crate) link: Link,
     pub(crate) reply: ReplyStream,
 }
 
@@ -67,22 +67,30 @@
         let mut in_flight = InFlight::begin(router, &admitted.service, path);
         let connect_timeout = router.settings.connect_timeout.min(limit);
         let id = &admitted.metadata.id;
-        let connection = router.pool.take(&first, id, connect_timeout).await;
-        let mut connection = connection.map_err(|error| {
-            let failure = record_send_failure(router, admitted, &first, &error);
+        let link = router.take_link(&first, id, connect_timeout).await;
+        let mut link = link.map_err(|error| {
+            let failure = record_link_failure(router, admitted, &first, &error);
             (failure, first.clone())
         })?;
+        if let Some(helper) = &link.helper {
+            tracing::info!(
+                request = &**id,
+                target = &*first.id,
+                instance = &*helper.id,
+                "connected through another instance"
+            );
+        }
         // Answers to other requests may have changed the state of the targets while the connection was
         // being opened.
         let now = clock::now();
         if !router.fleet().accepts_requests(now, in_flight.path()) {
             return Err((AttemptFailure::PathUnavailable, first));
         }
-        let exchange = connection.send_request(message, limit);
+        let exchange = link.connection.send_request(message, limit);
         let reply = in_flight
             .wait_for_reply(admitted, resend_after, exchange)
             .await;
-        log_discarded(admitted, &first, &connection.take_discarded());
+        log_discarded(admitted, &first, &link.connection.take_discarded());
         let reply = match reply {
             Some(Ok(reply)) => reply,
             Some(Err(error)) => {
@@ -94,7 +102,7 @@
             .header_codec
             .parse_reply(reply.status, &reply.headers);
         let attempt = Self {
-            connection,
+            link,
             has_events: false,
             metadata,
             in_flight,
@@ -124,6 +132,9 @@
             router.fleet().record_load(now, first.key, load);
         }
         target_notices::record(router, &admitted.metadata.id, &first, &self.metadata);
+        if let Some(wait) = self.metadata.retry_after {
+            router.report_pause(&self.link, &first, wait);
+        }
         // Another target than the expected one may have answered a misdirected request.
         let is_misdirected = self.reply.status == StatusCode::MISDIRECTED_REQUEST;
         let rate_per_s = self.metadata.rate_limit_per_s;
@@ -158,7 +169,7 @@
             target = &*self.first().id,
             status = self.reply.status.as_u16(),
             answered = self.metadata.id.as_deref().unwrap_or("none"),
-            connection_requests = self.connection.request_count(),
+            connection_requests = self.link.connection.request_count(),
             message,
         );
     }
@@ -175,7 +186,7 @@
             target = &*blamed.id,
             status = self.reply.status.as_u16(),
             answered = self.metadata.id.as_deref().unwrap_or("none"),
-            connection_requests = self.connection.request_count(),
+            connection_requests = self.link.connection.request_count(),
             "target refused the request"
         );
         let is_first = blamed.key == first.key;
@@ -219,7 +230,7 @@
         let limit = headers::idle_timeout(&self.reply.headers);
         let limit = limit.unwrap_or(router.settings.idle_limit);
         let key = self.in_flight.first().key;
-        router.pool.put(key, self.connection, limit);
+        router.put_link(key, self.link, limit);
     }
 }
 
@@ -244,6 +255,27 @@
     );
 }
 
+/// Records an attempt for which no connection could be opened.
+fn record_link_failure(
+    router: &Router,
+    admitted: &Admitted,
+    stage: &Stage,
+    error: &LinkError,
+) -> AttemptFailure {
+    match error {
+        LinkError::Target(error) => record_send_failure(router, admitted, stage, error),
+        LinkError::Own(error) => {
+            tracing::info!(
+                request = &*admitted.metadata.id,
+                target = &*stage.id,
+                %error,
+                "target not reached, probably because of the links of this instance"
+            );
+            AttemptFailure::NotSent
+        }
+    }
+}
+
 /// Records an attempt that failed before the head of the answer arrived.
 fn record_send_failure(
     router: &Router,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,6 +28,7 @@
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     ratelimit::{Permit, PermitQuery, PermitReply, PermitTable},
+    reach::{DirectReach, Helpers},
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
@@ -47,8 +48,8 @@
     },
     types::{CrashReport, Fingerprint, Incarnation, RequestId},
     wire::{
-        BodySender, Connection, Connector, DiscardedReplies, ReplyStream, Request, Response,
-        TcpConnector,
+        BodySender, BoxedStream, Connection, Connector, DiscardedReplies, ReplyStream, Request,
+        Response, TcpConnector,
     },
 };
 
@@ -66,6 +67,7 @@
 mod headers;
 mod in_flight;
 mod instance;
+mod links;
 mod message;
 mod permits;
 mod pool;
@@ -78,6 +80,7 @@
 mod stream_timing;
 mod suspects;
 mod target_notices;
+mod tunnels;
 mod wait_queue;
 mod watchdog;
 
@@ -88,6 +91,7 @@
     events::EventSplitter,
     header_codec::{Dispatch, HeaderCodec, ReplyMetadata, RequestMetadata},
     instance::Instance,
+    links::check_links,
     permits::{PermitPeers, Permits},
     pool::Pool,
     prober::probe_engines,
@@ -96,6 +100,7 @@
     router::Router,
     settings::ForwardSettings,
     suspects::Suspects,
+    tunnels::{TunnelError, TunnelQuery, Tunnels},
 };
 
 use {
@@ -105,6 +110,7 @@
     event_line::{EventLine, has_status_line},
     exchange::Exchange,
     in_flight::InFlight,
+    links::{Link, LinkError, Links},
     prober::Prober,
     stream_timing::StreamTiming,
     wait_queue::WaitQueue,
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -7,10 +7,8 @@
 const MAX_CONNECTION_REQUESTS: u32 = 4_096;
 
 /// Idle keep-alive connections to targets.
+#[derive(Debug, Default)]
 pub struct Pool {
-    connector: Arc<dyn Connector>,
-    /// Header with the id of a request, which targets repeat in its answer.
-    id_header: HeaderName,
     /// By target, whose key changes when it restarts.
     idle: Mutex<HashMap<TargetKey, Vec<Idle>>>,
 }
@@ -23,47 +21,6 @@
 }
 
 impl Pool {
-    pub(crate) fn new(connector: Arc<dyn Connector>, id_header: HeaderName) -> Self {
-        Self {
-            connector,
-            id_header,
-            idle: Mutex::default(),
-        }
-    }
-
-    /// Returns the most recently used idle connection that has not carried the request before, or opens a new
-    /// one.
-    ///
-    /// # Errors
-    ///
-    /// Returns `wire::Error::Connect` when no connection can be opened within `limit`.
-    pub(crate) async fn take(
-        &self,
-        stage: &Stage,
-        request: &RequestId,
-        limit: Duration,
-    ) -> Result<Connection, wire::Error> {
-        if let Some(connection) = self.take_idle(stage, request) {
-            return Ok(connection);
-        }
-        self.open(stage, limit).await
-    }
-
-    /// Opens a new connection.
-    ///
-    /// # Errors
-    ///
-    /// Returns `wire::Error::Connect` when no connection can be opened within `limit`.
-    pub(crate) async fn open(
-        &self,
-        stage: &Stage,
-        limit: Duration,
-    ) -> Result<Connection, wire::Error> {
-        metrics::counter!("forward_connections_total").increment(1);
-        let stream = self.connector.connect(stage.address, limit).await?;
-        Connection::with_echo(stage.address, stream, self.id_header.clone()).await
-    }
-
     /// Stores an idle connection. Its last answer must have been read to the end.
     pub(crate) fn put(&self, target: TargetKey, connection: Connection, idle_limit: Duration) {
         let request_count = connection.request_count();
@@ -95,7 +52,8 @@
         self.lock().remove(&target);
     }
 
-    fn take_idle(&self, stage: &Stage, request: &RequestId) -> Option<Connection> {
+    /// Returns the most recently used idle connection that has not carried the request before.
+    pub(crate) fn take_idle(&self, stage: &Stage, request: &RequestId) -> Option<Connection> {
         let now = clock::now();
         let mut map = self.lock();
         let list = map.get_mut(&stage.key)?;
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -32,6 +32,10 @@
 
     /// Probes the stages of a path that have shown no activity since `since`, and records the results.
     pub(crate) async fn probe_path(&self, router: &Router, path: &Path, since: Duration) {
+        // Probes are direct, so that none would be answered.
+        if router.links.is_cut_off() {
+            return;
+        }
         let mut probed_at = self.probed_at.lock().await;
         let now = clock::now();
         probed_at.retain(|_, at| now.saturating_sub(*at) < PROBE_MAX_AGE);
@@ -51,9 +55,10 @@
         }
     }
 
-    /// Probes engines and records the results. If none of several engines answers, the fault is assumed
-    /// to be local to this instance, and no engine is marked as unreachable.
+    /// Probes engines and records the results. If this instance reaches no other target either, no engine is
+    /// marked as unreachable.
     async fn probe_stages(&self, router: &Router, stages: &[Stage]) {
+        let started_at = clock::now();
         let probes = stages.iter().map(|stage| {
             let state = self.engines.state(stage.address);
             timeout(PROBE_TIMEOUT, state)
@@ -63,6 +68,22 @@
             .iter()
             .filter(|answer| matches!(answer, Ok(Ok(_) | Err(Error::RetryAfter(_)))));
         let is_local_fault = stages.len() > 1 && answered.count() == 0;
+        let mut silent = Vec::new();
+        for (stage, answer) in stages.iter().zip(&answers) {
+            if !matches!(answer, Ok(Ok(_) | Err(Error::RetryAfter(_)))) {
+                silent.push(stage);
+            }
+        }
+        let is_local_fault = match (silent.is_empty(), is_local_fault) {
+            (true, _) => false,
+            (false, true) => {
+                router.links.request_check();
+                true
+            }
+            (false, false) => {
+                silent.len() == stages.len() && !router.is_target_fault(started_at, &silent).await
+            }
+        };
         let now = clock::now();
         let mut fleet = router.fleet();
         for (stage, answer) in stages.iter().zip(answers) {
@@ -107,7 +128,7 @@
             unhealthy.retain(|stage| !fleet.is_paused(now, &stage.id));
             unhealthy
         };
-        if !unhealthy.is_empty() {
+        if !unhealthy.is_empty() && !router.links.is_cut_off() {
             router.prober.probe_stages(&router, &unhealthy).await;
         }
     }
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -176,12 +176,12 @@
 /// crash of the target, and records the crash.
 pub(crate) async fn record_interruption(router: &Router, admitted: &Admitted, target: &Stage) {
     let limit = CRASH_CHECK_TIMEOUT.min(admitted.time_left());
-    match router.pool.open(target, limit).await {
-        Ok(connection) => {
-            let idle_limit = router.settings.idle_limit;
-            router.pool.put(target.key, connection, idle_limit);
+    match router.open_link(target, limit).await {
+        Ok(link) => router.put_link(target.key, link, router.settings.idle_limit),
+        Err(LinkError::Own(error)) => {
+            tracing::debug!(target = &*target.id, %error, "unknown whether the target crashed");
         }
-        Err(error) => {
+        Err(LinkError::Target(error)) => {
             tracing::debug!(target = &*target.id, %error, "target does not accept connections");
             let now = clock::now();
             router.prompt_parts.record_crash(now, admitted, target);
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -6,6 +6,7 @@
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     catalog: Mutex<LatestCatalog>,
     pub(crate) header_codec: Arc<dyn HeaderCodec>,
+    pub(crate) links: Links,
     fleet: Mutex<Fleet>,
     instances: Mutex<Vec<Instance>>,
     is_leaving: AtomicBool,
@@ -42,18 +43,19 @@
         connector: Arc<dyn Connector>,
         seed: u64,
     ) -> Arc<Self> {
-        let pool = Pool::new(connector, header_codec.id_header());
+        let links = Links::new(connector, header_codec.id_header());
         let held_until = clock::now() + settings.retry_hold;
         Arc::new(Self {
             answer_buffers: AnswerBuffers::new(settings.max_buffered_bytes),
             budgets: Mutex::default(),
             catalog: Mutex::default(),
             header_codec,
+            links,
             fleet: Mutex::new(Fleet::new(settings.fleet.clone())),
             instances: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             permits: Permits::new(settings.instance_id.clone()),
-            pool,
+            pool: Pool::default(),
             prober: Prober::new(engines),
             prompt_parts: PromptParts::new(settings.prompt_parts.clone(), seed),
             retry_share: Mutex::new(RetryShare::new(settings.extra_retries, held_until)),
@@ -203,6 +205,11 @@
         lock(&self.rng).random_range(0.0..1.0)
     }
 
+    /// Runs `act` with the random numbers of this router.
+    pub(crate) fn with_rng<T>(&self, act: impl FnOnce(&mut SmallRng) -> T) -> T {
+        act(&mut lock(&self.rng))
+    }
+
     pub(crate) fn choose(&self, admitted: &Admitted, demand: &Demand) -> Result<Path, NoPath> {
         if let Some(profile) = admitted.pipeline() {
             return self.choose_with(admitted, profile, demand);
@@ -231,12 +238,23 @@
         )
     }
 
-    /// Records a failure of a target.
+    /// Records a failure of a target, unless this instance has lost its links to all of them.
     pub(crate) fn record_failure(&self, admitted: &Admitted, target: &Stage, error: &wire::Error) {
         let now = clock::now();
-        let is_avoided_now = self
-            .fleet()
-            .record_outcome(now, target.key, Outcome::Failed);
+        // Whether the target or the links are at fault is found out by the check.
+        let is_unclear = matches!(
+            error,
+            wire::Error::Broken { .. } | wire::Error::Timeout { .. }
+        );
+        if is_unclear {
+            self.links.request_check();
+        }
+        let is_avoided_now = if is_unclear && self.links.is_cut_off() {
+            false
+        } else {
+            self.fleet()
+                .record_outcome(now, target.key, Outcome::Failed)
+        };
         match error {
             wire::Error::Broken { .. } => self.record_broken_connection(admitted, target),
             wire::Error::Connect { .. } => self
--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Forgets the connections that broke, because this instance has lost its links to all targets.
+    pub(crate) fn forget_interruptions(&mut self) {
+        self.crashes.clear();
+    }
+
     /// Crashes that this instance observed.
     pub fn own_reports(&mut self, now: Duration) -> Vec<CrashReport> {
         self.quarantine.tick(now);
--- a/crates/forward/tests/cut_off.rs
+++ b/crates/forward/tests/cut_off.rs
@@ -6,7 +6,8 @@
 
 use {
     catalog::RepeatPolicy,
-    forward::{ForwardSettings, Instance},
+    forward::{ForwardSettings, Instance, TunnelError, TunnelQuery, Tunnels},
+    futures::future::BoxFuture,
     std::{
         collections::HashMap,
         sync::Arc,
@@ -17,8 +18,9 @@
         cut::{Fault, Links},
         ready, settings, setup, signed, target,
     },
-    tokio::time::sleep,
-    wire::hyper::StatusCode,
+    tokio::{net::TcpListener, time::sleep},
+    tunnel::TunnelClient,
+    wire::{BoxedStream, hyper::StatusCode},
     yare::parameterized,
 };
 
@@ -72,8 +74,39 @@
     (started.start().await, links)
 }
 
-/// Lets instances know each other.
+/// Tunnels through the instances of a test, which differ in their ports instead of their addresses.
+struct TestTunnels(HashMap<Arc<str>, TunnelClient>);
+
+impl Tunnels for TestTunnels {
+    fn open(
+        &self,
+        instance: &Instance,
+        query: TunnelQuery,
+    ) -> BoxFuture<'_, Result<BoxedStream, TunnelError>> {
+        self.0[&instance.id].open(instance, query)
+    }
+
+    fn report_pause(
+        &self,
+        instance: &Instance,
+        target: TunnelQuery,
+        wait: Duration,
+    ) -> BoxFuture<'_, ()> {
+        self.0[&instance.id].report_pause(instance, target, wait)
+    }
+}
+
+/// Lets instances know each other, and accept tunnels.
 async fn introduce(instances: &[(&str, &TestRouter)]) {
+    let mut clients = HashMap::new();
+    for (id, one) in instances {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        clients.insert(Arc::from(*id), TunnelClient::new(port));
+        tokio::spawn(tunnel::serve(listener, one.router.clone(), one.stopped()));
+        tokio::spawn(forward::check_links(one.router.clone()));
+    }
+    let tunnels = Arc::new(TestTunnels(clients));
     let list: Vec<Instance> = instances
         .iter()
         .map(|(id, router)| Instance {
@@ -84,6 +117,7 @@
         .collect();
     for (_, router) in instances {
         router.router.set_instances(list.clone());
+        router.router.set_tunnels(tunnels.clone());
     }
 }
 
--- a/crates/forward/tests/support/cut.rs
+++ b/crates/forward/tests/support/cut.rs
@@ -68,8 +68,7 @@
             tokio::spawn(async move {
                 let cut = async {
                     let cut = faults.wait_for(|fault| matches!(fault, Fault::Reset | Fault::Hang));
-                    let is_silent = cut.await.is_ok_and(|fault| *fault == Fault::Hang);
-                    is_silent
+                    cut.await.is_ok_and(|fault| *fault == Fault::Hang)
                 };
                 tokio::select! {
                     _ = copy_bidirectional(&mut far, &mut remote) => {}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -428,6 +428,11 @@
 }
 
 impl TestRouter {
+    /// Becomes true when the router is dropped.
+    pub fn stopped(&self) -> watch::Receiver<bool> {
+        self._stop.subscribe()
+    }
+
     pub async fn open(&self, send: CallerRequest) -> Result<ReplyStream, wire::Error> {
         let mut connection = Connection::open(self.address, LIMIT).await?;
         let mut request = wire::hyper::Request::builder()
--- a/crates/quarantine/src/crash_detector.rs
+++ b/crates/quarantine/src/crash_detector.rs
@@ -43,6 +43,11 @@
             .retain(|(run, _)| run.target != *target || run.incarnation != incarnation);
     }
 
+    /// Forgets all interrupted runs, because their connections broke through no fault of their targets.
+    pub fn clear(&mut self) {
+        self.interrupted.clear();
+    }
+
     /// Removes and returns the runs that were interrupted because their targets have ended. Runs
     /// interrupted longer ago than `ATTRIBUTION_WINDOW` are removed but not returned.
     pub fn take_crashed(
