Refuse requests that a planned stop would cut

What callers saw (report of other operators): a request that may run once, accepted shortly before an instance ended, ran and got no answer. Cause: until the server stopped accepting, an instance took every request, also those whose deadline lies beyond its end. Requests that end within the grace are served as before. Change: an instance that was asked to stop refuses a request that may run once if its deadline is later than the end of the process.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -29,6 +29,11 @@
         }
         Ok(admitted) => admitted,
     };
+    if router.may_cut(&admitted) {
+        let refusal = Refusal::Leaving;
+        log_refusal(&id, &request.path, refusal);
+        return refusal.response(router.retry_after(refusal));
+    }
     router.record_request(&admitted.service);
     router.prompt_parts.wait_for_sync(&admitted).await;
     if let Err(refusal) = router.prompt_parts.check(clock::now(), &admitted) {
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -10,6 +10,9 @@
     /// No capacity is expected in time; the request has not run and will not run. The caller may retry
     /// after this time.
     Full(Duration),
+    /// This instance ends before the deadline of a request that may run once; the request has not run and will
+    /// not run.
+    Leaving,
     /// This instance knows no configuration, or none that is recent enough.
     NoConfiguration,
     /// No target or capacity is available; the request has not run and will not run.
@@ -37,6 +40,7 @@
             Self::AnswerLost => "answer_lost",
             Self::Quarantined(_) => "crashing",
             Self::Full(_) => "full",
+            Self::Leaving => "leaving",
             Self::NoConfiguration => "no_configuration",
             Self::Unavailable(reason) => reason.name(),
             Self::RetryBudgetExhausted => "repeats_used_up",
@@ -58,6 +62,7 @@
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::Quarantined(_)
             | Self::Full(_)
+            | Self::Leaving
             | Self::NoConfiguration
             | Self::Unavailable(_)
             | Self::RetryBudgetExhausted
@@ -73,6 +78,7 @@
             Self::SuspectPart(_) => {
                 "targets that began to answer a part of this prompt ended; change it or wait"
             }
+            Self::Leaving => "this instance is stopping; use another address",
             Self::NoConfiguration => "no current configuration is known here; come back later",
             Self::Full(_) | Self::Unavailable(NoPath::Full) => {
                 "all targets are full; come back later"
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -3,6 +3,8 @@
 /// State that all traffic threads share: configuration, targets and connections.
 pub struct Router {
     pub(crate) answer_buffers: AnswerBuffers,
+    /// When the process ends; none unless it was asked to stop.
+    ends_at: OnceLock<Duration>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     catalog: Mutex<LatestCatalog>,
     pub(crate) header_codec: Arc<dyn HeaderCodec>,
@@ -47,6 +49,7 @@
         let held_until = clock::now() + settings.retry_hold;
         Arc::new(Self {
             answer_buffers: AnswerBuffers::new(settings.max_buffered_bytes),
+            ends_at: OnceLock::new(),
             budgets: Mutex::default(),
             catalog: Mutex::default(),
             header_codec,
@@ -147,6 +150,23 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Records that this instance was asked to stop, and when the process ends.
+    pub fn leave_by(&self, ends_at: Duration) {
+        let _ = self.ends_at.set(ends_at);
+        self.leave();
+    }
+
+    /// Whether the process may end before a request that may run once is answered. Its caller could not learn
+    /// whether it has run, and is served elsewhere.
+    pub(crate) fn may_cut(&self, admitted: &Admitted) -> bool {
+        let is_once = admitted.route.repeat == RepeatPolicy::Once;
+        is_once
+            && self
+                .ends_at
+                .get()
+                .is_some_and(|ends_at| admitted.deadline > *ends_at)
+    }
+
     /// Whether this instance was asked to stop.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
