--- a/crates/forward/tests/cut_off.rs
+++ b/crates/forward/tests/cut_off.rs
@@ -6,121 +6,19 @@
 
 use {
     catalog::RepeatPolicy,
-    forward::{ForwardSettings, Instance, TunnelError, TunnelQuery, Tunnels},
-    futures::future::BoxFuture,
-    std::{
-        collections::HashMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     support::{
-        CallerRequest, Setup, TestRouter, TestTarget,
-        cut::{Fault, Links},
-        ready, settings, setup, signed, target,
+        CallerRequest, TestRouter,
+        cut::Fault,
+        cut_system::{EVENTS, arrivals, instance, introduce, targets},
     },
-    tokio::{net::TcpListener, time::sleep},
-    tunnel::TunnelClient,
-    wire::{BoxedStream, hyper::StatusCode},
+    tokio::time::sleep,
+    wire::hyper::StatusCode,
     yare::parameterized,
 };
 
 /// Time within which an instance must have found a way around a cut.
 const DETECTION_LIMIT: Duration = Duration::from_secs(3);
-/// Number of targets.
-const TARGET_COUNT: usize = 4;
-/// Events of a stream.
-const EVENTS: &str = "id: 1\ndata:\n\nid: 2\ndata:\n\n";
-
-async fn targets() -> Vec<TestTarget> {
-    let mut targets = Vec::new();
-    for _ in 0..TARGET_COUNT {
-        let started = target(|request| {
-            let mut response = wire::text(StatusCode::OK, EVENTS);
-            let kind = "text/event-stream".parse().unwrap();
-            response.headers_mut().insert("content-type", kind);
-            ready(signed(request, response))
-        });
-        targets.push(started.await);
-    }
-    targets
-}
-
-/// Number of times that each request was received.
-fn arrivals(targets: &[TestTarget]) -> HashMap<String, usize> {
-    let mut counts = HashMap::new();
-    for id in targets.iter().flat_map(TestTarget::ids) {
-        *counts.entry(id).or_default() += 1;
-    }
-    counts
-}
-
-/// Starts an instance whose links to all targets can be cut.
-async fn instance(
-    id: &str,
-    repeat: RepeatPolicy,
-    targets: &[TestTarget],
-) -> (TestRouter, Arc<Links>) {
-    let links = Arc::new(Links::default());
-    let targets: Vec<&TestTarget> = targets.iter().collect();
-    let started = Setup {
-        connector: links.clone(),
-        settings: ForwardSettings {
-            instance_id: id.into(),
-            ..settings()
-        },
-        time_limit: Duration::from_secs(2),
-        ..setup(repeat, &targets)
-    };
-    (started.start().await, links)
-}
-
-/// Tunnels through the instances of a test, which differ in their ports instead of their addresses.
-struct TestTunnels(HashMap<Arc<str>, TunnelClient>);
-
-impl Tunnels for TestTunnels {
-    fn open(
-        &self,
-        instance: &Instance,
-        query: TunnelQuery,
-    ) -> BoxFuture<'_, Result<BoxedStream, TunnelError>> {
-        self.0[&instance.id].open(instance, query)
-    }
-
-    fn report_pause(
-        &self,
-        instance: &Instance,
-        target: TunnelQuery,
-        wait: Duration,
-    ) -> BoxFuture<'_, ()> {
-        self.0[&instance.id].report_pause(instance, target, wait)
-    }
-}
-
-/// Lets instances know each other, and accept tunnels.
-async fn introduce(instances: &[(&str, &TestRouter)]) {
-    let mut clients = HashMap::new();
-    for (id, one) in instances {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let port = listener.local_addr().unwrap().port();
-        clients.insert(Arc::from(*id), TunnelClient::new(port));
-        tokio::spawn(tunnel::serve(listener, one.router.clone(), one.stopped()));
-        tokio::spawn(forward::check_links(one.router.clone()));
-    }
-    let tunnels = Arc::new(TestTunnels(clients));
-    let list: Vec<Instance> = instances
-        .iter()
-        .map(|(id, router)| Instance {
-            address: router.address,
-            domain: "a".into(),
-            id: (*id).into(),
-        })
-        .collect();
-    for (_, router) in instances {
-        router.router.set_instances(list.clone());
-        router.router.set_tunnels(tunnels.clone());
-    }
-}
-
 async fn send(router: &TestRouter, id: &'static str) -> StatusCode {
     let request = CallerRequest {
         id,
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing_target;
 pub mod cut;
+pub mod cut_system;
 pub mod kept_target;
 pub mod raw_target;
 
