Avoid targets that an instance in reach cannot reach either, behind a cut too

What callers saw: behind a cut, refusals whenever a target that had crashed was chosen, until its row lapsed. Cause: an instance that is cut off counted no failed connection, so a crashed target was chosen again and again, each time with a direct connection that could not open. Evidence: cut_off_instance_avoids_targets_that_others_do_not_reach::hanging, request r5 refused before, all served now. Change: if an instance in reach reports that it cannot connect, the target is at fault.

--- a/crates/forward/src/links.rs
+++ b/crates/forward/src/links.rs
@@ -1,6 +1,9 @@
 //! Connections to targets: direct ones, and those through other instances while this one is cut off.
 
-use super::*;
+use {
+    super::*,
+    futures::future::{Either, select},
+};
 
 /// Time after which a connection that is not open yet is also tried through another instance. Targets accept
 /// connections within a few milliseconds.
@@ -128,67 +131,80 @@
     }
 
     async fn open_stream(&self, stage: &Stage, limit: Duration) -> Result<OpenedStream, LinkError> {
-        let links = &self.links;
-        if links.is_cut_off() {
-            if let Ok(opened) = self.open_tunnel(stage).await {
-                return Ok(opened);
-            }
-            let stream = links.connect(stage, limit).await.map_err(LinkError::Own)?;
-            self.record_direct_success();
-            return Ok((stream, None));
+        if self.links.is_cut_off() {
+            return self.open_behind_cut(stage, limit).await;
         }
-        let mut direct = std::pin::pin!(links.connect(stage, limit));
-        let failure = match timeout(DETOUR_DELAY.min(limit), &mut direct).await {
-            Ok(Ok(stream)) => {
-                self.record_direct_success();
-                return Ok((stream, None));
+        let mut direct = std::pin::pin!(self.links.connect(stage, limit));
+        let tunnel = std::pin::pin!(self.open_tunnel(stage));
+        match timeout(DETOUR_DELAY.min(limit), &mut direct).await {
+            Ok(Ok(stream)) => return Ok(self.opened_directly(stream)),
+            Ok(Err(failure)) => return self.opened_around(stage, failure, tunnel.await),
+            Err(_) => {}
+        }
+        match select(direct, tunnel).await {
+            Either::Left((Ok(stream), _)) => Ok(self.opened_directly(stream)),
+            Either::Left((Err(failure), tunnel)) => {
+                self.opened_around(stage, failure, tunnel.await)
             }
-            Ok(Err(error)) => Some(error),
-            Err(_) => None,
-        };
-        let mut tunnel = std::pin::pin!(self.open_tunnel(stage));
-        let (failure, tunnel) = match failure {
-            Some(failure) => (failure, tunnel.await),
-            None => tokio::select! {
-                opened = &mut direct => match opened {
-                    Ok(stream) => {
-                        self.record_direct_success();
-                        return Ok((stream, None));
-                    }
-                    Err(failure) => (failure, tunnel.await),
-                },
-                opened = &mut tunnel => match opened {
-                    Ok(opened) => {
-                        self.record_detour(stage);
-                        return Ok(opened);
-                    }
-                    Err(error) => match direct.await {
-                        Ok(stream) => {
-                            self.record_direct_success();
-                            return Ok((stream, None));
-                        }
-                        Err(failure) => (failure, Err(error)),
-                    },
-                },
-            },
-        };
-        match tunnel {
-            Ok(opened) => {
+            Either::Right((Ok(opened), _)) => {
                 self.record_detour(stage);
                 Ok(opened)
             }
-            Err(Some(TunnelError::Unreachable)) => Err(LinkError::Target(failure)),
-            Err(None) => Err(LinkError::Target(failure)),
-            Err(Some(_)) if links.reach().blames_target(clock::now()) => {
-                Err(LinkError::Target(failure))
+            Either::Right((Err(error), direct)) => match direct.await {
+                Ok(stream) => Ok(self.opened_directly(stream)),
+                Err(failure) => self.opened_around(stage, failure, Err(error)),
+            },
+        }
+    }
+
+    /// Opens a stream through another instance, or directly if none helps.
+    async fn open_behind_cut(
+        &self,
+        stage: &Stage,
+        limit: Duration,
+    ) -> Result<OpenedStream, LinkError> {
+        match self.open_tunnel(stage).await {
+            Ok(opened) => Ok(opened),
+            Err(Some(error @ TunnelError::Unreachable)) => {
+                Err(LinkError::Target(wire::Error::Connect {
+                    address: stage.address,
+                    message: error.to_string(),
+                }))
             }
-            Err(Some(_)) => {
-                links.request_check();
-                Err(LinkError::Own(failure))
+            Err(_) => {
+                let direct = self.links.connect(stage, limit).await;
+                Ok(self.opened_directly(direct.map_err(LinkError::Own)?))
             }
         }
     }
 
+    fn opened_directly(&self, stream: BoxedStream) -> OpenedStream {
+        self.record_direct_success();
+        (stream, None)
+    }
+
+    /// Result of a connection that failed directly, and of the attempt through other instances.
+    fn opened_around(
+        &self,
+        stage: &Stage,
+        failure: wire::Error,
+        tunnel: Result<OpenedStream, Option<TunnelError>>,
+    ) -> Result<OpenedStream, LinkError> {
+        let is_target_fault = match tunnel {
+            Ok(opened) => {
+                self.record_detour(stage);
+                return Ok(opened);
+            }
+            Err(None | Some(TunnelError::Unreachable)) => true,
+            Err(Some(_)) => self.links.reach().blames_target(clock::now()),
+        };
+        if is_target_fault {
+            return Err(LinkError::Target(failure));
+        }
+        self.links.request_check();
+        Err(LinkError::Own(failure))
+    }
+
     /// Opens a stream to a target through another instance. Returns the last reason if none did it; none if
     /// there is no other instance.
     async fn open_tunnel(&self, stage: &Stage) -> Result<OpenedStream, Option<TunnelError>> {
--- a/crates/forward/tests/cut_off.rs
+++ b/crates/forward/tests/cut_off.rs
@@ -6,11 +6,16 @@
 
 use {
     catalog::RepeatPolicy,
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     support::{
         CallerRequest, TestRouter,
         cut::Fault,
-        cut_system::{EVENTS, arrivals, instance, introduce, targets},
+        cut_system::{
+            EVENTS, TARGET_COUNT, arrivals, instance, instance_before, introduce, targets,
+        },
     },
     tokio::time::sleep,
     wire::hyper::StatusCode,
@@ -138,3 +143,29 @@
         assert_eq!(send(&one, id).await, StatusCode::OK, "{id}");
     }
 }
+
+/// Guards against a target that has crashed and is chosen again and again behind a cut, because an instance
+/// that is cut off counts no failures.
+#[parameterized(refused = { Fault::Refuse }, hanging = { Fault::Hang })]
+#[test_macro(tokio::test)]
+async fn cut_off_instance_avoids_targets_that_others_do_not_reach(fault: Fault) {
+    let targets = targets().await;
+    let mut addresses: Vec<SocketAddr> = targets.iter().map(|target| target.address).collect();
+    for _ in 0..TARGET_COUNT {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        addresses.push(listener.local_addr().unwrap());
+    }
+    let repeat = RepeatPolicy::Once;
+    let (one, links) = instance_before("one", repeat, addresses.clone()).await;
+    let (other, _) = instance_before("other", repeat, addresses).await;
+    introduce(&[("one", &one), ("other", &other)]).await;
+    assert_eq!(send(&other, "before").await, StatusCode::OK);
+    links.set(fault);
+    wait_until_served(&one).await;
+    let started_at = Instant::now();
+    for id in IDS {
+        assert_eq!(send(&one, id).await, StatusCode::OK, "{id}");
+    }
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < DETECTION_LIMIT, "{elapsed:?}");
+}
--- a/crates/forward/tests/support/cut_system.rs
+++ b/crates/forward/tests/support/cut_system.rs
@@ -5,14 +5,14 @@
     catalog::RepeatPolicy,
     forward::{ForwardSettings, Instance, TunnelError, TunnelQuery, Tunnels},
     futures::future::BoxFuture,
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpListener,
     tunnel::TunnelClient,
     wire::{BoxedStream, hyper::StatusCode},
 };
 
 /// Number of targets.
-const TARGET_COUNT: usize = 4;
+pub const TARGET_COUNT: usize = 4;
 /// Events of a stream.
 pub const EVENTS: &str = "id: 1\ndata:\n\nid: 2\ndata:\n\n";
 
@@ -44,9 +44,18 @@
     id: &str,
     repeat: RepeatPolicy,
     targets: &[TestTarget],
+) -> (TestRouter, Arc<Links>) {
+    let addresses = targets.iter().map(|target| target.address).collect();
+    instance_before(id, repeat, addresses).await
+}
+
+/// Starts such an instance in front of the targets at `addresses`.
+pub async fn instance_before(
+    id: &str,
+    repeat: RepeatPolicy,
+    addresses: Vec<SocketAddr>,
 ) -> (TestRouter, Arc<Links>) {
     let links = Arc::new(Links::default());
-    let targets: Vec<&TestTarget> = targets.iter().collect();
     let started = Setup {
         connector: links.clone(),
         settings: ForwardSettings {
@@ -55,8 +64,9 @@
             max_catalog_age: Duration::from_secs(3_600),
             ..settings()
         },
+        targets: addresses,
         time_limit: Duration::from_secs(2),
-        ..setup(repeat, &targets)
+        ..setup(repeat, &[])
     };
     (started.start().await, links)
 }
