Split the decision whether a silent probe is one's own fault

Cause: the function that probes engines had three names for one decision. Change: the same decision in a function of its own.

--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Probes engines and records the results. If this instance reaches no other target either, no engine is
-    /// marked as unreachable.
+    /// Probes engines and records the results. If none answers, and the links of this instance may be at fault,
+    /// no engine is marked as unreachable.
     async fn probe_stages(&self, router: &Router, stages: &[Stage]) {
         let started_at = clock::now();
         let probes = stages.iter().map(|stage| {
@@ -64,26 +64,14 @@
             timeout(PROBE_TIMEOUT, state)
         });
         let answers = futures::future::join_all(probes).await;
-        let answered = answers
-            .iter()
-            .filter(|answer| matches!(answer, Ok(Ok(_) | Err(Error::RetryAfter(_)))));
-        let is_local_fault = stages.len() > 1 && answered.count() == 0;
         let mut silent = Vec::new();
         for (stage, answer) in stages.iter().zip(&answers) {
             if !matches!(answer, Ok(Ok(_) | Err(Error::RetryAfter(_)))) {
                 silent.push(stage);
             }
         }
-        let is_local_fault = match (silent.is_empty(), is_local_fault) {
-            (true, _) => false,
-            (false, true) => {
-                router.links.request_check();
-                true
-            }
-            (false, false) => {
-                silent.len() == stages.len() && !router.is_target_fault(started_at, &silent).await
-            }
-        };
+        let is_own_fault =
+            silent.len() == stages.len() && is_own_fault(router, started_at, &silent).await;
         let now = clock::now();
         let mut fleet = router.fleet();
         for (stage, answer) in stages.iter().zip(answers) {
@@ -92,7 +80,7 @@
                 continue;
             }
             let Ok(Ok(state)) = answer else {
-                if !is_local_fault && fleet.record_outcome(now, stage.key, Outcome::Unreachable) {
+                if !is_own_fault && fleet.record_outcome(now, stage.key, Outcome::Unreachable) {
                     tracing::info!(target = &*stage.id, "engine does not answer and is avoided");
                     router
                         .suspects()
@@ -116,6 +104,18 @@
     }
 }
 
+/// Whether the links of this instance are more likely at fault than the engines, none of which answered.
+async fn is_own_fault(router: &Router, started_at: Duration, silent: &[&Stage]) -> bool {
+    match silent {
+        [] => false,
+        [_] => !router.is_target_fault(started_at, silent).await,
+        _ => {
+            router.links.request_check();
+            true
+        }
+    }
+}
+
 /// Probe loop: probes engines that are avoided or slow until they are healthy again, and engines that
 /// do not answer other instances.
 pub async fn probe_engines(router: Arc<Router>) {
