--- a/crates/forward/tests/cut_off.rs
+++ b/crates/forward/tests/cut_off.rs
@@ -17,7 +17,7 @@
             EVENTS, TARGET_COUNT, arrivals, instance, instance_before, introduce, targets,
         },
     },
-    tokio::time::sleep,
+    tokio::{net::TcpSocket, time::sleep},
     wire::hyper::StatusCode,
     yare::parameterized,
 };
@@ -151,9 +151,13 @@
 async fn cut_off_instance_avoids_targets_that_others_do_not_reach(fault: Fault) {
     let targets = targets().await;
     let mut addresses: Vec<SocketAddr> = targets.iter().map(|target| target.address).collect();
+    // A bound port that is not listened on refuses connections, and no other test can take it.
+    let mut closed = Vec::new();
     for _ in 0..TARGET_COUNT {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        addresses.push(listener.local_addr().unwrap());
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        addresses.push(socket.local_addr().unwrap());
+        closed.push(socket);
     }
     let repeat = RepeatPolicy::Once;
     let (one, links) = instance_before("one", repeat, addresses.clone()).await;
