Give the layers of a lost engine to engines with free memory

Cause: the plan gave layers only to empty engines and to those whose layers are all held twice. No engine that was needed where it was ever got another range. An engine that refuses its orders held the layout up in the same way. Change: layers that have been without a holder for one second go to the engines that then load the fewest layers, in the order of their ranges. Engines that refuse or ignore orders for 2 s are left out while the others suffice. A shortage of memory is logged once; layout_missing_layers counts the layers.

--- a/crates/layout/src/group.rs
+++ b/crates/layout/src/group.rs
@@ -19,7 +19,7 @@
 
     /// Sets `reserved_tokens` to the largest amount, up to the setting, with which the group can hold the
     /// whole model. Returns false if it cannot even with the minimum.
-    fn reserve_memory(&mut self, shape: &ModelShape, settings: &LayoutSettings) -> bool {
+    pub(crate) fn reserve_memory(&mut self, shape: &ModelShape, settings: &LayoutSettings) -> bool {
         let (mut low, mut high) = (settings.min_reserved_tokens, settings.reserved_tokens);
         if self.total_capacity(shape, low) < shape.layer_count {
             return false;
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -4,8 +4,12 @@
 //! whole model is a group, and all others form one group together. Initially, the engines form pipelines,
 //! each of which holds the whole model. Engines that are left over, and those that join later, get the
 //! layers of their group that the fewest engines hold. A request may use only a part of an engine's range.
+//! While a layer has no holder, engines that hold other layers may get another range too.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 mod engine;
 mod first_stage;
@@ -14,6 +18,7 @@
 mod plan;
 mod range;
 mod settings;
+mod shift;
 
 pub use {
     engine::{Engine, ModelShape},
@@ -21,6 +26,7 @@
     plan::{Placement, plan},
     range::LayerRange,
     settings::LayoutSettings,
+    shift::{missing_layers, shift_ranges},
 };
 
 use {
--- a/crates/layout/src/settings.rs
+++ b/crates/layout/src/settings.rs
@@ -10,6 +10,8 @@
     pub reserved_tokens: f64,
     /// Minimum number of tokens of requests for which each engine reserves memory: about 20 requests.
     pub min_reserved_tokens: f64,
+    /// Tokens of requests for which an engine needs memory to be of any use: two requests.
+    pub required_tokens: f64,
 }
 
 impl Default for LayoutSettings {
@@ -18,6 +20,7 @@
             pipeline_tokens_per_s: 40_000.0,
             reserved_tokens: 100_000.0,
             min_reserved_tokens: 20_000.0,
+            required_tokens: 2_000.0,
         }
     }
 }
--- a/crates/reconcile/src/layout_loop.rs
+++ b/crates/reconcile/src/layout_loop.rs
@@ -44,30 +44,50 @@
                 .iter()
                 .map(|order| send_order(&*engines, order, &leadership));
             let results = futures::future::join_all(sends).await;
-            for (order, may_be_accepted) in orders.iter().zip(results) {
-                if may_be_accepted {
-                    reconciler.record_order(clock::now(), &order.placement);
+            for (order, outcome) in orders.iter().zip(results) {
+                let now = clock::now();
+                match outcome {
+                    OrderOutcome::MayBeAccepted => reconciler.record_order(now, &order.placement),
+                    OrderOutcome::NotSent => {}
+                    OrderOutcome::Refused => {
+                        reconciler.record_refusal(now, &order.placement.engine);
+                    }
                 }
             }
         }
     }
 }
 
-/// Sends one order. Returns whether the engine accepted it or may have accepted it.
-async fn send_order(engines: &dyn Engines, order: &Order, leadership: &Mutex<Leadership>) -> bool {
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OrderOutcome {
+    /// The engine accepted the order, or the answer was lost.
+    MayBeAccepted,
+    /// The engine is still busy with another order, or this instance may no longer send any.
+    NotSent,
+    /// The engine refused the order, or does not tell its state.
+    Refused,
+}
+
+/// Sends one order.
+async fn send_order(
+    engines: &dyn Engines,
+    order: &Order,
+    leadership: &Mutex<Leadership>,
+) -> OrderOutcome {
     let Order { address, placement } = order;
     let state = match engines.state(*address).await {
         Err(error) => {
             tracing::info!(target = &*placement.engine, %error, "cannot read the engine state");
-            return false;
+            return OrderOutcome::Refused;
         }
         Ok(state) => state,
     };
     if state.is_busy {
-        return false;
+        return OrderOutcome::NotSent;
     }
     let Some(fence) = lock(leadership).fence(clock::now()) else {
-        return false;
+        return OrderOutcome::NotSent;
     };
     let reply = engines.place(*address, placement.range, fence, state.order_count);
     let reply = reply.await;
@@ -86,11 +106,11 @@
         "placement order sent"
     );
     match reply {
-        Err(_) | Ok(OrderReply::Accepted) => true,
-        Ok(OrderReply::Conflict) => false,
+        Err(_) | Ok(OrderReply::Accepted) => OrderOutcome::MayBeAccepted,
+        Ok(OrderReply::Conflict) => OrderOutcome::Refused,
         Ok(OrderReply::Fenced) => {
             lock(leadership).record_fenced();
-            false
+            OrderOutcome::NotSent
         }
     }
 }
--- a/crates/reconcile/src/layout_reconciler.rs
+++ b/crates/reconcile/src/layout_reconciler.rs
@@ -12,6 +12,15 @@
 /// load. After that, the order may be sent again.
 const ORDER_EFFECT_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time for which layers must be without a holder, whatever the plan for empty and redundant engines, before
+/// the ranges of other engines shift. An engine that is listed again in the meantime needs only its own layers.
+const SHIFT_DELAY: Duration = Duration::from_secs(1);
+/// Time for which an engine must refuse or ignore orders before its cooperation is no longer needed for the
+/// layout.
+const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
+/// Time after the first refusal after which the engine is expected to accept orders again.
+const REFUSAL_VALIDITY: Duration = Duration::from_secs(30);
+
 /// Time for which the limits of all first stages must be too low before another one is placed, so that a
 /// limit that lasts only for moments moves no engine.
 const LIMITED_TIME: Duration = Duration::from_secs(1);
@@ -40,10 +49,16 @@
 pub struct LayoutReconciler {
     /// Ids of the engines that the last call of `orders` found.
     engines: Vec<Arc<str>>,
+    /// Whether the log says that the engines lack the memory for all layers.
+    has_reported_shortage: bool,
+    /// Since when layers have no holder and get none by the plan; none if each layer has or gets one.
+    incomplete_since: Option<Duration>,
     /// Since when the limits of all first stages together are too low; none if they are not.
     limited_since: Option<Duration>,
     /// Ranges and times of orders whose effect is not listed yet, by engine.
     pending_orders: HashMap<Arc<str>, (LayerRange, Duration)>,
+    /// Since when engines refuse orders or leave them without effect.
+    refusing_since: HashMap<Arc<str>, Duration>,
     settings: LayoutSettings,
     /// Times of the first and the last change of the set of engines since the last plan; none if
     /// there was no change.
@@ -89,7 +104,8 @@
         }
         self.unplanned_changes = None;
         let mut orders = Vec::new();
-        let mut placements = layout::plan(&engines, &shape, &self.settings);
+        let placements = layout::plan(&engines, &shape, &self.settings);
+        let mut placements = self.complete(now, service, &engines, &shape, placements);
         if placements.is_empty() {
             placements.extend(self.additional_first_stage(now, &engines, load));
         }
@@ -108,6 +124,74 @@
         orders
     }
 
+    /// Replaces a plan that leaves layers without a holder by one that shifts the ranges of engines, once
+    /// the layers have been without a holder for long enough.
+    fn complete(
+        &mut self,
+        now: Duration,
+        service: &str,
+        engines: &[Engine],
+        shape: &ModelShape,
+        mut placements: Vec<Placement>,
+    ) -> Vec<Placement> {
+        let unresponsive = self.unresponsive_engines(now);
+        let is_expected = |one: &&Placement| !unresponsive.contains(&one.engine);
+        let expected: Vec<Placement> = placements.iter().filter(is_expected).cloned().collect();
+        let missing_count = layout::missing_layers(engines, &expected, shape);
+        let gauge = metrics::gauge!("layout_missing_layers", "service" => service.to_owned());
+        gauge.set(f64::from(missing_count));
+        if missing_count == 0 {
+            self.incomplete_since = None;
+            self.has_reported_shortage = false;
+            return placements;
+        }
+        let since = *self.incomplete_since.get_or_insert(now);
+        if now < since + SHIFT_DELAY {
+            // A move without which the model stays incomplete only disturbs requests.
+            let is_empty = |one: &Placement| {
+                let holds_none = |engine: &Engine| engine.id == one.engine && engine.held.is_none();
+                engines.iter().any(holds_none)
+            };
+            placements.retain(is_empty);
+            return placements;
+        }
+        let shift = |unresponsive: &BTreeSet<EngineId>| {
+            layout::shift_ranges(engines, &placements, shape, &self.settings, unresponsive)
+        };
+        let shifted = shift(&unresponsive).or_else(|| shift(&BTreeSet::new()));
+        let Some(shifted) = shifted else {
+            if !std::mem::replace(&mut self.has_reported_shortage, true) {
+                tracing::warn!(
+                    service,
+                    missing_count,
+                    engine_count = engines.len(),
+                    "the engines lack the memory for all layers of the model"
+                );
+            }
+            return placements;
+        };
+        tracing::info!(
+            service,
+            missing_count,
+            incomplete_ms = now.saturating_sub(since).as_millis() as u64,
+            change_count = shifted.len(),
+            unresponsive_count = unresponsive.len(),
+            "layers have no holder, shifting the ranges of engines"
+        );
+        shifted
+    }
+
+    /// Engines that have refused or ignored orders for too long.
+    fn unresponsive_engines(&self, now: Duration) -> BTreeSet<EngineId> {
+        let mut ids = BTreeSet::new();
+        for (id, since) in &self.refusing_since {
+            if now >= *since + UNRESPONSIVE_AFTER {
+                ids.insert(id.clone());
+            }
+        }
+        ids
+    }
+
     fn additional_first_stage(
         &mut self,
         now: Duration,
@@ -150,6 +234,11 @@
         self.pending_orders.insert(placement.engine.clone(), order);
     }
 
+    /// Records that an engine refused an order or could not be reached.
+    pub fn record_refusal(&mut self, now: Duration, engine: &EngineId) {
+        self.refusing_since.entry(engine.clone()).or_insert(now);
+    }
+
     fn engines(
         &mut self,
         now: Duration,
@@ -158,8 +247,18 @@
         targets: &[Target],
         load: &FirstStageLoad,
     ) -> Vec<Engine> {
-        self.pending_orders
-            .retain(|_, (_, at)| now.saturating_sub(*at) < ORDER_EFFECT_TIMEOUT);
+        let refusing_since = &mut self.refusing_since;
+        self.pending_orders.retain(|engine, (_, at)| {
+            let is_pending = now.saturating_sub(*at) < ORDER_EFFECT_TIMEOUT;
+            if !is_pending {
+                refusing_since.entry(engine.clone()).or_insert(*at);
+            }
+            is_pending
+        });
+        refusing_since.retain(|id, since| {
+            let is_listed = targets.iter().any(|target| target.id == *id);
+            is_listed && now.saturating_sub(*since) < REFUSAL_VALIDITY
+        });
         let mut engines = Vec::new();
         for target in targets {
             if &*target.service != service || target.is_leaving {
@@ -178,6 +277,7 @@
                 .is_some_and(|(range, _)| target.held == Some(*range))
             {
                 self.pending_orders.remove(&target.id);
+                self.refusing_since.remove(&target.id);
             }
             let pending_range = self.pending_orders.get(&target.id).map(|(range, _)| *range);
             engines.push(Engine {
