Do not take the own silence of an instance for an outage of the store

Cause: a leader that had stood still for 2.9 s took its own gap between two answers of the store for an outage, and kept targets that were removed meanwhile. It still led, and its list was the latest read, so all instances followed it. Change: only time in which an instance ran and heard of other instances counts as an outage. A list that another instance read since is continued from, with its age, also if it arrives while the own read is on its way. Messages are unchanged.

--- a/crates/fleet/src/target_list.rs
+++ b/crates/fleet/src/target_list.rs
@@ -13,6 +13,7 @@
 /// `RELIST_TIME` is removed.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
+    /// Time of the last answer, on a clock that runs only while this instance can observe the service.
     answered_at: Option<Duration>,
     listed: HashMap<TargetId, Target>,
     /// Targets whose entries may have lapsed, and when they count as removed.
@@ -23,12 +24,20 @@
 }
 
 impl TargetList {
-    /// Records that the listing service answered.
-    pub fn record_answer(&mut self, now: Duration) {
-        let last = self.answered_at.replace(now);
-        if last.is_some_and(|last| now.saturating_sub(last) > LAPSE_TIME) {
-            self.returned_at = Some(now);
+    /// Records that the listing service answered. Returns the length of the outage before, if entries may
+    /// have lapsed in it.
+    ///
+    /// `observed` is the time in which this instance could observe the service so far. Only that part of the
+    /// time since the last answer counts as an outage: while this instance itself was stopped or cut off, the
+    /// service may have been available to the targets.
+    pub fn record_answer(&mut self, now: Duration, observed: Duration) -> Option<Duration> {
+        let last = self.answered_at.replace(observed)?;
+        let outage = observed.saturating_sub(last);
+        if outage <= LAPSE_TIME {
+            return None;
         }
+        self.returned_at = Some(now);
+        Some(outage)
     }
 
     /// Records that the list was restored from an older copy, in which entries may be missing.
@@ -36,11 +45,12 @@
         self.returned_at = Some(now);
     }
 
-    /// Replaces the whole state by the list that another instance kept while this one did not read the
+    /// Replaces the whole state by the list that another instance read while this one did not read the
     /// service. Targets that are not in it count as removed, however long ago this instance last read.
-    pub fn reset(&mut self, now: Duration, targets: Vec<Target>) {
+    /// `read_at` is the time of that read, on the clock of `observed` in `record_answer`.
+    pub fn reset(&mut self, read_at: Duration, targets: Vec<Target>) {
         *self = Self {
-            answered_at: Some(now),
+            answered_at: Some(read_at),
             ..Self::default()
         };
         for target in targets {
--- a/crates/fleet/tests/target_list.rs
+++ b/crates/fleet/tests/target_list.rs
@@ -11,7 +11,7 @@
 
 fn target_list() -> TargetList {
     let mut target_list = TargetList::default();
-    target_list.record_answer(at(1_000));
+    target_list.record_answer(at(1_000), at(1_000));
     target_list.replace(
         at(1_000),
         vec![target("x", "booking"), target("y", "booking")],
@@ -30,7 +30,7 @@
 #[test]
 fn removed_target_is_dropped_at_once() {
     let mut target_list = target_list();
-    target_list.record_answer(at(1_500));
+    target_list.record_answer(at(1_500), at(1_500));
     target_list.remove(at(1_500), "x");
     assert_eq!(ids(&mut target_list, 1_500), ["y"]);
 }
@@ -38,20 +38,30 @@
 #[test]
 fn lapsed_target_is_kept_until_it_lists_itself_again() {
     let mut target_list = target_list();
-    target_list.record_answer(at(9_000));
+    target_list.record_answer(at(9_000), at(9_000));
     target_list.replace(at(9_000), Vec::new());
     assert_eq!(ids(&mut target_list, 10_999), ["x", "y"]);
     target_list.upsert(target("x", "booking"));
     assert_eq!(ids(&mut target_list, 11_000), ["x"]);
 }
 
+/// Guards against requests to targets that have left: an instance that had stood still took its own gap
+/// between two answers for an outage of the service, and kept targets that were removed meanwhile.
+#[test]
+fn own_silence_is_no_outage() {
+    let mut target_list = target_list();
+    target_list.record_answer(at(9_000), at(1_300));
+    target_list.remove(at(9_000), "x");
+    assert_eq!(ids(&mut target_list, 9_000), ["y"]);
+}
+
 #[test]
 fn target_known_to_be_leaving_does_not_come_back_as_lapsed() {
     let mut target_list = target_list();
     let mut leaving = target("x", "booking");
     leaving.is_leaving = true;
     target_list.upsert(leaving);
-    target_list.record_answer(at(9_000));
+    target_list.record_answer(at(9_000), at(9_000));
     target_list.remove(at(9_000), "x");
     assert_eq!(ids(&mut target_list, 9_000), ["y"]);
 }
@@ -69,7 +79,7 @@
     let mut target_list = target_list();
     target_list.reset(at(9_000), vec![target("y", "booking")]);
     assert_eq!(ids(&mut target_list, 9_000), ["y"]);
-    target_list.record_answer(at(9_100));
+    target_list.record_answer(at(9_100), at(9_100));
     assert_eq!(ids(&mut target_list, 9_100), ["y"]);
 }
 
@@ -103,7 +113,7 @@
 #[test]
 fn target_missing_in_a_restored_list_is_kept_until_it_registers_again() {
     let mut target_list = target_list();
-    target_list.record_answer(at(1_500));
+    target_list.record_answer(at(1_500), at(1_500));
     target_list.record_restored(at(1_500));
     target_list.replace(at(1_500), vec![target("y", "booking")]);
     assert_eq!(ids(&mut target_list, 3_499), ["x", "y"]);
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -161,7 +161,11 @@
             revision: query.revision,
         };
         let queried_at = clock::now();
-        match self.relay.ask(address, query).await {
+        let reply = self.relay.ask(address, query).await;
+        if reply.is_ok() {
+            self.shared.record_contact(clock::now());
+        }
+        match reply {
             Err(error) => {
                 tracing::debug!(source = %address, %error, "query not answered");
                 // The member report in the query may not have arrived.
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -28,6 +28,7 @@
     types::CrashReport,
 };
 
+mod attention;
 mod catalog_loop;
 mod dependency_status;
 mod follow_loop;
@@ -51,6 +52,7 @@
 mod victim_loop;
 
 pub use {
+    attention::Attention,
     catalog_loop::follow_catalog,
     dependency_status::DependencyStatus,
     follow_loop::follow_leader,
@@ -69,7 +71,7 @@
     store_trust::StoreTrust,
     supervisor::supervise,
     target_history::TargetHistory,
-    target_loop::follow_targets,
+    target_loop::{follow_targets, observe_time},
     victim_loop::{VictimAnswer, VictimQuery, share_crash_victims},
 };
 
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -177,6 +177,16 @@
         live.into_values().collect()
     }
 
+    /// Whether any other instance is live.
+    #[must_use]
+    pub fn knows_others(&self, now: Duration) -> bool {
+        let is_live = |at: Duration| now.saturating_sub(at) <= LIVENESS_TIMEOUT;
+        let received = self.received_list.as_ref();
+        // The received list contains this instance too.
+        self.rows.values().any(|(_, seen_at)| is_live(*seen_at))
+            || received.is_some_and(|(list, built_at)| list.len() > 1 && is_live(*built_at))
+    }
+
     /// Rows of live instances, ordered by id.
     #[must_use]
     pub fn live_rows(&self, now: Duration) -> Vec<&InstanceRow> {
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -38,6 +38,7 @@
     /// Answers a query. Returns none if this instance has no state yet or is leaving.
     pub async fn answer(&self, mut query: Query) -> Option<RelayReply> {
         let received_at = clock::now();
+        self.shared.record_contact(received_at);
         self.record_members(&mut query);
         self.record_loads(&query.row.id, query.loads.take());
         if self.router.merge_departures(&query.departures) {
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -22,6 +22,7 @@
 struct SharedStateInner {
     /// Time of the last answer of another instance, even if its state was outdated.
     answered_at: Option<Duration>,
+    attention: Attention,
     /// Number of instances between the stores and this instance's relayed state.
     distance: u32,
     /// Time at which the received list of instances was built; none if this instance builds the
@@ -67,6 +68,7 @@
             settings,
             state: Mutex::new(SharedStateInner {
                 answered_at: None,
+                attention: Attention::default(),
                 distance: 0,
                 instances_built_at: None,
                 loads: ReportedLoads::default(),
@@ -375,6 +377,27 @@
         }
     }
 
+    /// Records that another instance sent a query or an answer.
+    pub fn record_contact(&self, now: Duration) {
+        self.lock().attention.record_contact(now);
+    }
+
+    /// Time in which this instance could observe the store and the other instances, so far.
+    pub fn observed_time(&self, now: Duration) -> Duration {
+        let mut state = self.lock();
+        let knows_others = state.membership.knows_others(now);
+        state.attention.tick(now, knows_others)
+    }
+
+    /// Current list of targets and the time since it was read from the store; none if this instance has read
+    /// it itself.
+    pub fn relayed_targets(&self, now: Duration) -> Option<(Vec<Target>, Duration)> {
+        let state = self.lock();
+        state.origin?;
+        let age = now.saturating_sub(state.targets_at?);
+        Some((state.targets.targets().to_vec(), age))
+    }
+
     /// Runs `act` on what is known about the age of the store while the state is locked.
     pub fn with_store_trust<T>(&self, act: impl FnOnce(&mut StoreTrust) -> T) -> T {
         act(&mut self.lock().store_trust)
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -10,6 +10,18 @@
 /// instances at once, at the start and after the loss of the list.
 pub(crate) const MAX_LOGGED_COUNT: usize = 16;
 
+/// Time between two measurements of the time in which this instance can observe others.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Measures the time in which this instance can observe the store and the other instances, however long its
+/// other loops wait for an answer.
+pub async fn observe_time(shared: Arc<SharedState>) {
+    loop {
+        shared.observed_time(clock::now());
+        sleep(OBSERVATION_INTERVAL).await;
+    }
+}
+
 /// Keeps the targets of a router up to date by reading the store, while no leader provides them.
 pub async fn follow_targets(
     router: Arc<Router>,
@@ -18,21 +30,13 @@
 ) {
     let mut status = DependencyStatus::new("target list");
     let mut target_list = TargetList::default();
-    let mut used_relayed_state = false;
     let mut era: Option<u64> = None;
     loop {
         let now = clock::now();
-        let uses_relayed_state = shared.uses_relayed_state(now);
-        if uses_relayed_state || shared.waits_for_leader(now) {
-            used_relayed_state |= uses_relayed_state;
+        if shared.uses_relayed_state(now) || shared.waits_for_leader(now) {
             sleep(RELAYED_POLL_INTERVAL).await;
             continue;
         }
-        if used_relayed_state {
-            // Continues from the list received from the leader.
-            target_list.reset(now, shared.targets());
-            used_relayed_state = false;
-        }
         match source.read(MAX_WAIT).await {
             Err(error) => {
                 status.record_failure(clock::now(), &error);
@@ -41,7 +45,7 @@
             Ok(change) => {
                 let now = clock::now();
                 status.record_success(now);
-                target_list.record_answer(now);
+                record_answer(&mut target_list, &shared, now);
                 let before = std::mem::replace(&mut era, source.era());
                 if before.is_some() && before != era {
                     tracing::info!(era, before, "target list was restored from a copy");
@@ -58,6 +62,22 @@
     }
 }
 
+/// Records that the store answered this instance, and continues from the list of another instance if that
+/// one has read the store since.
+fn record_answer(target_list: &mut TargetList, shared: &SharedState, now: Duration) {
+    let observed = shared.observed_time(now);
+    if let Some((targets, age)) = shared.relayed_targets(now) {
+        target_list.reset(observed.saturating_sub(age), targets);
+    }
+    if let Some(outage) = target_list.record_answer(now, observed) {
+        let outage_ms = outage.as_millis() as u64;
+        tracing::info!(
+            outage_ms,
+            "target list is available again, missing targets may have lapsed"
+        );
+    }
+}
+
 fn apply(target_list: &mut TargetList, now: Duration, change: TargetChange) {
     match change {
         TargetChange::All(targets) => target_list.replace(now, targets),
