Do not count own silence as waiting for other configurations

An instance that stands still right after its start could accept keys that were withdrawn after the copy from which the store was restored. Cause: the wait for the leader's row, and for the configuration of another instance, was measured from the first check on, also while the instance stood still. Change: only time between two checks that are at most 250 ms apart counts.

--- a/crates/reconcile/src/store_trust.rs
+++ b/crates/reconcile/src/store_trust.rs
@@ -6,15 +6,23 @@
 /// store was restored from a copy. Operators and targets write again within this time.
 const RESTORED_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest time between two checks that counts as waiting. After a longer one this instance did not run, and
+/// could not receive what it waits for.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// What an instance knows about the age of the store, which may have been restored from an older copy.
 #[derive(Clone, Debug, Default)]
 pub struct StoreTrust {
-    /// When the leader's row was first read, and whether the leader has found its configuration in the store
-    /// since the last restoration; none before the first read.
-    leader_row: Option<(Duration, bool)>,
-    /// When this instance first checked whether it may use the configuration in the store.
+    /// Whether the leader has found its configuration in the store since the last restoration; none before its
+    /// row was first read.
+    leader_row: Option<bool>,
+    /// When this instance last checked whether it may use the configuration in the store, or first read the
+    /// leader's row.
     checked_at: Option<Duration>,
     settled_era: u64,
+    /// Time for which this instance has waited for the leader's row or, once that is known, for the
+    /// configuration of another instance.
+    waited: Duration,
 }
 
 impl StoreTrust {
@@ -22,24 +30,29 @@
     /// in the store since the last restoration.
     pub fn record_leader_row(&mut self, now: Duration, is_settled: bool) {
         let before = self.leader_row;
-        if before.is_none_or(|(_, before)| before != is_settled) {
+        if before.is_none() {
+            (self.checked_at, self.waited) = (Some(now), Duration::ZERO);
+        }
+        if before != Some(is_settled) {
             tracing::info!(
                 is_settled,
                 "age of the store is known from the leader's row"
             );
         }
-        let read_at = before.map_or(now, |(at, _)| at);
-        self.leader_row = Some((read_at, is_settled));
+        self.leader_row = Some(is_settled);
     }
 
     /// Whether an instance without a configuration may use the one in the store. Other instances may know a newer
-    /// one, in which keys were withdrawn.
+    /// one, in which keys were withdrawn. Must be called at short intervals.
     pub fn is_usable(&mut self, now: Duration) -> bool {
-        let checked_at = *self.checked_at.get_or_insert(now);
+        let interval = now.saturating_sub(self.checked_at.replace(now).unwrap_or(now));
+        if interval <= MAX_CHECK_INTERVAL {
+            self.waited += interval;
+        }
         match self.leader_row {
-            None => now >= checked_at + ROW_WAIT,
-            Some((_, true)) => true,
-            Some((read_at, false)) => now >= read_at + RESTORED_WAIT,
+            None => self.waited >= ROW_WAIT,
+            Some(true) => true,
+            Some(false) => self.waited >= RESTORED_WAIT,
         }
     }
 
