Keep the list of instances when this one has only just woken

An instance that had stood still for more than 3.5 s named only itself to callers until others reported to it again. Cause: the time without a report included the time in which this instance stood still. Change: an instance publishes no list of its own for one second after it stood still.

--- a/crates/reconcile/src/attention.rs
+++ b/crates/reconcile/src/attention.rs
@@ -5,6 +5,8 @@
 const MAX_TICK_GAP: Duration = Duration::from_secs(1);
 /// Time for which this instance counts as connected after a message of another instance.
 const CONTACT_VALIDITY: Duration = Duration::from_secs(2);
+/// Time after standing still within which other instances query this one or answer it again.
+const WAKE_TIME: Duration = Duration::from_secs(1);
 
 /// Measures the time in which this instance can observe the store and the other instances.
 ///
@@ -18,6 +20,8 @@
     observed: Duration,
     /// Time of the last tick; none before the first one.
     ticked_at: Option<Duration>,
+    /// End of the last period in which this instance did not run; none if it always ran.
+    woke_at: Option<Duration>,
 }
 
 impl Attention {
@@ -39,9 +43,18 @@
             );
             // Messages from before say nothing about the time after.
             self.contact_at = None;
+            self.woke_at = Some(now);
         } else if !knows_others || self.contact_at.is_some_and(is_recent) {
             self.observed += gap;
         }
         self.observed
     }
+
+    /// Whether this instance did not run until a moment ago, so that others had no time to reach it since. As
+    /// of the last tick.
+    #[must_use]
+    pub fn has_just_woken(&self, now: Duration) -> bool {
+        self.woke_at
+            .is_some_and(|at| now.saturating_sub(at) < WAKE_TIME)
+    }
 }
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -163,8 +163,11 @@
         Ok(())
     }
 
-    /// Publishes the instances that this one considers live.
+    /// Publishes the instances that this one considers live, unless it has just stood still itself.
     fn publish_membership(&self, now: Duration, is_leading: bool) {
+        if self.shared.has_just_woken(now) {
+            return;
+        }
         let live = self.shared.with_membership(|members| members.live(now));
         self.shared.set_instances_built_at(None);
         publish_instances(
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -389,6 +389,12 @@
         state.attention.tick(now, knows_others)
     }
 
+    /// Whether this instance did not run until a moment ago, so that others had no time to reach it since.
+    pub fn has_just_woken(&self, now: Duration) -> bool {
+        self.observed_time(now);
+        self.lock().attention.has_just_woken(now)
+    }
+
     /// Current list of targets and the time since it was read from the store; none if this instance has read
     /// it itself.
     pub fn relayed_targets(&self, now: Duration) -> Option<(Vec<Target>, Duration)> {
