Split the functions that shift ranges and send orders

Change: the order of the stages, the way back through the cheapest ranges and the outcome of an order have functions of their own. Result: the tests of layout and reconcile pass.

--- a/crates/layout/src/shift.rs
+++ b/crates/layout/src/shift.rs
@@ -62,25 +62,12 @@
         settings.required_tokens,
     ];
     for reserved_tokens in reserves {
-        let stages = |planned: &BTreeMap<&EngineId, LayerRange>| {
-            let mut stages = Vec::new();
-            for engine in engines {
-                let max_layers = match unresponsive.contains(&engine.id) {
-                    false => engine.max_layers(shape, reserved_tokens),
-                    true => 0,
-                };
-                let range = planned.get(&engine.id).copied();
-                stages.extend(Stage::new(engine, range, max_layers, shape));
-            }
-            stages.sort_by(|one, other| {
-                let start = one.planned.start.cmp(&other.planned.start);
-                let end = start.then_with(|| one.planned.end.cmp(&other.planned.end));
-                end.then_with(|| one.engine.id.cmp(&other.engine.id))
-            });
-            stages
+        let max_layers = |engine: &Engine| match unresponsive.contains(&engine.id) {
+            false => engine.max_layers(shape, reserved_tokens),
+            true => 0,
         };
-        let from_fills = cover(&stages(&fills), shape);
-        let from_all = cover(&stages(&all), shape);
+        let from_fills = cover(&stages(engines, &fills, max_layers, shape), shape);
+        let from_all = cover(&stages(engines, &all, max_layers, shape), shape);
         let cheapest = [from_fills, from_all].into_iter().flatten();
         if let Some((_, placements)) = cheapest.min_by_key(|(cost, _)| *cost) {
             return Some(placements);
@@ -89,6 +76,26 @@
     None
 }
 
+/// Engines that hold layers or get some by `planned`, in the order of these layers.
+fn stages<'a>(
+    engines: &'a [Engine],
+    planned: &BTreeMap<&EngineId, LayerRange>,
+    max_layers: impl Fn(&Engine) -> u32,
+    shape: &ModelShape,
+) -> Vec<Stage<'a>> {
+    let mut stages = Vec::new();
+    for engine in engines {
+        let range = planned.get(&engine.id).copied();
+        stages.extend(Stage::new(engine, range, max_layers(engine), shape));
+    }
+    stages.sort_by(|one, other| {
+        let start = one.planned.start.cmp(&other.planned.start);
+        let end = start.then_with(|| one.planned.end.cmp(&other.planned.end));
+        end.then_with(|| one.engine.id.cmp(&other.engine.id))
+    });
+    stages
+}
+
 /// An engine in the order of the layers.
 struct Stage<'a> {
     engine: &'a Engine,
@@ -196,20 +203,25 @@
         rows.push(row);
     }
     let total = costs[layer_count as usize]?;
+    Some((total, changes(stages, &rows)?))
+}
+
+/// Placements of the cheapest ranges that cover the whole model, from the last stage back to the first.
+fn changes(stages: &[Stage], rows: &[Vec<Option<Step>>]) -> Option<Vec<Placement>> {
     let mut placements = Vec::new();
-    let mut covered = layer_count;
-    for (stage, row) in stages.iter().zip(&rows).rev() {
-        let step = row[covered as usize]?;
+    let mut covered = rows.last()?.len() - 1;
+    for (stage, row) in stages.iter().zip(rows).rev() {
+        let step = row[covered]?;
         if stage.held != Some(step.range) {
             placements.push(Placement {
                 engine: stage.engine.id.clone(),
                 range: step.range,
             });
         }
-        covered = step.covered_before;
+        covered = step.covered_before as usize;
     }
     placements.reverse();
-    Some((total, placements))
+    Some(placements)
 }
 
 fn ranges_by_engine(placements: &[Placement]) -> BTreeMap<&EngineId, LayerRange> {
--- a/crates/reconcile/src/layout_loop.rs
+++ b/crates/reconcile/src/layout_loop.rs
@@ -45,14 +45,7 @@
                 .map(|order| send_order(&*engines, order, &leadership));
             let results = futures::future::join_all(sends).await;
             for (order, outcome) in orders.iter().zip(results) {
-                let now = clock::now();
-                match outcome {
-                    OrderOutcome::MayBeAccepted => reconciler.record_order(now, &order.placement),
-                    OrderOutcome::NotSent => {}
-                    OrderOutcome::Refused => {
-                        reconciler.record_refusal(now, &order.placement.engine);
-                    }
-                }
+                record_outcome(reconciler, &order.placement, outcome);
             }
         }
     }
@@ -69,6 +62,15 @@
     Refused,
 }
 
+fn record_outcome(reconciler: &mut LayoutReconciler, placement: &Placement, outcome: OrderOutcome) {
+    let now = clock::now();
+    match outcome {
+        OrderOutcome::MayBeAccepted => reconciler.record_order(now, placement),
+        OrderOutcome::NotSent => {}
+        OrderOutcome::Refused => reconciler.record_refusal(now, &placement.engine),
+    }
+}
+
 /// Sends one order.
 async fn send_order(
     engines: &dyn Engines,
