Answer all requests that were received before a connection ends in a stop

Cause: from the stop signal on, each answer said that its connection ends, and the server ended each connection with the answer in progress, whatever else it had read from it. Change: a connection counts the requests that it has received completely and those whose answer has begun. It ends with the answer to the last one received, and what has arrived is read before it may be closed as idle. Whether the users' callers send this way is not known.

--- a/crates/wire/src/early_reply_filter.rs
+++ b/crates/wire/src/early_reply_filter.rs
@@ -6,7 +6,8 @@
 #[derive(Debug)]
 pub(crate) struct EarlyReplyFilter {
     has_received_bytes: bool,
-    has_request: Arc<AtomicBool>,
+    progress: Arc<RequestProgress>,
+    requests: RequestCounter,
     stream: TcpStream,
 }
 
@@ -18,12 +19,12 @@
 const MAX_LINGER_BYTES: u64 = 256 * 1024;
 
 impl EarlyReplyFilter {
-    /// Wraps a new connection. The server sets `has_request` when it passes the first request to
-    /// the handler.
-    pub(crate) fn new(stream: TcpStream, has_request: Arc<AtomicBool>) -> Self {
+    /// Wraps a new connection. The server records in `progress` when it passes a request to the handler.
+    pub(crate) fn new(stream: TcpStream, progress: Arc<RequestProgress>) -> Self {
         Self {
             has_received_bytes: false,
-            has_request,
+            requests: RequestCounter::new(progress.clone()),
+            progress,
             stream,
         }
     }
@@ -42,7 +43,7 @@
 
     /// Whether a request of this connection has reached the handler.
     fn has_request(&self) -> bool {
-        self.has_request.load(Ordering::Relaxed)
+        self.progress.has_begun_any()
     }
 }
 
@@ -54,7 +55,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.has_received_bytes |= buffer.filled().len() > before;
+        let received = &buffer.filled()[before..];
+        self.has_received_bytes |= !received.is_empty();
+        self.requests.record(received);
         result
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,8 @@
         body::{Frame, Incoming},
         client::conn::http1::SendRequest,
         header::{
-            CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+            CACHE_CONTROL, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
+            RETRY_AFTER,
         },
         service::service_fn,
     },
@@ -28,7 +29,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         task::{self, Poll},
         time::Duration,
@@ -57,6 +58,7 @@
 mod reply_framing;
 mod reply_state;
 mod request;
+mod request_progress;
 mod response;
 mod server;
 mod sse;
@@ -85,4 +87,5 @@
     reply_filter::ReplyFilter,
     reply_framing::{FramingError, ReplyFraming},
     reply_state::{ReplyKind, ReplyStateHandle},
+    request_progress::{RequestCounter, RequestProgress},
 };
--- /dev/null
+++ b/crates/wire/src/request_progress.rs
@@ -0,0 +1,113 @@
+use super::*;
+
+/// Maximum number of headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// Requests of one connection: those that were received completely, and those that the handler has begun to
+/// answer.
+#[derive(Debug, Default)]
+pub(crate) struct RequestProgress {
+    begun: AtomicU64,
+    /// Wakes the server when the handler begins to answer a request.
+    has_begun: Notify,
+    received: AtomicU64,
+}
+
+impl RequestProgress {
+    /// Records that the handler begins to answer a request.
+    pub(crate) fn record_begun(&self) {
+        self.begun.fetch_add(1, Ordering::Relaxed);
+        self.has_begun.notify_one();
+    }
+
+    /// Whether the handler has begun to answer any request.
+    pub(crate) fn has_begun_any(&self) -> bool {
+        self.begun.load(Ordering::Relaxed) > 0
+    }
+
+    /// Waits until the handler has begun to answer a request since the last call.
+    pub(crate) async fn begun(&self) {
+        self.has_begun.notified().await;
+    }
+
+    /// Whether a request was received completely that the handler has not begun to answer.
+    pub(crate) fn has_unanswered(&self) -> bool {
+        self.received.load(Ordering::Relaxed) > self.begun.load(Ordering::Relaxed)
+    }
+}
+
+/// Finds the ends of the requests in the bytes that a connection receives.
+#[derive(Debug)]
+pub(crate) struct RequestCounter {
+    position: Position,
+    progress: Arc<RequestProgress>,
+}
+
+/// Position in the bytes of a connection.
+#[derive(Debug)]
+enum Position {
+    /// Within a body.
+    Body(ReplyFraming),
+    /// Within a head, of which this part has been received.
+    Head(Vec<u8>),
+    /// Behind bytes that are not a valid request. No more requests are counted.
+    Invalid,
+}
+
+impl RequestCounter {
+    pub(crate) fn new(progress: Arc<RequestProgress>) -> Self {
+        Self {
+            position: Position::Head(Vec::new()),
+            progress,
+        }
+    }
+
+    /// Counts the requests that end in the received bytes.
+    pub(crate) fn record(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let count = match &mut self.position {
+                Position::Invalid => return,
+                Position::Body(framing) => framing.consume(bytes),
+                Position::Head(received) => {
+                    let before = received.len();
+                    received.extend_from_slice(bytes);
+                    match parse_head(received) {
+                        Err(error) => Err(error),
+                        Ok(None) => return,
+                        Ok(Some((length, framing))) => {
+                            self.position = Position::Body(framing);
+                            Ok(length - before)
+                        }
+                    }
+                }
+            };
+            let Ok(count) = count else {
+                self.position = Position::Invalid;
+                return;
+            };
+            bytes = &bytes[count..];
+            if matches!(&self.position, Position::Body(framing) if framing.is_complete()) {
+                self.progress.received.fetch_add(1, Ordering::Relaxed);
+                self.position = Position::Head(Vec::new());
+            }
+        }
+    }
+}
+
+/// Returns the length of a head and the framing of the body behind it; none if the head is incomplete.
+fn parse_head(bytes: &[u8]) -> Result<Option<(usize, ReplyFraming)>, FramingError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    match head.parse(bytes) {
+        Err(_) => Err(FramingError),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Ok(httparse::Status::Complete(length)) => {
+            let framing = match ReplyFraming::of(200, false, head.headers)? {
+                // A request without a length has no body.
+                ReplyFraming::UntilClose => ReplyFraming::Length(0),
+                framing => framing,
+            };
+            Ok(Some((length, framing)))
+        }
+    }
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -105,7 +105,7 @@
 }
 
 /// Serves the requests of one connection until it ends or, after the shutdown signal, until the
-/// current request is answered.
+/// requests that have been received completely are answered.
 async fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
@@ -113,16 +113,18 @@
     limits: Limits,
     mut shutdown: watch::Receiver<bool>,
 ) {
-    let has_request = Arc::new(AtomicBool::new(false));
-    let first_request = Arc::new(Notify::new());
-    let filter = EarlyReplyFilter::new(stream, has_request.clone());
-    let (saw_request, request_started) = (has_request.clone(), first_request.clone());
+    let progress = Arc::new(RequestProgress::default());
+    let filter = EarlyReplyFilter::new(stream, progress.clone());
+    let recorded_progress = progress.clone();
     let service = service_fn(move |request| {
-        has_request.store(true, Ordering::Relaxed);
-        first_request.notify_one();
-        let handler = handler.clone();
+        recorded_progress.record_begun();
+        let (handler, progress) = (handler.clone(), recorded_progress.clone());
         async move {
-            let response = respond(request, peer, handler, limits).await;
+            let mut response = respond(request, peer, handler, limits).await;
+            // The connection ends with the answer to the last request that was received.
+            if progress.has_unanswered() {
+                response.headers_mut().remove(CONNECTION);
+            }
             match response.extensions().get::<Disconnect>() {
                 None => Ok(response),
                 Some(disconnect) => Err(*disconnect),
@@ -137,11 +139,17 @@
     let stopped = async move {
         let _ = shutdown.wait_for(|stop| *stop).await;
         // The first request of a new connection may be in the socket buffer but not read yet.
-        if !saw_request.load(Ordering::Relaxed) {
-            let _ = timeout(BACKLOG_GRACE, request_started.notified()).await;
+        if !progress.has_begun_any() {
+            let _ = timeout(BACKLOG_GRACE, progress.begun()).await;
+        }
+        // Requests that arrived behind the current one are answered too.
+        while progress.has_unanswered() {
+            progress.begun().await;
         }
     };
     let result = tokio::select! {
+        // Reads what has arrived before the connection may be closed as idle.
+        biased;
         result = &mut connection => result,
         () = stopped => {
             Pin::new(&mut connection).graceful_shutdown();
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -13,7 +13,12 @@
     },
     wire::{
         Call, Connection, FaultBody, Handler, Limits, Request, Response, ServerEvent,
-        ServerEventReader, call, hyper::StatusCode, serve, stream, text,
+        ServerEventReader, call,
+        hyper::{
+            StatusCode,
+            header::{CONNECTION, HeaderValue},
+        },
+        serve, stream, text,
     },
     yare::parameterized,
 };
@@ -224,3 +229,48 @@
         "still listening"
     );
 }
+
+/// Handler that takes long for each request.
+struct Slow;
+
+impl Handler for Slow {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let mut response = text(StatusCode::OK, request.path);
+            // Handlers say that the connection ends as soon as the process is to stop.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            response
+        })
+    }
+}
+
+/// Guards against requests that are lost in a planned stop: a request that had arrived together with the current one
+/// was read and never answered.
+#[parameterized(
+    without_body = { "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n" },
+    with_length = { "POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc" },
+    in_chunks = { "POST /2 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn requests_in_one_packet_are_all_answered_in_a_stop(second: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let serving = tokio::spawn(serve(listener, Arc::new(Slow), limits(), stopped));
+    let first = "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab";
+    let third = "GET /3 HTTP/1.1\r\nhost: a\r\n\r\n";
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let bytes = format!("{first}{second}{third}");
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stop.send_replace(true);
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).await.unwrap();
+    for path in ["/1", "/2", "/3"] {
+        assert!(answers.contains(path), "no answer to {path}: {answers}");
+    }
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    serving.await.unwrap();
+}
