Check that the target still runs when an answer without a length ends

Cause: the end of the connection alone made an answer without a length complete, and a killed process ends its connections in the same way. Evidence: answer_of_a_killed_target_does_not_look_complete and request_of_a_killed_target_is_sent_again, six cases, fail without the change. Times of such answers were not measured.

--- a/crates/forward/src/buffered_response.rs
+++ b/crates/forward/src/buffered_response.rs
@@ -4,7 +4,8 @@
 /// request must be sent again.
 pub(crate) async fn respond(exchange: &mut Exchange, attempt: Attempt) -> Option<Response> {
     let status = attempt.reply.status;
-    let headers = headers::end_to_end(&attempt.reply.headers);
+    let target_headers = attempt.reply.headers.clone();
+    let headers = headers::end_to_end(&target_headers);
     let target = attempt.first().clone();
     let router = exchange.router.clone();
     let left = exchange.admitted.time_left();
@@ -18,6 +19,11 @@
         Ok(Err(error)) => return handle_interrupted(exchange, &target, &error).await,
         Err(_) => return Some(exchange.refuse(Refusal::DeadlineExceeded)),
     };
+    let admitted = &exchange.admitted;
+    let end = answer_end::check(&router, admitted, &target, status, &target_headers);
+    if let Err(error) = end.await {
+        return handle_interrupted(exchange, &target, &error).await;
+    }
     let promises_not_run = matches!(
         status,
         StatusCode::MISDIRECTED_REQUEST
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -55,6 +55,7 @@
 
 mod admitted;
 mod answer_buffers;
+mod answer_end;
 mod attempt;
 mod buffered_response;
 mod directory;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -100,7 +100,10 @@
                 () = self.stopped() => return StreamEnd::Interrupted,
             };
             let error = match chunk {
-                Ok(None) if self.is_complete(attempt) => return StreamEnd::Complete,
+                Ok(None) if self.is_complete(attempt) => match self.check_end(attempt).await {
+                    Ok(()) => return StreamEnd::Complete,
+                    Err(error) => Some(error),
+                },
                 Ok(None) => None,
                 Ok(Some(bytes)) => {
                     let now = clock::now();
@@ -154,6 +157,22 @@
         !self.events.has_partial_event() && (attempt.has_events || has_end)
     }
 
+    /// Checks whether the target of a stream that looks complete still runs.
+    async fn check_end(&self, attempt: &Attempt) -> Result<(), wire::Error> {
+        let Exchange {
+            admitted, router, ..
+        } = &self.exchange;
+        let reply = &attempt.reply;
+        answer_end::check(
+            router,
+            admitted,
+            attempt.first(),
+            reply.status,
+            &reply.headers,
+        )
+        .await
+    }
+
     /// Waits until the stream must be stopped before its first event, because it would crash its target.
     async fn stopped(&self) {
         if self.timing.first_event.is_some() {
--- a/crates/forward/tests/unframed_answers.rs
+++ b/crates/forward/tests/unframed_answers.rs
@@ -6,11 +6,12 @@
 
 use {
     catalog::RepeatPolicy,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     support::{CallerRequest, TestTarget, raw_target::raw_target, setup},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        time::sleep,
+        sync::Notify,
+        time::{sleep, timeout},
     },
     wire::hyper::StatusCode,
     yare::parameterized,
@@ -19,6 +20,9 @@
 /// Time between the bytes of an answer and the reset of its connection, so that the bytes arrive first.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
+/// Time within which a target receives a request, unless the request goes to another one.
+const BEGIN_LIMIT: Duration = Duration::from_millis(500);
+
 /// How a target ends a connection.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum End {
@@ -42,6 +46,42 @@
     .await
 }
 
+/// Sends a request to a target that is killed after it has sent `body`, and to `others` if it is sent again. Returns
+/// the body if the answer was complete.
+async fn send_to_killed(
+    repeat: RepeatPolicy,
+    body: &'static str,
+    others: &[&TestTarget],
+) -> Option<String> {
+    let (begun, killed) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (has_begun, is_killed) = (begun.clone(), killed.clone());
+    let target = raw_target(move |mut stream| {
+        let (has_begun, is_killed) = (has_begun.clone(), is_killed.clone());
+        async move {
+            let _ = stream.read(&mut [0; 4_096]).await;
+            let head = "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\n\r\n";
+            let _ = stream.write_all(head.as_bytes()).await;
+            let _ = stream.write_all(body.as_bytes()).await;
+            has_begun.notify_one();
+            is_killed.notified().await;
+        }
+    })
+    .await;
+    let mut targets = vec![&target];
+    targets.extend(others);
+    let router = setup(repeat, &targets).start().await;
+    let call = tokio::spawn(async move { router.send(CallerRequest::default()).await });
+    if timeout(BEGIN_LIMIT, begun.notified()).await.is_ok() {
+        drop(target);
+        // The listener ends in a task of its own.
+        sleep(RESET_DELAY).await;
+        killed.notify_one();
+    }
+    let (status, _, body) = call.await.unwrap();
+    let body = body.ok().filter(|_| status == StatusCode::OK)?;
+    Some(String::from_utf8(body.to_vec()).unwrap())
+}
+
 /// Sends a request to a router with these targets. Returns the body if the answer was complete.
 async fn send(repeat: RepeatPolicy, targets: &[&TestTarget]) -> Option<String> {
     let router = setup(repeat, targets).start().await;
@@ -103,6 +143,50 @@
     assert!(has_resumed);
 }
 
+/// Guards against answers that look complete although their target was killed before their end: without a length or
+/// chunks, the connection ends as that of a complete answer does.
+#[parameterized(
+    once = { RepeatPolicy::Once, "half of" },
+    repeatable = { RepeatPolicy::Idempotent, "half of" },
+    stream = { RepeatPolicy::Stream, "id: 1\ndata: x\n\n" },
+    resumable = { RepeatPolicy::ResumableStream, "id: 1\ndata: x\n\n" },
+)]
+#[test_macro(tokio::test)]
+async fn answer_of_a_killed_target_does_not_look_complete(
+    repeat: RepeatPolicy,
+    body: &'static str,
+) {
+    assert_eq!(send_to_killed(repeat, body, &[]).await, None);
+}
+
+/// Guards against callers that get no answer although another target could have been asked.
+#[parameterized(
+    repeatable = { RepeatPolicy::Idempotent, "half of", "whole", "whole" },
+    resumable = { RepeatPolicy::ResumableStream, "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" },
+)]
+#[test_macro(tokio::test)]
+async fn request_of_a_killed_target_is_sent_again(
+    repeat: RepeatPolicy,
+    body: &'static str,
+    rest: &'static str,
+    whole: &str,
+) {
+    let other = unframed_target(rest, End::Closed).await;
+    let mut answers = Vec::new();
+    // Either target may be chosen first.
+    for _ in 0..20 {
+        let answer = send_to_killed(repeat, body, &[&other]).await;
+        answers.push(answer.expect("a complete answer"));
+    }
+    assert!(
+        answers
+            .iter()
+            .all(|answer| answer == whole || answer == rest),
+        "{answers:?}"
+    );
+    assert!(answers.iter().any(|answer| answer == whole), "{answers:?}");
+}
+
 /// Guards against a stream that looks complete although its target closed the connection before the first event. A
 /// transfer coding other than chunks does not mark the end of an answer.
 #[parameterized(
