Read the whole list of targets after following another instance

Cause: the new leader went on from a list that does not say which entries have lapsed, and its own feed had read past the removal. Evidence: lapsed_target_of_a_former_leader_is_dropped without the new read: "the condition was not met within 20 s". Change: an instance whose list came from another one reads all entries. That it has seen an outage itself outlasts the change of source.

--- a/crates/fleet/src/target_list.rs
+++ b/crates/fleet/src/target_list.rs
@@ -47,10 +47,12 @@
 
     /// Replaces the whole state by the list that another instance read while this one did not read the
     /// service. Targets that are not in it count as removed, however long ago this instance last read.
-    /// `read_at` is the time of that read, on the clock of `observed` in `record_answer`.
+    /// `read_at` is the time of that read, on the clock of `observed` in `record_answer`. An outage that this
+    /// instance has seen itself still counts.
     pub fn reset(&mut self, read_at: Duration, targets: Vec<Target>) {
         *self = Self {
             answered_at: Some(read_at),
+            returned_at: self.returned_at,
             ..Self::default()
         };
         for target in targets {
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -46,6 +46,9 @@
     /// Returns an error when the source does not answer.
     fn read(&mut self, wait: Duration) -> BoxFuture<'_, Result<TargetChange, Error>>;
 
+    /// Makes the next read return the complete list.
+    fn restart(&mut self);
+
     /// Number of times that the source was restored from an older copy, as of the last read; none before the
     /// first one.
     fn era(&self) -> Option<u64>;
--- a/crates/reconcile/src/target_loop.rs
+++ b/crates/reconcile/src/target_loop.rs
@@ -37,6 +37,11 @@
             sleep(RELAYED_POLL_INTERVAL).await;
             continue;
         }
+        if shared.relayed_targets(now).is_some() {
+            // The list of another instance does not say which entries have lapsed, and the changes since the
+            // last own read may not say so either.
+            source.restart();
+        }
         match source.read(MAX_WAIT).await {
             Err(error) => {
                 status.record_failure(clock::now(), &error);
