Ignore layers beyond the model that an engine reports

An engine that reports layers beyond the model ends the control tasks of the leader. Cause: the plan indexed the layers of the model with a range from outside. Evidence: engine_with_layers_beyond_the_model_ends_no_leader without the change: "range end index 30 out of range for slice of length 20". Change: the reconciler clips the range to the model. Result: the test passes.

--- a/crates/reconcile/src/layout_reconciler.rs
+++ b/crates/reconcile/src/layout_reconciler.rs
@@ -280,9 +280,13 @@
                 self.refusing_since.remove(&target.id);
             }
             let pending_range = self.pending_orders.get(&target.id).map(|(range, _)| *range);
+            // An engine may report layers beyond the model, of which it has no use here.
+            let held = pending_range.or(target.held);
+            let held = held
+                .and_then(|held| LayerRange::new(held.start, held.end.min(profile.layer_count)));
             engines.push(Engine {
                 domain: target.domain.clone(),
-                held: pending_range.or(target.held),
+                held,
                 id: target.id.clone(),
                 memory_mb: kind.memory_mb,
                 pace: kind.pace,
--- a/crates/reconcile/tests/layout_reconciler.rs
+++ b/crates/reconcile/tests/layout_reconciler.rs
@@ -248,3 +248,34 @@
     assert!(placement.range.contains(0));
     assert!(!low.limits_per_s.contains_key(&placement.engine));
 }
+
+/// Guards against a leader that ends because an engine reports layers that the model does not have.
+#[test]
+fn engine_with_layers_beyond_the_model_ends_no_leader() {
+    for beyond in [
+        LayerRange::new(15, 30),
+        LayerRange::new(25, 30),
+        LayerRange::new(0, 1_000),
+    ] {
+        let mut reconciler = reconciler();
+        let mut targets = engines(4);
+        targets[0].held = beyond;
+        for target in &mut targets[1..] {
+            target.held = LayerRange::new(0, 10);
+        }
+        let load = FirstStageLoad::default();
+        for ms in (10_000..20_000).step_by(300) {
+            let orders = reconciler.orders(at(ms), "model", &profile(), &targets, &load);
+            apply_orders(&orders, &mut targets);
+        }
+        let mut covered = [false; 20];
+        for range in targets.iter().filter_map(|one| one.held) {
+            let end = (range.end as usize).min(20);
+            covered[(range.start as usize).min(end)..end].fill(true);
+        }
+        assert!(
+            covered.iter().all(|is_covered| *is_covered),
+            "with {beyond:?}"
+        );
+    }
+}
