End a stream with its caller at every wait

Cause: a stream that is to be resumed waited for the answer of the other target without watching its caller. Evidence: target_that_is_to_resume_a_stream_is_left_with_the_caller without the change: "the target still has the request". Change: all that forwards a stream is dropped when its caller leaves, at whatever wait. Result: the tests of forward pass.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -68,7 +68,13 @@
 
 impl StreamForwarder {
     async fn run(mut self, mut attempt: Attempt) {
-        let end = self.pass_on(&mut attempt).await;
+        // The caller may leave at any wait, also while another target is to resume the stream.
+        let caller = self.sender.clone();
+        let end = tokio::select! {
+            end = self.pass_on(&mut attempt) => end,
+            () = caller.closed() => StreamEnd::CallerLeft,
+        };
+        drop(caller);
         self.log(end, attempt.first());
         match end {
             StreamEnd::Interrupted | StreamEnd::DeadlineExceeded => self.sender.disconnect().await,
@@ -96,7 +102,6 @@
             let limit = left.min(self.time_to_inspection(wait_started_at));
             let chunk = tokio::select! {
                 chunk = attempt.reply.chunk(limit) => chunk,
-                () = self.sender.closed() => return StreamEnd::CallerLeft,
                 () = self.stopped() => return StreamEnd::Interrupted,
             };
             let error = match chunk {
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -6,9 +6,12 @@
 
 use {
     catalog::RepeatPolicy,
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     support::{
         CallerRequest, LIMIT, Setup, TestTarget, kept_target::reply, raw_target::raw_target, setup,
@@ -20,6 +23,9 @@
     yare::parameterized,
 };
 
+/// Time after a caller has left within which its target must be left too.
+const LEAVING_TIME: Duration = Duration::from_millis(500);
+
 /// Targets that close the connection of a request after one of several answers. The first request that
 /// reaches any of them gets the first answer.
 async fn targets(answers: &[String]) -> Vec<TestTarget> {
@@ -295,3 +301,44 @@
     assert_eq!(body.unwrap(), events(0..4));
     assert_eq!(count.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against an engine that goes on working for a caller who has left: a stream that was to be resumed did not
+/// notice that while it waited for the answer of the other target.
+#[tokio::test]
+async fn target_that_is_to_resume_a_stream_is_left_with_the_caller() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let (resumed, left) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let mut targets = Vec::new();
+    for _ in 0..2 {
+        let (count, resumed, left) = (count.clone(), resumed.clone(), left.clone());
+        let target = raw_target(move |mut stream| {
+            let (count, resumed, left) = (count.clone(), resumed.clone(), left.clone());
+            async move {
+                if stream.read(&mut [0; 4_096]).await.unwrap_or_default() == 0 {
+                    return;
+                }
+                if count.fetch_add(1, Ordering::Relaxed) == 0 {
+                    let interrupted = unframed(&(events(0..2) + "id: 2\nda"));
+                    let _ = stream.write_all(interrupted.as_bytes()).await;
+                    return;
+                }
+                resumed.notify_one();
+                // Returns when the router closes the connection.
+                let _ = stream.read(&mut [0; 16]).await;
+                left.notify_one();
+            }
+        });
+        targets.push(target.await);
+    }
+    let setup = setup(
+        RepeatPolicy::ResumableStream,
+        &targets.iter().collect::<Vec<_>>(),
+    );
+    let router = setup.start().await;
+    let mut reply = router.open(CallerRequest::default()).await.unwrap();
+    reply.chunk(LIMIT).await.unwrap();
+    resumed.notified().await;
+    drop(reply);
+    let time = tokio::time::timeout(LEAVING_TIME, left.notified());
+    assert!(time.await.is_ok(), "the target still has the request");
+}
