Split functions of the reconciler and of the server

Change: expired orders, the log of a shortage and the wait for the end of a connection have functions of their own.

--- a/crates/reconcile/src/layout_reconciler.rs
+++ b/crates/reconcile/src/layout_reconciler.rs
@@ -160,14 +160,7 @@
         };
         let shifted = shift(&unresponsive).or_else(|| shift(&BTreeSet::new()));
         let Some(shifted) = shifted else {
-            if !std::mem::replace(&mut self.has_reported_shortage, true) {
-                tracing::warn!(
-                    service,
-                    missing_count,
-                    engine_count = engines.len(),
-                    "the engines lack the memory for all layers of the model"
-                );
-            }
+            self.report_shortage(service, missing_count, engines.len());
             return placements;
         };
         tracing::info!(
@@ -181,6 +174,19 @@
         shifted
     }
 
+    /// Logs once that the engines lack the memory for the model.
+    fn report_shortage(&mut self, service: &str, missing_count: u32, engine_count: usize) {
+        if std::mem::replace(&mut self.has_reported_shortage, true) {
+            return;
+        }
+        tracing::warn!(
+            service,
+            missing_count,
+            engine_count,
+            "the engines lack the memory for all layers of the model"
+        );
+    }
+
     /// Engines that have refused or ignored orders for too long.
     fn unresponsive_engines(&self, now: Duration) -> BTreeSet<EngineId> {
         let mut ids = BTreeSet::new();
@@ -239,14 +245,8 @@
         self.refusing_since.entry(engine.clone()).or_insert(now);
     }
 
-    fn engines(
-        &mut self,
-        now: Duration,
-        service: &str,
-        profile: &EngineProfile,
-        targets: &[Target],
-        load: &FirstStageLoad,
-    ) -> Vec<Engine> {
+    /// Gives up orders without an effect, and forgets refusals that are too old or of engines that are gone.
+    fn expire_orders(&mut self, now: Duration, targets: &[Target]) {
         let refusing_since = &mut self.refusing_since;
         self.pending_orders.retain(|engine, (_, at)| {
             let is_pending = now.saturating_sub(*at) < ORDER_EFFECT_TIMEOUT;
@@ -259,6 +259,17 @@
             let is_listed = targets.iter().any(|target| target.id == *id);
             is_listed && now.saturating_sub(*since) < REFUSAL_VALIDITY
         });
+    }
+
+    fn engines(
+        &mut self,
+        now: Duration,
+        service: &str,
+        profile: &EngineProfile,
+        targets: &[Target],
+        load: &FirstStageLoad,
+    ) -> Vec<Engine> {
+        self.expire_orders(now, targets);
         let mut engines = Vec::new();
         for target in targets {
             if &*target.service != service || target.is_leaving {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -111,7 +111,7 @@
     peer: SocketAddr,
     handler: Arc<dyn Handler>,
     limits: Limits,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) {
     let progress = Arc::new(RequestProgress::default());
     let filter = EarlyReplyFilter::new(stream, progress.clone());
@@ -136,22 +136,11 @@
         .max_buf_size(limits.head_bytes)
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(filter), service);
-    let stopped = async move {
-        let _ = shutdown.wait_for(|stop| *stop).await;
-        // The first request of a new connection may be in the socket buffer but not read yet.
-        if !progress.has_begun_any() {
-            let _ = timeout(BACKLOG_GRACE, progress.begun()).await;
-        }
-        // Requests that arrived behind the current one are answered too.
-        while progress.has_unanswered() {
-            progress.begun().await;
-        }
-    };
     let result = tokio::select! {
         // Reads what has arrived before the connection may be closed as idle.
         biased;
         result = &mut connection => result,
-        () = stopped => {
+        () = wait_for_end(&progress, shutdown) => {
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
@@ -163,6 +152,19 @@
     }
 }
 
+/// Waits for the shutdown signal, and until a connection may end with the request in progress.
+async fn wait_for_end(progress: &RequestProgress, mut shutdown: watch::Receiver<bool>) {
+    let _ = shutdown.wait_for(|stop| *stop).await;
+    // The first request of a new connection may be in the socket buffer but not read yet.
+    if !progress.has_begun_any() {
+        let _ = timeout(BACKLOG_GRACE, progress.begun()).await;
+    }
+    // Requests that arrived behind the current one are answered too.
+    while progress.has_unanswered() {
+        progress.begun().await;
+    }
+}
+
 fn too_many_connections_fault(limits: Limits) -> Fault {
     let message = format!(
         "this address has {} connections open, as many as it may; close some, or use another entry \
