--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -28,7 +28,6 @@
     types::CrashReport,
 };
 
-mod attention;
 mod catalog_loop;
 mod dependency_status;
 mod follow_loop;
@@ -37,6 +36,7 @@
 mod leadership;
 mod leadership_loop;
 mod membership;
+mod observation_clock;
 mod relay_handler;
 mod relay_message;
 mod relay_tree;
@@ -52,7 +52,6 @@
 mod victim_loop;
 
 pub use {
-    attention::Attention,
     catalog_loop::follow_catalog,
     dependency_status::DependencyStatus,
     follow_loop::follow_leader,
@@ -61,6 +60,7 @@
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
     leadership_loop::run_leadership,
     membership::{InstanceRow, MemberReport, Membership},
+    observation_clock::ObservationClock,
     relay_handler::RelayHandler,
     relay_message::{Answer, Query, Relay, RelayReply},
     relay_tree::{RelayTree, TreeRole, TreeVersion},
--- a/crates/reconcile/src/attention.rs
+++ b/crates/reconcile/src/observation_clock.rs
@@ -13,7 +13,7 @@
 /// While an instance is suspended, or cut off from everything, nothing answers it, although all others may
 /// go on as usual. Time that is compared with the silence of others must not include such periods.
 #[derive(Clone, Debug, Default)]
-pub struct Attention {
+pub struct ObservationClock {
     /// Time of the last message of another instance; none before the first one.
     contact_at: Option<Duration>,
     /// Sum of the time observed so far.
@@ -24,7 +24,7 @@
     woke_at: Option<Duration>,
 }
 
-impl Attention {
+impl ObservationClock {
     /// Records that another instance sent a query or an answer.
     pub fn record_contact(&mut self, now: Duration) {
         self.contact_at = Some(now);
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -22,7 +22,7 @@
 struct SharedStateInner {
     /// Time of the last answer of another instance, even if its state was outdated.
     answered_at: Option<Duration>,
-    attention: Attention,
+    observation: ObservationClock,
     /// Number of instances between the stores and this instance's relayed state.
     distance: u32,
     /// Time at which the received list of instances was built; none if this instance builds the
@@ -68,7 +68,7 @@
             settings,
             state: Mutex::new(SharedStateInner {
                 answered_at: None,
-                attention: Attention::default(),
+                observation: ObservationClock::default(),
                 distance: 0,
                 instances_built_at: None,
                 loads: ReportedLoads::default(),
@@ -379,20 +379,20 @@
 
     /// Records that another instance sent a query or an answer.
     pub fn record_contact(&self, now: Duration) {
-        self.lock().attention.record_contact(now);
+        self.lock().observation.record_contact(now);
     }
 
     /// Time in which this instance could observe the store and the other instances, so far.
     pub fn observed_time(&self, now: Duration) -> Duration {
         let mut state = self.lock();
         let knows_others = state.membership.knows_others(now);
-        state.attention.tick(now, knows_others)
+        state.observation.tick(now, knows_others)
     }
 
     /// Whether this instance did not run until a moment ago, so that others had no time to reach it since.
     pub fn has_just_woken(&self, now: Duration) -> bool {
         self.observed_time(now);
-        self.lock().attention.has_just_woken(now)
+        self.lock().observation.has_just_woken(now)
     }
 
     /// Current list of targets and the time since it was read from the store; none if this instance has read
