Log the age of the list of instances and the silence of those removed

Cause: the line `instances changed` told neither where a list came from nor how old it and its entries were, so an age that is lost at a change of source could not be told from signs of activity that are dated too late. Change: the line names the source, the age of the list, and with each removed instance the time since its last known sign of activity; histogram `instances_removed_silence_seconds`. Result: no change of logic.

--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -266,7 +266,7 @@
             shared.notify_changed();
         }
         let built_at = answered_at.saturating_sub(answer.instances_age);
-        self.apply_instances(answer.instances, built_at);
+        self.apply_instances(source, answer.instances, built_at);
         if let Some(tree) = answer.tree {
             shared.set_tree(tree, self.row.relay_address);
         }
@@ -284,12 +284,17 @@
 
     /// Applies the list of instances offered to callers if the answer contains one, and records its
     /// age.
-    fn apply_instances(&self, instances: Option<Vec<Instance>>, built_at: Duration) {
+    fn apply_instances(
+        &self,
+        source: SocketAddr,
+        instances: Option<Vec<Instance>>,
+        built_at: Duration,
+    ) {
+        self.shared.set_instances_built_at(Some(built_at));
         if let Some(instances) = instances {
-            leadership_loop::publish_instances(&self.router, instances);
+            leadership_loop::publish_instances(&self.router, &self.shared, Some(source), instances);
         }
         self.router.confirm_instances();
-        self.shared.set_instances_built_at(Some(built_at));
         let instances = self.router.instances();
         self.shared
             .with_membership(|membership| membership.set_received_list(instances, built_at));
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -170,10 +170,8 @@
         }
         let live = self.shared.with_membership(|members| members.live(now));
         self.shared.set_instances_built_at(None);
-        publish_instances(
-            &self.router,
-            with_own_instance(live, &self.router, &self.row),
-        );
+        let live = with_own_instance(live, &self.router, &self.row);
+        publish_instances(&self.router, &self.shared, None, live);
         if is_leading {
             self.router.confirm_instances();
         }
@@ -190,23 +188,48 @@
     live
 }
 
-/// Replaces the list of instances that callers may use, and logs the difference.
-pub(crate) fn publish_instances(router: &Router, live: Vec<Instance>) {
+/// Replaces the list of instances that callers may use, and logs the difference. `source` is the instance
+/// from which the list was received; none if this instance has built it.
+pub(crate) fn publish_instances(
+    router: &Router,
+    shared: &SharedState,
+    source: Option<SocketAddr>,
+    live: Vec<Instance>,
+) {
     let known = router.instances();
     if known == live {
         return;
     }
+    let now = clock::now();
     let before: HashSet<&str> = known.iter().map(|instance| &*instance.id).collect();
     let after: HashSet<&str> = live.iter().map(|instance| &*instance.id).collect();
-    let joined_ids = |ids: &mut dyn Iterator<Item = &&str>| {
-        let ids: Vec<&str> = ids.copied().take(MAX_LOGGED_COUNT).collect();
-        ids.join(",")
-    };
+    let came: Vec<&str> = after.difference(&before).copied().collect();
+    let gone = before.difference(&after).map(|id| {
+        let silence = shared.with_membership(|membership| membership.silence(now, id));
+        (*id, silence)
+    });
+    let gone: Vec<(&str, Option<Duration>)> = gone.collect();
+    for silence in gone.iter().filter_map(|(_, silence)| *silence) {
+        metrics::histogram!("instances_removed_silence_seconds").record(silence.as_secs_f64());
+    }
     tracing::info!(
         count = live.len(),
-        came = joined_ids(&mut after.difference(&before)),
-        gone = joined_ids(&mut before.difference(&after)),
+        came = came[..came.len().min(MAX_LOGGED_COUNT)].join(","),
+        gone = describe_gone(&gone),
+        source = source.map(tracing::field::display),
+        list_age_ms = shared.instances_age(now).as_millis() as u64,
         "instances changed"
     );
     router.set_instances(live);
 }
+
+/// Ids of instances that were removed, each with the time in milliseconds since its last sign of activity that
+/// this instance knows.
+fn describe_gone(gone: &[(&str, Option<Duration>)]) -> String {
+    let describe = |(id, silence): &(&str, Option<Duration>)| match silence {
+        None => (*id).to_owned(),
+        Some(silence) => format!("{id}:{}", silence.as_millis()),
+    };
+    let gone = gone.iter().take(MAX_LOGGED_COUNT).map(describe);
+    gone.collect::<Vec<String>>().join(",")
+}
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -177,6 +177,13 @@
         live.into_values().collect()
     }
 
+    /// Time since the last sign of activity of an instance that was reported; none if it was not.
+    #[must_use]
+    pub fn silence(&self, now: Duration, id: &str) -> Option<Duration> {
+        let (_, seen_at) = self.rows.get(id)?;
+        Some(now.saturating_sub(*seen_at))
+    }
+
     /// Whether any other instance is live.
     #[must_use]
     pub fn knows_others(&self, now: Duration) -> bool {
