--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -24,6 +24,8 @@
     wire::hyper::{HeaderMap, StatusCode, header::HeaderName},
 };
 
+pub mod instance_group;
+
 pub struct StubBackend;
 
 impl HeaderCodec for StubBackend {
