Pass on when each listed instance was last active

What callers saw: addresses of instances that had been off for up to 9.9 s, after the loss of instances that others follow. Cause: a received list was kept for 3.5 s after it was built, whatever the age of its entries, and was passed on as built now, so each change of source could add 3.5 s. The end was noticed in rounds of a second, which also waited for the store. Change: the time since the last sign of activity travels with each entry, rounded up, and no instance makes it younger. One place ends an entry, 3.5 s after that sign, on each instance, ten times a second. Departures travel too. Instances that are silent for 2.4 s are asked before they are dropped; without that, live ones were dropped after the loss of those that pass signs on ("i7 does not name i8, which is live"). Requesters declare that they accept dated answers by an entry that earlier versions ignore; an undated list of an earlier version is used for 1.5 s after it was built.

--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -85,9 +85,10 @@
 }
 
 /// State of this instance that a query named.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct QueryBase {
     catalog_version: u64,
+    instances: Vec<Instance>,
     revision: u64,
 }
 
@@ -155,9 +156,11 @@
     }
 
     async fn query_source(&mut self, address: SocketAddr, wait: Duration) -> QueryOutcome {
-        let query = self.build_query(address, wait);
+        let instances = self.router.instances();
+        let query = self.build_query(address, wait, digest(&instances));
         let base = QueryBase {
             catalog_version: query.catalog_version,
+            instances,
             revision: query.revision,
         };
         let queried_at = clock::now();
@@ -177,28 +180,27 @@
                 QueryOutcome::Redirected
             }
             Ok(RelayReply::Answer(answer)) => {
-                let is_current = self.apply_answer(address, queried_at, base, *answer);
-                match is_current && self.shared.uses_relayed_state(clock::now()) {
-                    false => QueryOutcome::NotCurrent,
-                    true => QueryOutcome::Current,
-                }
+                self.apply_answer(address, queried_at, base, *answer, None)
+            }
+            Ok(RelayReply::DatedAnswer(answer, signs)) => {
+                self.apply_answer(address, queried_at, base, *answer, Some(signs))
             }
         }
     }
 
-    fn build_query(&mut self, address: SocketAddr, wait: Duration) -> Query {
+    fn build_query(&mut self, address: SocketAddr, wait: Duration, instances_digest: u64) -> Query {
         let now = clock::now();
         let loads = (!self.has_sent_loads).then(|| {
             let own_loads = self.router.fleet().own_loads();
             self.shared.loads_for_parent(now, &self.row, &own_loads)
         });
         let members = self.members(now);
-        Query {
+        let mut query = Query {
             avoided: self.avoided.keys().copied().collect(),
             catalog_version: self.router.catalog().version(),
             crashes: self.router.suspects().reports_for(now, &ALL_OTHERS.into()),
             departures: self.router.fleet().unlisted_departures(),
-            instances_digest: digest(&self.router.instances()),
+            instances_digest,
             is_leaving: self.router.is_leaving(),
             loads,
             members,
@@ -206,7 +208,9 @@
             row: self.row.clone(),
             tree_version: self.shared.tree_version(),
             wait,
-        }
+        };
+        query.accept_dated_answers();
+        query
     }
 
     /// Reports of descendants, if they have changed or the last report is too old.
@@ -222,15 +226,15 @@
         })
     }
 
-    /// Applies an answer. Returns whether its state is current enough that the stores need not be
-    /// read.
+    /// Applies an answer. It is current if the stores need not be read.
     fn apply_answer(
         &mut self,
         source: SocketAddr,
         queried_at: Duration,
         base: QueryBase,
         answer: Answer,
-    ) -> bool {
+        signs: Option<InstanceSigns>,
+    ) -> QueryOutcome {
         let (router, shared) = (&self.router, &self.shared);
         // The query arrived after it was sent, so this is not later than the time of the answer.
         let answered_at = queried_at + answer.waited;
@@ -265,8 +269,16 @@
         if router.merge_departures(&answer.departures) {
             shared.notify_changed();
         }
-        let built_at = answered_at.saturating_sub(answer.instances_age);
-        self.apply_instances(source, answer.instances, built_at);
+        shared.set_instances_source(source);
+        let list = ReceivedInstances {
+            age: answer.instances_age,
+            answered_at,
+            instances: answer.instances.unwrap_or(base.instances),
+            signs,
+        };
+        shared.with_membership(|membership| membership.merge_received(&self.row.id, list));
+        instance_loop::publish_instances(router, shared, &self.row, clock::now());
+        router.confirm_instances();
         if let Some(tree) = answer.tree {
             shared.set_tree(tree, self.row.relay_address);
         }
@@ -279,24 +291,9 @@
             let others = shared.set_parent_loads(now, answer.other_loads);
             router.set_peer_loads(&others);
         }
-        is_current
-    }
-
-    /// Applies the list of instances offered to callers if the answer contains one, and records its
-    /// age.
-    fn apply_instances(
-        &self,
-        source: SocketAddr,
-        instances: Option<Vec<Instance>>,
-        built_at: Duration,
-    ) {
-        self.shared.set_instances_built_at(Some(built_at));
-        if let Some(instances) = instances {
-            leadership_loop::publish_instances(&self.router, &self.shared, Some(source), instances);
+        match is_current && shared.uses_relayed_state(now) {
+            false => QueryOutcome::NotCurrent,
+            true => QueryOutcome::Current,
         }
-        self.router.confirm_instances();
-        let instances = self.router.instances();
-        self.shared
-            .with_membership(|membership| membership.set_received_list(instances, built_at));
     }
 }
--- a/crates/reconcile/src/leadership_loop.rs
+++ b/crates/reconcile/src/leadership_loop.rs
@@ -14,8 +14,7 @@
 const LEADER_READ_ROUNDS: u32 = 5;
 
 /// Runs the leader election for this instance: finds the leader when it follows none, takes a free
-/// leadership, and renews it. Publishes the instances offered to callers while no other instance
-/// provides that list.
+/// leadership, and renews it.
 pub async fn run_leadership(
     router: Arc<Router>,
     table: Box<dyn LeaderTable>,
@@ -70,7 +69,6 @@
             return POLL_INTERVAL;
         }
         self.round_count = self.round_count.saturating_add(1);
-        self.publish_membership(started_at, is_leading);
         match self.update_row(is_leading).await {
             Err(error) => {
                 self.must_read = true;
@@ -162,74 +160,4 @@
         }
         Ok(())
     }
-
-    /// Publishes the instances that this one considers live, unless it has just stood still itself.
-    fn publish_membership(&self, now: Duration, is_leading: bool) {
-        if self.shared.has_just_woken(now) {
-            return;
-        }
-        let live = self.shared.with_membership(|members| members.live(now));
-        self.shared.set_instances_built_at(None);
-        let live = with_own_instance(live, &self.router, &self.row);
-        publish_instances(&self.router, &self.shared, None, live);
-        if is_leading {
-            self.router.confirm_instances();
-        }
-    }
-}
-
-/// Adds or removes this instance itself, which knows without a report whether it accepts requests.
-fn with_own_instance(mut live: Vec<Instance>, router: &Router, row: &InstanceRow) -> Vec<Instance> {
-    live.retain(|instance| instance.id != row.id);
-    if router.is_ready() {
-        live.push(row.instance());
-        live.sort_by(|one, other| one.id.cmp(&other.id));
-    }
-    live
-}
-
-/// Replaces the list of instances that callers may use, and logs the difference. `source` is the instance
-/// from which the list was received; none if this instance has built it.
-pub(crate) fn publish_instances(
-    router: &Router,
-    shared: &SharedState,
-    source: Option<SocketAddr>,
-    live: Vec<Instance>,
-) {
-    let known = router.instances();
-    if known == live {
-        return;
-    }
-    let now = clock::now();
-    let before: HashSet<&str> = known.iter().map(|instance| &*instance.id).collect();
-    let after: HashSet<&str> = live.iter().map(|instance| &*instance.id).collect();
-    let came: Vec<&str> = after.difference(&before).copied().collect();
-    let gone = before.difference(&after).map(|id| {
-        let silence = shared.with_membership(|membership| membership.silence(now, id));
-        (*id, silence)
-    });
-    let gone: Vec<(&str, Option<Duration>)> = gone.collect();
-    for silence in gone.iter().filter_map(|(_, silence)| *silence) {
-        metrics::histogram!("instances_removed_silence_seconds").record(silence.as_secs_f64());
-    }
-    tracing::info!(
-        count = live.len(),
-        came = came[..came.len().min(MAX_LOGGED_COUNT)].join(","),
-        gone = describe_gone(&gone),
-        source = source.map(tracing::field::display),
-        list_age_ms = shared.instances_age(now).as_millis() as u64,
-        "instances changed"
-    );
-    router.set_instances(live);
-}
-
-/// Ids of instances that were removed, each with the time in milliseconds since its last sign of activity that
-/// this instance knows.
-fn describe_gone(gone: &[(&str, Option<Duration>)]) -> String {
-    let describe = |(id, silence): &(&str, Option<Duration>)| match silence {
-        None => (*id).to_owned(),
-        Some(silence) => format!("{id}:{}", silence.as_millis()),
-    };
-    let gone = gone.iter().take(MAX_LOGGED_COUNT).map(describe);
-    gone.collect::<Vec<String>>().join(",")
 }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -9,7 +9,7 @@
     catalog::{Catalog, CatalogParts, EngineProfile},
     fleet::{Departure, LoadTable, MAX_LOAD_AGE, SharedLoad, Target, TargetList},
     forward::{Engines, Error, Instance, OrderReply, Router},
-    futures::future::BoxFuture,
+    futures::future::{BoxFuture, join_all},
     layout::{Engine, EngineId, LayerRange, LayoutSettings, ModelShape, Placement},
     quarantine::VictimReport,
     ratelimit::{PermitQuery, PermitReply},
@@ -17,7 +17,7 @@
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         hash::{DefaultHasher, Hash, Hasher},
-        net::SocketAddr,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -31,6 +31,7 @@
 mod catalog_loop;
 mod dependency_status;
 mod follow_loop;
+mod instance_loop;
 mod layout_loop;
 mod layout_reconciler;
 mod leadership;
@@ -44,6 +45,8 @@
 mod reported_loads;
 mod shared_settings;
 mod shared_state;
+mod sign_age;
+mod silence_loop;
 mod sources;
 mod store_trust;
 mod supervisor;
@@ -55,18 +58,21 @@
     catalog_loop::follow_catalog,
     dependency_status::DependencyStatus,
     follow_loop::follow_leader,
+    instance_loop::follow_instances,
     layout_loop::reconcile_layout,
     layout_reconciler::{FirstStageLoad, LayoutReconciler, Order},
     leadership::{LeaderRow, Leadership, LeadershipSettings, LeaseStep},
     leadership_loop::run_leadership,
-    membership::{InstanceRow, MemberReport, Membership},
+    membership::{InstanceRow, MemberReport, Membership, ReceivedInstances},
     observation_clock::ObservationClock,
     relay_handler::RelayHandler,
-    relay_message::{Answer, Query, Relay, RelayReply},
+    relay_message::{Answer, InstanceDeparture, InstanceSigns, Query, Relay, RelayReply},
     relay_tree::{RelayTree, TreeRole, TreeVersion},
     relayed_targets::RelayedTargets,
     shared_settings::SharedSettings,
     shared_state::SharedState,
+    sign_age::SignAge,
+    silence_loop::ask_silent_instances,
     sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
     store_trust::StoreTrust,
     supervisor::supervise,
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -6,6 +6,12 @@
 /// Time for which a departure is remembered. It exceeds the time during which outdated reports of
 /// other instances may still list the departed instance as live.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(10);
+/// Largest error of the time between a sign of activity and a departure that arrived by different paths: an
+/// answer takes up to 300 ms, and may pass through two instances.
+const DEPARTURE_ERROR: Duration = Duration::from_millis(600);
+/// Time after it was built for which a list without times of last activity is used. Instances that send such
+/// lists drop an entry within 4.5 s, so a dead instance is listed for 6 s at most.
+const UNDATED_LIST_VALIDITY: Duration = Duration::from_millis(1_500);
 
 /// Data that an instance reports about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,16 +55,43 @@
     pub row: InstanceRow,
 }
 
-/// Tracks the instances that queried this one or were reported to it, with their last signs of
-/// activity.
+/// Instance that another instance listed.
+#[derive(Clone, Debug)]
+struct ListedInstance {
+    instance: Instance,
+    /// Time of the last sign of activity, or an earlier time.
+    seen_at: Duration,
+}
+
+/// List of instances in the answer of another instance.
+#[derive(Clone, Debug)]
+pub struct ReceivedInstances {
+    /// Time since the list was built. Not used together with `signs`.
+    pub age: Duration,
+    /// Time of the answer, or an earlier time.
+    pub answered_at: Duration,
+    /// Listed instances, which may include the receiving one.
+    pub instances: Vec<Instance>,
+    /// Times of last activity; none if the sender is of an earlier version, which does not tell them.
+    pub signs: Option<InstanceSigns>,
+}
+
+/// Tracks the instances that queried this one, were reported to it or were listed by others, with their last
+/// signs of activity.
+///
+/// Invariant: a time of last activity is never later than the last activity itself, through however many
+/// instances it was passed on. So an instance that is lost is dropped `LIVENESS_TIMEOUT` later at most, in any
+/// series of sources.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
     /// Number of times that an instance joined or left.
     change_count: u64,
-    /// List of instances received from another instance, and the time at which it was built.
-    received_list: Option<(Vec<Instance>, Duration)>,
     /// Departed instances by start id, with the time of departure.
     departed: HashMap<Arc<str>, (InstanceRow, Duration)>,
+    /// Start ids of departed instances by instance id, with the time of departure or an earlier time.
+    departures: HashMap<Arc<str>, (Arc<str>, Duration)>,
+    /// Instances listed by others, by instance id.
+    listed: HashMap<Arc<str>, ListedInstance>,
     /// Rows by instance id, with the time of the last sign of activity.
     rows: HashMap<Arc<str>, (InstanceRow, Duration)>,
 }
@@ -90,13 +123,27 @@
         }
         self.change_count += 1;
         self.departed.insert(row.start.clone(), (row.clone(), now));
-        let is_same_start = |known: &(InstanceRow, Duration)| known.0.start == row.start;
-        if self.rows.get(&row.id).is_some_and(is_same_start) {
-            self.rows.remove(&row.id);
+        self.end_start(&row.id, &row.start, now);
+    }
+
+    /// Drops the signs of activity of a departed instance, but not those of its next start.
+    fn end_start(&mut self, id: &Arc<str>, start: &Arc<str>, left_at: Duration) {
+        let known = self.departures.get(id);
+        if known.is_some_and(|(_, known_at)| *known_at >= left_at) {
+            return;
         }
-        if let Some((received_list, _)) = &mut self.received_list {
-            received_list.retain(|instance| instance.id != row.id);
+        self.departures.insert(id.clone(), (start.clone(), left_at));
+        if self
+            .rows
+            .get(id)
+            .is_some_and(|(row, _)| row.start == *start)
+        {
+            self.change_count += 1;
+            self.rows.remove(id);
         }
+        let departures = &self.departures;
+        self.listed
+            .retain(|id, listed| !has_departed(departures, id, listed.seen_at));
     }
 
     /// Applies the reports of another instance about its descendants.
@@ -141,57 +188,122 @@
         self.change_count
     }
 
-    /// Stores the list of another instance, which was built at `built_at`. The list expires like a
-    /// sign of activity, so that instances that query each other do not keep dead ones listed.
-    pub fn set_received_list(&mut self, instances: Vec<Instance>, built_at: Duration) {
-        let is_older = |(_, known): &(Vec<Instance>, Duration)| *known > built_at;
-        if self.received_list.as_ref().is_some_and(is_older) {
+    /// Merges a list that the instance `own` received.
+    pub fn merge_received(&mut self, own: &Arc<str>, mut list: ReceivedInstances) {
+        let Some(signs) = list.signs else {
+            list.instances.retain(|instance| instance.id != *own);
+            let built_at = list.answered_at.saturating_sub(list.age);
+            self.replace_undated_list(list.instances, built_at);
             return;
-        }
-        let ids: HashSet<Arc<str>> = self
-            .departed
-            .values()
-            .map(|(row, _)| row.id.clone())
-            .collect();
-        let has_departed = |instance: &Instance| {
-            ids.contains(&instance.id) && !self.rows.contains_key(&instance.id)
         };
-        let instances = instances.into_iter().filter(|one| !has_departed(one));
-        self.received_list = Some((instances.collect(), built_at));
+        self.merge_departures(list.answered_at, &signs.departures);
+        for (instance, age) in list.instances.into_iter().zip(signs.ages) {
+            if instance.id == *own {
+                continue;
+            }
+            let seen_at = list.answered_at.saturating_sub(age.duration());
+            self.merge_listed([(instance, seen_at)]);
+        }
+    }
+
+    /// Adds the instances that another instance listed, each with the time of its last activity, or an earlier
+    /// time.
+    pub fn merge_listed(&mut self, instances: impl IntoIterator<Item = (Instance, Duration)>) {
+        for (instance, seen_at) in instances {
+            if has_departed(&self.departures, &instance.id, seen_at) {
+                continue;
+            }
+            let known = self.listed.get(&instance.id);
+            if known.is_some_and(|known| known.seen_at >= seen_at) {
+                continue;
+            }
+            let listed = ListedInstance { instance, seen_at };
+            self.listed.insert(listed.instance.id.clone(), listed);
+        }
+    }
+
+    /// Stores a list that does not tell when its instances were active, as earlier versions send it. It was built
+    /// at `built_at`. Instances that it leaves out have left or are lost.
+    pub fn replace_undated_list(&mut self, instances: Vec<Instance>, built_at: Duration) {
+        let ids: HashSet<Arc<str>> = instances.iter().map(|one| one.id.clone()).collect();
+        self.listed
+            .retain(|id, listed| ids.contains(id) || listed.seen_at > built_at);
+        let seen_at = (built_at + UNDATED_LIST_VALIDITY).saturating_sub(LIVENESS_TIMEOUT);
+        self.merge_listed(instances.into_iter().map(|instance| (instance, seen_at)));
+    }
+
+    /// Records the departures that another instance knows.
+    pub fn merge_departures(&mut self, now: Duration, departures: &[InstanceDeparture]) {
+        for departure in departures {
+            let left_at = now.saturating_sub(departure.age.duration());
+            self.end_start(&departure.id, &departure.start, left_at);
+        }
+    }
+
+    /// Departures that other instances may not know yet.
+    #[must_use]
+    pub fn recent_departures(&self, now: Duration) -> Vec<InstanceDeparture> {
+        let mut recent = Vec::new();
+        for (id, (start, left_at)) in &self.departures {
+            let age = now.saturating_sub(*left_at);
+            if age > LIVENESS_TIMEOUT {
+                continue;
+            }
+            recent.push(InstanceDeparture {
+                age: SignAge::from(age),
+                id: id.clone(),
+                start: start.clone(),
+            });
+        }
+        recent
     }
 
     /// Instances that callers may use, ordered by id.
     #[must_use]
     pub fn live(&self, now: Duration) -> Vec<Instance> {
-        let mut live: BTreeMap<Arc<str>, Instance> = BTreeMap::new();
-        if let Some((received_list, built_at)) = &self.received_list
-            && now.saturating_sub(*built_at) <= LIVENESS_TIMEOUT
-        {
-            for instance in received_list {
-                live.insert(instance.id.clone(), instance.clone());
+        let mut live: BTreeMap<&Arc<str>, (Instance, Duration)> = BTreeMap::new();
+        for (id, listed) in &self.listed {
+            if is_live(now, listed.seen_at) {
+                live.insert(id, (listed.instance.clone(), listed.seen_at));
             }
         }
-        for row in self.live_rows(now) {
-            live.insert(row.id.clone(), row.instance());
+        for (id, (row, seen_at)) in &self.rows {
+            let known_at = live.get(id).map(|(_, known_at)| *known_at);
+            if is_live(now, *seen_at) && known_at.is_none_or(|known_at| known_at <= *seen_at) {
+                live.insert(id, (row.instance(), *seen_at));
+            }
         }
-        live.into_values().collect()
+        live.into_values().map(|(instance, _)| instance).collect()
     }
 
-    /// Time since the last sign of activity of an instance that was reported; none if it was not.
+    /// Time since the last known sign of activity of an instance; none if there was none.
     #[must_use]
     pub fn silence(&self, now: Duration, id: &str) -> Option<Duration> {
-        let (_, seen_at) = self.rows.get(id)?;
-        Some(now.saturating_sub(*seen_at))
+        let reported = self.rows.get(id).map(|(_, seen_at)| *seen_at);
+        let listed = self.listed.get(id).map(|listed| listed.seen_at);
+        let seen_at = reported.max(listed)?;
+        Some(now.saturating_sub(seen_at))
+    }
+
+    /// Live instances without a sign of activity for longer than `limit`, ordered by id.
+    #[must_use]
+    pub fn silent(&self, now: Duration, limit: Duration) -> Vec<Instance> {
+        let mut silent = self.live(now);
+        silent.retain(|instance| {
+            let silence = self.silence(now, &instance.id);
+            silence.is_some_and(|silence| silence > limit)
+        });
+        silent
     }
 
     /// Whether any other instance is live.
     #[must_use]
     pub fn knows_others(&self, now: Duration) -> bool {
-        let is_live = |at: Duration| now.saturating_sub(at) <= LIVENESS_TIMEOUT;
-        let received = self.received_list.as_ref();
-        // The received list contains this instance too.
-        self.rows.values().any(|(_, seen_at)| is_live(*seen_at))
-            || received.is_some_and(|(list, built_at)| list.len() > 1 && is_live(*built_at))
+        let mut listed = self.listed.values();
+        self.rows
+            .values()
+            .any(|(_, seen_at)| is_live(now, *seen_at))
+            || listed.any(|listed| is_live(now, listed.seen_at))
     }
 
     /// Rows of live instances, ordered by id.
@@ -199,7 +311,7 @@
     pub fn live_rows(&self, now: Duration) -> Vec<&InstanceRow> {
         let mut live = Vec::new();
         for (row, seen_at) in self.rows.values() {
-            if now.saturating_sub(*seen_at) <= LIVENESS_TIMEOUT {
+            if is_live(now, *seen_at) {
                 live.push(row);
             }
         }
@@ -207,11 +319,29 @@
         live
     }
 
-    fn remove_expired(&mut self, now: Duration) {
+    /// Removes what no longer counts.
+    pub fn remove_expired(&mut self, now: Duration) {
         let is_kept = |at: Duration, limit| now.saturating_sub(at) <= limit;
-        self.rows
-            .retain(|_, (_, at)| is_kept(*at, LIVENESS_TIMEOUT));
+        self.rows.retain(|_, (_, at)| is_live(now, *at));
+        self.listed.retain(|_, listed| is_live(now, listed.seen_at));
         self.departed
             .retain(|_, (_, at)| is_kept(*at, DEPARTURE_RETENTION));
+        self.departures
+            .retain(|_, (_, at)| is_kept(*at, DEPARTURE_RETENTION));
     }
 }
+
+/// Whether an instance whose last sign of activity was at `seen_at` is considered live.
+fn is_live(now: Duration, seen_at: Duration) -> bool {
+    now.saturating_sub(seen_at) <= LIVENESS_TIMEOUT
+}
+
+/// Whether an instance has departed since a sign of activity that another instance passed on.
+fn has_departed(
+    departures: &HashMap<Arc<str>, (Arc<str>, Duration)>,
+    id: &Arc<str>,
+    seen_at: Duration,
+) -> bool {
+    let departure = departures.get(id);
+    departure.is_some_and(|(_, left_at)| seen_at <= *left_at + DEPARTURE_ERROR)
+}
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -61,8 +61,7 @@
         if !is_behind && self.shared.revision() == query.revision {
             self.shared.wait_for_change(change_count, query.wait).await;
         }
-        let answer = self.build_answer(&query, received_at)?;
-        Some(RelayReply::Answer(Box::new(answer)))
+        self.build_answer(&query, received_at)
     }
 
     /// Exchanges crash victims with another instance. Returns none if this instance is leaving.
@@ -78,7 +77,7 @@
     }
 
     /// Builds an answer that contains only what is newer than the state of the requester.
-    fn build_answer(&self, query: &Query, received_at: Duration) -> Option<Answer> {
+    fn build_answer(&self, query: &Query, received_at: Duration) -> Option<RelayReply> {
         let now = clock::now();
         let requester = &query.row.id;
         let (catalog, confirmed_at) = {
@@ -87,6 +86,9 @@
         };
         let targets_age = self.shared.targets_age(now)?;
         let instances = self.router.instances();
+        let signs = query
+            .accepts_dated_answers()
+            .then(|| self.instance_signs(now, &instances));
         let (revision, targets) = self.shared.targets_since(query.revision);
         let (own_loads, departures) = {
             let fleet = self.router.fleet();
@@ -98,20 +100,41 @@
             true => UNCONFIRMED_AGE,
             false => now.saturating_sub(confirmed_at),
         };
-        Some(Answer {
+        let answer = Box::new(Answer {
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
             catalog_age,
             crashes: self.router.suspects().reports_for(now, requester),
             departures,
             distance: self.shared.distance(now),
             instances: (digest(&instances) != query.instances_digest).then_some(instances),
-            instances_age: self.shared.instances_age(now),
+            instances_age: Duration::ZERO,
             other_loads: self.shared.loads_excluding(now, requester, &own_loads),
             revision,
             targets,
             targets_age,
             tree: tree.filter(|tree| tree.version > query.tree_version),
             waited: now.saturating_sub(received_at),
+        });
+        Some(match signs {
+            None => RelayReply::Answer(answer),
+            Some(signs) => RelayReply::DatedAnswer(answer, signs),
+        })
+    }
+
+    /// Times of last activity of the listed instances, and recent departures.
+    fn instance_signs(&self, now: Duration, instances: &[Instance]) -> InstanceSigns {
+        self.shared.with_membership(|membership| {
+            let ages = instances.iter().map(|instance| {
+                if instance.id == self.row.id {
+                    return SignAge::ZERO;
+                }
+                let silence = membership.silence(now, &instance.id);
+                silence.map_or(SignAge::MAX, SignAge::from)
+            });
+            InstanceSigns {
+                ages: ages.collect(),
+                departures: membership.recent_departures(now),
+            }
         })
     }
 
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -1,10 +1,15 @@
 use super::*;
 
+/// Entry of `Query::avoided` by which a requester tells that it accepts `RelayReply::DatedAnswer`. No instance
+/// has this address, so earlier versions, which cannot decode a query with a further field, ignore it.
+const ACCEPTS_DATED_ANSWERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 1);
+
 /// Query for the shared state, sent to the parent. Also reports the state of the requester and its
 /// descendants.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Query {
-    /// Instances that the requester avoids because they recently returned no current state.
+    /// Instances that the requester avoids because they recently returned no current state. May contain an entry
+    /// that stands for an ability of the requester, see `accept_dated_answers`.
     pub avoided: Vec<SocketAddr>,
     /// Version of the requester's configuration; 0 if it has none.
     pub catalog_version: u64,
@@ -33,6 +38,19 @@
     pub wait: Duration,
 }
 
+impl Query {
+    /// Declares that the requester accepts answers with the times of last activity of instances.
+    pub fn accept_dated_answers(&mut self) {
+        self.avoided.push(ACCEPTS_DATED_ANSWERS);
+    }
+
+    /// Whether the requester accepts answers with the times of last activity of instances.
+    #[must_use]
+    pub fn accepts_dated_answers(&self) -> bool {
+        self.avoided.contains(&ACCEPTS_DATED_ANSWERS)
+    }
+}
+
 /// Reply to a query.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum RelayReply {
@@ -40,6 +58,29 @@
     Answer(Box<Answer>),
     /// Tree that names the instances to query first.
     Redirect(RelayTree),
+    /// The same as `Answer`, with the times of last activity of the listed instances. Sent only to requesters that
+    /// accept it.
+    DatedAnswer(Box<Answer>, InstanceSigns),
+}
+
+/// Times of last activity and departures of instances.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct InstanceSigns {
+    /// Time since the last sign of activity of each instance in the responder's list, in the order of that list.
+    pub ages: Vec<SignAge>,
+    /// Instances that have left recently.
+    pub departures: Vec<InstanceDeparture>,
+}
+
+/// Instance that has left.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InstanceDeparture {
+    /// Time since the departure.
+    pub age: SignAge,
+    /// Instance id.
+    pub id: Arc<str>,
+    /// Start id of the process that has left.
+    pub start: Arc<str>,
 }
 
 /// Answer to a query.
@@ -58,7 +99,8 @@
     pub distance: u32,
     /// Instances that callers may use, if they differ from the requester's list.
     pub instances: Option<Vec<Instance>>,
-    /// Time since the leader built the list of instances.
+    /// Time since the list of instances was built. Zero unless the responder is of an earlier version, which
+    /// passes on the lists of others.
     pub instances_age: Duration,
     /// Loads of all instances except the requester and its descendants.
     pub other_loads: Vec<SharedLoad>,
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -25,9 +25,8 @@
     observation: ObservationClock,
     /// Number of instances between the stores and this instance's relayed state.
     distance: u32,
-    /// Time at which the received list of instances was built; none if this instance builds the
-    /// list.
-    instances_built_at: Option<Duration>,
+    /// Instance that last sent a list of instances; none before the first one.
+    instances_source: Option<SocketAddr>,
     /// Loads reported by other instances.
     loads: ReportedLoads,
     membership: Membership,
@@ -70,7 +69,7 @@
                 answered_at: None,
                 observation: ObservationClock::default(),
                 distance: 0,
-                instances_built_at: None,
+                instances_source: None,
                 loads: ReportedLoads::default(),
                 membership: Membership::default(),
                 origin: None,
@@ -331,16 +330,14 @@
         self.set_tree(tree, own.relay_address);
     }
 
-    /// Time since the list of instances was built, by this instance or by the one that sent it.
-    pub fn instances_age(&self, now: Duration) -> Duration {
-        let built_at = self.lock().instances_built_at.unwrap_or(now);
-        now.saturating_sub(built_at)
+    /// Instance that last sent a list of instances; none before the first one.
+    pub fn instances_source(&self) -> Option<SocketAddr> {
+        self.lock().instances_source
     }
 
-    /// Records when the received list of instances was built; none if this instance builds the
-    /// list.
-    pub fn set_instances_built_at(&self, built_at: Option<Duration>) {
-        self.lock().instances_built_at = built_at;
+    /// Records which instance sent a list of instances.
+    pub fn set_instances_source(&self, source: SocketAddr) {
+        self.lock().instances_source = Some(source);
     }
 
     /// Role of this instance in the tree.
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -34,6 +34,12 @@
     rows.collect()
 }
 
+/// Entries of a received list whose instances were last active at `ms`.
+fn listed(ids: &[&str], ms: u64) -> Vec<(Instance, Duration)> {
+    let instances = instances(ids).into_iter();
+    instances.map(|instance| (instance, at(ms))).collect()
+}
+
 fn ids(membership: &Membership, ms: u64) -> Vec<String> {
     let live = membership.live(at(ms));
     live.iter()
@@ -53,11 +59,11 @@
 #[test]
 fn departed_instance_is_removed_immediately_and_permanently() {
     let mut membership = membership(&[("x", 0), ("y", 0)]);
-    membership.set_received_list(instances(&["x", "y"]), at(60_000));
+    membership.merge_listed(listed(&["x", "y"], 60_000));
     membership.record_departure(at(60_500), &row("y", "a", 500));
     assert_eq!(ids(&membership, 60_500), ["x"]);
     membership.apply_reports(at(61_000), vec![report("y", 600)]);
-    membership.set_received_list(instances(&["x", "y"]), at(61_000));
+    membership.merge_listed(listed(&["x", "y"], 61_000));
     assert_eq!(ids(&membership, 61_000), ["x"]);
     let reports = membership.reports(at(61_000));
     let leaving = reports.iter().find(|report| report.is_leaving);
@@ -98,19 +104,49 @@
 fn list_of_a_dead_leader_does_not_keep_instances_alive() {
     let mut membership = Membership::default();
     for _ in 60..70 {
-        membership.set_received_list(instances(&["x"]), at(58_000));
+        membership.merge_listed(listed(&["x"], 58_000));
     }
     assert_eq!(ids(&membership, 61_500), ["x"]);
     assert_eq!(ids(&membership, 61_600), Vec::<String>::new());
 }
 
+/// Instances of an earlier version do not tell when the instances that they list were active.
+#[test]
+fn list_of_an_earlier_version_is_used_only_while_it_is_received() {
+    let mut membership = Membership::default();
+    for ms in (60_000..65_000).step_by(500) {
+        membership.replace_undated_list(instances(&["x", "y"]), at(ms));
+        assert_eq!(ids(&membership, ms + 500), ["x", "y"]);
+    }
+    assert_eq!(ids(&membership, 66_100), Vec::<String>::new());
+    membership.replace_undated_list(instances(&["x", "y"]), at(67_000));
+    membership.replace_undated_list(instances(&["x"]), at(67_500));
+    assert_eq!(ids(&membership, 67_500), ["x"], "y has left or is lost");
+}
+
+/// An instance that had been queried by another one kept it listed after it had announced its departure elsewhere.
+#[test]
+fn departure_that_another_instance_knows_ends_the_entry() {
+    let mut membership = membership(&[("x", 0), ("y", 0)]);
+    membership.merge_listed(listed(&["x", "y"], 60_000));
+    let mut other = Membership::default();
+    other.record_departure(at(60_100), &row("y", "a", 500));
+    let departures = other.recent_departures(at(60_200));
+    membership.merge_departures(at(60_200), &departures);
+    assert_eq!(ids(&membership, 60_200), ["x"]);
+    membership.merge_listed(listed(&["x", "y"], 60_300));
+    assert_eq!(ids(&membership, 60_300), ["x"], "a sign of another path");
+    membership.merge_listed(listed(&["y"], 62_000));
+    assert_eq!(ids(&membership, 62_000), ["x", "y"], "the next start");
+}
+
 /// A new leader has no reports at first. Its answers to callers must still contain more than
 /// itself.
 #[test]
 fn list_of_the_former_leader_is_used_until_instances_query_the_new_one() {
     let mut membership = Membership::default();
-    membership.set_received_list(instances(&["x", "y"]), at(60_000));
-    membership.set_received_list(instances(&["z"]), at(50_000));
+    membership.merge_listed(listed(&["x", "y"], 60_000));
+    membership.merge_listed(listed(&["z"], 50_000));
     membership.record_contact(at(61_000), row("z", "a", 500));
     assert_eq!(ids(&membership, 61_000), ["x", "y", "z"]);
     assert_eq!(ids(&membership, 64_000), ["z"]);
--- a/crates/relay/tests/support/instance_group.rs
+++ b/crates/relay/tests/support/instance_group.rs
@@ -6,7 +6,8 @@
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
         LeaderRow, LeaderTable, LeaderView, Query, Relay, RelayHandler, RelayReply, VictimAnswer,
-        VictimQuery, follow_leader, observe_time, run_leadership,
+        VictimQuery, ask_silent_instances, follow_instances, follow_leader, observe_time,
+        run_leadership,
     },
     std::{
         collections::HashMap,
@@ -25,31 +26,57 @@
 /// Time for an answer, in addition to the wait that the query requests.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-type Handlers = Arc<Mutex<HashMap<SocketAddr, Arc<RelayHandler>>>>;
+/// Instance that answers queries.
+struct Responder {
+    handler: Arc<RelayHandler>,
+    version: Version,
+}
+
+/// Version of the program that an instance runs.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub enum Version {
+    Current,
+    /// Sends lists of instances without times of last activity.
+    Earlier,
+}
+
+type Responders = HashMap<SocketAddr, Responder>;
 
 /// Passes queries to the instances that run. One that is lost does not answer.
 #[derive(Clone, Default)]
-struct Network(Handlers);
+struct Network(Arc<Mutex<Responders>>);
 
 impl Network {
-    fn handlers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<RelayHandler>>> {
-        self.0.lock().expect("the handlers")
+    fn responders(&self) -> MutexGuard<'_, Responders> {
+        self.0.lock().expect("the responders")
     }
 }
 
 impl Relay for Network {
-    fn ask(&self, address: SocketAddr, query: Query) -> BoxFuture<'_, Result<RelayReply, Error>> {
+    fn ask(
+        &self,
+        address: SocketAddr,
+        mut query: Query,
+    ) -> BoxFuture<'_, Result<RelayReply, Error>> {
         async move {
             let limit = query.wait + ANSWER_TIMEOUT;
             let silent = || Error::Unknown("no answer".into());
-            let handler = self.handlers().get(&address).cloned();
-            let Some(handler) = handler else {
+            let responder = {
+                let responders = self.responders();
+                let responder = responders.get(&address);
+                responder.map(|one| (one.handler.clone(), one.version))
+            };
+            let Some((handler, version)) = responder else {
                 sleep(limit).await;
                 return Err(silent());
             };
+            if version == Version::Earlier {
+                // It does not know the entry by which the requester accepts dated answers.
+                query.avoided.clear();
+            }
             let reply = timeout(limit, handler.answer(query)).await.ok().flatten();
             // The instance may have been lost while the query waited for a change.
-            let reply = reply.filter(|_| self.handlers().contains_key(&address));
+            let reply = reply.filter(|_| self.responders().contains_key(&address));
             reply.ok_or_else(silent)
         }
         .boxed()
@@ -110,12 +137,11 @@
 
 impl InstanceGroup {
     /// Starts an instance.
-    pub fn start(&mut self, id: &str, domain: &str, capacity: u32) {
+    pub fn start(&mut self, id: &str, domain: &str, version: Version) {
         let number = u8::try_from(self.nodes.len() + 1).expect("few instances");
         let relay_address = ([127, 0, 0, number], 1).into();
         let mut node = node(id, relay_address);
-        node.row.address = ([10, 0, 0, number], 80).into();
-        node.row.capacity = capacity;
+        node.row.address = ([127, 0, 0, number], 80).into();
         node.row.domain = domain.into();
         let handler = RelayHandler::new(
             node.router.clone(),
@@ -123,13 +149,25 @@
             node.shared.clone(),
             node.leadership.clone(),
         );
-        self.network
-            .handlers()
-            .insert(relay_address, Arc::new(handler));
+        let handler = Arc::new(handler);
+        let responder = Responder { handler, version };
+        self.network.responders().insert(relay_address, responder);
         let node = Arc::new(node);
         let mut tasks = JoinSet::new();
         tasks.spawn(observe_time(node.shared.clone()));
         tasks.spawn(read_stores(node.clone()));
+        tasks.spawn(follow_instances(
+            node.router.clone(),
+            node.row.clone(),
+            node.shared.clone(),
+            node.leadership.clone(),
+        ));
+        tasks.spawn(ask_silent_instances(
+            node.router.clone(),
+            Arc::new(self.network.clone()),
+            node.row.clone(),
+            node.shared.clone(),
+        ));
         tasks.spawn(run_leadership(
             node.router.clone(),
             Box::new(self.table.clone()),
@@ -174,7 +212,7 @@
     pub fn lose(&mut self, id: &str) {
         let position = self.nodes.iter().position(|(node, _)| &*node.row.id == id);
         let (node, mut tasks) = self.nodes.remove(position.expect("a running instance"));
-        self.network.handlers().remove(&node.row.relay_address);
+        self.network.responders().remove(&node.row.relay_address);
         tasks.abort_all();
     }
 }
--- a/crates/relay/tests/tree.rs
+++ b/crates/relay/tests/tree.rs
@@ -96,7 +96,7 @@
         };
         match client.ask(address, next_query).await.expect("a reply") {
             RelayReply::Redirect(tree) => break tree,
-            RelayReply::Answer(_) => {}
+            RelayReply::Answer(_) | RelayReply::DatedAnswer(..) => {}
         }
     };
     let avoided = tree.relays_for(&requester.row);
--- a/crates/relay/tests/woken_instance.rs
+++ b/crates/relay/tests/woken_instance.rs
@@ -6,7 +6,10 @@
 use {
     forward::{Error, Instance},
     futures::{FutureExt, future::BoxFuture},
-    reconcile::{InstanceRow, LeaderRow, LeaderTable, LeaderView, observe_time, run_leadership},
+    reconcile::{
+        InstanceRow, LeaderRow, LeaderTable, LeaderView, follow_instances, observe_time,
+        run_leadership,
+    },
     std::{sync::Arc, time::Duration},
     support::{Node, node},
     tokio::time::sleep,
@@ -44,6 +47,12 @@
     node.shared
         .with_membership(|members| members.record_contact(clock::now(), other));
     tokio::spawn(observe_time(node.shared.clone()));
+    tokio::spawn(follow_instances(
+        node.router.clone(),
+        node.row.clone(),
+        Arc::clone(&node.shared),
+        node.leadership.clone(),
+    ));
     tokio::spawn(run_leadership(
         node.router.clone(),
         Box::new(EmptyTable),
