Date queries that are read after waking by the time before it

What callers saw: nothing yet; found while looking for the same cause elsewhere. A leader that stood still for 2.9 s would name an instance that was lost meanwhile for 2.9 s longer. Cause: queries that arrive while an instance does not run are read when it wakes, and counted as signs of activity of that moment. Change: queries that are read within 300 ms of waking count from the last moment before the instance stood still. Result: `queries_read_after_waking_do_not_make_their_senders_look_active` failed before ("active 79 us ago" after 3.7 s), passes now.

--- a/crates/reconcile/src/observation_clock.rs
+++ b/crates/reconcile/src/observation_clock.rs
@@ -7,6 +7,8 @@
 const CONTACT_VALIDITY: Duration = Duration::from_secs(2);
 /// Time after standing still within which other instances query this one or answer it again.
 const WAKE_TIME: Duration = Duration::from_secs(1);
+/// Time after standing still within which this instance may read messages that were sent before.
+const QUEUED_MESSAGE_TIME: Duration = Duration::from_millis(300);
 
 /// Measures the time in which this instance can observe the store and the other instances.
 ///
@@ -18,6 +20,8 @@
     contact_at: Option<Duration>,
     /// Sum of the time observed so far.
     observed: Duration,
+    /// Last tick before the last period in which this instance did not run.
+    stopped_at: Duration,
     /// Time of the last tick; none before the first one.
     ticked_at: Option<Duration>,
     /// End of the last period in which this instance did not run; none if it always ran.
@@ -43,6 +47,7 @@
             );
             // Messages from before say nothing about the time after.
             self.contact_at = None;
+            self.stopped_at = now.saturating_sub(gap);
             self.woke_at = Some(now);
         } else if !knows_others || self.contact_at.is_some_and(is_recent) {
             self.observed += gap;
@@ -57,4 +62,15 @@
         self.woke_at
             .is_some_and(|at| now.saturating_sub(at) < WAKE_TIME)
     }
+
+    /// Earliest time at which a message that is read at `now` may have been sent. Messages that arrived while this
+    /// instance did not run are read after it. As of the last tick.
+    #[must_use]
+    pub fn earliest_sending(&self, now: Duration) -> Duration {
+        let is_recent = |at: Duration| now.saturating_sub(at) < QUEUED_MESSAGE_TIME;
+        match self.woke_at.is_some_and(is_recent) {
+            true => self.stopped_at,
+            false => now,
+        }
+    }
 }
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -155,15 +155,15 @@
     }
 
     fn record_members(&self, query: &mut Query) {
-        let now = clock::now();
+        let sent_at = self.shared.earliest_sending(clock::now());
         let members = std::mem::take(&mut query.members);
         self.shared.with_membership(|membership| {
             if query.is_leaving {
-                membership.record_departure(now, &query.row);
+                membership.record_departure(sent_at, &query.row);
             } else {
-                membership.record_contact(now, query.row.clone());
+                membership.record_contact(sent_at, query.row.clone());
             }
-            membership.apply_reports(now, members);
+            membership.apply_reports(sent_at, members);
         });
     }
 
--- a/crates/reconcile/src/shared_state.rs
+++ b/crates/reconcile/src/shared_state.rs
@@ -392,6 +392,12 @@
         self.lock().observation.has_just_woken(now)
     }
 
+    /// Earliest time at which a message that this instance reads at `now` may have been sent.
+    pub fn earliest_sending(&self, now: Duration) -> Duration {
+        self.observed_time(now);
+        self.lock().observation.earliest_sending(now)
+    }
+
     /// Current list of targets and the time since it was read from the store; none if this instance has read
     /// it itself.
     pub fn relayed_targets(&self, now: Duration) -> Option<(Vec<Target>, Duration)> {
--- a/crates/reconcile/tests/observation_clock.rs
+++ b/crates/reconcile/tests/observation_clock.rs
@@ -52,3 +52,16 @@
     }
     assert_eq!(clock.tick(at(10_000), false), at(10_000));
 }
+
+/// Guards against messages that count from the time at which they are read, although they were sent before the
+/// instance stood still.
+#[test]
+fn messages_read_just_after_waking_may_have_been_sent_before() {
+    let mut clock = ObservationClock::default();
+    run(&mut clock, 0, 5_250, true);
+    assert_eq!(clock.earliest_sending(at(5_100)), at(5_100));
+    clock.tick(at(7_900), true);
+    assert_eq!(clock.earliest_sending(at(8_100)), at(5_000));
+    clock.tick(at(8_300), true);
+    assert_eq!(clock.earliest_sending(at(8_300)), at(8_300));
+}
--- a/crates/relay/tests/woken_instance.rs
+++ b/crates/relay/tests/woken_instance.rs
@@ -7,11 +7,11 @@
     forward::{Error, Instance},
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
-        InstanceRow, LeaderRow, LeaderTable, LeaderView, follow_instances, observe_time,
-        run_leadership,
+        InstanceRow, LeaderRow, LeaderTable, LeaderView, RelayHandler, follow_instances,
+        observe_time, run_leadership,
     },
     std::{sync::Arc, time::Duration},
-    support::{Node, node},
+    support::{Node, leader, node, query},
     tokio::time::sleep,
 };
 
@@ -67,3 +67,27 @@
     assert!(lists_other(&node), "dropped before it could report");
     support::wait_until(|| !lists_other(&node)).await;
 }
+
+/// A leader that had stood still read queries that had arrived meanwhile, and took their senders for active although
+/// they had been lost since.
+#[tokio::test]
+async fn queries_read_after_waking_do_not_make_their_senders_look_active() {
+    let (leader, _task) = leader().await;
+    let handler = RelayHandler::new(
+        leader.router.clone(),
+        leader.row.clone(),
+        leader.shared.clone(),
+        leader.leadership.clone(),
+    );
+    tokio::spawn(observe_time(leader.shared.clone()));
+    sleep(Duration::from_millis(300)).await;
+    std::thread::sleep(FREEZE_TIME);
+    let mut lost = query(&node("lost", ([127, 0, 0, 1], 1).into()));
+    lost.wait = Duration::ZERO;
+    handler.answer(lost).await.expect("a reply");
+    let silence = leader
+        .shared
+        .with_membership(|members| members.silence(clock::now(), "lost"));
+    let silence = silence.expect("a sender");
+    assert!(silence >= FREEZE_TIME, "active {silence:?} ago");
+}
