Give up the largest answer when buffered answers exceed their budget

What callers saw: 502 for answers of sound targets, while answers that came slowly and never ended held the memory that all buffered answers share. Cause: whoever asked for the next byte beyond the budget was refused, however little it held. Change: the largest answer is given up, with a log line, and its request is sent again if it is idempotent. This says nothing about the target. `respond` is split; the crate gains slotmap, which the project has already.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -201,13 +201,18 @@
     }
 
     /// Reads the complete answer and returns the connection to the pool.
-    pub(crate) async fn read(mut self, router: &Router) -> Result<Bytes, wire::Error> {
+    pub(crate) async fn read(mut self, router: &Router) -> Result<Bytes, ReadError> {
         let limit_bytes = router.settings.max_answer_bytes;
         let mut buffer = router.answer_buffers.begin();
         let mut body = BytesMut::new();
-        while let Some(chunk) = self.reply.chunk(CHUNK_TIMEOUT).await? {
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.reply.chunk(CHUNK_TIMEOUT) => chunk?,
+                error = buffer.given_up() => return Err(error.into()),
+            };
+            let Some(chunk) = chunk else { break };
             if body.len() + chunk.len() > limit_bytes {
-                return Err(wire::Error::BodyTooLong { limit_bytes });
+                return Err(wire::Error::BodyTooLong { limit_bytes }.into());
             }
             buffer.grow(chunk.len())?;
             body.extend_from_slice(&chunk);
@@ -234,6 +239,17 @@
     }
 }
 
+/// Why an answer could not be read to its end.
+#[derive(Debug, Error)]
+pub(crate) enum ReadError {
+    /// This instance gave the answer up, which says nothing about the target.
+    #[error(transparent)]
+    BudgetExceeded(#[from] BudgetExceeded),
+    /// The target or its connection failed.
+    #[error(transparent)]
+    Failed(#[from] wire::Error),
+}
+
 fn log_invalid(admitted: &Admitted, error: &hyper::http::Error) {
     let request = &*admitted.metadata.id;
     tracing::warn!(request, %error, "cannot build the request");
--- a/crates/forward/src/buffered_response.rs
+++ b/crates/forward/src/buffered_response.rs
@@ -12,7 +12,13 @@
     let id = exchange.admitted.metadata.id.clone();
     let body = match timeout(left, attempt.read(&router)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => return handle_interrupted(exchange, &target, &error).await,
+        Ok(Err(ReadError::Failed(error))) => {
+            return handle_interrupted(exchange, &target, &error).await;
+        }
+        Ok(Err(ReadError::BudgetExceeded(error))) => {
+            tracing::warn!(request = &*id, target = &*target.id, %error, "answer is given up");
+            return send_again_or_refuse(exchange, &target);
+        }
         Err(_) => return Some(exchange.refuse(Refusal::DeadlineExceeded)),
     };
     let admitted = &exchange.admitted;
@@ -20,6 +26,18 @@
     if let Err(error) = end.await {
         return handle_interrupted(exchange, &target, &error).await;
     }
+    Some(forward(exchange, &target, status, headers, body))
+}
+
+/// Answers the caller with a complete answer.
+fn forward(
+    exchange: &Exchange,
+    target: &Stage,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let (admitted, router) = (&exchange.admitted, &exchange.router);
     let promises_not_run = matches!(
         status,
         StatusCode::MISDIRECTED_REQUEST
@@ -28,19 +46,17 @@
             | StatusCode::TOO_MANY_REQUESTS
     );
     // Callers read these statuses as "the request has not run", which this target does not guarantee.
-    if promises_not_run && !exchange.admitted.route.repeat.is_retryable() {
-        return Some(exchange.refuse(Refusal::AnswerLost));
+    if promises_not_run && !admitted.route.repeat.is_retryable() {
+        return exchange.refuse(Refusal::AnswerLost);
     }
-    router
-        .suspects()
-        .record_success(exchange.admitted.fingerprint);
+    router.suspects().record_success(admitted.fingerprint);
     if status.is_success() {
         router
             .prompt_parts
-            .record_first_event(clock::now(), &exchange.admitted);
+            .record_first_event(clock::now(), admitted);
     }
     tracing::info!(
-        request = &*id,
+        request = &*admitted.metadata.id,
         target = &*target.id,
         status = status.as_u16(),
         attempts = exchange.attempt_count,
@@ -49,7 +65,7 @@
     );
     let mut response = wire::text(status, body);
     *response.headers_mut() = headers;
-    Some(response)
+    response
 }
 
 /// Records an interrupted answer. Returns none if the request must be sent again.
@@ -64,6 +80,12 @@
     if matches!(error, wire::Error::Broken { .. }) {
         prompt_parts::record_interruption(&exchange.router, &exchange.admitted, target).await;
     }
+    send_again_or_refuse(exchange, target)
+}
+
+/// Refuses a request whose answer was not read to its end. Returns none if the request must be sent to another
+/// target.
+fn send_again_or_refuse(exchange: &mut Exchange, target: &Stage) -> Option<Response> {
     exchange.demand.excluded.push(target.key);
     if exchange.may_try_again() && exchange.try_retry() {
         return None;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
     ratelimit::{Permit, PermitQuery, PermitReply, PermitTable},
     reach::{DirectReach, Helpers},
     serde::{Deserialize, Serialize},
+    slotmap::SlotMap,
     std::{
         cmp::Reverse,
         collections::{HashMap, HashSet},
@@ -37,7 +38,7 @@
         ops::Range,
         sync::{
             Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -106,13 +107,14 @@
 
 use {
     admitted::Admitted,
-    answer_buffers::AnswerBuffers,
-    attempt::{Attempt, AttemptFailure},
+    answer_buffers::{AnswerBuffers, BudgetExceeded},
+    attempt::{Attempt, AttemptFailure, ReadError},
     event_line::{EventLine, has_status_line},
     exchange::Exchange,
     in_flight::InFlight,
     links::{Link, LinkError, Links},
     prober::Prober,
+    router::lock,
     stream_timing::StreamTiming,
     wait_queue::WaitQueue,
     watchdog::{Inspection, Watchdog},
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -380,6 +380,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/forward/tests/unbounded_answers.rs
+++ b/crates/forward/tests/unbounded_answers.rs
@@ -115,3 +115,36 @@
     assert!(attempts > 0, "the faulty target was never chosen");
     assert!(sound.ids().len() >= 55, "the faulty target is not avoided");
 }
+
+/// Answers that end nowhere and come slowly took the room from the answers of sound targets.
+#[tokio::test]
+async fn answers_without_an_end_leave_room_for_others() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-signature: s\r\n\r\n";
+    let stalled = raw_target(move |mut stream| async move {
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(&[b'x'; 1_020 * 1_024]).await;
+        // Keeps the connection open without a further byte.
+        let _ = stream.read(&mut [0; 1]).await;
+    })
+    .await;
+    let sound = target(|request| {
+        let body = "y".repeat(32 * 1_024);
+        ready(signed(request, wire::text(StatusCode::OK, body)))
+    })
+    .await;
+    let mut setup = setup(RepeatPolicy::Idempotent, &[&stalled, &sound]);
+    setup.settings.max_buffered_bytes = 4 * 1_024 * 1_024;
+    let router = Arc::new(setup.start().await);
+    let mut callers = Vec::new();
+    for _ in 0..24 {
+        let router = router.clone();
+        callers.push(tokio::spawn(async move { send_all(&router, 4).await }));
+    }
+    for caller in callers {
+        let statuses = caller.await.unwrap();
+        let is_sound = |status: &u16| matches!(status, 200 | 503 | 504);
+        assert!(statuses.iter().all(is_sound), "{statuses:?}");
+    }
+    assert!(!sound.ids().is_empty());
+}
