Count a reported departure from its own time

What callers saw: nothing yet; found by reading the change. An instance that restarts under its id would not be named for up to a second, where a relay reports the departure of its previous start late. Cause: a departure counted from the arrival of the report, so it was made younger by each hop. Change: the age in the report is subtracted, as for signs of activity. Result: `departure_counts_from_its_time...` failed before, passes now.

--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -116,14 +116,14 @@
         self.rows.insert(row.id.clone(), (row, at));
     }
 
-    /// Records that an instance is leaving.
-    pub fn record_departure(&mut self, now: Duration, row: &InstanceRow) {
+    /// Records that an instance left at `at`.
+    pub fn record_departure(&mut self, at: Duration, row: &InstanceRow) {
         if self.departed.contains_key(&row.start) {
             return;
         }
         self.change_count += 1;
-        self.departed.insert(row.start.clone(), (row.clone(), now));
-        self.end_start(&row.id, &row.start, now);
+        self.departed.insert(row.start.clone(), (row.clone(), at));
+        self.end_start(&row.id, &row.start, at);
     }
 
     /// Drops the signs of activity of a departed instance, but not those of its next start.
@@ -149,10 +149,11 @@
     /// Applies the reports of another instance about its descendants.
     pub fn apply_reports(&mut self, now: Duration, reports: Vec<MemberReport>) {
         for report in reports {
+            let at = now.saturating_sub(report.age);
             if report.is_leaving {
-                self.record_departure(now, &report.row);
+                self.record_departure(at, &report.row);
             } else {
-                self.record_contact(now.saturating_sub(report.age), report.row);
+                self.record_contact(at, report.row);
             }
         }
     }
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -183,3 +183,16 @@
         .collect();
     assert_eq!(starts, ["x.2"]);
 }
+
+/// A departure that is reported late must not end the signs of the next start, which are newer.
+#[test]
+fn departure_counts_from_its_time_and_not_from_that_of_the_report() {
+    let mut membership = Membership::default();
+    membership.merge_listed(listed(&["x"], 63_000));
+    let departure = MemberReport {
+        is_leaving: true,
+        ..report("x", 3_000)
+    };
+    membership.apply_reports(at(63_200), vec![departure]);
+    assert_eq!(ids(&membership, 63_200), ["x"]);
+}
