Do not ask this instance itself for a sign of activity

Cause: other instances report this one to it too, and its own silence was measured like theirs. Its reply counted as contact with others, by which an instance that is cut off tells that it cannot observe the store. Change: the own entry is skipped. Result: `only_silent_instances_other_than_the_asking_one_are_asked` failed before, passes now.

--- a/crates/reconcile/src/silence_loop.rs
+++ b/crates/reconcile/src/silence_loop.rs
@@ -23,6 +23,8 @@
         sleep(ASK_INTERVAL).await;
         let now = clock::now();
         let mut silent = shared.with_membership(|membership| membership.silent(now, ASK_AFTER));
+        // Other instances report this one too.
+        silent.retain(|instance| instance.id != row.id);
         if silent.is_empty() || router.is_leaving() {
             continue;
         }
