Let undated lists not renew instances that do not answer

What callers saw: nothing yet. Cause: an earlier version passes on a list of another one as built now, so each such instance in a series renewed the entry at those that received it. Change: entries of undated lists count as silent, so that they are asked; after two questions without an answer these lists no longer count for an instance until a newer sign arrives.

--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -270,30 +270,38 @@
             shared.notify_changed();
         }
         shared.set_instances_source(source);
-        let list = ReceivedInstances {
+        self.apply_instances(ReceivedInstances {
             age: answer.instances_age,
             answered_at,
             instances: answer.instances.unwrap_or(base.instances),
             signs,
-        };
-        shared.with_membership(|membership| membership.merge_received(&self.row.id, list));
-        instance_loop::publish_instances(router, shared, &self.row, clock::now());
-        router.confirm_instances();
+        });
         if let Some(tree) = answer.tree {
             shared.set_tree(tree, self.row.relay_address);
         }
+        self.apply_reports(&answer.crashes, answer.other_loads);
+        match is_current && self.shared.uses_relayed_state(clock::now()) {
+            false => QueryOutcome::NotCurrent,
+            true => QueryOutcome::Current,
+        }
+    }
+
+    /// Merges the list of instances of an answer, and publishes the instances that are live now.
+    fn apply_instances(&self, list: ReceivedInstances) {
+        let (router, shared) = (&self.router, &self.shared);
+        shared.with_membership(|membership| membership.merge_received(&self.row.id, list));
+        instance_loop::publish_instances(router, shared, &self.row, clock::now());
+        router.confirm_instances();
+    }
+
+    /// Applies the crashes and, in the first answer of a round, the loads that other instances reported.
+    fn apply_reports(&mut self, crashes: &[CrashReport], other_loads: Vec<SharedLoad>) {
         let now = clock::now();
         let others = Arc::from(ALL_OTHERS);
-        let mut suspects = router.suspects();
-        suspects.merge_reports(now, &others, &answer.crashes);
-        drop(suspects);
+        self.router.suspects().merge_reports(now, &others, crashes);
         if !std::mem::replace(&mut self.has_sent_loads, true) {
-            let others = shared.set_parent_loads(now, answer.other_loads);
-            router.set_peer_loads(&others);
-        }
-        match is_current && shared.uses_relayed_state(now) {
-            false => QueryOutcome::NotCurrent,
-            true => QueryOutcome::Current,
+            let others = self.shared.set_parent_loads(now, other_loads);
+            self.router.set_peer_loads(&others);
         }
     }
 }
--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -9,9 +9,12 @@
 /// Largest error of the time between a sign of activity and a departure that arrived by different paths: an
 /// answer takes up to 300 ms, and may pass through two instances.
 const DEPARTURE_ERROR: Duration = Duration::from_millis(600);
-/// Time after it was built for which a list without times of last activity is used. Instances that send such
-/// lists drop an entry within 4.5 s, so a dead instance is listed for 6 s at most.
-const UNDATED_LIST_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time without a sign of activity after which an instance is asked for one. Reports over a relay are up to 2 s old
+/// while all is well.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_400);
+/// Number of questions without an answer after which lists without times of last activity no longer count for an
+/// instance.
+const MAX_UNANSWERED_COUNT: u32 = 2;
 
 /// Data that an instance reports about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -94,6 +97,9 @@
     listed: HashMap<Arc<str>, ListedInstance>,
     /// Rows by instance id, with the time of the last sign of activity.
     rows: HashMap<Arc<str>, (InstanceRow, Duration)>,
+    /// Number of questions without an answer since the last sign of activity, by instance id, with the time of the last
+    /// one.
+    unanswered: HashMap<Arc<str>, (u32, Duration)>,
 }
 
 impl Membership {
@@ -102,6 +108,7 @@
         if self.departed.contains_key(&row.start) {
             return;
         }
+        self.forget_unanswered(&row.id, at);
         if let Some((known, seen_at)) = self.rows.get_mut(&row.id) {
             if known.start == row.start {
                 *seen_at = at.max(*seen_at);
@@ -214,6 +221,7 @@
             if has_departed(&self.departures, &instance.id, seen_at) {
                 continue;
             }
+            self.forget_unanswered(&instance.id, seen_at);
             let known = self.listed.get(&instance.id);
             if known.is_some_and(|known| known.seen_at >= seen_at) {
                 continue;
@@ -223,14 +231,38 @@
         }
     }
 
+    /// Records that an instance did not answer a question of `at`.
+    pub fn record_unanswered(&mut self, at: Duration, id: &Arc<str>) {
+        let (count, asked_at) = self.unanswered.entry(id.clone()).or_default();
+        *count += 1;
+        *asked_at = at;
+    }
+
+    /// Forgets questions without an answer if a sign of activity is newer.
+    fn forget_unanswered(&mut self, id: &Arc<str>, seen_at: Duration) {
+        let unanswered = self.unanswered.get(id);
+        if unanswered.is_some_and(|(_, asked_at)| seen_at > *asked_at) {
+            self.unanswered.remove(id);
+        }
+    }
+
     /// Stores a list that does not tell when its instances were active, as earlier versions send it. It was built
     /// at `built_at`. Instances that it leaves out have left or are lost.
+    ///
+    /// Its entries count as silent, so that this instance asks them. Once they do not answer, the list no longer counts
+    /// for them, whatever its sender goes on from.
     pub fn replace_undated_list(&mut self, instances: Vec<Instance>, built_at: Duration) {
         let ids: HashSet<Arc<str>> = instances.iter().map(|one| one.id.clone()).collect();
         self.listed
             .retain(|id, listed| ids.contains(id) || listed.seen_at > built_at);
-        let seen_at = (built_at + UNDATED_LIST_VALIDITY).saturating_sub(LIVENESS_TIMEOUT);
-        self.merge_listed(instances.into_iter().map(|instance| (instance, seen_at)));
+        let seen_at = built_at.saturating_sub(SILENCE_LIMIT);
+        for instance in instances {
+            let unanswered = self.unanswered.get(&instance.id);
+            if unanswered.is_some_and(|(count, _)| *count >= MAX_UNANSWERED_COUNT) {
+                continue;
+            }
+            self.merge_listed([(instance, seen_at)]);
+        }
     }
 
     /// Records the departures that another instance knows.
@@ -286,13 +318,13 @@
         Some(now.saturating_sub(seen_at))
     }
 
-    /// Live instances without a sign of activity for longer than `limit`, ordered by id.
+    /// Live instances that are to be asked for a sign of activity, ordered by id.
     #[must_use]
-    pub fn silent(&self, now: Duration, limit: Duration) -> Vec<Instance> {
+    pub fn silent(&self, now: Duration) -> Vec<Instance> {
         let mut silent = self.live(now);
         silent.retain(|instance| {
             let silence = self.silence(now, &instance.id);
-            silence.is_some_and(|silence| silence > limit)
+            silence.is_some_and(|silence| silence > SILENCE_LIMIT)
         });
         silent
     }
@@ -329,6 +361,8 @@
             .retain(|_, (_, at)| is_kept(*at, DEPARTURE_RETENTION));
         self.departures
             .retain(|_, (_, at)| is_kept(*at, DEPARTURE_RETENTION));
+        self.unanswered
+            .retain(|_, (_, at)| is_kept(*at, DEPARTURE_RETENTION));
     }
 }
 
--- a/crates/reconcile/src/silence_loop.rs
+++ b/crates/reconcile/src/silence_loop.rs
@@ -1,8 +1,5 @@
 use super::*;
 
-/// Time without a sign of activity after which an instance is asked for one. Reports over a relay are up to 2 s old
-/// while all is well.
-const ASK_AFTER: Duration = Duration::from_millis(2_400);
 /// Time between rounds of questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 /// Most instances that are asked in one round. Each answer also tells of others, so few are enough.
@@ -22,7 +19,7 @@
     loop {
         sleep(ASK_INTERVAL).await;
         let now = clock::now();
-        let mut silent = shared.with_membership(|membership| membership.silent(now, ASK_AFTER));
+        let mut silent = shared.with_membership(|membership| membership.silent(now));
         // Other instances report this one too.
         silent.retain(|instance| instance.id != row.id);
         if silent.is_empty() || router.is_leaving() {
@@ -46,21 +43,7 @@
     instance: Instance,
 ) {
     let instances = router.instances();
-    let mut query = Query {
-        avoided: Vec::new(),
-        catalog_version: router.catalog().version(),
-        crashes: Vec::new(),
-        departures: Vec::new(),
-        instances_digest: digest(&instances),
-        is_leaving: false,
-        loads: None,
-        members: Vec::new(),
-        revision: NO_TARGETS,
-        row: row.clone(),
-        tree_version: shared.tree_version(),
-        wait: Duration::ZERO,
-    };
-    query.accept_dated_answers();
+    let query = question(router, row, shared, &instances);
     // All instances receive queries at the same port.
     let address = SocketAddr::new(instance.address.ip(), row.relay_address.port());
     let asked_at = clock::now();
@@ -71,7 +54,12 @@
         "asked a silent instance"
     );
     let tree = match reply {
-        Err(_) => return,
+        Err(_) => {
+            shared.with_membership(|membership| {
+                membership.record_unanswered(asked_at, &instance.id);
+            });
+            return;
+        }
         Ok(RelayReply::Redirect(tree)) => Some(tree),
         Ok(RelayReply::Answer(answer)) => answer.tree,
         Ok(RelayReply::DatedAnswer(answer, signs)) => {
@@ -91,3 +79,28 @@
         shared.set_tree(tree, row.relay_address);
     }
 }
+
+/// Query of this instance, which lists `instances`, for a sign of activity. It reports nothing else.
+fn question(
+    router: &Router,
+    row: &InstanceRow,
+    shared: &SharedState,
+    instances: &[Instance],
+) -> Query {
+    let mut query = Query {
+        avoided: Vec::new(),
+        catalog_version: router.catalog().version(),
+        crashes: Vec::new(),
+        departures: Vec::new(),
+        instances_digest: digest(instances),
+        is_leaving: false,
+        loads: None,
+        members: Vec::new(),
+        revision: NO_TARGETS,
+        row: row.clone(),
+        tree_version: shared.tree_version(),
+        wait: Duration::ZERO,
+    };
+    query.accept_dated_answers();
+    query
+}
--- a/crates/reconcile/tests/instance_lists.rs
+++ b/crates/reconcile/tests/instance_lists.rs
@@ -33,7 +33,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for which an instance that did not answer is queried last.
 const AVOID_TIME: Duration = Duration::from_secs(3);
-const ASK_AFTER: Duration = Duration::from_millis(2_400);
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 const ASKED_COUNT: usize = 4;
 
@@ -229,7 +228,7 @@
             return;
         }
         self.nodes[number].asked_at = self.now;
-        let silent = self.nodes[number].members.silent(self.now, ASK_AFTER);
+        let silent = self.nodes[number].members.silent(self.now);
         for _ in 0..ASKED_COUNT.min(silent.len()) {
             let asked = &silent[self.random.random_range(0..silent.len())];
             let mut others = self.nodes.iter();
--- a/crates/reconcile/tests/membership.rs
+++ b/crates/reconcile/tests/membership.rs
@@ -196,3 +196,25 @@
     membership.apply_reports(at(63_200), vec![departure]);
     assert_eq!(ids(&membership, 63_200), ["x"]);
 }
+
+/// Instances of an earlier version passed the list of a lost one on as new, so that a lost instance stayed listed by
+/// several of them in turn.
+#[test]
+fn list_of_an_earlier_version_does_not_renew_an_instance_that_does_not_answer() {
+    let mut membership = Membership::default();
+    let lost: std::sync::Arc<str> = "y".into();
+    for ms in (60_000..64_000).step_by(400) {
+        membership.replace_undated_list(instances(&["x", "y"]), at(ms));
+        for silent in membership.silent(at(ms + 10)) {
+            if silent.id == lost {
+                membership.record_unanswered(at(ms + 10), &lost);
+            } else {
+                membership.merge_listed([(silent, at(ms + 10))]);
+            }
+        }
+    }
+    assert_eq!(ids(&membership, 64_000), ["x"]);
+    membership.merge_listed(listed(&["y"], 64_000));
+    membership.replace_undated_list(instances(&["x", "y"]), at(66_000));
+    assert_eq!(ids(&membership, 66_500), ["x", "y"], "y is back");
+}
--- a/crates/wire/src/reply_filter.rs
+++ b/crates/wire/src/reply_filter.rs
@@ -140,10 +140,7 @@
         let status = head.code.unwrap_or_default();
         let (position, discarded_bytes) = match self.replies.classify(status, head.headers) {
             ReplyKind::Interim => {
-                self.interim_bytes += head_bytes;
-                if self.interim_bytes > MAX_INTERIM_BYTES {
-                    return Err(invalid_data("the server sent too many interim replies"));
-                }
+                self.count_interim(head_bytes)?;
                 (Position::Head, head_bytes)
             }
             ReplyKind::Own { is_reply_to_head } => {
@@ -172,6 +169,14 @@
         Ok(true)
     }
 
+    fn count_interim(&mut self, head_bytes: usize) -> io::Result<()> {
+        self.interim_bytes += head_bytes;
+        if self.interim_bytes > MAX_INTERIM_BYTES {
+            return Err(invalid_data("the server sent too many interim replies"));
+        }
+        Ok(())
+    }
+
     fn discard(&mut self, count: usize) -> io::Result<()> {
         self.input.advance(count);
         self.discarded_bytes += count;
