--- a/crates/reconcile/src/membership.rs
+++ b/crates/reconcile/src/membership.rs
@@ -205,13 +205,12 @@
             return;
         };
         self.merge_departures(list.answered_at, &signs.departures);
-        for (instance, age) in list.instances.into_iter().zip(signs.ages) {
-            if instance.id == *own {
-                continue;
-            }
-            let seen_at = list.answered_at.saturating_sub(age.duration());
-            self.merge_listed([(instance, seen_at)]);
-        }
+        let dated = list.instances.into_iter().zip(signs.ages);
+        let others = dated.filter(|(instance, _)| instance.id != *own);
+        self.merge_listed(
+            others
+                .map(|(instance, age)| (instance, list.answered_at.saturating_sub(age.duration()))),
+        );
     }
 
     /// Adds the instances that another instance listed, each with the time of its last activity, or an earlier
--- a/crates/reconcile/src/silence_loop.rs
+++ b/crates/reconcile/src/silence_loop.rs
@@ -51,6 +51,7 @@
     tracing::info!(
         instance = &*instance.id,
         is_answered = reply.is_ok(),
+        error = reply.as_ref().err().map(tracing::field::display),
         "asked a silent instance"
     );
     let tree = match reply {
