--- a/crates/entry/tests/support/data.rs
+++ b/crates/entry/tests/support/data.rs
@@ -92,6 +92,7 @@
         map.insert(name, value.parse().expect("a header value"));
     }
     Request {
+        arrived_at: clock::now(),
         body: Bytes::copy_from_slice(body.as_bytes()),
         headers: map,
         method: Method::from_bytes(method.as_bytes()).expect("a method"),
--- a/crates/wire/src/early_reply_filter.rs
+++ b/crates/wire/src/early_reply_filter.rs
@@ -5,7 +5,10 @@
 /// body; the server sends an error answer with a JSON body in its place.
 #[derive(Debug)]
 pub(crate) struct EarlyReplyFilter {
+    /// Time by which all bytes that had arrived were read.
+    empty_at: Duration,
     has_received_bytes: bool,
+    monitor: Arc<RunMonitor>,
     progress: Arc<RequestProgress>,
     requests: RequestCounter,
     stream: TcpStream,
@@ -19,10 +22,18 @@
 const MAX_LINGER_BYTES: u64 = 256 * 1024;
 
 impl EarlyReplyFilter {
-    /// Wraps a new connection. The server records in `progress` when it passes a request to the handler.
-    pub(crate) fn new(stream: TcpStream, progress: Arc<RequestProgress>) -> Self {
+    /// Wraps a new connection, on which nothing had arrived by `empty_at`. The server records in `progress` when it
+    /// passes a request to the handler, and in `monitor` when it runs.
+    pub(crate) fn new(
+        stream: TcpStream,
+        empty_at: Duration,
+        progress: Arc<RequestProgress>,
+        monitor: Arc<RunMonitor>,
+    ) -> Self {
         Self {
+            empty_at,
             has_received_bytes: false,
+            monitor,
             requests: RequestCounter::new(progress.clone()),
             progress,
             stream,
@@ -56,8 +67,14 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         let received = &buffer.filled()[before..];
-        self.has_received_bytes |= !received.is_empty();
-        self.requests.record(received);
+        if result.is_pending() {
+            self.empty_at = self.monitor.ticked_at();
+        } else if !received.is_empty() {
+            self.has_received_bytes = true;
+            let now = clock::now();
+            let arrived_at = self.monitor.earliest_arrival(now, self.empty_at);
+            self.requests.record(received, arrived_at);
+        }
         result
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,7 +6,7 @@
 
 use {
     bytes::{Buf, Bytes, BytesMut},
-    futures::future::BoxFuture,
+    futures::{FutureExt, future::BoxFuture},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody},
     hyper::{
         HeaderMap, Method, StatusCode,
@@ -21,7 +21,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         error::Error as StdError,
         hash::{DefaultHasher, Hasher},
         io::{self, IoSlice},
@@ -60,6 +60,7 @@
 mod request;
 mod request_progress;
 mod response;
+mod run_monitor;
 mod server;
 mod sse;
 
@@ -88,4 +89,5 @@
     reply_framing::{FramingError, ReplyFraming},
     reply_state::{ReplyKind, ReplyStateHandle},
     request_progress::{RequestCounter, RequestProgress},
+    run_monitor::RunMonitor,
 };
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -3,6 +3,9 @@
 /// A request that the server received, with its complete body.
 #[derive(Debug)]
 pub struct Request {
+    /// When its first byte arrived, by `clock::now`. Bytes that waited while the server did not run count from the
+    /// time before.
+    pub arrived_at: Duration,
     /// Complete body; empty if there is none.
     pub body: Bytes,
     /// Headers of the request.
--- a/crates/wire/src/request_progress.rs
+++ b/crates/wire/src/request_progress.rs
@@ -7,6 +7,8 @@
 /// answer.
 #[derive(Debug, Default)]
 pub(crate) struct RequestProgress {
+    /// When the first bytes of the requests arrived that the handler has not begun to answer.
+    arrivals: Mutex<VecDeque<Duration>>,
     begun: AtomicU64,
     /// Wakes the server when the handler begins to answer a request.
     has_begun: Notify,
@@ -14,10 +16,16 @@
 }
 
 impl RequestProgress {
-    /// Records that the handler begins to answer a request.
-    pub(crate) fn record_begun(&self) {
+    /// Records that the handler begins to answer a request. Returns when its first byte arrived; none behind bytes
+    /// that are not a valid request.
+    pub(crate) fn record_begun(&self) -> Option<Duration> {
         self.begun.fetch_add(1, Ordering::Relaxed);
         self.has_begun.notify_one();
+        self.arrivals().pop_front()
+    }
+
+    fn arrivals(&self) -> MutexGuard<'_, VecDeque<Duration>> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the handler has begun to answer any request.
@@ -62,14 +70,21 @@
         }
     }
 
-    /// Counts the requests that end in the received bytes.
-    pub(crate) fn record(&mut self, mut bytes: &[u8]) {
+    /// Counts the requests that end in the received bytes, and dates those that begin in them.
+    pub(crate) fn record(&mut self, mut bytes: &[u8], arrived_at: Duration) {
         while !bytes.is_empty() {
             let count = match &mut self.position {
                 Position::Invalid => return,
                 Position::Body(framing) => framing.consume(bytes),
                 Position::Head(received) => {
                     let before = received.len();
+                    if before == 0 {
+                        bytes = without_empty_lines(bytes);
+                        if bytes.is_empty() {
+                            return;
+                        }
+                        self.progress.arrivals().push_back(arrived_at);
+                    }
                     received.extend_from_slice(bytes);
                     match parse_head(received) {
                         Err(error) => Err(error),
@@ -94,6 +109,12 @@
     }
 }
 
+/// Bytes behind the empty lines before a head, which do not belong to it.
+fn without_empty_lines(bytes: &[u8]) -> &[u8] {
+    let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+    &bytes[bytes.iter().take_while(is_line_end).count()..]
+}
+
 /// Returns the length of a head and the framing of the body behind it; none if the head is incomplete.
 fn parse_head(bytes: &[u8]) -> Result<Option<(usize, ReplyFraming)>, FramingError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -24,17 +24,26 @@
     limits: Limits,
     mut shutdown: watch::Receiver<bool>,
 ) {
-    let connections = Arc::new(Semaphore::new(limits.connection_count));
+    let monitor = Arc::new(RunMonitor::new(clock::now()));
+    let mut monitoring = JoinSet::new();
+    monitoring.spawn(monitor.clone().run());
+    let mut backlog = Backlog {
+        connections: Arc::new(Semaphore::new(limits.connection_count)),
+        empty_at: clock::now(),
+        listener,
+        monitor: monitor.clone(),
+    };
     let mut server = Server {
         client_limiter: ClientLimiter::new(limits.client_connection_count),
         handler,
         limits,
+        monitor,
         shutdown: shutdown.clone(),
         tasks: JoinSet::new(),
     };
     while !*shutdown.borrow() {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &connections) => accepted,
+            accepted = backlog.accept() => accepted,
             changed = shutdown.changed() => match changed {
                 Err(_) => break,
                 Ok(()) => continue,
@@ -43,10 +52,10 @@
         server.spawn_connection(accepted);
     }
     let backlog_deadline = Instant::now() + BACKLOG_GRACE;
-    while let Ok(accepted) = timeout_at(backlog_deadline, accept(&listener, &connections)).await {
+    while let Ok(accepted) = timeout_at(backlog_deadline, backlog.accept()).await {
         server.spawn_connection(accepted);
     }
-    drop(listener);
+    drop(backlog);
     while server.tasks.join_next().await.is_some() {}
 }
 
@@ -55,19 +64,33 @@
     client_limiter: Arc<ClientLimiter>,
     handler: Arc<dyn Handler>,
     limits: Limits,
+    monitor: Arc<RunMonitor>,
     shutdown: watch::Receiver<bool>,
     tasks: JoinSet<()>,
 }
 
-/// An accepted connection, the address of its client, and its permit among all connections.
-type AcceptedConnection = (TcpStream, SocketAddr, OwnedSemaphorePermit);
+/// A connection that was accepted.
+struct AcceptedConnection {
+    /// Time by which nothing had arrived on it.
+    empty_at: Duration,
+    peer: SocketAddr,
+    /// Its permit among all connections.
+    permit: OwnedSemaphorePermit,
+    stream: TcpStream,
+}
 
 impl Server {
     /// Serves a connection in a task of its own, or refuses it if its client has too many.
     fn spawn_connection(&mut self, accepted: Option<AcceptedConnection>) {
-        let Some((stream, peer, permit)) = accepted else {
+        let Some(accepted) = accepted else {
             return;
         };
+        let AcceptedConnection {
+            empty_at,
+            peer,
+            permit,
+            stream,
+        } = accepted;
         while self.tasks.try_join_next().is_some() {}
         let Some(client) = self.client_limiter.try_acquire(peer) else {
             // The permit is released at once. The answer fits into the send buffer of the socket,
@@ -77,29 +100,52 @@
         };
         let limits = self.handler.limits(self.limits);
         let (handler, shutdown) = (self.handler.clone(), self.shutdown.clone());
+        let progress = Arc::new(RequestProgress::default());
+        let monitor = self.monitor.clone();
+        let filter = EarlyReplyFilter::new(stream, empty_at, progress.clone(), monitor);
         self.tasks.spawn(async move {
-            serve_connection(stream, peer, handler, limits, shutdown).await;
+            serve_connection(filter, progress, peer, handler, limits, shutdown).await;
             drop((client, permit));
         });
     }
 }
 
-/// Accepts the next connection once the total limit permits it. Returns none on an error.
-async fn accept(
-    listener: &TcpListener,
-    connections: &Arc<Semaphore>,
-) -> Option<AcceptedConnection> {
-    let permit = connections.clone().acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Err(error) => {
-            // Usually out of file descriptors or memory: give open connections time to end.
-            tracing::warn!(%error, "failed to accept a connection");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            None
-        }
-        Ok((stream, peer)) => {
-            let _ = stream.set_nodelay(true);
-            Some((stream, peer, permit))
+/// Connections that wait to be accepted.
+struct Backlog {
+    connections: Arc<Semaphore>,
+    /// Time by which no connection waited.
+    empty_at: Duration,
+    listener: TcpListener,
+    monitor: Arc<RunMonitor>,
+}
+
+impl Backlog {
+    /// Accepts the next connection once the total limit permits it. Returns none on an error.
+    async fn accept(&mut self) -> Option<AcceptedConnection> {
+        let permit = self.connections.clone().acquire_owned().await.ok()?;
+        let accepted = match self.listener.accept().now_or_never() {
+            Some(accepted) => accepted,
+            None => {
+                self.empty_at = self.monitor.ticked_at();
+                self.listener.accept().await
+            }
+        };
+        match accepted {
+            Err(error) => {
+                // Usually out of file descriptors or memory: give open connections time to end.
+                tracing::warn!(%error, "failed to accept a connection");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                None
+            }
+            Ok((stream, peer)) => {
+                let _ = stream.set_nodelay(true);
+                Some(AcceptedConnection {
+                    empty_at: self.empty_at,
+                    peer,
+                    permit,
+                    stream,
+                })
+            }
         }
     }
 }
@@ -107,20 +153,20 @@
 /// Serves the requests of one connection until it ends or, after the shutdown signal, until the
 /// requests that have been received completely are answered.
 async fn serve_connection(
-    stream: TcpStream,
+    filter: EarlyReplyFilter,
+    progress: Arc<RequestProgress>,
     peer: SocketAddr,
     handler: Arc<dyn Handler>,
     limits: Limits,
     shutdown: watch::Receiver<bool>,
 ) {
-    let progress = Arc::new(RequestProgress::default());
-    let filter = EarlyReplyFilter::new(stream, progress.clone());
     let recorded_progress = progress.clone();
     let service = service_fn(move |request| {
-        recorded_progress.record_begun();
+        let arrived_at = recorded_progress.record_begun();
+        let arrived_at = arrived_at.unwrap_or_else(clock::now);
         let (handler, progress) = (handler.clone(), recorded_progress.clone());
         async move {
-            let mut response = respond(request, peer, handler, limits).await;
+            let mut response = respond(request, arrived_at, peer, handler, limits).await;
             // The connection ends with the answer to the last request that was received.
             if progress.has_unanswered() {
                 response.headers_mut().remove(CONNECTION);
@@ -178,6 +224,7 @@
 /// Reads the body of a request, lets the handler answer it, and answers an unreadable body itself.
 async fn respond(
     request: hyper::Request<Incoming>,
+    arrived_at: Duration,
     peer: SocketAddr,
     handler: Arc<dyn Handler>,
     limits: Limits,
@@ -188,6 +235,7 @@
         Ok(body) => body,
     };
     let request = Request {
+        arrived_at,
         body,
         headers: head.headers,
         method: head.method,
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -147,6 +147,7 @@
     test_runner(9, 2_000)
         .run(&bytes, |bytes| {
             let request = Request {
+                arrived_at: Duration::ZERO,
                 body: bytes.into(),
                 headers: HeaderMap::new(),
                 method: Method::POST,
