Count the deadline of a request from its first byte

What callers saw: targets worked for requests whose caller had left, as they were given more time than was left.

Time spent on a slow body, behind other requests of the connection or in the socket of an instance that does not run was not taken off.

Change: the deadline, and the limit of the route, count from the first byte.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -6,6 +6,10 @@
     std::time::Duration,
 };
 
+mod run_monitor;
+
+pub use run_monitor::RunMonitor;
+
 /// Returns the time since boot, including time in suspension.
 #[must_use]
 pub fn now() -> Duration {
--- a/crates/forward/src/admitted.rs
+++ b/crates/forward/src/admitted.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Admitted {
     pub(crate) account: Option<Account>,
-    /// When the request had been received completely.
+    /// When the first byte of the request arrived, from which the caller counts its deadline.
     pub(crate) arrived_at: Duration,
     /// Deadline of the final answer.
     pub(crate) deadline: Duration,
@@ -65,8 +65,8 @@
         let prompt_run = prompt_run(&service, account.as_ref(), fingerprint, &metadata);
         Ok(Self {
             account,
-            arrived_at: now,
-            deadline: now + limit,
+            arrived_at: request.arrived_at,
+            deadline: request.arrived_at.saturating_add(limit),
             metadata,
             most_urgent_rank: catalog.most_urgent_rank(&service),
             fingerprint,
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -60,10 +60,6 @@
         // twice.
         let expected = path.first_event_time().saturating_mul(STALL_FACTOR);
         let resend_after = resend_after.map(|after| after.max(expected));
-        let message = message::build(router, admitted, request, &path, last_event);
-        let Ok(message) = message.inspect_err(|error| log_invalid(admitted, error)) else {
-            return Err((AttemptFailure::NotSent, first));
-        };
         let mut in_flight = InFlight::begin(router, &admitted.service, path);
         let connect_timeout = router.settings.connect_timeout.min(limit);
         let id = &admitted.metadata.id;
@@ -86,6 +82,11 @@
         if !router.fleet().accepts_requests(now, in_flight.path()) {
             return Err((AttemptFailure::PathUnavailable, first));
         }
+        // The message states the time that is left, so it is built once the connection is open.
+        let message = message::build(router, admitted, request, in_flight.path(), last_event);
+        let Ok(message) = message.inspect_err(|error| log_invalid(admitted, error)) else {
+            return Err((AttemptFailure::NotSent, first));
+        };
         let exchange = link.connection.send_request(message, limit);
         let reply = in_flight
             .wait_for_reply(admitted, resend_after, exchange)
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,8 +21,7 @@
 /// Handles one request.
 pub(crate) async fn respond(router: Arc<Router>, request: Request) -> Response {
     let metadata = router.header_codec.parse_request(&request.headers);
-    let age = clock::now().saturating_sub(request.arrived_at);
-    metrics::histogram!("forward_arrival_age_seconds").record(age.as_secs_f64());
+    metrics::histogram!("forward_arrival_age_seconds").record(request.age().as_secs_f64());
     let id = metadata.id.clone();
     let admitted = match Admitted::check(&router, &request, metadata) {
         Err(refusal) => {
@@ -257,9 +256,7 @@
             service = &*self.admitted.service,
             version = self.admitted.version,
             attempt = self.attempt_count + 1,
-            age_ms = clock::now()
-                .saturating_sub(self.request.arrived_at)
-                .as_millis() as u64,
+            age_ms = self.request.age().as_millis() as u64,
             left_ms = self.admitted.time_left().as_millis() as u64,
             cost_ms = path.cost_ms as u64,
             shared_parts = self.admitted.shared_parts_text(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 use {
     bytes::{Buf, Bytes, BytesMut},
+    clock::RunMonitor,
     futures::{FutureExt, future::BoxFuture},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody},
     hyper::{
@@ -60,7 +61,6 @@
 mod request;
 mod request_progress;
 mod response;
-mod run_monitor;
 mod server;
 mod sse;
 
@@ -89,5 +89,4 @@
     reply_framing::{FramingError, ReplyFraming},
     reply_state::{ReplyKind, ReplyStateHandle},
     request_progress::{RequestCounter, RequestProgress},
-    run_monitor::RunMonitor,
 };
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -21,6 +21,12 @@
 }
 
 impl Request {
+    /// Returns the time since the first byte arrived.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.arrived_at)
+    }
+
     /// Returns the value of a header if it is present and is visible ASCII text.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -26,7 +26,7 @@
 ) {
     let monitor = Arc::new(RunMonitor::new(clock::now()));
     let mut monitoring = JoinSet::new();
-    monitoring.spawn(monitor.clone().run());
+    monitoring.spawn(record_runs(monitor.clone()));
     let mut backlog = Backlog {
         connections: Arc::new(Semaphore::new(limits.connection_count)),
         empty_at: clock::now(),
@@ -59,6 +59,17 @@
     while server.tasks.join_next().await.is_some() {}
 }
 
+/// Records that the server runs until the task is aborted.
+async fn record_runs(monitor: Arc<RunMonitor>) {
+    loop {
+        tokio::time::sleep(RunMonitor::TICK_INTERVAL).await;
+        if let Some(gap) = monitor.tick(clock::now()) {
+            let gap_ms = gap.as_millis() as u64;
+            tracing::debug!(gap_ms, "the server did not run for some time");
+        }
+    }
+}
+
 /// State of a running server.
 struct Server {
     client_limiter: Arc<ClientLimiter>,
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -274,3 +274,49 @@
     assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
     serving.await.unwrap();
 }
+
+/// Answers with the age of each request in milliseconds, after 300 ms.
+struct AgeReporter;
+
+impl Handler for AgeReporter {
+    fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response> {
+        let age_ms = request.age().as_millis().to_string();
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            text(StatusCode::OK, age_ms)
+        })
+    }
+}
+
+/// Guards against requests that are dated by when they have been read to their end, so that the time before is not
+/// counted towards their deadline. Each piece is sent 300 ms after the one before.
+#[parameterized(
+    alone = { &["GET / HTTP/1.1\r\nhost: a\r\n\r\n"], 0 },
+    slow_body = { &["POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n", "a", "b"], 600 },
+    slow_head = { &["GET / HTTP/1.1\r\nhost: a\r\n", "\r\n"], 300 },
+    behind_an_empty_line = { &["\r\n", "GET / HTTP/1.1\r\nhost: a\r\n\r\n"], 0 },
+    second_of_a_packet = { &["GET / HTTP/1.1\r\nhost: a\r\n\r\nGET / HTTP/1.1\r\nhost: a\r\n\r\n"], 300 },
+)]
+#[test_macro(tokio::test)]
+async fn requests_are_dated_by_their_first_byte(pieces: &[&str], expected_ms: u64) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let limits = Limits::default();
+    tokio::spawn(serve(listener, Arc::new(AgeReporter), limits, stopped));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for piece in pieces {
+        stream.write_all(piece.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let mut answer = vec![0; 10_000];
+    let count = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+    let last = answer.rsplit("\r\n\r\n").next().unwrap();
+    let age_ms: u64 = last.parse().unwrap();
+    assert!(
+        (expected_ms..expected_ms + 200).contains(&age_ms),
+        "{age_ms}"
+    );
+}
