Answer callers that close their sending direction

What callers saw: no answer, and no status, to requests that a sound target ran, when they close their sending direction behind a request, as HTTP/1.1 allows.

Cause: the end of the receiving direction was taken for a caller that has left. Both look alike until bytes are written.

Change: the server sends such a caller an interim answer, which the system of a caller that has left rejects, and ends the request on that or if nothing could be written for 300 ms. A request that may run once is not ended after it was sent to a target. Other servers end requests at once, as before.

--- a/crates/entry/tests/support/data.rs
+++ b/crates/entry/tests/support/data.rs
@@ -96,6 +96,7 @@
         body: Bytes::copy_from_slice(body.as_bytes()),
         headers: map,
         method: Method::from_bytes(method.as_bytes()).expect("a method"),
+        on_close: wire::CloseHandling::default(),
         path: path.into(),
         peer: SocketAddr::from(([127, 0, 0, 1], 9)),
         query: query.into(),
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -87,6 +87,10 @@
         let Ok(message) = message.inspect_err(|error| log_invalid(admitted, error)) else {
             return Err((AttemptFailure::NotSent, first));
         };
+        if admitted.route.repeat == RepeatPolicy::Once {
+            // The caller cannot send the request again, and nothing is gained by ending a run that may be over.
+            request.on_close.set(ClosePolicy::KeepRunning);
+        }
         let exchange = link.connection.send_request(message, limit);
         let reply = in_flight
             .wait_for_reply(admitted, resend_after, exchange)
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -151,6 +151,9 @@
             attempts = self.attempt_count,
             "no answer from target"
         );
+        if failure != AttemptFailure::Unknown {
+            self.request.on_close.set(ClosePolicy::EndAfterGrace);
+        }
         if failure == AttemptFailure::PathUnavailable {
             return Ok(());
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -49,8 +49,8 @@
     },
     types::{CrashReport, Fingerprint, Incarnation, RequestId},
     wire::{
-        BodySender, BoxedStream, Connection, Connector, DiscardedReplies, ReplyStream, Request,
-        Response, TcpConnector,
+        BodySender, BoxedStream, ClosePolicy, Connection, Connector, DiscardedReplies, ReplyStream,
+        Request, Response, TcpConnector,
     },
 };
 
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -353,6 +353,10 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 
 impl wire::Handler for Ingress {
+    fn close_policy(&self) -> ClosePolicy {
+        ClosePolicy::EndAfterGrace
+    }
+
     fn limits(&self, limits: wire::Limits) -> wire::Limits {
         let configured = self.0.catalog().catalog().map(|held| held.limits());
         let Some(configured) = configured else {
--- a/crates/wire/src/early_reply_filter.rs
+++ b/crates/wire/src/early_reply_filter.rs
@@ -5,9 +5,13 @@
 /// body; the server sends an error answer with a JSON body in its place.
 #[derive(Debug)]
 pub(crate) struct EarlyReplyFilter {
+    /// State since the client has closed its sending direction; none before.
+    closed: Option<ClosedDirection>,
     /// Time by which all bytes that had arrived were read.
     empty_at: Duration,
     has_received_bytes: bool,
+    /// Whether bytes of an answer are waiting until the client reads.
+    is_write_blocked: bool,
     monitor: Arc<RunMonitor>,
     progress: Arc<RequestProgress>,
     requests: RequestCounter,
@@ -31,8 +35,10 @@
         monitor: Arc<RunMonitor>,
     ) -> Self {
         Self {
+            closed: None,
             empty_at,
             has_received_bytes: false,
+            is_write_blocked: false,
             monitor,
             requests: RequestCounter::new(progress.clone()),
             progress,
@@ -52,6 +58,32 @@
         send_fault(self.stream, fault).await;
     }
 
+    /// Reports the end of the connection, unless the request that is being answered goes on without it.
+    fn poll_closed(&mut self, context: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        let Some(closed) = &mut self.closed else {
+            return Poll::Pending;
+        };
+        let policy = match self.progress.close_policy() {
+            // An interim answer must not be written into the answer before.
+            Some((policy, allows_interim)) => (policy, allows_interim && !self.is_write_blocked),
+            // The client may still read the answer that is being written.
+            None if self.is_write_blocked => (ClosePolicy::EndAfterGrace, false),
+            None => return Poll::Ready(Ok(())),
+        };
+        closed.poll_end(context, policy, &mut self.stream).map(Ok)
+    }
+
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>, length: usize) {
+        self.is_write_blocked = match result {
+            Poll::Pending => true,
+            Poll::Ready(Ok(count)) => *count < length,
+            Poll::Ready(Err(_)) => false,
+        };
+        if let (Some(closed), Poll::Ready(Ok(1..))) = (&mut self.closed, result) {
+            closed.record_written();
+        }
+    }
+
     /// Whether a request of this connection has reached the handler.
     fn has_request(&self) -> bool {
         self.progress.has_begun_any()
@@ -65,6 +97,9 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        if self.closed.is_some() {
+            return self.poll_closed(context);
+        }
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         let received = &buffer.filled()[before..];
         if result.is_pending() {
@@ -74,6 +109,9 @@
             let now = clock::now();
             let arrived_at = self.monitor.earliest_arrival(now, self.empty_at);
             self.requests.record(received, arrived_at);
+        } else if matches!(result, Poll::Ready(Ok(()))) && buffer.remaining() > 0 {
+            self.closed = Some(ClosedDirection::new());
+            return self.poll_closed(context);
         }
         result
     }
@@ -88,7 +126,9 @@
         if !self.has_request() {
             return Poll::Ready(Ok(bytes.len()));
         }
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&result, bytes.len());
+        result
     }
 
     fn poll_flush(
@@ -116,7 +156,9 @@
         if !self.has_request() {
             return Poll::Ready(Ok(slices.iter().map(|slice| slice.len()).sum()));
         }
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&result, slices.iter().map(|slice| slice.len()).sum());
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
     futures::{FutureExt, future::BoxFuture},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody},
     hyper::{
-        HeaderMap, Method, StatusCode,
-        body::{Frame, Incoming},
+        HeaderMap, Method, StatusCode, Version,
+        body::{Frame, Incoming, SizeHint},
         client::conn::http1::SendRequest,
         header::{
             CACHE_CONTROL, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
@@ -30,7 +30,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU8, AtomicU64, Ordering},
         },
         task::{self, Poll},
         time::Duration,
@@ -41,13 +41,15 @@
         net::{TcpListener, TcpStream},
         sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch},
         task::{AbortHandle, JoinSet},
-        time::{Instant, timeout, timeout_at},
+        time::{Instant, Sleep, timeout, timeout_at},
     },
     tokio_util::io::poll_read_buf,
 };
 
 mod call;
 mod client_limiter;
+mod close_policy;
+mod closed_direction;
 mod connection;
 mod connector;
 mod early_reply_filter;
@@ -63,10 +65,12 @@
 mod response;
 mod server;
 mod sse;
+mod tracked_body;
 
 pub use {
     bytes,
     call::{Call, Reply, call},
+    close_policy::{CloseHandling, ClosePolicy},
     connection::{Connection, LineReader, ReplyStream},
     connector::{BoxedStream, Connector, Stream, TcpConnector},
     error::Error,
@@ -82,11 +86,13 @@
 
 use {
     client_limiter::ClientLimiter,
+    closed_direction::ClosedDirection,
     connector::{connect, connect_error},
     early_reply_filter::EarlyReplyFilter,
     message::read_json,
     reply_filter::ReplyFilter,
     reply_framing::{FramingError, ReplyFraming},
     reply_state::{ReplyKind, ReplyStateHandle},
-    request_progress::{RequestCounter, RequestProgress},
+    request_progress::{CurrentRequest, RequestCounter, RequestProgress},
+    tracked_body::TrackedBody,
 };
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -10,6 +10,8 @@
     pub body: Bytes,
     /// Headers of the request.
     pub headers: HeaderMap,
+    /// What happens when the caller closes its sending direction.
+    pub on_close: CloseHandling,
     /// HTTP method.
     pub method: Method,
     /// Path without the query, not percent-decoded.
--- a/crates/wire/src/request_progress.rs
+++ b/crates/wire/src/request_progress.rs
@@ -3,6 +3,14 @@
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
+/// Request that is being answered.
+#[derive(Clone, Debug)]
+pub(crate) struct CurrentRequest {
+    /// Whether an interim answer may be sent: the caller knows them, and its answer has not begun.
+    pub(crate) allows_interim: bool,
+    pub(crate) on_close: CloseHandling,
+}
+
 /// Requests of one connection: those that were received completely, and those that the handler has begun to
 /// answer.
 #[derive(Debug, Default)]
@@ -10,6 +18,8 @@
     /// When the first bytes of the requests arrived that the handler has not begun to answer.
     arrivals: Mutex<VecDeque<Duration>>,
     begun: AtomicU64,
+    /// The request that is being answered; none if there is none.
+    current: Mutex<Option<CurrentRequest>>,
     /// Wakes the server when the handler begins to answer a request.
     has_begun: Notify,
     received: AtomicU64,
@@ -18,12 +28,37 @@
 impl RequestProgress {
     /// Records that the handler begins to answer a request. Returns when its first byte arrived; none behind bytes
     /// that are not a valid request.
-    pub(crate) fn record_begun(&self) -> Option<Duration> {
+    pub(crate) fn record_begun(&self, request: CurrentRequest) -> Option<Duration> {
+        *self.current() = Some(request);
         self.begun.fetch_add(1, Ordering::Relaxed);
         self.has_begun.notify_one();
         self.arrivals().pop_front()
     }
 
+    /// Records that the answer to the current request begins.
+    pub(crate) fn record_answering(&self) {
+        if let Some(current) = &mut *self.current() {
+            current.allows_interim = false;
+        }
+    }
+
+    /// Records that the answer to the current request has ended.
+    pub(crate) fn record_answered(&self) {
+        *self.current() = None;
+    }
+
+    /// What happens to the current request when the caller closes its sending direction, and whether an interim
+    /// answer may be sent; none if no request is being answered.
+    pub(crate) fn close_policy(&self) -> Option<(ClosePolicy, bool)> {
+        let current = self.current();
+        let current = current.as_ref()?;
+        Some((current.on_close.policy(), current.allows_interim))
+    }
+
+    fn current(&self) -> MutexGuard<'_, Option<CurrentRequest>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn arrivals(&self) -> MutexGuard<'_, VecDeque<Duration>> {
         self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -5,6 +5,11 @@
     /// Handles one request.
     fn handle(self: Arc<Self>, request: Request) -> BoxFuture<'static, Response>;
 
+    /// What happens to a request whose caller closes its sending direction, until the handler changes it.
+    fn close_policy(&self) -> ClosePolicy {
+        ClosePolicy::EndAtOnce
+    }
+
     /// Returns the limits of a new connection, for handlers whose limits change while the server
     /// runs. `limits` are those that the server was started with.
     fn limits(&self, limits: Limits) -> Limits {
@@ -173,17 +178,28 @@
 ) {
     let recorded_progress = progress.clone();
     let service = service_fn(move |request| {
-        let arrived_at = recorded_progress.record_begun();
+        let on_close = CloseHandling::new(handler.close_policy());
+        let arrived_at = recorded_progress.record_begun(CurrentRequest {
+            allows_interim: request.version() == Version::HTTP_11,
+            on_close: on_close.clone(),
+        });
         let arrived_at = arrived_at.unwrap_or_else(clock::now);
         let (handler, progress) = (handler.clone(), recorded_progress.clone());
         async move {
-            let mut response = respond(request, arrived_at, peer, handler, limits).await;
+            let received = ReceivedRequest {
+                arrived_at,
+                on_close,
+                peer,
+                request,
+            };
+            let mut response = respond(received, handler, limits).await;
+            progress.record_answering();
             // The connection ends with the answer to the last request that was received.
             if progress.has_unanswered() {
                 response.headers_mut().remove(CONNECTION);
             }
             match response.extensions().get::<Disconnect>() {
-                None => Ok(response),
+                None => Ok(response.map(|body| TrackedBody::new(body, progress))),
                 Some(disconnect) => Err(*disconnect),
             }
         }
@@ -232,26 +248,29 @@
     Fault::new(status, "too_many_connections", message).retry_after(Duration::from_secs(1))
 }
 
-/// Reads the body of a request, lets the handler answer it, and answers an unreadable body itself.
-async fn respond(
-    request: hyper::Request<Incoming>,
+/// A request whose head was received.
+struct ReceivedRequest {
     arrived_at: Duration,
+    on_close: CloseHandling,
     peer: SocketAddr,
-    handler: Arc<dyn Handler>,
-    limits: Limits,
-) -> Response {
-    let (head, body) = request.into_parts();
+    request: hyper::Request<Incoming>,
+}
+
+/// Reads the body of a request, lets the handler answer it, and answers an unreadable body itself.
+async fn respond(received: ReceivedRequest, handler: Arc<dyn Handler>, limits: Limits) -> Response {
+    let (head, body) = received.request.into_parts();
     let body = match read_body(body, limits).await {
         Err(fault) => return fault.into_response(),
         Ok(body) => body,
     };
     let request = Request {
-        arrived_at,
+        arrived_at: received.arrived_at,
         body,
         headers: head.headers,
         method: head.method,
+        on_close: received.on_close,
         path: head.uri.path().into(),
-        peer,
+        peer: received.peer,
         query: head.uri.query().unwrap_or_default().into(),
     };
     handler.handle(request).await
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -151,6 +151,7 @@
                 body: bytes.into(),
                 headers: HeaderMap::new(),
                 method: Method::POST,
+                on_close: wire::CloseHandling::default(),
                 path: "/".into(),
                 peer: SocketAddr::from(([127, 0, 0, 1], 1)),
                 query: String::new(),
