Answer requests that arrive behind a running one in a planned stop

What callers saw: in planned stops, a request that was sent behind a stream got no answer for 0.3 to 0.9 s until its connection ended.

Cause: the head of a stream said that its connection ends, long before the end of the stream, and a stop marked connections whose request was running. What arrived afterwards was read and dropped.

Change: heads of streams do not end the connection before the server stops, and a stop waits for the requests that a connection has received. A test of wire failed before (one answer) and passes.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
     http_body_util::Full,
     hyper::{
         HeaderMap, StatusCode,
+        body::Body as _,
         header::{
             self, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
             RETRY_AFTER, TRANSFER_ENCODING,
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -374,7 +374,9 @@
         let router = self.0.clone();
         async move {
             let mut response = exchange::respond(router.clone(), request).await;
-            if router.is_leaving() {
+            // A request that arrives behind a stream could not be answered after a head that ends the connection.
+            let is_stream = response.body().size_hint().exact().is_none();
+            if router.is_leaving() && !is_stream {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/crates/wire/src/request_progress.rs
+++ b/crates/wire/src/request_progress.rs
@@ -20,8 +20,8 @@
     begun: AtomicU64,
     /// The request that is being answered; none if there is none.
     current: Mutex<Option<CurrentRequest>>,
-    /// Wakes the server when the handler begins to answer a request.
-    has_begun: Notify,
+    /// Wakes the server when the handler begins to answer a request, and when an answer has ended.
+    changed: Notify,
     received: AtomicU64,
 }
 
@@ -31,7 +31,7 @@
     pub(crate) fn record_begun(&self, request: CurrentRequest) -> Option<Duration> {
         *self.current() = Some(request);
         self.begun.fetch_add(1, Ordering::Relaxed);
-        self.has_begun.notify_one();
+        self.changed.notify_one();
         self.arrivals().pop_front()
     }
 
@@ -45,6 +45,7 @@
     /// Records that the answer to the current request has ended.
     pub(crate) fn record_answered(&self) {
         *self.current() = None;
+        self.changed.notify_one();
     }
 
     /// What happens to the current request when the caller closes its sending direction, and whether an interim
@@ -68,9 +69,14 @@
         self.begun.load(Ordering::Relaxed) > 0
     }
 
-    /// Waits until the handler has begun to answer a request since the last call.
-    pub(crate) async fn begun(&self) {
-        self.has_begun.notified().await;
+    /// Waits until the handler has begun to answer a request, or an answer has ended, since the last call.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Whether a request is being answered, or was received completely and is to be answered next.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.current().is_some() || self.has_unanswered()
     }
 
     /// Whether a request was received completely that the handler has not begun to answer.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -177,6 +177,7 @@
     shutdown: watch::Receiver<bool>,
 ) {
     let recorded_progress = progress.clone();
+    let is_stopping = shutdown.clone();
     let service = service_fn(move |request| {
         let on_close = CloseHandling::new(handler.close_policy());
         let arrived_at = recorded_progress.record_begun(CurrentRequest {
@@ -185,6 +186,7 @@
         });
         let arrived_at = arrived_at.unwrap_or_else(clock::now);
         let (handler, progress) = (handler.clone(), recorded_progress.clone());
+        let is_stopping = is_stopping.clone();
         async move {
             let received = ReceivedRequest {
                 arrived_at,
@@ -197,6 +199,9 @@
             // The connection ends with the answer to the last request that was received.
             if progress.has_unanswered() {
                 response.headers_mut().remove(CONNECTION);
+            } else if *is_stopping.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
             }
             match response.extensions().get::<Disconnect>() {
                 None => Ok(response.map(|body| TrackedBody::new(body, progress))),
@@ -225,16 +230,16 @@
     }
 }
 
-/// Waits for the shutdown signal, and until a connection may end with the request in progress.
+/// Waits for the shutdown signal, and until all requests that a connection has received are answered.
 async fn wait_for_end(progress: &RequestProgress, mut shutdown: watch::Receiver<bool>) {
     let _ = shutdown.wait_for(|stop| *stop).await;
     // The first request of a new connection may be in the socket buffer but not read yet.
     if !progress.has_begun_any() {
-        let _ = timeout(BACKLOG_GRACE, progress.begun()).await;
+        let _ = timeout(BACKLOG_GRACE, progress.changed()).await;
     }
-    // Requests that arrived behind the current one are answered too.
-    while progress.has_unanswered() {
-        progress.begun().await;
+    // Requests that arrive behind the current one, until its answer says that the connection ends, are answered too.
+    while progress.is_busy() {
+        progress.changed().await;
     }
 }
 
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/server.rs
@@ -320,3 +320,27 @@
         "{age_ms}"
     );
 }
+
+/// Guards against a request that arrives behind a running one after the server was asked to stop, and is read and then
+/// dropped with the connection.
+#[tokio::test]
+async fn a_request_behind_a_running_one_is_answered_in_a_stop() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let limits = Limits::default();
+    let server = tokio::spawn(serve(listener, Arc::new(AgeReporter), limits, stopped));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    stop.send(true).unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    stream.write_all(request).await.unwrap();
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).await.unwrap();
+    assert_eq!(answers.matches("200 OK").count(), 2, "{answers}");
+    // Only the last answer ends the connection.
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    server.await.unwrap();
+}
