Take replies with an invalid status for failures of their target

What callers saw: the status 600, 999 or 101 of a faulty target as that of an answer. 000 and 099 never reached them, as the parser rejects these.

Cause: only the form of a status was checked.

Change: the client of wire rejects replies whose status is outside of 200 to 599, so that answers, streams, probes, reports, orders and the store are treated alike: the request is sent again if it may be, and answered with 502 otherwise.

Statuses such as 299, 418 and 599 still pass unchanged.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -2,6 +2,8 @@
 
 /// Maximum length of a line in a streamed reply, in bytes.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// Statuses of final replies (RFC 9110, section 15). Requests ask for no other protocol, so 101 is none of them.
+const VALID_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Time for the rest of the request before to be written, after its reply has arrived. A server may have answered
 /// without reading it.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -155,7 +157,7 @@
     /// # Errors
     ///
     /// Returns `Error::Closed` when nothing was sent, `Error::Broken` or `Error::Malformed` when
-    /// the exchange failed, and `Error::Timeout` when no head arrived within `limit`.
+    /// the exchange failed or the status is invalid, and `Error::Timeout` when no head arrived within `limit`.
     pub async fn send_request(
         &mut self,
         request: hyper::Request<Full<Bytes>>,
@@ -181,6 +183,12 @@
             Ok(result) => result?,
         };
         let (head, body) = response.into_parts();
+        if !VALID_STATUSES.contains(&head.status.as_u16()) {
+            return Err(Error::Malformed {
+                address,
+                message: format!("status {}", head.status.as_u16()),
+            });
+        }
         Ok(ReplyStream {
             address,
             body,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,6 +27,7 @@
         hash::{DefaultHasher, Hasher},
         io::{self, IoSlice},
         net::{IpAddr, Ipv6Addr, SocketAddr},
+        ops::RangeInclusive,
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
