Answer a recorded call with an invalid status with 502

What callers saw: nothing yet. A record of a call whose status is invalid was answered with 200 in the product's own interface, a failure as a success.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -165,9 +165,13 @@
     with_outcome(response, "not_run")
 }
 
-/// Passes on the service's reply. The status is 200 if the service sent an invalid one.
+/// Passes on the service's reply. The status is 502 if the recorded one is invalid, as the call may have failed.
 fn ran_response(reply: &CallReply) -> Response {
-    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
+    let is_valid = (200..=599).contains(&reply.status);
+    let status = StatusCode::from_u16(reply.status).ok();
+    let status = status
+        .filter(|_| is_valid)
+        .unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = wire::text(status, reply.body.as_bytes().to_vec());
     let is_json = serde_json::from_str::<serde::de::IgnoredAny>(&reply.body).is_ok();
     if is_json {
