Read what arrived before a target counts as silent

What callers saw: retries that targets had answered. After an instance had not run for some time, it sent all silent requests to a second target.

Cause: when an instance runs again, the time limit of a request and its answer are ready at once, and the limit was looked at first. Own silence was taken for that of a target.

--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -44,7 +44,7 @@
             let limit = limit.max(self.path.first_event_time());
             let limit = watchdog.interval(limit);
             let limit = resend_after.map_or(limit, |resend_after| limit.min(resend_after));
-            if let Ok(result) = timeout(limit, &mut exchange).await {
+            if let Ok(result) = timeout_while_running(limit, &mut exchange).await {
                 return Some(result);
             }
             let silence = clock::now().saturating_sub(sent_at);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -78,6 +78,7 @@
 mod prompt_parts;
 mod refusal;
 mod router;
+mod run_timeout;
 mod settings;
 mod stream;
 mod stream_timing;
@@ -116,6 +117,7 @@
     links::{Link, LinkError, Links},
     prober::Prober,
     router::lock,
+    run_timeout::timeout_while_running,
     stream_timing::StreamTiming,
     wait_queue::WaitQueue,
     watchdog::{Inspection, Watchdog},
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -61,7 +61,7 @@
         let started_at = clock::now();
         let probes = stages.iter().map(|stage| {
             let state = self.engines.state(stage.address);
-            timeout(PROBE_TIMEOUT, state)
+            timeout_while_running(PROBE_TIMEOUT, state)
         });
         let answers = futures::future::join_all(probes).await;
         let mut silent = Vec::new();
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -100,10 +100,18 @@
                 return StreamEnd::DeadlineExceeded;
             }
             let limit = left.min(self.time_to_inspection(wait_started_at));
+            let chunk = attempt.reply.chunk(left);
             let chunk = tokio::select! {
-                chunk = attempt.reply.chunk(limit) => chunk,
+                chunk = timeout_while_running(limit, chunk) => chunk,
                 () = self.stopped() => return StreamEnd::Interrupted,
             };
+            let Ok(chunk) = chunk else {
+                if self.inspect(attempt, silent_since).await {
+                    silent_since = clock::now();
+                }
+                wait_started_at = clock::now();
+                continue;
+            };
             let error = match chunk {
                 Ok(None) if self.is_complete(attempt) => match self.check_end(attempt).await {
                     Ok(()) => return StreamEnd::Complete,
@@ -122,13 +130,8 @@
                         error => error,
                     }
                 }
-                Err(wire::Error::Timeout { .. }) => {
-                    if self.inspect(attempt, silent_since).await {
-                        silent_since = clock::now();
-                    }
-                    wait_started_at = clock::now();
-                    continue;
-                }
+                // The deadline has passed.
+                Err(wire::Error::Timeout { .. }) => continue,
                 Err(error) => Some(error),
             };
             self.record_failure(attempt, error.as_ref()).await;
