Name the socket of a caller by what it does, and end incomplete requests at once

A caller that closes its sending direction within a body cannot complete its request, so it ends at once instead of after the time limit of the body. The wrapper of the server's sockets is called CallerStream, as it does more than to filter early replies.

--- a/crates/entry/tests/calls.rs
+++ b/crates/entry/tests/calls.rs
@@ -50,10 +50,10 @@
 /// have run, because the record of the key was not read, and against a record with an invalid status that is answered
 /// as a success.
 #[parameterized(
-    mismatch = { CallOutcome::KeyMismatch, 422, None, "" },
-    not_run = { refused(RefusalKind::Limit), 503, Some("not_run"), "" },
     invalid_status = { CallOutcome::Ran(reply_with(0)), 502, Some("ran"), "" },
     invalid_status_above_599 = { CallOutcome::Ran(reply_with(999)), 502, Some("ran"), "" },
+    mismatch = { CallOutcome::KeyMismatch, 422, None, "" },
+    not_run = { refused(RefusalKind::Limit), 503, Some("not_run"), "" },
     ran = { CallOutcome::Ran(reply()), 201, Some("ran"), "" },
     store_down = { refused(RefusalKind::StoreUnavailable), 503, Some("not_run"), "unknown" },
     unknown = { CallOutcome::Unknown, 502, Some("unknown"), "" },
--- a/crates/wire/src/early_reply_filter.rs
+++ b/crates/wire/src/caller_stream.rs
@@ -1,10 +1,13 @@
 use super::*;
 
-/// Socket wrapper that discards what hyper writes before the first request of a connection reaches
-/// the handler. That can only be hyper's own answer to a head that it cannot parse, which has no
-/// body; the server sends an error answer with a JSON body in its place.
+/// Socket of a caller. Dates the received requests, and hides the end of the receiving direction while a request goes
+/// on without it.
+///
+/// Discards what hyper writes before the first request of a connection reaches the handler. That can only be hyper's
+/// own answer to a head that it cannot parse, which has no body; the server sends an error answer with a JSON body in
+/// its place.
 #[derive(Debug)]
-pub(crate) struct EarlyReplyFilter {
+pub(crate) struct CallerStream {
     /// State since the client has closed its sending direction; none before.
     closed: Option<ClosedDirection>,
     /// Time by which all bytes that had arrived were read.
@@ -25,7 +28,7 @@
 /// Maximum number of bytes that are read and discarded during that wait.
 const MAX_LINGER_BYTES: u64 = 256 * 1024;
 
-impl EarlyReplyFilter {
+impl CallerStream {
     /// Wraps a new connection, on which nothing had arrived by `empty_at`. The server records in `progress` when it
     /// passes a request to the handler, and in `monitor` when it runs.
     pub(crate) fn new(
@@ -90,7 +93,7 @@
     }
 }
 
-impl AsyncRead for EarlyReplyFilter {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
@@ -117,7 +120,7 @@
     }
 }
 
-impl AsyncWrite for EarlyReplyFilter {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
--- a/crates/wire/src/closed_direction.rs
+++ b/crates/wire/src/closed_direction.rs
@@ -47,13 +47,6 @@
                 ClosePolicy::KeepRunning => false,
             };
             if ends {
-                tracing::info!(
-                    peer = stream.peer_addr().ok().map(tracing::field::display),
-                    ?policy,
-                    closed_ms = self.closed_at.elapsed().as_millis() as u64,
-                    has_written = self.has_written,
-                    "caller has left, ending its request"
-                );
                 return Poll::Ready(());
             }
             task::ready!(self.check.as_mut().poll(context));
@@ -68,15 +61,25 @@
         allows_interim: bool,
         stream: &mut TcpStream,
     ) -> bool {
-        if stream.take_error().is_ok_and(|error| error.is_some()) {
+        let has_rejected = stream.take_error().is_ok_and(|error| error.is_some());
+        let closed_for = self.closed_at.elapsed();
+        if has_rejected || !self.has_written && closed_for >= CLOSE_GRACE {
+            tracing::info!(
+                peer = stream.peer_addr().ok().map(tracing::field::display),
+                closed_ms = closed_for.as_millis() as u64,
+                has_rejected,
+                "caller has left, ending its request"
+            );
             return true;
         }
         if allows_interim && !self.has_written {
-            let written = Pin::new(stream).poll_write(context, INTERIM_ANSWER);
-            self.has_written =
-                matches!(written, Poll::Ready(Ok(count)) if count == INTERIM_ANSWER.len());
-            return !self.has_written;
+            match Pin::new(stream).poll_write(context, INTERIM_ANSWER) {
+                Poll::Pending => {}
+                Poll::Ready(Ok(count)) if count == INTERIM_ANSWER.len() => self.has_written = true,
+                // Nothing may follow a part of an answer.
+                Poll::Ready(_) => return true,
+            }
         }
-        !self.has_written && self.closed_at.elapsed() >= CLOSE_GRACE
+        false
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -48,12 +48,12 @@
 };
 
 mod call;
+mod caller_stream;
 mod client_limiter;
 mod close_policy;
 mod closed_direction;
 mod connection;
 mod connector;
-mod early_reply_filter;
 mod error;
 mod fault;
 mod limits;
@@ -86,10 +86,10 @@
 };
 
 use {
+    caller_stream::CallerStream,
     client_limiter::ClientLimiter,
     closed_direction::ClosedDirection,
     connector::{connect, connect_error},
-    early_reply_filter::EarlyReplyFilter,
     message::read_json,
     reply_filter::ReplyFilter,
     reply_framing::{FramingError, ReplyFraming},
--- a/crates/wire/src/request_progress.rs
+++ b/crates/wire/src/request_progress.rs
@@ -53,6 +53,11 @@
     pub(crate) fn close_policy(&self) -> Option<(ClosePolicy, bool)> {
         let current = self.current();
         let current = current.as_ref()?;
+        let received = self.received.load(Ordering::Relaxed);
+        if received < self.begun.load(Ordering::Relaxed) {
+            // The rest of the request cannot arrive any more.
+            return Some((ClosePolicy::EndAtOnce, false));
+        }
         Some((current.on_close.policy(), current.allows_interim))
     }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -118,9 +118,9 @@
         let (handler, shutdown) = (self.handler.clone(), self.shutdown.clone());
         let progress = Arc::new(RequestProgress::default());
         let monitor = self.monitor.clone();
-        let filter = EarlyReplyFilter::new(stream, empty_at, progress.clone(), monitor);
+        let stream = CallerStream::new(stream, empty_at, progress.clone(), monitor);
         self.tasks.spawn(async move {
-            serve_connection(filter, progress, peer, handler, limits, shutdown).await;
+            serve_connection(stream, progress, peer, handler, limits, shutdown).await;
             drop((client, permit));
         });
     }
@@ -169,7 +169,7 @@
 /// Serves the requests of one connection until it ends or, after the shutdown signal, until the
 /// requests that have been received completely are answered.
 async fn serve_connection(
-    filter: EarlyReplyFilter,
+    stream: CallerStream,
     progress: Arc<RequestProgress>,
     peer: SocketAddr,
     handler: Arc<dyn Handler>,
@@ -213,7 +213,7 @@
         .header_read_timeout(limits.idle_timeout())
         .max_buf_size(limits.head_bytes)
         .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(filter), service);
+        .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
         // Reads what has arrived before the connection may be closed as idle.
         biased;
@@ -225,8 +225,8 @@
     };
     if let Err(error) = result {
         tracing::debug!(%peer, %error, "connection ended with an error");
-        let filter = connection.into_parts().io.into_inner();
-        filter.reply_to_bad_head(&error, limits).await;
+        let stream = connection.into_parts().io.into_inner();
+        stream.reply_to_bad_head(&error, limits).await;
     }
 }
 
--- a/crates/wire/tests/closed_direction.rs
+++ b/crates/wire/tests/closed_direction.rs
@@ -25,6 +25,8 @@
 const RUN_TIME: Duration = Duration::from_millis(800);
 /// Time after which no work may be done for a caller that has left.
 const WORK_LIMIT: Duration = Duration::from_millis(500);
+/// Request whose body is not sent to its end.
+const PART_OF_REQUEST: &str = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc";
 const REQUEST_1_0: &str = "GET / HTTP/1.0\r\nhost: a\r\n\r\n";
 const REQUEST_1_1: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const TWO_REQUESTS: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\nGET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -82,6 +84,7 @@
     after_grace = { ClosePolicy::EndAfterGrace, REQUEST_1_1, 1, 1 },
     after_grace_without_interim_answers = { ClosePolicy::EndAfterGrace, REQUEST_1_0, 0, 0 },
     after_grace_for_each_of_two = { ClosePolicy::EndAfterGrace, TWO_REQUESTS, 2, 1 },
+    incomplete = { ClosePolicy::EndAfterGrace, PART_OF_REQUEST, 0, 0 },
     keep = { ClosePolicy::KeepRunning, REQUEST_1_1, 1, 0 },
     keep_without_interim_answers = { ClosePolicy::KeepRunning, REQUEST_1_0, 1, 0 },
 )]
