Keep requests that crash targets in the store

What callers saw: targets that crash on a request went down again after all instances had been killed at once, more often than a request may reach targets after its third crash (BUDGET).

Cause: which requests crash targets was known to the processes alone, and without a leader new instances do not share what they learn.

Change: the leader keeps the refused requests in a row of the store, and each instance reads it at its start.

--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -8,12 +8,15 @@
 pub struct Suspects {
     crashes: CrashDetector,
     quarantine: Quarantine,
+    /// Number of crashes from which on a request is refused.
+    refused_from: usize,
 }
 
 impl Suspects {
     pub(crate) fn new(settings: QuarantineSettings) -> Self {
         Self {
             crashes: CrashDetector::default(),
+            refused_from: settings.crash_count as usize,
             quarantine: Quarantine::new(settings),
         }
     }
@@ -87,6 +90,13 @@
         most_important(self.quarantine.reports(now))
     }
 
+    /// Crashes of the requests that are refused for them, whichever instance observed them.
+    pub fn refused_reports(&mut self, now: Duration) -> Vec<CrashReport> {
+        let mut reports = self.own_reports(now);
+        reports.retain(|report| report.crashes.len() >= self.refused_from);
+        reports
+    }
+
     /// Crashes that this instance and all others except `peer` observed.
     pub fn reports_for(&mut self, now: Duration, peer: &Arc<str>) -> Vec<CrashReport> {
         self.quarantine.tick(now);
--- /dev/null
+++ b/crates/reconcile/src/crash_loop.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// Time between two checks whether the records must be written, and between attempts to read them.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Name under which the records count among those of other instances.
+const STORE: &str = ":store";
+
+/// Reads the requests that crashed targets from the store when the instance starts, and writes them while it leads.
+pub async fn keep_crash_records(
+    router: Arc<Router>,
+    mut table: Box<dyn CrashTable>,
+    leadership: Arc<Mutex<Leadership>>,
+) {
+    let mut records = CrashRecords::default();
+    let mut was_leader = false;
+    loop {
+        let is_leader = lock(&leadership).fence(clock::now()).is_some();
+        // Another leader may have written since the last read.
+        let must_read = !records.is_read() || is_leader && !was_leader;
+        was_leader = is_leader;
+        let result = if must_read {
+            read(&router, table.as_mut(), &mut records).await
+        } else if is_leader {
+            write(&router, table.as_mut(), &mut records).await
+        } else {
+            Ok(())
+        };
+        if let Err(error) = result {
+            tracing::info!(%error, must_read, "records of crashes are not available");
+            was_leader &= !must_read;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+async fn read(
+    router: &Router,
+    table: &mut dyn CrashTable,
+    records: &mut CrashRecords,
+) -> Result<(), Error> {
+    let reports = table.read().await?;
+    records.record_stored(&reports);
+    if !reports.is_empty() {
+        tracing::info!(count = reports.len(), "read requests that crashed targets");
+    }
+    let mut suspects = router.suspects();
+    suspects.merge_reports(clock::now(), &STORE.into(), &reports);
+    Ok(())
+}
+
+async fn write(
+    router: &Router,
+    table: &mut dyn CrashTable,
+    records: &mut CrashRecords,
+) -> Result<(), Error> {
+    let reports = router.suspects().refused_reports(clock::now());
+    if !records.must_write(&reports) {
+        return Ok(());
+    }
+    table.write(&reports).await?;
+    tracing::info!(count = reports.len(), "wrote requests that crashed targets");
+    records.record_stored(&reports);
+    Ok(())
+}
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -25,10 +25,12 @@
         sync::watch,
         time::{sleep, timeout},
     },
-    types::CrashReport,
+    types::{CrashReport, Fingerprint},
 };
 
 mod catalog_loop;
+mod crash_loop;
+mod crash_records;
 mod dependency_status;
 mod follow_loop;
 mod instance_loop;
@@ -56,6 +58,8 @@
 
 pub use {
     catalog_loop::follow_catalog,
+    crash_loop::keep_crash_records,
+    crash_records::CrashRecords,
     dependency_status::DependencyStatus,
     follow_loop::follow_leader,
     instance_loop::follow_instances,
@@ -73,7 +77,9 @@
     shared_state::SharedState,
     sign_age::SignAge,
     silence_loop::ask_silent_instances,
-    sources::{CatalogRead, CatalogSource, LeaderTable, LeaderView, TargetChange, TargetSource},
+    sources::{
+        CatalogRead, CatalogSource, CrashTable, LeaderTable, LeaderView, TargetChange, TargetSource,
+    },
     store_trust::StoreTrust,
     supervisor::supervise,
     target_history::TargetHistory,
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -87,3 +87,20 @@
         expected_version: u64,
     ) -> BoxFuture<'_, Result<Option<u64>, Error>>;
 }
+
+/// Table in the store with the requests that crashed targets.
+pub trait CrashTable: Send {
+    /// Reads all records that have not expired.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table does not answer.
+    fn read(&mut self) -> BoxFuture<'_, Result<Vec<CrashReport>, Error>>;
+
+    /// Replaces all records.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table does not answer; the write may still take effect later.
+    fn write<'a>(&'a mut self, reports: &[CrashReport]) -> BoxFuture<'a, Result<(), Error>>;
+}
