--- a/crates/wire/src/closed_direction.rs
+++ b/crates/wire/src/closed_direction.rs
@@ -73,7 +73,13 @@
             return true;
         }
         if allows_interim && !self.has_written {
-            match Pin::new(stream).poll_write(context, INTERIM_ANSWER) {
+            let written = Pin::new(&mut *stream).poll_write(context, INTERIM_ANSWER);
+            tracing::info!(
+                peer = stream.peer_addr().ok().map(tracing::field::display),
+                ?written,
+                "caller closed its sending direction, sent an interim answer"
+            );
+            match written {
                 Poll::Pending => {}
                 Poll::Ready(Ok(count)) if count == INTERIM_ANSWER.len() => self.has_written = true,
                 // Nothing may follow a part of an answer.
