--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -311,7 +311,9 @@
         for instance in started: instance.kill()
         record.say("result: %s" % {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
         shutil.rmtree(temporary, ignore_errors=True)
-    sys.exit(code)
+    record.file.close()
+    sys.stdout.flush()
+    os._exit(code)      # connections of stand-ins may still be open
 
 def free_net():
     """Second and third number of loopback addresses on which no instance of another case listens."""
