Move no running stream off an engine that only lacks memory

Cause: a refusal that blames a later stage counted as its failure, so that the engine was avoided and running streams through it, silent for a moment, were rerouted. Each reroute makes engines process a prompt again, and engines that were full got slower. Change: a refusal with 503 within half a second of sending counts as full for a later stage too; a later one, or another status, still counts as a failure. Result: refused_stages short_of_memory failed before and passes.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -5,6 +5,8 @@
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// A healthy path counts as stalled after this multiple of its expected time to the first event.
 const STALL_FACTOR: u32 = 2;
+/// Time from sending after which a refusal that blames a later stage means that this stage is lost.
+const LOST_STAGE_DELAY: Duration = Duration::from_millis(500);
 /// Longest pause between chunks of a buffered answer. Longer than any caller deadline, which ends the
 /// read first.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(120);
@@ -194,17 +196,24 @@
             connection_requests = self.link.connection.request_count(),
             "target refused the request"
         );
-        let is_first = blamed.key == first.key;
-        let outcome = if is_first {
-            Outcome::Full
-        } else {
-            Outcome::Failed
-        };
+        let outcome = self.refusal_outcome(blamed);
         router
             .fleet()
             .record_outcome(clock::now(), blamed.key, outcome);
     }
 
+    /// What a refusal says about the stage that it blames. A later stage without memory refuses at once and goes on
+    /// with the requests that it runs; a lost one is blamed only after the first stage has waited for it.
+    fn refusal_outcome(&self, blamed: &Stage) -> Outcome {
+        let is_first = blamed.key == self.first().key;
+        let is_prompt = self.in_flight.age() < LOST_STAGE_DELAY;
+        let is_unavailable = self.reply.status == StatusCode::SERVICE_UNAVAILABLE;
+        if is_first || (is_unavailable && is_prompt) {
+            return Outcome::Full;
+        }
+        Outcome::Failed
+    }
+
     /// Reads the complete answer and returns the connection to the pool.
     pub(crate) async fn read(mut self, router: &Router) -> Result<Bytes, ReadError> {
         let limit_bytes = router.settings.max_answer_bytes;
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -3,6 +3,7 @@
 /// Counts a request at the targets of its path. Dropping it ends the count, so that a request whose
 /// caller disconnects is not counted any longer.
 pub(crate) struct InFlight {
+    began_at: Duration,
     service: ServiceName,
     path: Path,
     router: Arc<Router>,
@@ -12,12 +13,18 @@
     pub(crate) fn begin(router: &Arc<Router>, service: &ServiceName, path: Path) -> Self {
         router.fleet().add_request(clock::now(), &path);
         Self {
+            began_at: clock::now(),
             path,
             router: router.clone(),
             service: service.clone(),
         }
     }
 
+    /// Time since the attempt began.
+    pub(crate) fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.began_at)
+    }
+
     pub(crate) fn path(&self) -> &Path {
         &self.path
     }
