Take one lock at a time, and check the order of locks in tests

Cause: a guard that is a temporary lives to the end of its statement, also in a struct literal. `Follower::build_query` held the suspects while it waited for the fleet; `Prober::probe_stages` held the fleet while it waited for the suspects. Both threads of the process waited in `futex`.

Change: these two places and four more of the same kind (`build_answer`, `apply_read`, `target_notices::record`, `Registry::counts`) take one lock at a time.

--- a/crates/clock/src/run_monitor.rs
+++ b/crates/clock/src/run_monitor.rs
@@ -1,7 +1,5 @@
-use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{sync::PoisonError, time::Duration};
+use tracing_mutex::stdsync::{Mutex, MutexGuard};
 
 /// Longest time between two ticks of a task that runs. After a longer one its process was suspended or had no
 /// processor time.
--- a/crates/control/tests/fleet_faults.rs
+++ b/crates/control/tests/fleet_faults.rs
@@ -14,11 +14,9 @@
     },
     std::{
         collections::BTreeMap,
-        sync::{
-            Mutex,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::atomic::{AtomicU64, Ordering},
     },
+    tracing_mutex::stdsync::Mutex,
 };
 
 /// Number of schedules that run with the naive router. They include the rarest violation, at seed
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -9,12 +9,9 @@
         test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
     },
     serde_json::json,
-    std::{
-        net::SocketAddr,
-        path::PathBuf,
-        sync::{Arc, Mutex},
-    },
+    std::{net::SocketAddr, path::PathBuf, sync::Arc},
     tokio::{net::TcpListener, sync::watch},
+    tracing_mutex::stdsync::Mutex,
     wire::{Fault, Handler, Limits, Request, Response, hyper::StatusCode},
     yare::parameterized,
 };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,7 +28,7 @@
         fmt::{self, Debug, Formatter},
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+            Arc, OnceLock, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant, SystemTime},
@@ -42,6 +42,7 @@
         task::{JoinHandle, JoinSet},
         time::{MissedTickBehavior, timeout},
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
     types::{
         Account, AccountId, Attempt, AttemptFailure, CallOutcome, CallReply, CallSubmission,
         CancelRequest, Change, ChangeRecord, ConfigVersion, EditAnswer, FailureDomain, FailureKind,
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -144,7 +144,8 @@
 
     /// Returns the numbers of calls and of streams in progress.
     pub(crate) fn counts(&self) -> (usize, usize) {
-        (lock(&self.calls).len(), lock(&self.streams).len())
+        let call_count = lock(&self.calls).len();
+        (call_count, lock(&self.streams).len())
     }
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -15,12 +15,13 @@
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::Arc,
         time::Duration,
     },
     storage::{Listings, Table},
     target::{Engines, RecordStream, Services},
     tokio::sync::{Mutex as AsyncMutex, mpsc},
+    tracing_mutex::stdsync::Mutex,
     types::{
         Account, AttemptFailure, CacheEvent, CallReply, CancelRequest, ChangeRecord, FailureKind,
         GenerateRequest, GenerateSubmission, Heartbeat, InstanceId, KvCache, KvRequest, LayerRange,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -38,7 +38,7 @@
         net::SocketAddr,
         ops::Range,
         sync::{
-            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+            Arc, OnceLock, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
@@ -48,6 +48,7 @@
         sync::{Notify, watch},
         time::timeout,
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
     types::{CrashReport, Fingerprint, Incarnation, RequestId},
     wire::{
         BodySender, BoxedStream, ClosePolicy, Connection, Connector, DiscardedReplies, ReplyStream,
--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -73,37 +73,52 @@
         let is_own_fault =
             silent.len() == stages.len() && is_own_fault(router, started_at, &silent).await;
         let now = clock::now();
-        let mut fleet = router.fleet();
         for (stage, answer) in stages.iter().zip(answers) {
-            if let Ok(Err(Error::RetryAfter(wait))) = answer {
-                target_notices::mark_paused(&mut fleet, now, stage, wait);
-                continue;
-            }
-            let Ok(Ok(state)) = answer else {
-                if !is_own_fault && fleet.record_outcome(now, stage.key, Outcome::Unreachable) {
-                    tracing::info!(target = &*stage.id, "engine does not answer and is avoided");
-                    router
-                        .suspects()
-                        .record_ended(now, |run| run.target == stage.id);
+            match answer {
+                Ok(Ok(state)) => record_state(router, now, stage, &state),
+                Ok(Err(Error::RetryAfter(wait))) => {
+                    target_notices::mark_paused(&mut router.fleet(), now, stage, wait);
                 }
-                continue;
-            };
-            router.suspects().record_answer(stage);
-            // Only answers to requests end a limit: a report may leave it out.
-            if let Some(per_s) = state.rate_limit_per_s {
-                target_notices::record_rate_limit(&mut fleet, now, stage, Some(per_s));
-            }
-            if state.is_leaving {
-                target_notices::mark_leaving(&router.pool, &mut fleet, now, stage);
-            }
-            if fleet.record_state(now, stage.key, state.held, state.slowness) {
-                let slowness = state.slowness;
-                tracing::info!(target = &*stage.id, slowness, "engine speed changed");
+                _ if is_own_fault => {}
+                _ => record_silence(router, now, stage),
             }
         }
     }
 }
 
+/// Records that an engine did not answer a probe.
+fn record_silence(router: &Router, now: Duration, stage: &Stage) {
+    let mut fleet = router.fleet();
+    let is_new = fleet.record_outcome(now, stage.key, Outcome::Unreachable);
+    drop(fleet);
+    if !is_new {
+        return;
+    }
+    tracing::info!(target = &*stage.id, "engine does not answer and is avoided");
+    router
+        .suspects()
+        .record_ended(now, |run| run.target == stage.id);
+}
+
+/// Records the state with which an engine answered a probe.
+fn record_state(router: &Router, now: Duration, stage: &Stage, state: &EngineState) {
+    router.suspects().record_answer(stage);
+    // Only answers to requests end a limit: a report may leave it out.
+    if let Some(per_s) = state.rate_limit_per_s {
+        target_notices::record_rate_limit(&mut router.fleet(), now, stage, Some(per_s));
+    }
+    if state.is_leaving {
+        target_notices::mark_leaving(router, now, stage);
+    }
+    let slowness = state.slowness;
+    let mut fleet = router.fleet();
+    let has_changed = fleet.record_state(now, stage.key, state.held, slowness);
+    drop(fleet);
+    if has_changed {
+        tracing::info!(target = &*stage.id, slowness, "engine speed changed");
+    }
+}
+
 /// Whether the links of this instance are more likely at fault than the engines, none of which answered.
 async fn is_own_fault(router: &Router, started_at: Duration, silent: &[&Stage]) -> bool {
     match silent {
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -1,6 +1,11 @@
 use super::*;
 
-/// State that all traffic threads share: configuration, targets and connections.
+/// State that all threads share: configuration, targets and connections.
+///
+/// Invariant: a thread that holds one lock takes no other one, so that threads cannot wait for each other. Two
+/// pairs are excepted, whose second locks are never held while another one is taken: the random numbers and then
+/// the fleet or the helpers, and the idle connections and then the state of one of them. Builds with debug
+/// assertions check the order of all locks.
 pub struct Router {
     pub(crate) answer_buffers: AnswerBuffers,
     /// When the process ends; none unless it was asked to stop.
@@ -128,13 +133,14 @@
     /// Replaces the list of targets. Closes idle connections to targets that were removed, and treats
     /// requests that were interrupted there as crashes.
     pub fn set_targets(&self, listing: &[Target]) {
-        let mut fleet = self.fleet();
-        fleet.set_targets(clock::now(), listing);
-        let keys = listing
-            .iter()
-            .filter_map(|target| fleet.key_of(&target.id, target.incarnation));
-        let keys: HashSet<TargetKey> = keys.collect();
-        drop(fleet);
+        let keys: HashSet<TargetKey> = {
+            let mut fleet = self.fleet();
+            fleet.set_targets(clock::now(), listing);
+            let keys = listing
+                .iter()
+                .filter_map(|target| fleet.key_of(&target.id, target.incarnation));
+            keys.collect()
+        };
         let listed: HashMap<&str, Incarnation> = listing
             .iter()
             .map(|target| (&*target.id, target.incarnation))
--- a/crates/forward/src/target_notices.rs
+++ b/crates/forward/src/target_notices.rs
@@ -9,8 +9,7 @@
         return;
     }
     let now = clock::now();
-    let mut fleet = router.fleet();
-    if metadata.is_leaving && mark_leaving(&router.pool, &mut fleet, now, target) {
+    if metadata.is_leaving && mark_leaving(router, now, target) {
         tracing::info!(
             request,
             target = &*target.id,
@@ -18,7 +17,7 @@
         );
     }
     if let Some(wait) = metadata.retry_after {
-        mark_paused(&mut fleet, now, target, wait);
+        mark_paused(&mut router.fleet(), now, target, wait);
     }
 }
 
@@ -50,11 +49,12 @@
 }
 
 /// Records that a target is leaving, and closes the idle connections to it. Returns whether this is new.
-pub(crate) fn mark_leaving(pool: &Pool, fleet: &mut Fleet, now: Duration, target: &Stage) -> bool {
-    if !fleet.record_leaving(now, target.key) {
+pub(crate) fn mark_leaving(router: &Router, now: Duration, target: &Stage) -> bool {
+    let is_new = router.fleet().record_leaving(now, target.key);
+    if !is_new {
         return false;
     }
-    pool.close(target.key);
+    router.pool.close(target.key);
     tracing::info!(target = &*target.id, "target is leaving");
     true
 }
--- a/crates/forward/tests/cut_soak.rs
+++ b/crates/forward/tests/cut_soak.rs
@@ -10,7 +10,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     std::{
         sync::{
-            Arc, Mutex,
+            Arc,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -21,6 +21,7 @@
         cut_system::{EVENTS, arrivals, instance, introduce, targets},
     },
     tokio::{task::JoinSet, time::sleep},
+    tracing_mutex::stdsync::Mutex,
     wire::hyper::StatusCode,
 };
 
--- a/crates/forward/tests/permits.rs
+++ b/crates/forward/tests/permits.rs
@@ -9,11 +9,9 @@
     forward::{Error, Instance, PermitPeers, Router},
     futures::{FutureExt, future::BoxFuture},
     ratelimit::{Permit, PermitQuery, PermitReply},
-    std::{
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     support::{CallerRequest, TestRouter, TestTarget, ready, setup, signed, target},
+    tracing_mutex::stdsync::Mutex,
     wire::hyper::{StatusCode, header::HeaderValue},
 };
 
--- a/crates/forward/tests/support/crashing_target.rs
+++ b/crates/forward/tests/support/crashing_target.rs
@@ -3,7 +3,7 @@
     std::{
         net::SocketAddr,
         sync::{
-            Arc, Mutex,
+            Arc,
             atomic::{AtomicU8, AtomicUsize, Ordering},
         },
     },
@@ -12,6 +12,7 @@
         net::{TcpListener, TcpStream},
         sync::watch,
     },
+    tracing_mutex::stdsync::Mutex,
     wire::Request,
 };
 
--- a/crates/forward/tests/support/kept_target.rs
+++ b/crates/forward/tests/support/kept_target.rs
@@ -2,15 +2,13 @@
 
 use {
     super::{TestTarget, raw_target::raw_target},
-    std::{
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
         time::sleep,
     },
+    tracing_mutex::stdsync::Mutex,
 };
 
 /// Bytes that a target writes after it has received a request.
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -22,13 +22,9 @@
     futures::{FutureExt, future::BoxFuture},
     http_body_util::Full,
     layout::LayerRange,
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch},
+    tracing_mutex::stdsync::Mutex,
     wire::{
         Connection, Connector, Limits, ReplyStream, Request, Response, TcpConnector,
         hyper::{
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,7 +13,7 @@
         fmt::{self, Debug, Formatter},
         future::Future,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, PoisonError},
         time::Duration,
     },
     tarpc::{
@@ -31,6 +31,7 @@
         task::JoinSet,
         time::{Instant, timeout},
     },
+    tracing_mutex::stdsync::Mutex,
     types::{ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, OperatorLists},
 };
 
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -6,11 +6,9 @@
     },
     futures::{FutureExt, future::BoxFuture},
     peer::{Changes, Error, PeerHandler, PeerSettings, Peers, Pool, Secret, serve},
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-    },
+    std::{net::SocketAddr, sync::Arc},
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
+    tracing_mutex::stdsync::Mutex,
     types::{
         Change, ChangeRecord, ConfigVersion, Heartbeat, Incarnation, InstanceId, OperatorLists,
         TargetDigest, TargetHealth,
--- a/crates/reconcile/src/catalog_loop.rs
+++ b/crates/reconcile/src/catalog_loop.rs
@@ -58,14 +58,15 @@
         tracing::info!(version, before, is_taken, age_ms, "configuration {origin}");
     }
     let is_confirmed = read.is_current && latest.confirm(read.version, read.sent_at);
+    let held = latest.version();
+    drop(latest);
     if is_confirmed {
         shared.with_store_trust(|trust| trust.record_settled_era(read.era));
     }
     if read.is_current && !is_confirmed {
-        let (read, held) = (read.version, latest.version());
+        let read = read.version;
         tracing::debug!(read, held, "an older configuration confirms nothing");
     }
-    drop(latest);
     if has_changed {
         shared.notify_changed();
     }
--- a/crates/reconcile/src/follow_loop.rs
+++ b/crates/reconcile/src/follow_loop.rs
@@ -195,11 +195,15 @@
             self.shared.loads_for_parent(now, &self.row, &own_loads)
         });
         let members = self.members(now);
+        // A guard in a field of the literal would be held until the query is complete.
+        let catalog_version = self.router.catalog().version();
+        let crashes = self.router.suspects().reports_for(now, &ALL_OTHERS.into());
+        let departures = self.router.fleet().unlisted_departures();
         let mut query = Query {
             avoided: self.avoided.keys().copied().collect(),
-            catalog_version: self.router.catalog().version(),
-            crashes: self.router.suspects().reports_for(now, &ALL_OTHERS.into()),
-            departures: self.router.fleet().unlisted_departures(),
+            catalog_version,
+            crashes,
+            departures,
             instances_digest,
             is_leaving: self.router.is_leaving(),
             loads,
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -18,13 +18,14 @@
         collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         hash::{DefaultHasher, Hash, Hasher},
         net::{IpAddr, Ipv4Addr, SocketAddr},
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, PoisonError},
         time::Duration,
     },
     tokio::{
         sync::watch,
         time::{sleep, timeout},
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
     types::{CrashReport, Fingerprint},
 };
 
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -100,10 +100,11 @@
             true => UNCONFIRMED_AGE,
             false => now.saturating_sub(confirmed_at),
         };
+        let crashes = self.router.suspects().reports_for(now, requester);
         let answer = Box::new(Answer {
             catalog: (catalog.version() > query.catalog_version).then(|| catalog.parts().clone()),
             catalog_age,
-            crashes: self.router.suspects().reports_for(now, requester),
+            crashes,
             departures,
             distance: self.shared.distance(now),
             instances: (digest(&instances) != query.instances_digest).then_some(instances),
--- a/crates/relay/src/permit_client.rs
+++ b/crates/relay/src/permit_client.rs
@@ -8,7 +8,7 @@
 
 /// Asks other instances for permits, over connections that are kept open.
 pub struct PermitClient {
-    clients: std::sync::Mutex<HashMap<SocketAddr, RelayServiceClient>>,
+    clients: tracing_mutex::stdsync::Mutex<HashMap<SocketAddr, RelayServiceClient>>,
     /// Port at which all instances receive queries.
     port: u16,
 }
@@ -19,7 +19,7 @@
     #[must_use]
     pub fn new(port: u16) -> Self {
         Self {
-            clients: std::sync::Mutex::default(),
+            clients: tracing_mutex::stdsync::Mutex::default(),
             port,
         }
     }
@@ -38,7 +38,9 @@
         Ok(client)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, RelayServiceClient>> {
+    fn lock(
+        &self,
+    ) -> tracing_mutex::stdsync::MutexGuard<'_, HashMap<SocketAddr, RelayServiceClient>> {
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/relay/tests/silent_instances.rs
+++ b/crates/relay/tests/silent_instances.rs
@@ -8,12 +8,9 @@
     reconcile::{
         InstanceRow, Query, Relay, RelayReply, VictimAnswer, VictimQuery, ask_silent_instances,
     },
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{node, wait_until},
+    tracing_mutex::stdsync::Mutex,
 };
 
 /// Records which instances are asked, and answers nothing.
--- a/crates/relay/tests/support/instance_group.rs
+++ b/crates/relay/tests/support/instance_group.rs
@@ -9,16 +9,12 @@
         VictimQuery, ask_silent_instances, follow_instances, follow_leader, observe_time,
         run_leadership,
     },
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard},
-        time::Duration,
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         task::JoinSet,
         time::{sleep, timeout},
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
 };
 
 /// Time between an instance's reads of the stores while it follows no other instance.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,12 +15,9 @@
         RelayReply, RelayTree, SharedState, TreeVersion, follow_leader,
     },
     relay::RelayClient,
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::AbortHandle},
+    tracing_mutex::stdsync::Mutex,
     wire::hyper::{HeaderMap, StatusCode, header::HeaderName},
 };
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,7 @@
         io::Write as _,
         net::SocketAddr,
         process::ExitCode,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, PoisonError},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     thiserror::Error,
@@ -25,6 +25,7 @@
         task::JoinHandle,
         time::{Instant, sleep},
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
     types::{
         AcceleratorKind, Attempt, AttemptFailure, CacheEvent, CancelRequest, Condition,
         FailureDomain, FailureKind, Fence, FinishReason, GenerateRequest, Incarnation, KvCache,
--- a/crates/suite/src/lib.rs
+++ b/crates/suite/src/lib.rs
@@ -19,7 +19,7 @@
         path::{Path, PathBuf},
         process::{Child, ChildStdout, Command, ExitStatus, Output, Stdio},
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, PoisonError,
             atomic::{AtomicU64, Ordering},
             mpsc,
         },
@@ -35,6 +35,7 @@
         task::{JoinHandle, JoinSet},
         time::{Instant, sleep},
     },
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
     types::{
         ConfigVersion, LayerRange, LoadedModel, OperationId, RequestId, ResumePoint, StoreReply,
         StoreRequest, TokenIndex, hash_key,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,7 +30,7 @@
         ops::RangeInclusive,
         pin::Pin,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, PoisonError,
             atomic::{AtomicU8, AtomicU64, Ordering},
         },
         task::{self, Poll},
@@ -45,6 +45,7 @@
         time::{Instant, Sleep, timeout, timeout_at},
     },
     tokio_util::io::poll_read_buf,
+    tracing_mutex::stdsync::{Mutex, MutexGuard},
 };
 
 mod call;
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -8,17 +8,14 @@
         prelude::*,
         test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
     },
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         runtime::Runtime,
         sync::watch,
     },
+    tracing_mutex::stdsync::Mutex,
     types::{Account, GenerateRequest, Plan, StoreRequest, StreamRecord},
     wire::{
         Call, Connection, Error, Handler, Limits, Request, Response, ServerEvent,
