--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -13,8 +13,8 @@
 
 /// One attempt to get an answer to a request from a target.
 pub(crate) struct Attempt {
-    /// Whether the target has delivered an event.
-    pub(crate) has_events: bool,
+    /// When the target delivered its first event; none before it.
+    pub(crate) first_event_at: Option<Duration>,
     pub(crate) metadata: ReplyMetadata,
     pub(crate) in_flight: InFlight,
     pub(crate) link: Link,
@@ -101,7 +101,12 @@
         let reply = match reply {
             Some(Ok(reply)) => reply,
             Some(Err(error)) => {
-                return Err((record_send_failure(router, admitted, &first, &error), first));
+                let failure = record_send_failure(router, admitted, &first, &error);
+                if matches!(error, wire::Error::Broken { .. }) {
+                    let phase = CrashPhase::BeforeHead;
+                    prompt_parts::record_interruption(router, admitted, &first, phase).await;
+                }
+                return Err((failure, first));
             }
             None => return Err((AttemptFailure::Unknown, first)),
         };
@@ -110,7 +115,7 @@
             .parse_reply(reply.status, &reply.headers);
         let attempt = Self {
             link,
-            has_events: false,
+            first_event_at: None,
             metadata,
             in_flight,
             reply,
--- a/crates/forward/src/buffered_response.rs
+++ b/crates/forward/src/buffered_response.rs
@@ -53,7 +53,7 @@
     if status.is_success() {
         router
             .prompt_parts
-            .record_first_event(clock::now(), admitted);
+            .record_completion(clock::now(), admitted);
     }
     tracing::info!(
         request = &*admitted.metadata.id,
@@ -78,7 +78,9 @@
         .router
         .record_failure(&exchange.admitted, target, error);
     if matches!(error, wire::Error::Broken { .. }) {
-        prompt_parts::record_interruption(&exchange.router, &exchange.admitted, target).await;
+        let phase = CrashPhase::BeforeFirstEvent;
+        prompt_parts::record_interruption(&exchange.router, &exchange.admitted, target, phase)
+            .await;
     }
     send_again_or_refuse(exchange, target)
 }
--- a/crates/forward/src/in_flight.rs
+++ b/crates/forward/src/in_flight.rs
@@ -55,8 +55,9 @@
                 return Some(result);
             }
             let silence = clock::now().saturating_sub(sent_at);
+            let phase = CrashPhase::BeforeHead;
             let inspection = watchdog
-                .inspect(&router, admitted, &self.path, silence)
+                .inspect(&router, admitted, &self.path, phase, silence)
                 .await;
             let should_resend = self.apply(inspection, silence, resend_after);
             if should_resend && resend_after.is_some() && self.is_replaceable(admitted) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -24,8 +24,8 @@
     },
     layout::LayerRange,
     quarantine::{
-        CrashDetector, CrashId, Hold, InterruptedRun, PartQuarantine, PartSettings, PromptRun,
-        Quarantine, QuarantineSettings, VictimReport, fingerprint,
+        CrashDetector, CrashId, CrashPhase, Hold, InterruptedRun, PartQuarantine, PartSettings,
+        PhasedVictimReport, PromptRun, Quarantine, QuarantineSettings, VictimReport, fingerprint,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     ratelimit::{Permit, PermitQuery, PermitReply, PermitTable},
@@ -34,7 +34,7 @@
     slotmap::SlotMap,
     std::{
         cmp::Reverse,
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         ops::Range,
         sync::{
@@ -61,6 +61,7 @@
 mod answer_end;
 mod attempt;
 mod buffered_response;
+mod crash_checks;
 mod directory;
 mod engines;
 mod error;
@@ -112,6 +113,7 @@
     admitted::Admitted,
     answer_buffers::{AnswerBuffers, BudgetExceeded},
     attempt::{Attempt, AttemptFailure, ReadError},
+    crash_checks::CrashChecks,
     event_line::{EventLine, has_status_line},
     exchange::Exchange,
     in_flight::InFlight,
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -1,9 +1,5 @@
 use super::*;
 
-/// Timeout of the connection that tells a crashed target from a broken connection. A target that is running
-/// accepts it within a few milliseconds.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Time for which the first requests wait until this instance has learned what others know. Afterwards they
 /// are sent, as there may be no other instance.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(200);
@@ -15,6 +11,7 @@
     changed: watch::Sender<u64>,
     /// Whether requests need not wait for what other instances know.
     is_synced: watch::Sender<bool>,
+    checks: CrashChecks,
     quarantine: Mutex<PartQuarantine>,
 }
 
@@ -23,6 +20,7 @@
         Self {
             changed: watch::Sender::new(0),
             is_synced: watch::Sender::new(false),
+            checks: CrashChecks::default(),
             quarantine: Mutex::new(PartQuarantine::new(settings, seed)),
         }
     }
@@ -106,61 +104,108 @@
         }
     }
 
-    /// Records that the answer to a request has begun, which clears the parts of its prompt.
-    pub(crate) fn record_first_event(&self, now: Duration, admitted: &Admitted) {
-        let cleared = self.lock().record_first_event(now, &admitted.prompt_run);
+    /// Records that the answer to a request still goes on `answered_for` after its first event.
+    pub(crate) fn record_progress(
+        &self,
+        now: Duration,
+        admitted: &Admitted,
+        answered_for: Duration,
+    ) {
+        let run = &admitted.prompt_run;
+        let cleared = self.lock().record_progress(now, run, answered_for);
+        self.report_cleared(admitted, &cleared);
+    }
+
+    /// Records that the answer to a request is complete.
+    pub(crate) fn record_completion(&self, now: Duration, admitted: &Admitted) {
+        let cleared = self.lock().record_completion(now, &admitted.prompt_run);
+        self.report_cleared(admitted, &cleared);
+    }
+
+    fn report_cleared(&self, admitted: &Admitted, cleared: &BTreeSet<Fingerprint>) {
         if cleared.is_empty() {
             return;
         }
         for part in cleared {
             tracing::info!(
                 request = &*admitted.metadata.id,
-                suspect = admitted.suspect_id(part),
-                "answer has begun, suspicion of crashing targets is lifted"
+                suspect = admitted.suspect_id(*part),
+                "answer has begun or goes on, suspicion of crashing targets is lifted"
             );
         }
         self.notify();
     }
 
-    /// Records that a target crashed after it had begun to answer a request and before the first event.
-    fn record_crash(&self, now: Duration, admitted: &Admitted, target: &Stage) {
+    /// Records that a target crashed while it ran a request.
+    fn record_crash(&self, phase: CrashPhase, now: Duration, admitted: &Admitted, target: &Stage) {
         let crash: CrashId = format!("{}#{}", target.id, target.incarnation).into();
-        let is_new = self.lock().record_crash(now, crash, &admitted.prompt_run);
+        let run = &admitted.prompt_run;
+        let is_new = self.lock().record_crash_in(phase, now, crash, run);
         tracing::info!(
             request = &*admitted.metadata.id,
             target = &*target.id,
             incarnation = target.incarnation,
+            ?phase,
             shared_parts = admitted.shared_parts_text(),
             is_new,
-            "target crashed when it began to answer the request"
+            "target crashed while it ran the request"
         );
         if is_new {
             self.notify();
         }
     }
 
-    /// Merges the crash victims that another instance reports.
+    /// Whether the parts of a prompt have probably not caused a crash in `phase`.
+    fn are_outlasted(&self, admitted: &Admitted, phase: CrashPhase) -> bool {
+        self.lock().are_outlasted(&admitted.prompt_run, phase)
+    }
+
+    /// Merges the crash victims that an instance of an earlier version reports.
     pub fn merge(&self, now: Duration, reports: &[VictimReport]) {
-        if !self.lock().merge(now, reports) {
-            return;
+        let has_new = self.lock().merge(now, reports);
+        self.report_merged(has_new, reports.len());
+    }
+
+    /// Merges the crash victims that another instance reports.
+    pub fn merge_phased(&self, now: Duration, reports: &[PhasedVictimReport]) {
+        let has_new = self.lock().merge_phased(now, reports);
+        self.report_merged(has_new, reports.len());
+    }
+
+    fn report_merged(&self, has_new: bool, victims: usize) {
+        if has_new {
+            tracing::info!(victims, "other instances report crashes by requests");
+            self.notify();
         }
-        let victims = reports.len();
-        tracing::info!(victims, "other instances report crashes by requests");
-        self.notify();
     }
 
-    /// Digest and reports of the crash victims that this instance knows.
+    /// Digest and reports of the crash victims that instances of earlier versions know.
     pub fn reports(&self, now: Duration) -> (u64, Vec<VictimReport>) {
         let mut quarantine = self.lock();
         quarantine.tick(now);
         (quarantine.digest(), quarantine.reports(now))
     }
 
+    /// Digest and reports of the crash victims that this instance knows.
+    pub fn phased_reports(&self, now: Duration) -> (u64, Vec<PhasedVictimReport>) {
+        let mut quarantine = self.lock();
+        quarantine.tick(now);
+        (
+            quarantine.phased_digest(now),
+            quarantine.phased_reports(now),
+        )
+    }
+
     /// Receiver of the number of changes of what is known of crashes.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
 
+    /// Forgets targets that are no longer listed.
+    pub(crate) fn retain_listed(&self, is_listed: impl Fn(TargetKey) -> bool) {
+        self.checks.retain_listed(is_listed);
+    }
+
     fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
@@ -172,20 +217,33 @@
     }
 }
 
-/// Finds out whether a connection that broke between the head of an answer and its first event ended with a
-/// crash of the target, and records the crash.
-pub(crate) async fn record_interruption(router: &Router, admitted: &Admitted, target: &Stage) {
-    let limit = CRASH_CHECK_TIMEOUT.min(admitted.time_left());
-    match router.open_link(target, limit).await {
-        Ok(link) => router.put_link(target.key, link, router.settings.idle_limit),
-        Err(LinkError::Own(error)) => {
-            tracing::debug!(target = &*target.id, %error, "unknown whether the target crashed");
-        }
-        Err(LinkError::Target(error)) => {
-            tracing::debug!(target = &*target.id, %error, "target does not accept connections");
-            let now = clock::now();
-            router.prompt_parts.record_crash(now, admitted, target);
+/// Finds out whether a connection that broke in `phase` of an answer ended with a crash of the target, and records
+/// the crash. Returns at once if the parts of the prompt have probably not caused it, or if there is no time left, so
+/// that the request goes on without a delay.
+pub(crate) async fn record_interruption(
+    router: &Arc<Router>,
+    admitted: &Admitted,
+    target: &Stage,
+    phase: CrashPhase,
+) {
+    let is_short = phase == CrashPhase::BeforeFirstEvent;
+    if !is_short && admitted.prompt_run.parts.is_empty() {
+        return;
+    }
+    let (router, admitted, target) = (router.clone(), admitted.clone(), target.clone());
+    let parts = &router.prompt_parts;
+    let is_suspect = is_short || !parts.are_outlasted(&admitted, phase);
+    let is_awaited = is_suspect && admitted.time_left() > crash_checks::CHECK_TIMEOUT;
+    let record = async move {
+        let parts = &router.prompt_parts;
+        if parts.checks.has_crashed(&router, &target).await {
+            parts.record_crash(phase, clock::now(), &admitted, &target);
         }
+    };
+    if is_awaited {
+        record.await;
+    } else {
+        tokio::spawn(record);
     }
 }
 
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -146,6 +146,7 @@
             .map(|target| (&*target.id, target.incarnation))
             .collect();
         self.pool.retain_listed(|key| keys.contains(&key));
+        self.prompt_parts.retain_listed(|key| keys.contains(&key));
         self.suspects().record_ended(clock::now(), |run| {
             listed.get(&*run.target) != Some(&run.incarnation)
         });
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -3,6 +3,8 @@
 /// Maximum size of a buffered event, in bytes. An event holds only a few tokens, so that more bytes
 /// without an end of an event mean that the target is faulty.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Shortest time between two records that an answer goes on.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Answers with a stream of events, which a separate task forwards.
 pub(crate) fn respond(exchange: Exchange, attempt: Attempt) -> Response {
@@ -14,6 +16,7 @@
         timing: StreamTiming::start(exchange.admitted.arrived_at),
         events: first_splitter(&exchange),
         exchange,
+        progress_recorded_at: Duration::ZERO,
         sender,
         watchdog: Watchdog::default(),
     };
@@ -26,6 +29,8 @@
     event_bytes: usize,
     events: EventSplitter,
     exchange: Exchange,
+    /// When the prompt parts were last told that the answer goes on.
+    progress_recorded_at: Duration,
     timing: StreamTiming,
     sender: BodySender,
     watchdog: Watchdog,
@@ -84,6 +89,8 @@
                 router
                     .suspects()
                     .record_success(self.exchange.admitted.fingerprint);
+                let parts = &router.prompt_parts;
+                parts.record_completion(clock::now(), &self.exchange.admitted);
                 attempt.release(router);
             }
         }
@@ -162,7 +169,7 @@
     /// ends with its connection cannot be told from one that was interrupted after its head.
     fn is_complete(&self, attempt: &Attempt) -> bool {
         let has_end = headers::is_framed(&attempt.reply.headers);
-        !self.events.has_partial_event() && (attempt.has_events || has_end)
+        !self.events.has_partial_event() && (attempt.first_event_at.is_some() || has_end)
     }
 
     /// Checks whether the target of a stream that looks complete still runs.
@@ -228,8 +235,13 @@
         let Exchange {
             admitted, router, ..
         } = &self.exchange;
-        if !std::mem::replace(&mut attempt.has_events, true) {
-            router.prompt_parts.record_first_event(now, admitted);
+        let first_event_at = *attempt.first_event_at.get_or_insert(now);
+        let recorded_at = &mut self.progress_recorded_at;
+        if first_event_at == now || now >= *recorded_at + PROGRESS_INTERVAL {
+            *recorded_at = now;
+            let answered_for = now.saturating_sub(first_event_at);
+            let parts = &router.prompt_parts;
+            parts.record_progress(now, admitted, answered_for);
         }
         router
             .fleet()
@@ -245,8 +257,14 @@
         } = &self.exchange;
         let silence = clock::now().saturating_sub(silent_since);
         let watchdog = &mut self.watchdog;
+        // A later stage may be lost that had not begun with the request, so that it takes several crashes.
+        let phase = attempt
+            .first_event_at
+            .map_or(CrashPhase::BeforeHead, |first_event_at| {
+                CrashPhase::AfterFirstEvent(silent_since.saturating_sub(first_event_at))
+            });
         let inspection = watchdog
-            .inspect(router, admitted, attempt.in_flight.path(), silence)
+            .inspect(router, admitted, attempt.in_flight.path(), phase, silence)
             .await;
         let limit = Some(router.settings.stall_limit);
         if !attempt.in_flight.apply(inspection, silence, limit) {
@@ -327,9 +345,16 @@
             error,
             "stream was interrupted"
         );
-        if self.timing.first_event.is_none() {
-            prompt_parts::record_interruption(&exchange.router, &exchange.admitted, stage).await;
-        }
+        let now = clock::now();
+        let phase = attempt
+            .first_event_at
+            .map_or(CrashPhase::BeforeFirstEvent, |at| {
+                CrashPhase::AfterFirstEvent(now.saturating_sub(at))
+            });
+        let Exchange {
+            admitted, router, ..
+        } = exchange;
+        prompt_parts::record_interruption(router, admitted, stage, phase).await;
     }
 
     fn log(&self, end: StreamEnd, stage: &Stage) {
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Watchdog {
     /// Number of consecutive inspections that found all stages healthy.
     healthy_count: u32,
+    /// Stages that were found lost, for which it was checked whether they have crashed.
+    checked: Vec<TargetKey>,
     /// Whether the request was already moved because of slow stages. Happens at most once: each move
     /// makes other engines process the prompt again, and more moves would slow down all requests.
     has_moved_off_slow: bool,
@@ -45,12 +47,13 @@
     }
 
     /// Inspects a request that has been silent for `silence`, and moves it off stages that have failed or
-    /// are slow.
+    /// are slow. `phase` is the point that its answer has reached.
     pub(crate) async fn inspect(
         &mut self,
-        router: &Router,
+        router: &Arc<Router>,
         admitted: &Admitted,
         path: &Path,
+        phase: CrashPhase,
         silence: Duration,
     ) -> Inspection {
         let Some(profile) = admitted.pipeline() else {
@@ -67,6 +70,16 @@
                 return Inspection::Healthy;
             }
         };
+        for stage in &lost {
+            if self.checked.contains(&stage.key) {
+                continue;
+            }
+            self.checked.push(stage.key);
+            prompt_parts::record_interruption(router, admitted, stage, phase).await;
+        }
+        if router.prompt_parts.check(clock::now(), admitted).is_err() {
+            return not_moved;
+        }
         let is_first_lost = lost.iter().any(|stage| stage.key == path.first().key);
         let stays_on_slow = self.has_moved_off_slow || silence < SLOW_LIMIT;
         if is_first_lost || (lost.is_empty() && stays_on_slow) {
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -263,6 +263,31 @@
     assert_eq!(first.ids().len(), 1, "moved, not sent again");
 }
 
+/// Guards against a part of a prompt that crashes a later stage and is never suspected, because the connection to the
+/// first stage goes on.
+#[tokio::test]
+async fn crash_of_a_later_stage_counts_against_the_parts_of_the_prompt() {
+    let first = pausing_target(Duration::from_millis(800)).await;
+    let router = pipeline(&first).await;
+    {
+        let mut states = router.engines.states.lock().unwrap();
+        states.insert(first.address, state(range(0, 4), 1.0));
+        states.insert(([127, 0, 0, 3], 1).into(), state(range(4, 8), 1.0));
+    }
+    let mut request = CallerRequest::default();
+    request.headers.push(("x-shared-parts", "a1,d1"));
+    let (_, _, body) = router.send(request).await;
+    assert_eq!(body.unwrap(), events(0..5));
+    let moved = router.engines.moved.lock().unwrap();
+    assert_eq!(moved[0], ("id1".into(), ([127, 0, 0, 3], 1).into()));
+    let (_, reports) = router.router.prompt_parts().phased_reports(clock::now());
+    let crashes = reports
+        .iter()
+        .map(|report| (&*report.victim.crash, report.victim.parts.len()));
+    // The second engine with the later layers still runs.
+    assert_eq!(crashes.collect::<Vec<_>>(), [("t1#0", 2)]);
+}
+
 #[tokio::test]
 async fn no_engine_is_marked_unhealthy_when_none_answers() {
     let first = pausing_target(Duration::from_millis(400)).await;
--- a/crates/forward/tests/support/crashing_target.rs
+++ b/crates/forward/tests/support/crashing_target.rs
@@ -6,11 +6,13 @@
             Arc,
             atomic::{AtomicU8, AtomicUsize, Ordering},
         },
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         sync::watch,
+        time::sleep,
     },
     tracing_mutex::stdsync::Mutex,
     wire::Request,
@@ -25,8 +27,26 @@
     pub target: TestTarget,
     /// Number of requests with the part that were received.
     pub hit_count: Arc<AtomicUsize>,
+    /// When each of them was received.
+    pub hits: Arc<Mutex<Vec<Instant>>>,
 }
 
+/// What a request with the part does to its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashPoint {
+    /// Ends it after this number of events.
+    AfterEvents(u32),
+    /// Ends it after the head of the answer.
+    AfterHead,
+    /// Ends it before the head of the answer.
+    BeforeHead,
+    /// Ends only the connection, before the head of the answer.
+    LinkOnly,
+}
+
+/// Time between the events before a crash.
+const EVENT_GAP: Duration = Duration::from_millis(10);
+
 /// How the answers of a target end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
@@ -35,8 +55,17 @@
     None,
 }
 
-/// Starts a target that `part` crashes.
+/// Starts a target that `part` crashes after the head of the answer.
 pub async fn crashing_target(part: &'static str, framing: Framing) -> CrashingTarget {
+    crashing_target_at(part, framing, CrashPoint::AfterHead).await
+}
+
+/// Starts a target that `part` crashes at a point of the answer.
+pub async fn crashing_target_at(
+    part: &'static str,
+    framing: Framing,
+    point: CrashPoint,
+) -> CrashingTarget {
     let index = TARGET_COUNT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id().to_le_bytes();
     let address = SocketAddr::from(([127, process[0] | 1, process[1], index], 0));
@@ -48,7 +77,15 @@
     let (stop, mut stopped) = watch::channel(false);
     let (crash, mut crashed) = watch::channel(false);
     let requests: Arc<Mutex<Vec<Request>>> = Arc::default();
-    let hits = hit_count.clone();
+    let hits: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let target = Serving {
+        crash,
+        framing,
+        hit_count: hit_count.clone(),
+        hits: hits.clone(),
+        part,
+        point,
+    };
     tokio::spawn(async move {
         loop {
             tokio::select! {
@@ -57,7 +94,7 @@
                 accepted = listener.accept() => {
                     let (stream, _) = accepted.expect("test support works");
                     let mut crashed = crashed.clone();
-                    let serve = serve(stream, part, framing, crash.clone(), hits.clone());
+                    let serve = target.clone().serve(stream);
                     tokio::spawn(async move {
                         tokio::select! {
                             _ = crashed.changed() => {}
@@ -70,6 +107,7 @@
     });
     CrashingTarget {
         hit_count,
+        hits,
         target: TestTarget {
             address,
             requests,
@@ -78,46 +116,79 @@
     }
 }
 
-/// Answers the requests of one connection, each with a stream of two events.
-async fn serve(
-    mut stream: TcpStream,
-    part: &'static str,
-    framing: Framing,
+#[derive(Clone)]
+struct Serving {
     crash: watch::Sender<bool>,
+    framing: Framing,
     hit_count: Arc<AtomicUsize>,
-) {
-    loop {
-        let Some(head) = read_request(&mut stream).await else {
-            return;
-        };
-        let value = |name: &str| {
-            let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-            lines
-                .find(|(key, _)| *key == name)
-                .map_or("", |(_, value)| value)
-        };
-        let chunked = match framing {
-            Framing::Chunks => "transfer-encoding: chunked\r\n",
-            Framing::None => "",
-        };
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: signed\r\n{chunked}\r\n",
-            value("x-id")
-        );
-        let _ = stream.write_all(answer.as_bytes()).await;
-        if value("x-shared-parts").split(',').any(|one| one == part) {
-            hit_count.fetch_add(1, Ordering::Relaxed);
-            crash.send_replace(true);
-            return;
+    hits: Arc<Mutex<Vec<Instant>>>,
+    part: &'static str,
+    point: CrashPoint,
+}
+
+impl Serving {
+    /// Answers the requests of one connection, each with a stream of two events.
+    async fn serve(self, mut stream: TcpStream) {
+        loop {
+            let Some(head) = read_request(&mut stream).await else {
+                return;
+            };
+            let value = |name: &str| {
+                let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+                lines
+                    .find(|(key, _)| *key == name)
+                    .map_or("", |(_, value)| value)
+            };
+            let chunked = match self.framing {
+                Framing::Chunks => "transfer-encoding: chunked\r\n",
+                Framing::None => "",
+            };
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: signed\r\n{chunked}\r\n",
+                value("x-id")
+            );
+            if value("x-shared-parts")
+                .split(',')
+                .any(|one| one == self.part)
+            {
+                return self.crash(stream, &answer).await;
+            }
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let events = match self.framing {
+                Framing::Chunks => "d\r\nid: 1\ndata:\n\n\r\nd\r\nid: 2\ndata:\n\n\r\n0\r\n\r\n",
+                Framing::None => "id: 1\ndata:\n\nid: 2\ndata:\n\n",
+            };
+            let _ = stream.write_all(events.as_bytes()).await;
+            if self.framing == Framing::None {
+                return;
+            }
         }
-        let events = match framing {
-            Framing::Chunks => "d\r\nid: 1\ndata:\n\n\r\nd\r\nid: 2\ndata:\n\n\r\n0\r\n\r\n",
-            Framing::None => "id: 1\ndata:\n\nid: 2\ndata:\n\n",
+    }
+
+    /// Answers a request with the part as far as the target comes before it ends.
+    async fn crash(self, mut stream: TcpStream, head: &str) {
+        self.hits.lock().expect("the hits").push(Instant::now());
+        self.hit_count.fetch_add(1, Ordering::Relaxed);
+        let event_count = match self.point {
+            CrashPoint::LinkOnly => return,
+            CrashPoint::BeforeHead => {
+                self.crash.send_replace(true);
+                return;
+            }
+            CrashPoint::AfterHead => 0,
+            CrashPoint::AfterEvents(count) => count,
         };
-        let _ = stream.write_all(events.as_bytes()).await;
-        if framing == Framing::None {
-            return;
+        let _ = stream.write_all(head.as_bytes()).await;
+        for id in 1..=event_count {
+            let event = format!("id: {id}\ndata:\n\n");
+            let event = match self.framing {
+                Framing::Chunks => format!("{:x}\r\n{event}\r\n", event.len()),
+                Framing::None => event,
+            };
+            let _ = stream.write_all(event.as_bytes()).await;
+            sleep(EVENT_GAP).await;
         }
+        self.crash.send_replace(true);
     }
 }
 
--- a/crates/quarantine/src/crash_victim.rs
+++ b/crates/quarantine/src/crash_victim.rs
@@ -3,7 +3,7 @@
 /// Identifies a crash: the target and its incarnation, as `target#incarnation`.
 pub type CrashId = Arc<str>;
 
-/// A request whose target had begun to answer it and crashed before the first event.
+/// A request whose target crashed while it ran.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct CrashVictim {
     pub(crate) account: Fingerprint,
@@ -15,6 +15,10 @@
     /// Shared parts of its prompt, and whether a later answer has shown that they do not crash targets.
     /// Invariant: a part that was cleared stays cleared.
     pub(crate) parts: BTreeMap<Fingerprint, bool>,
+    /// Point of the answer at which the target crashed.
+    pub(crate) phase: CrashPhase,
+    /// Time from which other instances are told. Local to this instance.
+    pub(crate) reported_from: Duration,
 }
 
 impl CrashVictim {
@@ -29,13 +33,18 @@
         suspects.map(|(part, _)| *part).collect()
     }
 
+    /// Whether other instances may know of it, at `now`.
+    pub(crate) fn is_reported(&self, now: Duration) -> bool {
+        self.reported_from <= now
+    }
+
     /// Whether no shared part can have caused the crash.
     pub(crate) fn is_cleared(&self) -> bool {
         self.parts.values().all(|is_cleared| *is_cleared)
     }
 }
 
-/// Report of a crash victim to another instance.
+/// Report to another instance of a request whose target crashed between the head of the answer and the first event.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VictimReport {
     /// Fingerprint of the client account.
@@ -51,3 +60,12 @@
     /// Fingerprint of the whole request.
     pub request: Fingerprint,
 }
+
+/// Report of a crash victim to another instance, whatever its phase.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PhasedVictimReport {
+    /// Point of the answer at which the target crashed.
+    pub phase: CrashPhase,
+    /// The victim.
+    pub victim: VictimReport,
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,6 +4,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::Duration,
@@ -12,19 +13,21 @@
 };
 
 mod crash_detector;
+mod crash_phase;
 mod crash_victim;
 mod fingerprint;
 mod part_quarantine;
 mod part_settings;
 mod prompt_run;
 mod quarantine;
-mod recent_set;
+mod recent_map;
 mod settings;
 mod suspicion;
 
 pub use {
     crash_detector::{CrashDetector, InterruptedRun},
-    crash_victim::{CrashId, VictimReport},
+    crash_phase::CrashPhase,
+    crash_victim::{CrashId, PhasedVictimReport, VictimReport},
     fingerprint::fingerprint,
     part_quarantine::{Hold, PartQuarantine},
     part_settings::PartSettings,
@@ -33,4 +36,8 @@
     settings::QuarantineSettings,
 };
 
-use {crash_victim::CrashVictim, recent_set::RecentSet, suspicion::Suspicion};
+use {
+    crash_victim::CrashVictim,
+    recent_map::{RecentMap, RecentSet},
+    suspicion::Suspicion,
+};
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -1,20 +1,23 @@
 use super::*;
 
 /// Maximum number of crash victims kept, and thus sent in one message. Beyond it, those without suspect parts
-/// are removed first, then the oldest.
+/// are removed first, then those of which no other instance is told yet, then the oldest.
 const MAX_VICTIMS: usize = 128;
-/// Maximum number of parts kept as known.
-const MAX_KNOWN_PARTS: usize = 4_096;
+/// Maximum number of parts whose answers are kept.
+const MAX_ANSWERED_PARTS: usize = 4_096;
+/// Time for which a complete answer counts to have gone on.
+const COMPLETE: Duration = Duration::MAX;
 
 /// Parts of prompts, and whole requests, that are suspected of crashing targets.
 ///
-/// A part that crashes targets does so each time, whatever else the request holds. So a single answer that
-/// begins clears all parts of its prompt. The victims of all instances are merged; instances that have
+/// A part that crashes targets does so each time, whatever else the request holds. So a single answer that goes on
+/// for longer than those whose targets crashed clears all parts of its prompt, until targets crash with them again.
+/// The victims of all instances are merged; instances that have
 /// exchanged their reports decide alike, apart from what each has served itself.
 #[derive(Clone, Debug)]
 pub struct PartQuarantine {
-    /// Parts for which an answer has begun at this instance.
-    known: RecentSet,
+    /// Parts for which an answer has begun at this instance, and how long the longest of these answers went on.
+    answered: RecentMap<Duration>,
     /// Spreads the trials of the instances.
     seed: u64,
     settings: PartSettings,
@@ -45,7 +48,7 @@
     #[must_use]
     pub fn new(settings: PartSettings, seed: u64) -> Self {
         Self {
-            known: RecentSet::new(MAX_KNOWN_PARTS),
+            answered: RecentMap::new(MAX_ANSWERED_PARTS),
             seed,
             settings,
             trials: BTreeMap::new(),
@@ -92,26 +95,82 @@
         holds.max_by_key(|hold| hold.wait)
     }
 
-    /// Records that a target crashed after it had begun to answer a request and before the first event.
-    /// Returns whether this was not known.
+    /// Records that a target crashed between the head of the answer to a request and the first event. Returns
+    /// whether this was not known.
     pub fn record_crash(&mut self, now: Duration, crash: CrashId, run: &PromptRun) -> bool {
+        self.record_crash_in(CrashPhase::BeforeFirstEvent, now, crash, run)
+    }
+
+    /// Records that a target crashed at a point of the answer to a request. Returns whether this was not known.
+    /// A crash outside of the short phase concerns only parts: `CrashDetector` finds whole requests.
+    pub fn record_crash_in(
+        &mut self,
+        phase: CrashPhase,
+        now: Duration,
+        crash: CrashId,
+        run: &PromptRun,
+    ) -> bool {
+        if !self.is_attributed(phase) || (!phase.is_short() && run.parts.is_empty()) {
+            return false;
+        }
+        let is_delayed = !phase.is_short() && self.are_outlasted(run, phase);
+        let delay = match is_delayed {
+            false => Duration::ZERO,
+            true => self.settings.report_delay,
+        };
         self.insert(
             crash,
             run.request,
             CrashVictim {
                 account: run.account,
                 at: now,
-                is_request_cleared: false,
+                is_request_cleared: !phase.is_short(),
                 parts: run.parts.iter().map(|part| (*part, false)).collect(),
+                phase,
+                reported_from: now + delay,
             },
         )
     }
 
-    /// Records that an answer has begun, which clears the parts of its prompt. Returns those that were
-    /// suspects.
+    /// Whether crashes in `phase` count against the parts of prompts.
+    fn is_attributed(&self, phase: CrashPhase) -> bool {
+        phase.answered_for() <= self.settings.max_answer_time
+    }
+
+    /// Whether each part of a prompt has been answered here for so long that it probably does not cause crashes in
+    /// `phase`.
+    #[must_use]
+    pub fn are_outlasted(&self, run: &PromptRun, phase: CrashPhase) -> bool {
+        run.parts.iter().all(|part| self.is_outlasted(*part, phase))
+    }
+
+    fn is_outlasted(&self, part: Fingerprint, phase: CrashPhase) -> bool {
+        let longest = self.answered.get(part);
+        longest.is_some_and(|longest| *longest >= self.settings.outlasting_time(phase))
+    }
+
+    /// Records that an answer has begun. Returns the suspects that it clears.
     pub fn record_first_event(&mut self, now: Duration, run: &PromptRun) -> BTreeSet<Fingerprint> {
+        self.record_progress(now, run, Duration::ZERO)
+    }
+
+    /// Records that an answer is complete. Returns the suspects that it clears.
+    pub fn record_completion(&mut self, now: Duration, run: &PromptRun) -> BTreeSet<Fingerprint> {
+        self.record_progress(now, run, COMPLETE)
+    }
+
+    /// Records that an answer still goes on `answered_for` after its first event, which clears the parts of its
+    /// prompt of crashes that came earlier in an answer. Returns those that were suspects.
+    pub fn record_progress(
+        &mut self,
+        now: Duration,
+        run: &PromptRun,
+        answered_for: Duration,
+    ) -> BTreeSet<Fingerprint> {
         for part in &run.parts {
-            self.known.insert(now, *part);
+            let longest = self.answered.get(*part).copied();
+            let longest = longest.unwrap_or_default().max(answered_for);
+            self.answered.insert(now, *part, longest);
         }
         let mut cleared = BTreeSet::new();
         for ((_, request), victim) in &mut self.victims {
@@ -119,6 +178,9 @@
                 victim.is_request_cleared = true;
                 cleared.insert(run.request);
             }
+            if answered_for < self.settings.outlasting_time(victim.phase) {
+                continue;
+            }
             for part in &run.parts {
                 if victim.is_suspect(*part) {
                     victim.parts.insert(*part, true);
@@ -126,51 +188,97 @@
                 }
             }
         }
+        // Nobody else knows of these, so nobody has to learn that they are cleared.
+        self.victims
+            .retain(|_, victim| victim.is_reported(now) || !victim.is_cleared());
         self.end_trials(&cleared);
         cleared
     }
 
-    /// Merges the reports of another instance. Returns whether they contained anything new.
+    /// Merges the reports of another instance on crashes in the short phase. Returns whether they contained
+    /// anything new.
     pub fn merge(&mut self, now: Duration, reports: &[VictimReport]) -> bool {
         let mut has_new = false;
         for report in reports.iter().take(MAX_VICTIMS) {
-            let age = Duration::from_millis(report.age_ms);
-            let victim = CrashVictim {
-                account: report.account,
-                at: now.saturating_sub(age),
-                is_request_cleared: report.is_request_cleared,
-                parts: report.parts.iter().copied().collect(),
-            };
-            if age >= self.retention(&victim) {
-                continue;
-            }
-            has_new |= self.insert(report.crash.clone(), report.request, victim);
+            has_new |= self.merge_report(now, CrashPhase::BeforeFirstEvent, report);
         }
         has_new
     }
 
-    /// Returns reports of all victims for another instance.
+    /// Merges the reports of another instance. Returns whether they contained anything new.
+    pub fn merge_phased(&mut self, now: Duration, reports: &[PhasedVictimReport]) -> bool {
+        let mut has_new = false;
+        for report in reports.iter().take(MAX_VICTIMS) {
+            has_new |= self.merge_report(now, report.phase, &report.victim);
+        }
+        has_new
+    }
+
+    fn merge_report(&mut self, now: Duration, phase: CrashPhase, report: &VictimReport) -> bool {
+        let age = Duration::from_millis(report.age_ms);
+        let at = now.saturating_sub(age);
+        let victim = CrashVictim {
+            account: report.account,
+            at,
+            is_request_cleared: report.is_request_cleared,
+            parts: report.parts.iter().copied().collect(),
+            phase,
+            reported_from: at,
+        };
+        let is_valid = self.is_attributed(phase) && age < self.retention(&victim);
+        is_valid && self.insert(report.crash.clone(), report.request, victim)
+    }
+
+    /// Returns reports of the crashes in the short phase for an instance that knows no others.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<VictimReport> {
+        let reports = self.phased_reports(now).into_iter();
+        let reports = reports.filter(|report| report.phase.is_short());
+        reports.map(|report| report.victim).collect()
+    }
+
+    /// Returns reports of all victims for another instance.
+    #[must_use]
+    pub fn phased_reports(&self, now: Duration) -> Vec<PhasedVictimReport> {
         let mut reports = Vec::new();
         for ((crash, request), victim) in &self.victims {
-            reports.push(VictimReport {
-                account: victim.account,
-                age_ms: now.saturating_sub(victim.at).as_millis() as u64,
-                crash: crash.clone(),
-                is_request_cleared: victim.is_request_cleared,
-                parts: victim.parts.iter().map(|(part, is)| (*part, *is)).collect(),
-                request: *request,
+            if !victim.is_reported(now) {
+                continue;
+            }
+            reports.push(PhasedVictimReport {
+                phase: victim.phase,
+                victim: VictimReport {
+                    account: victim.account,
+                    age_ms: now.saturating_sub(victim.at).as_millis() as u64,
+                    crash: crash.clone(),
+                    is_request_cleared: victim.is_request_cleared,
+                    parts: victim.parts.iter().map(|(part, is)| (*part, *is)).collect(),
+                    request: *request,
+                },
             });
         }
         reports
     }
 
-    /// Digest of the victims, by which two instances see whether they know the same.
+    /// Digest of the crashes in the short phase, by which two instances see whether they know the same ones.
     #[must_use]
     pub fn digest(&self) -> u64 {
+        self.digest_of(|victim| victim.phase.is_short())
+    }
+
+    /// Digest of the victims that other instances are told of, by which two instances see whether they know the
+    /// same ones.
+    #[must_use]
+    pub fn phased_digest(&self, now: Duration) -> u64 {
+        self.digest_of(|victim| victim.is_reported(now))
+    }
+
+    fn digest_of(&self, is_included: impl Fn(&CrashVictim) -> bool) -> u64 {
         let mut bytes = Vec::new();
         for ((crash, request), victim) in &self.victims {
+            if !is_included(victim) {
+                continue;
+            }
             bytes.extend_from_slice(crash.as_bytes());
             bytes.extend_from_slice(&request.to_le_bytes());
             bytes.push(u8::from(victim.is_request_cleared));
@@ -185,7 +293,7 @@
     /// Removes what has expired.
     pub fn tick(&mut self, now: Duration) {
         let retention = self.settings.retention;
-        self.known.expire(now.saturating_sub(retention));
+        self.answered.expire(now.saturating_sub(retention));
         let mut victims = std::mem::take(&mut self.victims);
         victims.retain(|_, victim| now < victim.at + self.retention(victim));
         self.victims = victims;
@@ -240,26 +348,62 @@
         }
         let of_part = self.victims.iter();
         let of_part = of_part.filter(|(_, victim)| victim.is_suspect(part));
-        let suspicion = Suspicion::new(of_part, settings.crash_gap)?;
-        let hold = self.hold_duration(part, &suspicion)?;
+        let in_short_phase = of_part
+            .clone()
+            .filter(|(_, victim)| victim.phase.is_short());
+        let short = Suspicion::new(in_short_phase, settings.crash_gap)
+            .and_then(|suspicion| self.short_phase_hold(part, suspicion, run));
+        let all = Suspicion::new(of_part, settings.crash_gap)
+            .and_then(|suspicion| self.any_phase_hold(part, suspicion, run));
+        short.into_iter().chain(all).max_by_key(|(_, hold)| *hold)
+    }
+
+    /// Judges a part by the crashes in the short phase alone, in which few requests are interrupted: one is enough
+    /// if no answer has begun here with the part.
+    fn short_phase_hold(
+        &self,
+        part: Fingerprint,
+        suspicion: Suspicion,
+        run: &PromptRun,
+    ) -> Option<(Suspicion, Duration)> {
+        let hold = match self.is_outlasted(part, CrashPhase::BeforeFirstEvent) {
+            false => self.settings.hold_duration(suspicion.crash_count),
+            true => self.answered_part_hold(&suspicion)?,
+        };
         suspicion.concerns(run).then_some((suspicion, hold))
     }
 
-    /// Time from the latest crash to the first trial; none if the part is not refused. A part that has been
-    /// answered here before is refused only after several crashes that have no other explanation.
-    fn hold_duration(&self, part: Fingerprint, suspicion: &Suspicion) -> Option<Duration> {
+    /// Judges a part by the crashes in all phases. Sound requests are interrupted by them too, and again where they
+    /// are resumed, so that it takes several crashes and as many requests.
+    fn any_phase_hold(
+        &self,
+        part: Fingerprint,
+        suspicion: Suspicion,
+        run: &PromptRun,
+    ) -> Option<(Suspicion, Duration)> {
+        let crash_count = suspicion.crash_count.min(suspicion.request_count as u32);
+        if crash_count < self.settings.long_phase_crashes {
+            return None;
+        }
+        let hold = match self.is_outlasted(part, suspicion.latest_phase) {
+            false => self.settings.hold_duration(suspicion.crash_count),
+            true => self.answered_part_hold(&suspicion)?,
+        };
+        suspicion.concerns(run).then_some((suspicion, hold))
+    }
+
+    /// Time from the latest crash to the first trial of a part that has been answered here for longer than those
+    /// whose targets crashed; none if it is not refused. It takes several crashes that have no other explanation.
+    fn answered_part_hold(&self, suspicion: &Suspicion) -> Option<Duration> {
         let settings = &self.settings;
         let crash_count = suspicion.crash_count;
-        if !self.known.contains(part) {
-            return Some(settings.hold_duration(crash_count));
-        }
         if crash_count < settings.known_part_crashes || suspicion.is_single_request {
             return None;
         }
-        match crash_count - settings.known_part_crashes {
-            0 => Some(settings.known_part_hold),
-            further_count => Some(settings.hold_duration(further_count)),
-        }
+        Some(match crash_count - settings.known_part_crashes {
+            0 => settings.known_part_hold,
+            further_count => settings.hold_duration(further_count),
+        })
     }
 
     /// Time until a request with `part` may be tried here.
@@ -306,6 +450,7 @@
             return true;
         };
         known.at = known.at.min(victim.at);
+        known.reported_from = known.reported_from.min(victim.reported_from);
         let mut has_new = victim.is_request_cleared && !known.is_request_cleared;
         known.is_request_cleared |= victim.is_request_cleared;
         for (part, is_cleared) in victim.parts {
@@ -320,11 +465,12 @@
         if self.victims.len() <= MAX_VICTIMS {
             return;
         }
-        let oldest = self
-            .victims
-            .iter()
-            .min_by_key(|(_, victim)| (!victim.is_cleared(), victim.at));
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+        let least = self.victims.iter().min_by_key(|(_, victim)| {
+            let is_delayed = victim.reported_from > victim.at;
+            let answered_for = Reverse(victim.phase.answered_for());
+            (!victim.is_cleared(), !is_delayed, answered_for, victim.at)
+        });
+        if let Some(key) = least.map(|(key, _)| key.clone()) {
             self.victims.remove(&key);
         }
     }
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -9,6 +9,19 @@
     pub known_part_crashes: u32,
     /// Hold of such a part after that number of crashes. Short, because it has probably not caused them.
     pub known_part_hold: Duration,
+    /// Factor by which an answer must go on for longer than one whose target crashed to show that its parts have
+    /// not caused that crash.
+    pub outlast_factor: f64,
+    /// Time that is added to it.
+    pub outlast_margin: Duration,
+    /// Crashes that come longer after the first event of an answer are not attributed to its parts.
+    pub max_answer_time: Duration,
+    /// Number of crashes from which a part is refused if none of them came between the head of an answer and its
+    /// first event. Many sound requests of a target are interrupted by such a crash.
+    pub long_phase_crashes: u32,
+    /// Time for which other instances are not told of such a crash if all parts of the request have been answered
+    /// for longer before. Nearly always, answers that go on elsewhere clear them within that time.
+    pub report_delay: Duration,
     /// Number of crashes from which a request is refused as a whole. The first one may be a coincidence, and
     /// its caller sends it again.
     pub request_crashes: u32,
@@ -41,6 +54,11 @@
             crash_gap: Duration::from_millis(300),
             known_part_crashes: 3,
             known_part_hold: Duration::from_secs(1),
+            outlast_factor: 2.0,
+            outlast_margin: Duration::from_secs(1),
+            max_answer_time: Duration::from_secs(5),
+            long_phase_crashes: 3,
+            report_delay: Duration::from_secs(1),
             request_crashes: 2,
             min_hold: Duration::from_secs(30),
             hold_factor: 3.0,
@@ -62,4 +80,15 @@
             .powi(crash_count.saturating_sub(1).min(16) as i32);
         self.min_hold.mul_f64(factor).min(self.max_hold)
     }
+
+    /// Time for which an answer must go on after its first event to show that its parts have not caused a crash in
+    /// `phase`.
+    pub(crate) fn outlasting_time(&self, phase: CrashPhase) -> Duration {
+        match phase {
+            CrashPhase::BeforeHead | CrashPhase::BeforeFirstEvent => Duration::ZERO,
+            CrashPhase::AfterFirstEvent(time) => {
+                time.mul_f64(self.outlast_factor) + self.outlast_margin
+            }
+        }
+    }
 }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -71,7 +71,7 @@
     pub fn record_success(&mut self, now: Duration, fingerprint: Fingerprint, request: &RequestId) {
         self.end_trial(fingerprint, request);
         self.clear(fingerprint);
-        self.harmless.insert(now, fingerprint);
+        self.harmless.insert(now, fingerprint, ());
     }
 
     /// Whether only one request with this fingerprint may run at a time: it is a suspect or not yet known
--- a/crates/quarantine/src/recent_set.rs
+++ b/crates/quarantine/src/recent_map.rs
@@ -1,14 +1,17 @@
 use super::*;
 
-/// Fingerprints with the time at which each was last recorded. Bounded: beyond the limit, the older half is
-/// removed.
+/// Set of fingerprints with the time at which each was last recorded.
+pub(crate) type RecentSet = RecentMap<()>;
+
+/// Values by fingerprint, with the time at which each was last recorded. Bounded: beyond the limit, the older half
+/// is removed.
 #[derive(Clone, Debug)]
-pub(crate) struct RecentSet {
-    entries: BTreeMap<Fingerprint, Duration>,
+pub(crate) struct RecentMap<T> {
+    entries: BTreeMap<Fingerprint, (Duration, T)>,
     max_count: usize,
 }
 
-impl RecentSet {
+impl<T> RecentMap<T> {
     pub(crate) fn new(max_count: usize) -> Self {
         Self {
             entries: BTreeMap::new(),
@@ -16,15 +19,19 @@
         }
     }
 
-    pub(crate) fn insert(&mut self, now: Duration, fingerprint: Fingerprint) {
-        self.entries.insert(fingerprint, now);
+    pub(crate) fn insert(&mut self, now: Duration, fingerprint: Fingerprint, value: T) {
+        self.entries.insert(fingerprint, (now, value));
         if self.entries.len() <= self.max_count {
             return;
         }
-        let mut times: Vec<Duration> = self.entries.values().copied().collect();
+        let mut times: Vec<Duration> = self.entries.values().map(|(at, _)| *at).collect();
         times.sort_unstable();
         let median = times[times.len() / 2];
-        self.entries.retain(|_, at| *at > median);
+        self.entries.retain(|_, (at, _)| *at > median);
+    }
+
+    pub(crate) fn get(&self, fingerprint: Fingerprint) -> Option<&T> {
+        self.entries.get(&fingerprint).map(|(_, value)| value)
     }
 
     pub(crate) fn contains(&self, fingerprint: Fingerprint) -> bool {
@@ -37,6 +44,6 @@
 
     /// Removes the fingerprints that were last recorded before `oldest`.
     pub(crate) fn expire(&mut self, oldest: Duration) {
-        self.entries.retain(|_, at| *at >= oldest);
+        self.entries.retain(|_, (at, _)| *at >= oldest);
     }
 }
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -15,6 +15,10 @@
     pub(crate) is_single_request: bool,
     pub(crate) last_crash: CrashId,
     pub(crate) last_crash_at: Duration,
+    /// Latest point of an answer at which a target crashed.
+    pub(crate) latest_phase: CrashPhase,
+    /// Number of different requests that were interrupted.
+    pub(crate) request_count: usize,
 }
 
 /// Victims of one crash.
@@ -33,7 +37,11 @@
     ) -> Option<Self> {
         let mut crashes: BTreeMap<&CrashId, Crash> = BTreeMap::new();
         let mut common_parts: Option<BTreeSet<Fingerprint>> = None;
+        let mut latest_phase = CrashPhase::BeforeHead;
+        let mut requests = BTreeSet::new();
         for ((id, request), victim) in victims {
+            latest_phase = latest_phase.max(victim.phase);
+            requests.insert(*request);
             let suspects = victim.suspects();
             common_parts = Some(match common_parts {
                 None => suspects,
@@ -64,6 +72,8 @@
             is_single_request: !common(crashes.iter().map(|crash| &crash.requests)).is_empty(),
             last_crash: last.id.clone(),
             last_crash_at: last.at,
+            latest_phase,
+            request_count: requests.len(),
         })
     }
 
--- a/crates/quarantine/tests/support/mod.rs
+++ b/crates/quarantine/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Instances with a quarantine each, which exchange their reports with a delay, before targets that crash.
 
 use {
-    quarantine::{PartQuarantine, PartSettings, PromptRun, VictimReport},
+    quarantine::{CrashPhase, PartQuarantine, PartSettings, PhasedVictimReport, PromptRun},
     rand::{Rng, SeedableRng, seq::IndexedRandom},
     rand_chacha::ChaCha8Rng,
     std::{collections::BTreeMap, time::Duration},
@@ -10,22 +10,34 @@
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(5);
 /// Time from the arrival of a request at its target to the head of the answer, and from there to the first
-/// event. A crashing part ends the target between the two.
+/// event.
 const READ_TIME: Duration = Duration::from_millis(50);
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(20);
 /// Time for which a target that crashed is down.
 const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Time between two records of an answer that goes on.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of sound parts; some are used more often than others.
 const SOUND_PARTS: u64 = 60;
 /// First id of the crashing parts.
 const CRASHING: u64 = 1_000;
+/// First id of the rare parts.
+const RARE: u64 = 1_000_000;
 
 /// Load and faults of a simulation.
 #[derive(Clone, Debug)]
 pub struct Load {
     pub accounts: u64,
+    /// Time for which events of an answer come after the first one.
+    pub answer_time: Duration,
+    /// Number of targets to which a request is sent until one of them answers it completely.
+    pub attempts: u32,
+    /// Points of the answer at which crashing parts end a target; drawn for each request.
+    pub crash_phases: Vec<CrashPhase>,
     /// Number of accounts that send requests with crashing parts.
     pub crashing_accounts: u64,
+    /// Time from which requests with crashing parts come.
+    pub crashing_from: Duration,
     pub crashing_parts: u64,
     pub crashing_per_s: f64,
     /// Time until a change at one instance is known to another.
@@ -37,6 +49,8 @@
     pub lost_together: usize,
     /// Interval at which targets crash for another reason.
     pub other_crash_every: Option<Duration>,
+    /// Number of rare parts, of which each sound request has one behind its first part; 0 for none.
+    pub rare_parts: u64,
     pub sound_per_s: f64,
     pub targets: usize,
 }
@@ -45,7 +59,11 @@
     fn default() -> Self {
         Self {
             accounts: 10,
+            answer_time: Duration::ZERO,
+            attempts: 1,
+            crash_phases: vec![CrashPhase::BeforeFirstEvent],
             crashing_accounts: 10,
+            crashing_from: Duration::ZERO,
             crashing_parts: 1,
             crashing_per_s: 1.5,
             exchange_delay: Duration::from_millis(150),
@@ -53,6 +71,7 @@
             kill_every: None,
             lost_together: 1,
             other_crash_every: None,
+            rare_parts: 0,
             sound_per_s: 55.0,
             targets: 12,
         }
@@ -71,7 +90,10 @@
     pub sound_count: usize,
 }
 
+#[derive(Clone)]
 struct ActiveRequest {
+    attempts_left: u32,
+    crash_phase: CrashPhase,
     crashing_part: Option<u64>,
     id: u64,
     instance: usize,
@@ -80,6 +102,31 @@
     target: usize,
 }
 
+impl ActiveRequest {
+    /// Time since the first event; none before it.
+    fn answered_for(&self, now: Duration) -> Option<Duration> {
+        now.checked_sub(self.sent_at + READ_TIME + FIRST_EVENT_TIME)
+    }
+
+    fn phase(&self, now: Duration) -> CrashPhase {
+        match self.answered_for(now) {
+            Some(time) => CrashPhase::AfterFirstEvent(time),
+            None if now < self.sent_at + READ_TIME => CrashPhase::BeforeHead,
+            None => CrashPhase::BeforeFirstEvent,
+        }
+    }
+
+    /// Whether a crashing part ends the target now.
+    fn crashes_target(&self, now: Duration) -> bool {
+        let after = match self.crash_phase {
+            CrashPhase::BeforeHead => READ_TIME / 2,
+            CrashPhase::BeforeFirstEvent => READ_TIME + FIRST_EVENT_TIME / 2,
+            CrashPhase::AfterFirstEvent(time) => READ_TIME + FIRST_EVENT_TIME + time,
+        };
+        self.crashing_part.is_some() && self.sent_at + after <= now
+    }
+}
+
 struct Target {
     /// Time until which it is down after a crash.
     down_until: Duration,
@@ -90,7 +137,7 @@
     active: Vec<ActiveRequest>,
     instances: Vec<PartQuarantine>,
     load: Load,
-    messages: Vec<(Duration, Vec<VictimReport>)>,
+    messages: Vec<(Duration, Vec<PhasedVictimReport>)>,
     next_id: u64,
     now: Duration,
     result: SimulationResult,
@@ -138,13 +185,13 @@
         let due: Vec<_> = due.collect();
         for (_, reports) in due {
             for instance in &mut self.instances {
-                instance.merge(now, &reports);
+                instance.merge_phased(now, &reports);
             }
         }
     }
 
     fn publish(&mut self, instance: usize) {
-        let reports = self.instances[instance].reports(self.now);
+        let reports = self.instances[instance].phased_reports(self.now);
         self.messages
             .push((self.now + self.load.exchange_delay, reports));
     }
@@ -166,67 +213,103 @@
             self.active.retain(|request| request.instance != killed);
             // A started instance receives the state of another one before it serves.
             let other = (killed + 1) % self.instances.len();
-            let reports = self.instances[other].reports(self.now);
+            let reports = self.instances[other].phased_reports(self.now);
             self.instances[killed] = new_quarantine(self.rng.random());
-            self.instances[killed].merge(self.now, &reports);
+            self.instances[killed].merge_phased(self.now, &reports);
         }
     }
 
-    /// Ends a target. Requests whose answers had begun there are its victims.
+    /// Ends a target. Requests that ran there are its victims, and are sent to other targets.
     fn crash(&mut self, index: usize) {
         let (now, target) = (self.now, &mut self.targets[index]);
         if target.down_until > now {
             return;
         }
         target.down_until = now + RESTART_TIME;
-        let crash = format!("t{index}#{}", target.incarnation).into();
+        let crash: std::sync::Arc<str> = format!("t{index}#{}", target.incarnation).into();
         target.incarnation += 1;
         let interrupted = self
             .active
             .extract_if(.., |request| request.target == index);
         let interrupted: Vec<_> = interrupted.collect();
-        for request in interrupted {
-            if now < request.sent_at + READ_TIME {
-                continue;
-            }
+        for request in &interrupted {
             let quarantine = &mut self.instances[request.instance];
-            quarantine.record_crash(now, std::sync::Arc::clone(&crash), &request.run);
+            let phase = request.phase(now);
+            quarantine.record_crash_in(phase, now, crash.clone(), &request.run);
             self.publish(request.instance);
         }
+        for mut request in interrupted {
+            if request.attempts_left == 0 {
+                continue;
+            }
+            request.attempts_left -= 1;
+            let is_sound = request.crashing_part.is_none();
+            if !self.dispatch(request) && is_sound {
+                self.result.refused_count += 1;
+            }
+        }
     }
 
     fn advance_requests(&mut self) {
-        let begun = |request: &ActiveRequest, after: Duration| request.sent_at + after <= self.now;
-        let crashing: Vec<(usize, u64)> = self
+        let now = self.now;
+        let crashing = self
             .active
             .iter()
-            .filter(|request| begun(request, READ_TIME + FIRST_EVENT_TIME / 2))
-            .filter_map(|request| Some((request.target, request.crashing_part?)))
-            .collect();
+            .filter(|request| request.crashes_target(now))
+            .filter_map(|request| Some((request.target, request.crashing_part?)));
+        let crashing: Vec<(usize, u64)> = crashing.collect();
         for (target, part) in crashing {
-            if self.targets[target].down_until <= self.now {
+            if self.targets[target].down_until <= now {
                 let crashes = self.result.crashes.entry(part).or_default();
-                crashes.push(self.now);
+                crashes.push(now);
             }
             self.crash(target);
         }
-        let now = self.now;
-        let done = self.active.extract_if(.., |request| {
-            request.sent_at + READ_TIME + FIRST_EVENT_TIME <= now
-        });
+        let answer_time = self.load.answer_time;
+        let done = self
+            .active
+            .extract_if(.., |request| request.answered_for(now) >= Some(answer_time));
         let done: Vec<_> = done.collect();
         for request in done {
             let quarantine = &mut self.instances[request.instance];
-            if !quarantine.record_first_event(now, &request.run).is_empty() {
+            let cleared = quarantine.record_completion(now, &request.run);
+            if !cleared.is_empty() {
                 self.publish(request.instance);
             }
         }
+        self.record_progress();
+    }
+
+    /// Records the answers that go on, each at its first event and at a fixed interval afterwards.
+    fn record_progress(&mut self) {
+        let now = self.now;
+        let mut changed = Vec::new();
+        for request in &self.active {
+            let Some(answered_for) = request.answered_for(now) else {
+                continue;
+            };
+            let since_record = answered_for.as_millis() % PROGRESS_INTERVAL.as_millis();
+            if since_record >= STEP.as_millis() {
+                continue;
+            }
+            let quarantine = &mut self.instances[request.instance];
+            let cleared = quarantine.record_progress(now, &request.run, answered_for);
+            if !cleared.is_empty() {
+                changed.push(request.instance);
+            }
+        }
+        for instance in changed {
+            self.publish(instance);
+        }
     }
 
     /// Stops requests whose parts have become suspects since they were sent.
     fn stop_suspects(&mut self) {
         let (now, instances) = (self.now, &self.instances);
         let stopped = self.active.extract_if(.., |request| {
+            if request.answered_for(now).is_some() {
+                return false;
+            }
             let quarantine = &instances[request.instance];
             let id = request.id.to_string().into();
             quarantine.hold(now, &request.run, &id).is_some()
@@ -241,10 +324,16 @@
             let account = self.rng.random_range(0..self.load.accounts);
             self.result.sound_count += 1;
             let part = self.sound_part();
-            if !self.send(account, &[part], None) {
+            let rare = (self.load.rare_parts > 0)
+                .then(|| RARE + self.rng.random_range(0..self.load.rare_parts));
+            let parts: Vec<u64> = std::iter::once(part).chain(rare).collect();
+            if !self.send(account, &parts, None) {
                 self.result.refused_count += 1;
             }
         }
+        if self.now < self.load.crashing_from {
+            return;
+        }
         for _ in 0..self.count(self.load.crashing_per_s * step_s) {
             let account = self.rng.random_range(0..self.load.crashing_accounts);
             let crashing = CRASHING + self.rng.random_range(0..self.load.crashing_parts);
@@ -267,11 +356,31 @@
     /// a suspect part.
     fn send(&mut self, account: u64, parts: &[u64], crashing_part: Option<u64>) -> bool {
         self.next_id += 1;
-        let (id, now) = (self.next_id, self.now);
-        let run = PromptRun::new(account, id, parts.iter().copied());
-        let instance = self.rng.random_range(0..self.instances.len());
-        let request = id.to_string().into();
-        if self.instances[instance].admit(now, &run, &request).is_err() {
+        let phases = &self.load.crash_phases;
+        let crash_phase = match phases.len() {
+            1 => phases[0],
+            _ => *phases.choose(&mut self.rng).expect("a phase"),
+        };
+        let request = ActiveRequest {
+            attempts_left: self.load.attempts - 1,
+            crash_phase,
+            crashing_part,
+            id: self.next_id,
+            instance: self.rng.random_range(0..self.instances.len()),
+            run: PromptRun::new(account, self.next_id, parts.iter().copied()),
+            sent_at: self.now,
+            target: 0,
+        };
+        self.dispatch(request)
+    }
+
+    /// Sends a request from its instance to a random target. Returns false if it is refused because of a suspect
+    /// part.
+    fn dispatch(&mut self, mut request: ActiveRequest) -> bool {
+        let now = self.now;
+        let id = request.id.to_string().into();
+        let quarantine = &mut self.instances[request.instance];
+        if quarantine.admit(now, &request.run, &id).is_err() {
             return false;
         }
         let running =
@@ -280,17 +389,12 @@
         let Some(target) = running.choose(&mut self.rng) else {
             return true;
         };
-        if let Some(part) = crashing_part {
+        if let Some(part) = request.crashing_part {
             self.result.reached.entry(part).or_default().push(now);
         }
-        self.active.push(ActiveRequest {
-            crashing_part,
-            id,
-            instance,
-            run,
-            sent_at: now,
-            target: *target,
-        });
+        request.sent_at = now;
+        request.target = *target;
+        self.active.push(request);
         true
     }
 }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -8,10 +8,10 @@
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
     fleet::{Departure, LoadTable, MAX_LOAD_AGE, SharedLoad, Target, TargetList},
-    forward::{Engines, Error, Instance, OrderReply, Router},
+    forward::{Engines, Error, Instance, OrderReply, PromptParts, Router},
     futures::future::{BoxFuture, join_all},
     layout::{Engine, EngineId, LayerRange, LayoutSettings, ModelShape, Placement},
-    quarantine::VictimReport,
+    quarantine::{PhasedVictimReport, VictimReport},
     ratelimit::{PermitQuery, PermitReply},
     serde::{Deserialize, Serialize},
     std::{
@@ -85,7 +85,9 @@
     supervisor::supervise,
     target_history::TargetHistory,
     target_loop::{follow_targets, observe_time},
-    victim_loop::{VictimAnswer, VictimQuery, share_crash_victims},
+    victim_loop::{
+        PhasedVictimAnswer, PhasedVictimQuery, VictimAnswer, VictimQuery, share_crash_victims,
+    },
 };
 
 use {
--- a/crates/reconcile/src/relay_handler.rs
+++ b/crates/reconcile/src/relay_handler.rs
@@ -65,6 +65,15 @@
     }
 
     /// Exchanges crash victims with another instance. Returns none if this instance is leaving.
+    pub async fn exchange_phased_victims(
+        &self,
+        query: PhasedVictimQuery,
+    ) -> Option<PhasedVictimAnswer> {
+        let answer = victim_loop::answer_phased(&self.router, query).await;
+        (!self.router.is_leaving()).then_some(answer)
+    }
+
+    /// Exchanges crash victims with an instance of an earlier version. Returns none if this instance is leaving.
     pub async fn exchange_victims(&self, query: VictimQuery) -> Option<VictimAnswer> {
         let answer = victim_loop::answer(&self.router, query).await;
         (!self.router.is_leaving()).then_some(answer)
--- a/crates/reconcile/src/relay_message.rs
+++ b/crates/reconcile/src/relay_message.rs
@@ -130,6 +130,18 @@
     ///
     /// # Errors
     ///
+    /// Returns an error when no answer arrives in time, when the queried instance is leaving, or when it is of an
+    /// earlier version, which does not know the call.
+    fn exchange_phased_victims(
+        &self,
+        address: SocketAddr,
+        query: PhasedVictimQuery,
+    ) -> BoxFuture<'_, Result<PhasedVictimAnswer, Error>>;
+
+    /// Exchanges the crash victims that instances of earlier versions know with the instance at `address`.
+    ///
+    /// # Errors
+    ///
     /// Returns an error when no answer arrives in time, or when the queried instance is leaving.
     fn exchange_victims(
         &self,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,7 +5,10 @@
     forward::{Error, Instance, PermitPeers},
     futures::{FutureExt, StreamExt, future::BoxFuture},
     ratelimit::{PermitQuery, PermitReply},
-    reconcile::{Query, Relay, RelayHandler, RelayReply, VictimAnswer, VictimQuery},
+    reconcile::{
+        PhasedVictimAnswer, PhasedVictimQuery, Query, Relay, RelayHandler, RelayReply,
+        VictimAnswer, VictimQuery,
+    },
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tarpc::{
         client::{self, RpcError},
--- a/crates/relay/src/relay_client.rs
+++ b/crates/relay/src/relay_client.rs
@@ -57,6 +57,18 @@
         self.send_query(address, wait, send).boxed()
     }
 
+    fn exchange_phased_victims(
+        &self,
+        address: SocketAddr,
+        query: PhasedVictimQuery,
+    ) -> BoxFuture<'_, Result<PhasedVictimAnswer, Error>> {
+        let wait = query.wait;
+        let send = async |client: RelayServiceClient, context| {
+            client.exchange_phased_victims(context, query).await
+        };
+        self.send_query(address, wait, send).boxed()
+    }
+
     fn exchange_victims(
         &self,
         address: SocketAddr,
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -12,6 +12,10 @@
 
     /// Asks for a permit for a request to a target that limits its requests.
     async fn take_permit(query: PermitQuery) -> PermitReply;
+
+    /// Exchanges crash victims of all phases; none if this instance is leaving. Behind the calls that earlier
+    /// versions know, as calls are encoded by position.
+    async fn exchange_phased_victims(query: PhasedVictimQuery) -> Option<PhasedVictimAnswer>;
 }
 
 #[derive(Clone)]
@@ -29,4 +33,12 @@
     async fn take_permit(self, _context: Context, query: PermitQuery) -> PermitReply {
         self.0.take_permit(&query)
     }
+
+    async fn exchange_phased_victims(
+        self,
+        _context: Context,
+        query: PhasedVictimQuery,
+    ) -> Option<PhasedVictimAnswer> {
+        self.0.exchange_phased_victims(query).await
+    }
 }
--- a/crates/relay/tests/lock_order.rs
+++ b/crates/relay/tests/lock_order.rs
@@ -10,7 +10,10 @@
         FutureExt,
         future::{BoxFuture, join_all},
     },
-    reconcile::{Query, Relay, RelayHandler, RelayReply, VictimAnswer, VictimQuery, follow_leader},
+    reconcile::{
+        PhasedVictimAnswer, PhasedVictimQuery, Query, Relay, RelayHandler, RelayReply,
+        VictimAnswer, VictimQuery, follow_leader,
+    },
     std::{
         net::SocketAddr,
         sync::{
@@ -91,6 +94,14 @@
         .boxed()
     }
 
+    fn exchange_phased_victims(
+        &self,
+        _: SocketAddr,
+        _: PhasedVictimQuery,
+    ) -> BoxFuture<'_, Result<PhasedVictimAnswer, Error>> {
+        async { Err(Error::Unknown("not served".into())) }.boxed()
+    }
+
     fn exchange_victims(
         &self,
         _: SocketAddr,
--- a/crates/relay/tests/silent_instances.rs
+++ b/crates/relay/tests/silent_instances.rs
@@ -6,7 +6,8 @@
     forward::Error,
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
-        InstanceRow, Query, Relay, RelayReply, VictimAnswer, VictimQuery, ask_silent_instances,
+        InstanceRow, PhasedVictimAnswer, PhasedVictimQuery, Query, Relay, RelayReply, VictimAnswer,
+        VictimQuery, ask_silent_instances,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{node, wait_until},
@@ -23,6 +24,14 @@
         async { Err(Error::Unknown("no answer".into())) }.boxed()
     }
 
+    fn exchange_phased_victims(
+        &self,
+        _: SocketAddr,
+        _: PhasedVictimQuery,
+    ) -> BoxFuture<'_, Result<PhasedVictimAnswer, Error>> {
+        async { Err(Error::Unknown("not served".into())) }.boxed()
+    }
+
     fn exchange_victims(
         &self,
         _: SocketAddr,
--- a/crates/relay/tests/support/instance_group.rs
+++ b/crates/relay/tests/support/instance_group.rs
@@ -5,9 +5,9 @@
     forward::Error,
     futures::{FutureExt, future::BoxFuture},
     reconcile::{
-        LeaderRow, LeaderTable, LeaderView, Query, Relay, RelayHandler, RelayReply, VictimAnswer,
-        VictimQuery, ask_silent_instances, follow_instances, follow_leader, observe_time,
-        run_leadership,
+        LeaderRow, LeaderTable, LeaderView, PhasedVictimAnswer, PhasedVictimQuery, Query, Relay,
+        RelayHandler, RelayReply, VictimAnswer, VictimQuery, ask_silent_instances,
+        follow_instances, follow_leader, observe_time, run_leadership,
     },
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -78,6 +78,14 @@
         .boxed()
     }
 
+    fn exchange_phased_victims(
+        &self,
+        _: SocketAddr,
+        _: PhasedVictimQuery,
+    ) -> BoxFuture<'_, Result<PhasedVictimAnswer, Error>> {
+        async { Err(Error::Unknown("not served".into())) }.boxed()
+    }
+
     fn exchange_victims(
         &self,
         _: SocketAddr,
--- a/crates/relay/tests/victims.rs
+++ b/crates/relay/tests/victims.rs
@@ -3,16 +3,25 @@
 mod support;
 
 use {
-    quarantine::VictimReport,
-    reconcile::{RelayTree, TreeVersion, share_crash_victims},
+    futures::StreamExt,
+    quarantine::{CrashPhase, PhasedVictimReport, VictimReport},
+    ratelimit::{PermitQuery, PermitReply},
+    reconcile::{
+        Query, RelayReply, RelayTree, TreeVersion, VictimAnswer, VictimQuery, share_crash_victims,
+    },
     relay::RelayClient,
     std::{sync::Arc, time::Duration},
-    support::{Node, leader, node, serve},
+    support::{Node, leader, node, serve, wait_until},
+    tarpc::{
+        context::{self, Context},
+        server::{BaseChannel, Channel},
+    },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         runtime::Runtime,
         time::{sleep, timeout_at},
     },
+    tracing_mutex::stdsync::Mutex,
 };
 
 /// Time within which all instances must know of a crash; the shortest one of the users.
@@ -152,3 +161,116 @@
     // Three followers, each at most about once a second.
     assert!((3..=9).contains(&connection_count), "{connection_count}");
 }
+
+/// Call of an instance of an earlier version.
+#[tarpc::service]
+trait EarlierService {
+    async fn ask(query: Query) -> Option<RelayReply>;
+    async fn exchange_victims(query: VictimQuery) -> Option<VictimAnswer>;
+    async fn take_permit(query: PermitQuery) -> PermitReply;
+}
+
+/// Instance of an earlier version, which knows one crash and records what it is told.
+#[derive(Clone, Default)]
+struct EarlierInstance {
+    told: Arc<Mutex<Vec<VictimReport>>>,
+}
+
+impl EarlierService for EarlierInstance {
+    async fn ask(self, _: Context, _: Query) -> Option<RelayReply> {
+        None
+    }
+
+    async fn exchange_victims(self, _: Context, query: VictimQuery) -> Option<VictimAnswer> {
+        self.told.lock().expect("the reports").extend(query.reports);
+        sleep(query.wait).await;
+        Some(VictimAnswer {
+            digest: 1,
+            reports: vec![report("t1#1", false)],
+        })
+    }
+
+    async fn take_permit(self, _: Context, _: PermitQuery) -> PermitReply {
+        unreachable!("no permit is asked for")
+    }
+}
+
+fn phased(crash: &str, phase: CrashPhase) -> PhasedVictimReport {
+    PhasedVictimReport {
+        phase,
+        victim: report(crash, false),
+    }
+}
+
+fn behind_first_event() -> CrashPhase {
+    CrashPhase::AfterFirstEvent(Duration::from_millis(20))
+}
+
+/// Guards against crashes outside of the short phase that only the instance that saw them knows.
+#[tokio::test]
+async fn crashes_in_all_phases_reach_all_instances() {
+    let (leader, _task) = leader().await;
+    let [a, b, c] = followers(&leader, &[]);
+    let parts = a.router.prompt_parts();
+    parts.merge_phased(clock::now(), &[phased("t1#1", behind_first_event())]);
+    let parts = b.router.prompt_parts();
+    parts.merge_phased(clock::now(), &[phased("t2#1", CrashPhase::BeforeHead)]);
+    let knows_both = |node: &Node| {
+        let (_, reports) = node.router.prompt_parts().phased_reports(clock::now());
+        reports.len() == 2
+    };
+    wait_until(|| [&leader, &a, &b, &c].into_iter().all(knows_both)).await;
+}
+
+/// Guards against instances of this version that learn nothing from an instance of an earlier one, which closes the
+/// connection on the unknown call, and against that instance refusing sound requests for crashes that it takes for
+/// others.
+#[tokio::test]
+async fn instance_of_an_earlier_version_exchanges_the_crashes_that_it_knows() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let earlier = node("x", listener.local_addr().expect("an address"));
+    let served = EarlierInstance::default();
+    let service = served.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let transport = peer::transport(stream, 1_000_000);
+            let requests = BaseChannel::with_defaults(transport).execute(service.clone().serve());
+            tokio::spawn(requests.for_each_concurrent(None, |request| request));
+        }
+    });
+    let [a, b, c] = followers(&earlier, &[]);
+    let parts = a.router.prompt_parts();
+    parts.merge_phased(clock::now(), &[phased("t2#1", behind_first_event())]);
+    record(&a, report("t3#1", false));
+    wait_for_crashes(&[&b, &c], &[("t1#1", false)]).await;
+    wait_for_crashes(&[&a], &[("t1#1", false), ("t3#1", false)]).await;
+    let told = || {
+        let told = served.told.lock().expect("the reports");
+        let crashes = told.iter().map(|report| report.crash.to_string());
+        crashes.collect::<std::collections::BTreeSet<String>>()
+    };
+    wait_until(|| told().contains("t3#1")).await;
+    assert!(!told().contains("t2#1"));
+}
+
+/// Guards against an instance of an earlier version that gets no answer from one of this version, or one with crashes
+/// that it would take for others.
+#[tokio::test]
+async fn instance_of_an_earlier_version_is_answered() {
+    let (leader, _task) = leader().await;
+    record(&leader, report("t1#1", false));
+    let parts = leader.router.prompt_parts();
+    parts.merge_phased(clock::now(), &[phased("t2#1", behind_first_event())]);
+    let stream = TcpStream::connect(leader.row.relay_address).await;
+    let transport = peer::transport(stream.expect("a connection"), 1_000_000);
+    let client = EarlierServiceClient::new(tarpc::client::Config::default(), transport).spawn();
+    let query = VictimQuery {
+        digest: 0,
+        reports: vec![report("t4#1", false)],
+        wait: Duration::ZERO,
+    };
+    let answer = client.exchange_victims(context::current(), query).await;
+    let answer = answer.expect("an answer").expect("an answer");
+    let crashes: Vec<&str> = answer.reports.iter().map(|report| &*report.crash).collect();
+    assert_eq!(crashes, ["t1#1", "t4#1"]);
+}
