--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -70,13 +70,7 @@
                 return Inspection::Healthy;
             }
         };
-        for stage in &lost {
-            if self.checked.contains(&stage.key) {
-                continue;
-            }
-            self.checked.push(stage.key);
-            prompt_parts::record_interruption(router, admitted, stage, phase).await;
-        }
+        self.record_lost(router, admitted, &lost, phase).await;
         if router.prompt_parts.check(clock::now(), admitted).is_err() {
             return not_moved;
         }
@@ -107,6 +101,23 @@
         self.has_moved_off_slow |= lost.is_empty();
         Inspection::Moved(next)
     }
+
+    /// Finds out once of each lost stage whether it has crashed, and records the crash.
+    async fn record_lost(
+        &mut self,
+        router: &Arc<Router>,
+        admitted: &Admitted,
+        lost: &[Stage],
+        phase: CrashPhase,
+    ) {
+        for stage in lost {
+            if self.checked.contains(&stage.key) {
+                continue;
+            }
+            self.checked.push(stage.key);
+            prompt_parts::record_interruption(router, admitted, stage, phase).await;
+        }
+    }
 }
 
 /// Stages that have failed, and stages that are slow.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -23,6 +23,7 @@
 mod recent_map;
 mod settings;
 mod suspicion;
+mod victim_reports;
 
 pub use {
     crash_detector::{CrashDetector, InterruptedRun},
