Tell other instances of crashes in long phases less often

Change: crashes count against parts up to 2 s behind the first event instead of 5. Changes outside of the short phase are collected for 0.3 s, clearings there start no exchange, and the check of the target no longer delays the resumption of a stream. A part with fewer victims than it takes to refuse it is not examined.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -101,7 +101,7 @@
     permits::{PermitPeers, Permits},
     pool::Pool,
     prober::probe_engines,
-    prompt_parts::PromptParts,
+    prompt_parts::{CrashChanges, PromptParts},
     refusal::Refusal,
     router::Router,
     settings::ForwardSettings,
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -4,11 +4,44 @@
 /// are sent, as there may be no other instance.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which changes in other phases than the short one are collected before other instances are told.
+const SLOW_DELAY: Duration = Duration::from_millis(300);
+
+/// Waits for changes of what is known of crashes.
+#[derive(Debug)]
+pub struct CrashChanges {
+    slow: watch::Receiver<u64>,
+    urgent: watch::Receiver<u64>,
+}
+
+impl CrashChanges {
+    /// Waits until other instances should be told of a change.
+    pub async fn changed(&mut self) {
+        let slow = async {
+            if self.slow.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+            tokio::time::sleep(SLOW_DELAY).await;
+        };
+        tokio::select! {
+            () = slow => {}
+            _ = self.urgent.changed() => {}
+        }
+    }
+
+    /// Waits for `SLOW_DELAY`, or until a change must be told at once.
+    pub async fn pause(&mut self) {
+        let _ = timeout(SLOW_DELAY, self.urgent.changed()).await;
+    }
+}
+
 /// Quarantine of requests and parts of prompts that crash targets, shared by all tasks of an instance.
 #[derive(Debug)]
 pub struct PromptParts {
-    /// Counts the changes of what is known of crashes.
+    /// Counts the changes of what is known of crashes in the short phase.
     changed: watch::Sender<u64>,
+    /// Counts the changes of what is known of crashes in other phases.
+    changed_slowly: watch::Sender<u64>,
     /// Whether requests need not wait for what other instances know.
     is_synced: watch::Sender<bool>,
     checks: CrashChecks,
@@ -19,6 +52,7 @@
     pub(crate) fn new(settings: PartSettings, seed: u64) -> Self {
         Self {
             changed: watch::Sender::new(0),
+            changed_slowly: watch::Sender::new(0),
             is_synced: watch::Sender::new(false),
             checks: CrashChecks::default(),
             quarantine: Mutex::new(PartQuarantine::new(settings, seed)),
@@ -112,17 +146,30 @@
         answered_for: Duration,
     ) {
         let run = &admitted.prompt_run;
-        let cleared = self.lock().record_progress(now, run, answered_for);
-        self.report_cleared(admitted, &cleared);
+        let (cleared, is_urgent) = {
+            let mut quarantine = self.lock();
+            let cleared = quarantine.record_progress(now, run, answered_for);
+            (cleared, quarantine.take_urgent())
+        };
+        self.report_cleared(admitted, &cleared, is_urgent);
     }
 
     /// Records that the answer to a request is complete.
     pub(crate) fn record_completion(&self, now: Duration, admitted: &Admitted) {
-        let cleared = self.lock().record_completion(now, &admitted.prompt_run);
-        self.report_cleared(admitted, &cleared);
+        let (cleared, is_urgent) = {
+            let mut quarantine = self.lock();
+            let cleared = quarantine.record_completion(now, &admitted.prompt_run);
+            (cleared, quarantine.take_urgent())
+        };
+        self.report_cleared(admitted, &cleared, is_urgent);
     }
 
-    fn report_cleared(&self, admitted: &Admitted, cleared: &BTreeSet<Fingerprint>) {
+    fn report_cleared(
+        &self,
+        admitted: &Admitted,
+        cleared: &BTreeSet<Fingerprint>,
+        is_urgent: bool,
+    ) {
         if cleared.is_empty() {
             return;
         }
@@ -133,14 +180,21 @@
                 "answer has begun or goes on, suspicion of crashing targets is lifted"
             );
         }
-        self.notify();
+        // Other instances clear the rest by answers of their own, or learn of it with their next query.
+        if is_urgent {
+            self.notify(true);
+        }
     }
 
     /// Records that a target crashed while it ran a request.
     fn record_crash(&self, phase: CrashPhase, now: Duration, admitted: &Admitted, target: &Stage) {
         let crash: CrashId = format!("{}#{}", target.id, target.incarnation).into();
         let run = &admitted.prompt_run;
-        let is_new = self.lock().record_crash_in(phase, now, crash, run);
+        let (is_new, is_urgent) = {
+            let mut quarantine = self.lock();
+            let is_new = quarantine.record_crash_in(phase, now, crash, run);
+            (is_new, quarantine.take_urgent())
+        };
         tracing::info!(
             request = &*admitted.metadata.id,
             target = &*target.id,
@@ -151,31 +205,39 @@
             "target crashed while it ran the request"
         );
         if is_new {
-            self.notify();
+            self.notify(is_urgent);
         }
     }
 
-    /// Whether the parts of a prompt have probably not caused a crash in `phase`.
-    fn are_outlasted(&self, admitted: &Admitted, phase: CrashPhase) -> bool {
-        self.lock().are_outlasted(&admitted.prompt_run, phase)
+    /// Whether a crash in `phase` would count against the request or its parts.
+    fn is_attributed(&self, admitted: &Admitted, phase: CrashPhase) -> bool {
+        let has_parts = !admitted.prompt_run.parts.is_empty();
+        phase == CrashPhase::BeforeFirstEvent || (has_parts && self.lock().is_attributed(phase))
     }
 
     /// Merges the crash victims that an instance of an earlier version reports.
     pub fn merge(&self, now: Duration, reports: &[VictimReport]) {
-        let has_new = self.lock().merge(now, reports);
-        self.report_merged(has_new, reports.len());
+        let (has_new, is_urgent) = {
+            let mut quarantine = self.lock();
+            (quarantine.merge(now, reports), quarantine.take_urgent())
+        };
+        self.report_merged(has_new, is_urgent, reports.len());
     }
 
     /// Merges the crash victims that another instance reports.
     pub fn merge_phased(&self, now: Duration, reports: &[PhasedVictimReport]) {
-        let has_new = self.lock().merge_phased(now, reports);
-        self.report_merged(has_new, reports.len());
+        let (has_new, is_urgent) = {
+            let mut quarantine = self.lock();
+            let has_new = quarantine.merge_phased(now, reports);
+            (has_new, quarantine.take_urgent())
+        };
+        self.report_merged(has_new, is_urgent, reports.len());
     }
 
-    fn report_merged(&self, has_new: bool, victims: usize) {
+    fn report_merged(&self, has_new: bool, is_urgent: bool, victims: usize) {
         if has_new {
             tracing::info!(victims, "other instances report crashes by requests");
-            self.notify();
+            self.notify(is_urgent);
         }
     }
 
@@ -196,9 +258,12 @@
         )
     }
 
-    /// Receiver of the number of changes of what is known of crashes.
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changed.subscribe()
+    /// Changes of what is known of crashes, from now on.
+    pub fn changes(&self) -> CrashChanges {
+        CrashChanges {
+            slow: self.changed_slowly.subscribe(),
+            urgent: self.changed.subscribe(),
+        }
     }
 
     /// Forgets targets that are no longer listed.
@@ -206,8 +271,12 @@
         self.checks.retain_listed(is_listed);
     }
 
-    fn notify(&self) {
-        self.changed.send_modify(|count| *count += 1);
+    fn notify(&self, is_urgent: bool) {
+        let changed = match is_urgent {
+            false => &self.changed_slowly,
+            true => &self.changed,
+        };
+        changed.send_modify(|count| *count += 1);
     }
 
     fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
@@ -218,29 +287,26 @@
 }
 
 /// Finds out whether a connection that broke in `phase` of an answer ended with a crash of the target, and records
-/// the crash. Returns at once if the parts of the prompt have probably not caused it, or if there is no time left, so
-/// that the request goes on without a delay.
+/// the crash. Waits for the result only if a single crash is enough to suspect the request, so that others are resumed
+/// without a delay.
 pub(crate) async fn record_interruption(
     router: &Arc<Router>,
     admitted: &Admitted,
     target: &Stage,
     phase: CrashPhase,
 ) {
-    let is_short = phase == CrashPhase::BeforeFirstEvent;
-    if !is_short && admitted.prompt_run.parts.is_empty() {
+    if !router.prompt_parts.is_attributed(admitted, phase) {
         return;
     }
     let (router, admitted, target) = (router.clone(), admitted.clone(), target.clone());
-    let parts = &router.prompt_parts;
-    let is_suspect = is_short || !parts.are_outlasted(&admitted, phase);
-    let is_awaited = is_suspect && admitted.time_left() > crash_checks::CHECK_TIMEOUT;
+    let has_time = admitted.time_left() > crash_checks::CHECK_TIMEOUT;
     let record = async move {
         let parts = &router.prompt_parts;
         if parts.checks.has_crashed(&router, &target).await {
             parts.record_crash(phase, clock::now(), &admitted, &target);
         }
     };
-    if is_awaited {
+    if phase == CrashPhase::BeforeFirstEvent && has_time {
         record.await;
     } else {
         tokio::spawn(record);
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -18,6 +18,8 @@
 pub struct PartQuarantine {
     /// Parts for which an answer has begun at this instance, and how long the longest of these answers went on.
     answered: RecentMap<Duration>,
+    /// Whether crashes in the short phase have changed since `take_urgent` was called.
+    is_urgent: bool,
     /// Spreads the trials of the instances.
     seed: u64,
     settings: PartSettings,
@@ -49,6 +51,7 @@
     pub fn new(settings: PartSettings, seed: u64) -> Self {
         Self {
             answered: RecentMap::new(MAX_ANSWERED_PARTS),
+            is_urgent: false,
             seed,
             settings,
             trials: BTreeMap::new(),
@@ -132,8 +135,15 @@
         )
     }
 
+    /// Whether crashes in the short phase have changed since the last call, so that other instances must know at
+    /// once. Those in other phases are many, and it takes several of them to refuse a part.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.is_urgent)
+    }
+
     /// Whether crashes in `phase` count against the parts of prompts.
-    pub(crate) fn is_attributed(&self, phase: CrashPhase) -> bool {
+    #[must_use]
+    pub fn is_attributed(&self, phase: CrashPhase) -> bool {
         phase.answered_for() <= self.settings.max_answer_time
     }
 
@@ -177,6 +187,7 @@
             if *request == run.request && !victim.is_request_cleared {
                 victim.is_request_cleared = true;
                 cleared.insert(run.request);
+                self.is_urgent |= victim.phase.is_short();
             }
             if answered_for < self.settings.outlasting_time(victim.phase) {
                 continue;
@@ -185,6 +196,7 @@
                 if victim.is_suspect(*part) {
                     victim.parts.insert(*part, true);
                     cleared.insert(*part);
+                    self.is_urgent |= victim.phase.is_short();
                 }
             }
         }
@@ -253,6 +265,11 @@
         }
         let of_part = self.victims.iter();
         let of_part = of_part.filter(|(_, victim)| victim.is_suspect(part));
+        let victim_count = of_part.clone().count();
+        let has_short_phase = of_part.clone().any(|(_, victim)| victim.phase.is_short());
+        if !has_short_phase && victim_count < settings.long_phase_crashes as usize {
+            return None;
+        }
         let in_short_phase = of_part
             .clone()
             .filter(|(_, victim)| victim.phase.is_short());
@@ -353,12 +370,14 @@
     ) -> bool {
         let key = (crash, request);
         let Some(known) = self.victims.get_mut(&key) else {
+            self.is_urgent |= victim.phase.is_short();
             // Trials that began before this crash became known must not cause another one.
             self.end_trials(&victim.suspects());
             self.victims.insert(key, victim);
             self.evict();
             return true;
         };
+        let is_short = known.phase.is_short();
         known.at = known.at.min(victim.at);
         known.reported_from = known.reported_from.min(victim.reported_from);
         let mut has_new = victim.is_request_cleared && !known.is_request_cleared;
@@ -368,6 +387,7 @@
             has_new |= is_cleared && !*known;
             *known |= is_cleared;
         }
+        self.is_urgent |= has_new && is_short;
         has_new
     }
 
--- a/crates/quarantine/src/part_settings.rs
+++ b/crates/quarantine/src/part_settings.rs
@@ -56,7 +56,7 @@
             known_part_hold: Duration::from_secs(1),
             outlast_factor: 2.0,
             outlast_margin: Duration::from_secs(1),
-            max_answer_time: Duration::from_secs(5),
+            max_answer_time: Duration::from_secs(2),
             long_phase_crashes: 3,
             report_delay: Duration::from_secs(1),
             request_crashes: 2,
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -8,7 +8,7 @@
 use {
     catalog::{Catalog, CatalogParts, EngineProfile},
     fleet::{Departure, LoadTable, MAX_LOAD_AGE, SharedLoad, Target, TargetList},
-    forward::{Engines, Error, Instance, OrderReply, PromptParts, Router},
+    forward::{CrashChanges, Engines, Error, Instance, OrderReply, PromptParts, Router},
     futures::future::{BoxFuture, join_all},
     layout::{Engine, EngineId, LayerRange, LayoutSettings, ModelShape, Placement},
     quarantine::{PhasedVictimReport, VictimReport},
--- a/crates/reconcile/src/victim_loop.rs
+++ b/crates/reconcile/src/victim_loop.rs
@@ -113,6 +113,9 @@
             }
         }
         sleep((queried_at + MIN_INTERVAL).saturating_sub(clock::now())).await;
+        if !is_known_there {
+            changes.pause().await;
+        }
     }
 }
 
@@ -230,7 +233,7 @@
 /// digest and the reports, which are empty if they do not.
 async fn wait_for_difference<T>(
     parts: &PromptParts,
-    mut changes: watch::Receiver<u64>,
+    mut changes: CrashChanges,
     digest_there: u64,
     wait: Duration,
     known: impl Fn() -> (u64, Vec<T>),
