--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -1,7 +1,8 @@
 use super::*;
 
 /// Maximum number of crash victims kept, and thus sent in one message. Beyond it, those without suspect parts
-/// are removed first, then those of which no other instance is told yet, then the oldest.
+/// are removed first, then those of which no other instance is told yet, then those whose answers had gone on for
+/// longest, then the oldest.
 pub(crate) const MAX_VICTIMS: usize = 128;
 /// Maximum number of parts whose answers are kept.
 const MAX_ANSWERED_PARTS: usize = 4_096;
@@ -149,8 +150,7 @@
 
     /// Whether each part of a prompt has been answered here for so long that it probably does not cause crashes in
     /// `phase`.
-    #[must_use]
-    pub fn are_outlasted(&self, run: &PromptRun, phase: CrashPhase) -> bool {
+    fn are_outlasted(&self, run: &PromptRun, phase: CrashPhase) -> bool {
         run.parts.iter().all(|part| self.is_outlasted(*part, phase))
     }
 
