Log how the end of a target was checked

Cause: the logs did not tell a check that found an open listener from no check at all, nor whether victims of crashes were displaced.

Change: one line for each check, one for each stream that is moved because its target is silent, and the numbers of victims in the line on a crash. No decision changes.

--- a/crates/forward/src/crash_checks.rs
+++ b/crates/forward/src/crash_checks.rs
@@ -38,20 +38,20 @@
         if let Some(check) = valid {
             return check.has_crashed;
         }
-        let has_crashed = match router.open_link(target, CHECK_TIMEOUT).await {
+        let (has_crashed, result) = match router.open_link(target, CHECK_TIMEOUT).await {
             Ok(link) => {
                 router.put_link(target.key, link, router.settings.idle_limit);
-                false
-            }
-            Err(LinkError::Own(error)) => {
-                tracing::debug!(target = &*target.id, %error, "unknown whether the target crashed");
-                false
-            }
-            Err(LinkError::Target(error)) => {
-                tracing::debug!(target = &*target.id, %error, "target does not accept connections");
-                true
+                (false, "accepted")
             }
+            Err(LinkError::Own(_)) => (false, "own_links"),
+            Err(LinkError::Target(_)) => (true, "refused"),
         };
+        tracing::info!(
+            target = &*target.id,
+            incarnation = target.incarnation,
+            result,
+            "checked whether the target of an interrupted request has ended"
+        );
         *latest = Some(Check {
             checked_at: clock::now(),
             has_crashed,
--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -190,10 +190,12 @@
     fn record_crash(&self, phase: CrashPhase, now: Duration, admitted: &Admitted, target: &Stage) {
         let crash: CrashId = format!("{}#{}", target.id, target.incarnation).into();
         let run = &admitted.prompt_run;
-        let (is_new, is_urgent) = {
+        let (is_new, is_urgent, victims, evicted) = {
             let mut quarantine = self.lock();
             let is_new = quarantine.record_crash_in(phase, now, crash, run);
-            (is_new, quarantine.take_urgent())
+            let is_urgent = quarantine.take_urgent();
+            let evicted = quarantine.evicted_count();
+            (is_new, is_urgent, quarantine.victim_count(), evicted)
         };
         tracing::info!(
             request = &*admitted.metadata.id,
@@ -202,6 +204,8 @@
             ?phase,
             shared_parts = admitted.shared_parts_text(),
             is_new,
+            victims,
+            evicted,
             "target crashed while it ran the request"
         );
         if is_new {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -273,6 +273,13 @@
         let Some(next) = self.resume(attempt.first().key).await else {
             return false;
         };
+        tracing::info!(
+            request = &*self.exchange.admitted.metadata.id,
+            target = &*attempt.first().id,
+            silence_ms = silence.as_millis() as u64,
+            ?phase,
+            "stream was silent and is resumed at another target"
+        );
         *attempt = next;
         true
     }
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -19,6 +19,8 @@
 pub struct PartQuarantine {
     /// Parts for which an answer has begun at this instance, and how long the longest of these answers went on.
     answered: RecentMap<Duration>,
+    /// Number of victims that were removed because there were too many.
+    evicted_count: u64,
     /// Whether crashes in the short phase have changed since `take_urgent` was called.
     is_urgent: bool,
     /// Spreads the trials of the instances.
@@ -52,6 +54,7 @@
     pub fn new(settings: PartSettings, seed: u64) -> Self {
         Self {
             answered: RecentMap::new(MAX_ANSWERED_PARTS),
+            evicted_count: 0,
             is_urgent: false,
             seed,
             settings,
@@ -136,6 +139,18 @@
         )
     }
 
+    /// Number of victims that are known.
+    #[must_use]
+    pub fn victim_count(&self) -> usize {
+        self.victims.len()
+    }
+
+    /// Number of victims that were removed so far because there were too many.
+    #[must_use]
+    pub fn evicted_count(&self) -> u64 {
+        self.evicted_count
+    }
+
     /// Whether crashes in the short phase have changed since the last call, so that other instances must know at
     /// once. Those in other phases are many, and it takes several of them to refuse a part.
     pub fn take_urgent(&mut self) -> bool {
@@ -402,6 +417,7 @@
         });
         if let Some(key) = least.map(|(key, _)| key.clone()) {
             self.victims.remove(&key);
+            self.evicted_count += 1;
         }
     }
 }
