Check targets whose streams are silent for a crash

What callers saw: a target that crashes without closing its connections was never suspected.

Cause: only broken connections were recorded as interruptions. A stream or a request without an answer that is sent elsewhere for silence was not. Engines were probed, other targets were not.

Change: a target whose request is sent elsewhere for its silence is checked like one whose connection broke, once for each request. A stage that is lost counts with the point that the answer had reached if it is the first one.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -108,7 +108,11 @@
                 }
                 return Err((failure, first));
             }
-            None => return Err((AttemptFailure::Unknown, first)),
+            None => {
+                let phase = CrashPhase::BeforeHead;
+                prompt_parts::record_interruption(router, admitted, &first, phase).await;
+                return Err((AttemptFailure::Unknown, first));
+            }
         };
         let metadata = router
             .header_codec
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -262,9 +262,15 @@
             .inspect(router, admitted, attempt.in_flight.path(), phase, silence)
             .await;
         let limit = Some(router.settings.stall_limit);
+        let are_stages_healthy = inspection == Inspection::Healthy;
         if !attempt.in_flight.apply(inspection, silence, limit) {
             return false;
         }
+        if are_stages_healthy {
+            // Its connections may be open although it has ended.
+            let first = attempt.first();
+            watchdog.record_lost(router, admitted, first, phase).await;
+        }
         let Some(next) = self.resume(attempt.first().key).await else {
             return false;
         };
--- a/crates/forward/src/watchdog.rs
+++ b/crates/forward/src/watchdog.rs
@@ -26,7 +26,7 @@
 pub(crate) struct Watchdog {
     /// Number of consecutive inspections that found all stages healthy.
     healthy_count: u32,
-    /// Stages that were found lost, for which it was checked whether they have crashed.
+    /// Stages that were found lost or silent, for which it was checked whether they have crashed.
     checked: Vec<TargetKey>,
     /// Whether the request was already moved because of slow stages. Happens at most once: each move
     /// makes other engines process the prompt again, and more moves would slow down all requests.
@@ -109,8 +109,8 @@
         Inspection::Moved(next)
     }
 
-    /// Finds out once of each lost stage whether it has crashed, and records the crash.
-    async fn record_lost(
+    /// Finds out once of each lost or silent stage whether it has crashed, and records the crash.
+    pub(crate) async fn record_lost(
         &mut self,
         router: &Arc<Router>,
         admitted: &Admitted,
