Keep the crashes for which parts of prompts are refused in the store

Cause: victims of crashes were kept in memory alone. Whole requests are kept in the store since the incident of forgotten crashes; the parts were left out. Class: state that must outlast every instance is held by instances.

Change: the leader writes the victims for which parts are refused, 64 of them and 512 parts at most, to a row of their own beside that of the requests, when they change. Instances read it at their start.

--- a/crates/forward/src/prompt_parts.rs
+++ b/crates/forward/src/prompt_parts.rs
@@ -291,6 +291,18 @@
         (quarantine.digest(), quarantine.reports(now))
     }
 
+    /// Digest of the crash victims that this instance knows.
+    pub fn phased_digest(&self, now: Duration) -> u64 {
+        let mut quarantine = self.lock();
+        quarantine.tick(now);
+        quarantine.phased_digest(now)
+    }
+
+    /// Crash victims because of which parts are refused.
+    pub fn refused_reports(&self, now: Duration) -> Vec<PhasedVictimReport> {
+        self.lock().refused_reports(now)
+    }
+
     /// Digest and reports of the crash victims that this instance knows.
     pub fn phased_reports(&self, now: Duration) -> (u64, Vec<PhasedVictimReport>) {
         let mut quarantine = self.lock();
--- a/crates/quarantine/src/part_quarantine.rs
+++ b/crates/quarantine/src/part_quarantine.rs
@@ -276,6 +276,11 @@
         holds
     }
 
+    /// Whether a request is refused for a part, until the hold is over.
+    pub(crate) fn is_refused(&self, part: Fingerprint, run: &PromptRun) -> bool {
+        self.suspicion(part, run).is_some()
+    }
+
     /// Suspicion against a part or the whole request, and the time from the latest crash to the first trial;
     /// none if the request is not refused for it.
     fn suspicion(&self, part: Fingerprint, run: &PromptRun) -> Option<(Suspicion, Duration)> {
--- a/crates/quarantine/src/victim_reports.rs
+++ b/crates/quarantine/src/victim_reports.rs
@@ -2,6 +2,11 @@
 
 use {super::*, part_quarantine::MAX_VICTIMS};
 
+/// Maximum number of victims that outlast all instances. Beyond it, the oldest are left out.
+const MAX_LASTING_VICTIMS: usize = 64;
+/// Maximum number of parts of these victims together, as a row of the store is limited.
+const MAX_LASTING_PARTS: usize = 512;
+
 impl PartQuarantine {
     /// Merges the reports of another instance on crashes in the short phase. Returns whether they contained
     /// anything new.
@@ -68,6 +73,38 @@
         reports
     }
 
+    /// Returns reports of the victims because of which parts are refused, the latest first. Instances that start after
+    /// all others have ended need no more.
+    #[must_use]
+    pub fn refused_reports(&self, now: Duration) -> Vec<PhasedVictimReport> {
+        let mut refused = BTreeSet::new();
+        for ((_, request), victim) in &self.victims {
+            let run = PromptRun {
+                account: victim.account,
+                parts: victim.parts.keys().copied().collect(),
+                request: *request,
+            };
+            for part in victim.suspects() {
+                if !refused.contains(&part) && self.is_refused(part, &run) {
+                    refused.insert(part);
+                }
+            }
+        }
+        let mut reports = self.phased_reports(now);
+        reports.retain(|report| {
+            let mut parts = report.victim.parts.iter();
+            parts.any(|(part, is_cleared)| !is_cleared && refused.contains(part))
+        });
+        reports.sort_by_key(|report| report.victim.age_ms);
+        reports.truncate(MAX_LASTING_VICTIMS);
+        let mut part_count = 0;
+        reports.retain(|report| {
+            part_count += report.victim.parts.len();
+            part_count <= MAX_LASTING_PARTS
+        });
+        reports
+    }
+
     /// Digest of the crashes in the short phase, by which two instances see whether they know the same ones.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/crates/reconcile/src/crash_loop.rs
+++ b/crates/reconcile/src/crash_loop.rs
@@ -5,7 +5,8 @@
 /// Name under which the records count among those of other instances.
 const STORE: &str = ":store";
 
-/// Reads the requests that crashed targets from the store when the instance starts, and writes them while it leads.
+/// Reads the requests, and parts of prompts, that crashed targets from the store when the instance starts, and writes
+/// them while it leads.
 pub async fn keep_crash_records(
     router: Arc<Router>,
     mut table: Box<dyn CrashTable>,
@@ -38,13 +39,20 @@
     table: &mut dyn CrashTable,
     records: &mut CrashRecords,
 ) -> Result<(), Error> {
-    let reports = table.read().await?;
-    records.record_stored(&reports);
-    if !reports.is_empty() {
-        tracing::info!(count = reports.len(), "read requests that crashed targets");
+    let stored = table.read().await?;
+    records.record_read(&stored);
+    let StoredCrashes { requests, victims } = stored;
+    if !requests.is_empty() || !victims.is_empty() {
+        tracing::info!(
+            count = requests.len(),
+            victims = victims.len(),
+            "read requests that crashed targets"
+        );
     }
+    let now = clock::now();
+    router.prompt_parts().merge_phased(now, &victims);
     let mut suspects = router.suspects();
-    suspects.merge_reports(clock::now(), &STORE.into(), &reports);
+    suspects.merge_reports(now, &STORE.into(), &requests);
     Ok(())
 }
 
@@ -53,12 +61,39 @@
     table: &mut dyn CrashTable,
     records: &mut CrashRecords,
 ) -> Result<(), Error> {
-    let reports = router.suspects().refused_reports(clock::now());
-    if !records.must_write(&reports) {
+    let now = clock::now();
+    let digest = router.prompt_parts().phased_digest(now);
+    if records.must_examine(digest) {
+        write_victims(router, table, records).await?;
+        records.record_examined(digest);
+    }
+    let requests = router.suspects().refused_reports(now);
+    if !records.must_write_requests(&requests) {
+        return Ok(());
+    }
+    table.write_requests(&requests).await?;
+    tracing::info!(
+        count = requests.len(),
+        "wrote requests that crashed targets"
+    );
+    records.record_requests(&requests);
+    Ok(())
+}
+
+async fn write_victims(
+    router: &Router,
+    table: &mut dyn CrashTable,
+    records: &mut CrashRecords,
+) -> Result<(), Error> {
+    let victims = router.prompt_parts().refused_reports(clock::now());
+    if !records.must_write_victims(&victims) {
         return Ok(());
     }
-    table.write(&reports).await?;
-    tracing::info!(count = reports.len(), "wrote requests that crashed targets");
-    records.record_stored(&reports);
+    table.write_victims(&victims).await?;
+    tracing::info!(
+        victims = victims.len(),
+        "wrote crashes for which parts of prompts are refused"
+    );
+    records.record_victims(&victims);
     Ok(())
 }
--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -11,7 +11,7 @@
     forward::{CrashChanges, Engines, Error, Instance, OrderReply, PromptParts, Router},
     futures::future::{BoxFuture, join_all},
     layout::{Engine, EngineId, LayerRange, LayoutSettings, ModelShape, Placement},
-    quarantine::{PhasedVictimReport, VictimReport},
+    quarantine::{CrashId, PhasedVictimReport, VictimReport},
     ratelimit::{PermitQuery, PermitReply},
     serde::{Deserialize, Serialize},
     std::{
@@ -79,7 +79,8 @@
     sign_age::SignAge,
     silence_loop::ask_silent_instances,
     sources::{
-        CatalogRead, CatalogSource, CrashTable, LeaderTable, LeaderView, TargetChange, TargetSource,
+        CatalogRead, CatalogSource, CrashTable, LeaderTable, LeaderView, StoredCrashes,
+        TargetChange, TargetSource,
     },
     store_trust::StoreTrust,
     supervisor::supervise,
--- a/crates/reconcile/src/sources.rs
+++ b/crates/reconcile/src/sources.rs
@@ -88,19 +88,41 @@
     ) -> BoxFuture<'_, Result<Option<u64>, Error>>;
 }
 
-/// Table in the store with the requests that crashed targets.
+/// What the store holds of requests, and parts of prompts, that crashed targets.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoredCrashes {
+    /// Requests that are refused as a whole.
+    pub requests: Vec<CrashReport>,
+    /// Victims of crashes because of which parts of prompts are refused.
+    pub victims: Vec<PhasedVictimReport>,
+}
+
+/// Table in the store with the requests, and parts of prompts, that crashed targets.
 pub trait CrashTable: Send {
     /// Reads all records that have not expired.
     ///
     /// # Errors
     ///
     /// Returns an error when the table does not answer.
-    fn read(&mut self) -> BoxFuture<'_, Result<Vec<CrashReport>, Error>>;
+    fn read(&mut self) -> BoxFuture<'_, Result<StoredCrashes, Error>>;
+
+    /// Replaces the records of requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table does not answer; the write may still take effect later.
+    fn write_requests<'a>(
+        &'a mut self,
+        requests: &[CrashReport],
+    ) -> BoxFuture<'a, Result<(), Error>>;
 
-    /// Replaces all records.
+    /// Replaces the records of victims.
     ///
     /// # Errors
     ///
     /// Returns an error when the table does not answer; the write may still take effect later.
-    fn write<'a>(&'a mut self, reports: &[CrashReport]) -> BoxFuture<'a, Result<(), Error>>;
+    fn write_victims<'a>(
+        &'a mut self,
+        victims: &[PhasedVictimReport],
+    ) -> BoxFuture<'a, Result<(), Error>>;
 }
--- a/crates/reconcile/tests/crash_records.rs
+++ b/crates/reconcile/tests/crash_records.rs
@@ -1,7 +1,8 @@
 //! Guards against records of crashes that are lost with the instances, or replaced by an instance that has not read them.
 
 use {
-    reconcile::CrashRecords,
+    quarantine::{CrashPhase, PhasedVictimReport, VictimReport},
+    reconcile::{CrashRecords, StoredCrashes},
     types::{CrashReport, Fingerprint},
     yare::parameterized,
 };
@@ -39,11 +40,68 @@
     };
     let mut records = CrashRecords::default();
     assert!(
-        !records.must_write(&reports(known)),
+        !records.must_write_requests(&reports(known)),
         "written before the store was read"
     );
-    records.record_stored(&reports(stored));
-    assert_eq!(records.must_write(&reports(known)), must_write);
-    records.record_stored(&reports(known));
-    assert!(!records.must_write(&reports(known)));
+    records.record_read(&StoredCrashes {
+        requests: reports(stored),
+        ..StoredCrashes::default()
+    });
+    assert_eq!(records.must_write_requests(&reports(known)), must_write);
+    records.record_requests(&reports(known));
+    assert!(!records.must_write_requests(&reports(known)));
+}
+
+/// Victim of a crash with one part. Its age grows meanwhile.
+fn victim((request, is_cleared, age_ms): (Fingerprint, bool, u64)) -> PhasedVictimReport {
+    PhasedVictimReport {
+        phase: CrashPhase::BeforeFirstEvent,
+        victim: VictimReport {
+            account: 1,
+            age_ms,
+            crash: "t#1".into(),
+            is_request_cleared: true,
+            parts: vec![(7, is_cleared)],
+            request,
+        },
+    }
+}
+
+/// Load: parts become suspects and are cleared, while the victims of their crashes grow older.
+#[parameterized(
+    cleared = { &[(1, false, 0)], &[], true },
+    first = { &[], &[(1, false, 0)], true },
+    none = { &[], &[], false },
+    older = { &[(1, false, 0), (2, true, 9)], &[(2, true, 709), (1, false, 700)], false },
+    part_cleared = { &[(1, false, 0)], &[(1, true, 0)], true },
+)]
+fn leader_writes_changed_victims(
+    stored: &[(Fingerprint, bool, u64)],
+    known: &[(Fingerprint, bool, u64)],
+    must_write: bool,
+) {
+    let victims = |victims: &[(Fingerprint, bool, u64)]| -> Vec<PhasedVictimReport> {
+        victims.iter().copied().map(victim).collect()
+    };
+    let mut records = CrashRecords::default();
+    assert!(!records.must_write_victims(&victims(known)));
+    records.record_read(&StoredCrashes {
+        victims: victims(stored),
+        ..StoredCrashes::default()
+    });
+    assert_eq!(records.must_write_victims(&victims(known)), must_write);
+    records.record_victims(&victims(known));
+    assert!(!records.must_write_victims(&victims(known)));
+}
+
+/// Victims are examined once for each change, and again after another leader may have written.
+#[test]
+fn victims_are_examined_when_they_change() {
+    let mut records = CrashRecords::default();
+    assert!(records.must_examine(1));
+    records.record_examined(1);
+    assert!(!records.must_examine(1));
+    assert!(records.must_examine(2));
+    records.record_read(&StoredCrashes::default());
+    assert!(records.must_examine(1));
 }
