Send nothing to targets whose address belongs to another one

Cause: the entry of an ended target stays listed until it lapses, and requests went on to its address. The target that had it by then refused each with 421, which used up attempts and the retry budget, so that interrupted streams were not resumed. Class as before: that somebody answers at an address counts as the target that was listed there.

Change: a listed incarnation gets no requests once a later one of its id runs, a target that started later is listed at its address, or the target at its address has refused a request for it. A refusal by an engine is no such sign, as engines also lack layers.

--- a/crates/fleet/src/availability.rs
+++ b/crates/fleet/src/availability.rs
@@ -3,9 +3,14 @@
 /// Maximum pause that a target can request with one answer.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
-/// What a target announced about accepting further requests of this instance.
+/// Whether a target accepts further requests of this instance.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Availability {
+    /// Whether this incarnation was found to have ended, although it is still listed. Invariant: never reset for the
+    /// same incarnation of a target.
+    pub(crate) has_ended: bool,
+    /// Whether another target that started later is listed at its address.
+    pub(crate) is_replaced: bool,
     /// Until when it asked this instance to send no requests.
     paused_until: Duration,
     /// Whether it announced that it is leaving. Invariant: never reset for the same incarnation of a
@@ -28,8 +33,13 @@
         self.paused_until.saturating_sub(now)
     }
 
-    /// Whether requests may be sent to it: it is neither paused nor leaving.
+    /// Whether requests may be sent to it: it is neither paused nor leaving, and has not ended.
     pub(crate) fn accepts_requests(&self, now: Duration) -> bool {
-        !self.is_leaving && self.paused_until <= now
+        !self.is_leaving && !self.is_over() && self.paused_until <= now
+    }
+
+    /// Whether this incarnation has ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.has_ended || self.is_replaced
     }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -76,6 +76,7 @@
             let key = targets.insert(state);
             self.by_id.insert(target.id.clone(), key);
         }
+        self.mark_replaced();
         self.by_service.clear();
         for (key, state) in &self.targets {
             let keys = self.by_service.entry(state.target.service.clone());
--- a/crates/fleet/src/listed_end.rs
+++ b/crates/fleet/src/listed_end.rs
@@ -37,6 +37,27 @@
         }
     }
 
+    /// Records that an incarnation of a target has ended, although it may still be listed. Returns whether this is new.
+    pub fn record_ended(&mut self, id: &str, incarnation: Incarnation) -> bool {
+        let key = self.key_of(id, incarnation);
+        let state = key.and_then(|key| self.targets.get_mut(key));
+        state.is_some_and(|state| !std::mem::replace(&mut state.availability.has_ended, true))
+    }
+
+    /// Marks the targets at whose addresses others are listed that started later. Their entries will lapse.
+    pub(crate) fn mark_replaced(&mut self) {
+        let mut latest: HashMap<SocketAddr, Incarnation> = HashMap::new();
+        for state in self.targets.values() {
+            let incarnation = latest.entry(state.target.address).or_default();
+            *incarnation = state.target.incarnation.max(*incarnation);
+        }
+        for state in self.targets.values_mut() {
+            let target = &state.target;
+            let latest = latest.get(&target.address).copied().unwrap_or_default();
+            state.availability.is_replaced = target.incarnation != 0 && latest > target.incarnation;
+        }
+    }
+
     /// Whether an incarnation of a target is listed and has not announced that it is leaving.
     #[must_use]
     pub fn is_staying(&self, id: &str, incarnation: Incarnation) -> bool {
--- a/crates/fleet/tests/listed_end.rs
+++ b/crates/fleet/tests/listed_end.rs
@@ -2,8 +2,10 @@
 //! ones that count as ended.
 
 use {
-    fleet::{Fleet, FleetSettings, ListedEnd, Target},
-    std::{net::SocketAddr, time::Duration},
+    fleet::{Demand, Fleet, FleetSettings, ListedEnd, Target},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     yare::parameterized,
 };
 
@@ -53,3 +55,53 @@
     assert!(!fleet.is_staying("u", 5));
     assert!(!fleet.is_staying("v", 5));
 }
+
+/// Ids of the targets that requests are sent to.
+fn chosen(fleet: &Fleet) -> BTreeSet<String> {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut ids = BTreeSet::new();
+    for _ in 0..100 {
+        let path = fleet.choose_target(Duration::ZERO, "s", &Demand::default(), &mut random);
+        ids.extend(path.ok().map(|path| path.first().id.to_string()));
+    }
+    ids
+}
+
+/// Load: requests come while the entry of an ended target is listed beside that of the next one at its address.
+#[parameterized(
+    by_another_id = { &[target("t", 5, 1), target("u", 6, 1)], &["u"] },
+    by_another_service = { &[target("t", 5, 1), Target { service: "v".into(), ..target("u", 6, 1) }], &[] },
+    without_times_of_birth = { &[target("t", 0, 1), target("u", 0, 1)], &["t", "u"] },
+)]
+fn replaced_target_gets_no_requests(listing: &[Target], expected: &[&str]) {
+    let mut fleet = Fleet::new(FleetSettings::default());
+    fleet.set_targets(Duration::ZERO, &[target("t", 5, 1)]);
+    fleet.set_targets(Duration::ZERO, listing);
+    assert_eq!(
+        chosen(&fleet),
+        expected.iter().map(|id| (*id).to_owned()).collect()
+    );
+}
+
+/// The entry of the later target may be that of another clock, and lapses as well.
+#[test]
+fn target_gets_requests_again_when_no_other_one_is_listed_at_its_address() {
+    let mut fleet = Fleet::new(FleetSettings::default());
+    fleet.set_targets(Duration::ZERO, &[target("t", 5, 1), target("u", 6, 1)]);
+    fleet.set_targets(Duration::ZERO, &[target("t", 5, 1)]);
+    assert_eq!(chosen(&fleet), ["t".to_owned()].into());
+}
+
+/// The end of an incarnation is final, and says nothing about the next one.
+#[test]
+fn ended_incarnation_gets_no_requests() {
+    let mut fleet = Fleet::new(FleetSettings::default());
+    fleet.set_targets(Duration::ZERO, &[target("t", 5, 1), target("u", 5, 2)]);
+    assert!(!fleet.record_ended("t", 4));
+    assert!(fleet.record_ended("t", 5));
+    assert!(!fleet.record_ended("t", 5), "known before");
+    fleet.set_targets(Duration::ZERO, &[target("t", 5, 1), target("u", 5, 2)]);
+    assert_eq!(chosen(&fleet), ["u".to_owned()].into());
+    fleet.set_targets(Duration::ZERO, &[target("t", 6, 1)]);
+    assert_eq!(chosen(&fleet), ["t".to_owned()].into());
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -207,8 +207,8 @@
             "target refused the request"
         );
         let is_misdirected = self.reply.status == StatusCode::MISDIRECTED_REQUEST;
-        if is_misdirected && fault_at.is_none() {
-            // The address belongs to another target. One that lacks a layer names itself.
+        // An engine also refuses in this way if it lacks a layer.
+        if is_misdirected && fault_at.is_none() && first.range.is_none() {
             router.record_sign(&crash_checks::target_run(first), TargetSign::Replaced);
         }
         let outcome = self.refusal_outcome(blamed);
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -166,6 +166,16 @@
     /// Records a sign of a target. Requests that were interrupted by its end count as crashes.
     pub(crate) fn record_sign(&self, target: &TargetRun, sign: TargetSign) {
         let now = clock::now();
+        if matches!(sign, TargetSign::Replaced | TargetSign::Restarted)
+            && self.fleet().record_ended(&target.id, target.incarnation)
+        {
+            tracing::info!(
+                target = &*target.id,
+                incarnation = target.incarnation,
+                ?sign,
+                "target has ended, although it is listed"
+            );
+        }
         self.suspects().record_sign(now, target, sign);
         self.prompt_parts.record_sign(now, target, sign);
     }
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -9,7 +9,10 @@
     fleet::Target,
     std::time::Duration,
     support::{CallerRequest, TestRouter, TestTarget, ready, setup, signed, target},
-    wire::hyper::{StatusCode, header::RETRY_AFTER},
+    wire::hyper::{
+        StatusCode,
+        header::{HeaderValue, RETRY_AFTER},
+    },
     yare::parameterized,
 };
 
@@ -148,3 +151,25 @@
     let later = clock::now() + Duration::from_secs(601);
     assert_eq!(one.router.suspects().own_reports(later), []);
 }
+
+/// The address of an ended target belongs to another one while its entry is still listed. Requests that were sent there
+/// were refused, and used up their attempts and the retry budget.
+#[tokio::test]
+async fn target_whose_address_belongs_to_another_one_gets_no_more_requests() {
+    let other = target(|request| {
+        let mut refusal = wire::text(StatusCode::MISDIRECTED_REQUEST, "another target");
+        let headers = refusal.headers_mut();
+        headers.insert("x-not-run", HeaderValue::from_static("1"));
+        ready(signed(request, refusal))
+    })
+    .await;
+    let sound = target(|request| ready(signed(request, wire::text(StatusCode::OK, "sound")))).await;
+    let router = setup(RepeatPolicy::Idempotent, &[&other, &sound])
+        .start()
+        .await;
+    for _ in 0..30 {
+        assert_eq!(send(&router, "other").await.0, StatusCode::OK);
+    }
+    assert_eq!(other.ids().len(), 1);
+    assert_eq!(sound.ids().len(), 30);
+}
