Count the silence of an engine's probe against no part

Cause: a probe that an engine did not answer within 40 ms became a sign of its end for parts of prompts too, for which a single crash is enough. A sound engine may be silent for a second.

Change: such a probe counts for whole requests alone, as before.

--- a/crates/forward/src/prober.rs
+++ b/crates/forward/src/prober.rs
@@ -95,7 +95,11 @@
         return;
     }
     tracing::info!(target = &*stage.id, "engine does not answer and is avoided");
-    router.record_sign(&crash_checks::target_run(stage), TargetSign::Gone);
+    // A target may be silent for a moment, so that this is no sign against parts, for which one crash is enough.
+    let target = crash_checks::target_run(stage);
+    router
+        .suspects()
+        .record_sign(now, &target, TargetSign::Gone);
 }
 
 /// Records the state with which an engine answered a probe.
