Use a target again that stays listed long after a sign of its end

Cause: a listed incarnation was unused for good after a sign of its end. A row whose time of birth is wrong would take a sound target out of use.

Evidence: ended_incarnation_gets_no_requests: unused after 5 s, used again after 60 s.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -282,15 +282,16 @@
         service: &str,
         demand: &Demand,
     ) -> Vec<(TargetKey, &TargetState)> {
-        let mut usable = self.not_leaving(service, demand);
+        let mut usable = self.not_leaving(now, service, demand);
         usable.retain(|(_, state)| state.availability.accepts_requests(now));
         usable
     }
 
-    /// Returns the targets of a service that are neither leaving nor excluded, including those that
-    /// asked to receive no requests for a while.
+    /// Returns the targets of a service that are neither leaving nor excluded and have not ended, including those
+    /// that asked to receive no requests for a while.
     pub(crate) fn not_leaving(
         &self,
+        now: Duration,
         service: &str,
         demand: &Demand,
     ) -> Vec<(TargetKey, &TargetState)> {
@@ -299,7 +300,8 @@
             let Some(state) = self.targets.get(*key) else {
                 continue;
             };
-            if state.is_leaving() || demand.excluded.contains(key) {
+            let is_over = state.is_leaving() || state.availability.has_ended(now);
+            if is_over || demand.excluded.contains(key) {
                 continue;
             }
             not_leaving.push((*key, state));
--- a/crates/fleet/src/listed_end.rs
+++ b/crates/fleet/src/listed_end.rs
@@ -38,10 +38,10 @@
     }
 
     /// Records that an incarnation of a target has ended, although it may still be listed. Returns whether this is new.
-    pub fn record_ended(&mut self, id: &str, incarnation: Incarnation) -> bool {
+    pub fn record_ended(&mut self, now: Duration, id: &str, incarnation: Incarnation) -> bool {
         let key = self.key_of(id, incarnation);
         let state = key.and_then(|key| self.targets.get_mut(key));
-        state.is_some_and(|state| !std::mem::replace(&mut state.availability.has_ended, true))
+        state.is_some_and(|state| state.availability.record_ended(now))
     }
 
     /// Marks the targets at whose addresses others are listed that started later. Their entries will lapse.
--- a/crates/fleet/src/notices.rs
+++ b/crates/fleet/src/notices.rs
@@ -99,7 +99,9 @@
     /// Returns why no target of a service without a model can be chosen. Includes targets that the
     /// request excludes, as the caller may retry on them.
     pub(crate) fn unavailable_reason(&self, now: Duration, service: &str) -> NoPath {
-        let targets = self.not_leaving(service, &Demand::default()).into_iter();
+        let targets = self
+            .not_leaving(now, service, &Demand::default())
+            .into_iter();
         let waits = targets.map(|(_, state)| state.availability.pause_left(now));
         let shortest = waits.min().filter(|wait| !wait.is_zero());
         shortest.map_or(NoPath::NoTarget, NoPath::Paused)
@@ -114,7 +116,7 @@
         profile: &EngineProfile,
     ) -> Option<Duration> {
         let mut waits: Vec<Option<Duration>> = vec![None; profile.layer_count as usize];
-        for (_, state) in self.not_leaving(service, &Demand::default()) {
+        for (_, state) in self.not_leaving(now, service, &Demand::default()) {
             let Some(held) = state.target.held.filter(|_| !state.health.is_avoided(now)) else {
                 continue;
             };
--- a/crates/fleet/src/target_state.rs
+++ b/crates/fleet/src/target_state.rs
@@ -58,9 +58,9 @@
         self.slowness.max(self.peer_slowness)
     }
 
-    /// Whether it is leaving, according to the list or to its own announcement, or has ended.
+    /// Whether it is leaving, according to the list or to its own announcement.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.target.is_leaving || self.availability.is_leaving || self.availability.is_over()
+        self.target.is_leaving || self.availability.is_leaving
     }
 
     /// Expected requests at the target of a service without a model, divided by the requests that it
--- a/crates/fleet/tests/listed_end.rs
+++ b/crates/fleet/tests/listed_end.rs
@@ -58,10 +58,14 @@
 
 /// Ids of the targets that requests are sent to.
 fn chosen(fleet: &Fleet) -> BTreeSet<String> {
+    chosen_at(fleet, Duration::ZERO)
+}
+
+fn chosen_at(fleet: &Fleet, now: Duration) -> BTreeSet<String> {
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let mut ids = BTreeSet::new();
     for _ in 0..100 {
-        let path = fleet.choose_target(Duration::ZERO, "s", &Demand::default(), &mut random);
+        let path = fleet.choose_target(now, "s", &Demand::default(), &mut random);
         ids.extend(path.ok().map(|path| path.first().id.to_string()));
     }
     ids
@@ -92,16 +96,21 @@
     assert_eq!(chosen(&fleet), ["t".to_owned()].into());
 }
 
-/// The end of an incarnation is final, and says nothing about the next one.
+/// The end of an incarnation says nothing about the next one. The sign of an end may be wrong, so that a target which
+/// stays listed must not be unused for good.
 #[test]
 fn ended_incarnation_gets_no_requests() {
     let mut fleet = Fleet::new(FleetSettings::default());
     fleet.set_targets(Duration::ZERO, &[target("t", 5, 1), target("u", 5, 2)]);
-    assert!(!fleet.record_ended("t", 4));
-    assert!(fleet.record_ended("t", 5));
-    assert!(!fleet.record_ended("t", 5), "known before");
+    assert!(!fleet.record_ended(Duration::ZERO, "t", 4));
+    assert!(fleet.record_ended(Duration::ZERO, "t", 5));
+    assert!(!fleet.record_ended(Duration::ZERO, "t", 5), "known before");
     fleet.set_targets(Duration::ZERO, &[target("t", 5, 1), target("u", 5, 2)]);
     assert_eq!(chosen(&fleet), ["u".to_owned()].into());
+    let until_lapsed = Duration::from_secs(5);
+    assert_eq!(chosen_at(&fleet, until_lapsed), ["u".to_owned()].into());
+    let both = ["t".to_owned(), "u".to_owned()].into();
+    assert_eq!(chosen_at(&fleet, Duration::from_secs(60)), both);
     fleet.set_targets(Duration::ZERO, &[target("t", 6, 1)]);
     assert_eq!(chosen(&fleet), ["t".to_owned()].into());
 }
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -167,7 +167,9 @@
     pub(crate) fn record_sign(&self, target: &TargetRun, sign: TargetSign) {
         let now = clock::now();
         if matches!(sign, TargetSign::Replaced | TargetSign::Restarted)
-            && self.fleet().record_ended(&target.id, target.incarnation)
+            && self
+                .fleet()
+                .record_ended(now, &target.id, target.incarnation)
         {
             tracing::info!(
                 target = &*target.id,
