--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -250,6 +250,14 @@
         Ok(body.freeze())
     }
 
+    /// Point that the answer had reached at `now`.
+    pub(crate) fn phase(&self, now: Duration) -> CrashPhase {
+        self.first_event_at
+            .map_or(CrashPhase::BeforeFirstEvent, |first_event_at| {
+                CrashPhase::AfterFirstEvent(now.saturating_sub(first_event_at))
+            })
+    }
+
     /// First stage of the path, which received the request.
     pub(crate) fn first(&self) -> &Stage {
         self.in_flight.first()
--- a/crates/forward/src/crash_checks.rs
+++ b/crates/forward/src/crash_checks.rs
@@ -96,6 +96,50 @@
     }
 }
 
+impl Router {
+    /// Whether a target is listed and has not announced that it is leaving.
+    pub(crate) fn is_staying(&self, target: &Stage) -> bool {
+        self.fleet().is_staying(&target.id, target.incarnation)
+    }
+
+    /// Records which targets at which requests were interrupted have ended by the list.
+    pub(crate) fn record_listed_ends(&self) {
+        let mut pending = self.suspects().pending_targets();
+        pending.extend(self.prompt_parts.pending_targets());
+        for target in pending {
+            let id = (&*target.id, target.incarnation);
+            let end = self.fleet().listed_end(id, target.address);
+            let sign = match end {
+                None => continue,
+                Some(ListedEnd::Replaced) => TargetSign::Replaced,
+                Some(ListedEnd::Restarted) => TargetSign::Restarted,
+                Some(ListedEnd::Unlisted) => TargetSign::Unlisted,
+            };
+            self.record_sign(&target, sign);
+        }
+    }
+
+    /// Records a sign of a target. Requests that were interrupted by its end count as crashes, and it gets no further
+    /// ones if its address belongs to another incarnation.
+    pub(crate) fn record_sign(&self, target: &TargetRun, sign: TargetSign) {
+        let now = clock::now();
+        if matches!(sign, TargetSign::Replaced | TargetSign::Restarted)
+            && self
+                .fleet()
+                .record_ended(now, &target.id, target.incarnation)
+        {
+            tracing::info!(
+                target = &*target.id,
+                incarnation = target.incarnation,
+                ?sign,
+                "target has ended, although it is listed"
+            );
+        }
+        self.suspects().record_sign(now, target, sign);
+        self.prompt_parts.record_sign(now, target, sign);
+    }
+}
+
 /// Finds out from the list, by a connection and by the report of an engine whether a target has ended. None if this
 /// shows nothing: whoever accepts a connection may be another target.
 async fn look_up(router: &Router, target: &Stage, is_engine: bool) -> Option<TargetSign> {
--- a/crates/forward/src/router.rs
+++ b/crates/forward/src/router.rs
@@ -143,43 +143,7 @@
         };
         self.pool.retain_listed(|key| keys.contains(&key));
         self.prompt_parts.retain_listed(|key| keys.contains(&key));
-        let mut pending = self.suspects().pending_targets();
-        pending.extend(self.prompt_parts.pending_targets());
-        for target in pending {
-            let id = (&*target.id, target.incarnation);
-            let end = self.fleet().listed_end(id, target.address);
-            let sign = match end {
-                None => continue,
-                Some(ListedEnd::Replaced) => TargetSign::Replaced,
-                Some(ListedEnd::Restarted) => TargetSign::Restarted,
-                Some(ListedEnd::Unlisted) => TargetSign::Unlisted,
-            };
-            self.record_sign(&target, sign);
-        }
-    }
-
-    /// Whether a target is listed and has not announced that it is leaving.
-    pub(crate) fn is_staying(&self, target: &Stage) -> bool {
-        self.fleet().is_staying(&target.id, target.incarnation)
-    }
-
-    /// Records a sign of a target. Requests that were interrupted by its end count as crashes.
-    pub(crate) fn record_sign(&self, target: &TargetRun, sign: TargetSign) {
-        let now = clock::now();
-        if matches!(sign, TargetSign::Replaced | TargetSign::Restarted)
-            && self
-                .fleet()
-                .record_ended(now, &target.id, target.incarnation)
-        {
-            tracing::info!(
-                target = &*target.id,
-                incarnation = target.incarnation,
-                ?sign,
-                "target has ended, although it is listed"
-            );
-        }
-        self.suspects().record_sign(now, target, sign);
-        self.prompt_parts.record_sign(now, target, sign);
+        self.record_listed_ends();
     }
 
     /// Records that this instance was asked to stop.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -257,7 +257,7 @@
         } = &self.exchange;
         let silence = clock::now().saturating_sub(silent_since);
         let watchdog = &mut self.watchdog;
-        let phase = phase(attempt, silent_since);
+        let phase = attempt.phase(silent_since);
         let inspection = watchdog
             .inspect(router, admitted, attempt.in_flight.path(), phase, silence)
             .await;
@@ -353,7 +353,7 @@
             error,
             "stream was interrupted"
         );
-        let phase = phase(attempt, clock::now());
+        let phase = attempt.phase(clock::now());
         let Exchange {
             admitted, router, ..
         } = exchange;
@@ -384,14 +384,6 @@
     }
 }
 
-/// Point that the answer of an attempt had reached at `now`.
-fn phase(attempt: &Attempt, now: Duration) -> CrashPhase {
-    let first_event_at = attempt.first_event_at;
-    first_event_at.map_or(CrashPhase::BeforeFirstEvent, |at| {
-        CrashPhase::AfterFirstEvent(now.saturating_sub(at))
-    })
-}
-
 /// Splitter for a stream that its caller may already have in part.
 fn first_splitter(exchange: &Exchange) -> EventSplitter {
     let last_id = exchange.request.header("last-event-id");
